--- /dev/null
+++ b/Libraries/LibConfig/InstanceSettings.cpp
@@ -0,0 +1,164 @@
+#include "LibConfig/InstanceSettings.h"
+
+#include "LibConfig/YamlReader.h"
+#include "LibCore/Digest.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace yardrill::config {
+
+static const IntegerRange AnyTime{1, 86'400'000};
+static const IntegerRange AnySize{1, 1'000'000'000};
+// boost::lockfree's fixed-size queue counts its nodes in 16 bits.
+static const IntegerRange RingSizes{16, 65'534};
+static const std::size_t LeastKeyBytes = 16;
+
+const char *InstanceSettings::example() {
+  return R"(# Settings of one yardrill instance. Keys without a default are required;
+# each optional key is shown with its default.
+instance:
+  name: entry-1
+  data_hall: edinburgh
+  caller_address: 127.0.0.1:8080     # callers, through the platform's balancer
+  operator_address: 127.0.0.1:8081   # health, metrics, status, configuration
+  peer_address: 127.0.0.1:8082       # other instances, UDP and TCP
+  operator_token: change-me          # Bearer token of the operator endpoint
+  trace_file: ""                     # record decisions here; "" records nothing
+  ring_capacity: 16384               # of each ring between two threads
+
+callers:
+  header_bytes: 16384                # more is answered 431
+  body_bytes: 8388608                # more is answered 413
+  open_connections: 4096             # more wait in the listen queue
+  open_requests: 4096                # more are answered 503, not run
+  read_timeout_ms: 10000             # a slower header or body is answered 408
+  write_timeout_ms: 30000            # a slower reader is cut off
+  idle_timeout_ms: 60000             # between requests of one connection
+
+targets:
+  connect_timeout_ms: 1000
+  silence_timeout_ms: 60000          # longest silence within an answer
+  idle_connections: 64               # kept for reuse, per target
+
+identities:
+  identities: 100000                 # more are answered 429, not run
+  answer_bytes: 16777216             # of kept answers in all
+  one_answer_bytes: 262144           # a larger answer is not kept
+  retention_ms: 600000               # how long an identity is remembered
+
+platform:
+  addresses: [127.0.0.1:2379]        # etcd v3 JSON gateway
+  call_timeout_ms: 2000
+  calls_per_second: 20               # budget of this instance
+  call_burst: 40
+  waiting_calls: 256                 # more are refused at once
+
+peers:
+  seeds: []                          # peer_address of some other instances
+  key_hex: 000102030405060708090a0b0c0d0e0f  # the same at all instances
+  heartbeat_ms: 500
+  silence_ms: 5000                   # then a peer counts as gone
+  known_peers: 1024
+)";
+}
+
+static void readInstance(YamlReader &Reader, InstanceSettings &Out) {
+  Out.m_Name = core::InstanceName(Reader.text("name"));
+  Out.m_DataHall = core::DataHallName(Reader.text("data_hall"));
+  Out.m_CallerAddress = Reader.endpoint("caller_address");
+  Out.m_OperatorAddress = Reader.endpoint("operator_address");
+  Out.m_PeerAddress = Reader.endpoint("peer_address");
+  Out.m_OperatorToken = Reader.text("operator_token");
+  Out.m_TraceFile = Reader.text("trace_file", "");
+  Out.m_RingCapacity = static_cast<std::size_t>(
+      Reader.integer("ring_capacity", RingSizes, 16384));
+  if (Out.m_OperatorToken.empty())
+    Reader.fault("operator_token", "is empty", "a secret text");
+}
+
+static std::size_t size(YamlReader &Reader, const char *Key,
+                        std::int64_t Default) {
+  return static_cast<std::size_t>(Reader.integer(Key, AnySize, Default));
+}
+
+static void readCallers(YamlReader &Reader, CallerLimits &Out) {
+  Out.m_HeaderBytes = size(Reader, "header_bytes", 16384);
+  Out.m_BodyBytes = size(Reader, "body_bytes", 8388608);
+  Out.m_OpenConnections = size(Reader, "open_connections", 4096);
+  Out.m_OpenRequests = size(Reader, "open_requests", 4096);
+  Out.m_ReadTimeout = Reader.milliseconds("read_timeout_ms", AnyTime, 10000);
+  Out.m_WriteTimeout = Reader.milliseconds("write_timeout_ms", AnyTime, 30000);
+  Out.m_IdleTimeout = Reader.milliseconds("idle_timeout_ms", AnyTime, 60000);
+}
+
+static void readTargets(YamlReader &Reader, TargetLimits &Out) {
+  Out.m_ConnectTimeout =
+      Reader.milliseconds("connect_timeout_ms", AnyTime, 1000);
+  Out.m_SilenceTimeout =
+      Reader.milliseconds("silence_timeout_ms", AnyTime, 60000);
+  Out.m_IdleConnections = size(Reader, "idle_connections", 64);
+}
+
+static void readIdentities(YamlReader &Reader, IdentityLimits &Out) {
+  Out.m_Identities = size(Reader, "identities", 100000);
+  Out.m_AnswerBytes = size(Reader, "answer_bytes", 16777216);
+  Out.m_OneAnswerBytes = size(Reader, "one_answer_bytes", 262144);
+  Out.m_Retention = Reader.milliseconds("retention_ms", AnyTime, 600000);
+}
+
+static void readPlatform(YamlReader &Reader, PlatformSettings &Out) {
+  Out.m_Addresses = Reader.endpoints("addresses");
+  if (Out.m_Addresses.empty())
+    Reader.fault("addresses", "names no address", "one address or more");
+  Out.m_CallTimeout = Reader.milliseconds("call_timeout_ms", AnyTime, 2000);
+  Out.m_CallsPerSecond = Reader.number("calls_per_second", 0.1, 10000, 20);
+  Out.m_CallBurst = Reader.number("call_burst", 1, 10000, 40);
+  Out.m_WaitingCalls = size(Reader, "waiting_calls", 256);
+}
+
+static void readPeers(YamlReader &Reader, PeerSettings &Out) {
+  Out.m_Seeds = Reader.endpoints("seeds");
+  Out.m_Key = core::fromHex(Reader.text("key_hex"));
+  if (Out.m_Key.size() < LeastKeyBytes)
+    Reader.fault("key_hex", "is too short or not hex", "32 hex digits or more");
+  Out.m_HeartbeatPeriod = Reader.milliseconds("heartbeat_ms", AnyTime, 500);
+  Out.m_SilenceTimeout = Reader.milliseconds("silence_ms", AnyTime, 5000);
+  Out.m_KnownPeers = size(Reader, "known_peers", 1024);
+}
+
+InstanceSettings InstanceSettings::parse(const std::string &Text,
+                                         const std::string &File) {
+  YAML::Node Root = YamlReader::load(Text, File, core::ErrorKind::Settings);
+  std::vector<Fault> Faults;
+  InstanceSettings Out;
+  YamlReader Reader(Root, "", Faults);
+  Reader.section("instance", [&](YamlReader &R) { readInstance(R, Out); });
+  Reader.section("callers",
+                 [&](YamlReader &R) { readCallers(R, Out.m_Callers); });
+  Reader.section("targets",
+                 [&](YamlReader &R) { readTargets(R, Out.m_Targets); });
+  Reader.section("identities",
+                 [&](YamlReader &R) { readIdentities(R, Out.m_Identities); });
+  Reader.section("platform",
+                 [&](YamlReader &R) { readPlatform(R, Out.m_Platform); });
+  Reader.section("peers", [&](YamlReader &R) { readPeers(R, Out.m_Peers); });
+  Reader.finish();
+  if (!Faults.empty())
+    throw FaultyDocument(core::ErrorKind::Settings, File, Faults);
+  return Out;
+}
+
+InstanceSettings InstanceSettings::load(const std::string &File) {
+  return parse(readFile(File), File);
+}
+
+std::string readFile(const std::string &File) {
+  std::ifstream In(File, std::ios::binary);
+  std::ostringstream Text;
+  if (!In || !(Text << In.rdbuf()))
+    throw core::Error(core::ErrorKind::Settings, "cannot read file " + File);
+  return Text.str();
+}
+
+} // namespace yardrill::config
--- /dev/null
+++ b/Libraries/LibConfig/YamlReader.h
@@ -0,0 +1,80 @@
+//===-- YamlReader.h - Checked reading of a YAML mapping ------------------===//
+#ifndef YARDRILL_LIBCONFIG_YAMLREADER_H
+#define YARDRILL_LIBCONFIG_YAMLREADER_H
+
+#include "LibConfig/Endpoint.h"
+#include "LibConfig/Fault.h"
+#include "LibCore/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+#include <yaml-cpp/yaml.h>
+
+namespace yardrill::config {
+
+struct IntegerRange {
+  std::int64_t m_Least;
+  std::int64_t m_Most;
+};
+
+/// Reads one mapping key by key; collects faults instead of stopping at the
+/// first. Keys that nobody asked for are faults (see finish()).
+class YamlReader {
+public:
+  YamlReader(YAML::Node Node, std::string Path, std::vector<Fault> &Faults);
+
+  /// \throws FaultyDocument when \p Text is not YAML at all.
+  static YAML::Node load(const std::string &Text, const std::string &File,
+                         core::ErrorKind Kind);
+
+  bool has(const std::string &Key);
+  /// Without a \p Default the key is required.
+  std::string text(const std::string &Key,
+                   const std::optional<std::string> &Default = std::nullopt);
+  std::int64_t integer(const std::string &Key, IntegerRange Range,
+                       std::optional<std::int64_t> Default = std::nullopt);
+  double number(const std::string &Key, double Least, double Most,
+                double Default);
+  bool boolean(const std::string &Key, bool Default);
+  Endpoint endpoint(const std::string &Key,
+                    const std::optional<Endpoint> &Default = std::nullopt);
+  /// A count of milliseconds; \p Key ends in `_ms`.
+  core::Duration milliseconds(const std::string &Key, IntegerRange Range,
+                              std::optional<std::int64_t> Default);
+  std::string choice(const std::string &Key,
+                     const std::vector<std::string> &Allowed,
+                     const std::optional<std::string> &Default = std::nullopt);
+  std::vector<std::string> texts(const std::string &Key);
+  std::vector<Endpoint> endpoints(const std::string &Key);
+  /// Calls \p Read for the mapping under \p Key; an absent one reads as empty.
+  void section(const std::string &Key,
+               const std::function<void(YamlReader &)> &Read);
+  /// Calls \p Read for each mapping of the list under \p Key.
+  void list(const std::string &Key,
+            const std::function<void(YamlReader &)> &Read);
+
+  /// Reports a fault at \p Key, as the caller's own check of a value.
+  void fault(const std::string &Key, const std::string &Problem,
+             const std::string &Allowed);
+  /// Reports the keys that were never asked for.
+  void finish();
+
+private:
+  YAML::Node child(const std::string &Key);
+  std::optional<std::string> scalar(const std::string &Key, bool IsRequired,
+                                    const std::string &Allowed);
+  std::string pathOf(const std::string &Key) const;
+
+  YAML::Node m_Node;
+  std::string m_Path;
+  std::vector<Fault> &m_Faults;
+  std::set<std::string> m_Asked;
+};
+
+} // namespace yardrill::config
+
+#endif
--- /dev/null
+++ b/Libraries/LibCore/Digest.h
@@ -0,0 +1,36 @@
+//===-- Digest.h - Hashes, message authentication and random bits ---------===//
+#ifndef YARDRILL_LIBCORE_DIGEST_H
+#define YARDRILL_LIBCORE_DIGEST_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace yardrill::core {
+
+/// SHA-256 (FIPS 180-4) as 64 lower-case hex digits.
+std::string sha256Hex(std::string_view Text);
+
+/// HMAC-SHA-256 (RFC 2104), 32 raw bytes.
+std::string hmacSha256(std::string_view Key, std::string_view Text);
+
+/// Compares in a time that does not depend on where the two differ.
+bool isEqualConstantTime(std::string_view A, std::string_view B);
+
+std::string toHex(std::string_view Bytes);
+/// \returns the bytes, or an empty string when \p Hex is not hex digits.
+std::string fromHex(std::string_view Hex);
+
+std::string toBase64(std::string_view Bytes);
+/// \throws Error of kind Protocol when \p Text is not base64 (RFC 4648).
+std::string fromBase64(std::string_view Text);
+
+/// 64 bits from the system's random source.
+std::uint64_t randomBits();
+
+/// First 64 bits of SHA-256: the same on every machine and in every release.
+std::uint64_t stableHash(std::string_view Text);
+
+} // namespace yardrill::core
+
+#endif
--- /dev/null
+++ b/Libraries/LibCore/DutyThread.cpp
@@ -0,0 +1,45 @@
+#include "LibCore/DutyThread.h"
+
+#include "LibCore/Log.h"
+
+#include <boost/asio/post.hpp>
+#include <pthread.h>
+
+namespace yardrill::core {
+
+DutyThread::DutyThread(std::string Name)
+    : m_Name(std::move(Name)), m_Guard(m_Context.get_executor()) {}
+
+DutyThread::~DutyThread() { stop(); }
+
+void DutyThread::start() {
+  m_Thread = std::thread([this] { run(); });
+  // The kernel takes 15 characters.
+  pthread_setname_np(m_Thread.native_handle(), m_Name.substr(0, 15).c_str());
+}
+
+void DutyThread::stop() {
+  m_Context.stop();
+  if (m_Thread.joinable())
+    m_Thread.join();
+}
+
+void DutyThread::run() {
+  while (!m_Context.stopped()) {
+    try {
+      m_Context.run();
+    } catch (const std::exception &Failure) {
+      // One request's failure must not end the duty for all others.
+      LogLine("duty-failure", LogLevel::Error)
+          .add("duty", m_Name)
+          .add("reason", Failure.what());
+    }
+  }
+}
+
+std::function<void()> DutyThread::waker(std::function<void()> Drain) {
+  return
+      [this, Drain = std::move(Drain)] { boost::asio::post(m_Context, Drain); };
+}
+
+} // namespace yardrill::core
--- /dev/null
+++ b/Libraries/LibCore/Ring.h
@@ -0,0 +1,57 @@
+//===-- Ring.h - A bounded ring between two duties ------------------------===//
+#ifndef YARDRILL_LIBCORE_RING_H
+#define YARDRILL_LIBCORE_RING_H
+
+#include <atomic>
+#include <boost/lockfree/queue.hpp>
+#include <functional>
+#include <memory>
+
+namespace yardrill::core {
+
+/// Many producers, one consumer, a fixed capacity. A full ring refuses, so
+/// that the producer answers for it; it never blocks and never grows.
+template <class T> class Ring {
+public:
+  /// \param Wake called by a producer when the consumer has to call drain().
+  Ring(std::size_t Capacity, std::function<void()> Wake)
+      : m_Queue(Capacity), m_Wake(std::move(Wake)) {}
+  Ring(const Ring &) = delete;
+  Ring &operator=(const Ring &) = delete;
+  ~Ring() {
+    T *Value = nullptr;
+    while (m_Queue.pop(Value))
+      delete Value;
+  }
+
+  /// \returns false when the ring is full; \p Value is then dropped.
+  bool tryPush(T Value) {
+    auto Owned = std::make_unique<T>(std::move(Value));
+    if (!m_Queue.bounded_push(Owned.get()))
+      return false;
+    (void)Owned.release();
+    if (!m_WakePending.exchange(true))
+      m_Wake();
+    return true;
+  }
+
+  /// Hands every waiting value to \p Handle, on the consumer's thread.
+  template <class Function> void drain(Function &&Handle) {
+    // Cleared before the first pop: a value pushed later wakes us again.
+    m_WakePending.store(false);
+    T *Value = nullptr;
+    while (m_Queue.pop(Value)) {
+      std::unique_ptr<T> Owned(Value);
+      Handle(std::move(*Owned));
+    }
+  }
+
+private:
+  boost::lockfree::queue<T *, boost::lockfree::fixed_sized<true>> m_Queue;
+  std::function<void()> m_Wake;
+  std::atomic<bool> m_WakePending{false};
+};
+
+} // namespace yardrill::core
+
+#endif
--- /dev/null
+++ b/Libraries/LibCore/StrongType.h
@@ -0,0 +1,71 @@
+//===-- StrongType.h - Distinct types for ids, names and counts -----------===//
+#ifndef YARDRILL_LIBCORE_STRONGTYPE_H
+#define YARDRILL_LIBCORE_STRONGTYPE_H
+
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace yardrill::core {
+
+/// A value of type \p Rep that converts to no other StrongType.
+/// \p Tag only tells the types apart.
+template <class Tag, class Rep> class StrongType {
+public:
+  StrongType() = default;
+  explicit StrongType(Rep Value) : m_Value(std::move(Value)) {}
+
+  const Rep &value() const { return m_Value; }
+
+  bool operator==(const StrongType &Other) const {
+    return m_Value == Other.m_Value;
+  }
+  bool operator!=(const StrongType &Other) const { return !(*this == Other); }
+  bool operator<(const StrongType &Other) const {
+    return m_Value < Other.m_Value;
+  }
+
+  /// cereal's hook: the bare value, with no wrapper around it.
+  template <class Archive> Rep save_minimal(const Archive &) const {
+    return m_Value;
+  }
+  template <class Archive>
+  void load_minimal(const Archive &, const Rep &Value) {
+    m_Value = Value;
+  }
+
+private:
+  Rep m_Value{};
+};
+
+template <class Tag, class Rep>
+std::ostream &operator<<(std::ostream &Out, const StrongType<Tag, Rep> &Value) {
+  return Out << Value.value();
+}
+
+using RequestId = StrongType<struct RequestIdTag, std::uint64_t>;
+/// One run of one process: drawn at random at start, never used again.
+using IncarnationId = StrongType<struct IncarnationIdTag, std::uint64_t>;
+using ConfigurationVersion =
+    StrongType<struct ConfigurationVersionTag, std::uint64_t>;
+/// 1 is served first; a larger number is a lower tier.
+using TierNumber = StrongType<struct TierNumberTag, std::uint32_t>;
+using AccountName = StrongType<struct AccountNameTag, std::string>;
+using PoolName = StrongType<struct PoolNameTag, std::string>;
+using TargetName = StrongType<struct TargetNameTag, std::string>;
+using InstanceName = StrongType<struct InstanceNameTag, std::string>;
+using DataHallName = StrongType<struct DataHallNameTag, std::string>;
+
+} // namespace yardrill::core
+
+template <class Tag, class Rep>
+struct std::hash<yardrill::core::StrongType<Tag, Rep>> {
+  std::size_t
+  operator()(const yardrill::core::StrongType<Tag, Rep> &Value) const {
+    return std::hash<Rep>()(Value.value());
+  }
+};
+
+#endif
--- /dev/null
+++ b/Libraries/LibCore/TimerService.cpp
@@ -0,0 +1,40 @@
+#include "LibCore/TimerService.h"
+
+namespace yardrill::core {
+
+struct SteadyTimerService::Subscription {
+  Subscription(boost::asio::io_context &Context, Duration Period,
+               Subscriber Notify)
+      : m_Timer(Context), m_Period(Period), m_Notify(std::move(Notify)) {}
+
+  boost::asio::steady_timer m_Timer;
+  Duration m_Period;
+  Subscriber m_Notify;
+};
+
+SteadyTimerService::SteadyTimerService(boost::asio::io_context &Context)
+    : m_Context(Context) {}
+
+SteadyTimerService::~SteadyTimerService() {
+  for (auto &Sub : m_Subscriptions)
+    Sub->m_Timer.cancel();
+}
+
+void SteadyTimerService::subscribe(Duration Period, Subscriber Notify) {
+  auto Sub =
+      std::make_shared<Subscription>(m_Context, Period, std::move(Notify));
+  m_Subscriptions.push_back(Sub);
+  arm(Sub);
+}
+
+void SteadyTimerService::arm(const std::shared_ptr<Subscription> &Sub) {
+  Sub->m_Timer.expires_after(Sub->m_Period);
+  Sub->m_Timer.async_wait([Sub](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    Sub->m_Notify(steadyNow());
+    arm(Sub);
+  });
+}
+
+} // namespace yardrill::core
--- /dev/null
+++ b/Libraries/LibDecision/FloorLeader.h
@@ -0,0 +1,93 @@
+//===-- FloorLeader.h - The leader's part in a pool's tier order ----------===//
+#ifndef YARDRILL_LIBDECISION_FLOORLEADER_H
+#define YARDRILL_LIBDECISION_FLOORLEADER_H
+
+#include "LibCore/Time.h"
+#include "LibDecision/FloorMember.h"
+#include "LibDecision/FloorMessages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace yardrill::decision {
+
+/// Moves a pool's floor one tier at a time, each step confirmed by every
+/// member that a leader has ever commanded and that is not known to be gone.
+///
+/// Raising to tier T: first all stop admitting and evict what is below T;
+/// only when all have confirmed may T be shed, under permissions that expire.
+/// Lowering: permissions are withdrawn, and acknowledged or waited out, before
+/// a lower tier is admitted again. The design note 0002 gives the reasons and
+/// the runs that show what each rule is for.
+class FloorLeader {
+public:
+  /// \param Record as written, with this instance as leader.
+  FloorLeader(core::PoolName Pool, Home Self, FloorRecord Record,
+              std::int64_t Revision, FloorTimes Times, core::TimePoint Now);
+
+  void setTiers(core::TierNumber Highest, core::TierNumber Lowest);
+  /// \returns false when the report shows a leader of a higher epoch: this one
+  /// has to step down.
+  bool heard(const FloorReport &Report, core::TimePoint Now);
+  /// The member takes no further part; it is written out of the record.
+  void memberGone(core::IncarnationId Incarnation);
+
+  /// The record to be written, when members came or went and no write is
+  /// under way.
+  std::optional<FloorRecord> recordToWrite();
+  /// \returns false when the write lost to another leader: step down.
+  bool recordWritten(bool IsWritten, std::int64_t Revision);
+  std::int64_t revision() const { return m_Revision; }
+
+  /// Moves on where all have confirmed, and returns an order for each
+  /// recorded member.
+  std::vector<std::pair<Home, FloorOrder>> step(core::TimePoint Now);
+
+  FloorPhase phase() const { return m_Phase; }
+  core::TierNumber floor() const { return m_Floor; }
+  std::uint64_t epoch() const { return m_Record.m_Epoch; }
+  std::size_t memberCount() const { return m_Record.m_Members.size(); }
+
+private:
+  struct Heard {
+    FloorReport m_Report;
+    core::TimePoint m_At;
+  };
+
+  void advance(core::TimePoint Now);
+  void advanceHold(core::TierNumber Goal, core::TimePoint Now);
+  void advanceShed(core::TierNumber Goal, core::TimePoint Now);
+  void enter(FloorPhase Phase, core::TierNumber Floor);
+  bool allConfirmed() const;
+  /// Highest tier that a member needs to shed; the lowest tier when none.
+  core::TierNumber goal(core::TimePoint Now);
+  /// Only after all have confirmed.
+  core::TierNumber lowestMemberFloor() const;
+  core::TierNumber oneAbove(core::TierNumber Tier) const;
+
+  core::PoolName m_Pool;
+  Home m_Self;
+  FloorRecord m_Record;                      ///< As last written.
+  std::map<core::IncarnationId, Home> m_New; ///< Heard, not yet recorded.
+  std::vector<core::IncarnationId> m_Gone;
+  std::optional<FloorRecord> m_Writing;
+  std::int64_t m_Revision;
+  FloorTimes m_Times;
+  core::TierNumber m_Highest{1};
+  core::TierNumber m_Lowest{1};
+  FloorPhase m_Phase = FloorPhase::Adopt;
+  std::uint64_t m_Sequence = 1;
+  core::TierNumber m_Floor{1};
+  /// Set while the floor is about to be lowered: permissions that were sent
+  /// before may still stand.
+  bool m_IsWithdrawing = false;
+  core::TimePoint m_LastPermissionAt;
+  core::TimePoint m_LastPressureAt;
+  core::TierNumber m_LastGoal{0};
+  std::map<core::IncarnationId, Heard> m_Reports;
+};
+
+} // namespace yardrill::decision
+
+#endif
--- /dev/null
+++ b/Libraries/LibDecision/PoolQueue.h
@@ -0,0 +1,71 @@
+//===-- PoolQueue.h - Waiting requests of one pool ------------------------===//
+#ifndef YARDRILL_LIBDECISION_POOLQUEUE_H
+#define YARDRILL_LIBDECISION_POOLQUEUE_H
+
+#include "LibCore/StrongType.h"
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace yardrill::decision {
+
+/// Orders by tier, then fairly between client accounts, then by arrival.
+/// Fair is start-time fair queueing: an account's next request may start when
+/// its earlier ones, divided by its weight, have had their turn.
+class PoolQueue {
+public:
+  struct Entry {
+    core::RequestId m_Request;
+    core::TierNumber m_Tier;
+    core::AccountName m_Account;
+    double m_Weight = 1;
+    double m_Cost = 1; ///< Expected work, in any one unit.
+  };
+
+  void push(const Entry &Item);
+  /// Puts a request back in front of its account's others.
+  void pushFront(const Entry &Item);
+  /// Next to run among tiers up to \p LowestTier.
+  std::optional<core::RequestId> front(core::TierNumber LowestTier) const;
+  /// The request that is refused first: lowest tier, latest arrival there.
+  std::optional<Entry> lastToServe() const;
+  /// \returns false when it does not wait here.
+  bool remove(core::RequestId Request);
+
+  std::size_t size() const { return m_Places.size(); }
+  std::size_t size(core::TierNumber Tier) const;
+  bool isEmpty() const { return m_Places.empty(); }
+
+private:
+  struct AccountQueue {
+    std::list<Entry> m_Waiting;
+    double m_Start = 0; ///< Virtual time at which its first may start.
+  };
+  struct TierQueue {
+    std::unordered_map<core::AccountName, AccountQueue> m_Accounts;
+    std::set<std::pair<double, core::AccountName>> m_Order;
+    std::list<core::RequestId> m_Arrivals;
+    double m_VirtualTime = 0;
+    std::size_t m_Size = 0;
+  };
+  struct Place {
+    core::TierNumber m_Tier;
+    core::AccountName m_Account;
+    std::list<Entry>::iterator m_Entry;
+    std::list<core::RequestId>::iterator m_Arrival;
+  };
+
+  void insert(const Entry &Item, bool IsFront);
+
+  std::map<core::TierNumber, TierQueue> m_Tiers;
+  std::unordered_map<core::RequestId, Place> m_Places;
+};
+
+} // namespace yardrill::decision
+
+#endif
--- /dev/null
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -0,0 +1,375 @@
+#include "LibDecision/PoolScheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace yardrill::decision {
+
+/// A waiting request counts as pressure from this part of its deadline on, so
+/// that a permission is there in time.
+static const int PressureNumerator = 1;
+static const int PressureDenominator = 2;
+static const double MostRetrySeconds = 120;
+static const double LeastSpread = 0.75;
+static const double MostSpread = 1.75;
+static const double PaceStep = 0.1;
+static const double ExpectedCostPerToken = 1.0 / 256;
+
+PoolScheduler::PoolScheduler(core::PoolName Name, Home Self, std::uint64_t Seed,
+                             PoolHooks Hooks)
+    : m_Name(Name), m_Self(Self), m_Hooks(std::move(Hooks)), m_Random(Seed),
+      m_Member(Name, Self, m_FloorTimes) {}
+
+void PoolScheduler::configure(const config::FleetConfiguration &Configuration,
+                              const config::Pool &Pool, core::TimePoint Now) {
+  m_QueueLimit = Pool.m_QueueLimit;
+  m_Highest = Configuration.tiers().front().m_Number;
+  m_Lowest = Configuration.tiers().back().m_Number;
+  m_Member.setTiers(m_Highest, m_Lowest);
+  if (m_Leader)
+    m_Leader->setTiers(m_Highest, m_Lowest);
+  m_Targets.configure(Pool);
+  dispatchWaiting(Now);
+}
+
+void PoolScheduler::setInstances(std::uint32_t Count, core::TimePoint Now) {
+  m_Targets.setInstances(std::max<std::uint32_t>(Count, 1));
+  dispatchWaiting(Now);
+}
+
+void PoolScheduler::setLeaving(const core::TargetName &Target, bool IsLeaving,
+                               core::TimePoint Now) {
+  m_Targets.setLeaving(Target, IsLeaving);
+  if (!IsLeaving)
+    dispatchWaiting(Now);
+}
+
+void PoolScheduler::setStopping() {
+  m_IsStopping = true;
+  if (!m_Leader)
+    return;
+  m_Leader.reset();
+  m_Hooks.m_Emit(ResignFloor{m_Name});
+}
+
+std::size_t PoolScheduler::running() const {
+  std::size_t Count = 0;
+  for (const auto &[Tier, Requests] : m_Running)
+    Count += Requests.size();
+  return Count;
+}
+
+//===----------------------------------------------------------------------===//
+// Admission, queue and dispatch
+//===----------------------------------------------------------------------===//
+
+void PoolScheduler::admit(RequestState &Request, core::TimePoint Now) {
+  if (m_Targets.all().empty())
+    // An idle pool could not have run it either.
+    return m_Hooks.m_Refuse(Request, RefusalKind::NoTarget, {});
+  bool IsAdmitted = m_Member.mayAdmit(Request.tier());
+  // Before a leader's first word a lower tier waits: the floor is not known.
+  if (!IsAdmitted && m_Member.isCommanded() &&
+      m_Member.mayShed(Request.tier(), Now))
+    return m_Hooks.m_Refuse(Request, RefusalKind::TierShed,
+                            validUntil(Request.tier()));
+  bool IsFirst = !m_Queue.front(Request.tier());
+  if (IsAdmitted && IsFirst && tryDispatch(Request, Now))
+    return;
+  enqueue(Request, false);
+  enforceQueueLimit(Now);
+}
+
+bool PoolScheduler::tryDispatch(RequestState &Request, core::TimePoint Now) {
+  ExpectedWork Work{Request.m_Arrival.m_PrefillTokens,
+                    Request.m_Arrival.m_OutputTokens,
+                    Request.m_Arrival.m_PrefixHash};
+  bool MayUseKeptPlaces = !(m_Highest < Request.tier());
+  auto Target = m_Targets.choose(Work, MayUseKeptPlaces, Now, m_Random);
+  if (!Target)
+    return false;
+  // At most once (brief): a request that was dispatched never comes here again.
+  assert(Request.m_Phase != RequestPhase::Dispatched);
+  Request.m_Phase = RequestPhase::Dispatched;
+  Request.m_Target = *Target;
+  Request.m_DispatchedAt = Now;
+  m_Targets.started(*Target);
+  m_Running[Request.tier()].insert(Request.id());
+  bool KeepAnswer = Request.m_Arrival.m_Identity.has_value();
+  m_Hooks.m_Emit(Dispatch{Request.id(), *Target,
+                          m_Targets.find(*Target)->m_Target.m_Address,
+                          KeepAnswer});
+  return true;
+}
+
+void PoolScheduler::enqueue(RequestState &Request, bool IsFront) {
+  Request.m_Phase = RequestPhase::Queued;
+  PoolQueue::Entry Entry;
+  Entry.m_Request = Request.id();
+  Entry.m_Tier = Request.tier();
+  Entry.m_Account = Request.m_Arrival.m_Account;
+  Entry.m_Cost = 1 + ExpectedCostPerToken * (Request.m_Arrival.m_PrefillTokens +
+                                             Request.m_Arrival.m_OutputTokens);
+  if (IsFront)
+    m_Queue.pushFront(Entry);
+  else
+    m_Queue.push(Entry);
+  m_Deadlines[Request.tier()].emplace(Request.m_Deadline, Request.id());
+}
+
+bool PoolScheduler::withdraw(RequestState &Request) {
+  if (!m_Queue.remove(Request.id()))
+    return false;
+  m_Deadlines[Request.tier()].erase({Request.m_Deadline, Request.id()});
+  return true;
+}
+
+void PoolScheduler::dispatchWaiting(core::TimePoint Now) {
+  while (auto Next = m_Queue.front(m_Member.floor())) {
+    RequestState &Request = m_Hooks.m_Find(*Next);
+    // A lower tier has no place where a higher one has none.
+    if (!tryDispatch(Request, Now))
+      return;
+    withdraw(Request);
+  }
+}
+
+core::TimePoint PoolScheduler::validUntil(core::TierNumber Tier) const {
+  return Tier < m_Lowest ? m_Member.permissionUntil() : core::TimePoint();
+}
+
+void PoolScheduler::enforceQueueLimit(core::TimePoint Now) {
+  while (m_Queue.size() > m_QueueLimit) {
+    auto Last = m_Queue.lastToServe();
+    // Not the lowest tier and no permission: it keeps waiting. What may pile
+    // up is bounded by the open connections.
+    if (!m_Member.mayShed(Last->m_Tier, Now))
+      return;
+    RequestState &Request = m_Hooks.m_Find(Last->m_Request);
+    withdraw(Request);
+    m_Hooks.m_Refuse(Request, RefusalKind::QueueFull, validUntil(Last->m_Tier));
+  }
+}
+
+void PoolScheduler::refuseOverdue(core::TimePoint Now) {
+  // The lowest tier first, so that no higher one is refused before it.
+  for (auto Tier = m_Deadlines.rbegin(); Tier != m_Deadlines.rend(); ++Tier) {
+    auto &Waiting = Tier->second;
+    while (!Waiting.empty() && Waiting.begin()->first <= Now) {
+      if (!m_Member.mayShed(Tier->first, Now))
+        break;
+      RequestState &Request = m_Hooks.m_Find(Waiting.begin()->second);
+      withdraw(Request);
+      RefusalKind Kind = Request.m_HasFailedConnect
+                             ? RefusalKind::TargetUnreachable
+                             : RefusalKind::DeadlinePassed;
+      m_Hooks.m_Refuse(Request, Kind, validUntil(Tier->first));
+    }
+  }
+}
+
+void PoolScheduler::connectFailed(RequestState &Request, core::TimePoint Now) {
+  assert(Request.m_Phase == RequestPhase::Dispatched);
+  m_Running[Request.tier()].erase(Request.id());
+  m_Targets.connectFailed(Request.m_Target, Now);
+  Request.m_HasFailedConnect = true;
+  enqueue(Request, true);
+  dispatchWaiting(Now);
+}
+
+void PoolScheduler::ended(RequestState &Request, const AnswerEnded &End,
+                          core::TimePoint Now) {
+  assert(Request.m_Phase == RequestPhase::Dispatched);
+  m_Running[Request.tier()].erase(Request.id());
+  m_Targets.finished(Request.m_Target);
+  notePace(Now);
+  if (End.m_Outcome == AnswerOutcome::Complete && Request.m_BeganAt) {
+    ExpectedWork Work{Request.m_Arrival.m_PrefillTokens,
+                      Request.m_Arrival.m_OutputTokens, 0};
+    m_Targets.learn(Request.m_Target, Work,
+                    *Request.m_BeganAt - Request.m_DispatchedAt,
+                    Now - *Request.m_BeganAt, End.m_OutputTokens);
+  }
+  dispatchWaiting(Now);
+}
+
+void PoolScheduler::readmit(RequestState &Request, core::TimePoint Now) {
+  enqueue(Request, true);
+  dispatchWaiting(Now);
+}
+
+void PoolScheduler::notePace(core::TimePoint Now) {
+  if (m_LastEndAt != core::TimePoint()) {
+    double Gap = std::max(core::toSeconds(Now - m_LastEndAt), 1e-4);
+    m_Pace += PaceStep * (1 / Gap - m_Pace);
+  }
+  m_LastEndAt = Now;
+}
+
+std::uint32_t PoolScheduler::retryAfterSeconds() {
+  double Waiting = static_cast<double>(m_Queue.size() + 1);
+  double Seconds = m_Pace > 0 ? Waiting / m_Pace : 1;
+  std::uniform_real_distribution<double> Spread(LeastSpread, MostSpread);
+  Seconds = std::min(std::max(Seconds, 1.0), MostRetrySeconds);
+  return static_cast<std::uint32_t>(std::ceil(Seconds * Spread(m_Random)));
+}
+
+void PoolScheduler::timePassed(core::TimePoint Now) {
+  refuseOverdue(Now);
+  enforceQueueLimit(Now);
+  // A paused target's pause may have ended.
+  dispatchWaiting(Now);
+  keepOrder(Now);
+}
+
+//===----------------------------------------------------------------------===//
+// Tier order across instances
+//===----------------------------------------------------------------------===//
+
+static const std::chrono::milliseconds ReportPeriod(200);
+static const std::chrono::seconds LeaderSilence(2);
+static const std::chrono::seconds RecordReadPeriod(1);
+static const std::chrono::milliseconds LongestCampaignDelay(500);
+
+bool PoolScheduler::runsBelowFloor() const {
+  auto Below = m_Running.upper_bound(m_Member.floor());
+  return std::any_of(Below, m_Running.end(),
+                     [](const auto &Tier) { return !Tier.second.empty(); });
+}
+
+core::TierNumber PoolScheduler::tierUnderPressure(core::TimePoint Now) const {
+  bool IsQueueFull = m_Queue.size() >= m_QueueLimit;
+  for (const auto &[Tier, Waiting] : m_Deadlines) {
+    if (Waiting.empty() || !(Tier < m_Lowest))
+      continue;
+    const RequestState &First = m_Hooks.m_Find(Waiting.begin()->second);
+    core::Duration Allowed = First.m_Deadline - First.m_ArrivedAt;
+    core::TimePoint PressureAt =
+        First.m_ArrivedAt + Allowed * PressureNumerator / PressureDenominator;
+    bool IsLast = m_Queue.lastToServe()->m_Tier == Tier;
+    if (PressureAt <= Now || (IsQueueFull && IsLast))
+      return Tier;
+  }
+  return core::TierNumber(0);
+}
+
+void PoolScheduler::evictBelowFloor() {
+  auto Below = m_Running.upper_bound(m_Member.floor());
+  for (; Below != m_Running.end(); ++Below) {
+    for (core::RequestId Id : Below->second) {
+      RequestState &Request = m_Hooks.m_Find(Id);
+      // A call that may not be cut is waited for.
+      if (Request.m_IsCancelled || !Request.m_Arrival.m_MayBeCut)
+        continue;
+      Request.m_IsCancelled = true;
+      m_Hooks.m_Emit(Cancel{Id});
+    }
+  }
+}
+
+void PoolScheduler::keepOrder(core::TimePoint Now) {
+  if (Now < m_NextReportAt)
+    return;
+  m_NextReportAt = Now + ReportPeriod;
+  if (m_Leader)
+    leadPool(Now);
+  sendReport(Now);
+  seekLeader(Now);
+}
+
+void PoolScheduler::sendReport(core::TimePoint Now) {
+  if (!m_Member.leader())
+    return;
+  FloorReport Report =
+      m_Member.report(!runsBelowFloor(), tierUnderPressure(Now), Now);
+  Report.m_IsLeaving = m_IsStopping && m_Queue.isEmpty() && running() == 0;
+  if (m_Leader && *m_Member.leader() == m_Self)
+    heard(Report, Now);
+  else
+    m_Hooks.m_Emit(SendFloorReport{*m_Member.leader(), Report});
+}
+
+void PoolScheduler::leadPool(core::TimePoint Now) {
+  if (auto Record = m_Leader->recordToWrite())
+    m_Hooks.m_Emit(WriteFloorRecord{m_Name, m_Leader->revision(), *Record});
+  for (auto &[Member, Order] : m_Leader->step(Now)) {
+    if (Member == m_Self)
+      obey(Order, Now);
+    else
+      m_Hooks.m_Emit(SendFloorOrder{Member, Order});
+  }
+}
+
+void PoolScheduler::obey(const FloorOrder &Order, core::TimePoint Now) {
+  if (m_Leader && m_Leader->epoch() < Order.m_Stamp.m_Epoch)
+    m_Leader.reset();
+  if (!m_Member.obey(Order, Now))
+    return;
+  m_CampaignAt = core::TimePoint();
+  evictBelowFloor();
+  dispatchWaiting(Now);
+}
+
+void PoolScheduler::heard(const FloorReport &Report, core::TimePoint Now) {
+  if (m_Leader && !m_Leader->heard(Report, Now))
+    m_Leader.reset();
+}
+
+void PoolScheduler::seekLeader(core::TimePoint Now) {
+  if (m_Leader || m_IsStopping)
+    return;
+  if (m_CampaignAt != core::TimePoint() && m_CampaignAt <= Now) {
+    m_CampaignAt = core::TimePoint();
+    FloorRecord Next = m_LastRecord->m_Record;
+    ++Next.m_Epoch;
+    Next.m_Leader = m_Self;
+    auto &Members = Next.m_Members;
+    if (std::find(Members.begin(), Members.end(), m_Self) == Members.end())
+      Members.push_back(m_Self);
+    m_LastRecord->m_Record = Next;
+    m_Hooks.m_Emit(WriteFloorRecord{m_Name, m_LastRecord->m_Revision, Next});
+    return;
+  }
+  bool IsSilent = Now - m_Member.lastOrderAt() > LeaderSilence;
+  if (!IsSilent || Now < m_NextRecordReadAt)
+    return;
+  m_NextRecordReadAt = Now + RecordReadPeriod;
+  m_Hooks.m_Emit(ReadFloorRecord{m_Name});
+}
+
+void PoolScheduler::recordRead(const FloorRecordRead &Read,
+                               core::TimePoint Now) {
+  m_LastRecord = Read;
+  if (Read.m_IsLeaderLive && !(Read.m_Record.m_Leader == m_Self))
+    return m_Member.setLeader(Read.m_Record.m_Leader, Read.m_Record.m_Epoch);
+  if (m_Leader || m_IsStopping)
+    return;
+  // Candidates wait for different times, so that one of them is first.
+  std::uniform_int_distribution<std::int64_t> Delay(
+      0, core::Duration(LongestCampaignDelay).count());
+  m_CampaignAt = Now + core::Duration(Delay(m_Random));
+}
+
+void PoolScheduler::recordWritten(const FloorRecordWritten &Written,
+                                  core::TimePoint Now) {
+  if (m_Leader) {
+    if (!m_Leader->recordWritten(Written.m_IsWritten, Written.m_Revision))
+      m_Leader.reset();
+    return;
+  }
+  if (!Written.m_IsWritten || !m_LastRecord || m_IsStopping)
+    return;
+  m_Leader =
+      std::make_unique<FloorLeader>(m_Name, m_Self, m_LastRecord->m_Record,
+                                    Written.m_Revision, m_FloorTimes, Now);
+  m_Leader->setTiers(m_Highest, m_Lowest);
+  m_Member.setLeader(m_Self, m_Leader->epoch());
+}
+
+void PoolScheduler::memberGone(core::IncarnationId Incarnation) {
+  if (m_Leader)
+    m_Leader->memberGone(Incarnation);
+}
+
+} // namespace yardrill::decision
--- /dev/null
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -0,0 +1,169 @@
+#include "LibDecision/TargetTable.h"
+
+#include "LibCore/Digest.h"
+
+#include <algorithm>
+#include <boost/container_hash/hash.hpp>
+#include <cassert>
+#include <limits>
+
+namespace yardrill::decision {
+
+/// Rates assumed of a target that has not answered yet, tokens a second.
+static const double FirstDecodeRate = 30;
+static const double FirstPrefillRate = 3000;
+/// Weight of the newest observation in a learned rate.
+static const double LearningStep = 0.2;
+/// Targets at which a shared prefix is expected to be in the cache.
+static const std::size_t PrefixHomeCount = 2;
+/// Predictions this close count as equal; the choice is drawn, so that
+/// instances that know the same do not all go to the same target.
+static const double NearlyEqual = 1.05;
+static const std::chrono::milliseconds FirstPause(100);
+static const std::uint32_t MostDoublings = 6;
+/// Fewer tokens say nothing about a rate.
+static const std::uint32_t FewestTokensToLearn = 4;
+
+void TargetTable::configure(const config::Pool &Pool) {
+  std::map<core::TargetName, TargetState> Next;
+  for (const config::Target &T : Pool.m_Targets) {
+    auto Known = m_Targets.find(T.m_Name);
+    TargetState State;
+    if (Known != m_Targets.end())
+      State = Known->second;
+    State.m_Target = T;
+    State.m_NameHash = core::stableHash(T.m_Name.value());
+    Next.emplace(T.m_Name, State);
+  }
+  // A target that was taken out is kept, as leaving, until it is empty.
+  for (auto &[Name, State] : m_Targets) {
+    if (Next.count(Name) != 0 || State.m_Running == 0)
+      continue;
+    State.m_Target.m_IsLeaving = true;
+    Next.emplace(Name, State);
+  }
+  m_Targets = std::move(Next);
+  m_KeptPlaces = Pool.m_KeptPlaces;
+  m_PrefillWeight = Pool.m_PrefillWeight;
+}
+
+void TargetTable::setLeaving(const core::TargetName &Name, bool IsLeaving) {
+  auto Found = m_Targets.find(Name);
+  if (Found != m_Targets.end())
+    Found->second.m_IsLeavingByList = IsLeaving;
+}
+
+std::size_t TargetTable::share(const TargetState &Target) const {
+  return (Target.m_Target.m_Places + m_Instances - 1) / m_Instances;
+}
+
+bool TargetTable::hasPlace(const TargetState &Target,
+                           bool MayUseKeptPlaces) const {
+  std::size_t Share = share(Target);
+  std::size_t Kept = 0;
+  if (!MayUseKeptPlaces)
+    Kept = std::min(Share - 1, (m_KeptPlaces + m_Instances - 1) / m_Instances);
+  return Target.m_Running + Kept < Share;
+}
+
+std::set<core::TargetName>
+TargetTable::prefixHomes(std::uint64_t PrefixHash) const {
+  std::vector<std::pair<std::size_t, core::TargetName>> Ranked;
+  for (const auto &[Name, State] : m_Targets) {
+    std::size_t Rank = PrefixHash;
+    boost::hash_combine(Rank, State.m_NameHash);
+    Ranked.emplace_back(Rank, Name);
+  }
+  std::size_t Count = std::min(PrefixHomeCount, Ranked.size());
+  std::partial_sort(Ranked.begin(), Ranked.begin() + Count, Ranked.end());
+  std::set<core::TargetName> Homes;
+  for (std::size_t I = 0; I < Count; ++I)
+    Homes.insert(Ranked[I].second);
+  return Homes;
+}
+
+double TargetTable::predictedFinish(const TargetState &Target,
+                                    const ExpectedWork &Work,
+                                    bool IsWarm) const {
+  double Decode =
+      Target.m_DecodeRate > 0 ? Target.m_DecodeRate : FirstDecodeRate;
+  double Prefill =
+      Target.m_PrefillRate > 0 ? Target.m_PrefillRate : FirstPrefillRate;
+  double Seconds = Work.m_OutputTokens / Decode;
+  // A fuller target is slower for everyone in its batch.
+  double Fill = static_cast<double>(Target.m_Running) /
+                static_cast<double>(share(Target));
+  if (!IsWarm)
+    Seconds += m_PrefillWeight * Work.m_PrefillTokens / Prefill;
+  return Seconds * (1 + Fill) + Fill;
+}
+
+std::optional<core::TargetName>
+TargetTable::choose(const ExpectedWork &Work, bool MayUseKeptPlaces,
+                    core::TimePoint Now, std::mt19937_64 &Random) const {
+  std::set<core::TargetName> Homes;
+  if (Work.m_PrefixHash != 0)
+    Homes = prefixHomes(Work.m_PrefixHash);
+  std::vector<std::pair<double, const TargetState *>> Able;
+  double Best = std::numeric_limits<double>::max();
+  for (const auto &[Name, State] : m_Targets) {
+    if (!State.takesNewWork(Now) || !hasPlace(State, MayUseKeptPlaces))
+      continue;
+    double Finish = predictedFinish(State, Work, Homes.count(Name) != 0);
+    Able.emplace_back(Finish, &State);
+    Best = std::min(Best, Finish);
+  }
+  auto IsWorse = [Best](const auto &A) { return A.first > Best * NearlyEqual; };
+  Able.erase(std::remove_if(Able.begin(), Able.end(), IsWorse), Able.end());
+  if (Able.empty())
+    return std::nullopt;
+  return Able[Random() % Able.size()].second->m_Target.m_Name;
+}
+
+bool TargetTable::hasAnyTarget(core::TimePoint Now) const {
+  return std::any_of(m_Targets.begin(), m_Targets.end(), [Now](const auto &T) {
+    return T.second.takesNewWork(Now);
+  });
+}
+
+void TargetTable::started(const core::TargetName &Name) {
+  ++m_Targets.at(Name).m_Running;
+}
+
+void TargetTable::finished(const core::TargetName &Name) {
+  TargetState &Target = m_Targets.at(Name);
+  assert(Target.m_Running > 0);
+  --Target.m_Running;
+  Target.m_Failures = 0;
+}
+
+void TargetTable::connectFailed(const core::TargetName &Name,
+                                core::TimePoint Now) {
+  TargetState &Target = m_Targets.at(Name);
+  assert(Target.m_Running > 0);
+  --Target.m_Running;
+  auto Doublings = std::min(Target.m_Failures++, MostDoublings);
+  Target.m_TryAgainAt = Now + FirstPause * (1 << Doublings);
+}
+
+static void approach(double &Rate, double Observed) {
+  Rate = Rate == 0 ? Observed : Rate + LearningStep * (Observed - Rate);
+}
+
+void TargetTable::learn(const core::TargetName &Name, const ExpectedWork &Work,
+                        core::Duration FirstByte, core::Duration Rest,
+                        std::uint32_t OutputTokens) {
+  TargetState &Target = m_Targets.at(Name);
+  if (OutputTokens >= FewestTokensToLearn && Rest.count() > 0)
+    approach(Target.m_DecodeRate, OutputTokens / core::toSeconds(Rest));
+  if (Work.m_PrefillTokens >= FewestTokensToLearn && FirstByte.count() > 0)
+    approach(Target.m_PrefillRate,
+             Work.m_PrefillTokens / core::toSeconds(FirstByte));
+}
+
+const TargetState *TargetTable::find(const core::TargetName &Name) const {
+  auto Found = m_Targets.find(Name);
+  return Found == m_Targets.end() ? nullptr : &Found->second;
+}
+
+} // namespace yardrill::decision
--- /dev/null
+++ b/Libraries/LibDecision/TargetTable.h
@@ -0,0 +1,89 @@
+//===-- TargetTable.h - What is known of one pool's targets ---------------===//
+#ifndef YARDRILL_LIBDECISION_TARGETTABLE_H
+#define YARDRILL_LIBDECISION_TARGETTABLE_H
+
+#include "LibConfig/FleetConfiguration.h"
+#include "LibCore/StrongType.h"
+#include "LibCore/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace yardrill::decision {
+
+/// What a request will probably cost a target.
+struct ExpectedWork {
+  std::uint32_t m_PrefillTokens = 0;
+  std::uint32_t m_OutputTokens = 0;
+  std::uint64_t m_PrefixHash = 0;
+};
+
+/// One target as this instance knows it.
+struct TargetState {
+  config::Target m_Target;
+  std::uint64_t m_NameHash = 0; ///< The same at every instance.
+  bool m_IsLeavingByList = false;
+  std::size_t m_Running = 0;    ///< Dispatched by this instance.
+  double m_DecodeRate = 0;      ///< Learned, tokens a second of one stream.
+  double m_PrefillRate = 0;     ///< Learned, tokens a second.
+  std::uint32_t m_Failures = 0; ///< Failed connects in a row.
+  core::TimePoint m_TryAgainAt{};
+
+  bool takesNewWork(core::TimePoint Now) const {
+    return !m_Target.m_IsLeaving && !m_IsLeavingByList && m_TryAgainAt <= Now;
+  }
+};
+
+/// Chooses targets by predicted finish and learns their speed.
+class TargetTable {
+public:
+  /// Takes over what is already known of targets that stay.
+  void configure(const config::Pool &Pool);
+  void setInstances(std::uint32_t Count) { m_Instances = Count; }
+  void setLeaving(const core::TargetName &Name, bool IsLeaving);
+
+  /// \returns the target that would finish soonest, prefill weighed, among
+  /// those with a free place; none when there is no place for this tier.
+  std::optional<core::TargetName> choose(const ExpectedWork &Work,
+                                         bool MayUseKeptPlaces,
+                                         core::TimePoint Now,
+                                         std::mt19937_64 &Random) const;
+  /// Whether any target could ever take work as things stand.
+  bool hasAnyTarget(core::TimePoint Now) const;
+
+  void started(const core::TargetName &Name);
+  void finished(const core::TargetName &Name);
+  void connectFailed(const core::TargetName &Name, core::TimePoint Now);
+  void learn(const core::TargetName &Name, const ExpectedWork &Work,
+             core::Duration FirstByte, core::Duration Rest,
+             std::uint32_t OutputTokens);
+
+  const TargetState *find(const core::TargetName &Name) const;
+  const std::map<core::TargetName, TargetState> &all() const {
+    return m_Targets;
+  }
+  /// Places this instance may fill at \p Target: its share among instances.
+  std::size_t share(const TargetState &Target) const;
+
+private:
+  bool hasPlace(const TargetState &Target, bool MayUseKeptPlaces) const;
+  double predictedFinish(const TargetState &Target, const ExpectedWork &Work,
+                         bool IsWarm) const;
+  /// Where the prefix is expected: its first targets by rendezvous hash, the
+  /// same at every instance without a message.
+  std::set<core::TargetName> prefixHomes(std::uint64_t PrefixHash) const;
+
+  std::map<core::TargetName, TargetState> m_Targets;
+  std::uint32_t m_Instances = 1;
+  std::size_t m_KeptPlaces = 0;
+  double m_PrefillWeight = 1;
+};
+
+} // namespace yardrill::decision
+
+#endif
--- /dev/null
+++ b/Libraries/LibDecision/Trace.cpp
@@ -0,0 +1,108 @@
+#include "LibDecision/Trace.h"
+
+#include "LibCore/Error.h"
+#include "LibDecision/DecisionCore.h"
+
+#include <cereal/archives/json.hpp>
+#include <istream>
+#include <ostream>
+#include <sstream>
+
+namespace yardrill::decision {
+
+static const char EventStart[] = "{\"at\":";
+
+/// cereal's JSON is one value a line; strip the line breaks it adds.
+static std::string flatten(std::string Json) {
+  std::string Out;
+  for (char C : Json)
+    if (C != '\n')
+      Out += C;
+  return Out;
+}
+
+template <class T> static std::string toJson(const char *Name, const T &Value) {
+  std::ostringstream Out;
+  {
+    auto Options = cereal::JSONOutputArchive::Options(
+        std::numeric_limits<double>::max_digits10,
+        cereal::JSONOutputArchive::Options::IndentChar::space, 0);
+    cereal::JSONOutputArchive Archive(Out, Options);
+    Archive(cereal::make_nvp(Name, Value));
+  }
+  return flatten(Out.str());
+}
+
+static std::string eventLine(const Event &What, core::TimePoint At) {
+  std::string Json = toJson("event", What);
+  return EventStart + std::to_string(At.time_since_epoch().count()) + "," +
+         Json.substr(1);
+}
+
+static std::string actionLine(const Action &What) {
+  return toJson("action", What);
+}
+
+void TraceWriter::write(const Event &What, core::TimePoint At,
+                        const std::vector<Action> &Actions) {
+  m_Out << eventLine(What, At) << '\n';
+  for (const Action &A : Actions)
+    m_Out << actionLine(A) << '\n';
+  m_Out.flush();
+}
+
+static Event readEvent(const std::string &Line, core::TimePoint &At) {
+  try {
+    std::istringstream In(Line);
+    cereal::JSONInputArchive Archive(In);
+    std::int64_t Micros = 0;
+    Event What;
+    Archive(cereal::make_nvp("at", Micros), cereal::make_nvp("event", What));
+    At = core::TimePoint(core::Duration(Micros));
+    return What;
+  } catch (const cereal::Exception &Failure) {
+    throw core::Error(core::ErrorKind::Trace, Failure.what());
+  }
+}
+
+ReplayResult replay(std::istream &Trace) {
+  DecisionCore Core;
+  ReplayResult Result;
+  std::vector<Action> Actions;
+  std::size_t Next = 0;
+  std::string Line;
+  std::size_t Number = 0;
+  auto Differ = [&](std::string Expected, std::string Actual) {
+    Result.m_DifferentLine = Number;
+    Result.m_Expected = std::move(Expected);
+    Result.m_Actual = std::move(Actual);
+    return Result;
+  };
+  while (std::getline(Trace, Line)) {
+    ++Number;
+    if (Line.empty() || Line.front() == '#')
+      continue;
+    if (Line.compare(0, sizeof EventStart - 1, EventStart) == 0) {
+      if (Next < Actions.size())
+        return Differ("(no more actions)", actionLine(Actions[Next]));
+      core::TimePoint At;
+      Event What = readEvent(Line, At);
+      Actions = Core.handle(What, At);
+      Next = 0;
+      ++Result.m_Events;
+      continue;
+    }
+    std::string Actual = "(no more actions)";
+    if (Next < Actions.size())
+      Actual = actionLine(Actions[Next++]);
+    if (Actual != Line)
+      return Differ(Line, Actual);
+    ++Result.m_Actions;
+  }
+  ++Number;
+  if (Next < Actions.size())
+    return Differ("(end of trace)", actionLine(Actions[Next]));
+  return Result;
+}
+
+} // namespace yardrill::decision
--- /dev/null
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -0,0 +1,160 @@
+#include "LibHTTP/ClientConnection.h"
+
+#include "LibCore/Error.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace yardrill::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+using core::Error;
+using core::ErrorKind;
+
+static const std::size_t PieceBytes = 16384;
+static const std::uint32_t HeaderBytes = 65536;
+
+class ClientConnection::Implementation {
+public:
+  explicit Implementation(asio::io_context &Context) : m_Stream(Context) {}
+
+  using Parser = beast::http::response_parser<beast::http::buffer_body>;
+
+  beast::tcp_stream m_Stream;
+  beast::flat_buffer m_Buffer;
+  std::optional<Parser> m_Parser;
+  bool m_IsHead = false;
+  bool m_IsWhole = false;
+};
+
+static void check(error_code Failure, ErrorKind Kind, const char *Doing) {
+  if (Failure)
+    throw Error(Kind, std::string(Doing) + ": " + Failure.message());
+}
+
+ClientConnection::ClientConnection(std::unique_ptr<Implementation> Impl)
+    : m_Impl(std::move(Impl)) {}
+
+ClientConnection::~ClientConnection() = default;
+
+std::unique_ptr<ClientConnection>
+ClientConnection::connect(asio::io_context &Context,
+                          const tcp::endpoint &Address, core::Duration Timeout,
+                          asio::yield_context Yield) {
+  auto Impl = std::make_unique<Implementation>(Context);
+  error_code Failure;
+  Impl->m_Stream.expires_after(Timeout);
+  Impl->m_Stream.async_connect(Address, Yield[Failure]);
+  check(Failure, ErrorKind::Unavailable, "connect");
+  Impl->m_Stream.socket().set_option(tcp::no_delay(true));
+  return std::unique_ptr<ClientConnection>(
+      new ClientConnection(std::move(Impl)));
+}
+
+void ClientConnection::sendRequest(const RequestMessage &Request,
+                                   core::Duration Timeout,
+                                   asio::yield_context Yield) {
+  beast::http::request<beast::http::span_body<const char>> Out;
+  Out.version(11);
+  Out.method_string(Request.m_Method);
+  Out.target(Request.m_Target);
+  for (const Header &H : Request.m_Headers)
+    Out.insert(H.m_Name, H.m_Value);
+  Out.body() =
+      beast::span<const char>(Request.m_Body.data(), Request.m_Body.size());
+  if (!Request.m_Body.empty() || Request.m_Method == "POST" ||
+      Request.m_Method == "PUT" || Request.m_Method == "PATCH")
+    Out.content_length(Request.m_Body.size());
+  m_Impl->m_IsHead = Request.m_Method == "HEAD";
+  m_Impl->m_IsWhole = false;
+  error_code Failure;
+  m_Impl->m_Stream.expires_after(Timeout);
+  beast::http::async_write(m_Impl->m_Stream, Out, Yield[Failure]);
+  check(Failure, ErrorKind::OutcomeUnknown, "send request");
+}
+
+ResponseHead ClientConnection::readHead(core::Duration Timeout,
+                                        asio::yield_context Yield) {
+  auto &Parser = m_Impl->m_Parser;
+  error_code Failure;
+  do {
+    Parser.emplace();
+    Parser->header_limit(HeaderBytes);
+    Parser->body_limit(boost::none);
+    Parser->skip(m_Impl->m_IsHead);
+    m_Impl->m_Stream.expires_after(Timeout);
+    beast::http::async_read_header(m_Impl->m_Stream, m_Impl->m_Buffer, *Parser,
+                                   Yield[Failure]);
+    check(Failure, ErrorKind::OutcomeUnknown, "read head");
+    // Interim answers (RFC 9110, section 15.2) come before the final one.
+  } while (Parser->get().result_int() < 200);
+  if (!Parser->is_done() && Parser->need_eof() && !Parser->chunked() &&
+      !Parser->content_length())
+    throw Error(ErrorKind::OutcomeUnknown, "answer without a length");
+  ResponseHead Head;
+  Head.m_Status = Parser->get().result_int();
+  for (const auto &Field : Parser->get())
+    Head.m_Headers.add(std::string(Field.name_string()),
+                       std::string(Field.value()));
+  if (Parser->content_length())
+    Head.m_ContentLength = *Parser->content_length();
+  return Head;
+}
+
+std::string ClientConnection::readPiece(core::Duration Timeout,
+                                        asio::yield_context Yield) {
+  auto &Parser = *m_Impl->m_Parser;
+  std::string Piece;
+  while (!Parser.is_done() && Piece.empty()) {
+    Piece.resize(PieceBytes);
+    auto &Body = Parser.get().body();
+    Body.data = Piece.data();
+    Body.size = Piece.size();
+    error_code Failure;
+    m_Impl->m_Stream.expires_after(Timeout);
+    beast::http::async_read_some(m_Impl->m_Stream, m_Impl->m_Buffer, Parser,
+                                 Yield[Failure]);
+    if (Failure == beast::http::error::need_buffer)
+      Failure = {};
+    check(Failure, ErrorKind::OutcomeUnknown, "read body");
+    Piece.resize(PieceBytes - Body.size);
+  }
+  m_Impl->m_IsWhole = Parser.is_done();
+  return Piece;
+}
+
+ResponseMessage ClientConnection::readWhole(core::Duration Timeout,
+                                            std::size_t MaximumBytes,
+                                            asio::yield_context Yield) {
+  ResponseMessage Out;
+  Out.m_Head = readHead(Timeout, Yield);
+  while (true) {
+    std::string Piece = readPiece(Timeout, Yield);
+    if (Piece.empty())
+      return Out;
+    if (Out.m_Body.size() + Piece.size() > MaximumBytes)
+      throw Error(ErrorKind::LimitExceeded, "answer is too large");
+    Out.m_Body += Piece;
+  }
+}
+
+bool ClientConnection::isReusable() {
+  if (!m_Impl->m_IsWhole || !m_Impl->m_Parser->keep_alive() ||
+      m_Impl->m_Buffer.size() != 0)
+    return false;
+  char Byte = 0;
+  error_code Failure;
+  auto &Socket = m_Impl->m_Stream.socket();
+  Socket.non_blocking(true, Failure);
+  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
+  return Failure == asio::error::would_block;
+}
+
+void ClientConnection::close() { m_Impl->m_Stream.close(); }
+
+} // namespace yardrill::http
--- /dev/null
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -0,0 +1,55 @@
+//===-- ClientConnection.h - One HTTP/1.1 connection to a server ----------===//
+#ifndef YARDRILL_LIBHTTP_CLIENTCONNECTION_H
+#define YARDRILL_LIBHTTP_CLIENTCONNECTION_H
+
+#include "LibCore/Time.h"
+#include "LibHTTP/Message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <memory>
+
+namespace yardrill::http {
+
+/// A connection in use by one coroutine. Failures before a byte was sent have
+/// kind Unavailable, later ones OutcomeUnknown.
+class ClientConnection {
+public:
+  /// \throws core::Error of kind Unavailable.
+  static std::unique_ptr<ClientConnection>
+  connect(boost::asio::io_context &Context,
+          const boost::asio::ip::tcp::endpoint &Address, core::Duration Timeout,
+          boost::asio::yield_context Yield);
+  ~ClientConnection();
+
+  /// \throws core::Error of kind OutcomeUnknown: bytes may have arrived.
+  void sendRequest(const RequestMessage &Request, core::Duration Timeout,
+                   boost::asio::yield_context Yield);
+  /// \throws core::Error of kind OutcomeUnknown; also for an answer whose end
+  /// could not be told from a broken connection (neither length nor chunks).
+  ResponseHead readHead(core::Duration Timeout,
+                        boost::asio::yield_context Yield);
+  /// \returns the next bytes of the body; empty at its end.
+  /// \throws core::Error of kind OutcomeUnknown when the body is cut short.
+  std::string readPiece(core::Duration Timeout,
+                        boost::asio::yield_context Yield);
+  /// readHead() and all pieces; at most \p MaximumBytes.
+  ResponseMessage readWhole(core::Duration Timeout, std::size_t MaximumBytes,
+                            boost::asio::yield_context Yield);
+
+  /// True when the last answer was read whole and the other side has neither
+  /// closed nor sent anything since.
+  bool isReusable();
+  /// Closes at once; a coroutine that waits here gets OutcomeUnknown.
+  void close();
+
+private:
+  class Implementation;
+  explicit ClientConnection(std::unique_ptr<Implementation> Impl);
+  std::unique_ptr<Implementation> m_Impl;
+};
+
+} // namespace yardrill::http
+
+#endif
--- /dev/null
+++ b/Libraries/LibHTTP/Message.cpp
@@ -0,0 +1,55 @@
+#include "LibHTTP/Message.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+
+namespace yardrill::http {
+
+static bool isSameName(std::string_view A, std::string_view B) {
+  return boost::beast::iequals(boost::beast::string_view(A.data(), A.size()),
+                               boost::beast::string_view(B.data(), B.size()));
+}
+
+const std::string *HeaderList::find(std::string_view Name) const {
+  for (const Header &H : m_Headers)
+    if (isSameName(H.m_Name, Name))
+      return &H.m_Value;
+  return nullptr;
+}
+
+void HeaderList::add(std::string Name, std::string Value) {
+  m_Headers.push_back({std::move(Name), std::move(Value)});
+}
+
+void HeaderList::set(std::string Name, std::string Value) {
+  remove(Name);
+  add(std::move(Name), std::move(Value));
+}
+
+void HeaderList::remove(std::string_view Name) {
+  auto IsNamed = [Name](const Header &H) { return isSameName(H.m_Name, Name); };
+  m_Headers.erase(std::remove_if(m_Headers.begin(), m_Headers.end(), IsNamed),
+                  m_Headers.end());
+}
+
+void HeaderList::removeHopByHop() {
+  // Names listed in Connection are hop-by-hop too (RFC 9110, section 7.6.1).
+  if (const std::string *Listed = find("Connection")) {
+    std::string Rest = *Listed;
+    while (!Rest.empty()) {
+      auto Comma = Rest.find(',');
+      std::string Name = Rest.substr(0, Comma);
+      Rest = Comma == std::string::npos ? "" : Rest.substr(Comma + 1);
+      auto First = Name.find_first_not_of(" \t");
+      auto Last = Name.find_last_not_of(" \t");
+      if (First != std::string::npos)
+        remove(Name.substr(First, Last - First + 1));
+    }
+  }
+  for (const char *Name :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"})
+    remove(Name);
+}
+
+} // namespace yardrill::http
--- /dev/null
+++ b/Libraries/LibInstance/ClaimKeeper.cpp
@@ -0,0 +1,119 @@
+#include "LibInstance/ClaimKeeper.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+namespace yardrill::instance {
+
+namespace json = boost::json;
+using core::Error;
+using core::ErrorKind;
+using decision::ClaimAnswered;
+using decision::ClaimOutcome;
+
+static const char ClaimPrefix[] = "/yardrill/claims/";
+/// Claims made within this time share a lease.
+static const std::chrono::seconds LeasePeriod(60);
+static const int ReadBackTries = 3;
+static const std::chrono::milliseconds ReadBackPause(100);
+
+static std::string toValue(const decision::Home &Self, core::RequestId Id) {
+  return json::serialize(
+      json::object{{"incarnation", Self.m_Incarnation.value()},
+                   {"peer", Self.m_Peer.toString()},
+                   {"request", Id.value()}});
+}
+
+ClaimAnswered ClaimKeeper::judge(const decision::Claim &What,
+                                 const std::string &Standing,
+                                 const std::string &Value) const {
+  ClaimAnswered Out;
+  Out.m_Request = What.m_Request;
+  if (Standing == Value) {
+    Out.m_Outcome = ClaimOutcome::Won;
+    return Out;
+  }
+  json::value Parsed = json::parse(Standing);
+  const json::object &Object = Parsed.as_object();
+  Out.m_Outcome = ClaimOutcome::Held;
+  Out.m_Home.m_Incarnation =
+      core::IncarnationId(Object.at("incarnation").to_number<std::uint64_t>());
+  auto Peer =
+      config::Endpoint::parse(std::string(Object.at("peer").as_string()));
+  if (Peer)
+    Out.m_Home.m_Peer = *Peer;
+  return Out;
+}
+
+platform::LeaseId ClaimKeeper::lease(boost::asio::yield_context Yield) {
+  core::TimePoint Now = core::steadyNow();
+  if (m_Lease && Now < m_LeaseUntil)
+    return *m_Lease;
+  auto Life = std::chrono::duration_cast<std::chrono::seconds>(m_Retention) +
+              2 * LeasePeriod;
+  m_Lease = m_Service.grantLease(Life, platform::CallClass::Claim, Yield);
+  m_LeaseUntil = Now + LeasePeriod;
+  return *m_Lease;
+}
+
+ClaimAnswered ClaimKeeper::swap(const decision::Claim &What,
+                                const std::string &Key,
+                                const std::string &Value,
+                                boost::asio::yield_context Yield) {
+  platform::CompareAndSwap Swap;
+  Swap.m_Key = Key;
+  Swap.m_Puts.push_back({Key, Value, lease(Yield)});
+  platform::SwapResult Result =
+      m_Service.compareAndSwap(Swap, platform::CallClass::Claim, Yield);
+  if (Result.m_IsSwapped)
+    return judge(What, Value, Value);
+  if (!Result.m_Current)
+    throw Error(ErrorKind::Protocol, "a held claim without a value");
+  return judge(What, Result.m_Current->m_Value, Value);
+}
+
+ClaimAnswered ClaimKeeper::readBack(const decision::Claim &What,
+                                    const std::string &Key,
+                                    const std::string &Value,
+                                    boost::asio::yield_context Yield) {
+  boost::asio::steady_timer Pause(Yield.get_executor());
+  for (int Try = 0; Try < ReadBackTries; ++Try) {
+    try {
+      auto Standing = m_Service.read(Key, platform::CallClass::Control, Yield);
+      if (Standing)
+        return judge(What, Standing->m_Value, Value);
+    } catch (const Error &) {
+      // Asked again below.
+    }
+    boost::system::error_code Ignored;
+    Pause.expires_after(ReadBackPause);
+    Pause.async_wait(Yield[Ignored]);
+  }
+  // Absent is no proof: the write may be on its way still.
+  ClaimAnswered Out;
+  Out.m_Request = What.m_Request;
+  Out.m_MayStand = true;
+  return Out;
+}
+
+ClaimAnswered ClaimKeeper::claim(const decision::Claim &What,
+                                 boost::asio::yield_context Yield) {
+  std::string Key = ClaimPrefix + core::sha256Hex(What.m_Identity);
+  std::string Value = toValue(m_Self, What.m_Request);
+  ClaimAnswered Unavailable;
+  Unavailable.m_Request = What.m_Request;
+  try {
+    return swap(What, Key, Value, Yield);
+  } catch (const Error &Failure) {
+    if (Failure.kind() == ErrorKind::OutcomeUnknown)
+      return readBack(What, Key, Value, Yield);
+  } catch (const std::exception &) {
+    // A claim that can't be read is somebody's: never ours to run.
+  }
+  return Unavailable;
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/ClaimKeeper.h
@@ -0,0 +1,52 @@
+//===-- ClaimKeeper.h - Claims of Idempotency-Keys at the platform --------===//
+#ifndef YARDRILL_LIBINSTANCE_CLAIMKEEPER_H
+#define YARDRILL_LIBINSTANCE_CLAIMKEEPER_H
+
+#include "LibCore/Time.h"
+#include "LibDecision/Action.h"
+#include "LibDecision/Event.h"
+#include "LibPlatform/KeyValueService.h"
+
+#include <boost/asio/spawn.hpp>
+#include <optional>
+
+namespace yardrill::instance {
+
+/// Makes this instance the home of a key, if nobody is. Runs on the platform
+/// thread; one coroutine a claim.
+class ClaimKeeper {
+public:
+  /// \param Retention how long a claim stands at the least.
+  ClaimKeeper(platform::KeyValueService &Service, decision::Home Self,
+              core::Duration Retention)
+      : m_Service(Service), m_Self(Self), m_Retention(Retention) {}
+
+  /// Never throws core::Error: a failure is an outcome.
+  decision::ClaimAnswered claim(const decision::Claim &What,
+                                boost::asio::yield_context Yield);
+
+private:
+  decision::ClaimAnswered swap(const decision::Claim &What,
+                               const std::string &Key, const std::string &Value,
+                               boost::asio::yield_context Yield);
+  /// After a lost answer: did the write take effect?
+  decision::ClaimAnswered readBack(const decision::Claim &What,
+                                   const std::string &Key,
+                                   const std::string &Value,
+                                   boost::asio::yield_context Yield);
+  decision::ClaimAnswered judge(const decision::Claim &What,
+                                const std::string &Standing,
+                                const std::string &Value) const;
+  platform::LeaseId lease(boost::asio::yield_context Yield);
+
+  platform::KeyValueService &m_Service;
+  decision::Home m_Self;
+  core::Duration m_Retention;
+  /// One lease for all claims of some seconds: it ends them all together.
+  std::optional<platform::LeaseId> m_Lease;
+  core::TimePoint m_LeaseUntil{};
+};
+
+} // namespace yardrill::instance
+
+#endif
--- /dev/null
+++ b/Libraries/LibInstance/ConfigurationKeeper.cpp
@@ -0,0 +1,87 @@
+#include "LibInstance/ConfigurationKeeper.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace yardrill::instance {
+
+namespace json = boost::json;
+
+static const std::size_t RememberedChanges = 32;
+
+ConfigurationEnvelope ConfigurationEnvelope::parse(const std::string &Json) {
+  try {
+    json::value Parsed = json::parse(Json);
+    const json::object &Object = Parsed.as_object();
+    ConfigurationEnvelope Out;
+    Out.m_Version = core::ConfigurationVersion(
+        Object.at("version").to_number<std::uint64_t>());
+    for (const json::value &Change : Object.at("changes").as_array())
+      Out.m_Changes.emplace_back(Change.as_string());
+    Out.m_Text = std::string(Object.at("text").as_string());
+    return Out;
+  } catch (const std::exception &Failure) {
+    throw core::Error(core::ErrorKind::Configuration, Failure.what());
+  }
+}
+
+std::string ConfigurationEnvelope::toJson() const {
+  json::array Changes;
+  std::size_t First =
+      m_Changes.size() - std::min(m_Changes.size(), RememberedChanges);
+  for (std::size_t I = First; I < m_Changes.size(); ++I)
+    Changes.emplace_back(m_Changes[I]);
+  return json::serialize(json::object{
+      {"version", m_Version.value()}, {"changes", Changes}, {"text", m_Text}});
+}
+
+bool ConfigurationEnvelope::hasChange(const std::string &Change) const {
+  return std::find(m_Changes.begin(), m_Changes.end(), Change) !=
+         m_Changes.end();
+}
+
+void ConfigurationKeeper::subscribe(Subscriber Notify) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Subscribers.push_back(std::move(Notify));
+}
+
+bool ConfigurationKeeper::offer(const ConfigurationEnvelope &Envelope) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (m_Current && !(m_Current->version() < Envelope.m_Version))
+    return false;
+  try {
+    m_Current = config::FleetConfiguration::parse(
+        Envelope.m_Text, "configuration", Envelope.m_Version);
+  } catch (const core::Error &Failure) {
+    // Publishing checks it first, so this is another release's work.
+    core::LogLine("configuration-unreadable", core::LogLevel::Error)
+        .add("version", Envelope.m_Version)
+        .add("reason", Failure.what());
+    return false;
+  }
+  m_Envelope = Envelope;
+  core::LogLine("configuration-in-force").add("version", Envelope.m_Version);
+  for (const Subscriber &Notify : m_Subscribers)
+    Notify(m_Current);
+  return true;
+}
+
+config::ConfigurationHandle ConfigurationKeeper::current() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Current;
+}
+
+ConfigurationEnvelope ConfigurationKeeper::envelope() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Envelope;
+}
+
+core::ConfigurationVersion ConfigurationKeeper::version() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Current ? m_Current->version() : core::ConfigurationVersion();
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/DecisionDuty.cpp
@@ -0,0 +1,88 @@
+#include "LibInstance/DecisionDuty.h"
+
+#include "LibCore/Error.h"
+
+#include <boost/asio/post.hpp>
+#include <thread>
+
+namespace yardrill::instance {
+
+static const std::chrono::milliseconds TickPeriod(50);
+static const std::chrono::milliseconds StatusPeriod(200);
+static const std::chrono::microseconds FullRingPause(50);
+
+DecisionDuty::DecisionDuty(std::size_t RingCapacity,
+                           const std::string &TraceFile)
+    : m_Thread("decision"), m_Events(RingCapacity, m_Thread.waker([this] {
+        m_Events.drain([this](const decision::Event &What) {
+          handle(What, core::steadyNow());
+        });
+      })),
+      m_Timers(m_Thread.context()) {
+  if (TraceFile.empty())
+    return;
+  m_TraceStream.open(TraceFile, std::ios::trunc);
+  if (!m_TraceStream)
+    throw core::Error(core::ErrorKind::Settings,
+                      "cannot write trace file " + TraceFile);
+  m_Trace.emplace(m_TraceStream);
+}
+
+DecisionDuty::~DecisionDuty() { stop(); }
+
+void DecisionDuty::start(const decision::InstanceStarted &First) {
+  push(First);
+  m_Timers.subscribe(TickPeriod, [this](core::TimePoint Now) {
+    handle(decision::TimePassed{}, Now);
+  });
+  m_Timers.subscribe(StatusPeriod,
+                     [this](core::TimePoint Now) { publishStatus(Now); });
+  m_Thread.start();
+}
+
+void DecisionDuty::push(decision::Event What) {
+  while (!m_Events.tryPush(What))
+    std::this_thread::sleep_for(FullRingPause);
+}
+
+void DecisionDuty::handle(const decision::Event &What, core::TimePoint Now) {
+  std::vector<decision::Action> Actions = m_Core.handle(What, Now);
+  if (m_Trace)
+    m_Trace->write(What, Now, Actions);
+  for (decision::Action &Next : Actions)
+    m_Sink(std::move(Next));
+}
+
+static PoolStatus statusOf(const core::PoolName &Name,
+                           const decision::PoolScheduler &Pool,
+                           core::TimePoint Now) {
+  PoolStatus Out;
+  Out.m_Name = Name;
+  Out.m_Queued = Pool.queued();
+  Out.m_Running = Pool.running();
+  Out.m_Floor = Pool.member().floor();
+  Out.m_IsLeader = Pool.isLeader();
+  Out.m_HasPermission = Now < Pool.member().permissionUntil();
+  for (const auto &[TargetName, State] : Pool.targets().all())
+    Out.m_Targets.push_back({TargetName, State.m_Target.m_Address,
+                             State.m_Running, State.takesNewWork(Now),
+                             State.m_DecodeRate});
+  return Out;
+}
+
+void DecisionDuty::publishStatus(core::TimePoint Now) {
+  DecisionStatus Next;
+  Next.m_OpenRequests = m_Core.openRequests();
+  Next.m_Identities = m_Core.identities();
+  for (const auto &[Name, Pool] : m_Core.pools())
+    Next.m_Pools.push_back(statusOf(Name, *Pool, Now));
+  std::lock_guard<std::mutex> Lock(m_StatusMutex);
+  m_Status = std::move(Next);
+}
+
+DecisionStatus DecisionDuty::status() const {
+  std::lock_guard<std::mutex> Lock(m_StatusMutex);
+  return m_Status;
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/FloorRecordKeeper.cpp
@@ -0,0 +1,131 @@
+#include "LibInstance/FloorRecordKeeper.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+#include <boost/json.hpp>
+
+namespace yardrill::instance {
+
+namespace json = boost::json;
+using core::Error;
+using platform::CallClass;
+
+static std::string prefixOf(const core::PoolName &Pool) {
+  return "/yardrill/floor/" + Pool.value() + "/";
+}
+
+static json::object toJson(const decision::Home &Home) {
+  return {{"incarnation", Home.m_Incarnation.value()},
+          {"peer", Home.m_Peer.toString()}};
+}
+
+static decision::Home toHome(const json::value &Value) {
+  const json::object &Object = Value.as_object();
+  decision::Home Out;
+  Out.m_Incarnation =
+      core::IncarnationId(Object.at("incarnation").to_number<std::uint64_t>());
+  auto Peer =
+      config::Endpoint::parse(std::string(Object.at("peer").as_string()));
+  if (Peer)
+    Out.m_Peer = *Peer;
+  return Out;
+}
+
+static std::string toJson(const decision::FloorRecord &Record) {
+  json::array Members;
+  for (const decision::Home &Member : Record.m_Members)
+    Members.push_back(toJson(Member));
+  return json::serialize(json::object{{"epoch", Record.m_Epoch},
+                                      {"leader", toJson(Record.m_Leader)},
+                                      {"members", Members}});
+}
+
+static decision::FloorRecord toRecord(const std::string &Text) {
+  json::value Parsed = json::parse(Text);
+  const json::object &Object = Parsed.as_object();
+  decision::FloorRecord Out;
+  Out.m_Epoch = Object.at("epoch").to_number<std::uint64_t>();
+  Out.m_Leader = toHome(Object.at("leader"));
+  for (const json::value &Member : Object.at("members").as_array())
+    Out.m_Members.push_back(toHome(Member));
+  return Out;
+}
+
+std::optional<decision::FloorRecordRead>
+FloorRecordKeeper::read(const core::PoolName &Pool,
+                        boost::asio::yield_context Yield) {
+  decision::FloorRecordRead Out;
+  Out.m_Pool = Pool;
+  std::string Prefix = prefixOf(Pool);
+  try {
+    for (const platform::Entry &Item :
+         m_Service.readPrefix(Prefix, CallClass::Control, Yield)) {
+      if (Item.m_Key == Prefix + "leader")
+        Out.m_IsLeaderLive = true;
+      if (Item.m_Key != Prefix + "record")
+        continue;
+      Out.m_Revision = Item.m_Modified.value();
+      Out.m_Record = toRecord(Item.m_Value);
+    }
+    return Out;
+  } catch (const std::exception &Failure) {
+    core::LogLine("floor-record-unread", core::LogLevel::Warning)
+        .add("pool", Pool)
+        .add("reason", Failure.what());
+    return std::nullopt;
+  }
+}
+
+decision::FloorRecordWritten
+FloorRecordKeeper::write(const decision::WriteFloorRecord &What,
+                         boost::asio::yield_context Yield) {
+  decision::FloorRecordWritten Out;
+  Out.m_Pool = What.m_Pool;
+  try {
+    if (!m_Lease)
+      m_Lease = m_Service.grantLease(LeaseTime, CallClass::Control, Yield);
+    std::string Prefix = prefixOf(What.m_Pool);
+    platform::CompareAndSwap Swap;
+    Swap.m_Key = Prefix + "record";
+    Swap.m_Expected = platform::Revision(What.m_Revision);
+    Swap.m_Puts.push_back({Swap.m_Key, toJson(What.m_Record), std::nullopt});
+    Swap.m_Puts.push_back(
+        {Prefix + "leader", What.m_Record.m_Leader.m_Peer.toString(), m_Lease});
+    auto Result = m_Service.compareAndSwap(Swap, CallClass::Control, Yield);
+    Out.m_IsWritten = Result.m_IsSwapped;
+    Out.m_Revision = Result.m_Revision.value();
+  } catch (const Error &Failure) {
+    // Perhaps the lease has ended and took the write with it.
+    m_Lease.reset();
+    core::LogLine("floor-record-unwritten", core::LogLevel::Warning)
+        .add("pool", What.m_Pool)
+        .add("reason", Failure.what());
+  }
+  return Out;
+}
+
+void FloorRecordKeeper::resign(boost::asio::yield_context Yield) {
+  if (!m_Lease)
+    return;
+  platform::LeaseId Lease = *m_Lease;
+  m_Lease.reset();
+  try {
+    m_Service.revoke(Lease, Yield);
+  } catch (const Error &) {
+    // It ends by itself.
+  }
+}
+
+void FloorRecordKeeper::keepAlive(boost::asio::yield_context Yield) {
+  if (!m_Lease)
+    return;
+  try {
+    if (!m_Service.keepAlive(*m_Lease, Yield))
+      m_Lease.reset();
+  } catch (const Error &) {
+    // Tried again at the next period; the lease may end meanwhile.
+  }
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/Instance.cpp
@@ -0,0 +1,267 @@
+#include "LibInstance/Instance.h"
+
+#include "LibConfig/Fault.h"
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+#include <thread>
+
+namespace yardrill::instance {
+
+namespace json = boost::json;
+
+static const std::chrono::milliseconds DrainPollPeriod(20);
+/// Time for the platform to hear of a resignation, and peers of our leaving.
+static const std::chrono::milliseconds FarewellTime(500);
+/// Events and actions that one open request can have under way at once.
+static const std::size_t RingEntriesPerRequest = 4;
+
+InstanceBuilder &InstanceBuilder::settings(config::InstanceSettings Settings) {
+  m_Settings = std::move(Settings);
+  return *this;
+}
+
+std::unique_ptr<Instance> InstanceBuilder::build() {
+  std::size_t Needed =
+      m_Settings.m_Callers.m_OpenConnections * RingEntriesPerRequest;
+  if (m_Settings.m_RingCapacity < Needed)
+    throw core::Error(core::ErrorKind::Settings,
+                      "instance.ring_capacity must be at least 4 times "
+                      "callers.open_connections");
+  std::unique_ptr<Instance> Out(new Instance(std::move(m_Settings)));
+  Out->wire();
+  return Out;
+}
+
+Instance::Instance(config::InstanceSettings Settings)
+    : m_Settings(std::move(Settings)) {
+  m_Self.m_Incarnation = core::IncarnationId(core::randomBits());
+  m_Self.m_Peer = m_Settings.m_PeerAddress;
+}
+
+Instance::~Instance() {
+  // Whoever calls another duty stops first.
+  if (m_Operators)
+    m_Operators->stop();
+  m_Traffic->stop();
+  m_Platform->stop();
+  m_Peers->stop();
+  m_Decision->stop();
+}
+
+void Instance::wire() {
+  m_Decision = std::make_unique<DecisionDuty>(m_Settings.m_RingCapacity,
+                                              m_Settings.m_TraceFile);
+  auto Push = [this](decision::Event What) {
+    m_Decision->push(std::move(What));
+  };
+  TrafficHooks Traffic;
+  Traffic.m_TryPush = [this](decision::Event What) {
+    return m_Decision->tryPush(std::move(What));
+  };
+  Traffic.m_Push = Push;
+  m_Traffic = std::make_unique<TrafficDuty>(m_Settings, m_Self, m_Configuration,
+                                            m_Metrics, Traffic);
+  m_Peers = std::make_unique<PeerDuty>(m_Settings, m_Self, m_Configuration,
+                                       m_Metrics, Push);
+  PlatformHooks Platform;
+  Platform.m_Push = Push;
+  Platform.m_SchedulersListed = [this](std::vector<config::Endpoint> Listed) {
+    m_Peers->setListed(std::move(Listed));
+  };
+  m_Platform = std::make_unique<PlatformDuty>(
+      m_Settings, m_Self, m_Configuration, m_Metrics, Platform);
+  m_Operators = std::make_unique<OperatorDuty>(
+      m_Settings.m_OperatorAddress, m_Settings.m_OperatorToken,
+      [this](const OperatorRequest &Request) {
+        return handleOperator(Request);
+      });
+  m_Decision->setSink(
+      [this](decision::Action What) { route(std::move(What)); });
+  m_Configuration.subscribe([this](const config::ConfigurationHandle &Next) {
+    m_Decision->push(decision::ConfigurationAccepted{Next});
+  });
+}
+
+void Instance::route(decision::Action What) {
+  bool IsForPlatform =
+      std::holds_alternative<decision::Claim>(What) ||
+      std::holds_alternative<decision::ReadFloorRecord>(What) ||
+      std::holds_alternative<decision::WriteFloorRecord>(What) ||
+      std::holds_alternative<decision::ResignFloor>(What);
+  bool IsForPeers = std::holds_alternative<decision::SendFloorOrder>(What) ||
+                    std::holds_alternative<decision::SendFloorReport>(What);
+  if (IsForPlatform)
+    m_Platform->push(std::move(What));
+  else if (IsForPeers)
+    m_Peers->push(std::move(What));
+  else
+    m_Traffic->push(std::move(What));
+}
+
+void Instance::start() {
+  decision::InstanceStarted First;
+  First.m_Self = m_Self;
+  First.m_Seed = core::randomBits();
+  First.m_Identities = m_Settings.m_Identities.m_Identities;
+  First.m_RetentionMicros = m_Settings.m_Identities.m_Retention.count();
+  m_Decision->start(First);
+  m_Traffic->start();
+  m_Peers->start();
+  m_Platform->start();
+  m_Operators->start();
+  core::LogLine("instance-started")
+      .add("instance", m_Settings.m_Name)
+      .add("data_hall", m_Settings.m_DataHall)
+      .add("incarnation", m_Self.m_Incarnation)
+      .add("caller_address", m_Settings.m_CallerAddress.toString())
+      .add("operator_address", m_Settings.m_OperatorAddress.toString())
+      .add("peer_address", m_Settings.m_PeerAddress.toString());
+}
+
+void Instance::drain(const std::atomic<bool> &MustHurry) {
+  m_IsStopping = true;
+  core::LogLine("instance-stopping")
+      .add("instance", m_Settings.m_Name)
+      .add("open_requests", m_Traffic->openRequests());
+  m_Traffic->stopAccepting();
+  m_Decision->push(decision::StopRequested{});
+  m_Peers->setStopping();
+  while (m_Traffic->openRequests() > 0 && !MustHurry)
+    std::this_thread::sleep_for(DrainPollPeriod);
+  if (!MustHurry)
+    std::this_thread::sleep_for(FarewellTime);
+  core::LogLine("instance-stopped")
+      .add("instance", m_Settings.m_Name)
+      .add("open_requests", m_Traffic->openRequests());
+}
+
+//===----------------------------------------------------------------------===//
+// Operators
+//===----------------------------------------------------------------------===//
+
+static OperatorAnswer problemAnswer(unsigned Status, const char *Reason,
+                                    const std::string &Type,
+                                    const std::string &Detail) {
+  json::object Body{{"type", "urn:yardrill:problem:" + Type},
+                    {"status", Status},
+                    {"detail", Detail}};
+  return {Status, Reason, "application/problem+json",
+          json::serialize(Body) + "\n"};
+}
+
+OperatorAnswer Instance::handleOperator(const OperatorRequest &Request) {
+  if (Request.m_Path == "/healthz")
+    return {200, "OK", "text/plain", "ok\n"};
+  if (Request.m_Path == "/readyz") {
+    if (m_Configuration.current() && !m_IsStopping)
+      return {200, "OK", "text/plain", "ready\n"};
+    return {503, "Service Unavailable", "text/plain",
+            m_IsStopping ? "stopping\n" : "no configuration\n"};
+  }
+  if (Request.m_Path == "/metrics")
+    return {200, "OK", "text/plain; version=0.0.4", m_Metrics.exposition()};
+  if (Request.m_Path == "/status")
+    return {200, "OK", "application/json", statusJson()};
+  if (Request.m_Path == "/configuration")
+    return Request.m_Method == "PUT" || Request.m_Method == "POST"
+               ? publish(Request)
+               : readConfiguration();
+  return problemAnswer(404, "Not Found", "unknown-path", Request.m_Path);
+}
+
+OperatorAnswer Instance::readConfiguration() const {
+  ConfigurationEnvelope Envelope = m_Configuration.envelope();
+  return {200, "OK", "application/json", Envelope.toJson() + "\n"};
+}
+
+static OperatorAnswer faultyAnswer(const config::FaultyDocument &Failure) {
+  json::array Faults;
+  for (const config::Fault &F : Failure.faults())
+    Faults.push_back(json::object{{"line", F.m_Line},
+                                  {"key", F.m_Key},
+                                  {"problem", F.m_Problem},
+                                  {"allowed", F.m_Allowed}});
+  json::object Body{{"type", "urn:yardrill:problem:configuration"},
+                    {"status", 422},
+                    {"detail", Failure.detail()},
+                    {"faults", Faults}};
+  return {422, "Unprocessable Content", "application/problem+json",
+          json::serialize(Body) + "\n"};
+}
+
+OperatorAnswer Instance::publish(const OperatorRequest &Request) {
+  PublishRequest Wanted;
+  std::uint64_t Base = 0;
+  const std::string &Text = Request.m_Base;
+  auto [Last, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Base);
+  if (Code != std::errc() || Last != Text.data() + Text.size() ||
+      Request.m_Change.empty())
+    return problemAnswer(400, "Bad Request", "usage",
+                         "base (a version) and change (an id) are required");
+  Wanted.m_Base = core::ConfigurationVersion(Base);
+  Wanted.m_Change = Request.m_Change;
+  Wanted.m_Text = Request.m_Body;
+  try {
+    core::ConfigurationVersion Version = m_Platform->publish(Wanted);
+    return {200, "OK", "application/json",
+            "{\"version\":" + std::to_string(Version.value()) + "}\n"};
+  } catch (const config::FaultyDocument &Failure) {
+    return faultyAnswer(Failure);
+  } catch (const core::Error &Failure) {
+    bool IsConflict = Failure.kind() == core::ErrorKind::Conflict;
+    return problemAnswer(IsConflict ? 409 : 503,
+                         IsConflict ? "Conflict" : "Service Unavailable",
+                         core::toString(Failure.kind()), Failure.detail());
+  }
+}
+
+static json::object toJson(const PoolStatus &Pool) {
+  json::array Targets;
+  for (const TargetStatus &T : Pool.m_Targets)
+    Targets.push_back(
+        json::object{{"name", T.m_Name.value()},
+                     {"address", T.m_Address.toString()},
+                     {"running", T.m_Running},
+                     {"takes_new_work", T.m_TakesNewWork},
+                     {"decode_tokens_per_second", T.m_DecodeRate}});
+  return {{"name", Pool.m_Name.value()},
+          {"queued", Pool.m_Queued},
+          {"running", Pool.m_Running},
+          {"floor_tier", Pool.m_Floor.value()},
+          {"is_leader", Pool.m_IsLeader},
+          {"has_permission", Pool.m_HasPermission},
+          {"targets", Targets}};
+}
+
+std::string Instance::statusJson() const {
+  DecisionStatus Decision = m_Decision->status();
+  json::array Pools;
+  for (const PoolStatus &Pool : Decision.m_Pools)
+    Pools.push_back(toJson(Pool));
+  json::array Peers;
+  for (const PeerStatus &Peer : m_Peers->status())
+    Peers.push_back(
+        json::object{{"name", Peer.m_Name.value()},
+                     {"peer_address", Peer.m_Home.m_Peer.toString()},
+                     {"configuration_version", Peer.m_Version.value()},
+                     {"silent_for_ms", Peer.m_SilentFor.count() / 1000},
+                     {"is_stopping", Peer.m_IsStopping}});
+  json::object Out{
+      {"instance", m_Settings.m_Name.value()},
+      {"data_hall", m_Settings.m_DataHall.value()},
+      {"incarnation", std::to_string(m_Self.m_Incarnation.value())},
+      {"configuration_version", m_Configuration.version().value()},
+      {"is_stopping", m_IsStopping.load()},
+      {"open_requests", Decision.m_OpenRequests},
+      {"identities", Decision.m_Identities},
+      {"pools", Pools},
+      {"peers", Peers}};
+  return json::serialize(Out) + "\n";
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/Instance.h
@@ -0,0 +1,68 @@
+//===-- Instance.h - One yardrill instance, all its duties wired ----------===//
+#ifndef YARDRILL_LIBINSTANCE_INSTANCE_H
+#define YARDRILL_LIBINSTANCE_INSTANCE_H
+
+#include "LibConfig/InstanceSettings.h"
+#include "LibInstance/ConfigurationKeeper.h"
+#include "LibInstance/DecisionDuty.h"
+#include "LibInstance/OperatorDuty.h"
+#include "LibInstance/PeerDuty.h"
+#include "LibInstance/PlatformDuty.h"
+#include "LibInstance/TrafficDuty.h"
+#include "LibMetrics/MetricsRegistry.h"
+
+#include <atomic>
+#include <memory>
+
+namespace yardrill::instance {
+
+/// All parts of one process. Threads: traffic, decision, platform, peers and
+/// the operator endpoint's own, joined by bounded rings.
+class Instance {
+public:
+  ~Instance();
+
+  void start();
+  /// Accepts nothing new, finishes everything in progress, however long that
+  /// takes, and hands leadership over (brief: "A planned stop cuts no request
+  /// in progress"). Returns when done or when \p MustHurry becomes true.
+  void drain(const std::atomic<bool> &MustHurry);
+
+private:
+  friend class InstanceBuilder;
+  explicit Instance(config::InstanceSettings Settings);
+
+  void wire();
+  void route(decision::Action What);
+  OperatorAnswer handleOperator(const OperatorRequest &Request);
+  OperatorAnswer publish(const OperatorRequest &Request);
+  OperatorAnswer readConfiguration() const;
+  std::string statusJson() const;
+
+  config::InstanceSettings m_Settings;
+  decision::Home m_Self;
+  metrics::MetricsRegistry m_Metrics;
+  ConfigurationKeeper m_Configuration;
+  std::unique_ptr<DecisionDuty> m_Decision;
+  std::unique_ptr<TrafficDuty> m_Traffic;
+  std::unique_ptr<PlatformDuty> m_Platform;
+  std::unique_ptr<PeerDuty> m_Peers;
+  std::unique_ptr<OperatorDuty> m_Operators;
+  std::atomic<bool> m_IsStopping{false};
+};
+
+/// Builds an instance: every address is bound before anything starts, so that
+/// a failure leaves no half-started process.
+class InstanceBuilder {
+public:
+  InstanceBuilder &settings(config::InstanceSettings Settings);
+  /// \throws core::Error of kind Settings or AddressInUse.
+  std::unique_ptr<Instance> build();
+
+private:
+  config::InstanceSettings m_Settings;
+};
+
+} // namespace yardrill::instance
+
+#endif
--- /dev/null
+++ b/Libraries/LibInstance/OpenRequest.cpp
@@ -0,0 +1,320 @@
+#include "LibInstance/OpenRequest.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace yardrill::instance {
+
+namespace asio = boost::asio;
+using core::Error;
+using decision::AnswerOutcome;
+using decision::RefusalKind;
+
+OpenRequest::OpenRequest(TrafficDuty &Duty, http::Exchange &Caller,
+                         ReadRequest Request)
+    : m_Duty(Duty), m_Caller(Caller), m_Request(std::move(Request)),
+      m_Id(m_Request.m_Arrival.m_Request), m_PrintableId(Duty.printable(m_Id)),
+      m_Labels{m_Request.m_Arrival.m_Account, m_Request.m_Arrival.m_Tier,
+               m_Request.m_Arrival.m_Pool},
+      m_Wake(Duty.m_Thread.context()), m_ArrivedAt(core::steadyNow()) {
+  m_Duty.m_Open.emplace(m_Id, this);
+  m_Request.m_ForTarget.m_Headers.set("Yardrill-Request-Id", m_PrintableId);
+}
+
+OpenRequest::~OpenRequest() {
+  m_Duty.m_Open.erase(m_Id);
+  m_Caller.setHangUpHook(nullptr);
+}
+
+void OpenRequest::take(decision::Action What) {
+  if (std::holds_alternative<decision::Cancel>(What)) {
+    m_IsEvicted = true;
+    if (m_Target)
+      m_Target->close();
+    return;
+  }
+  m_Actions.push_back(std::move(What));
+  m_Wake.cancel();
+}
+
+void OpenRequest::run(asio::yield_context Yield) {
+  m_Caller.setHangUpHook([this] { callerHungUp(); });
+  if (!m_Duty.m_Hooks.m_TryPush(m_Request.m_Arrival)) {
+    sendProblem(toProblem(RefusalKind::QueueFull, 1), Yield);
+    return finish("refused");
+  }
+  bool IsDone = false;
+  while (!IsDone) {
+    while (m_Actions.empty()) {
+      boost::system::error_code Ignored;
+      m_Wake.expires_at(asio::steady_timer::time_point::max());
+      m_Wake.async_wait(Yield[Ignored]);
+    }
+    decision::Action Next = std::move(m_Actions.front());
+    m_Actions.pop_front();
+    IsDone = perform(Next, Yield);
+  }
+}
+
+bool OpenRequest::perform(const decision::Action &What,
+                          asio::yield_context Yield) {
+  if (const auto *Go = std::get_if<decision::Dispatch>(&What))
+    return dispatch(*Go, Yield);
+  if (const auto *No = std::get_if<decision::Refuse>(&What))
+    return refuse(*No, Yield);
+  if (const auto *Away = std::get_if<decision::Forward>(&What))
+    forward(*Away, Yield);
+  if (const auto *Old = std::get_if<decision::SendKept>(&What))
+    sendKept(Old->m_Original, Yield);
+  if (std::holds_alternative<decision::Drop>(What))
+    finish("caller-left");
+  return true;
+}
+
+void OpenRequest::callerHungUp() {
+  m_IsCallerGone = true;
+  // A request with an identity runs to its end: its caller may ask again.
+  if (m_Target && !m_IsKeeping)
+    m_Target->close();
+  if (!m_Target)
+    m_Duty.m_Hooks.m_Push(decision::CallerLeft{m_Id});
+}
+
+//===----------------------------------------------------------------------===//
+// At the target
+//===----------------------------------------------------------------------===//
+
+bool OpenRequest::dispatch(const decision::Dispatch &What,
+                           asio::yield_context Yield) {
+  m_IsKeeping = What.m_KeepAnswer;
+  m_TargetName = What.m_Target;
+  m_Duty.m_Metrics.observe(metrics::RequestTime::QueueWait, m_Labels,
+                           core::steadyNow() - m_ArrivedAt);
+  AnswerOutcome Outcome = AnswerOutcome::CallerLeft;
+  if (m_IsEvicted) {
+    // Cancelled before a byte was sent; told as unknown, which is never wrong.
+    Outcome = AnswerOutcome::Evicted;
+  } else if (!m_IsCallerGone || m_IsKeeping) {
+    std::unique_ptr<http::ClientConnection> Target;
+    try {
+      Target = m_Duty.m_Targets.open(What.m_Address, m_IsKeeping, Yield);
+    } catch (const Error &Failure) {
+      core::LogLine("connect-failed", core::LogLevel::Warning)
+          .add("request", m_PrintableId)
+          .add("target", What.m_Target)
+          .add("reason", Failure.detail());
+      m_Duty.m_Hooks.m_Push(decision::ConnectFailed{m_Id});
+      if (m_IsCallerGone)
+        m_Duty.m_Hooks.m_Push(decision::CallerLeft{m_Id});
+      return false;
+    }
+    m_Target = Target.get();
+    // Either may have happened while the connection was being made.
+    if (m_IsEvicted)
+      Outcome = AnswerOutcome::Evicted;
+    else if (!m_IsCallerGone || m_IsKeeping)
+      Outcome = runAtTarget(*Target, Yield);
+    m_Target = nullptr;
+    if (Outcome == AnswerOutcome::Complete)
+      m_Duty.m_Targets.giveBack(What.m_Address, std::move(Target));
+  }
+  bool IsKept = false;
+  if (Outcome == AnswerOutcome::Complete && m_IsKeeping && !m_IsTooLargeToKeep)
+    IsKept = m_Duty.m_Answers.keep(m_Id, std::move(m_Kept));
+  m_Duty.m_Hooks.m_Push(
+      decision::AnswerEnded{m_Id, Outcome, IsKept, m_OutputTokens});
+  switch (Outcome) {
+  case AnswerOutcome::Complete:
+    finish(m_IsCallerGone ? "caller-left" : "complete");
+    break;
+  case AnswerOutcome::Broken:
+    breakOff(RefusalKind::TargetBroke, Yield);
+    break;
+  case AnswerOutcome::Evicted:
+    breakOff(RefusalKind::Evicted, Yield);
+    break;
+  case AnswerOutcome::CallerLeft:
+    finish("caller-left");
+    break;
+  }
+  return true;
+}
+
+AnswerOutcome OpenRequest::runAtTarget(http::ClientConnection &Target,
+                                       asio::yield_context Yield) {
+  try {
+    Target.sendRequest(m_Request.m_ForTarget,
+                       m_Duty.m_Settings.m_Targets.m_SilenceTimeout, Yield);
+    relay(Target, Yield);
+    return AnswerOutcome::Complete;
+  } catch (const Error &Failure) {
+    if (m_IsEvicted)
+      return AnswerOutcome::Evicted;
+    if (m_IsCallerGone && !m_IsKeeping)
+      return AnswerOutcome::CallerLeft;
+    core::LogLine("target-broke", core::LogLevel::Warning)
+        .add("request", m_PrintableId)
+        .add("target", m_TargetName)
+        .add("reason", Failure.detail());
+    return AnswerOutcome::Broken;
+  }
+}
+
+void OpenRequest::passOn(const std::function<void()> &Send) {
+  if (m_IsCallerGone)
+    return;
+  try {
+    Send();
+  } catch (const Error &) {
+    m_IsCallerGone = true;
+  }
+  if (m_IsCallerGone && !m_IsKeeping)
+    throw Error(core::ErrorKind::OutcomeUnknown, "caller is gone");
+}
+
+void OpenRequest::relay(http::ClientConnection &From,
+                        asio::yield_context Yield) {
+  core::Duration Silence = m_Duty.m_Settings.m_Targets.m_SilenceTimeout;
+  http::ResponseHead Head = From.readHead(Silence, Yield);
+  m_Status = Head.m_Status;
+  Head.m_Headers.removeHopByHop();
+  Head.m_Headers.set("Yardrill-Request-Id", m_PrintableId);
+  m_Kept.m_Head = Head;
+  m_Kept.m_Head.m_ContentLength.reset();
+  passOn([&] { m_Caller.startStream(Head, Yield); });
+  while (true) {
+    std::string Piece = From.readPiece(Silence, Yield);
+    if (Piece.empty())
+      break;
+    notePiece(Piece);
+    passOn([&] { m_Caller.sendPiece(Piece, Yield); });
+  }
+  passOn([&] { m_Caller.finishStream(Yield); });
+}
+
+/// Server-sent events end with an empty line (WHATWG HTML, section 9.2.5);
+/// engines send one event for each token.
+static std::uint32_t countEvents(const std::string &Piece) {
+  std::uint32_t Count = 0;
+  for (std::size_t At = Piece.find("\n\n"); At != std::string::npos;
+       At = Piece.find("\n\n", At + 2))
+    ++Count;
+  return Count;
+}
+
+void OpenRequest::notePiece(const std::string &Piece) {
+  core::TimePoint Now = core::steadyNow();
+  bool IsFirst = m_LastPieceAt == core::TimePoint();
+  m_Duty.m_Metrics.observe(IsFirst ? metrics::RequestTime::FirstToken
+                                   : metrics::RequestTime::BetweenTokens,
+                           m_Labels,
+                           Now - (IsFirst ? m_ArrivedAt : m_LastPieceAt));
+  if (IsFirst)
+    m_Duty.m_Hooks.m_Push(decision::AnswerBegan{m_Id});
+  m_LastPieceAt = Now;
+  m_OutputTokens += countEvents(Piece);
+  if (!m_IsKeeping || m_IsTooLargeToKeep)
+    return;
+  m_Kept.m_Body += Piece;
+  if (m_Kept.m_Body.size() > m_Duty.m_Answers.mostBytesOfOne()) {
+    m_IsTooLargeToKeep = true;
+    m_Kept.m_Body.clear();
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// Other answers
+//===----------------------------------------------------------------------===//
+
+void OpenRequest::breakOff(RefusalKind Kind, asio::yield_context Yield) {
+  if (m_Caller.isStreamStarted())
+    // Never let half an answer look whole.
+    m_Caller.abort();
+  else
+    sendProblem(toProblem(Kind, 1), Yield);
+  finish(decision::describe(Kind).m_Type);
+}
+
+bool OpenRequest::refuse(const decision::Refuse &What,
+                         asio::yield_context Yield) {
+  // Looked at again here, since this process may have been frozen meanwhile.
+  std::int64_t Now = core::steadyNow().time_since_epoch().count();
+  bool IsLimited = What.m_ValidUntil != 0;
+  bool IsSent = !IsLimited || Now < What.m_ValidUntil;
+  if (IsLimited)
+    m_Duty.m_Hooks.m_Push(decision::RefusalSettled{m_Id, IsSent});
+  if (!IsSent)
+    return false;
+  sendProblem(toProblem(What.m_Kind, What.m_RetryAfterSeconds), Yield);
+  finish(decision::describe(What.m_Kind).m_Type);
+  return true;
+}
+
+void OpenRequest::sendKept(core::RequestId Original,
+                           asio::yield_context Yield) {
+  StoredAnswer Stored = m_Duty.m_Answers.find(Original);
+  if (!Stored) {
+    sendProblem(toProblem(RefusalKind::AnswerNotKept, 0), Yield);
+    return finish("answer-not-kept");
+  }
+  http::ResponseMessage Answer = *Stored;
+  m_Status = Answer.m_Head.m_Status;
+  passOn([&] { m_Caller.sendWhole(std::move(Answer), Yield); });
+  finish("complete-again");
+}
+
+void OpenRequest::forward(const decision::Forward &What,
+                          asio::yield_context Yield) {
+  http::RequestMessage Request = m_Caller.request();
+  Request.m_Headers.removeHopByHop();
+  Request.m_Headers.remove("Authorization");
+  Request.m_Headers.set(AccountHeader, m_Request.m_Arrival.m_Account.value());
+  m_Duty.m_Signature.sign(Request, core::wallSeconds().count());
+  try {
+    auto Home = m_Duty.m_Targets.open(What.m_Home.m_Peer, true, Yield);
+    m_Target = Home.get();
+    Home->sendRequest(Request, m_Duty.m_Settings.m_Targets.m_SilenceTimeout,
+                      Yield);
+    relay(*Home, Yield);
+    m_Target = nullptr;
+    finish("forwarded");
+  } catch (const Error &Failure) {
+    m_Target = nullptr;
+    core::LogLine("forward-failed", core::LogLevel::Warning)
+        .add("request", m_PrintableId)
+        .add("home", What.m_Home.m_Peer.toString())
+        .add("reason", Failure.detail());
+    breakOff(RefusalKind::HomeLost, Yield);
+  }
+}
+
+void OpenRequest::sendProblem(const Problem &What, asio::yield_context Yield) {
+  m_Status = What.m_Status;
+  if (m_IsCallerGone)
+    return;
+  try {
+    m_Caller.sendWhole(toResponse(What, m_PrintableId), Yield);
+  } catch (const Error &) {
+    m_IsCallerGone = true;
+  }
+}
+
+void OpenRequest::finish(const std::string &Outcome) {
+  core::Duration Total = core::steadyNow() - m_ArrivedAt;
+  m_Duty.m_Metrics.observe(metrics::RequestTime::Total, m_Labels, Total);
+  m_Duty.m_Metrics.countOutcome(m_Labels, Outcome);
+  core::LogLine Line("request-finished");
+  Line.add("request", m_PrintableId)
+      .add("client_account", m_Labels.m_Account)
+      .add("tier", m_Labels.m_Tier)
+      .add("pool", m_Labels.m_Pool)
+      .add("outcome", Outcome)
+      .add("status", m_Status)
+      .add("total_us", Total);
+  if (!m_TargetName.value().empty())
+    Line.add("target", m_TargetName);
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/OpenRequest.h
@@ -0,0 +1,72 @@
+//===-- OpenRequest.h - One request between its caller and its target -----===//
+#ifndef YARDRILL_LIBINSTANCE_OPENREQUEST_H
+#define YARDRILL_LIBINSTANCE_OPENREQUEST_H
+
+#include "LibInstance/TrafficDuty.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <optional>
+#include <string>
+
+namespace yardrill::instance {
+
+/// Lives in its caller's coroutine from the request's arrival to the end of
+/// its answer, and does what the decision core says.
+class OpenRequest {
+public:
+  OpenRequest(TrafficDuty &Duty, http::Exchange &Caller, ReadRequest Request);
+  ~OpenRequest();
+  OpenRequest(const OpenRequest &) = delete;
+  OpenRequest &operator=(const OpenRequest &) = delete;
+
+  /// Returns when the answer is complete or the caller is gone.
+  void run(boost::asio::yield_context Yield);
+  /// An action for this request, on the traffic thread.
+  void take(decision::Action What);
+
+private:
+  /// \returns true when nothing more will come for this request.
+  bool perform(const decision::Action &What, boost::asio::yield_context Yield);
+  bool dispatch(const decision::Dispatch &What,
+                boost::asio::yield_context Yield);
+  bool refuse(const decision::Refuse &What, boost::asio::yield_context Yield);
+  void forward(const decision::Forward &What, boost::asio::yield_context Yield);
+  void sendKept(core::RequestId Original, boost::asio::yield_context Yield);
+
+  decision::AnswerOutcome runAtTarget(http::ClientConnection &Target,
+                                      boost::asio::yield_context Yield);
+  /// Passes an answer on, piece by piece. \throws core::Error as the
+  /// connection does; a caller who is gone only sets m_IsCallerGone.
+  void relay(http::ClientConnection &From, boost::asio::yield_context Yield);
+  void passOn(const std::function<void()> &Send);
+  void notePiece(const std::string &Piece);
+  void callerHungUp();
+  void breakOff(decision::RefusalKind Kind, boost::asio::yield_context Yield);
+  void sendProblem(const Problem &What, boost::asio::yield_context Yield);
+  void finish(const std::string &Outcome);
+
+  TrafficDuty &m_Duty;
+  http::Exchange &m_Caller;
+  ReadRequest m_Request;
+  core::RequestId m_Id;
+  std::string m_PrintableId;
+  metrics::RequestLabels m_Labels;
+  boost::asio::steady_timer m_Wake;
+  std::deque<decision::Action> m_Actions;
+  core::TimePoint m_ArrivedAt;
+  core::TimePoint m_LastPieceAt{};
+  http::ClientConnection *m_Target = nullptr;
+  core::TargetName m_TargetName;
+  bool m_IsCallerGone = false;
+  bool m_IsEvicted = false;
+  bool m_IsKeeping = false; ///< The answer is being stored.
+  bool m_IsTooLargeToKeep = false;
+  http::ResponseMessage m_Kept;
+  std::uint32_t m_OutputTokens = 0;
+  unsigned m_Status = 0;
+};
+
+} // namespace yardrill::instance
+
+#endif
--- /dev/null
+++ b/Libraries/LibInstance/PeerDuty.cpp
@@ -0,0 +1,286 @@
+#include "LibInstance/PeerDuty.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibHTTP/ClientConnection.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <thread>
+
+namespace yardrill::instance {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using core::Error;
+
+/// A small fleet hears from everyone each period; in a larger one each
+/// instance writes to a few drawn at random, so that its own traffic stays
+/// the same however many there are (docs/CAPACITY.md).
+static const std::size_t SmallFleet = 8;
+static const std::size_t FewPeers = 3;
+static const std::size_t OthersInHeartbeat = 2;
+static const std::size_t MostHinted = 64;
+static const std::chrono::seconds FetchTimeout(2);
+static const std::size_t MostEnvelopeBytes = 4UL * 1024 * 1024;
+static const std::chrono::microseconds FullRingPause(50);
+
+static udp::endpoint toUdp(const config::Endpoint &Address) {
+  return {asio::ip::make_address(Address.m_Address), Address.m_Port};
+}
+
+PeerDuty::PeerDuty(const config::InstanceSettings &Settings,
+                   decision::Home Self, ConfigurationKeeper &Configuration,
+                   metrics::MetricsRegistry &Metrics,
+                   std::function<void(decision::Event)> Push)
+    : m_Thread("peers"), m_Timers(m_Thread.context()), m_Settings(Settings),
+      m_Self(Self), m_Configuration(Configuration), m_Metrics(Metrics),
+      m_Push(std::move(Push)), m_Codec(Settings.m_Peers.m_Key),
+      m_Directory(Settings.m_Peers.m_KnownPeers,
+                  Settings.m_Peers.m_SilenceTimeout),
+      m_Signature(Settings.m_Peers.m_Key),
+      m_Actions(Settings.m_RingCapacity, m_Thread.waker([this] {
+        m_Actions.drain([this](const decision::Action &What) { act(What); });
+      })),
+      m_Socket(m_Thread.context()), m_Random(core::randomBits()) {
+  boost::system::error_code Failure;
+  udp::endpoint Address = toUdp(Settings.m_PeerAddress);
+  m_Socket.open(Address.protocol(), Failure);
+  if (!Failure)
+    m_Socket.bind(Address, Failure);
+  if (Failure)
+    throw Error(core::ErrorKind::AddressInUse,
+                Settings.m_PeerAddress.toString() +
+                    " (UDP): " + Failure.message());
+}
+
+PeerDuty::~PeerDuty() { stop(); }
+
+void PeerDuty::start() {
+  asio::spawn(
+      m_Thread.context(), [this](asio::yield_context Yield) { receive(Yield); },
+      asio::detached);
+  m_Timers.subscribe(m_Settings.m_Peers.m_HeartbeatPeriod,
+                     [this](core::TimePoint Now) { beat(Now); });
+  m_Thread.start();
+}
+
+void PeerDuty::push(decision::Action What) {
+  while (!m_Actions.tryPush(What))
+    std::this_thread::sleep_for(FullRingPause);
+}
+
+void PeerDuty::setListed(std::vector<config::Endpoint> Addresses) {
+  asio::post(m_Thread.context(), [this, Addresses = std::move(Addresses)] {
+    m_Listed = Addresses;
+    countInstances();
+  });
+}
+
+void PeerDuty::setStopping() {
+  asio::post(m_Thread.context(), [this] { m_IsStopping = true; });
+}
+
+std::vector<PeerStatus> PeerDuty::status() const {
+  std::lock_guard<std::mutex> Lock(m_StatusMutex);
+  return m_Status;
+}
+
+//===----------------------------------------------------------------------===//
+// Receiving
+//===----------------------------------------------------------------------===//
+
+void PeerDuty::receive(asio::yield_context Yield) {
+  // One byte more than allowed, so that a longer datagram is seen as such.
+  std::vector<char> Buffer(peer::MostDatagramBytes + 1);
+  while (true) {
+    udp::endpoint From;
+    boost::system::error_code Failure;
+    std::size_t Size =
+        m_Socket.async_receive_from(asio::buffer(Buffer), From, Yield[Failure]);
+    // A refused datagram of ours comes back as an error here.
+    if (Failure)
+      continue;
+    auto Decoded = m_Codec.decode({Buffer.data(), Size});
+    if (const auto *Reason = std::get_if<peer::DropReason>(&Decoded))
+      drop(*Reason);
+    else
+      take(std::get<peer::PeerMessage>(Decoded));
+  }
+}
+
+void PeerDuty::drop(peer::DropReason Reason) {
+  std::string Name = peer::toString(Reason);
+  std::replace(Name.begin(), Name.end(), '-', '_');
+  m_Metrics.count("yardrill_peer_datagrams_dropped_" + Name + "_total");
+}
+
+void PeerDuty::take(const peer::PeerMessage &Message) {
+  if (Message.m_From == m_Self)
+    return;
+  core::TimePoint Now = core::steadyNow();
+  auto Reason = m_Directory.heard(Message, Now, core::wallSeconds().count());
+  if (Reason)
+    return drop(*Reason);
+  m_Hinted.erase(Message.m_From.m_Peer);
+  countInstances();
+  if (const auto *Beat = std::get_if<peer::Heartbeat>(&Message.m_Body))
+    return takeHeartbeat(Message, *Beat);
+  if (const auto *Order = std::get_if<decision::FloorOrder>(&Message.m_Body))
+    return m_Push(*Order);
+  m_Push(std::get<decision::FloorReport>(Message.m_Body));
+}
+
+void PeerDuty::takeHeartbeat(const peer::PeerMessage &Message,
+                             const peer::Heartbeat &Beat) {
+  for (const decision::Home &Other : Beat.m_Others)
+    if (!(Other == m_Self) && m_Hinted.size() < MostHinted &&
+        m_Directory.all().count(Other.m_Incarnation) == 0)
+      m_Hinted.insert(Other.m_Peer);
+  if (!(m_Configuration.version() < Beat.m_Version) || m_IsFetching)
+    return;
+  m_IsFetching = true;
+  asio::spawn(
+      m_Thread.context(),
+      [this, From = Message.m_From.m_Peer](asio::yield_context Yield) {
+        fetchConfiguration(From, Yield);
+      },
+      asio::detached);
+}
+
+void PeerDuty::fetchConfiguration(const config::Endpoint &From,
+                                  asio::yield_context Yield) {
+  try {
+    auto Connection = http::ClientConnection::connect(
+        m_Thread.context(),
+        {asio::ip::make_address(From.m_Address), From.m_Port}, FetchTimeout,
+        Yield);
+    http::RequestMessage Request;
+    Request.m_Method = "GET";
+    Request.m_Target = "/peer/configuration";
+    Request.m_Headers.set("Host", From.toString());
+    m_Signature.sign(Request, core::wallSeconds().count());
+    Connection->sendRequest(Request, FetchTimeout, Yield);
+    auto Answer = Connection->readWhole(FetchTimeout, MostEnvelopeBytes, Yield);
+    if (Answer.m_Head.m_Status == 200)
+      m_Configuration.offer(ConfigurationEnvelope::parse(Answer.m_Body));
+  } catch (const std::exception &Failure) {
+    core::LogLine("configuration-fetch-failed", core::LogLevel::Warning)
+        .add("peer", From.toString())
+        .add("reason", Failure.what());
+  }
+  m_IsFetching = false;
+}
+
+//===----------------------------------------------------------------------===//
+// Sending
+//===----------------------------------------------------------------------===//
+
+void PeerDuty::act(const decision::Action &What) {
+  core::TimePoint Now = core::steadyNow();
+  if (const auto *Order = std::get_if<decision::SendFloorOrder>(&What)) {
+    send(Order->m_To.m_Peer, Order->m_Order);
+    return reportIfGone(Order->m_To, Now);
+  }
+  if (const auto *Report = std::get_if<decision::SendFloorReport>(&What))
+    send(Report->m_To.m_Peer, Report->m_Report);
+}
+
+void PeerDuty::send(const config::Endpoint &To, peer::PeerBody Body) {
+  peer::PeerMessage Message;
+  Message.m_From = m_Self;
+  Message.m_Sequence = m_NextSequence++;
+  Message.m_WallSeconds = core::wallSeconds().count();
+  Message.m_Body = std::move(Body);
+  std::string Datagram = m_Codec.encode(Message);
+  boost::system::error_code Ignored;
+  // A datagram that can't be sent now is as good as lost: all are repeated.
+  m_Socket.send_to(asio::buffer(Datagram), toUdp(To), 0, Ignored);
+  m_Metrics.count("yardrill_peer_bytes_sent_total", Datagram.size());
+}
+
+peer::Heartbeat PeerDuty::makeHeartbeat() {
+  peer::Heartbeat Out;
+  Out.m_Name = m_Settings.m_Name;
+  if (auto Current = m_Configuration.current()) {
+    Out.m_Version = Current->version();
+    Out.m_Digest = Current->digest();
+  }
+  Out.m_IsStopping = m_IsStopping;
+  std::vector<decision::Home> Known;
+  for (const auto &[Incarnation, Peer] : m_Directory.all())
+    Known.push_back(Peer.m_Home);
+  std::sample(Known.begin(), Known.end(), std::back_inserter(Out.m_Others),
+              OthersInHeartbeat, m_Random);
+  return Out;
+}
+
+std::vector<config::Endpoint> PeerDuty::heartbeatTargets() {
+  std::set<config::Endpoint> All(m_Listed.begin(), m_Listed.end());
+  All.insert(m_Settings.m_Peers.m_Seeds.begin(),
+             m_Settings.m_Peers.m_Seeds.end());
+  All.insert(m_Hinted.begin(), m_Hinted.end());
+  for (const auto &[Incarnation, Peer] : m_Directory.all())
+    All.insert(Peer.m_Home.m_Peer);
+  All.erase(m_Self.m_Peer);
+  std::size_t Count = All.size() <= SmallFleet ? All.size() : FewPeers;
+  std::vector<config::Endpoint> Chosen;
+  std::sample(All.begin(), All.end(), std::back_inserter(Chosen), Count,
+              m_Random);
+  return Chosen;
+}
+
+void PeerDuty::beat(core::TimePoint Now) {
+  peer::Heartbeat Beat = makeHeartbeat();
+  for (const config::Endpoint &To : heartbeatTargets())
+    send(To, Beat);
+  for (const peer::KnownPeer &Gone : m_Directory.expire(Now))
+    core::LogLine("peer-silent", core::LogLevel::Warning)
+        .add("instance", Gone.m_Last.m_Name)
+        .add("peer", Gone.m_Home.m_Peer.toString());
+  countInstances();
+  publishStatus(Now);
+}
+
+void PeerDuty::countInstances() {
+  std::size_t Count = std::max(m_Directory.all().size() + 1, m_Listed.size());
+  if (Count == m_LastCount)
+    return;
+  m_LastCount = Count;
+  m_Push(decision::InstancesCounted{static_cast<std::uint32_t>(Count)});
+}
+
+void PeerDuty::reportIfGone(const decision::Home &Member, core::TimePoint Now) {
+  // Gone only on two words: it has been silent, and the list no longer has its
+  // address or another process answers there.
+  if (m_Directory.all().count(Member.m_Incarnation) != 0) {
+    m_FirstOrderAt.erase(Member.m_Incarnation);
+    return;
+  }
+  core::TimePoint FirstAt =
+      m_FirstOrderAt.emplace(Member.m_Incarnation, Now).first->second;
+  if (Now - FirstAt < m_Settings.m_Peers.m_SilenceTimeout)
+    return;
+  bool IsListed = std::find(m_Listed.begin(), m_Listed.end(), Member.m_Peer) !=
+                  m_Listed.end();
+  bool IsReplaced = Member.m_Peer == m_Self.m_Peer;
+  for (const auto &[Incarnation, Peer] : m_Directory.all())
+    IsReplaced = IsReplaced || Peer.m_Home.m_Peer == Member.m_Peer;
+  if (IsListed && !IsReplaced)
+    return;
+  m_FirstOrderAt.erase(Member.m_Incarnation);
+  m_Push(decision::MemberGone{Member.m_Incarnation});
+}
+
+void PeerDuty::publishStatus(core::TimePoint Now) {
+  std::vector<PeerStatus> Next;
+  for (const auto &[Incarnation, Peer] : m_Directory.all())
+    Next.push_back({Peer.m_Last.m_Name, Peer.m_Home, Peer.m_Last.m_Version,
+                    Now - Peer.m_HeardAt, Peer.m_Last.m_IsStopping});
+  m_Metrics.setGauge("yardrill_peers", static_cast<double>(Next.size()));
+  std::lock_guard<std::mutex> Lock(m_StatusMutex);
+  m_Status = std::move(Next);
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/PeerDuty.h
@@ -0,0 +1,99 @@
+//===-- PeerDuty.h - The thread that talks to other instances -------------===//
+#ifndef YARDRILL_LIBINSTANCE_PEERDUTY_H
+#define YARDRILL_LIBINSTANCE_PEERDUTY_H
+
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/DutyThread.h"
+#include "LibCore/Ring.h"
+#include "LibCore/TimerService.h"
+#include "LibDecision/Action.h"
+#include "LibDecision/Event.h"
+#include "LibInstance/ConfigurationKeeper.h"
+#include "LibInstance/PeerSignature.h"
+#include "LibMetrics/MetricsRegistry.h"
+#include "LibPeer/PeerCodec.h"
+#include "LibPeer/PeerDirectory.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <functional>
+#include <mutex>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace yardrill::instance {
+
+struct PeerStatus {
+  core::InstanceName m_Name;
+  decision::Home m_Home;
+  core::ConfigurationVersion m_Version;
+  core::Duration m_SilentFor{};
+  bool m_IsStopping = false;
+};
+
+/// Heartbeats, floor messages and the spread of configurations, by UDP.
+class PeerDuty {
+public:
+  /// \throws core::Error of kind AddressInUse.
+  PeerDuty(const config::InstanceSettings &Settings, decision::Home Self,
+           ConfigurationKeeper &Configuration,
+           metrics::MetricsRegistry &Metrics,
+           std::function<void(decision::Event)> Push);
+  ~PeerDuty();
+
+  void start();
+  void stop() { m_Thread.stop(); }
+  /// Takes SendFloorOrder and SendFloorReport. Thread-safe.
+  void push(decision::Action What);
+  /// The peer addresses that the instance list names. Thread-safe.
+  void setListed(std::vector<config::Endpoint> Addresses);
+  void setStopping();
+
+  std::vector<PeerStatus> status() const;
+
+private:
+  void receive(boost::asio::yield_context Yield);
+  void take(const peer::PeerMessage &Message);
+  void takeHeartbeat(const peer::PeerMessage &Message,
+                     const peer::Heartbeat &Beat);
+  void act(const decision::Action &What);
+  void send(const config::Endpoint &To, peer::PeerBody Body);
+  void beat(core::TimePoint Now);
+  peer::Heartbeat makeHeartbeat();
+  std::vector<config::Endpoint> heartbeatTargets();
+  void countInstances();
+  void reportIfGone(const decision::Home &Member, core::TimePoint Now);
+  void fetchConfiguration(const config::Endpoint &From,
+                          boost::asio::yield_context Yield);
+  void drop(peer::DropReason Reason);
+  void publishStatus(core::TimePoint Now);
+
+  core::DutyThread m_Thread;
+  core::SteadyTimerService m_Timers;
+  const config::InstanceSettings &m_Settings;
+  decision::Home m_Self;
+  ConfigurationKeeper &m_Configuration;
+  metrics::MetricsRegistry &m_Metrics;
+  std::function<void(decision::Event)> m_Push;
+  peer::PeerCodec m_Codec;
+  peer::PeerDirectory m_Directory;
+  PeerSignature m_Signature;
+  core::Ring<decision::Action> m_Actions;
+  boost::asio::ip::udp::socket m_Socket;
+  std::mt19937_64 m_Random;
+  std::vector<config::Endpoint> m_Listed;
+  std::set<config::Endpoint> m_Hinted; ///< Heard of, not heard from.
+  std::map<core::IncarnationId, core::TimePoint> m_FirstOrderAt;
+  std::uint64_t m_NextSequence = 1;
+  std::size_t m_LastCount = 0;
+  bool m_IsFetching = false;
+  bool m_IsStopping = false;
+  mutable std::mutex m_StatusMutex;
+  std::vector<PeerStatus> m_Status;
+};
+
+} // namespace yardrill::instance
+
+#endif
--- /dev/null
+++ b/Libraries/LibInstance/PeerSignature.cpp
@@ -0,0 +1,44 @@
+#include "LibInstance/PeerSignature.h"
+
+#include "LibCore/Digest.h"
+
+#include <charconv>
+#include <cstdlib>
+
+namespace yardrill::instance {
+
+static const std::int64_t MostClockDifferenceSeconds = 30;
+static const std::string Purpose = "yardrill-peer-request";
+
+std::string PeerSignature::mac(const http::RequestMessage &Request) const {
+  std::string Text = Purpose + "\n" + Request.m_Method + "\n" +
+                     Request.m_Target + "\n" + core::sha256Hex(Request.m_Body);
+  for (const char *Name :
+       {TimeHeader, AccountHeader, TierHeader, TicketHeader, KeyHeader}) {
+    const std::string *Value = Request.m_Headers.find(Name);
+    // Length first, so that no two requests have the same text.
+    std::string Part = Value ? *Value : "";
+    Text += "\n" + std::to_string(Part.size()) + " " + Part;
+  }
+  return core::toHex(core::hmacSha256(m_Key, Text));
+}
+
+void PeerSignature::sign(http::RequestMessage &Request,
+                         std::int64_t WallSeconds) const {
+  Request.m_Headers.set(TimeHeader, std::to_string(WallSeconds));
+  Request.m_Headers.set(SignatureHeader, mac(Request));
+}
+
+bool PeerSignature::isValid(const http::RequestMessage &Request,
+                            std::int64_t WallSeconds) const {
+  const std::string *Signature = Request.m_Headers.find(SignatureHeader);
+  const std::string *Time = Request.m_Headers.find(TimeHeader);
+  if (!Signature || !Time ||
+      !core::isEqualConstantTime(*Signature, mac(Request)))
+    return false;
+  std::int64_t Sent = 0;
+  std::from_chars(Time->data(), Time->data() + Time->size(), Sent);
+  return std::abs(WallSeconds - Sent) <= MostClockDifferenceSeconds;
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/PlatformDuty.cpp
@@ -0,0 +1,282 @@
+#include "LibInstance/PlatformDuty.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibPlatform/Backoff.h"
+
+#include <boost/asio.hpp>
+#include <thread>
+
+namespace yardrill::instance {
+
+namespace asio = boost::asio;
+using core::Error;
+using core::ErrorKind;
+using platform::CallClass;
+
+static const char ConfigurationKey[] = "/yardrill/configuration";
+static const std::chrono::milliseconds FirstPause(100);
+static const std::chrono::seconds LongestPause(5);
+static const std::chrono::microseconds FullRingPause(50);
+static const std::chrono::seconds MetricsPeriod(1);
+static const int ResolveTries = 5;
+static const std::chrono::seconds PublishTimeout(20);
+
+static platform::EtcdGatewaySettings
+toGatewaySettings(const config::PlatformSettings &Settings) {
+  platform::EtcdGatewaySettings Out;
+  for (const config::Endpoint &Address : Settings.m_Addresses)
+    Out.m_Addresses.emplace_back(asio::ip::make_address(Address.m_Address),
+                                 Address.m_Port);
+  Out.m_CallTimeout = Settings.m_CallTimeout;
+  Out.m_CallsPerSecond = Settings.m_CallsPerSecond;
+  Out.m_CallBurst = Settings.m_CallBurst;
+  Out.m_WaitingCalls = Settings.m_WaitingCalls;
+  return Out;
+}
+
+PlatformDuty::PlatformDuty(const config::InstanceSettings &Settings,
+                           decision::Home Self,
+                           ConfigurationKeeper &Configuration,
+                           metrics::MetricsRegistry &Metrics,
+                           PlatformHooks Hooks)
+    : m_Thread("platform"), m_Timers(m_Thread.context()),
+      m_Configuration(Configuration), m_Metrics(Metrics),
+      m_Hooks(std::move(Hooks)),
+      m_Service(m_Thread.context(), toGatewaySettings(Settings.m_Platform)),
+      m_Claims(m_Service, Self, Settings.m_Identities.m_Retention),
+      m_Floors(m_Service),
+      m_Actions(Settings.m_RingCapacity, m_Thread.waker([this] {
+        m_Actions.drain([this](const decision::Action &What) { take(What); });
+      })) {}
+
+PlatformDuty::~PlatformDuty() { stop(); }
+
+void PlatformDuty::start() {
+  spawn([this](asio::yield_context Yield) { followConfiguration(Yield); });
+  spawn([this](asio::yield_context Yield) { followInstances(Yield); });
+  m_Timers.subscribe(FloorRecordKeeper::KeepAlivePeriod, [this](auto) {
+    spawn([this](asio::yield_context Yield) { m_Floors.keepAlive(Yield); });
+  });
+  m_Timers.subscribe(MetricsPeriod, [this](auto) { updateMetrics(); });
+  m_Thread.start();
+}
+
+void PlatformDuty::spawn(std::function<void(asio::yield_context)> Run) {
+  asio::spawn(m_Thread.context(), std::move(Run), asio::detached);
+}
+
+void PlatformDuty::push(decision::Action What) {
+  while (!m_Actions.tryPush(What))
+    std::this_thread::sleep_for(FullRingPause);
+}
+
+void PlatformDuty::take(const decision::Action &What) {
+  if (const auto *Wanted = std::get_if<decision::Claim>(&What))
+    return spawn([this, Wanted = *Wanted](asio::yield_context Yield) {
+      m_Hooks.m_Push(m_Claims.claim(Wanted, Yield));
+    });
+  if (const auto *Wanted = std::get_if<decision::ReadFloorRecord>(&What))
+    return spawn([this, Wanted = *Wanted](asio::yield_context Yield) {
+      if (auto Read = m_Floors.read(Wanted.m_Pool, Yield))
+        m_Hooks.m_Push(*Read);
+    });
+  if (const auto *Wanted = std::get_if<decision::WriteFloorRecord>(&What))
+    return spawn([this, Wanted = *Wanted](asio::yield_context Yield) {
+      m_Hooks.m_Push(m_Floors.write(Wanted, Yield));
+    });
+  if (std::holds_alternative<decision::ResignFloor>(What))
+    spawn([this](asio::yield_context Yield) { m_Floors.resign(Yield); });
+}
+
+void PlatformDuty::pause(core::Duration Length, asio::yield_context Yield) {
+  asio::steady_timer Timer(m_Thread.context(), Length);
+  boost::system::error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
+void PlatformDuty::updateMetrics() {
+  const auto &Counters = m_Service.counters();
+  m_Metrics.setGauge("yardrill_platform_calls", Counters.m_Calls);
+  m_Metrics.setGauge("yardrill_platform_call_failures", Counters.m_Failures);
+  m_Metrics.setGauge("yardrill_platform_budget_refusals",
+                     Counters.m_BudgetRefusals);
+}
+
+//===----------------------------------------------------------------------===//
+// Following the platform
+//===----------------------------------------------------------------------===//
+
+static void logLost(const char *What, const std::exception &Failure) {
+  core::LogLine("platform-watch-lost", core::LogLevel::Warning)
+      .add("watch", What)
+      .add("reason", Failure.what());
+}
+
+void PlatformDuty::followConfiguration(asio::yield_context Yield) {
+  platform::Backoff Pauses(FirstPause, LongestPause, core::randomBits());
+  auto Take = [this](const platform::Entry &Item) {
+    try {
+      if (Item.m_Key == ConfigurationKey && !Item.m_IsDeleted)
+        m_Configuration.offer(ConfigurationEnvelope::parse(Item.m_Value));
+    } catch (const Error &Failure) {
+      core::LogLine("configuration-unreadable", core::LogLevel::Error)
+          .add("reason", Failure.what());
+    }
+  };
+  while (true) {
+    try {
+      auto Current =
+          m_Service.read(ConfigurationKey, CallClass::Control, Yield);
+      if (Current)
+        Take(*Current);
+      Pauses.reset();
+      m_Service.watch(
+          ConfigurationKey, m_Service.lastRevision(),
+          [&](const std::vector<platform::Entry> &Changes) {
+            for (const platform::Entry &Item : Changes)
+              Take(Item);
+          },
+          Yield);
+    } catch (const std::exception &Failure) {
+      logLost("configuration", Failure);
+    }
+    pause(Pauses.next(), Yield);
+  }
+}
+
+void PlatformDuty::followInstances(asio::yield_context Yield) {
+  platform::Backoff Pauses(FirstPause, LongestPause, core::randomBits());
+  while (true) {
+    try {
+      m_List.reset(
+          m_Service.readPrefix(InstanceListPrefix, CallClass::Control, Yield));
+      instancesChanged();
+      Pauses.reset();
+      m_Service.watch(
+          InstanceListPrefix, m_Service.lastRevision(),
+          [&](const std::vector<platform::Entry> &Changes) {
+            m_List.apply(Changes);
+            instancesChanged();
+          },
+          Yield);
+    } catch (const std::exception &Failure) {
+      logLost("instances", Failure);
+    }
+    pause(Pauses.next(), Yield);
+  }
+}
+
+void PlatformDuty::instancesChanged() {
+  for (const auto &[Key, Listed] : m_List.all()) {
+    if (Listed.m_Kind != ListedKind::Target)
+      continue;
+    core::TargetName Name(Listed.m_Name);
+    bool &WasLeaving = m_LeavingTargets[Name];
+    if (WasLeaving == Listed.m_IsLeaving)
+      continue;
+    WasLeaving = Listed.m_IsLeaving;
+    m_Hooks.m_Push(decision::TargetStateSeen{Name, Listed.m_IsLeaving});
+  }
+  m_Hooks.m_SchedulersListed(m_List.schedulers());
+}
+
+//===----------------------------------------------------------------------===//
+// Publishing
+//===----------------------------------------------------------------------===//
+
+core::ConfigurationVersion
+PlatformDuty::publish(const PublishRequest &Request) {
+  // Refused before anything is written: what is accepted can be in force.
+  config::FleetConfiguration::parse(Request.m_Text, "configuration",
+                                    Request.m_Base);
+  // Shared, because this thread may stop waiting before the answer comes.
+  auto Promise = std::make_shared<std::promise<core::ConfigurationVersion>>();
+  auto Result = Promise->get_future();
+  asio::post(m_Thread.context(), [this, Promise, Request] {
+    spawn([this, Promise, Request](asio::yield_context Yield) {
+      try {
+        Promise->set_value(publishNow(Request, Yield));
+      } catch (const std::exception &) {
+        Promise->set_exception(std::current_exception());
+      }
+    });
+  });
+  if (Result.wait_for(PublishTimeout) != std::future_status::ready)
+    throw Error(ErrorKind::OutcomeUnknown,
+                "publish again with the change id " + Request.m_Change);
+  return Result.get();
+}
+
+static Error conflict(const ConfigurationEnvelope &Standing) {
+  return Error(ErrorKind::Conflict,
+               "version " + std::to_string(Standing.m_Version.value()) +
+                   " stands");
+}
+
+core::ConfigurationVersion
+PlatformDuty::publishNow(const PublishRequest &Request,
+                         asio::yield_context Yield) {
+  ConfigurationEnvelope Standing;
+  platform::CompareAndSwap Swap;
+  Swap.m_Key = ConfigurationKey;
+  auto Current = m_Service.read(ConfigurationKey, CallClass::Control, Yield);
+  if (Current) {
+    Standing = ConfigurationEnvelope::parse(Current->m_Value);
+    Swap.m_Expected = Current->m_Modified;
+  }
+  if (Standing.hasChange(Request.m_Change))
+    return Standing.m_Version;
+  // A store that was put back to an earlier state must not take us with it.
+  if (Standing.m_Version < m_Configuration.version())
+    throw conflict(m_Configuration.envelope());
+  if (Standing.m_Version != Request.m_Base)
+    throw conflict(Standing);
+  ConfigurationEnvelope Next;
+  Next.m_Version = core::ConfigurationVersion(Standing.m_Version.value() + 1);
+  Next.m_Changes = Standing.m_Changes;
+  Next.m_Changes.push_back(Request.m_Change);
+  Next.m_Text = Request.m_Text;
+  Swap.m_Puts.push_back({ConfigurationKey, Next.toJson(), std::nullopt});
+  try {
+    auto Result = m_Service.compareAndSwap(Swap, CallClass::Control, Yield);
+    if (!Result.m_IsSwapped)
+      return resolve(Request, Yield);
+  } catch (const Error &Failure) {
+    if (Failure.kind() != ErrorKind::OutcomeUnknown)
+      throw;
+    // The answer was lost: the write may have taken effect, or may yet.
+    return resolve(Request, Yield);
+  }
+  m_Configuration.offer(Next);
+  return Next.m_Version;
+}
+
+core::ConfigurationVersion PlatformDuty::resolve(const PublishRequest &Request,
+                                                 asio::yield_context Yield) {
+  for (int Try = 0; Try < ResolveTries; ++Try) {
+    try {
+      auto Current =
+          m_Service.read(ConfigurationKey, CallClass::Control, Yield);
+      ConfigurationEnvelope Standing;
+      if (Current)
+        Standing = ConfigurationEnvelope::parse(Current->m_Value);
+      if (Standing.hasChange(Request.m_Change)) {
+        m_Configuration.offer(Standing);
+        return Standing.m_Version;
+      }
+      // Another change stands where ours would be: ours can't come any more.
+      if (Standing.m_Version != Request.m_Base)
+        throw conflict(Standing);
+    } catch (const Error &Failure) {
+      if (Failure.kind() == ErrorKind::Conflict)
+        throw;
+    }
+    pause(FirstPause, Yield);
+  }
+  throw Error(ErrorKind::OutcomeUnknown,
+              "publish again with the change id " + Request.m_Change);
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/PlatformDuty.h
@@ -0,0 +1,82 @@
+//===-- PlatformDuty.h - The thread that talks to the platform ------------===//
+#ifndef YARDRILL_LIBINSTANCE_PLATFORMDUTY_H
+#define YARDRILL_LIBINSTANCE_PLATFORMDUTY_H
+
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/DutyThread.h"
+#include "LibCore/Ring.h"
+#include "LibCore/TimerService.h"
+#include "LibDecision/Action.h"
+#include "LibDecision/Event.h"
+#include "LibInstance/ClaimKeeper.h"
+#include "LibInstance/ConfigurationKeeper.h"
+#include "LibInstance/FloorRecordKeeper.h"
+#include "LibInstance/InstanceList.h"
+#include "LibMetrics/MetricsRegistry.h"
+#include "LibPlatform/EtcdGateway.h"
+
+#include <functional>
+#include <future>
+#include <string>
+
+namespace yardrill::instance {
+
+struct PlatformHooks {
+  std::function<void(decision::Event)> m_Push;
+  /// The peer addresses of all listed instances that are not leaving.
+  std::function<void(std::vector<config::Endpoint>)> m_SchedulersListed;
+};
+
+struct PublishRequest {
+  std::string m_Text;
+  core::ConfigurationVersion m_Base; ///< The version it was made from.
+  std::string m_Change;              ///< The publisher's id for this change.
+};
+
+class PlatformDuty {
+public:
+  PlatformDuty(const config::InstanceSettings &Settings, decision::Home Self,
+               ConfigurationKeeper &Configuration,
+               metrics::MetricsRegistry &Metrics, PlatformHooks Hooks);
+  ~PlatformDuty();
+
+  void start();
+  void stop() { m_Thread.stop(); }
+  /// Takes Claim, ReadFloorRecord, WriteFloorRecord and ResignFloor.
+  void push(decision::Action What);
+
+  /// Makes a configuration the accepted one. Waits; thread-safe.
+  /// \returns its version.
+  /// \throws config::FaultyDocument, or core::Error of kind Conflict (another
+  /// version stands), Unavailable (nothing was done) or OutcomeUnknown.
+  core::ConfigurationVersion publish(const PublishRequest &Request);
+
+private:
+  void take(const decision::Action &What);
+  void spawn(std::function<void(boost::asio::yield_context)> Run);
+  void followConfiguration(boost::asio::yield_context Yield);
+  void followInstances(boost::asio::yield_context Yield);
+  void instancesChanged();
+  core::ConfigurationVersion publishNow(const PublishRequest &Request,
+                                        boost::asio::yield_context Yield);
+  core::ConfigurationVersion resolve(const PublishRequest &Request,
+                                     boost::asio::yield_context Yield);
+  void pause(core::Duration Length, boost::asio::yield_context Yield);
+  void updateMetrics();
+
+  core::DutyThread m_Thread;
+  core::SteadyTimerService m_Timers;
+  ConfigurationKeeper &m_Configuration;
+  metrics::MetricsRegistry &m_Metrics;
+  PlatformHooks m_Hooks;
+  platform::EtcdGateway m_Service;
+  ClaimKeeper m_Claims;
+  FloorRecordKeeper m_Floors;
+  InstanceList m_List;
+  std::map<core::TargetName, bool> m_LeavingTargets;
+  core::Ring<decision::Action> m_Actions;
+};
+
+} // namespace yardrill::instance
+
+#endif
--- /dev/null
+++ b/Libraries/LibInstance/TrafficDuty.cpp
@@ -0,0 +1,281 @@
+#include "LibInstance/TrafficDuty.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibInstance/OpenRequest.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <thread>
+
+namespace yardrill::instance {
+
+namespace asio = boost::asio;
+
+static const char TicketsPath[] = "/v1/tickets";
+static const char PeerConfigurationPath[] = "/peer/configuration";
+static const std::int64_t MostTicketsAtOnce = 1000;
+static const std::chrono::microseconds FullRingPause(50);
+
+static Problem unreadable(unsigned Status) {
+  Problem Out;
+  Out.m_Status = Status;
+  switch (Status) {
+  case 408:
+    Out.m_Type = "too-slow";
+    Out.m_Title = "The request came too slowly";
+    break;
+  case 413:
+    Out.m_Type = "body-too-large";
+    Out.m_Title = "The body is too large";
+    break;
+  case 431:
+    Out.m_Type = "header-too-large";
+    Out.m_Title = "The header is too large";
+    break;
+  case 505:
+    Out.m_Type = "http-version";
+    Out.m_Title = "Only HTTP/1.1 is served here";
+    break;
+  default:
+    Out.m_Type = "bad-request";
+    Out.m_Title = "This is not an HTTP request";
+    break;
+  }
+  return Out;
+}
+
+static asio::ip::tcp::endpoint toTcp(const config::Endpoint &Address) {
+  return {asio::ip::make_address(Address.m_Address), Address.m_Port};
+}
+
+static http::ServerLimits toLimits(const config::CallerLimits &Limits) {
+  return {Limits.m_HeaderBytes, Limits.m_BodyBytes,    Limits.m_OpenConnections,
+          Limits.m_ReadTimeout, Limits.m_WriteTimeout, Limits.m_IdleTimeout};
+}
+
+TrafficDuty::TrafficDuty(const config::InstanceSettings &Settings,
+                         decision::Home Self,
+                         ConfigurationKeeper &Configuration,
+                         metrics::MetricsRegistry &Metrics, TrafficHooks Hooks)
+    : m_Thread("traffic"), m_Settings(Settings), m_Self(Self),
+      m_Configuration(Configuration), m_Metrics(Metrics),
+      m_Hooks(std::move(Hooks)),
+      m_Actions(Settings.m_RingCapacity, m_Thread.waker([this] {
+        m_Actions.drain(
+            [this](decision::Action What) { take(std::move(What)); });
+      })),
+      m_Tickets(Settings.m_Peers.m_Key, Self,
+                Settings.m_Identities.m_Retention),
+      m_Signature(Settings.m_Peers.m_Key),
+      m_Answers(Settings.m_Identities.m_AnswerBytes,
+                Settings.m_Identities.m_OneAnswerBytes),
+      m_Targets(m_Thread.context(), Settings.m_Targets.m_ConnectTimeout,
+                Settings.m_Targets.m_IdleConnections) {
+  auto Reject = [this](unsigned Status) {
+    m_Metrics.count("yardrill_unreadable_requests_total");
+    return toResponse(unreadable(Status), "");
+  };
+  http::ServerLimits Limits = toLimits(Settings.m_Callers);
+  m_CallerServer = http::Server::create(
+      m_Thread.context(), toTcp(Settings.m_CallerAddress), Limits,
+      [this](http::Exchange &Caller, asio::yield_context Yield) {
+        handleCaller(Caller, Yield);
+      },
+      Reject);
+  m_PeerServer = http::Server::create(
+      m_Thread.context(), toTcp(Settings.m_PeerAddress), Limits,
+      [this](http::Exchange &Peer, asio::yield_context Yield) {
+        handlePeer(Peer, Yield);
+      },
+      Reject);
+}
+
+TrafficDuty::~TrafficDuty() { stop(); }
+
+void TrafficDuty::push(decision::Action What) {
+  // The ring is sized for all that open requests can cause.
+  while (!m_Actions.tryPush(What))
+    std::this_thread::sleep_for(FullRingPause);
+}
+
+void TrafficDuty::stopAccepting() {
+  asio::post(m_Thread.context(), [this] { m_CallerServer->stopAccepting(); });
+}
+
+std::string TrafficDuty::printable(core::RequestId Id) const {
+  char Text[48];
+  std::snprintf(Text, sizeof Text, "%016llx-%llu",
+                static_cast<unsigned long long>(m_Self.m_Incarnation.value()),
+                static_cast<unsigned long long>(Id.value()));
+  return Text;
+}
+
+namespace {
+
+/// The request that an action is about; none for actions of other duties.
+struct RequestOf {
+  core::RequestId operator()(const decision::Dispatch &What) const {
+    return What.m_Request;
+  }
+  core::RequestId operator()(const decision::Refuse &What) const {
+    return What.m_Request;
+  }
+  core::RequestId operator()(const decision::Drop &What) const {
+    return What.m_Request;
+  }
+  core::RequestId operator()(const decision::Cancel &What) const {
+    return What.m_Request;
+  }
+  core::RequestId operator()(const decision::Forward &What) const {
+    return What.m_Request;
+  }
+  core::RequestId operator()(const decision::SendKept &What) const {
+    return What.m_Request;
+  }
+  template <class Other> core::RequestId operator()(const Other &) const {
+    return core::RequestId();
+  }
+};
+
+} // namespace
+
+void TrafficDuty::take(decision::Action What) {
+  if (const auto *Old = std::get_if<decision::ForgetKept>(&What))
+    return m_Answers.forget(Old->m_Original);
+  core::RequestId Id = std::visit(RequestOf(), What);
+  auto Found = m_Open.find(Id);
+  if (Found != m_Open.end())
+    Found->second->take(std::move(What));
+}
+
+namespace {
+
+/// Counts a request for as long as it is being answered.
+class OpenCount {
+public:
+  explicit OpenCount(std::atomic<std::size_t> &Count) : m_Count(Count) {
+    ++m_Count;
+  }
+  ~OpenCount() { --m_Count; }
+  OpenCount(const OpenCount &) = delete;
+  OpenCount &operator=(const OpenCount &) = delete;
+
+private:
+  std::atomic<std::size_t> &m_Count;
+};
+
+} // namespace
+
+void TrafficDuty::handleCaller(http::Exchange &Caller,
+                               asio::yield_context Yield) {
+  OpenCount Count(m_OpenCount);
+  for (const char *Name : {AccountHeader, TimeHeader, SignatureHeader})
+    Caller.request().m_Headers.remove(Name);
+  config::ConfigurationHandle Current = m_Configuration.current();
+  if (!Current) {
+    Problem NotReady = toProblem(decision::RefusalKind::NotReady, 1);
+    return Caller.sendWhole(toResponse(NotReady, ""), Yield);
+  }
+  RequestReader Reader(*Current, m_Tickets);
+  auto Account = Reader.authenticate(Caller.request());
+  if (const auto *Wrong = std::get_if<Problem>(&Account))
+    return Caller.sendWhole(toResponse(*Wrong, ""), Yield);
+  const auto *Owner = std::get<const config::ClientAccount *>(Account);
+  if (Caller.request().m_Target == TicketsPath)
+    return issueTickets(Caller, *Owner, Yield);
+  serve(Caller, *Owner, Current, false, Yield);
+}
+
+void TrafficDuty::serve(http::Exchange &Caller,
+                        const config::ClientAccount &Account,
+                        const config::ConfigurationHandle &Configuration,
+                        bool IsForwarded, asio::yield_context Yield) {
+  RequestReader Reader(*Configuration, m_Tickets);
+  auto Read = Reader.read(Caller.request(), Account);
+  core::RequestId Id(m_NextRequest++);
+  if (const auto *Wrong = std::get_if<Problem>(&Read))
+    return Caller.sendWhole(toResponse(*Wrong, printable(Id)), Yield);
+  auto &Request = std::get<ReadRequest>(Read);
+  Request.m_Arrival.m_Request = Id;
+  Request.m_Arrival.m_IsForwarded = IsForwarded;
+  OpenRequest Open(*this, Caller, std::move(Request));
+  Open.run(Yield);
+}
+
+void TrafficDuty::issueTickets(http::Exchange &Caller,
+                               const config::ClientAccount &Account,
+                               asio::yield_context Yield) {
+  std::int64_t Count = 1;
+  boost::json::error_code Failure;
+  const std::string &Body = Caller.request().m_Body;
+  if (!Body.empty()) {
+    boost::json::value Parsed = boost::json::parse(Body, Failure);
+    const auto *Object = Parsed.if_object();
+    const auto *Wanted = Object ? Object->if_contains("count") : nullptr;
+    Count = Wanted && Wanted->is_int64() ? Wanted->get_int64() : 0;
+  }
+  if (Caller.request().m_Method != "POST" || Count < 1 ||
+      Count > MostTicketsAtOnce) {
+    Problem Wrong;
+    Wrong.m_Status = 400;
+    Wrong.m_Type = "bad-ticket-request";
+    Wrong.m_Title = "POST {\"count\": N} with N from 1 to 1000";
+    return Caller.sendWhole(toResponse(Wrong, ""), Yield);
+  }
+  boost::json::array Tickets;
+  core::TimePoint Now = core::steadyNow();
+  for (std::int64_t I = 0; I < Count; ++I)
+    Tickets.emplace_back(m_Tickets.issue(Account.m_Name, Now));
+  auto Lifetime =
+      std::chrono::duration_cast<std::chrono::seconds>(m_Tickets.lifetime());
+  http::ResponseMessage Answer;
+  Answer.m_Head.m_Status = 200;
+  Answer.m_Head.m_Headers.set("Content-Type", "application/json");
+  Answer.m_Body =
+      boost::json::serialize(boost::json::object{
+          {"tickets", Tickets}, {"expires_in_seconds", Lifetime.count()}}) +
+      "\n";
+  Caller.sendWhole(std::move(Answer), Yield);
+}
+
+//===----------------------------------------------------------------------===//
+// From other instances
+//===----------------------------------------------------------------------===//
+
+void TrafficDuty::handlePeer(http::Exchange &Peer, asio::yield_context Yield) {
+  OpenCount Count(m_OpenCount);
+  if (!m_Signature.isValid(Peer.request(), core::wallSeconds().count())) {
+    m_Metrics.count("yardrill_peer_requests_rejected_total");
+    Problem Wrong;
+    Wrong.m_Status = 403;
+    Wrong.m_Type = "not-a-peer";
+    Wrong.m_Title = "The signature is not valid";
+    return Peer.sendWhole(toResponse(Wrong, ""), Yield);
+  }
+  if (Peer.request().m_Target == PeerConfigurationPath)
+    return sendConfiguration(Peer, Yield);
+  config::ConfigurationHandle Current = m_Configuration.current();
+  const std::string *Name = Peer.request().m_Headers.find(AccountHeader);
+  const config::ClientAccount *Account = nullptr;
+  if (Current && Name)
+    Account = Current->findAccount(core::AccountName(*Name));
+  if (!Account) {
+    Problem NotReady = toProblem(decision::RefusalKind::NotReady, 1);
+    return Peer.sendWhole(toResponse(NotReady, ""), Yield);
+  }
+  serve(Peer, *Account, Current, true, Yield);
+}
+
+void TrafficDuty::sendConfiguration(http::Exchange &Peer,
+                                    asio::yield_context Yield) {
+  http::ResponseMessage Answer;
+  Answer.m_Head.m_Status = 200;
+  Answer.m_Head.m_Headers.set("Content-Type", "application/json");
+  Answer.m_Body = m_Configuration.envelope().toJson();
+  Peer.sendWhole(std::move(Answer), Yield);
+}
+
+} // namespace yardrill::instance
--- /dev/null
+++ b/Libraries/LibInstance/TrafficDuty.h
@@ -0,0 +1,95 @@
+//===-- TrafficDuty.h - The thread that carries requests and answers ------===//
+//
+// One thread for callers and targets: the bytes of an answer never cross a
+// thread, and a slow reader holds back its own target and nobody else
+// (docs/design/0001-whole-path.md).
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBINSTANCE_TRAFFICDUTY_H
+#define YARDRILL_LIBINSTANCE_TRAFFICDUTY_H
+
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/DutyThread.h"
+#include "LibCore/Ring.h"
+#include "LibDecision/Action.h"
+#include "LibDecision/Event.h"
+#include "LibHTTP/Server.h"
+#include "LibInstance/AnswerStore.h"
+#include "LibInstance/ConfigurationKeeper.h"
+#include "LibInstance/PeerSignature.h"
+#include "LibInstance/RequestReader.h"
+#include "LibInstance/TargetConnections.h"
+#include "LibInstance/TicketSigner.h"
+#include "LibMetrics/MetricsRegistry.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace yardrill::instance {
+
+class OpenRequest;
+
+/// How traffic talks to the decision thread.
+struct TrafficHooks {
+  /// False when there is no room: the request is refused as not run.
+  std::function<bool(decision::Event)> m_TryPush;
+  std::function<void(decision::Event)> m_Push;
+};
+
+class TrafficDuty {
+public:
+  /// Binds the caller and peer addresses.
+  /// \throws core::Error of kind AddressInUse.
+  TrafficDuty(const config::InstanceSettings &Settings, decision::Home Self,
+              ConfigurationKeeper &Configuration,
+              metrics::MetricsRegistry &Metrics, TrafficHooks Hooks);
+  ~TrafficDuty();
+
+  void start() { m_Thread.start(); }
+  void stop() { m_Thread.stop(); }
+  /// Takes an action of the decision thread. Thread-safe.
+  void push(decision::Action What);
+  /// Accepts nothing new; requests in progress go on. Thread-safe.
+  void stopAccepting();
+  /// Requests whose answers are not complete, peers' included. Thread-safe.
+  std::size_t openRequests() const { return m_OpenCount.load(); }
+
+private:
+  friend class OpenRequest;
+
+  void handleCaller(http::Exchange &Caller, boost::asio::yield_context Yield);
+  void handlePeer(http::Exchange &Peer, boost::asio::yield_context Yield);
+  void serve(http::Exchange &Caller, const config::ClientAccount &Account,
+             const config::ConfigurationHandle &Configuration, bool IsForwarded,
+             boost::asio::yield_context Yield);
+  void issueTickets(http::Exchange &Caller,
+                    const config::ClientAccount &Account,
+                    boost::asio::yield_context Yield);
+  void sendConfiguration(http::Exchange &Peer,
+                         boost::asio::yield_context Yield);
+  void take(decision::Action What);
+  std::string printable(core::RequestId Id) const;
+
+  core::DutyThread m_Thread;
+  const config::InstanceSettings &m_Settings;
+  decision::Home m_Self;
+  ConfigurationKeeper &m_Configuration;
+  metrics::MetricsRegistry &m_Metrics;
+  TrafficHooks m_Hooks;
+  core::Ring<decision::Action> m_Actions;
+  TicketSigner m_Tickets;
+  PeerSignature m_Signature;
+  AnswerStore m_Answers;
+  TargetConnections m_Targets;
+  std::unordered_map<core::RequestId, OpenRequest *> m_Open;
+  std::atomic<std::size_t> m_OpenCount{0};
+  std::uint64_t m_NextRequest = 1;
+  std::unique_ptr<http::Server> m_CallerServer;
+  std::unique_ptr<http::Server> m_PeerServer;
+};
+
+} // namespace yardrill::instance
+
+#endif
--- /dev/null
+++ b/Libraries/LibMetrics/MetricsRegistry.cpp
@@ -0,0 +1,137 @@
+#include "LibMetrics/MetricsRegistry.h"
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <sstream>
+#include <tuple>
+#include <vector>
+
+namespace yardrill::metrics {
+
+namespace histogram = boost::histogram;
+
+static const std::size_t MostLabelSets = 4096;
+static const std::size_t TimeCount = 4;
+static const std::array<const char *, TimeCount> TimeNames = {
+    "yardrill_queue_wait_seconds", "yardrill_first_token_seconds",
+    "yardrill_between_tokens_seconds", "yardrill_total_seconds"};
+/// Upper edges in seconds, from a millisecond to ten minutes.
+static const std::vector<double> Edges = {
+    0,   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+    0.5, 1,     1.5,    2.5,   5,    10,    30,   60,  600};
+
+using TimeHistogram =
+    decltype(histogram::make_histogram(histogram::axis::variable<>(Edges)));
+
+struct MetricsRegistry::Histograms {
+  struct Series {
+    TimeHistogram m_Buckets =
+        histogram::make_histogram(histogram::axis::variable<>(Edges));
+    double m_Sum = 0;
+    std::uint64_t m_Count = 0;
+  };
+  std::array<Series, TimeCount> m_Series;
+  std::map<std::string, std::uint64_t> m_Outcomes;
+};
+
+bool RequestLabels::operator<(const RequestLabels &Other) const {
+  return std::tie(m_Account, m_Tier, m_Pool) <
+         std::tie(Other.m_Account, Other.m_Tier, Other.m_Pool);
+}
+
+MetricsRegistry::MetricsRegistry() = default;
+MetricsRegistry::~MetricsRegistry() = default;
+
+MetricsRegistry::Histograms &
+MetricsRegistry::histogramsOf(const RequestLabels &Labels) {
+  RequestLabels Key = Labels;
+  if (m_Requests.size() >= MostLabelSets && m_Requests.count(Key) == 0)
+    Key.m_Account = core::AccountName("other");
+  auto &Place = m_Requests[Key];
+  if (!Place)
+    Place = std::make_unique<Histograms>();
+  return *Place;
+}
+
+void MetricsRegistry::observe(RequestTime What, const RequestLabels &Labels,
+                              core::Duration Value) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto &Series = histogramsOf(Labels).m_Series[static_cast<std::size_t>(What)];
+  double Seconds = core::toSeconds(Value);
+  Series.m_Buckets(Seconds);
+  Series.m_Sum += Seconds;
+  ++Series.m_Count;
+}
+
+void MetricsRegistry::countOutcome(const RequestLabels &Labels,
+                                   const std::string &Outcome) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  ++histogramsOf(Labels).m_Outcomes[Outcome];
+}
+
+void MetricsRegistry::count(const std::string &Name, std::uint64_t Amount) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Counters[Name] += Amount;
+}
+
+void MetricsRegistry::setGauge(const std::string &Name, double Value) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Gauges[Name] = Value;
+}
+
+/// Label values as the text format wants them escaped.
+static std::string escaped(const std::string &Text) {
+  std::string Out;
+  for (char C : Text) {
+    if (C == '\\' || C == '"')
+      Out += '\\';
+    if (C == '\n')
+      Out += "\\n";
+    else
+      Out += C;
+  }
+  return Out;
+}
+
+static std::string labelText(const RequestLabels &Labels) {
+  return "client_account=\"" + escaped(Labels.m_Account.value()) +
+         "\",tier=\"" + std::to_string(Labels.m_Tier.value()) + "\",pool=\"" +
+         escaped(Labels.m_Pool.value()) + "\"";
+}
+
+std::string MetricsRegistry::exposition() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  std::ostringstream Out;
+  for (const auto &[Name, Value] : m_Counters)
+    Out << "# TYPE " << Name << " counter\n" << Name << ' ' << Value << '\n';
+  for (const auto &[Name, Value] : m_Gauges)
+    Out << "# TYPE " << Name << " gauge\n" << Name << ' ' << Value << '\n';
+  Out << "# TYPE yardrill_requests_total counter\n";
+  for (const auto &[Labels, All] : m_Requests)
+    for (const auto &[Outcome, Count] : All->m_Outcomes)
+      Out << "yardrill_requests_total{" << labelText(Labels) << ",outcome=\""
+          << escaped(Outcome) << "\"} " << Count << '\n';
+  for (std::size_t I = 0; I < TimeCount; ++I) {
+    Out << "# TYPE " << TimeNames[I] << " histogram\n";
+    for (const auto &[Labels, All] : m_Requests) {
+      const auto &Series = All->m_Series[I];
+      if (Series.m_Count == 0)
+        continue;
+      std::string Text = labelText(Labels);
+      double Below = 0;
+      for (std::size_t Bin = 0; Bin + 1 < Edges.size(); ++Bin) {
+        Below += Series.m_Buckets.at(static_cast<int>(Bin));
+        Out << TimeNames[I] << "_bucket{" << Text << ",le=\"" << Edges[Bin + 1]
+            << "\"} " << Below << '\n';
+      }
+      Out << TimeNames[I] << "_bucket{" << Text << ",le=\"+Inf\"} "
+          << Series.m_Count << '\n';
+      Out << TimeNames[I] << "_sum{" << Text << "} " << Series.m_Sum << '\n';
+      Out << TimeNames[I] << "_count{" << Text << "} " << Series.m_Count
+          << '\n';
+    }
+  }
+  return Out.str();
+}
+
+} // namespace yardrill::metrics
--- /dev/null
+++ b/Libraries/LibPeer/PeerCodec.cpp
@@ -0,0 +1,83 @@
+#include "LibPeer/PeerCodec.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <sstream>
+
+namespace yardrill::peer {
+
+static const std::string_view Magic = "YD";
+static const char ProtocolVersion = 1;
+static const std::size_t VersionAt = 2;
+static const std::size_t SignatureAt = 3;
+static const std::size_t SignatureBytes = 32;
+static const std::size_t PayloadAt = SignatureAt + SignatureBytes;
+
+const char *toString(DropReason Reason) {
+  switch (Reason) {
+  case DropReason::TooLarge:
+    return "too-large";
+  case DropReason::Garbage:
+    return "garbage";
+  case DropReason::OtherVersion:
+    return "other-version";
+  case DropReason::WrongKey:
+    return "wrong-key";
+  case DropReason::Stale:
+    return "stale";
+  case DropReason::Replayed:
+    return "replayed";
+  case DropReason::TooManyPeers:
+    return "too-many-peers";
+  }
+  return "unknown";
+}
+
+static std::string sign(const std::string &Key, std::string_view Payload) {
+  std::string Signed(1, ProtocolVersion);
+  Signed += Payload;
+  return core::hmacSha256(Key, Signed);
+}
+
+std::string PeerCodec::encode(const PeerMessage &Message) const {
+  std::ostringstream Out;
+  {
+    cereal::PortableBinaryOutputArchive Archive(Out);
+    Archive(Message);
+  }
+  std::string Payload = Out.str();
+  std::string Datagram(Magic);
+  Datagram += ProtocolVersion;
+  Datagram += sign(m_Key, Payload);
+  Datagram += Payload;
+  if (Datagram.size() > MostDatagramBytes)
+    throw core::Error(core::ErrorKind::LimitExceeded, "datagram is too large");
+  return Datagram;
+}
+
+std::variant<PeerMessage, DropReason>
+PeerCodec::decode(std::string_view Datagram) const {
+  if (Datagram.size() > MostDatagramBytes)
+    return DropReason::TooLarge;
+  if (Datagram.size() < PayloadAt || Datagram.substr(0, VersionAt) != Magic)
+    return DropReason::Garbage;
+  if (Datagram[VersionAt] != ProtocolVersion)
+    return DropReason::OtherVersion;
+  std::string_view Payload = Datagram.substr(PayloadAt);
+  if (!core::isEqualConstantTime(Datagram.substr(SignatureAt, SignatureBytes),
+                                 sign(m_Key, Payload)))
+    return DropReason::WrongKey;
+  try {
+    std::istringstream In{std::string(Payload)};
+    cereal::PortableBinaryInputArchive Archive(In);
+    PeerMessage Message;
+    Archive(Message);
+    return Message;
+  } catch (const std::exception &) {
+    return DropReason::Garbage;
+  }
+}
+
+} // namespace yardrill::peer
--- /dev/null
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -0,0 +1,50 @@
+//===-- PeerCodec.h - Peer messages as authenticated datagrams ------------===//
+//
+// Layout: 2 bytes magic, 1 byte version, 32 bytes HMAC-SHA-256 (RFC 2104) of
+// version and payload, then the payload in cereal's portable binary form.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBPEER_PEERCODEC_H
+#define YARDRILL_LIBPEER_PEERCODEC_H
+
+#include "LibPeer/PeerMessage.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace yardrill::peer {
+
+/// Fits one Ethernet frame, so that no datagram is fragmented.
+inline constexpr std::size_t MostDatagramBytes = 1400;
+
+/// Why a datagram was dropped; each reason is counted.
+enum class DropReason {
+  TooLarge,
+  Garbage, ///< Not one of ours at all, or a payload that can't be read.
+  OtherVersion,
+  WrongKey,
+  Stale,        ///< Older than allowed by the clock.
+  Replayed,     ///< Not newer than the sender's last message.
+  TooManyPeers, ///< No room for one more sender.
+};
+
+const char *toString(DropReason Reason);
+
+class PeerCodec {
+public:
+  explicit PeerCodec(std::string Key) : m_Key(std::move(Key)) {}
+
+  /// \throws core::Error of kind LimitExceeded when it does not fit.
+  std::string encode(const PeerMessage &Message) const;
+  /// Reads nothing of a payload before its authentication has passed.
+  std::variant<PeerMessage, DropReason> decode(std::string_view Datagram) const;
+
+private:
+  std::string m_Key;
+};
+
+} // namespace yardrill::peer
+
+#endif
--- /dev/null
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -0,0 +1,48 @@
+//===-- PeerMessage.h - What instances tell each other by UDP -------------===//
+#ifndef YARDRILL_LIBPEER_PEERMESSAGE_H
+#define YARDRILL_LIBPEER_PEERMESSAGE_H
+
+#include "LibCore/StrongType.h"
+#include "LibDecision/FloorMessages.h"
+#include "LibDecision/Identity.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace yardrill::peer {
+
+/// Says that the sender lives and what configuration it has in force.
+struct Heartbeat {
+  core::InstanceName m_Name;
+  core::ConfigurationVersion m_Version; ///< 0: none yet.
+  std::uint64_t m_Digest = 0;           ///< Of the configuration's text.
+  bool m_IsStopping = false;
+  /// Some other instances that the sender heard from lately.
+  std::vector<decision::Home> m_Others;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Name, m_Version, m_Digest, m_IsStopping, m_Others);
+  }
+};
+
+using PeerBody =
+    std::variant<Heartbeat, decision::FloorOrder, decision::FloorReport>;
+
+struct PeerMessage {
+  decision::Home m_From;
+  std::uint64_t m_Sequence = 0; ///< Grows with each message of the sender.
+  std::int64_t m_WallSeconds = 0;
+  PeerBody m_Body;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_From, m_Sequence, m_WallSeconds, m_Body);
+  }
+};
+
+} // namespace yardrill::peer
+
+#endif
--- /dev/null
+++ b/Meta/Precompiled.cpp
@@ -0,0 +1,1 @@
+// Gives the precompiled header a target of its own.
--- /dev/null
+++ b/Programs/yardrill/CheckVerb.cpp
@@ -0,0 +1,38 @@
+#include "CommandLine.h"
+
+#include "LibConfig/FleetConfiguration.h"
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/Error.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DECLARE_string(config);
+DEFINE_string(fleet, "", "fleet configuration file");
+DEFINE_bool(example, false, "print a commented settings file");
+DEFINE_bool(fleet_example, false, "print a commented fleet configuration");
+
+namespace yardrill::program {
+
+int runCheck(const std::vector<std::string> &) {
+  if (FLAGS_example) {
+    std::cout << config::InstanceSettings::example();
+    return ExitDone;
+  }
+  if (FLAGS_fleet_example) {
+    std::cout << config::FleetConfiguration::example();
+    return ExitDone;
+  }
+  if (FLAGS_config.empty() && FLAGS_fleet.empty())
+    throw core::Error(core::ErrorKind::Usage,
+                      "check needs --config=FILE or --fleet=FILE");
+  if (!FLAGS_config.empty())
+    config::InstanceSettings::load(FLAGS_config);
+  if (!FLAGS_fleet.empty())
+    config::FleetConfiguration::parse(config::readFile(FLAGS_fleet),
+                                      FLAGS_fleet, {});
+  std::cout << "ok\n";
+  return ExitDone;
+}
+
+} // namespace yardrill::program
--- /dev/null
+++ b/Programs/yardrill/CommandLine.cpp
@@ -0,0 +1,174 @@
+#include "CommandLine.h"
+
+#include "LibConfig/Fault.h"
+#include "LibCore/Error.h"
+
+#include <algorithm>
+#include <gflags/gflags.h>
+#include <iostream>
+
+namespace yardrill::program {
+
+static const char Version[] = "0.1.0";
+
+static int runVersion(const std::vector<std::string> &) {
+  std::cout << "yardrill " << Version << '\n';
+  return ExitDone;
+}
+
+const std::vector<Verb> &verbs() {
+  static const std::vector<Verb> All = {
+      {"serve",
+       "--config=FILE",
+       "run one instance until SIGTERM",
+       {"config"},
+       0,
+       runServe},
+      {"check",
+       "--config=FILE | --fleet=FILE | --example | --fleet_example",
+       "check a settings file or a fleet configuration, or print a commented "
+       "example",
+       {"config", "fleet", "example", "fleet_example"},
+       0,
+       runCheck},
+      {"config get",
+       "--operator=IP:PORT --token=TOKEN",
+       "print the configuration in force",
+       {"operator", "token", "with_version"},
+       0,
+       runConfigGet},
+      {"config publish",
+       "--operator=IP:PORT --token=TOKEN --fleet=FILE --base=VERSION "
+       "[--change=ID] [--wait_ms=N]",
+       "publish a fleet configuration and wait until it is in force",
+       {"operator", "token", "fleet", "base", "change", "wait_ms"},
+       0,
+       runConfigPublish},
+      {"config status",
+       "--operator=IP:PORT --token=TOKEN",
+       "print an instance's state: version in force, peers, targets, queues",
+       {"operator", "token"},
+       0,
+       runConfigStatus},
+      {"replay",
+       "TRACE",
+       "run a recorded trace through the decision core and compare",
+       {},
+       1,
+       runReplay},
+      {"version", "", "print the version", {}, 0, runVersion},
+  };
+  return All;
+}
+
+static void printVerb(std::ostream &Out, const Verb &Which) {
+  Out << "  yardrill " << Which.m_Name;
+  if (!Which.m_Arguments.empty())
+    Out << ' ' << Which.m_Arguments;
+  Out << "\n      " << Which.m_Summary << '\n';
+}
+
+static int printHelp(const std::string &Name) {
+  bool IsFound = Name.empty();
+  std::cout << "usage:\n";
+  for (const Verb &Each : verbs()) {
+    if (!Name.empty() && Each.m_Name != Name)
+      continue;
+    IsFound = true;
+    printVerb(std::cout, Each);
+    if (Name.empty())
+      continue;
+    for (const std::string &Flag : Each.m_Flags) {
+      auto Info = gflags::GetCommandLineFlagInfoOrDie(Flag.c_str());
+      std::cout << "      --" << Flag << " (" << Info.type
+                << "): " << Info.description << '\n';
+    }
+  }
+  if (Name.empty())
+    std::cout << "  yardrill help [VERB]\n      print this, or one verb with "
+                 "its flags\n";
+  if (!IsFound)
+    std::cerr << "yardrill: usage: no verb \"" << Name << "\"\n";
+  return IsFound ? ExitDone : ExitBadInput;
+}
+
+static int usageError(const std::string &Detail) {
+  std::cerr << "yardrill: usage: " << Detail << "; see yardrill help\n";
+  return ExitBadInput;
+}
+
+/// Sets the flag that \p Argument gives. gflags' own parsing ends the process
+/// on a bad flag and takes every verb's flags for every verb, so only its
+/// registry is used.
+static bool setFlag(const Verb &Which, const std::string &Argument,
+                    std::string &Problem) {
+  std::size_t NameAt = Argument.find_first_not_of('-');
+  std::size_t Equals = Argument.find('=');
+  std::string Name = NameAt == std::string::npos
+                         ? ""
+                         : Argument.substr(NameAt, Equals - NameAt);
+  const auto &Flags = Which.m_Flags;
+  if (std::find(Flags.begin(), Flags.end(), Name) == Flags.end()) {
+    Problem = Which.m_Name + " has no flag " + Argument;
+    return false;
+  }
+  std::string Value =
+      Equals == std::string::npos ? "true" : Argument.substr(Equals + 1);
+  if (!gflags::SetCommandLineOption(Name.c_str(), Value.c_str()).empty())
+    return true;
+  Problem = "--" + Name + " can't be \"" + Value + "\"";
+  return false;
+}
+
+static int run(const Verb &Which, const std::vector<std::string> &Rest) {
+  std::vector<std::string> Positionals;
+  for (const std::string &Argument : Rest) {
+    std::string Problem;
+    if (Argument.empty() || Argument.front() != '-')
+      Positionals.push_back(Argument);
+    else if (!setFlag(Which, Argument, Problem))
+      return usageError(Problem);
+  }
+  if (Positionals.size() != Which.m_PositionalCount)
+    return usageError(Which.m_Name + " takes " +
+                      std::to_string(Which.m_PositionalCount) +
+                      " arguments besides its flags");
+  try {
+    return Which.m_Run(Positionals);
+  } catch (const config::FaultyDocument &Failure) {
+    for (const config::Fault &Each : Failure.faults())
+      std::cerr << Each.toString(Failure.file()) << '\n';
+    return ExitBadInput;
+  } catch (const core::Error &Failure) {
+    std::cerr << "yardrill: " << Failure.what() << '\n';
+    bool IsInput = Failure.kind() == core::ErrorKind::Settings ||
+                   Failure.kind() == core::ErrorKind::Usage ||
+                   Failure.kind() == core::ErrorKind::Trace;
+    return IsInput ? ExitBadInput : ExitFailed;
+  } catch (const std::exception &Failure) {
+    std::cerr << "yardrill: " << Failure.what() << '\n';
+    return ExitFailed;
+  }
+}
+
+int runCommandLine(int Count, char **Arguments) {
+  std::vector<std::string> All(Arguments + 1, Arguments + Count);
+  if (All.empty())
+    return usageError("no verb");
+  if (All[0] == "help" || All[0] == "--help") {
+    std::string Name;
+    for (std::size_t I = 1; I < All.size(); ++I)
+      Name += (Name.empty() ? "" : " ") + All[I];
+    return printHelp(Name);
+  }
+  for (std::size_t Words = std::min<std::size_t>(2, All.size()); Words > 0;
+       --Words) {
+    std::string Name = Words == 2 ? All[0] + " " + All[1] : All[0];
+    for (const Verb &Each : verbs())
+      if (Each.m_Name == Name)
+        return run(Each, {All.begin() + static_cast<long>(Words), All.end()});
+  }
+  return usageError("no verb \"" + All[0] + "\"");
+}
+
+} // namespace yardrill::program
--- /dev/null
+++ b/Programs/yardrill/ConfigVerbs.cpp
@@ -0,0 +1,155 @@
+#include "CommandLine.h"
+
+#include "LibConfig/Endpoint.h"
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/query_params.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <thread>
+
+DEFINE_string(operator, "", "operator address of any instance, IP:PORT");
+DEFINE_string(token, "", "operator token");
+DECLARE_string(fleet);
+DEFINE_int64(base, -1,
+             "version that the change was made from; 0 for the first");
+DEFINE_string(change, "",
+              "id of this change; give the same one when trying again");
+DEFINE_int64(wait_ms, 13000, "how long to wait until it is in force");
+DEFINE_bool(with_version, false, "print the version in a comment line first");
+
+namespace yardrill::program {
+
+namespace json = boost::json;
+
+static const int CallTimeoutMilliseconds = 30000;
+static const std::chrono::milliseconds StatusPeriod(100);
+
+namespace {
+
+struct OperatorReply {
+  unsigned m_Status = 0;
+  json::value m_Body;
+};
+
+} // namespace
+
+static OperatorReply call(const std::string &Method, const std::string &Path,
+                          const std::string &Query, const std::string &Body) {
+  auto Address = config::Endpoint::parse(FLAGS_operator);
+  if (!Address)
+    throw core::Error(core::ErrorKind::Usage,
+                      "--operator must be an IP number and a port");
+  try {
+    cxxtools::http::Client Client(Address->m_Address, Address->m_Port);
+    // The client does not send what is set with qparams().
+    cxxtools::http::Request Request(Query.empty() ? Path : Path + "?" + Query);
+    Request.method(Method);
+    Request.setHeader("Authorization", ("Bearer " + FLAGS_token).c_str());
+    Request.body() << Body;
+    const auto &Header = Client.execute(
+        Request, cxxtools::Milliseconds(CallTimeoutMilliseconds));
+    OperatorReply Out;
+    Out.m_Status = Header.httpReturnCode();
+    json::error_code Ignored;
+    Out.m_Body = json::parse(Client.readBody().body(), Ignored);
+    return Out;
+  } catch (const std::exception &Failure) {
+    throw core::Error(core::ErrorKind::Unavailable,
+                      FLAGS_operator + ": " + Failure.what());
+  }
+}
+
+static int report(const OperatorReply &Reply) {
+  std::cerr << "yardrill: " << json::serialize(Reply.m_Body) << '\n';
+  if (Reply.m_Status == 409)
+    return ExitConflict;
+  return Reply.m_Status == 422 || Reply.m_Status == 400 ? ExitBadInput
+                                                        : ExitFailed;
+}
+
+int runConfigGet(const std::vector<std::string> &) {
+  OperatorReply Reply = call("GET", "/configuration", "", "");
+  if (Reply.m_Status != 200)
+    return report(Reply);
+  const json::object &Envelope = Reply.m_Body.as_object();
+  if (FLAGS_with_version)
+    std::cout << "# version " << Envelope.at("version") << '\n';
+  std::cout << std::string(Envelope.at("text").as_string());
+  return ExitDone;
+}
+
+int runConfigStatus(const std::vector<std::string> &) {
+  OperatorReply Reply = call("GET", "/status", "", "");
+  if (Reply.m_Status != 200)
+    return report(Reply);
+  std::cout << json::serialize(Reply.m_Body) << '\n';
+  return ExitDone;
+}
+
+/// Prints each instance that has come to \p Version since the last call.
+/// \returns whether all have.
+static bool printInForce(std::int64_t Version, std::vector<std::string> &Seen) {
+  OperatorReply Reply = call("GET", "/status", "", "");
+  if (Reply.m_Status != 200)
+    return false;
+  const json::object &Status = Reply.m_Body.as_object();
+  bool AllHave = true;
+  auto Check = [&](const json::object &Object, const char *Name) {
+    std::string Instance(Object.at(Name).as_string());
+    if (Object.at("configuration_version").to_number<std::int64_t>() <
+        Version) {
+      AllHave = false;
+      return;
+    }
+    if (std::find(Seen.begin(), Seen.end(), Instance) != Seen.end())
+      return;
+    Seen.push_back(Instance);
+    std::cout << "in force: instance=" << Instance << " version=" << Version
+              << std::endl;
+  };
+  Check(Status, "instance");
+  for (const json::value &Peer : Status.at("peers").as_array())
+    Check(Peer.as_object(), "name");
+  return AllHave;
+}
+
+int runConfigPublish(const std::vector<std::string> &) {
+  if (FLAGS_fleet.empty() || FLAGS_base < 0)
+    throw core::Error(core::ErrorKind::Usage,
+                      "config publish needs --fleet=FILE and --base=VERSION");
+  std::string Text = config::readFile(FLAGS_fleet);
+  if (FLAGS_change.empty())
+    FLAGS_change = std::to_string(core::randomBits());
+  cxxtools::QueryParams Query;
+  Query.add("base", std::to_string(FLAGS_base));
+  Query.add("change", FLAGS_change);
+  OperatorReply Reply = call("PUT", "/configuration", Query.getUrl(), Text);
+  if (Reply.m_Status != 200) {
+    std::cerr << "yardrill: change id " << FLAGS_change << '\n';
+    return report(Reply);
+  }
+  auto Version =
+      Reply.m_Body.as_object().at("version").to_number<std::int64_t>();
+  std::cout << "accepted: version=" << Version << " change=" << FLAGS_change
+            << std::endl;
+  std::vector<std::string> Seen;
+  auto Until = std::chrono::steady_clock::now() +
+               std::chrono::milliseconds(FLAGS_wait_ms);
+  while (!printInForce(Version, Seen)) {
+    if (std::chrono::steady_clock::now() > Until) {
+      std::cerr << "yardrill: accepted, but not yet in force everywhere\n";
+      return ExitFailed;
+    }
+    std::this_thread::sleep_for(StatusPeriod);
+  }
+  return ExitDone;
+}
+
+} // namespace yardrill::program
--- /dev/null
+++ b/Programs/yardrill/ServeVerb.cpp
@@ -0,0 +1,64 @@
+#include "CommandLine.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibInstance/Instance.h"
+
+#include <atomic>
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <pthread.h>
+#include <sys/resource.h>
+#include <thread>
+
+DEFINE_string(config, "", "settings file of this instance");
+
+namespace yardrill::program {
+
+/// Every connection takes a file descriptor; the usual soft limit is low.
+static void raiseDescriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Limit.rlim_cur = Limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &Limit);
+}
+
+static int waitFor(const sigset_t &Signals) {
+  int Number = 0;
+  sigwait(&Signals, &Number);
+  return Number;
+}
+
+int runServe(const std::vector<std::string> &) {
+  if (FLAGS_config.empty())
+    throw core::Error(core::ErrorKind::Usage, "serve needs --config=FILE");
+  auto Settings = config::InstanceSettings::load(FLAGS_config);
+  raiseDescriptorLimit();
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  // Blocked before any thread starts, so that only this one takes them.
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  auto Instance =
+      instance::InstanceBuilder().settings(std::move(Settings)).build();
+  Instance->start();
+  waitFor(Signals);
+  std::atomic<bool> MustHurry{false};
+  // A second signal is the operator's choice to cut what is left.
+  std::thread Second([&] {
+    waitFor(Signals);
+    MustHurry = true;
+  });
+  Instance->drain(MustHurry);
+  bool WasCut = MustHurry;
+  if (!WasCut)
+    pthread_kill(Second.native_handle(), SIGTERM);
+  Second.join();
+  return WasCut ? ExitFailed : ExitDone;
+}
+
+} // namespace yardrill::program
--- /dev/null
+++ b/Tests/StandIns/Application.cpp
@@ -0,0 +1,51 @@
+#include "Application.h"
+
+#include "LibCore/Digest.h"
+
+namespace yardrill::standins {
+
+namespace json = boost::json;
+
+void Application::handle(http::Exchange &Call,
+                         boost::asio::yield_context Yield) {
+  ++m_Calls;
+  std::string Break = m_Break;
+  if (Break == "before-execution")
+    return Call.abort();
+  const std::string *Identity = Call.request().m_Headers.find("Test-Identity");
+  std::size_t Count = 0;
+  if (Identity)
+    Count = ++m_Executions[*Identity];
+  sleep(std::chrono::milliseconds(m_DelayMilliseconds), Yield);
+  if (Break == "after-execution")
+    return Call.abort();
+  std::string Body = Call.request().m_Body;
+  http::ResponseHead Head;
+  Head.m_Status = 200;
+  Head.m_Headers.set("Content-Type", "application/octet-stream");
+  Head.m_Headers.set("Execution", std::to_string(Count));
+  Head.m_Headers.set("Body-Sha256", core::sha256Hex(Body));
+  Head.m_Headers.set("Seen-Target", Call.request().m_Target);
+  Head.m_ContentLength = Body.size();
+  Call.startStream(Head, Yield);
+  if (Break == "within-answer") {
+    Call.sendPiece(Body.substr(0, Body.size() / 2), Yield);
+    return Call.abort();
+  }
+  Call.sendPiece(Body, Yield);
+  Call.finishStream(Yield);
+}
+
+void Application::control(const json::object &Settings) {
+  take(Settings, "delay_ms", m_DelayMilliseconds);
+  take(Settings, "break", m_Break);
+}
+
+json::object Application::counters() const {
+  json::object Executions;
+  for (const auto &[Identity, Count] : m_Executions)
+    Executions[Identity] = Count;
+  return {{"calls", m_Calls}, {"executions", Executions}};
+}
+
+} // namespace yardrill::standins
