--- a/Libraries/LibConfig/YamlReader.cpp
+++ b/Libraries/LibConfig/YamlReader.cpp
@@ -4,9 +4,9 @@
 
 namespace yardrill::config {
 
-YamlReader::YamlReader(YAML::Node Node, std::string Path,
+YamlReader::YamlReader(const YAML::Node &Node, std::string Path,
                        std::vector<Fault> &Faults)
-    : m_Node(std::move(Node)), m_Path(std::move(Path)), m_Faults(Faults) {
+    : m_Node(Node), m_Path(std::move(Path)), m_Faults(Faults) {
   if (m_Node.IsDefined() && !m_Node.IsNull() && !m_Node.IsMap())
     m_Faults.push_back({m_Node.Mark().line + 1, m_Path, "is not a mapping",
                         "key: value pairs"});
--- a/Libraries/LibConfig/YamlReader.h
+++ b/Libraries/LibConfig/YamlReader.h
@@ -25,7 +25,8 @@
 /// first. Keys that nobody asked for are faults (see finish()).
 class YamlReader {
 public:
-  YamlReader(YAML::Node Node, std::string Path, std::vector<Fault> &Faults);
+  YamlReader(const YAML::Node &Node, std::string Path,
+             std::vector<Fault> &Faults);
 
   /// \throws FaultyDocument when \p Text is not YAML at all.
   static YAML::Node load(const std::string &Text, const std::string &File,
--- a/Libraries/LibDecision/PoolScheduler.cpp
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -16,8 +16,8 @@
 static const double PaceStep = 0.1;
 static const double ExpectedCostPerToken = 1.0 / 256;
 
-PoolScheduler::PoolScheduler(core::PoolName Name, Home Self, std::uint64_t Seed,
-                             PoolHooks Hooks)
+PoolScheduler::PoolScheduler(const core::PoolName &Name, const Home &Self,
+                             std::uint64_t Seed, PoolHooks Hooks)
     : m_Name(Name), m_Self(Self), m_Hooks(std::move(Hooks)), m_Random(Seed),
       m_Member(Name, Self, m_FloorTimes) {}
 
--- a/Libraries/LibDecision/PoolScheduler.h
+++ b/Libraries/LibDecision/PoolScheduler.h
@@ -30,8 +30,8 @@
 /// One pool at this instance: its queue, its targets and its tier order.
 class PoolScheduler {
 public:
-  PoolScheduler(core::PoolName Name, Home Self, std::uint64_t Seed,
-                PoolHooks Hooks);
+  PoolScheduler(const core::PoolName &Name, const Home &Self,
+                std::uint64_t Seed, PoolHooks Hooks);
 
   void configure(const config::FleetConfiguration &Configuration,
                  const config::Pool &Pool, core::TimePoint Now);
--- a/Libraries/LibDecision/TargetTable.cpp
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -75,7 +75,9 @@
     Ranked.emplace_back(Rank, Name);
   }
   std::size_t Count = std::min(PrefixHomeCount, Ranked.size());
-  std::partial_sort(Ranked.begin(), Ranked.begin() + Count, Ranked.end());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Ranked.end());
   std::set<core::TargetName> Homes;
   for (std::size_t I = 0; I < Count; ++I)
     Homes.insert(Ranked[I].second);
--- a/Libraries/LibDecision/Trace.cpp
+++ b/Libraries/LibDecision/Trace.cpp
@@ -13,7 +13,7 @@
 static const char EventStart[] = "{\"at\":";
 
 /// cereal's JSON is one value a line; strip the line breaks it adds.
-static std::string flatten(std::string Json) {
+static std::string flatten(const std::string &Json) {
   std::string Out;
   for (char C : Json)
     if (C != '\n')
--- a/Libraries/LibInstance/ClaimKeeper.h
+++ b/Libraries/LibInstance/ClaimKeeper.h
@@ -19,7 +19,7 @@
   /// \param Retention how long a claim stands at the least.
   ClaimKeeper(platform::KeyValueService &Service, decision::Home Self,
               core::Duration Retention)
-      : m_Service(Service), m_Self(Self), m_Retention(Retention) {}
+      : m_Service(Service), m_Self(std::move(Self)), m_Retention(Retention) {}
 
   /// Never throws core::Error: a failure is an outcome.
   decision::ClaimAnswered claim(const decision::Claim &What,
--- a/Libraries/LibInstance/DecisionDuty.cpp
+++ b/Libraries/LibInstance/DecisionDuty.cpp
@@ -40,7 +40,7 @@
   m_Thread.start();
 }
 
-void DecisionDuty::push(decision::Event What) {
+void DecisionDuty::push(const decision::Event &What) {
   while (!m_Events.tryPush(What))
     std::this_thread::sleep_for(FullRingPause);
 }
--- a/Libraries/LibInstance/DecisionDuty.h
+++ b/Libraries/LibInstance/DecisionDuty.h
@@ -61,7 +61,7 @@
   }
   /// For events that must not be lost. The ring is sized for all that open
   /// requests can cause, so it waits only behind a stalled decision thread.
-  void push(decision::Event What);
+  void push(const decision::Event &What);
 
   DecisionStatus status() const;
 
--- a/Libraries/LibPlatform/EtcdGateway.h
+++ b/Libraries/LibPlatform/EtcdGateway.h
@@ -19,7 +19,7 @@
 
 namespace yardrill::http {
 class ClientConnection;
-}
+} // namespace yardrill::http
 
 namespace yardrill::platform {
 
--- /dev/null
+++ b/Tests/Support/TestMain.cpp
@@ -0,0 +1,30 @@
+//===-- TestMain.cpp - Runs all tests linked into one program -------------===//
+#include "LibCore/Log.h"
+
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <csignal>
+#include <iostream>
+
+/// With arguments, runs only the tests named (as `Class::test` or `Class`).
+int main(int Count, char **Arguments) {
+  yardrill::core::startLogging(Arguments[0]);
+  std::signal(SIGPIPE, SIG_IGN);
+  CppUnit::TestResult Result;
+  CppUnit::TestResultCollector Collector;
+  CppUnit::BriefTestProgressListener Progress;
+  Result.addListener(&Collector);
+  Result.addListener(&Progress);
+  CppUnit::TestRunner Runner;
+  Runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  if (Count < 2)
+    Runner.run(Result);
+  for (int I = 1; I < Count; ++I)
+    Runner.run(Result, Arguments[I]);
+  CppUnit::CompilerOutputter(&Collector, std::cerr).write();
+  return Collector.wasSuccessful() && Collector.runTests() > 0 ? 0 : 1;
+}
