Tests: Drive real cores through random schedules of the floor

Cause: the tier order across instances was written from the protocol's paper model; nothing had tried the code itself.

--- /dev/null
+++ b/Tests/LibConfig/SettingsTest.cpp
@@ -0,0 +1,133 @@
+#include "LibConfig/FleetConfiguration.h"
+#include "LibConfig/InstanceSettings.h"
+#include "LibConfig/YamlReader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::config;
+
+class SettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsTest);
+  CPPUNIT_TEST(testExamplesAreRight);
+  CPPUNIT_TEST(testExampleShowsTheDefaults);
+  CPPUNIT_TEST(testEveryFaultIsNamed);
+  CPPUNIT_TEST(testFleetFaults);
+  CPPUNIT_TEST(testNotYaml);
+  CPPUNIT_TEST(testLongestRouteWins);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string replaced(std::string Text, const std::string &Old,
+                              const std::string &New) {
+    auto At = Text.find(Old);
+    CPPUNIT_ASSERT(At != std::string::npos);
+    return Text.replace(At, Old.size(), New);
+  }
+
+  template <class Function>
+  static std::vector<std::string> faultsOf(Function &&Parse) {
+    std::vector<std::string> Out;
+    try {
+      Parse();
+    } catch (const FaultyDocument &Failure) {
+      for (const Fault &Each : Failure.faults())
+        Out.push_back(Each.toString(Failure.file()));
+    }
+    return Out;
+  }
+
+public:
+  void testExamplesAreRight() {
+    auto Settings = InstanceSettings::parse(InstanceSettings::example(), "e");
+    CPPUNIT_ASSERT_EQUAL(std::string("entry-1"), Settings.m_Name.value());
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), Settings.m_CallerAddress.m_Port);
+    auto Fleet = FleetConfiguration::parse(FleetConfiguration::example(), "f",
+                                           core::ConfigurationVersion(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Fleet->tiers().size());
+    CPPUNIT_ASSERT(Fleet->findPoolForModel("assistant-1"));
+    CPPUNIT_ASSERT(!Fleet->findPoolForModel("other"));
+  }
+
+  void testExampleShowsTheDefaults() {
+    auto Full = InstanceSettings::parse(InstanceSettings::example(), "e");
+    auto Bare = InstanceSettings::parse(
+        "instance: {name: a, data_hall: b, caller_address: 127.0.0.1:1, "
+        "operator_address: 127.0.0.1:2, peer_address: 127.0.0.1:3, "
+        "operator_token: t}\n"
+        "platform: {addresses: [127.0.0.1:4]}\n"
+        "peers: {key_hex: 000102030405060708090a0b0c0d0e0f}\n",
+        "bare");
+    CPPUNIT_ASSERT_EQUAL(Full.m_Callers.m_HeaderBytes,
+                         Bare.m_Callers.m_HeaderBytes);
+    CPPUNIT_ASSERT_EQUAL(Full.m_Callers.m_BodyBytes,
+                         Bare.m_Callers.m_BodyBytes);
+    CPPUNIT_ASSERT_EQUAL(Full.m_Callers.m_OpenConnections,
+                         Bare.m_Callers.m_OpenConnections);
+    CPPUNIT_ASSERT(Full.m_Callers.m_ReadTimeout ==
+                   Bare.m_Callers.m_ReadTimeout);
+    CPPUNIT_ASSERT(Full.m_Targets.m_SilenceTimeout ==
+                   Bare.m_Targets.m_SilenceTimeout);
+    CPPUNIT_ASSERT_EQUAL(Full.m_Identities.m_Identities,
+                         Bare.m_Identities.m_Identities);
+    CPPUNIT_ASSERT(Full.m_Identities.m_Retention ==
+                   Bare.m_Identities.m_Retention);
+    CPPUNIT_ASSERT_EQUAL(Full.m_Platform.m_CallsPerSecond,
+                         Bare.m_Platform.m_CallsPerSecond);
+    CPPUNIT_ASSERT(Full.m_Peers.m_HeartbeatPeriod ==
+                   Bare.m_Peers.m_HeartbeatPeriod);
+    CPPUNIT_ASSERT_EQUAL(Full.m_RingCapacity, Bare.m_RingCapacity);
+  }
+
+  void testEveryFaultIsNamed() {
+    std::string Text = InstanceSettings::example();
+    Text = replaced(Text, "name: entry-1", "nmae: entry-1");
+    Text = replaced(Text, "127.0.0.1:8080", "localhost:8080");
+    Text = replaced(Text, "body_bytes: 8388608", "body_bytes: lots");
+    Text = replaced(Text, "key_hex: 000102030405060708090a0b0c0d0e0f",
+                    "key_hex: 0001");
+    auto Faults =
+        faultsOf([&] { InstanceSettings::parse(Text, "entry.yaml"); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), Faults.size());
+    auto Has = [&](const std::string &Start) {
+      for (const std::string &Each : Faults)
+        if (Each.compare(0, Start.size(), Start) == 0)
+          return Each.find("; allowed: ") != std::string::npos;
+      return false;
+    };
+    CPPUNIT_ASSERT(Has("entry.yaml:4: instance.name: is missing"));
+    CPPUNIT_ASSERT(Has("entry.yaml:4: instance.nmae: is an unknown key"));
+    CPPUNIT_ASSERT(
+        Has("entry.yaml:6: instance.caller_address: is \"localhost:8080\""));
+    CPPUNIT_ASSERT(Has("entry.yaml:15: callers.body_bytes: is \"lots\""));
+    CPPUNIT_ASSERT(Has("entry.yaml:42: peers.key_hex: is too short"));
+  }
+
+  void testFleetFaults() {
+    std::string Text = FleetConfiguration::example();
+    Text = replaced(Text, "default_tier: assist", "default_tier: gold");
+    Text = replaced(Text, "name: seats-1", "name: edinburgh-1");
+    Text = replaced(Text, "prefix: /transfers", "prefix: transfers");
+    Text = replaced(Text, "kept_places: 0", "kept_places: 8");
+    Text = replaced(Text, "name: batch", "name: \"a b\"");
+    auto Faults = faultsOf([&] {
+      FleetConfiguration::parse(Text, "f", core::ConfigurationVersion(1));
+    });
+    // The unknown tiers `gold` and `batch` are two faults of their account.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), Faults.size());
+  }
+
+  void testNotYaml() {
+    for (const char *Text : {"a: [", "\t", "- a\n- b", "plain"})
+      CPPUNIT_ASSERT_THROW(InstanceSettings::parse(Text, "x"), FaultyDocument);
+  }
+
+  void testLongestRouteWins() {
+    Pool Seats;
+    Seats.m_Routes = {{"/a", true}, {"/a/b", false}};
+    CPPUNIT_ASSERT(!Seats.findRoute("/x"));
+    CPPUNIT_ASSERT(Seats.findRoute("/a/c")->m_IsRepeatable);
+    CPPUNIT_ASSERT(!Seats.findRoute("/a/b/c")->m_IsRepeatable);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
--- /dev/null
+++ b/Tests/LibCore/LogTest.cpp
@@ -0,0 +1,36 @@
+#include "LibCore/Log.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill::core;
+
+class LogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogTest);
+  CPPUNIT_TEST(testPlainValuesStandBare);
+  CPPUNIT_TEST(testBadValuesCannotBreakTheLine);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string rest(const LogLine &Line) {
+    return Line.text().substr(Line.text().find(" event="));
+  }
+
+public:
+  void testPlainValuesStandBare() {
+    LogLine Line("test");
+    Line.add("request", RequestId(7)).add("pool", "seats").add("empty", "");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(" event=test request=7 pool=seats empty=\"\""), rest(Line));
+  }
+
+  void testBadValuesCannotBreakTheLine() {
+    LogLine Line("test");
+    Line.add("value", "a b\nlevel=error \"x\\\x01\x7f");
+    std::string Text = rest(Line);
+    CPPUNIT_ASSERT_EQUAL(std::string(" event=test value=\"a b\\x0alevel=error "
+                                     "\\\"x\\\\\\x01\\x7f\""),
+                         Text);
+    CPPUNIT_ASSERT(Text.find('\n') == std::string::npos);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
--- /dev/null
+++ b/Tests/LibCore/RingTest.cpp
@@ -0,0 +1,57 @@
+#include "LibCore/Ring.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+#include <vector>
+
+using namespace yardrill::core;
+
+class RingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RingTest);
+  CPPUNIT_TEST(testFullRingRefuses);
+  CPPUNIT_TEST(testManyProducersLoseNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testFullRingRefuses() {
+    int Wakes = 0;
+    Ring<int> Small(4, [&] { ++Wakes; });
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT(Small.tryPush(I));
+    CPPUNIT_ASSERT(!Small.tryPush(4));
+    CPPUNIT_ASSERT_EQUAL(1, Wakes);
+    std::vector<int> Out;
+    Small.drain([&](int Value) { Out.push_back(Value); });
+    CPPUNIT_ASSERT((Out == std::vector<int>{0, 1, 2, 3}));
+    CPPUNIT_ASSERT(Small.tryPush(5));
+    CPPUNIT_ASSERT_EQUAL(2, Wakes);
+  }
+
+  void testManyProducersLoseNothing() {
+    static const int Producers = 4;
+    static const int Each = 10000;
+    std::atomic<int> Wakes{0};
+    Ring<int> Small(64, [&] { ++Wakes; });
+    std::vector<std::thread> Threads;
+    for (int P = 0; P < Producers; ++P)
+      Threads.emplace_back([&, P] {
+        for (int I = 0; I < Each; ++I)
+          while (!Small.tryPush(P * Each + I))
+            std::this_thread::yield();
+      });
+    std::vector<int> Last(Producers, -1);
+    int Count = 0;
+    while (Count < Producers * Each)
+      Small.drain([&](int Value) {
+        int P = Value / Each;
+        CPPUNIT_ASSERT(Last[static_cast<std::size_t>(P)] < Value);
+        Last[static_cast<std::size_t>(P)] = Value;
+        ++Count;
+      });
+    for (auto &Thread : Threads)
+      Thread.join();
+    CPPUNIT_ASSERT(Wakes > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RingTest);
--- /dev/null
+++ b/Tests/LibDecision/TierOrderScheduleTest.cpp
@@ -0,0 +1,343 @@
+//===-- TierOrderScheduleTest.cpp - Random schedules of the floor ---------===//
+//
+// Drives real decision cores, several instances of one pool, through random
+// schedules: leaders killed, frozen and cut, store outages, a lagging list,
+// lost, late and reordered messages, refusals written late. The checker looks
+// at all instances at once: no refusal of a tier may be written while a lower
+// tier runs anywhere (brief: "A higher tier is never shed while a lower tier
+// still runs").
+//
+//===----------------------------------------------------------------------===//
+#include "LibDecision/DecisionCore.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
+#include <deque>
+#include <iostream>
+#include <random>
+#include <set>
+
+using namespace yardrill;
+using namespace yardrill::decision;
+
+static const core::Duration Tick = std::chrono::milliseconds(50);
+static const int Instances = 4;
+static const int Ticks = 3000;
+static const core::PoolName Pool("p");
+
+static const char Configuration[] = R"(
+tiers:
+  - {name: a, tier: 1, deadline_ms: 800}
+  - {name: b, tier: 2, deadline_ms: 800}
+  - {name: c, tier: 3, deadline_ms: 800}
+pools:
+  - name: p
+    kind: model
+    models: [m]
+    queue_limit: 4
+    targets:
+      - {name: t, address: 127.0.0.1:1, data_hall: h, places: 12}
+)";
+
+namespace {
+
+struct Message {
+  core::TimePoint m_At;
+  core::IncarnationId m_To;
+  Event m_What;
+};
+
+struct PendingRefusal {
+  core::TimePoint m_At;
+  Refuse m_What;
+};
+
+/// One process: its core and what runs at targets for it.
+struct Simulated {
+  Home m_Home;
+  DecisionCore m_Core;
+  core::TimePoint m_FrozenUntil{};
+  std::map<core::RequestId, core::TimePoint> m_EndsAt;
+  std::map<core::RequestId, core::TierNumber> m_Tiers;
+  std::set<core::RequestId> m_MayNotBeCut;
+  std::deque<PendingRefusal> m_Refusals;
+  std::uint64_t m_NextRequest = 1;
+};
+
+struct Stored {
+  std::int64_t m_Revision = 0;
+  FloorRecord m_Record;
+  core::IncarnationId m_Holder;
+  core::TimePoint m_LeaseUntil{};
+};
+
+/// One schedule, the same for the same seed.
+class Schedule {
+public:
+  explicit Schedule(unsigned Seed) : m_Random(Seed) {
+    m_Configuration = config::FleetConfiguration::parse(
+        Configuration, "test", core::ConfigurationVersion(1));
+    for (int I = 0; I < Instances; ++I)
+      boot(I);
+  }
+
+  void run() {
+    for (int I = 0; I < Ticks; ++I) {
+      m_Now += Tick;
+      fail();
+      deliver();
+      for (int Index = 0; Index < Instances; ++Index)
+        if (isAwake(Index))
+          live(Index);
+    }
+  }
+
+  std::size_t m_HigherSheds = 0;
+  std::size_t m_Violations = 0;
+  std::size_t m_Served = 0;
+
+private:
+  bool chance(double Probability) {
+    return std::uniform_real_distribution<>(0, 1)(m_Random) < Probability;
+  }
+  int below(int Limit) { return static_cast<int>(m_Random() % Limit); }
+  Simulated *at(int Index) { return m_All[static_cast<size_t>(Index)].get(); }
+  bool isAwake(int Index) {
+    return at(Index) && at(Index)->m_FrozenUntil <= m_Now;
+  }
+
+  void boot(int Index) {
+    auto Next = std::make_unique<Simulated>();
+    Next->m_Home.m_Incarnation = core::IncarnationId(++m_NextIncarnation);
+    Next->m_Home.m_Peer = {"127.0.0.1", static_cast<std::uint16_t>(Index + 1)};
+    m_All[static_cast<size_t>(Index)] = std::move(Next);
+    InstanceStarted Start;
+    Start.m_Self = at(Index)->m_Home;
+    Start.m_Seed = m_Random();
+    Start.m_Identities = 10;
+    tell(Index, Start);
+    tell(Index, ConfigurationAccepted{m_Configuration});
+    tell(Index, InstancesCounted{Instances});
+  }
+
+  /// Kills, freezes, cuts and outages.
+  void fail() {
+    if (chance(0.003))
+      m_IsStoreUp = !m_IsStoreUp;
+    if (chance(0.01)) {
+      m_Cut.clear();
+      for (int A = 0; A < Instances && chance(0.5); ++A)
+        for (int B = 0; B < Instances; ++B)
+          if (chance(0.3))
+            m_Cut.insert({A, B});
+    }
+    int Index = below(Instances);
+    if (at(Index) && chance(0.002)) {
+      m_Dead.emplace_back(m_Now, at(Index)->m_Home.m_Incarnation);
+      m_All[static_cast<size_t>(Index)].reset();
+    } else if (!at(Index) && chance(0.05)) {
+      boot(Index);
+    } else if (at(Index) && chance(0.004)) {
+      at(Index)->m_FrozenUntil = m_Now + Tick * (10 + below(200));
+    }
+  }
+
+  int indexOf(core::IncarnationId Who) {
+    for (int I = 0; I < Instances; ++I)
+      if (at(I) && at(I)->m_Home.m_Incarnation == Who)
+        return I;
+    return -1;
+  }
+
+  void send(int From, const Home &To, const Event &What) {
+    int Index = indexOf(To.m_Incarnation);
+    if (Index < 0 || m_Cut.count({From, Index}) != 0 || chance(0.05))
+      return;
+    core::Duration Delay = Tick * below(3);
+    if (chance(0.03))
+      Delay = Tick * (10 + below(60));
+    m_Messages.push_back({m_Now + Delay, To.m_Incarnation, What});
+  }
+
+  void deliver() {
+    std::deque<Message> Later;
+    std::deque<Message> Due;
+    for (Message &Each : m_Messages) {
+      int Index = indexOf(Each.m_To);
+      bool IsDue = Each.m_At <= m_Now && (Index < 0 || isAwake(Index));
+      (IsDue ? Due : Later).push_back(Each);
+    }
+    m_Messages = Later;
+    for (Message &Each : Due)
+      if (int Index = indexOf(Each.m_To); Index >= 0)
+        tell(Index, Each.m_What);
+  }
+
+  void live(int Index) {
+    Simulated &Who = *at(Index);
+    // The list lags by two seconds, and removal needs silence besides.
+    for (const auto &[DiedAt, Incarnation] : m_Dead)
+      if (m_Now - DiedAt > std::chrono::seconds(7) && chance(0.1))
+        tell(Index, MemberGone{Incarnation});
+    settleRefusals(Index);
+    std::vector<core::RequestId> Ended;
+    for (const auto &[Id, At] : Who.m_EndsAt)
+      if (At <= m_Now)
+        Ended.push_back(Id);
+    for (core::RequestId Id : Ended)
+      end(Index, Id, AnswerOutcome::Complete);
+    tell(Index, TimePassed{});
+    // Bursts and quiet times, so that the floor goes up and down.
+    bool IsBurst = (m_Now.time_since_epoch() / std::chrono::seconds(20)) % 2;
+    for (int I = 0; I < (IsBurst ? 3 : 1); ++I)
+      if (chance(0.5))
+        arrive(Index);
+  }
+
+  void arrive(int Index) {
+    Simulated &Who = *at(Index);
+    RequestArrived What;
+    What.m_Request = core::RequestId(Who.m_NextRequest++);
+    What.m_Tier = core::TierNumber(static_cast<std::uint32_t>(1 + below(3)));
+    What.m_Pool = Pool;
+    What.m_MayBeCut = chance(0.8);
+    Who.m_Tiers[What.m_Request] = What.m_Tier;
+    if (!What.m_MayBeCut)
+      Who.m_MayNotBeCut.insert(What.m_Request);
+    tell(Index, What);
+  }
+
+  void end(int Index, core::RequestId Id, AnswerOutcome Outcome) {
+    at(Index)->m_EndsAt.erase(Id);
+    ++m_Served;
+    tell(Index, AnswerEnded{Id, Outcome, false, 0});
+  }
+
+  /// Refusals reach the wire a little later; a frozen process's much later.
+  void settleRefusals(int Index) {
+    Simulated &Who = *at(Index);
+    std::deque<PendingRefusal> Due;
+    Due.swap(Who.m_Refusals);
+    for (const PendingRefusal &Each : Due) {
+      if (m_Now < Each.m_At) {
+        Who.m_Refusals.push_back(Each);
+        continue;
+      }
+      bool IsLimited = Each.m_What.m_ValidUntil != 0;
+      bool IsSent = !IsLimited ||
+                    m_Now.time_since_epoch().count() < Each.m_What.m_ValidUntil;
+      if (IsSent)
+        check(Index, Each.m_What);
+      if (IsLimited)
+        tell(Index, RefusalSettled{Each.m_What.m_Request, IsSent});
+    }
+  }
+
+  void check(int Index, const Refuse &What) {
+    core::TierNumber Tier = at(Index)->m_Tiers.at(What.m_Request);
+    m_HigherSheds += Tier < core::TierNumber(3);
+    for (int I = 0; I < Instances; ++I) {
+      if (!at(I))
+        continue;
+      for (const auto &[Id, EndsAt] : at(I)->m_EndsAt)
+        if (Tier < at(I)->m_Tiers.at(Id)) {
+          ++m_Violations;
+          return;
+        }
+    }
+  }
+
+  void tell(int Index, const Event &What) {
+    for (const Action &Next : at(Index)->m_Core.handle(What, m_Now))
+      act(Index, Next);
+  }
+
+  void act(int Index, const Action &What) {
+    Simulated &Who = *at(Index);
+    if (const auto *Go = std::get_if<Dispatch>(&What))
+      Who.m_EndsAt[Go->m_Request] = m_Now + Tick * (1 + below(60));
+    if (const auto *No = std::get_if<Refuse>(&What))
+      Who.m_Refusals.push_back({m_Now + Tick * below(2), *No});
+    if (const auto *Cut = std::get_if<Cancel>(&What)) {
+      CPPUNIT_ASSERT(Who.m_MayNotBeCut.count(Cut->m_Request) == 0);
+      // A cancelled request goes on for a while.
+      Who.m_EndsAt[Cut->m_Request] = m_Now + Tick * (1 + below(3));
+    }
+    if (const auto *Order = std::get_if<SendFloorOrder>(&What))
+      send(Index, Order->m_To, Order->m_Order);
+    if (const auto *Report = std::get_if<SendFloorReport>(&What))
+      send(Index, Report->m_To, Report->m_Report);
+    if (std::get_if<ReadFloorRecord>(&What))
+      readStore(Index);
+    if (const auto *Write = std::get_if<WriteFloorRecord>(&What))
+      writeStore(Index, *Write);
+  }
+
+  void readStore(int Index) {
+    if (!m_IsStoreUp)
+      return;
+    FloorRecordRead Out;
+    Out.m_Pool = Pool;
+    Out.m_Revision = m_Store.m_Revision;
+    Out.m_Record = m_Store.m_Record;
+    Out.m_IsLeaderLive = m_Now < m_Store.m_LeaseUntil;
+    m_Messages.push_back({m_Now + Tick, at(Index)->m_Home.m_Incarnation, Out});
+  }
+
+  void writeStore(int Index, const WriteFloorRecord &What) {
+    FloorRecordWritten Out;
+    Out.m_Pool = Pool;
+    bool IsCurrent = m_IsStoreUp && What.m_Revision == m_Store.m_Revision;
+    if (IsCurrent) {
+      m_Store.m_Record = What.m_Record;
+      m_Store.m_LeaseUntil = m_Now + std::chrono::seconds(9);
+      ++m_Store.m_Revision;
+    }
+    // Some answers are lost after the write took effect.
+    Out.m_IsWritten = IsCurrent && !chance(0.05);
+    Out.m_Revision = m_Store.m_Revision;
+    m_Messages.push_back({m_Now + Tick, at(Index)->m_Home.m_Incarnation, Out});
+  }
+
+  std::mt19937 m_Random;
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  config::ConfigurationHandle m_Configuration;
+  std::unique_ptr<Simulated> m_All[Instances];
+  std::deque<Message> m_Messages;
+  std::set<std::pair<int, int>> m_Cut;
+  std::vector<std::pair<core::TimePoint, core::IncarnationId>> m_Dead;
+  Stored m_Store;
+  bool m_IsStoreUp = true;
+  std::uint64_t m_NextIncarnation = 0;
+};
+
+} // namespace
+
+class TierOrderScheduleTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TierOrderScheduleTest);
+  CPPUNIT_TEST(testRandomSchedules);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testRandomSchedules() {
+    const char *Wanted = std::getenv("YARDRILL_SCHEDULES");
+    unsigned Count = Wanted ? static_cast<unsigned>(std::atoi(Wanted)) : 60;
+    std::size_t Sheds = 0;
+    std::size_t Violations = 0;
+    std::size_t Served = 0;
+    for (unsigned Seed = 1; Seed <= Count; ++Seed) {
+      Schedule One(Seed);
+      One.run();
+      Sheds += One.m_HigherSheds;
+      Violations += One.m_Violations;
+      Served += One.m_Served;
+    }
+    std::cout << " schedules=" << Count << " served=" << Served
+              << " higher_sheds=" << Sheds << " violations=" << Violations;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Violations);
+    // The schedules must reach the case they are about.
+    CPPUNIT_ASSERT(Sheds > Count);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TierOrderScheduleTest);
