LibPolicy: Let operators' programs say who first, who may be shed and where

Ruled out: Lua's string library (a pattern match can run for ever inside one C call, where no instruction hook looks), pcall (catches the limits' own errors), table.move (loops in C).

The queue orders by policy within an account, steps over up to 16 requests whose own targets are full, and never sheds what may not be.

--- a/Libraries/LibDecision/DecisionCore.cpp
+++ b/Libraries/LibDecision/DecisionCore.cpp
@@ -1,6 +1,7 @@
 #include "LibDecision/DecisionCore.h"
 
 #include "LibCore/Digest.h"
+#include "LibCore/Error.h"
 
 #include <algorithm>
 #include <cassert>
@@ -47,6 +48,14 @@
       !(m_Configuration->version() < What.m_Configuration->version()))
     return;
   m_Configuration = What.m_Configuration;
+  m_Policy.reset();
+  try {
+    if (!m_Configuration->policy().empty())
+      m_Policy = policy::PolicyProgram::compile(m_Configuration->policy());
+  } catch (const core::Error &) {
+    // Publishing checks it first; without a program the defaults hold.
+    ++m_PolicyFailures;
+  }
   for (const config::Pool &Pool : m_Configuration->pools()) {
     if (!findPool(Pool.m_Name))
       addPool(Pool);
@@ -88,6 +97,7 @@
   const auto *Account = m_Configuration->findAccount(What.m_Account);
   if (Account && m_OpenByAccount[What.m_Account] > Account->m_OpenRequests)
     return refuse(Request, RefusalKind::AccountLimit);
+  Request.m_Weight = Account ? Account->m_Weight : 1;
   if (What.m_Identity)
     return arriveWithIdentity(Request, Now);
   if (What.m_IsIdentityRequired)
@@ -99,9 +109,29 @@
   PoolScheduler *Pool = findPool(Request.m_Arrival.m_Pool);
   if (!Pool)
     return refuse(Request, RefusalKind::UnknownPool);
+  askPolicy(Request, *Pool);
   Pool->admit(Request, Now);
 }
 
+void DecisionCore::askPolicy(RequestState &Request, const PoolScheduler &Pool) {
+  if (!m_Policy)
+    return;
+  const RequestArrived &Arrival = Request.m_Arrival;
+  policy::PolicyRequest Asked;
+  Asked.m_Account = Arrival.m_Account.value();
+  Asked.m_Tier = Arrival.m_Tier.value();
+  Asked.m_Pool = Arrival.m_Pool.value();
+  Asked.m_PrefillTokens = Arrival.m_PrefillTokens;
+  Asked.m_OutputTokens = Arrival.m_OutputTokens;
+  Asked.m_IsRepeatable = !Arrival.m_IsIdentityRequired;
+  Asked.m_Queued = Pool.queued();
+  Asked.m_Running = Pool.running();
+  policy::PolicyOutcome Outcome = m_Policy->decide(Asked);
+  if (Outcome.m_Failure != policy::PolicyFailure::None)
+    ++m_PolicyFailures;
+  Request.m_Policy = std::move(Outcome.m_Decision);
+}
+
 void DecisionCore::refuse(RequestState &Request, RefusalKind Kind,
                           core::TimePoint ValidUntil) {
   Refuse Out{Request.id(), Kind, 0, ValidUntil.time_since_epoch().count()};
--- a/Libraries/LibDecision/DecisionCore.h
+++ b/Libraries/LibDecision/DecisionCore.h
@@ -34,6 +34,7 @@
   const config::ConfigurationHandle &configuration() const {
     return m_Configuration;
   }
+  std::uint64_t policyFailures() const { return m_PolicyFailures; }
   const std::map<core::PoolName, std::unique_ptr<PoolScheduler>> &
   pools() const {
     return m_Pools;
@@ -63,6 +64,9 @@
   PoolScheduler *findPool(const core::PoolName &Name);
   void addPool(const config::Pool &Pool);
   void admit(RequestState &Request, core::TimePoint Now);
+  /// Asks the operators' program; a failing one is counted and the default
+  /// used, so that it never loses a request.
+  void askPolicy(RequestState &Request, const PoolScheduler &Pool);
   /// Answers the caller and forgets the request; with a \p ValidUntil the
   /// request is kept until RefusalSettled.
   void refuse(RequestState &Request, RefusalKind Kind,
@@ -93,6 +97,8 @@
   std::unordered_map<core::RequestId, RequestState> m_Requests;
   std::unordered_map<core::AccountName, std::size_t> m_OpenByAccount;
   IdentityTable m_Identities;
+  std::unique_ptr<policy::PolicyProgram> m_Policy; ///< Null: none published.
+  std::uint64_t m_PolicyFailures = 0;
 };
 
 } // namespace yardrill::decision
--- a/Libraries/LibDecision/PoolQueue.cpp
+++ b/Libraries/LibDecision/PoolQueue.cpp
@@ -18,12 +18,14 @@
     Account.m_Start = std::max(Account.m_Start, Tier.m_VirtualTime);
     Tier.m_Order.emplace(Account.m_Start, Item.m_Account);
   }
-  auto Where = IsFront ? Account.m_Waiting.begin() : Account.m_Waiting.end();
-  auto Entry = Account.m_Waiting.insert(Where, Item);
-  auto ArrivalEnd = IsFront ? Tier.m_Arrivals.begin() : Tier.m_Arrivals.end();
-  auto Arrival = Tier.m_Arrivals.insert(ArrivalEnd, Item.m_Request);
-  m_Places.emplace(Item.m_Request,
-                   Place{Item.m_Tier, Item.m_Account, Entry, Arrival});
+  Position At{Item.m_Order, IsFront ? m_NextFirst-- : m_NextLast++};
+  Place Where{Item.m_Tier, Item.m_Account,
+              Account.m_Waiting.emplace(At, Item).first, std::nullopt};
+  if (Item.m_IsSheddable) {
+    auto End = IsFront ? Tier.m_Arrivals.begin() : Tier.m_Arrivals.end();
+    Where.m_Arrival = Tier.m_Arrivals.insert(End, Item.m_Request);
+  }
+  m_Places.emplace(Item.m_Request, Where);
   ++Tier.m_Size;
 }
 
@@ -35,7 +37,7 @@
     if (Tier.m_Order.empty())
       continue;
     const core::AccountName &Account = Tier.m_Order.begin()->second;
-    return Tier.m_Accounts.at(Account).m_Waiting.front().m_Request;
+    return Tier.m_Accounts.at(Account).m_Waiting.begin()->second.m_Request;
   }
   return std::nullopt;
 }
@@ -44,7 +46,7 @@
   for (auto Tier = m_Tiers.rbegin(); Tier != m_Tiers.rend(); ++Tier) {
     if (Tier->second.m_Arrivals.empty())
       continue;
-    return *m_Places.at(Tier->second.m_Arrivals.back()).m_Entry;
+    return m_Places.at(Tier->second.m_Arrivals.back()).m_Entry->second;
   }
   return std::nullopt;
 }
@@ -59,9 +61,11 @@
   auto Owner = Tier.m_Accounts.find(At.m_Account);
   AccountQueue &Account = Owner->second;
   bool IsFirst = At.m_Entry == Account.m_Waiting.begin();
-  double Share = At.m_Entry->m_Cost / At.m_Entry->m_Weight;
+  const Entry &Item = At.m_Entry->second;
+  double Share = Item.m_Cost / Item.m_Weight;
   Tier.m_Order.erase({Account.m_Start, At.m_Account});
-  Tier.m_Arrivals.erase(At.m_Arrival);
+  if (At.m_Arrival)
+    Tier.m_Arrivals.erase(*At.m_Arrival);
   Account.m_Waiting.erase(At.m_Entry);
   --Tier.m_Size;
   if (IsFirst) {
--- a/Libraries/LibDecision/PoolQueue.h
+++ b/Libraries/LibDecision/PoolQueue.h
@@ -5,6 +5,7 @@
 #include "LibCore/StrongType.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <map>
 #include <optional>
@@ -14,7 +15,8 @@
 
 namespace yardrill::decision {
 
-/// Orders by tier, then fairly between client accounts, then by arrival.
+/// Orders by tier, then fairly between client accounts, then by the policy's
+/// order, then by arrival.
 /// Fair is start-time fair queueing: an account's next request may start when
 /// its earlier ones, divided by its weight, have had their turn.
 class PoolQueue {
@@ -24,7 +26,9 @@
     core::TierNumber m_Tier;
     core::AccountName m_Account;
     double m_Weight = 1;
-    double m_Cost = 1; ///< Expected work, in any one unit.
+    double m_Cost = 1;  ///< Expected work, in any one unit.
+    double m_Order = 0; ///< Within tier and account, smaller goes first.
+    bool m_IsSheddable = true;
   };
 
   void push(const Entry &Item);
@@ -32,7 +36,8 @@
   void pushFront(const Entry &Item);
   /// Next to run among tiers up to \p LowestTier.
   std::optional<core::RequestId> front(core::TierNumber LowestTier) const;
-  /// The request that is refused first: lowest tier, latest arrival there.
+  /// The request that is refused first: lowest tier, latest arrival there,
+  /// among those that may be shed.
   std::optional<Entry> lastToServe() const;
   /// \returns false when it does not wait here.
   bool remove(core::RequestId Request);
@@ -42,8 +47,10 @@
   bool isEmpty() const { return m_Places.empty(); }
 
 private:
+  /// The policy's order, then the arrival.
+  using Position = std::pair<double, std::int64_t>;
   struct AccountQueue {
-    std::list<Entry> m_Waiting;
+    std::map<Position, Entry> m_Waiting;
     double m_Start = 0; ///< Virtual time at which its first may start.
   };
   struct TierQueue {
@@ -56,14 +63,17 @@
   struct Place {
     core::TierNumber m_Tier;
     core::AccountName m_Account;
-    std::list<Entry>::iterator m_Entry;
-    std::list<core::RequestId>::iterator m_Arrival;
+    std::map<Position, Entry>::iterator m_Entry;
+    /// None when it may not be shed.
+    std::optional<std::list<core::RequestId>::iterator> m_Arrival;
   };
 
   void insert(const Entry &Item, bool IsFront);
 
   std::map<core::TierNumber, TierQueue> m_Tiers;
   std::unordered_map<core::RequestId, Place> m_Places;
+  std::int64_t m_NextLast = 1;
+  std::int64_t m_NextFirst = -1;
 };
 
 } // namespace yardrill::decision
--- a/Libraries/LibDecision/PoolScheduler.cpp
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -14,6 +14,8 @@
 static const double LeastSpread = 0.75;
 static const double MostSpread = 1.75;
 static const double PaceStep = 0.1;
+/// Requests that one pass over the queue may step over.
+static const std::size_t MostSetAside = 16;
 static const double ExpectedCostPerToken = 1.0 / 256;
 
 PoolScheduler::PoolScheduler(const core::PoolName &Name, const Home &Self,
@@ -78,13 +80,16 @@
   if (IsAdmitted && IsFirst && tryDispatch(Request, Now))
     return;
   enqueue(Request, false);
+  // Those before it may wait for targets of their own.
+  if (!IsFirst)
+    dispatchWaiting(Now);
   enforceQueueLimit(Now);
 }
 
 bool PoolScheduler::tryDispatch(RequestState &Request, core::TimePoint Now) {
   ExpectedWork Work{Request.m_Arrival.m_PrefillTokens,
                     Request.m_Arrival.m_OutputTokens,
-                    Request.m_Arrival.m_PrefixHash};
+                    Request.m_Arrival.m_PrefixHash, &Request.m_Policy};
   bool MayUseKeptPlaces = !(m_Highest < Request.tier());
   auto Target = m_Targets.choose(Work, MayUseKeptPlaces, Now, m_Random);
   if (!Target)
@@ -111,11 +116,15 @@
   Entry.m_Account = Request.m_Arrival.m_Account;
   Entry.m_Cost = 1 + ExpectedCostPerToken * (Request.m_Arrival.m_PrefillTokens +
                                              Request.m_Arrival.m_OutputTokens);
+  Entry.m_Order = Request.m_Policy.m_Order;
+  Entry.m_IsSheddable = Request.m_Policy.m_IsSheddable;
+  Entry.m_Weight = Request.m_Weight;
   if (IsFront)
     m_Queue.pushFront(Entry);
   else
     m_Queue.push(Entry);
-  m_Deadlines[Request.tier()].emplace(Request.m_Deadline, Request.id());
+  if (Request.m_Policy.m_IsSheddable)
+    m_Deadlines[Request.tier()].emplace(Request.m_Deadline, Request.id());
 }
 
 bool PoolScheduler::withdraw(RequestState &Request) {
@@ -126,13 +135,25 @@
 }
 
 void PoolScheduler::dispatchWaiting(core::TimePoint Now) {
+  // Set aside: those whose policy names targets that have no place now.
+  std::vector<core::RequestId> Restricted;
   while (auto Next = m_Queue.front(m_Member.floor())) {
     RequestState &Request = m_Hooks.m_Find(*Next);
+    if (tryDispatch(Request, Now)) {
+      withdraw(Request);
+      continue;
+    }
+    const auto &Policy = Request.m_Policy;
+    bool IsRestricted =
+        !Policy.m_DataHalls.empty() || !Policy.m_Targets.empty();
     // A lower tier has no place where a higher one has none.
-    if (!tryDispatch(Request, Now))
-      return;
+    if (!IsRestricted || Restricted.size() >= MostSetAside)
+      break;
     withdraw(Request);
+    Restricted.push_back(*Next);
   }
+  for (auto Id = Restricted.rbegin(); Id != Restricted.rend(); ++Id)
+    enqueue(m_Hooks.m_Find(*Id), true);
 }
 
 core::TimePoint PoolScheduler::validUntil(core::TierNumber Tier) const {
@@ -142,6 +163,8 @@
 void PoolScheduler::enforceQueueLimit(core::TimePoint Now) {
   while (m_Queue.size() > m_QueueLimit) {
     auto Last = m_Queue.lastToServe();
+    if (!Last)
+      return;
     // Not the lowest tier and no permission: it keeps waiting. What may pile
     // up is bounded by the open connections.
     if (!m_Member.mayShed(Last->m_Tier, Now))
@@ -186,7 +209,7 @@
   notePace(Now);
   if (End.m_Outcome == AnswerOutcome::Complete && Request.m_BeganAt) {
     ExpectedWork Work{Request.m_Arrival.m_PrefillTokens,
-                      Request.m_Arrival.m_OutputTokens, 0};
+                      Request.m_Arrival.m_OutputTokens, 0, nullptr};
     m_Targets.learn(Request.m_Target, Work,
                     *Request.m_BeganAt - Request.m_DispatchedAt,
                     Now - *Request.m_BeganAt, End.m_OutputTokens);
@@ -247,7 +270,8 @@
     core::Duration Allowed = First.m_Deadline - First.m_ArrivedAt;
     core::TimePoint PressureAt =
         First.m_ArrivedAt + Allowed * PressureNumerator / PressureDenominator;
-    bool IsLast = m_Queue.lastToServe()->m_Tier == Tier;
+    auto Last = m_Queue.lastToServe();
+    bool IsLast = Last && Last->m_Tier == Tier;
     if (PressureAt <= Now || (IsQueueFull && IsLast))
       return Tier;
   }
--- a/Libraries/LibDecision/RequestState.h
+++ b/Libraries/LibDecision/RequestState.h
@@ -3,6 +3,7 @@
 #define YARDRILL_LIBDECISION_REQUESTSTATE_H
 
 #include "LibDecision/Event.h"
+#include "LibPolicy/PolicyProgram.h"
 
 #include <optional>
 
@@ -22,6 +23,8 @@
   core::TimePoint m_ArrivedAt;
   core::TimePoint m_Deadline;
   RequestPhase m_Phase = RequestPhase::New;
+  policy::PolicyDecision m_Policy;
+  double m_Weight = 1; ///< Of its client account.
   core::TargetName m_Target;
   core::TimePoint m_DispatchedAt;
   std::optional<core::TimePoint> m_BeganAt;
--- a/Libraries/LibDecision/TargetTable.cpp
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -24,6 +24,18 @@
 /// Fewer tokens say nothing about a rate.
 static const std::uint32_t FewestTokensToLearn = 4;
 
+template <class List>
+static bool holds(const List &Names, const std::string &N) {
+  return Names.empty() ||
+         std::find(Names.begin(), Names.end(), N) != Names.end();
+}
+
+bool ExpectedWork::isAllowedAt(const config::Target &Target) const {
+  return !m_Allowed ||
+         (holds(m_Allowed->m_DataHalls, Target.m_DataHall.value()) &&
+          holds(m_Allowed->m_Targets, Target.m_Name.value()));
+}
+
 void TargetTable::configure(const config::Pool &Pool) {
   std::map<core::TargetName, TargetState> Next;
   for (const config::Target &T : Pool.m_Targets) {
@@ -109,7 +121,8 @@
   std::vector<std::pair<double, const TargetState *>> Able;
   double Best = std::numeric_limits<double>::max();
   for (const auto &[Name, State] : m_Targets) {
-    if (!State.takesNewWork(Now) || !hasPlace(State, MayUseKeptPlaces))
+    if (!State.takesNewWork(Now) || !hasPlace(State, MayUseKeptPlaces) ||
+        !Work.isAllowedAt(State.m_Target))
       continue;
     double Finish = predictedFinish(State, Work, Homes.count(Name) != 0);
     Able.emplace_back(Finish, &State);
--- a/Libraries/LibDecision/TargetTable.h
+++ b/Libraries/LibDecision/TargetTable.h
@@ -5,6 +5,7 @@
 #include "LibConfig/FleetConfiguration.h"
 #include "LibCore/StrongType.h"
 #include "LibCore/Time.h"
+#include "LibPolicy/PolicyProgram.h"
 
 #include <cstdint>
 #include <map>
@@ -21,6 +22,10 @@
   std::uint32_t m_PrefillTokens = 0;
   std::uint32_t m_OutputTokens = 0;
   std::uint64_t m_PrefixHash = 0;
+  /// Where the policy lets it run; null: anywhere.
+  const policy::PolicyDecision *m_Allowed = nullptr;
+
+  bool isAllowedAt(const config::Target &Target) const;
 };
 
 /// One target as this instance knows it.
--- a/Libraries/LibInstance/DecisionDuty.cpp
+++ b/Libraries/LibInstance/DecisionDuty.cpp
@@ -74,6 +74,7 @@
   DecisionStatus Next;
   Next.m_OpenRequests = m_Core.openRequests();
   Next.m_Identities = m_Core.identities();
+  Next.m_PolicyFailures = m_Core.policyFailures();
   for (const auto &[Name, Pool] : m_Core.pools())
     Next.m_Pools.push_back(statusOf(Name, *Pool, Now));
   std::lock_guard<std::mutex> Lock(m_StatusMutex);
--- a/Libraries/LibInstance/DecisionDuty.h
+++ b/Libraries/LibInstance/DecisionDuty.h
@@ -39,6 +39,7 @@
 struct DecisionStatus {
   std::size_t m_OpenRequests = 0;
   std::size_t m_Identities = 0;
+  std::uint64_t m_PolicyFailures = 0;
   std::vector<PoolStatus> m_Pools;
 };
 
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -213,6 +213,9 @@
   } catch (const config::FaultyDocument &Failure) {
     return faultyAnswer(Failure);
   } catch (const core::Error &Failure) {
+    if (Failure.kind() == core::ErrorKind::Policy)
+      return problemAnswer(422, "Unprocessable Content", "policy",
+                           Failure.detail());
     bool IsConflict = Failure.kind() == core::ErrorKind::Conflict;
     return problemAnswer(IsConflict ? 409 : 503,
                          IsConflict ? "Conflict" : "Service Unavailable",
@@ -259,6 +262,7 @@
       {"is_stopping", m_IsStopping.load()},
       {"open_requests", Decision.m_OpenRequests},
       {"identities", Decision.m_Identities},
+      {"policy_failures", Decision.m_PolicyFailures},
       {"pools", Pools},
       {"peers", Peers}};
   return json::serialize(Out) + "\n";
--- a/Libraries/LibInstance/OpenRequest.cpp
+++ b/Libraries/LibInstance/OpenRequest.cpp
@@ -31,6 +31,7 @@
 void OpenRequest::take(decision::Action What) {
   if (std::holds_alternative<decision::Cancel>(What)) {
     m_IsEvicted = true;
+    logLine("request-evicted");
     if (m_Target)
       m_Target->close();
     return;
--- a/Libraries/LibInstance/PlatformDuty.cpp
+++ b/Libraries/LibInstance/PlatformDuty.cpp
@@ -4,6 +4,7 @@
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibPlatform/Backoff.h"
+#include "LibPolicy/PolicyProgram.h"
 
 #include <boost/asio.hpp>
 #include <thread>
@@ -189,8 +190,10 @@
 core::ConfigurationVersion
 PlatformDuty::publish(const PublishRequest &Request) {
   // Refused before anything is written: what is accepted can be in force.
-  config::FleetConfiguration::parse(Request.m_Text, "configuration",
-                                    Request.m_Base);
+  auto Parsed = config::FleetConfiguration::parse(
+      Request.m_Text, "configuration", Request.m_Base);
+  if (!Parsed->policy().empty())
+    policy::PolicyProgram::check(Parsed->policy());
   // Shared, because this thread may stop waiting before the answer comes.
   auto Promise = std::make_shared<std::promise<core::ConfigurationVersion>>();
   auto Result = Promise->get_future();
--- a/Libraries/LibInstance/PlatformDuty.h
+++ b/Libraries/LibInstance/PlatformDuty.h
@@ -47,7 +47,8 @@
 
   /// Makes a configuration the accepted one. Waits; thread-safe.
   /// \returns its version.
-  /// \throws config::FaultyDocument, or core::Error of kind Conflict (another
+  /// \throws config::FaultyDocument, or core::Error of kind Policy (the
+  /// program is wrong), Conflict (another
   /// version stands), Unavailable (nothing was done) or OutcomeUnknown.
   core::ConfigurationVersion publish(const PublishRequest &Request);
 
--- a/Programs/yardrill/CheckVerb.cpp
+++ b/Programs/yardrill/CheckVerb.cpp
@@ -3,6 +3,7 @@
 #include "LibConfig/FleetConfiguration.h"
 #include "LibConfig/InstanceSettings.h"
 #include "LibCore/Error.h"
+#include "LibPolicy/PolicyProgram.h"
 
 #include <gflags/gflags.h>
 #include <iostream>
@@ -14,6 +15,13 @@
 
 namespace yardrill::program {
 
+static void checkFleet(const std::string &File) {
+  auto Fleet =
+      config::FleetConfiguration::parse(config::readFile(File), File, {});
+  if (!Fleet->policy().empty())
+    policy::PolicyProgram::check(Fleet->policy());
+}
+
 int runCheck(const std::vector<std::string> &) {
   if (FLAGS_example) {
     std::cout << config::InstanceSettings::example();
@@ -29,8 +37,7 @@
   if (!FLAGS_config.empty())
     config::InstanceSettings::load(FLAGS_config);
   if (!FLAGS_fleet.empty())
-    config::FleetConfiguration::parse(config::readFile(FLAGS_fleet),
-                                      FLAGS_fleet, {});
+    checkFleet(FLAGS_fleet);
   std::cout << "ok\n";
   return ExitDone;
 }
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -50,6 +50,12 @@
        {"operator", "token"},
        0,
        runConfigStatus},
+      {"policy check",
+       "FILE",
+       "compile a policy program and try it on sample requests",
+       {},
+       1,
+       runPolicyCheck},
       {"replay",
        "TRACE",
        "run a recorded trace through the decision core and compare",
@@ -143,6 +149,7 @@
     std::cerr << "yardrill: " << Failure.what() << '\n';
     bool IsInput = Failure.kind() == core::ErrorKind::Settings ||
                    Failure.kind() == core::ErrorKind::Usage ||
+                   Failure.kind() == core::ErrorKind::Policy ||
                    Failure.kind() == core::ErrorKind::Trace;
     return IsInput ? ExitBadInput : ExitFailed;
   } catch (const std::exception &Failure) {
--- a/Programs/yardrill/CommandLine.h
+++ b/Programs/yardrill/CommandLine.h
@@ -34,6 +34,7 @@
 int runConfigGet(const std::vector<std::string> &);
 int runConfigPublish(const std::vector<std::string> &);
 int runConfigStatus(const std::vector<std::string> &);
+int runPolicyCheck(const std::vector<std::string> &Positionals);
 int runReplay(const std::vector<std::string> &Positionals);
 
 } // namespace yardrill::program
--- a/Tests/Failures/AtMostOnceTest.cpp
+++ b/Tests/Failures/AtMostOnceTest.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testSameIdentityTogether);
   CPPUNIT_TEST(testClaimAnswerLost);
   CPPUNIT_TEST(testClaimTakesEffectLate);
+  CPPUNIT_TEST(testClaimWonByAnother);
   CPPUNIT_TEST(testPlatformDown);
   CPPUNIT_TEST(testKilledDuringAndAfter);
   CPPUNIT_TEST(testKilledBeforeDispatch);
@@ -132,6 +133,22 @@
     }
   }
 
+  /// A claim that never took effect must not count as held: meanwhile
+  /// another instance may have won it.
+  void testClaimWonByAnother() {
+    Fleet All(shape(2));
+    CPPUNIT_ASSERT(All.isServing());
+    controlStandIn(All.platformPort(),
+                   {{"lose_answers", 1}, {"late_ms", 60000}});
+    Reply First = call(All.at(0).m_CallerPort, withKey("other"));
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), First.problem("outcome"));
+    for (int I : {1, 0, 1, 0}) {
+      Reply Again = call(All.at(I).m_CallerPort, withKey("other"));
+      CPPUNIT_ASSERT_EQUAL(200U, Again.m_Status);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(1), executions(All, "other"));
+    }
+  }
+
   void testPlatformDown() {
     Fleet All(shape(2));
     CPPUNIT_ASSERT(All.isServing());
--- a/Tests/Failures/TierOrderTest.cpp
+++ b/Tests/Failures/TierOrderTest.cpp
@@ -76,9 +76,10 @@
       Running[Request] = Tier;
     if (Event == "target-finished")
       Running.erase(Request);
-    if (Event == "request-finished" && Line["outcome"] == "evicted")
-      ++Out.m_Evictions;
-    if (Event != "request-refused" || !isShed(Line["kind"]))
+    bool IsEvicted = Event == "request-evicted";
+    Out.m_Evictions += IsEvicted;
+    bool IsRefused = Event == "request-refused" && isShed(Line["kind"]);
+    if (!IsEvicted && !IsRefused)
       continue;
     Out.m_HigherSheds += Tier < 3;
     bool IsWrong = std::any_of(Running.begin(), Running.end(),
--- a/Tests/LibDecision/TierOrderScheduleTest.cpp
+++ b/Tests/LibDecision/TierOrderScheduleTest.cpp
@@ -52,6 +52,8 @@
   Refuse m_What;
 };
 
+enum class CallerKind { All, High, Middle, Low };
+
 /// One process: its core and what runs at targets for it.
 struct Simulated {
   Home m_Home;
@@ -62,6 +64,7 @@
   std::set<core::RequestId> m_MayNotBeCut;
   std::deque<PendingRefusal> m_Refusals;
   std::uint64_t m_NextRequest = 1;
+  CallerKind m_Kind = CallerKind::All;
 };
 
 struct Stored {
@@ -192,13 +195,31 @@
     for (int I = 0; I < (IsBurst ? 3 : 1); ++I)
       if (chance(0.5))
         arrive(Index);
+    // Each instance has callers of its own kind for a while: where only low
+    // tiers arrive, a wrong floor at once lets one run.
+    if (chance(0.01))
+      Who.m_Kind = static_cast<CallerKind>(below(4));
+  }
+
+  core::TierNumber drawTier(CallerKind Kind) {
+    switch (Kind) {
+    case CallerKind::All:
+      return core::TierNumber(static_cast<std::uint32_t>(1 + below(3)));
+    case CallerKind::High:
+      return core::TierNumber(1);
+    case CallerKind::Middle:
+      return core::TierNumber(2);
+    case CallerKind::Low:
+      return core::TierNumber(3);
+    }
+    return core::TierNumber(1);
   }
 
   void arrive(int Index) {
     Simulated &Who = *at(Index);
     RequestArrived What;
     What.m_Request = core::RequestId(Who.m_NextRequest++);
-    What.m_Tier = core::TierNumber(static_cast<std::uint32_t>(1 + below(3)));
+    What.m_Tier = drawTier(Who.m_Kind);
     What.m_Pool = Pool;
     What.m_MayBeCut = chance(0.8);
     Who.m_Tiers[What.m_Request] = What.m_Tier;
@@ -227,20 +248,21 @@
       bool IsSent = !IsLimited ||
                     m_Now.time_since_epoch().count() < Each.m_What.m_ValidUntil;
       if (IsSent)
-        check(Index, Each.m_What);
+        check(Index, Each.m_What.m_Request);
       if (IsLimited)
         tell(Index, RefusalSettled{Each.m_What.m_Request, IsSent});
     }
   }
 
-  void check(int Index, const Refuse &What) {
-    core::TierNumber Tier = at(Index)->m_Tiers.at(What.m_Request);
+  /// A request is shed now, by refusal or by eviction.
+  void check(int Index, core::RequestId Id) {
+    core::TierNumber Tier = at(Index)->m_Tiers.at(Id);
     m_HigherSheds += Tier < core::TierNumber(3);
     for (int I = 0; I < Instances; ++I) {
       if (!at(I))
         continue;
-      for (const auto &[Id, EndsAt] : at(I)->m_EndsAt)
-        if (Tier < at(I)->m_Tiers.at(Id)) {
+      for (const auto &[Other, EndsAt] : at(I)->m_EndsAt)
+        if (Tier < at(I)->m_Tiers.at(Other)) {
           ++m_Violations;
           return;
         }
@@ -260,6 +282,7 @@
       Who.m_Refusals.push_back({m_Now + Tick * below(2), *No});
     if (const auto *Cut = std::get_if<Cancel>(&What)) {
       CPPUNIT_ASSERT(Who.m_MayNotBeCut.count(Cut->m_Request) == 0);
+      check(Index, Cut->m_Request);
       // A cancelled request goes on for a while.
       Who.m_EndsAt[Cut->m_Request] = m_Now + Tick * (1 + below(3));
     }
