LibDecision: Count only same and higher tiers, keep places pool-wide, preempt one for one

Engines honour priorities, so what waits there of a lower tier is no reason to hold a higher one back.

Change: only work of the same or a higher tier counts against an instance's share of an engine; places for the highest tier are kept over the whole pool rather than per engine; a request that has waited half its deadline takes the place of the youngest running one of the lowest tier, and the floor moves only for requests past their deadline. Default prefill weight 20 (was 1).

--- a/Bench/RoutingProgram.cpp
+++ b/Bench/RoutingProgram.cpp
@@ -25,9 +25,9 @@
 DEFINE_uint32(seeds, 6, "workloads of each kind");
 DEFINE_string(workload, "", "trust-sale or club-evening; empty: both");
 DEFINE_double(load, 1, "times the workload's own rate");
-DEFINE_uint32(kept_places, 0,
+DEFINE_uint32(kept_places, 2,
               "yardrill: places of each engine kept for tier 1");
-DEFINE_double(prefill_weight, 4, "yardrill: weight of a prefill token");
+DEFINE_double(prefill_weight, 20, "yardrill: weight of a prefill token");
 DEFINE_string(write_workload, "", "write the first workload to this file");
 DEFINE_string(only, "", "run only this way of deciding");
 
@@ -47,6 +47,8 @@
 struct Result {
   double m_InTime[4] = {};
   double m_Arrived[4] = {};
+  double m_InTimeOfBurst[4] = {}; ///< Of those that arrived in the burst.
+  double m_ArrivedInBurst[4] = {};
   double m_Wasted = 0;
   double m_Read = 0;
   double m_Refused = 0;
@@ -104,6 +106,11 @@
       return m_At != Other.m_At ? m_At > Other.m_At : m_Order > Other.m_Order;
     }
   };
+  bool isInBurst(std::size_t Index) const {
+    core::Duration End = m_Requests.back().m_At;
+    return m_Requests[Index].m_At > End / 3 &&
+           m_Requests[Index].m_At < End * 2 / 3;
+  }
   void startAt(std::size_t Engine);
   void finish(std::size_t Index, std::size_t Engine);
   void noteRead(std::size_t Engine, const Started &What);
@@ -129,6 +136,8 @@
   for (int T = 1; T < 4; ++T) {
     m_InTime[T] += Other.m_InTime[T];
     m_Arrived[T] += Other.m_Arrived[T];
+    m_InTimeOfBurst[T] += Other.m_InTimeOfBurst[T];
+    m_ArrivedInBurst[T] += Other.m_ArrivedInBurst[T];
     m_FirstToken[T].insert(m_FirstToken[T].end(), Other.m_FirstToken[T].begin(),
                            Other.m_FirstToken[T].end());
   }
@@ -163,6 +172,7 @@
   for (std::size_t I = 0; I < m_Requests.size(); ++I)
     at(m_Requests[I].m_At, [this, I] {
       ++m_Result.m_Arrived[m_Requests[I].m_Tier];
+      m_Result.m_ArrivedInBurst[m_Requests[I].m_Tier] += isInBurst(I) ? 1 : 0;
       m_Scheduler->arrived(I);
     });
   at(m_Requests.back().m_At * 45 / 100,
@@ -226,8 +236,10 @@
 void Simulation::finish(std::size_t Index, std::size_t Engine) {
   const Request &Which = m_Requests[Index];
   m_Engines[Engine].finished();
-  if (m_Now <= Which.m_At + Which.m_Deadline)
+  if (m_Now <= Which.m_At + Which.m_Deadline) {
     ++m_Result.m_InTime[Which.m_Tier];
+    m_Result.m_InTimeOfBurst[Which.m_Tier] += isInBurst(Index) ? 1 : 0;
+  }
   startAt(Engine);
   m_Scheduler->ended(Index, false);
 }
@@ -500,6 +512,11 @@
   for (int T = 1; T < 4; ++T)
     std::cout << " in_time_" << T << '='
               << std::round(1000 * Sum.m_InTime[T] / Sum.m_Arrived[T]) / 1000;
+  for (int T = 1; T < 4; ++T)
+    std::cout << " burst_in_time_" << T << '='
+              << std::round(1000 * Sum.m_InTimeOfBurst[T] /
+                            Sum.m_ArrivedInBurst[T]) /
+                     1000;
   std::cout << " wasted_prefill="
             << std::round(1000 * Sum.m_Wasted / std::max(Sum.m_Read, 1.0)) /
                    1000
--- a/Libraries/LibConfig/FleetConfiguration.h
+++ b/Libraries/LibConfig/FleetConfiguration.h
@@ -51,10 +51,10 @@
   PoolKind m_Kind = PoolKind::Model;
   std::vector<std::string> m_Models;
   std::size_t m_QueueLimit = 0; ///< Waiting requests at one instance.
-  /// Places of each target that the lowest tiers may not take.
+  /// Places of each target, on average, that only the highest tier may take.
   std::size_t m_KeptPlaces = 0;
   /// Weight of a prefill token that was already read elsewhere.
-  double m_PrefillWeight = 1;
+  double m_PrefillWeight = 20;
   std::vector<Route> m_Routes;
   std::vector<Target> m_Targets;
 
--- a/Libraries/LibDecision/PoolScheduler.cpp
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -6,10 +6,10 @@
 
 namespace yardrill::decision {
 
-/// A waiting request counts as pressure from this part of its deadline on, so
-/// that a permission is there in time.
-static const int PressureNumerator = 1;
-static const int PressureDenominator = 2;
+/// From this part of its deadline on, a waiting request of a higher tier takes
+/// the place of a running one of the lowest tier.
+static const int PreemptNumerator = 1;
+static const int PreemptDenominator = 2;
 static const double MostRetrySeconds = 120;
 static const double LeastSpread = 0.75;
 static const double MostSpread = 1.75;
@@ -31,7 +31,7 @@
   m_Member.setTiers(m_Highest, m_Lowest);
   if (m_Leader)
     m_Leader->setTiers(m_Highest, m_Lowest);
-  m_Targets.configure(Pool);
+  m_Targets.configure(Pool, m_Highest);
   dispatchWaiting(Now);
 }
 
@@ -82,8 +82,7 @@
   ExpectedWork Work{Request.m_Arrival.m_PrefillTokens,
                     Request.m_Arrival.m_OutputTokens,
                     Request.m_Arrival.m_PrefixHash, &Request.m_Policy};
-  bool MayUseKeptPlaces = !(m_Highest < Request.tier());
-  auto Target = m_Targets.choose(Work, MayUseKeptPlaces, Now, m_Random);
+  auto Target = m_Targets.choose(Work, Request.tier(), Now, m_Random);
   if (!Target)
     return false;
   // At most once (brief): a request that was dispatched never comes here again.
@@ -91,7 +90,7 @@
   Request.m_Phase = RequestPhase::Dispatched;
   Request.m_Target = *Target;
   Request.m_DispatchedAt = Now;
-  m_Targets.started(*Target);
+  m_Targets.started(*Target, Request.tier());
   m_Running[Request.tier()].insert(Request.id());
   bool KeepAnswer = Request.m_Arrival.m_Identity.has_value();
   m_Hooks.m_Emit(Dispatch{Request.id(), *Target,
@@ -187,7 +186,7 @@
 void PoolScheduler::connectFailed(RequestState &Request, core::TimePoint Now) {
   assert(Request.m_Phase == RequestPhase::Dispatched);
   m_Running[Request.tier()].erase(Request.id());
-  m_Targets.connectFailed(Request.m_Target, Now);
+  m_Targets.connectFailed(Request.m_Target, Request.tier(), Now);
   Request.m_HasFailedConnect = true;
   enqueue(Request, true);
   dispatchWaiting(Now);
@@ -197,7 +196,7 @@
                           core::TimePoint Now) {
   assert(Request.m_Phase == RequestPhase::Dispatched);
   m_Running[Request.tier()].erase(Request.id());
-  m_Targets.finished(Request.m_Target);
+  m_Targets.finished(Request.m_Target, Request.tier());
   notePace(Now);
   if (End.m_Outcome == AnswerOutcome::Complete && Request.m_BeganAt) {
     ExpectedWork Work{Request.m_Arrival.m_PrefillTokens,
@@ -230,8 +229,45 @@
   return static_cast<std::uint32_t>(std::ceil(Seconds * Spread(m_Random)));
 }
 
+std::size_t PoolScheduler::countPressing(core::TimePoint Now) const {
+  std::size_t Count = 0;
+  for (const auto &[Tier, Waiting] : m_Deadlines) {
+    if (!(Tier < m_Lowest))
+      continue;
+    for (const auto &[Deadline, Id] : Waiting) {
+      const RequestState &Request = m_Hooks.m_Find(Id);
+      core::Duration Allowed = Deadline - Request.m_ArrivedAt;
+      if (Now <
+          Request.m_ArrivedAt + Allowed * PreemptNumerator / PreemptDenominator)
+        break;
+      ++Count;
+    }
+  }
+  return Count;
+}
+
+void PoolScheduler::preemptLowest(core::TimePoint Now) {
+  auto Lowest = m_Running.find(m_Lowest);
+  if (Lowest == m_Running.end() || Lowest->second.empty())
+    return;
+  std::size_t Wanted = countPressing(Now);
+  // The youngest first: least of their work is lost.
+  for (auto Id = Lowest->second.rbegin();
+       Id != Lowest->second.rend() && Wanted > 0; ++Id) {
+    RequestState &Request = m_Hooks.m_Find(*Id);
+    if (!Request.m_Arrival.m_MayBeCut)
+      continue;
+    --Wanted;
+    if (Request.m_IsCancelled)
+      continue;
+    Request.m_IsCancelled = true;
+    m_Hooks.m_Emit(Cancel{*Id});
+  }
+}
+
 void PoolScheduler::timePassed(core::TimePoint Now) {
   refuseOverdue(Now);
+  preemptLowest(Now);
   enforceQueueLimit(Now);
   // A paused target's pause may have ended.
   dispatchWaiting(Now);
@@ -272,13 +308,9 @@
   for (const auto &[Tier, Waiting] : m_Deadlines) {
     if (Waiting.empty() || !(Tier < m_Lowest))
       continue;
-    const RequestState &First = m_Hooks.m_Find(Waiting.begin()->second);
-    core::Duration Allowed = First.m_Deadline - First.m_ArrivedAt;
-    core::TimePoint PressureAt =
-        First.m_ArrivedAt + Allowed * PressureNumerator / PressureDenominator;
     auto Last = m_Queue.lastToServe();
     bool IsLast = Last && Last->m_Tier == Tier;
-    if (PressureAt <= Now || (IsQueueFull && IsLast))
+    if (Waiting.begin()->first <= Now || (IsQueueFull && IsLast))
       return Tier;
   }
   return core::TierNumber(0);
--- a/Libraries/LibDecision/PoolScheduler.h
+++ b/Libraries/LibDecision/PoolScheduler.h
@@ -78,6 +78,11 @@
   void dispatchWaiting(core::TimePoint Now);
   void enforceQueueLimit(core::TimePoint Now);
   void refuseOverdue(core::TimePoint Now);
+  /// Waiting requests above the lowest tier that have waited for long.
+  std::size_t countPressing(core::TimePoint Now) const;
+  /// Cancels one running request of the lowest tier for each of those: that
+  /// tier may always be shed, and the floor need not move for a few.
+  void preemptLowest(core::TimePoint Now);
   void evictBelowFloor();
   void notePace(core::TimePoint Now);
   bool runsBelowFloor() const;
--- a/Libraries/LibDecision/TargetTable.cpp
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -36,7 +36,9 @@
           holds(m_Allowed->m_Targets, Target.m_Name.value()));
 }
 
-void TargetTable::configure(const config::Pool &Pool) {
+void TargetTable::configure(const config::Pool &Pool,
+                            core::TierNumber Highest) {
+  m_Highest = Highest;
   std::map<core::TargetName, TargetState> Next;
   for (const config::Target &T : Pool.m_Targets) {
     auto Known = m_Targets.find(T.m_Name);
@@ -57,6 +59,8 @@
   m_Targets = std::move(Next);
   m_KeptPlaces = Pool.m_KeptPlaces;
   m_PrefillWeight = Pool.m_PrefillWeight;
+  // The brief says so of model engines only.
+  m_HonoursPriority = Pool.m_Kind == config::PoolKind::Model;
 }
 
 void TargetTable::setLeaving(const core::TargetName &Name, bool IsLeaving) {
@@ -69,13 +73,32 @@
   return (Target.m_Target.m_Places + m_Instances - 1) / m_Instances;
 }
 
+/// Requests of \p Target that would be served before one of \p Tier.
+static std::size_t countUpTo(const TargetState &Target, core::TierNumber Tier) {
+  std::size_t Count = 0;
+  for (const auto &[Other, OfTier] : Target.m_RunningByTier)
+    Count += Tier < Other ? 0 : OfTier;
+  return Count;
+}
+
 bool TargetTable::hasPlace(const TargetState &Target,
-                           bool MayUseKeptPlaces) const {
-  std::size_t Share = share(Target);
-  std::size_t Kept = 0;
-  if (!MayUseKeptPlaces)
-    Kept = std::min(Share - 1, (m_KeptPlaces + m_Instances - 1) / m_Instances);
-  return Target.m_Running + Kept < Share;
+                           core::TierNumber Tier) const {
+  std::size_t Before =
+      m_HonoursPriority ? countUpTo(Target, Tier) : Target.m_Running;
+  return Before < share(Target);
+}
+
+bool TargetTable::leavesKeptPlaces(core::TierNumber Tier) const {
+  if (m_KeptPlaces == 0)
+    return true;
+  std::size_t Places = 0;
+  std::size_t Running = 0;
+  for (const auto &[Name, State] : m_Targets) {
+    Places += State.m_Target.m_Places -
+              std::min(State.m_Target.m_Places, m_KeptPlaces);
+    Running += countUpTo(State, Tier) - countUpTo(State, m_Highest);
+  }
+  return Running < (Places + m_Instances - 1) / m_Instances;
 }
 
 std::set<core::TargetName>
@@ -113,15 +136,17 @@
 }
 
 std::optional<core::TargetName>
-TargetTable::choose(const ExpectedWork &Work, bool MayUseKeptPlaces,
+TargetTable::choose(const ExpectedWork &Work, core::TierNumber Tier,
                     core::TimePoint Now, std::mt19937_64 &Random) const {
+  if (m_Highest < Tier && !leavesKeptPlaces(Tier))
+    return std::nullopt;
   std::set<core::TargetName> Homes;
   if (Work.m_PrefixHash != 0)
     Homes = prefixHomes(Work.m_PrefixHash);
   std::vector<std::pair<double, const TargetState *>> Able;
   double Best = std::numeric_limits<double>::max();
   for (const auto &[Name, State] : m_Targets) {
-    if (!State.takesNewWork(Now) || !hasPlace(State, MayUseKeptPlaces) ||
+    if (!State.takesNewWork(Now) || !hasPlace(State, Tier) ||
         !Work.isAllowedAt(State.m_Target))
       continue;
     double Finish = predictedFinish(State, Work, Homes.count(Name) != 0);
@@ -141,22 +166,30 @@
   });
 }
 
-void TargetTable::started(const core::TargetName &Name) {
-  ++m_Targets.at(Name).m_Running;
+void TargetTable::started(const core::TargetName &Name, core::TierNumber Tier) {
+  TargetState &Target = m_Targets.at(Name);
+  ++Target.m_Running;
+  ++Target.m_RunningByTier[Tier];
 }
 
-void TargetTable::finished(const core::TargetName &Name) {
-  TargetState &Target = m_Targets.at(Name);
-  assert(Target.m_Running > 0);
+static void takeOut(TargetState &Target, core::TierNumber Tier) {
+  std::size_t &OfTier = Target.m_RunningByTier[Tier];
+  assert(Target.m_Running > 0 && OfTier > 0);
   --Target.m_Running;
+  --OfTier;
+}
+
+void TargetTable::finished(const core::TargetName &Name,
+                           core::TierNumber Tier) {
+  TargetState &Target = m_Targets.at(Name);
+  takeOut(Target, Tier);
   Target.m_Failures = 0;
 }
 
 void TargetTable::connectFailed(const core::TargetName &Name,
-                                core::TimePoint Now) {
+                                core::TierNumber Tier, core::TimePoint Now) {
   TargetState &Target = m_Targets.at(Name);
-  assert(Target.m_Running > 0);
-  --Target.m_Running;
+  takeOut(Target, Tier);
   auto Doublings = std::min(Target.m_Failures++, MostDoublings);
   Target.m_TryAgainAt = Now + FirstPause * (1 << Doublings);
 }
--- a/Libraries/LibDecision/TargetTable.h
+++ b/Libraries/LibDecision/TargetTable.h
@@ -33,7 +33,8 @@
   config::Target m_Target;
   std::uint64_t m_NameHash = 0; ///< The same at every instance.
   bool m_IsLeavingByList = false;
-  std::size_t m_Running = 0;    ///< Dispatched by this instance.
+  std::size_t m_Running = 0; ///< Dispatched by this instance.
+  std::map<core::TierNumber, std::size_t> m_RunningByTier;
   double m_DecodeRate = 0;      ///< Learned, tokens a second of one stream.
   double m_PrefillRate = 0;     ///< Learned, tokens a second.
   std::uint32_t m_Failures = 0; ///< Failed connects in a row.
@@ -48,22 +49,23 @@
 class TargetTable {
 public:
   /// Takes over what is already known of targets that stay.
-  void configure(const config::Pool &Pool);
+  void configure(const config::Pool &Pool, core::TierNumber Highest);
   void setInstances(std::uint32_t Count) { m_Instances = Count; }
   void setLeaving(const core::TargetName &Name, bool IsLeaving);
 
   /// \returns the target that would finish soonest, prefill weighed, among
-  /// those with a free place; none when there is no place for this tier.
+  /// those with a place for this tier; none when there is no place.
   std::optional<core::TargetName> choose(const ExpectedWork &Work,
-                                         bool MayUseKeptPlaces,
+                                         core::TierNumber Tier,
                                          core::TimePoint Now,
                                          std::mt19937_64 &Random) const;
   /// Whether any target could ever take work as things stand.
   bool hasAnyTarget(core::TimePoint Now) const;
 
-  void started(const core::TargetName &Name);
-  void finished(const core::TargetName &Name);
-  void connectFailed(const core::TargetName &Name, core::TimePoint Now);
+  void started(const core::TargetName &Name, core::TierNumber Tier);
+  void finished(const core::TargetName &Name, core::TierNumber Tier);
+  void connectFailed(const core::TargetName &Name, core::TierNumber Tier,
+                     core::TimePoint Now);
   void learn(const core::TargetName &Name, const ExpectedWork &Work,
              core::Duration FirstByte, core::Duration Rest,
              std::uint32_t OutputTokens);
@@ -76,7 +78,12 @@
   std::size_t share(const TargetState &Target) const;
 
 private:
-  bool hasPlace(const TargetState &Target, bool MayUseKeptPlaces) const;
+  /// A target that honours priorities serves a higher tier before what waits
+  /// there of a lower one, so only work of the same or a higher tier counts.
+  bool hasPlace(const TargetState &Target, core::TierNumber Tier) const;
+  /// Whether one more request of a lower tier leaves, over the whole pool, the
+  /// places free that are kept for the highest.
+  bool leavesKeptPlaces(core::TierNumber Tier) const;
   double predictedFinish(const TargetState &Target, const ExpectedWork &Work,
                          bool IsWarm) const;
   /// Where the prefix is expected: its first targets by rendezvous hash, the
@@ -87,6 +94,8 @@
   std::uint32_t m_Instances = 1;
   std::size_t m_KeptPlaces = 0;
   double m_PrefillWeight = 1;
+  core::TierNumber m_Highest{1};
+  bool m_HonoursPriority = false;
 };
 
 } // namespace yardrill::decision
--- a/Tests/LibDecision/TierOrderScheduleTest.cpp
+++ b/Tests/LibDecision/TierOrderScheduleTest.cpp
@@ -344,7 +344,7 @@
 public:
   void testRandomSchedules() {
     const char *Wanted = std::getenv("YARDRILL_SCHEDULES");
-    unsigned Count = Wanted ? static_cast<unsigned>(std::atoi(Wanted)) : 60;
+    unsigned Count = Wanted ? static_cast<unsigned>(std::atoi(Wanted)) : 300;
     std::size_t Sheds = 0;
     std::size_t Violations = 0;
     std::size_t Served = 0;
