LibDecision: Look at places before prefix homes

Each choice first ranked all targets for the prefix into a set of names, also when the pool was full, which is what most choices find. Ruled out: the queue (no growth from 100 to 100,000 waiting).

Change: places first; the prefix's homes in one pass without copies of names.

--- /dev/null
+++ b/Bench/DecisionCostProgram.cpp
@@ -0,0 +1,110 @@
+//===-- DecisionCostProgram.cpp - Processor time of single decisions ------===//
+//
+// Prints the median and the 99th percentile of one arrival and of one end (with
+// the dispatch of the next in the queue) for each size of queue and fleet.
+//
+//===----------------------------------------------------------------------===//
+#include "LibDecision/DecisionCore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_bool(policy, false, "with a policy program");
+
+using namespace yardrill;
+using namespace yardrill::decision;
+
+static const int Decisions = 20000;
+
+static std::string configuration(int Targets) {
+  std::string Text = "tiers: [{name: a, tier: 1, deadline_ms: 86400000}, "
+                     "{name: b, tier: 2, deadline_ms: 86400000}]\n"
+                     "pools:\n  - name: p\n    kind: model\n    models: [m]\n"
+                     "    queue_limit: 1000000\n    targets:\n";
+  for (int I = 0; I < Targets; ++I)
+    Text += "      - {name: t" + std::to_string(I) +
+            ", address: 127.0.0.1:1, data_hall: h, places: 8}\n";
+  if (FLAGS_policy)
+    Text += "policy: |\n  function decide(r) return {order = r.output_tokens, "
+            "sheddable = r.tier > 1} end\n";
+  return Text;
+}
+
+namespace {
+
+/// One core with its queue filled to a given length.
+class Filled {
+public:
+  Filled(int Targets, int Queued) {
+    tell(InstanceStarted{});
+    tell(ConfigurationAccepted{config::FleetConfiguration::parse(
+        configuration(Targets), "bench", core::ConfigurationVersion(1))});
+    for (int I = 0; I < Targets * 8 + Queued; ++I)
+      arrive();
+  }
+
+  std::int64_t arrive() {
+    RequestArrived What;
+    What.m_Request = core::RequestId(++m_Last);
+    What.m_Tier = core::TierNumber(1);
+    What.m_Account = core::AccountName("a" + std::to_string(m_Last % 50));
+    What.m_Pool = core::PoolName("p");
+    What.m_PrefillTokens = 500;
+    What.m_OutputTokens = 100;
+    What.m_PrefixHash = m_Last % 100;
+    return tell(What);
+  }
+
+  std::int64_t end() {
+    core::RequestId Id = m_Running.front();
+    m_Running.pop_front();
+    return tell(AnswerEnded{Id, AnswerOutcome::Complete, false, 100});
+  }
+
+private:
+  std::int64_t tell(const Event &What) {
+    m_Now += std::chrono::microseconds(50);
+    auto Start = std::chrono::steady_clock::now();
+    std::vector<Action> Actions = m_Core.handle(What, m_Now);
+    auto Elapsed = std::chrono::steady_clock::now() - Start;
+    for (const Action &Each : Actions)
+      if (const auto *Go = std::get_if<Dispatch>(&Each))
+        m_Running.push_back(Go->m_Request);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(Elapsed)
+        .count();
+  }
+
+  DecisionCore m_Core;
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  std::uint64_t m_Last = 0;
+  std::deque<core::RequestId> m_Running;
+};
+
+} // namespace
+
+static void print(const char *What, int Targets, int Queued,
+                  std::vector<std::int64_t> Times) {
+  std::sort(Times.begin(), Times.end());
+  std::cout << "decision=" << What << " targets=" << Targets
+            << " queued=" << Queued << " p50_ns=" << Times[Times.size() / 2]
+            << " p99_ns=" << Times[Times.size() * 99 / 100] << std::endl;
+}
+
+int main(int Count, char **Arguments) {
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  for (int Targets : {16, 64, 256})
+    for (int Queued : {100, 1000, 10000, 100000}) {
+      Filled Core(Targets, Queued);
+      std::vector<std::int64_t> Arrivals;
+      std::vector<std::int64_t> Ends;
+      for (int I = 0; I < Decisions; ++I) {
+        Arrivals.push_back(Core.arrive());
+        Ends.push_back(Core.end());
+      }
+      print("arrival", Targets, Queued, Arrivals);
+      print("end-and-dispatch", Targets, Queued, Ends);
+    }
+}
--- a/Libraries/LibDecision/TargetTable.cpp
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -14,8 +14,6 @@
 static const double FirstPrefillRate = 3000;
 /// Weight of the newest observation in a learned rate.
 static const double LearningStep = 0.2;
-/// Targets at which a shared prefix is expected to be in the cache.
-static const std::size_t PrefixHomeCount = 2;
 /// Predictions this close count as equal; the choice is drawn, so that
 /// instances that know the same do not all go to the same target.
 static const double NearlyEqual = 1.05;
@@ -101,21 +99,26 @@
   return Running < (Places + m_Instances - 1) / m_Instances;
 }
 
-std::set<core::TargetName>
+TargetTable::PrefixHomes
 TargetTable::prefixHomes(std::uint64_t PrefixHash) const {
-  std::vector<std::pair<std::size_t, core::TargetName>> Ranked;
+  PrefixHomes Homes{};
+  std::array<std::size_t, PrefixHomeCount> Ranks{};
+  if (PrefixHash == 0)
+    return Homes;
   for (const auto &[Name, State] : m_Targets) {
     std::size_t Rank = PrefixHash;
     boost::hash_combine(Rank, State.m_NameHash);
-    Ranked.emplace_back(Rank, Name);
+    // The highest ranks so far, in descending order.
+    const TargetState *Next = &State;
+    for (std::size_t I = 0; I < PrefixHomeCount; ++I) {
+      if (Homes[I] && Rank <= Ranks[I])
+        continue;
+      std::swap(Homes[I], Next);
+      std::swap(Ranks[I], Rank);
+      if (!Next)
+        break;
+    }
   }
-  std::size_t Count = std::min(PrefixHomeCount, Ranked.size());
-  std::partial_sort(Ranked.begin(),
-                    Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Ranked.end());
-  std::set<core::TargetName> Homes;
-  for (std::size_t I = 0; I < Count; ++I)
-    Homes.insert(Ranked[I].second);
   return Homes;
 }
 
@@ -140,23 +143,23 @@
                     core::TimePoint Now, std::mt19937_64 &Random) const {
   if (m_Highest < Tier && !leavesKeptPlaces(Tier))
     return std::nullopt;
-  std::set<core::TargetName> Homes;
-  if (Work.m_PrefixHash != 0)
-    Homes = prefixHomes(Work.m_PrefixHash);
+  // Full pools are asked most often, so places are looked at first.
   std::vector<std::pair<double, const TargetState *>> Able;
+  for (const auto &[Name, State] : m_Targets)
+    if (State.takesNewWork(Now) && hasPlace(State, Tier) &&
+        Work.isAllowedAt(State.m_Target))
+      Able.emplace_back(0, &State);
+  if (Able.empty())
+    return std::nullopt;
+  PrefixHomes Homes = prefixHomes(Work.m_PrefixHash);
   double Best = std::numeric_limits<double>::max();
-  for (const auto &[Name, State] : m_Targets) {
-    if (!State.takesNewWork(Now) || !hasPlace(State, Tier) ||
-        !Work.isAllowedAt(State.m_Target))
-      continue;
-    double Finish = predictedFinish(State, Work, Homes.count(Name) != 0);
-    Able.emplace_back(Finish, &State);
+  for (auto &[Finish, State] : Able) {
+    bool IsWarm = std::find(Homes.begin(), Homes.end(), State) != Homes.end();
+    Finish = predictedFinish(*State, Work, IsWarm);
     Best = std::min(Best, Finish);
   }
   auto IsWorse = [Best](const auto &A) { return A.first > Best * NearlyEqual; };
   Able.erase(std::remove_if(Able.begin(), Able.end(), IsWorse), Able.end());
-  if (Able.empty())
-    return std::nullopt;
   return Able[Random() % Able.size()].second->m_Target.m_Name;
 }
 
--- a/Libraries/LibDecision/TargetTable.h
+++ b/Libraries/LibDecision/TargetTable.h
@@ -7,11 +7,11 @@
 #include "LibCore/Time.h"
 #include "LibPolicy/PolicyProgram.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -78,6 +78,10 @@
   std::size_t share(const TargetState &Target) const;
 
 private:
+  /// Targets at which a shared prefix is expected to be in the cache.
+  static constexpr std::size_t PrefixHomeCount = 2;
+  using PrefixHomes = std::array<const TargetState *, PrefixHomeCount>;
+
   /// A target that honours priorities serves a higher tier before what waits
   /// there of a lower one, so only work of the same or a higher tier counts.
   bool hasPlace(const TargetState &Target, core::TierNumber Tier) const;
@@ -88,7 +92,7 @@
                          bool IsWarm) const;
   /// Where the prefix is expected: its first targets by rendezvous hash, the
   /// same at every instance without a message.
-  std::set<core::TargetName> prefixHomes(std::uint64_t PrefixHash) const;
+  PrefixHomes prefixHomes(std::uint64_t PrefixHash) const;
 
   std::map<core::TargetName, TargetState> m_Targets;
   std::uint32_t m_Instances = 1;
