LibDecision: Report and order every 1.5 s while all is quiet

Reports and orders went out every 200 ms whether or not there was anything to say; heartbeats every 500 ms to all.

Ruled out: smaller messages (the HMAC and addresses are half of each).

Change: 200 ms only while there is pressure, a permission, an unconfirmed order or a change of members, else 1.5 s; a change is told at once. A leader's silence counts after 5 s (was 2). Heartbeats every second by default.

--- a/Libraries/LibConfig/InstanceSettings.cpp
+++ b/Libraries/LibConfig/InstanceSettings.cpp
@@ -57,7 +57,7 @@
 peers:
   seeds: []                          # peer_address of some other instances
   key_hex: 000102030405060708090a0b0c0d0e0f  # the same at all instances
-  heartbeat_ms: 500
+  heartbeat_ms: 1000
   silence_ms: 5000                   # then a peer counts as gone
   known_peers: 1024
 )";
@@ -122,7 +122,7 @@
   Out.m_Key = core::fromHex(Reader.text("key_hex"));
   if (Out.m_Key.size() < LeastKeyBytes)
     Reader.fault("key_hex", "is too short or not hex", "32 hex digits or more");
-  Out.m_HeartbeatPeriod = Reader.milliseconds("heartbeat_ms", AnyTime, 500);
+  Out.m_HeartbeatPeriod = Reader.milliseconds("heartbeat_ms", AnyTime, 1000);
   Out.m_SilenceTimeout = Reader.milliseconds("silence_ms", AnyTime, 5000);
   Out.m_KnownPeers = size(Reader, "known_peers", 1024);
 }
--- a/Libraries/LibDecision/FloorLeader.cpp
+++ b/Libraries/LibDecision/FloorLeader.cpp
@@ -31,6 +31,7 @@
   if (Last.m_Report.m_SentAt > Report.m_SentAt)
     return true;
   Last = {Report, Now};
+  m_HasPressure = m_HasPressure || Report.m_WantsToShed.value() != 0;
   if (!hasMember(Report.m_From))
     m_New.emplace(From, Report.m_From);
   return true;
@@ -93,6 +94,12 @@
                      HasConfirmed);
 }
 
+bool FloorLeader::isQuiet() const {
+  return m_Phase == FloorPhase::Hold && !m_IsWithdrawing &&
+         !(m_Floor < m_Lowest) && !m_HasPressure && m_New.empty() &&
+         allConfirmed();
+}
+
 core::TierNumber FloorLeader::lowestMemberFloor() const {
   core::TierNumber Floor = m_Highest;
   for (const Home &Member : m_Record.m_Members)
@@ -182,6 +189,7 @@
 std::vector<std::pair<Home, FloorOrder>>
 FloorLeader::step(core::TimePoint Now) {
   advance(Now);
+  m_HasPressure = false;
   std::vector<std::pair<Home, FloorOrder>> Orders;
   for (const Home &Member : m_Record.m_Members) {
     FloorOrder Order;
--- a/Libraries/LibDecision/FloorLeader.h
+++ b/Libraries/LibDecision/FloorLeader.h
@@ -44,6 +44,8 @@
   /// recorded member.
   std::vector<std::pair<Home, FloorOrder>> step(core::TimePoint Now);
 
+  /// Everything is admitted, all have confirmed, and nobody is under pressure.
+  bool isQuiet() const;
   FloorPhase phase() const { return m_Phase; }
   core::TierNumber floor() const { return m_Floor; }
   std::uint64_t epoch() const { return m_Record.m_Epoch; }
@@ -86,6 +88,7 @@
   core::TimePoint m_LastPermissionAt;
   core::TimePoint m_LastPressureAt;
   core::TierNumber m_LastGoal{0};
+  bool m_HasPressure = false; ///< Reported since the last step.
   std::map<core::IncarnationId, Heard> m_Reports;
 };
 
--- a/Libraries/LibDecision/PoolScheduler.cpp
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -278,8 +278,11 @@
 // Tier order across instances
 //===----------------------------------------------------------------------===//
 
-static const std::chrono::milliseconds ReportPeriod(200);
-static const std::chrono::seconds LeaderSilence(2);
+/// Between reports and orders while something is going on, and while all is
+/// quiet; a change is told at once.
+static const std::chrono::milliseconds BusyPeriod(200);
+static const std::chrono::milliseconds QuietPeriod(1500);
+static const std::chrono::seconds LeaderSilence(5);
 static const std::chrono::seconds RecordReadPeriod(1);
 static const std::chrono::milliseconds LongestCampaignDelay(500);
 
@@ -330,10 +333,20 @@
   }
 }
 
+bool PoolScheduler::isQuiet(core::TimePoint Now) const {
+  bool IsMemberQuiet = m_Member.leader() && !m_IsStopping &&
+                       m_ReportedStamp == m_Member.stamp() &&
+                       m_Member.permissionUntil() < Now && !runsBelowFloor() &&
+                       tierUnderPressure(Now).value() == 0;
+  return IsMemberQuiet && (!m_Leader || m_Leader->isQuiet());
+}
+
 void PoolScheduler::keepOrder(core::TimePoint Now) {
-  if (Now < m_NextReportAt)
+  core::Duration Period = isQuiet(Now) ? QuietPeriod : BusyPeriod;
+  if (Now < m_LastReportAt + Period)
     return;
-  m_NextReportAt = Now + ReportPeriod;
+  m_LastReportAt = Now;
+  m_ReportedStamp = m_Member.stamp();
   if (m_Leader)
     leadPool(Now);
   sendReport(Now);
--- a/Libraries/LibDecision/PoolScheduler.h
+++ b/Libraries/LibDecision/PoolScheduler.h
@@ -89,6 +89,8 @@
   core::TierNumber tierUnderPressure(core::TimePoint Now) const;
   core::TimePoint validUntil(core::TierNumber Tier) const;
   void keepOrder(core::TimePoint Now);
+  /// Nothing to tell the pool's leader or members soon.
+  bool isQuiet(core::TimePoint Now) const;
   void sendReport(core::TimePoint Now);
   void leadPool(core::TimePoint Now);
   void seekLeader(core::TimePoint Now);
@@ -113,7 +115,8 @@
   std::map<core::TierNumber, std::set<core::RequestId>> m_Running;
   double m_Pace = 0; ///< Requests ended, a second, smoothed.
   core::TimePoint m_LastEndAt{};
-  core::TimePoint m_NextReportAt{};
+  core::TimePoint m_LastReportAt{};
+  FloorStamp m_ReportedStamp;
   core::TimePoint m_NextRecordReadAt{};
   core::TimePoint m_CampaignAt{}; ///< Zero: not a candidate.
   std::optional<FloorRecordRead> m_LastRecord;
