--- a/Bench/RoutingProgram.cpp
+++ b/Bench/RoutingProgram.cpp
@@ -340,7 +340,7 @@
     for (std::size_t I = 0; I < m_Cores.size(); ++I) {
       decision::InstanceStarted First;
       First.m_Self = home(I);
-      First.m_Seed = m_Seed * 100 + I;
+      First.m_Seed = m_Seed * 100UL + I;
       tell(I, First);
       tell(I, decision::ConfigurationAccepted{Configuration});
       tell(I, decision::InstancesCounted{
--- a/Bench/Workload.cpp
+++ b/Bench/Workload.cpp
@@ -59,7 +59,7 @@
         static_cast<std::uint32_t>(Kind->m_Output * Spread(Random)) + 1;
     Next.m_Deadline = Kind->m_Deadline;
     if (Kind->m_Prefixes != 0)
-      Next.m_Prefix = Kind->m_Tier * 1000 + Random() % Kind->m_Prefixes;
+      Next.m_Prefix = Kind->m_Tier * 1000UL + Random() % Kind->m_Prefixes;
     Next.m_Instance = Random() % Shape.m_Instances;
     All.push_back(Next);
   }
