--- a/Bench/LoadProgram.cpp
+++ b/Bench/LoadProgram.cpp
@@ -24,6 +24,7 @@
 DEFINE_string(path, "/v1/completions", "path to call");
 DEFINE_string(tier, "", "tier to ask for");
 DEFINE_string(key, "box-office-secret", "bearer key");
+DEFINE_bool(keyed, false, "an Idempotency-Key of its own on each call");
 DEFINE_bool(fresh, false, "a new connection for each call");
 
 using namespace yardrill;
@@ -53,6 +54,9 @@
   Out.m_Headers.set("Authorization", "Bearer " + FLAGS_key);
   if (!FLAGS_tier.empty())
     Out.m_Headers.set("Yardrill-Tier", FLAGS_tier);
+  if (FLAGS_keyed)
+    Out.m_Headers.set("Idempotency-Key",
+                      FLAGS_label + "-" + std::to_string(Number));
   std::string Prompt = std::to_string(Number);
   Prompt.resize(static_cast<std::size_t>(FLAGS_prompt_bytes), 'x');
   Out.m_Body = "{\"model\":\"assistant-1\",\"prompt\":\"" + Prompt +
--- a/Libraries/LibInstance/ClaimKeeper.cpp
+++ b/Libraries/LibInstance/ClaimKeeper.cpp
@@ -17,6 +17,7 @@
 static const char ClaimPrefix[] = "/yardrill/claims/";
 /// Claims made within this time share a lease.
 static const std::chrono::seconds LeasePeriod(60);
+static const std::chrono::milliseconds GrantPollPeriod(5);
 static const int ReadBackTries = 3;
 static const std::chrono::milliseconds ReadBackPause(100);
 
@@ -49,14 +50,32 @@
 }
 
 platform::LeaseId ClaimKeeper::lease(boost::asio::yield_context Yield) {
+  // One grant for all claims that come while it is under way.
+  boost::asio::steady_timer Pause(Yield.get_executor());
+  while (m_IsGranting) {
+    boost::system::error_code Ignored;
+    Pause.expires_after(GrantPollPeriod);
+    Pause.async_wait(Yield[Ignored]);
+  }
   core::TimePoint Now = core::steadyNow();
   if (m_Lease && Now < m_LeaseUntil)
     return *m_Lease;
+  m_IsGranting = true;
+  try {
+    grant(Now, Yield);
+  } catch (const Error &) {
+    m_IsGranting = false;
+    throw;
+  }
+  m_IsGranting = false;
+  return *m_Lease;
+}
+
+void ClaimKeeper::grant(core::TimePoint Now, boost::asio::yield_context Yield) {
   auto Life = std::chrono::duration_cast<std::chrono::seconds>(m_Retention) +
               2 * LeasePeriod;
   m_Lease = m_Service.grantLease(Life, platform::CallClass::Claim, Yield);
   m_LeaseUntil = Now + LeasePeriod;
-  return *m_Lease;
 }
 
 ClaimAnswered ClaimKeeper::swap(const decision::Claim &What,
--- a/Libraries/LibInstance/ClaimKeeper.h
+++ b/Libraries/LibInstance/ClaimKeeper.h
@@ -38,6 +38,7 @@
                                 const std::string &Standing,
                                 const std::string &Value) const;
   platform::LeaseId lease(boost::asio::yield_context Yield);
+  void grant(core::TimePoint Now, boost::asio::yield_context Yield);
 
   platform::KeyValueService &m_Service;
   decision::Home m_Self;
@@ -45,6 +46,7 @@
   /// One lease for all claims of some seconds: it ends them all together.
   std::optional<platform::LeaseId> m_Lease;
   core::TimePoint m_LeaseUntil{};
+  bool m_IsGranting = false;
 };
 
 } // namespace yardrill::instance
