Tests: Let the engine stand-in resume, lag and leave gaps

Change: a job runs apart from its readers, so that a lost stream can be resumed by request id and Last-Event-ID; /load and /cache_events lag and leave gaps out by control.

--- a/Tests/StandIns/ModelEngine.h
+++ b/Tests/StandIns/ModelEngine.h
@@ -5,6 +5,7 @@
 #include "StandIn.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <list>
 #include <map>
@@ -22,6 +23,11 @@
 /// Serves OpenAI-style completions: a number of places, waiting by priority, a
 /// bounded prefix cache, cancellation when its caller hangs up. The text of an
 /// answer depends on the prompt alone, so a test can tell whose answer it got.
+///
+/// Besides: GET /load (running and waiting, some time old), GET
+/// /cache_events?after=N (late, with gaps), GET /v1/completions/ID with
+/// Last-Event-ID (resumes a stream within linger_ms of its loss) and DELETE of
+/// it (cancels).
 class ModelEngine final : public StandIn {
 public:
   ModelEngine(boost::asio::io_context &Context, ModelEngineSettings Settings)
@@ -36,25 +42,56 @@
   boost::json::object counters() const override;
 
 private:
+  using Clock = std::chrono::steady_clock;
   struct Job;
+  struct LoadSample {
+    Clock::time_point m_At;
+    std::size_t m_Running = 0;
+    std::size_t m_Waiting = 0;
+  };
+  struct CacheEvent {
+    Clock::time_point m_At;
+    std::string m_Kind; ///< "stored" or "evicted".
+    std::string m_Prefix;
+  };
 
-  void waitForPlace(Job &Which, boost::asio::yield_context Yield);
+  std::shared_ptr<Job> startJob(const http::RequestMessage &Request);
+  /// Runs a job to its end, whoever reads it.
+  void produce(const std::shared_ptr<Job> &Which,
+               boost::asio::yield_context Yield);
+  void waitForPlace(const std::shared_ptr<Job> &Which,
+                    boost::asio::yield_context Yield);
   void leavePlace();
   void prefill(Job &Which, boost::asio::yield_context Yield);
-  void answer(http::Exchange &Call, Job &Which,
-              boost::asio::yield_context Yield);
+  void stream(http::Exchange &Call, const std::shared_ptr<Job> &Which,
+              std::size_t Next, boost::asio::yield_context Yield);
+  void answerWhole(http::Exchange &Call, const std::shared_ptr<Job> &Which,
+                   boost::asio::yield_context Yield);
+  void readerLeft(const std::shared_ptr<Job> &Which);
+  void resumeOrCancel(http::Exchange &Call, const std::string &Id,
+                      boost::asio::yield_context Yield);
   bool touchPrefix(const std::string &Prompt);
+  void noteLoad();
+  boost::json::object lateLoad() const;
+  boost::json::object lateCacheEvents(std::size_t After) const;
 
   ModelEngineSettings m_Settings;
   double m_Slowness = 1;
   /// Every answer breaks off after so many tokens; negative: never.
   std::int64_t m_BreakAfterTokens = -1;
+  std::int64_t m_LingerMilliseconds = 0;
+  std::int64_t m_LagMilliseconds = 0; ///< Of load and cache events.
+  std::int64_t m_GapEvery = 0; ///< Each so many-th cache event is left out.
   std::size_t m_Busy = 0;
-  std::multimap<std::int64_t, Job *> m_Waiting;
+  std::multimap<std::int64_t, std::shared_ptr<Job>> m_Waiting;
+  std::map<std::string, std::shared_ptr<Job>> m_Jobs; ///< By request id.
   std::list<std::string> m_Cache;
+  std::deque<LoadSample> m_Loads;
+  std::vector<CacheEvent> m_CacheEvents;
   std::size_t m_Started = 0;
   std::size_t m_Finished = 0;
   std::size_t m_Cancelled = 0;
+  std::size_t m_Resumed = 0;
   std::size_t m_PrefillTokens = 0;
 };
 
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -18,7 +18,7 @@
 static const char OperatorToken[] = "operator-secret";
 
 /// Programs lie beside the folder of the test program itself.
-static std::string program(const std::string &Name) {
+std::string program(const std::string &Name) {
   static const auto Folder =
       std::filesystem::read_symlink("/proc/self/exe").parent_path();
   return Folder.parent_path() / Name;
@@ -258,7 +258,7 @@
   for (std::string Line; std::getline(In, Line);) {
     if (Line.compare(0, 6, "data: ") == 0)
       Line = Line.substr(6);
-    if (Line.empty() || Line == "[DONE]")
+    if (Line.empty() || Line == "[DONE]" || Line.compare(0, 4, "id: ") == 0)
       continue;
     json::value Event = json::parse(Line);
     Text += std::string(
--- a/Tests/Support/Fleet.h
+++ b/Tests/Support/Fleet.h
@@ -80,6 +80,8 @@
   std::vector<Instance> m_Instances;
 };
 
+/// The path of a program that the build made.
+std::string program(const std::string &Name);
 /// A call to the application pool `seats` by the account `box-office`.
 http::RequestMessage applicationCall(const std::string &Path,
                                      const std::string &Identity,
