--- /dev/null
+++ b/Tests/LibInstance/ClaimKeeperTest.cpp
@@ -0,0 +1,179 @@
+//===-- ClaimKeeperTest.cpp - Claims against a mock of the service --------===//
+#include "LibInstance/ClaimKeeper.h"
+
+#include "LibCore/Error.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace yardrill;
+using namespace yardrill::decision;
+using core::Error;
+using core::ErrorKind;
+using instance::ClaimKeeper;
+
+namespace {
+
+enum class Mishap {
+  None,
+  Refused,        ///< The call is not made.
+  LostAfterWrite, ///< The write takes effect, its answer is lost.
+  LostBeforeWrite ///< The write never takes effect, nor is it answered.
+};
+
+/// Keeps entries in memory; one mishap for the next write.
+class MockService final : public platform::KeyValueService {
+public:
+  std::map<std::string, std::string> m_Entries;
+  Mishap m_NextWrite = Mishap::None;
+  bool m_AreReadsDown = false;
+  int m_Grants = 0;
+
+  std::vector<platform::Entry> readPrefix(const std::string &,
+                                          platform::CallClass,
+                                          boost::asio::yield_context) override {
+    return {};
+  }
+  std::optional<platform::Entry> read(const std::string &Key,
+                                      platform::CallClass,
+                                      boost::asio::yield_context) override {
+    if (m_AreReadsDown)
+      throw Error(ErrorKind::Unavailable, "down");
+    auto Found = m_Entries.find(Key);
+    if (Found == m_Entries.end())
+      return std::nullopt;
+    return platform::Entry{Key, Found->second, platform::Revision(1)};
+  }
+  platform::SwapResult compareAndSwap(const platform::CompareAndSwap &Swap,
+                                      platform::CallClass,
+                                      boost::asio::yield_context) override {
+    Mishap Now = m_NextWrite;
+    m_NextWrite = Mishap::None;
+    if (Now == Mishap::Refused)
+      throw Error(ErrorKind::Unavailable, "refused");
+    if (Now == Mishap::LostBeforeWrite)
+      throw Error(ErrorKind::OutcomeUnknown, "lost");
+    platform::SwapResult Out;
+    auto [Place, IsNew] =
+        m_Entries.emplace(Swap.m_Key, Swap.m_Puts.front().m_Value);
+    Out.m_IsSwapped = IsNew;
+    if (!IsNew)
+      Out.m_Current =
+          platform::Entry{Swap.m_Key, Place->second, platform::Revision(1)};
+    if (Now == Mishap::LostAfterWrite)
+      throw Error(ErrorKind::OutcomeUnknown, "lost");
+    return Out;
+  }
+  platform::LeaseId grantLease(std::chrono::seconds, platform::CallClass,
+                               boost::asio::yield_context) override {
+    return platform::LeaseId(++m_Grants);
+  }
+  bool keepAlive(platform::LeaseId, boost::asio::yield_context) override {
+    return true;
+  }
+  void revoke(platform::LeaseId, boost::asio::yield_context) override {}
+  void watch(const std::string &, platform::Revision,
+             const std::function<void(const std::vector<platform::Entry> &)> &,
+             boost::asio::yield_context) override {}
+  platform::Revision lastRevision() const override { return {}; }
+};
+
+} // namespace
+
+class ClaimKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ClaimKeeperTest);
+  CPPUNIT_TEST(testWonAndHeld);
+  CPPUNIT_TEST(testLostAfterWriteIsWon);
+  CPPUNIT_TEST(testLostBeforeWriteMayStand);
+  CPPUNIT_TEST(testReadsDownMayStand);
+  CPPUNIT_TEST(testRefusedDoesNotStand);
+  CPPUNIT_TEST(testUnreadableClaimIsNobodys);
+  CPPUNIT_TEST(testLeaseIsShared);
+  CPPUNIT_TEST_SUITE_END();
+
+  MockService m_Service;
+
+  static Home home(std::uint64_t Incarnation) {
+    return {core::IncarnationId(Incarnation), {"127.0.0.1", 8082}};
+  }
+
+  ClaimAnswered claim(std::uint64_t By, std::uint64_t Request,
+                      const std::string &Identity = "key") {
+    boost::asio::io_context Context;
+    ClaimKeeper Keeper(m_Service, home(By), std::chrono::minutes(10));
+    ClaimAnswered Out;
+    boost::asio::spawn(
+        Context,
+        [&](boost::asio::yield_context Yield) {
+          Out = Keeper.claim(Claim{core::RequestId(Request), Identity}, Yield);
+        },
+        boost::asio::detached);
+    Context.run();
+    return Out;
+  }
+
+public:
+  void testWonAndHeld() {
+    CPPUNIT_ASSERT(claim(1, 5).m_Outcome == ClaimOutcome::Won);
+    ClaimAnswered Second = claim(2, 5);
+    CPPUNIT_ASSERT(Second.m_Outcome == ClaimOutcome::Held);
+    CPPUNIT_ASSERT(Second.m_Home == home(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(8082), Second.m_Home.m_Peer.m_Port);
+    // Another request of the same process did not win it either.
+    CPPUNIT_ASSERT(claim(1, 6).m_Outcome == ClaimOutcome::Held);
+  }
+
+  void testLostAfterWriteIsWon() {
+    m_Service.m_NextWrite = Mishap::LostAfterWrite;
+    CPPUNIT_ASSERT(claim(1, 5).m_Outcome == ClaimOutcome::Won);
+  }
+
+  void testLostBeforeWriteMayStand() {
+    m_Service.m_NextWrite = Mishap::LostBeforeWrite;
+    ClaimAnswered Out = claim(1, 5);
+    CPPUNIT_ASSERT(Out.m_Outcome == ClaimOutcome::Unavailable);
+    CPPUNIT_ASSERT(Out.m_MayStand);
+  }
+
+  void testReadsDownMayStand() {
+    m_Service.m_NextWrite = Mishap::LostAfterWrite;
+    m_Service.m_AreReadsDown = true;
+    ClaimAnswered Out = claim(1, 5);
+    CPPUNIT_ASSERT(Out.m_Outcome == ClaimOutcome::Unavailable);
+    CPPUNIT_ASSERT(Out.m_MayStand);
+  }
+
+  void testRefusedDoesNotStand() {
+    m_Service.m_NextWrite = Mishap::Refused;
+    ClaimAnswered Out = claim(1, 5);
+    CPPUNIT_ASSERT(Out.m_Outcome == ClaimOutcome::Unavailable);
+    CPPUNIT_ASSERT(!Out.m_MayStand);
+  }
+
+  void testUnreadableClaimIsNobodys() {
+    claim(1, 5);
+    m_Service.m_Entries.begin()->second = "not JSON";
+    CPPUNIT_ASSERT(claim(2, 5).m_Outcome == ClaimOutcome::Unavailable);
+  }
+
+  void testLeaseIsShared() {
+    boost::asio::io_context Context;
+    ClaimKeeper Keeper(m_Service, home(1), std::chrono::minutes(10));
+    int Won = 0;
+    for (std::uint64_t I = 1; I <= 20; ++I)
+      boost::asio::spawn(
+          Context,
+          [&, I](boost::asio::yield_context Yield) {
+            Claim Wanted{core::RequestId(I), "key " + std::to_string(I)};
+            Won += Keeper.claim(Wanted, Yield).m_Outcome == ClaimOutcome::Won;
+          },
+          boost::asio::detached);
+    Context.run();
+    CPPUNIT_ASSERT_EQUAL(20, Won);
+    CPPUNIT_ASSERT_EQUAL(1, m_Service.m_Grants);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimKeeperTest);
--- /dev/null
+++ b/Tests/LibPlatform/CallBudgetTest.cpp
@@ -0,0 +1,61 @@
+#include "LibPlatform/CallBudget.h"
+
+#include "LibPlatform/Backoff.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+using namespace yardrill;
+using namespace yardrill::platform;
+
+class CallBudgetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallBudgetTest);
+  CPPUNIT_TEST(testBurstThenRate);
+  CPPUNIT_TEST(testClaimsLeaveRoomForControl);
+  CPPUNIT_TEST(testBackoffGrowsAndIsSpread);
+  CPPUNIT_TEST_SUITE_END();
+
+  core::TimePoint m_Now{std::chrono::hours(1)};
+
+  int takeAll(CallBudget &Budget, CallClass Class) {
+    int Count = 0;
+    while (Budget.take(Class, m_Now))
+      ++Count;
+    return Count;
+  }
+
+public:
+  void testBurstThenRate() {
+    CallBudget Budget(20, 40);
+    CPPUNIT_ASSERT_EQUAL(40, takeAll(Budget, CallClass::Control));
+    m_Now += std::chrono::milliseconds(500);
+    CPPUNIT_ASSERT_EQUAL(10, takeAll(Budget, CallClass::Control));
+    m_Now += std::chrono::hours(1);
+    CPPUNIT_ASSERT_EQUAL(40, takeAll(Budget, CallClass::Control));
+  }
+
+  void testClaimsLeaveRoomForControl() {
+    CallBudget Budget(20, 40);
+    CPPUNIT_ASSERT_EQUAL(30, takeAll(Budget, CallClass::Claim));
+    CPPUNIT_ASSERT_EQUAL(10, takeAll(Budget, CallClass::Control));
+  }
+
+  void testBackoffGrowsAndIsSpread() {
+    std::set<core::Duration> Firsts;
+    for (std::uint64_t Seed = 0; Seed < 50; ++Seed) {
+      Backoff Pauses(std::chrono::milliseconds(100), std::chrono::seconds(5),
+                     Seed);
+      Firsts.insert(Pauses.next());
+      core::Duration Longest{};
+      for (int I = 0; I < 50; ++I)
+        Longest = std::max(Longest, Pauses.next());
+      CPPUNIT_ASSERT(Longest <= std::chrono::seconds(5));
+      CPPUNIT_ASSERT(Longest > std::chrono::seconds(3));
+      Pauses.reset();
+      CPPUNIT_ASSERT(Pauses.next() <= std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT(Firsts.size() > 40);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallBudgetTest);
