--- a/Bench/RoutingProgram.cpp
+++ b/Bench/RoutingProgram.cpp
@@ -25,9 +25,9 @@
 DEFINE_uint32(seeds, 6, "workloads of each kind");
 DEFINE_string(workload, "", "trust-sale or club-evening; empty: both");
 DEFINE_double(load, 1, "times the workload's own rate");
-DEFINE_uint32(kept_places, 2,
+DEFINE_uint32(kept_places, 1,
               "yardrill: places of each engine kept for tier 1");
-DEFINE_double(prefill_weight, 20, "yardrill: weight of a prefill token");
+DEFINE_double(prefill_weight, 25, "yardrill: weight of a prefill token");
 DEFINE_string(write_workload, "", "write the first workload to this file");
 DEFINE_string(only, "", "run only this way of deciding");
 
--- a/Libraries/LibConfig/FleetConfiguration.cpp
+++ b/Libraries/LibConfig/FleetConfiguration.cpp
@@ -34,7 +34,7 @@
     models: [assistant-1]
     queue_limit: 1000
     kept_places: 0
-    prefill_weight: 20
+    prefill_weight: 25
     targets:
       - {name: edinburgh-1, address: 127.0.0.1:9001, data_hall: edinburgh, places: 8}
   - name: seats
@@ -124,7 +124,7 @@
       static_cast<std::size_t>(Reader.integer("queue_limit", Counts, 1000));
   Out.m_KeptPlaces = static_cast<std::size_t>(
       Reader.integer("kept_places", CountsFromNone, 0));
-  Out.m_PrefillWeight = Reader.number("prefill_weight", 0, 1000, 20);
+  Out.m_PrefillWeight = Reader.number("prefill_weight", 0, 1000, 25);
   Reader.list("routes",
               [&](YamlReader &R) { Out.m_Routes.push_back(readRoute(R)); });
   Reader.list("targets",
--- a/Libraries/LibConfig/FleetConfiguration.h
+++ b/Libraries/LibConfig/FleetConfiguration.h
@@ -54,7 +54,7 @@
   /// Places of each target, on average, that only the highest tier may take.
   std::size_t m_KeptPlaces = 0;
   /// Weight of a prefill token that was already read elsewhere.
-  double m_PrefillWeight = 20;
+  double m_PrefillWeight = 25;
   std::vector<Route> m_Routes;
   std::vector<Target> m_Targets;
 
--- a/Tests/Failures/StopAndLeaveTest.cpp
+++ b/Tests/Failures/StopAndLeaveTest.cpp
@@ -39,12 +39,12 @@
     for (bool IsPlatformDown : {false, true}) {
       Fleet All(shape(3, 2));
       CPPUNIT_ASSERT(All.isServing());
-      controlStandIn(All.applicationPort(), {{"delay_ms", 1000}});
+      controlStandIn(All.applicationPort(), {{"delay_ms", 3000}});
       std::vector<std::future<Reply>> Streams;
       std::vector<std::future<Reply>> Calls;
       for (int I = 0; I < 12; ++I) {
         Streams.push_back(callLater(All.at(I % 3).m_CallerPort,
-                                    completion("long", 300, true)));
+                                    completion("long", 800, true)));
         auto Keyed = applicationCall("/transfers", "k" + std::to_string(I));
         Keyed.m_Headers.set("Idempotency-Key", std::to_string(I));
         Calls.push_back(callLater(All.at(I % 3).m_CallerPort, Keyed));
