LibDecision: Charge an account's turn only for what runs

Cause: reading the queue as a newcomer: taking a request out moved its account's virtual time on, whether it ran, was refused, or was only stepped over because its policy's targets were full. The last happens every 50 ms, so an account with one restricted request fell behind all others.

Change: take() charges, remove() does not.

--- a/Libraries/LibDecision/PoolQueue.cpp
+++ b/Libraries/LibDecision/PoolQueue.cpp
@@ -51,7 +51,13 @@
   return std::nullopt;
 }
 
+bool PoolQueue::take(core::RequestId Request) { return erase(Request, true); }
+
 bool PoolQueue::remove(core::RequestId Request) {
+  return erase(Request, false);
+}
+
+bool PoolQueue::erase(core::RequestId Request, bool IsServed) {
   auto Found = m_Places.find(Request);
   if (Found == m_Places.end())
     return false;
@@ -60,7 +66,6 @@
   TierQueue &Tier = m_Tiers[At.m_Tier];
   auto Owner = Tier.m_Accounts.find(At.m_Account);
   AccountQueue &Account = Owner->second;
-  bool IsFirst = At.m_Entry == Account.m_Waiting.begin();
   const Entry &Item = At.m_Entry->second;
   double Share = Item.m_Cost / Item.m_Weight;
   Tier.m_Order.erase({Account.m_Start, At.m_Account});
@@ -68,7 +73,7 @@
     Tier.m_Arrivals.erase(*At.m_Arrival);
   Account.m_Waiting.erase(At.m_Entry);
   --Tier.m_Size;
-  if (IsFirst) {
+  if (IsServed) {
     Tier.m_VirtualTime = std::max(Tier.m_VirtualTime, Account.m_Start);
     Account.m_Start += Share;
   }
@@ -80,9 +85,4 @@
   return true;
 }
 
-std::size_t PoolQueue::size(core::TierNumber Tier) const {
-  auto Found = m_Tiers.find(Tier);
-  return Found == m_Tiers.end() ? 0 : Found->second.m_Size;
-}
-
 } // namespace yardrill::decision
--- a/Libraries/LibDecision/PoolQueue.h
+++ b/Libraries/LibDecision/PoolQueue.h
@@ -39,11 +39,13 @@
   /// The request that is refused first: lowest tier, latest arrival there,
   /// among those that may be shed.
   std::optional<Entry> lastToServe() const;
+  /// Takes out a request that runs now: its account's turn is used.
   /// \returns false when it does not wait here.
+  bool take(core::RequestId Request);
+  /// Takes out a request that does not run: its account keeps its turn.
   bool remove(core::RequestId Request);
 
   std::size_t size() const { return m_Places.size(); }
-  std::size_t size(core::TierNumber Tier) const;
   bool isEmpty() const { return m_Places.empty(); }
 
 private:
@@ -69,6 +71,7 @@
   };
 
   void insert(const Entry &Item, bool IsFront);
+  bool erase(core::RequestId Request, bool IsServed);
 
   std::map<core::TierNumber, TierQueue> m_Tiers;
   std::unordered_map<core::RequestId, Place> m_Places;
--- a/Libraries/LibDecision/PoolScheduler.cpp
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -121,17 +121,22 @@
 bool PoolScheduler::withdraw(RequestState &Request) {
   if (!m_Queue.remove(Request.id()))
     return false;
-  m_Deadlines[Request.tier()].erase({Request.m_Deadline, Request.id()});
+  forgetDeadline(Request);
   return true;
 }
 
+void PoolScheduler::forgetDeadline(const RequestState &Request) {
+  m_Deadlines[Request.tier()].erase({Request.m_Deadline, Request.id()});
+}
+
 void PoolScheduler::dispatchWaiting(core::TimePoint Now) {
   // Set aside: those whose policy names targets that have no place now.
   std::vector<core::RequestId> Restricted;
   while (auto Next = m_Queue.front(m_Member.floor())) {
     RequestState &Request = m_Hooks.m_Find(*Next);
     if (tryDispatch(Request, Now)) {
-      withdraw(Request);
+      m_Queue.take(*Next);
+      forgetDeadline(Request);
       continue;
     }
     const auto &Policy = Request.m_Policy;
--- a/Libraries/LibDecision/PoolScheduler.h
+++ b/Libraries/LibDecision/PoolScheduler.h
@@ -75,6 +75,7 @@
 private:
   bool tryDispatch(RequestState &Request, core::TimePoint Now);
   void enqueue(RequestState &Request, bool IsFront);
+  void forgetDeadline(const RequestState &Request);
   void dispatchWaiting(core::TimePoint Now);
   void enforceQueueLimit(core::TimePoint Now);
   void refuseOverdue(core::TimePoint Now);
--- a/Tests/LibDecision/PoolQueueTest.cpp
+++ b/Tests/LibDecision/PoolQueueTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(testHigherTierFirst);
   CPPUNIT_TEST(testFairBetweenAccounts);
   CPPUNIT_TEST(testWeightsCount);
+  CPPUNIT_TEST(testSteppingOverCostsNoTurn);
   CPPUNIT_TEST(testLastToServe);
   CPPUNIT_TEST(testRandomRemovals);
   CPPUNIT_TEST_SUITE_END();
@@ -30,7 +31,7 @@
   core::RequestId pop() {
     auto Front = m_Queue.front(core::TierNumber(9));
     CPPUNIT_ASSERT(Front);
-    CPPUNIT_ASSERT(m_Queue.remove(*Front));
+    CPPUNIT_ASSERT(m_Queue.take(*Front));
     return *Front;
   }
 
@@ -70,6 +71,23 @@
     CPPUNIT_ASSERT(Heavy >= 29 && Heavy <= 31);
   }
 
+  /// A request that is taken out and put back, since its own targets are
+  /// full, must not put its account behind the others.
+  void testSteppingOverCostsNoTurn() {
+    auto Waiting = push(2, "restricted");
+    push(2, "other");
+    push(2, "other");
+    for (int I = 0; I < 100; ++I) {
+      CPPUNIT_ASSERT(m_Queue.remove(Waiting));
+      m_Queue.pushFront(
+          {Waiting, core::TierNumber(2), core::AccountName("restricted")});
+    }
+    pop();
+    pop();
+    // Of the first two served, one was the restricted account's.
+    CPPUNIT_ASSERT(pop() != Waiting);
+  }
+
   void testLastToServe() {
     push(1, "a");
     push(3, "a");
