--- a/Bench/RoutingProgram.cpp
+++ b/Bench/RoutingProgram.cpp
@@ -95,7 +95,6 @@
   std::size_t reportedLoad(std::size_t Engine) const {
     return m_Reported[Engine];
   }
-  const std::vector<double> &speeds() const { return m_Speeds; }
 
 private:
   struct Timed {
--- a/Libraries/LibCore/Error.cpp
+++ b/Libraries/LibCore/Error.cpp
@@ -22,8 +22,6 @@
     return "budget-spent";
   case ErrorKind::AddressInUse:
     return "address-in-use";
-  case ErrorKind::Timeout:
-    return "timeout";
   case ErrorKind::LimitExceeded:
     return "limit-exceeded";
   case ErrorKind::Trace:
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -18,7 +18,6 @@
   Protocol,       ///< The other side broke the protocol.
   BudgetSpent,    ///< A limit of our own was reached; nothing was done.
   AddressInUse,   ///< A listening address could not be bound.
-  Timeout,        ///< The other side took too long.
   LimitExceeded,  ///< A message is larger than allowed.
   Trace,          ///< A recorded trace cannot be read.
   Policy,         ///< A policy program is wrong.
--- a/Libraries/LibDecision/DecisionCore.h
+++ b/Libraries/LibDecision/DecisionCore.h
@@ -27,8 +27,6 @@
   /// Takes one event; \returns what has to be done, in order.
   std::vector<Action> handle(const Event &What, core::TimePoint Now);
 
-  bool isReady() const { return m_Configuration != nullptr; }
-  bool isStopping() const { return m_IsStopping; }
   std::size_t openRequests() const { return m_Requests.size(); }
   std::size_t identities() const { return m_Identities.size(); }
   const config::ConfigurationHandle &configuration() const {
--- a/Libraries/LibDecision/FloorLeader.h
+++ b/Libraries/LibDecision/FloorLeader.h
@@ -50,7 +50,6 @@
   core::TierNumber floor() const { return m_Floor; }
   std::uint64_t epoch() const { return m_Record.m_Epoch; }
   bool hasMember(const Home &Member) const;
-  std::size_t memberCount() const { return m_Record.m_Members.size(); }
 
 private:
   struct Heard {
--- a/Libraries/LibDecision/TargetTable.cpp
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -163,12 +163,6 @@
   return Able[Random() % Able.size()].second->m_Target.m_Name;
 }
 
-bool TargetTable::hasAnyTarget(core::TimePoint Now) const {
-  return std::any_of(m_Targets.begin(), m_Targets.end(), [Now](const auto &T) {
-    return T.second.takesNewWork(Now);
-  });
-}
-
 void TargetTable::started(const core::TargetName &Name, core::TierNumber Tier) {
   TargetState &Target = m_Targets.at(Name);
   ++Target.m_Running;
--- a/Libraries/LibDecision/TargetTable.h
+++ b/Libraries/LibDecision/TargetTable.h
@@ -59,8 +59,6 @@
                                          core::TierNumber Tier,
                                          core::TimePoint Now,
                                          std::mt19937_64 &Random) const;
-  /// Whether any target could ever take work as things stand.
-  bool hasAnyTarget(core::TimePoint Now) const;
 
   void started(const core::TargetName &Name, core::TierNumber Tier);
   void finished(const core::TargetName &Name, core::TierNumber Tier);
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -2,337 +2,20 @@
 
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
+#include "LibHTTP/ServerConnection.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <list>
 
 namespace yardrill::http {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using asio::ip::tcp;
 using boost::system::error_code;
 
-static const std::size_t ReadAheadBytes = 4096;
-/// How long a refused connection is read on, so that its answer is not lost
-/// to a reset (RFC 9112, section 9.6).
-static const std::chrono::seconds LingerTime(1);
 static const std::chrono::milliseconds AcceptRetryTime(50);
 
-static void copyHead(const ResponseHead &Head,
-                     beast::http::header<false, beast::http::fields> &Out) {
-  Out.result(Head.m_Status);
-  for (const Header &H : Head.m_Headers)
-    Out.insert(H.m_Name, H.m_Value);
-}
-
-static bool hasNoBody(unsigned Status, const std::string &Method) {
-  return Method == "HEAD" || Status == 204 || Status == 304;
-}
-
-namespace {
-
-/// One accepted connection; owns the socket for as long as its coroutine runs.
-class Connection final : public Exchange,
-                         public std::enable_shared_from_this<Connection> {
-public:
-  Connection(tcp::socket Socket, const ServerLimits &Limits,
-             const Server::Handler &Handle, const Server::Rejection &Reject,
-             const bool &IsStopping)
-      : m_Stream(std::move(Socket)), m_ReadTimer(m_Stream.get_executor()),
-        m_Limits(Limits), m_Handle(Handle), m_Reject(Reject),
-        m_IsStopping(IsStopping) {}
-
-  void run(asio::yield_context Yield);
-  bool isIdle() const { return m_IsIdle; }
-  void close();
-
-  RequestMessage &request() override { return m_Request; }
-  void sendWhole(ResponseMessage Response, asio::yield_context Yield) override;
-  void startStream(const ResponseHead &Head,
-                   asio::yield_context Yield) override;
-  void sendPiece(std::string_view Piece, asio::yield_context Yield) override;
-  void finishStream(asio::yield_context Yield) override;
-  void abort() override;
-  void setHangUpHook(std::function<void()> Hook) override;
-  bool isAnswered() const override { return m_IsAnswered; }
-  bool isStreamStarted() const override { return m_IsStreamStarted; }
-
-private:
-  /// \returns 0 when a request was read, else the status that refuses it;
-  /// NoAnswer when there is nobody to answer.
-  unsigned readRequest(asio::yield_context Yield);
-  unsigned statusOf(error_code Failure, bool IsHeaderRead) const;
-  void refuse(unsigned Status, asio::yield_context Yield);
-  void linger(asio::yield_context Yield);
-  void watchForHangUp();
-  void checkWritten(error_code Failure);
-  bool mustClose() const { return !m_KeepAlive || m_IsStopping; }
-
-  static const unsigned NoAnswer = 1;
-
-  /// Ends a read that takes too long. The stream's own timer would close the
-  /// socket, and then the caller could not be told.
-  void startReadTimer();
-  void stopReadTimer();
-
-  beast::tcp_stream m_Stream;
-  asio::steady_timer m_ReadTimer;
-  bool m_HasTimedOut = false;
-  const ServerLimits &m_Limits;
-  const Server::Handler &m_Handle;
-  const Server::Rejection &m_Reject;
-  const bool &m_IsStopping;
-  beast::flat_buffer m_Buffer;
-  RequestMessage m_Request;
-  bool m_KeepAlive = true;
-  bool m_IsIdle = true;
-  bool m_IsAborted = false;
-  bool m_IsAnswered = false;
-  bool m_IsStreamStarted = false;
-  bool m_IsChunked = false;
-  bool m_HasNoBody = false;
-  /// Shared with a pending wait, which may outlive this exchange.
-  std::shared_ptr<std::function<void()>> m_HangUpHook;
-};
-
-} // namespace
-
-void Connection::run(asio::yield_context Yield) {
-  m_Stream.socket().set_option(tcp::no_delay(true));
-  while (!m_IsAborted) {
-    m_IsIdle = m_Buffer.size() == 0;
-    m_IsAnswered = m_IsStreamStarted = m_IsChunked = false;
-    unsigned Status = readRequest(Yield);
-    if (Status == NoAnswer)
-      break;
-    if (Status != 0) {
-      refuse(Status, Yield);
-      break;
-    }
-    watchForHangUp();
-    m_Handle(*this, Yield);
-    m_HangUpHook.reset();
-    if (m_IsAborted || !m_IsAnswered || mustClose())
-      break;
-  }
-  close();
-}
-
-void Connection::close() {
-  error_code Ignored;
-  m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
-  m_Stream.close();
-}
-
-void Connection::startReadTimer() {
-  m_HasTimedOut = false;
-  m_ReadTimer.expires_after(m_Limits.m_ReadTimeout);
-  std::weak_ptr<Connection> Weak = weak_from_this();
-  m_ReadTimer.async_wait([Weak](error_code Failure) {
-    auto Self = Weak.lock();
-    if (Failure || !Self)
-      return;
-    Self->m_HasTimedOut = true;
-    Self->m_Stream.cancel();
-  });
-}
-
-void Connection::stopReadTimer() { m_ReadTimer.cancel(); }
-
-unsigned Connection::readRequest(asio::yield_context Yield) {
-  error_code Failure;
-  if (m_Buffer.size() == 0) {
-    m_Stream.expires_after(m_Limits.m_IdleTimeout);
-    std::size_t Size = m_Stream.async_read_some(
-        m_Buffer.prepare(ReadAheadBytes), Yield[Failure]);
-    m_Buffer.commit(Size);
-    m_Stream.expires_never();
-    if (Failure)
-      return NoAnswer;
-    // From here on a planned stop waits for it.
-    m_IsIdle = false;
-  }
-  beast::http::request_parser<beast::http::string_body> Parser;
-  Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
-  Parser.body_limit(m_Limits.m_BodyBytes);
-  startReadTimer();
-  beast::http::async_read_header(m_Stream, m_Buffer, Parser, Yield[Failure]);
-  bool IsHeaderRead = !Failure;
-  if (IsHeaderRead && Parser.get().version() != 11) {
-    stopReadTimer();
-    return 505;
-  }
-  if (IsHeaderRead && beast::iequals(Parser.get()[beast::http::field::expect],
-                                     "100-continue")) {
-    beast::http::response<beast::http::empty_body> Continue(
-        beast::http::status::continue_, 11);
-    beast::http::async_write(m_Stream, Continue, Yield[Failure]);
-  }
-  if (!Failure)
-    beast::http::async_read(m_Stream, m_Buffer, Parser, Yield[Failure]);
-  stopReadTimer();
-  if (Failure)
-    return m_HasTimedOut ? 408 : statusOf(Failure, IsHeaderRead);
-  m_KeepAlive = Parser.get().keep_alive();
-  m_Request.m_Method = std::string(Parser.get().method_string());
-  m_Request.m_Target = std::string(Parser.get().target());
-  m_Request.m_Headers = HeaderList();
-  for (const auto &Field : Parser.get())
-    m_Request.m_Headers.add(std::string(Field.name_string()),
-                            std::string(Field.value()));
-  m_Request.m_Body = std::move(Parser.get().body());
-  return 0;
-}
-
-unsigned Connection::statusOf(error_code Failure, bool IsHeaderRead) const {
-  if (Failure == beast::http::error::header_limit)
-    return 431;
-  if (Failure == beast::http::error::body_limit)
-    return 413;
-  if (Failure == beast::http::error::end_of_stream ||
-      Failure == beast::http::error::partial_message)
-    return IsHeaderRead || m_Buffer.size() != 0 ? 400 : NoAnswer;
-  // The parser's own errors are about the text; others, about the socket.
-  bool IsParserError =
-      Failure.category() ==
-      make_error_code(beast::http::error::bad_method).category();
-  return IsParserError ? 400 : NoAnswer;
-}
-
-void Connection::refuse(unsigned Status, asio::yield_context Yield) {
-  m_Request = RequestMessage();
-  m_KeepAlive = false;
-  try {
-    sendWhole(m_Reject(Status), Yield);
-    linger(Yield);
-  } catch (const core::Error &) {
-    // The caller left; there is nobody to tell.
-  }
-}
-
-void Connection::linger(asio::yield_context Yield) {
-  error_code Failure;
-  m_Stream.socket().shutdown(tcp::socket::shutdown_send, Failure);
-  m_Stream.expires_after(LingerTime);
-  std::size_t Left = m_Limits.m_BodyBytes;
-  while (!Failure && Left > 0) {
-    m_Buffer.clear();
-    std::size_t Size = m_Stream.async_read_some(
-        m_Buffer.prepare(ReadAheadBytes), Yield[Failure]);
-    Left -= std::min(Left, Size);
-  }
-}
-
-void Connection::setHangUpHook(std::function<void()> Hook) {
-  if (m_HangUpHook)
-    *m_HangUpHook = std::move(Hook);
-}
-
-void Connection::watchForHangUp() {
-  m_HangUpHook = std::make_shared<std::function<void()>>();
-  std::weak_ptr<std::function<void()>> Weak = m_HangUpHook;
-  m_Stream.socket().async_wait(
-      tcp::socket::wait_read, [this, Weak](error_code Failure) {
-        auto Hook = Weak.lock();
-        // Gone: the answer is complete, and perhaps this connection too.
-        if (!Hook || Failure == asio::error::operation_aborted)
-          return;
-        char Byte = 0;
-        error_code PeekFailure;
-        m_Stream.socket().receive(asio::buffer(&Byte, 1),
-                                  tcp::socket::message_peek, PeekFailure);
-        // Data means a pipelined request: the caller is still there.
-        if (PeekFailure && PeekFailure != asio::error::would_block && *Hook)
-          (*Hook)();
-      });
-}
-
-void Connection::checkWritten(error_code Failure) {
-  m_Stream.expires_never();
-  if (!Failure)
-    return;
-  m_IsAborted = true;
-  throw core::Error(core::ErrorKind::OutcomeUnknown,
-                    "caller is gone: " + Failure.message());
-}
-
-void Connection::sendWhole(ResponseMessage Response,
-                           asio::yield_context Yield) {
-  beast::http::response<beast::http::string_body> Out;
-  copyHead(Response.m_Head, Out);
-  Out.version(11);
-  Out.keep_alive(!mustClose());
-  error_code Failure;
-  m_Stream.expires_after(m_Limits.m_WriteTimeout);
-  bool NoBody = hasNoBody(Response.m_Head.m_Status, m_Request.m_Method);
-  if (!NoBody || m_Request.m_Method == "HEAD")
-    Out.content_length(Response.m_Body.size());
-  if (!NoBody)
-    Out.body() = std::move(Response.m_Body);
-  beast::http::response_serializer<beast::http::string_body> Serializer(Out);
-  if (NoBody)
-    beast::http::async_write_header(m_Stream, Serializer, Yield[Failure]);
-  else
-    beast::http::async_write(m_Stream, Serializer, Yield[Failure]);
-  checkWritten(Failure);
-  m_IsAnswered = true;
-}
-
-void Connection::startStream(const ResponseHead &Head,
-                             asio::yield_context Yield) {
-  beast::http::response<beast::http::empty_body> Out;
-  copyHead(Head, Out);
-  Out.version(11);
-  Out.keep_alive(!mustClose());
-  m_HasNoBody = hasNoBody(Head.m_Status, m_Request.m_Method);
-  m_IsChunked = !Head.m_ContentLength && !m_HasNoBody;
-  if (Head.m_ContentLength)
-    Out.content_length(*Head.m_ContentLength);
-  else if (m_IsChunked)
-    Out.chunked(true);
-  beast::http::response_serializer<beast::http::empty_body> Serializer(Out);
-  error_code Failure;
-  m_Stream.expires_after(m_Limits.m_WriteTimeout);
-  m_IsStreamStarted = true;
-  beast::http::async_write_header(m_Stream, Serializer, Yield[Failure]);
-  checkWritten(Failure);
-}
-
-void Connection::sendPiece(std::string_view Piece, asio::yield_context Yield) {
-  // An empty chunk would end the body.
-  if (Piece.empty() || m_HasNoBody)
-    return;
-  error_code Failure;
-  m_Stream.expires_after(m_Limits.m_WriteTimeout);
-  asio::const_buffer Bytes(Piece.data(), Piece.size());
-  if (m_IsChunked)
-    asio::async_write(m_Stream, beast::http::make_chunk(Bytes), Yield[Failure]);
-  else
-    asio::async_write(m_Stream, Bytes, Yield[Failure]);
-  checkWritten(Failure);
-}
-
-void Connection::finishStream(asio::yield_context Yield) {
-  error_code Failure;
-  m_Stream.expires_after(m_Limits.m_WriteTimeout);
-  if (m_IsChunked)
-    asio::async_write(m_Stream, beast::http::make_chunk_last(), Yield[Failure]);
-  checkWritten(Failure);
-  m_IsAnswered = true;
-}
-
-void Connection::abort() {
-  m_IsAborted = true;
-  // A reset, so that not even a body delimited by close looks whole.
-  error_code Ignored;
-  m_Stream.socket().set_option(asio::socket_base::linger(true, 0), Ignored);
-  m_Stream.close();
-}
-
 namespace {
 
 class BeastServer final : public Server {
@@ -349,7 +32,6 @@
   }
 
   std::uint16_t port() const override { return m_Port; }
-  std::size_t openConnections() const override { return m_Open.size(); }
   std::size_t openRequests() const override {
     return static_cast<std::size_t>(
         std::count_if(m_Open.begin(), m_Open.end(),
@@ -368,7 +50,7 @@
   Handler m_Handle;
   Rejection m_Reject;
   asio::steady_timer m_RoomTimer; ///< Cancelled when a connection closes.
-  std::list<std::shared_ptr<Connection>> m_Open;
+  std::list<std::shared_ptr<ServerConnection>> m_Open;
   bool m_IsStopping = false;
   std::uint16_t m_Port = 0;
 };
@@ -419,8 +101,8 @@
 void BeastServer::serve(tcp::socket Socket) {
   auto Place = m_Open.insert(
       m_Open.end(),
-      std::make_shared<Connection>(std::move(Socket), m_Limits, m_Handle,
-                                   m_Reject, m_IsStopping));
+      std::make_shared<ServerConnection>(std::move(Socket), m_Limits, m_Handle,
+                                         m_Reject, m_IsStopping));
   asio::spawn(
       m_Context,
       [this, Place](asio::yield_context Yield) {
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -45,7 +45,6 @@
   virtual void abort() = 0;
   /// \p Hook runs once if the caller closes before the answer is complete.
   virtual void setHangUpHook(std::function<void()> Hook) = 0;
-  virtual bool isAnswered() const = 0;
   virtual bool isStreamStarted() const = 0;
 };
 
@@ -67,7 +66,6 @@
          const ServerLimits &Limits, Handler Handle, Rejection Reject);
 
   virtual std::uint16_t port() const = 0;
-  virtual std::size_t openConnections() const = 0;
   /// Requests of which some bytes have come and whose answers are not complete.
   virtual std::size_t openRequests() const = 0;
   /// Accepts nothing new and closes each connection after its answer.
--- a/Libraries/LibInstance/AnswerStore.h
+++ b/Libraries/LibInstance/AnswerStore.h
@@ -27,7 +27,6 @@
   void forget(core::RequestId Runner);
 
   std::size_t mostBytesOfOne() const { return m_MostBytesOfOne; }
-  std::size_t bytes() const { return m_Bytes; }
 
 private:
   struct Kept {
