LibInstance: Show connections, requests, identities and versions as gauges

Cause: each limit is to have a setting, an answer and a metric; connections and identities had no metric.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -32,6 +32,7 @@
   }
 
   std::uint16_t port() const override { return m_Port; }
+  std::size_t openConnections() const override { return m_Open.size(); }
   std::size_t openRequests() const override {
     return static_cast<std::size_t>(
         std::count_if(m_Open.begin(), m_Open.end(),
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -66,6 +66,7 @@
          const ServerLimits &Limits, Handler Handle, Rejection Reject);
 
   virtual std::uint16_t port() const = 0;
+  virtual std::size_t openConnections() const = 0;
   /// Requests of which some bytes have come and whose answers are not complete.
   virtual std::size_t openRequests() const = 0;
   /// Accepts nothing new and closes each connection after its answer.
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -123,20 +123,20 @@
   m_IsStopping = true;
   core::LogLine("instance-stopping")
       .add("instance", m_Settings.m_Name)
-      .add("open_requests", m_Traffic->openRequests());
+      .add("open_requests", m_Traffic->load().m_Requests);
   auto NoticeEnds = core::steadyNow() + m_Settings.m_DrainNotice;
   while (core::steadyNow() < NoticeEnds && !MustHurry)
     std::this_thread::sleep_for(DrainPollPeriod);
   m_Traffic->stopAccepting();
   m_Decision->push(decision::StopRequested{});
   m_Peers->setStopping();
-  while (m_Traffic->openRequests() > 0 && !MustHurry)
+  while (m_Traffic->load().m_Requests > 0 && !MustHurry)
     std::this_thread::sleep_for(DrainPollPeriod);
   if (!MustHurry)
     std::this_thread::sleep_for(FarewellTime);
   core::LogLine("instance-stopped")
       .add("instance", m_Settings.m_Name)
-      .add("open_requests", m_Traffic->openRequests());
+      .add("open_requests", m_Traffic->load().m_Requests);
 }
 
 //===----------------------------------------------------------------------===//
@@ -162,8 +162,10 @@
     return {503, "Service Unavailable", "text/plain",
             m_IsStopping ? "stopping\n" : "no configuration\n"};
   }
-  if (Request.m_Path == "/metrics")
+  if (Request.m_Path == "/metrics") {
+    updateGauges();
     return {200, "OK", "text/plain; version=0.0.4", m_Metrics.exposition()};
+  }
   if (Request.m_Path == "/status")
     return {200, "OK", "application/json", statusJson()};
   if (Request.m_Path == "/configuration")
@@ -173,6 +175,19 @@
   return problemAnswer(404, "Not Found", "unknown-path", Request.m_Path);
 }
 
+void Instance::updateGauges() {
+  TrafficDuty::Load Load = m_Traffic->load();
+  DecisionStatus Decision = m_Decision->status();
+  auto Set = [this](const char *Name, std::size_t Value) {
+    m_Metrics.setGauge(Name, static_cast<double>(Value));
+  };
+  Set("yardrill_open_connections", Load.m_Connections);
+  Set("yardrill_open_requests", Load.m_Requests);
+  Set("yardrill_identities", Decision.m_Identities);
+  Set("yardrill_policy_failures", Decision.m_PolicyFailures);
+  Set("yardrill_configuration_version", m_Configuration.version().value());
+}
+
 OperatorAnswer Instance::readConfiguration() const {
   ConfigurationEnvelope Envelope = m_Configuration.envelope();
   return {200, "OK", "application/json", Envelope.toJson() + "\n"};
--- a/Libraries/LibInstance/Instance.h
+++ b/Libraries/LibInstance/Instance.h
@@ -35,6 +35,8 @@
   void wire();
   void route(const decision::Action &What);
   OperatorAnswer handleOperator(const OperatorRequest &Request);
+  /// What is only worth counting when somebody looks.
+  void updateGauges();
   OperatorAnswer publish(const OperatorRequest &Request);
   OperatorAnswer readConfiguration() const;
   std::string statusJson() const;
--- a/Libraries/LibInstance/TrafficDuty.cpp
+++ b/Libraries/LibInstance/TrafficDuty.cpp
@@ -106,12 +106,15 @@
   asio::post(m_Thread.context(), [this] { m_CallerServer->stopAccepting(); });
 }
 
-std::size_t TrafficDuty::openRequests() {
-  auto Count = std::make_shared<std::promise<std::size_t>>();
-  auto Result = Count->get_future();
-  asio::post(m_Thread.context(), [this, Count] {
-    Count->set_value(m_CallerServer->openRequests() +
-                     m_PeerServer->openRequests());
+TrafficDuty::Load TrafficDuty::load() {
+  auto Promise = std::make_shared<std::promise<Load>>();
+  auto Result = Promise->get_future();
+  asio::post(m_Thread.context(), [this, Promise] {
+    Load Now;
+    Now.m_Connections = m_CallerServer->openConnections();
+    Now.m_Requests =
+        m_CallerServer->openRequests() + m_PeerServer->openRequests();
+    Promise->set_value(Now);
   });
   return Result.get();
 }
--- a/Libraries/LibInstance/TrafficDuty.h
+++ b/Libraries/LibInstance/TrafficDuty.h
@@ -52,8 +52,12 @@
   void push(const decision::Action &What);
   /// Accepts nothing new; requests in progress go on. Thread-safe.
   void stopAccepting();
-  /// Requests whose answers are not complete, peers' included. Thread-safe.
-  std::size_t openRequests();
+  struct Load {
+    std::size_t m_Connections = 0; ///< Of callers.
+    std::size_t m_Requests = 0;    ///< Not yet answered, peers' included.
+  };
+  /// Waits for the traffic thread. Thread-safe.
+  Load load();
 
 private:
   friend class OpenRequest;
--- a/Tests/Failures/BadInputTest.cpp
+++ b/Tests/Failures/BadInputTest.cpp
@@ -137,7 +137,8 @@
       std::string Metrics = m_All->askOperator(0, "/metrics").m_Body;
       return Metrics.find("dropped_wrong_key_total") != std::string::npos &&
              Metrics.find("dropped_too_large_total") != std::string::npos &&
-             Metrics.find("dropped_garbage_total") != std::string::npos;
+             Metrics.find("dropped_garbage_total") != std::string::npos &&
+             Metrics.find("yardrill_open_connections ") != std::string::npos;
     }));
     CPPUNIT_ASSERT(m_All->status(0).at("peers").as_array().empty());
     // Nor does the peer port serve requests that are not signed.
