LibDecision: Remember leaving targets that no pool has yet

Cause: reading the choice of targets as a newcomer: the list's word on a target was applied to the pools that stood at that moment. An instance that starts hears the list and the configuration in any order, so a target that was leaving before could get new work for as long as it was left in the configuration. Ruled out: the platform duty, which tells each change once, as it should.

Change: the core keeps the set of leaving targets and gives it to each pool before the pool dispatches anything.

Before: LeavingTargetTest fails in two of its three cases. After: 3 of 3.

--- a/Libraries/LibDecision/DecisionCore.cpp
+++ b/Libraries/LibDecision/DecisionCore.cpp
@@ -60,6 +60,8 @@
     if (!findPool(Pool.m_Name))
       addPool(Pool);
     PoolScheduler &Scheduler = *findPool(Pool.m_Name);
+    // Before anything is dispatched: some of its targets may be leaving.
+    Scheduler.setLeavingTargets(m_LeavingTargets);
     Scheduler.configure(*m_Configuration, Pool, Now);
     Scheduler.setInstances(m_Instances, Now);
     if (m_IsStopping)
@@ -388,8 +390,16 @@
 }
 
 void DecisionCore::on(const TargetStateSeen &What, core::TimePoint Now) {
+  if (What.m_IsLeaving)
+    m_LeavingTargets.insert(What.m_Target);
+  else
+    m_LeavingTargets.erase(What.m_Target);
   for (auto &[Name, Pool] : m_Pools)
-    Pool->setLeaving(What.m_Target, What.m_IsLeaving, Now);
+    Pool->setLeavingTargets(m_LeavingTargets);
+  if (What.m_IsLeaving)
+    return;
+  for (auto &[Name, Pool] : m_Pools)
+    Pool->targetsReturned(Now);
 }
 
 void DecisionCore::on(const InstancesCounted &What, core::TimePoint Now) {
--- a/Libraries/LibDecision/DecisionCore.h
+++ b/Libraries/LibDecision/DecisionCore.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -94,6 +95,8 @@
   std::map<core::PoolName, std::unique_ptr<PoolScheduler>> m_Pools;
   std::unordered_map<core::RequestId, RequestState> m_Requests;
   std::unordered_map<core::AccountName, std::size_t> m_OpenByAccount;
+  /// By the list, whether or not a pool has them yet.
+  std::set<core::TargetName> m_LeavingTargets;
   IdentityTable m_Identities;
   std::unique_ptr<policy::PolicyProgram> m_Policy; ///< Null: none published.
   std::uint64_t m_PolicyFailures = 0;
--- a/Libraries/LibDecision/PoolScheduler.cpp
+++ b/Libraries/LibDecision/PoolScheduler.cpp
@@ -40,11 +40,9 @@
   dispatchWaiting(Now);
 }
 
-void PoolScheduler::setLeaving(const core::TargetName &Target, bool IsLeaving,
-                               core::TimePoint Now) {
-  m_Targets.setLeaving(Target, IsLeaving);
-  if (!IsLeaving)
-    dispatchWaiting(Now);
+void PoolScheduler::setLeavingTargets(
+    const std::set<core::TargetName> &Leaving) {
+  m_Targets.setLeaving(Leaving);
 }
 
 std::size_t PoolScheduler::running() const {
--- a/Libraries/LibDecision/PoolScheduler.h
+++ b/Libraries/LibDecision/PoolScheduler.h
@@ -36,8 +36,10 @@
   void configure(const config::FleetConfiguration &Configuration,
                  const config::Pool &Pool, core::TimePoint Now);
   void setInstances(std::uint32_t Count, core::TimePoint Now);
-  void setLeaving(const core::TargetName &Target, bool IsLeaving,
-                  core::TimePoint Now);
+  /// Targets that get no new work, by the instance list.
+  void setLeavingTargets(const std::set<core::TargetName> &Leaving);
+  /// Some of them take work again.
+  void targetsReturned(core::TimePoint Now) { dispatchWaiting(Now); }
   /// Takes part in the tier order until nothing runs here; a leader then
   /// writes itself out of the record and resigns.
   void setStopping() { m_IsStopping = true; }
--- a/Libraries/LibDecision/TargetTable.cpp
+++ b/Libraries/LibDecision/TargetTable.cpp
@@ -45,6 +45,7 @@
       State = Known->second;
     State.m_Target = T;
     State.m_NameHash = core::stableHash(T.m_Name.value());
+    State.m_IsLeavingByList = m_Leaving.count(T.m_Name) != 0;
     Next.emplace(T.m_Name, State);
   }
   // A target that was taken out is kept, as leaving, until it is empty.
@@ -61,10 +62,10 @@
   m_HonoursPriority = Pool.m_Kind == config::PoolKind::Model;
 }
 
-void TargetTable::setLeaving(const core::TargetName &Name, bool IsLeaving) {
-  auto Found = m_Targets.find(Name);
-  if (Found != m_Targets.end())
-    Found->second.m_IsLeavingByList = IsLeaving;
+void TargetTable::setLeaving(const std::set<core::TargetName> &Leaving) {
+  m_Leaving = Leaving;
+  for (auto &[Name, State] : m_Targets)
+    State.m_IsLeavingByList = Leaving.count(Name) != 0;
 }
 
 std::size_t TargetTable::share(const TargetState &Target) const {
--- a/Libraries/LibDecision/TargetTable.h
+++ b/Libraries/LibDecision/TargetTable.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -51,7 +52,7 @@
   /// Takes over what is already known of targets that stay.
   void configure(const config::Pool &Pool, core::TierNumber Highest);
   void setInstances(std::uint32_t Count) { m_Instances = Count; }
-  void setLeaving(const core::TargetName &Name, bool IsLeaving);
+  void setLeaving(const std::set<core::TargetName> &Leaving);
 
   /// \returns the target that would finish soonest, prefill weighed, among
   /// those with a place for this tier; none when there is no place.
@@ -96,6 +97,7 @@
   std::uint32_t m_Instances = 1;
   std::size_t m_KeptPlaces = 0;
   double m_PrefillWeight = 1;
+  std::set<core::TargetName> m_Leaving; ///< By the instance list.
   core::TierNumber m_Highest{1};
   bool m_HonoursPriority = false;
 };
--- /dev/null
+++ b/Tests/LibDecision/LeavingTargetTest.cpp
@@ -0,0 +1,72 @@
+//===-- LeavingTargetTest.cpp - What the list says is kept ----------------===//
+#include "LibDecision/DecisionCore.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::decision;
+
+class LeavingTargetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeavingTargetTest);
+  CPPUNIT_TEST(testHeardBeforeTheConfiguration);
+  CPPUNIT_TEST(testHeardBeforeTheTargetIsAdded);
+  CPPUNIT_TEST(testComesBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  DecisionCore m_Core;
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  std::uint64_t m_NextRequest = 1;
+  std::uint64_t m_NextVersion = 1;
+
+  std::vector<Action> tell(const Event &What) {
+    return m_Core.handle(What, m_Now);
+  }
+
+  void publish(const std::vector<std::string> &Targets) {
+    std::string Text = "tiers: [{name: a, tier: 1, deadline_ms: 1000}]\n"
+                       "pools:\n  - name: p\n    kind: model\n"
+                       "    models: [m]\n    targets:\n";
+    for (const std::string &Name : Targets)
+      Text += "      - {name: " + Name +
+              ", address: 127.0.0.1:1, data_hall: x, places: 4}\n";
+    tell(ConfigurationAccepted{config::FleetConfiguration::parse(
+        Text, "test", core::ConfigurationVersion(m_NextVersion++))});
+  }
+
+  bool isDispatched() {
+    RequestArrived What;
+    What.m_Request = core::RequestId(m_NextRequest++);
+    What.m_Tier = core::TierNumber(1);
+    What.m_Pool = core::PoolName("p");
+    auto Actions = tell(What);
+    return !Actions.empty() && std::holds_alternative<Dispatch>(Actions[0]);
+  }
+
+public:
+  void setUp() override { tell(InstanceStarted{}); }
+
+  /// An instance that starts may hear the list before the configuration.
+  void testHeardBeforeTheConfiguration() {
+    tell(TargetStateSeen{core::TargetName("t"), true});
+    publish({"t"});
+    CPPUNIT_ASSERT(!isDispatched());
+  }
+
+  void testHeardBeforeTheTargetIsAdded() {
+    publish({"other"});
+    tell(TargetStateSeen{core::TargetName("t"), true});
+    publish({"t"});
+    CPPUNIT_ASSERT(!isDispatched());
+  }
+
+  void testComesBack() {
+    publish({"t"});
+    tell(TargetStateSeen{core::TargetName("t"), true});
+    publish({"t"});
+    CPPUNIT_ASSERT(!isDispatched());
+    tell(TargetStateSeen{core::TargetName("t"), false});
+    CPPUNIT_ASSERT(isDispatched());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTargetTest);
