LibInstance: Let one piece of code serve its twins

Reading the whole change again: four duties each had the loop that waits for room in a ring; claims and floor records each read and wrote a home as JSON; the path reader decoded hex digits that LibCore decodes already.

Change: Ring::push, HomeJson, core::fromHex. Behaviour is as before.

--- a/Libraries/LibCore/Ring.h
+++ b/Libraries/LibCore/Ring.h
@@ -4,8 +4,10 @@
 
 #include <atomic>
 #include <boost/lockfree/queue.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <thread>
 
 namespace yardrill::core {
 
@@ -35,6 +37,13 @@
     return true;
   }
 
+  /// For values that must not be lost: waits for room. A ring that is sized for
+  /// all that can be under way has none only behind a stalled consumer.
+  void push(const T &Value) {
+    while (!tryPush(Value))
+      std::this_thread::sleep_for(FullPause);
+  }
+
   /// Hands every waiting value to \p Handle, on the consumer's thread.
   template <class Function> void drain(Function &&Handle) {
     // Cleared before the first pop: a value pushed later wakes us again.
@@ -47,6 +56,8 @@
   }
 
 private:
+  static constexpr std::chrono::microseconds FullPause{50};
+
   boost::lockfree::queue<T *, boost::lockfree::fixed_sized<true>> m_Queue;
   std::function<void()> m_Wake;
   std::atomic<bool> m_WakePending{false};
--- a/Libraries/LibInstance/ClaimKeeper.cpp
+++ b/Libraries/LibInstance/ClaimKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Error.h"
+#include "LibInstance/HomeJson.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -22,10 +23,9 @@
 static const std::chrono::milliseconds ReadBackPause(100);
 
 static std::string toValue(const decision::Home &Self, core::RequestId Id) {
-  return json::serialize(
-      json::object{{"incarnation", Self.m_Incarnation.value()},
-                   {"peer", Self.m_Peer.toString()},
-                   {"request", Id.value()}});
+  json::object Out = toJson(Self);
+  Out["request"] = Id.value();
+  return json::serialize(Out);
 }
 
 ClaimAnswered ClaimKeeper::judge(const decision::Claim &What,
@@ -37,15 +37,8 @@
     Out.m_Outcome = ClaimOutcome::Won;
     return Out;
   }
-  json::value Parsed = json::parse(Standing);
-  const json::object &Object = Parsed.as_object();
+  Out.m_Home = toHome(json::parse(Standing));
   Out.m_Outcome = ClaimOutcome::Held;
-  Out.m_Home.m_Incarnation =
-      core::IncarnationId(Object.at("incarnation").to_number<std::uint64_t>());
-  auto Peer =
-      config::Endpoint::parse(std::string(Object.at("peer").as_string()));
-  if (Peer)
-    Out.m_Home.m_Peer = *Peer;
   return Out;
 }
 
--- a/Libraries/LibInstance/DecisionDuty.cpp
+++ b/Libraries/LibInstance/DecisionDuty.cpp
@@ -3,13 +3,11 @@
 #include "LibCore/Error.h"
 
 #include <boost/asio/post.hpp>
-#include <thread>
 
 namespace yardrill::instance {
 
 static const std::chrono::milliseconds TickPeriod(50);
 static const std::chrono::milliseconds StatusPeriod(200);
-static const std::chrono::microseconds FullRingPause(50);
 
 DecisionDuty::DecisionDuty(std::size_t RingCapacity,
                            const std::string &TraceFile)
@@ -40,10 +38,7 @@
   m_Thread.start();
 }
 
-void DecisionDuty::push(const decision::Event &What) {
-  while (!m_Events.tryPush(What))
-    std::this_thread::sleep_for(FullRingPause);
-}
+void DecisionDuty::push(const decision::Event &What) { m_Events.push(What); }
 
 void DecisionDuty::handle(const decision::Event &What, core::TimePoint Now) {
   std::vector<decision::Action> Actions = m_Core.handle(What, Now);
--- a/Libraries/LibInstance/FloorRecordKeeper.cpp
+++ b/Libraries/LibInstance/FloorRecordKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
+#include "LibInstance/HomeJson.h"
 
 #include <boost/json.hpp>
 
@@ -15,23 +16,6 @@
   return "/yardrill/floor/" + Pool.value() + "/";
 }
 
-static json::object toJson(const decision::Home &Home) {
-  return {{"incarnation", Home.m_Incarnation.value()},
-          {"peer", Home.m_Peer.toString()}};
-}
-
-static decision::Home toHome(const json::value &Value) {
-  const json::object &Object = Value.as_object();
-  decision::Home Out;
-  Out.m_Incarnation =
-      core::IncarnationId(Object.at("incarnation").to_number<std::uint64_t>());
-  auto Peer =
-      config::Endpoint::parse(std::string(Object.at("peer").as_string()));
-  if (Peer)
-    Out.m_Peer = *Peer;
-  return Out;
-}
-
 static std::string toJson(const decision::FloorRecord &Record) {
   json::array Members;
   for (const decision::Home &Member : Record.m_Members)
--- /dev/null
+++ b/Libraries/LibInstance/HomeJson.h
@@ -0,0 +1,18 @@
+//===-- HomeJson.h - Homes as the platform keeps them ---------------------===//
+#ifndef YARDRILL_LIBINSTANCE_HOMEJSON_H
+#define YARDRILL_LIBINSTANCE_HOMEJSON_H
+
+#include "LibDecision/Identity.h"
+
+#include <boost/json.hpp>
+
+namespace yardrill::instance {
+
+/// `{"incarnation":N,"peer":"ip:port"}`
+boost::json::object toJson(const decision::Home &Home);
+/// \throws std::exception when \p Value is something else.
+decision::Home toHome(const boost::json::value &Value);
+
+} // namespace yardrill::instance
+
+#endif
--- a/Libraries/LibInstance/PeerDuty.cpp
+++ b/Libraries/LibInstance/PeerDuty.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <thread>
 
 namespace yardrill::instance {
 
@@ -24,7 +23,6 @@
 static const std::size_t MostHinted = 64;
 static const std::chrono::seconds FetchTimeout(2);
 static const std::size_t MostEnvelopeBytes = 4UL * 1024 * 1024;
-static const std::chrono::microseconds FullRingPause(50);
 
 static udp::endpoint toUdp(const config::Endpoint &Address) {
   return {asio::ip::make_address(Address.m_Address), Address.m_Port};
@@ -67,10 +65,7 @@
   m_Thread.start();
 }
 
-void PeerDuty::push(const decision::Action &What) {
-  while (!m_Actions.tryPush(What))
-    std::this_thread::sleep_for(FullRingPause);
-}
+void PeerDuty::push(const decision::Action &What) { m_Actions.push(What); }
 
 void PeerDuty::setListed(std::vector<config::Endpoint> Addresses) {
   asio::post(m_Thread.context(), [this, Addresses = std::move(Addresses)] {
--- a/Libraries/LibInstance/PlatformDuty.cpp
+++ b/Libraries/LibInstance/PlatformDuty.cpp
@@ -7,7 +7,6 @@
 #include "LibPolicy/PolicyProgram.h"
 
 #include <boost/asio.hpp>
-#include <thread>
 
 namespace yardrill::instance {
 
@@ -19,7 +18,6 @@
 static const char ConfigurationKey[] = "/yardrill/configuration";
 static const std::chrono::milliseconds FirstPause(100);
 static const std::chrono::seconds LongestPause(5);
-static const std::chrono::microseconds FullRingPause(50);
 static const std::chrono::seconds MetricsPeriod(1);
 static const int ResolveTries = 5;
 static const std::chrono::seconds PublishTimeout(20);
@@ -68,10 +66,7 @@
   asio::spawn(m_Thread.context(), std::move(Run), asio::detached);
 }
 
-void PlatformDuty::push(const decision::Action &What) {
-  while (!m_Actions.tryPush(What))
-    std::this_thread::sleep_for(FullRingPause);
-}
+void PlatformDuty::push(const decision::Action &What) { m_Actions.push(What); }
 
 void PlatformDuty::take(const decision::Action &What) {
   if (const auto *Wanted = std::get_if<decision::Claim>(&What))
--- a/Libraries/LibInstance/RequestReader.cpp
+++ b/Libraries/LibInstance/RequestReader.cpp
@@ -31,23 +31,16 @@
   return Out;
 }
 
-static int hexValue(char C) {
-  std::string Digits = "0123456789abcdef";
-  auto At = Digits.find(static_cast<char>(std::tolower(C)));
-  return At == std::string::npos ? -1 : static_cast<int>(At);
-}
-
 std::optional<std::string> canonicalPath(const std::string &Target) {
   std::string Path = Target.substr(0, Target.find_first_of("?#"));
   std::string Out;
   for (std::size_t I = 0; I < Path.size(); ++I) {
     char C = Path[I];
     if (C == '%') {
-      int High = I + 2 < Path.size() ? hexValue(Path[I + 1]) : -1;
-      int Low = I + 2 < Path.size() ? hexValue(Path[I + 2]) : -1;
-      if (High < 0 || Low < 0)
+      std::string Decoded = core::fromHex(Path.substr(I + 1, 2));
+      if (Decoded.empty())
         return std::nullopt;
-      C = static_cast<char>(High << 4 | Low);
+      C = Decoded.front();
       I += 2;
       if (C == '/' || C == '%')
         return std::nullopt;
--- a/Libraries/LibInstance/TrafficDuty.cpp
+++ b/Libraries/LibInstance/TrafficDuty.cpp
@@ -9,7 +9,6 @@
 #include <boost/json.hpp>
 #include <cstdio>
 #include <future>
-#include <thread>
 
 namespace yardrill::instance {
 
@@ -18,7 +17,6 @@
 static const char TicketsPath[] = "/v1/tickets";
 static const char PeerConfigurationPath[] = "/peer/configuration";
 static const std::int64_t MostTicketsAtOnce = 1000;
-static const std::chrono::microseconds FullRingPause(50);
 
 static Problem unreadable(unsigned Status) {
   Problem Out;
@@ -96,11 +94,7 @@
 
 TrafficDuty::~TrafficDuty() { stop(); }
 
-void TrafficDuty::push(const decision::Action &What) {
-  // The ring is sized for all that open requests can cause.
-  while (!m_Actions.tryPush(What))
-    std::this_thread::sleep_for(FullRingPause);
-}
+void TrafficDuty::push(const decision::Action &What) { m_Actions.push(What); }
 
 void TrafficDuty::stopAccepting() {
   asio::post(m_Thread.context(), [this] { m_CallerServer->stopAccepting(); });
