--- a/Libraries/LibConfig/Endpoint.cpp
+++ b/Libraries/LibConfig/Endpoint.cpp
@@ -26,6 +26,14 @@
   return Result;
 }
 
+boost::asio::ip::tcp::endpoint Endpoint::toTcp() const {
+  return {boost::asio::ip::make_address(m_Address), m_Port};
+}
+
+boost::asio::ip::udp::endpoint Endpoint::toUdp() const {
+  return {boost::asio::ip::make_address(m_Address), m_Port};
+}
+
 std::string Endpoint::toString() const {
   bool IsV6 = m_Address.find(':') != std::string::npos;
   std::string Host = IsV6 ? "[" + m_Address + "]" : m_Address;
--- a/Libraries/LibConfig/Endpoint.h
+++ b/Libraries/LibConfig/Endpoint.h
@@ -2,6 +2,8 @@
 #ifndef YARDRILL_LIBCONFIG_ENDPOINT_H
 #define YARDRILL_LIBCONFIG_ENDPOINT_H
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +19,10 @@
   /// Reads `192.0.2.1:80` or `[2001:db8::1]:80`.
   static std::optional<Endpoint> parse(const std::string &Text);
   std::string toString() const;
+  /// \pre The address was read by parse().
+  boost::asio::ip::tcp::endpoint toTcp() const;
+  /// \pre The address was read by parse().
+  boost::asio::ip::udp::endpoint toUdp() const;
 
   bool operator==(const Endpoint &Other) const {
     return m_Address == Other.m_Address && m_Port == Other.m_Port;
--- /dev/null
+++ b/Libraries/LibGateway/Dialect.h
@@ -0,0 +1,88 @@
+//===-- Dialect.h - How requests and answers are written on the wire ------===//
+//
+// The gateway knows what a request says; an implementation knows under which
+// names it says so.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBGATEWAY_DIALECT_H
+#define YARDRILL_LIBGATEWAY_DIALECT_H
+
+#include "LibCore/StrongType.h"
+#include "LibCore/Time.h"
+#include "LibHTTP/Message.h"
+#include "LibPlatform/KeyValueService.h"
+#include "LibRouting/RoutingTable.h"
+#include "LibRouting/Target.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace yardrill::gateway {
+
+/// What a caller's request says about itself.
+struct RequestDescription {
+  std::string m_Id; ///< The caller's, unique for each attempt; empty: none.
+  std::string m_Host;
+  std::string m_Path; ///< Without the query.
+  std::optional<std::string> m_Key;
+  std::optional<core::Duration> m_Deadline; ///< From the request's arrival.
+  std::optional<std::string> m_LastEvent;   ///< Already received by the caller.
+  bool m_HasSize = false; ///< Whether the two token counts were given.
+  std::uint32_t m_PromptTokens = 0;
+  std::uint32_t m_OutputTokens = 0;   ///< The most that may come.
+  std::uint32_t m_ExpectedTokens = 0; ///< The caller's estimate; 0: none.
+};
+
+/// What a target is told beside the caller's own words.
+struct ForwardDescription {
+  core::TargetName m_Target; ///< Any other target must refuse.
+  core::Duration m_TimeLeft{};
+  std::optional<core::AccountName> m_Account;
+  std::optional<std::string> m_LastEvent;
+};
+
+/// What a target's answer says about itself.
+struct AnswerDescription {
+  std::string m_Id;         ///< Of the request it answers.
+  bool m_IsSigned = false;  ///< Bears the target's signature.
+  bool m_IsNotRun = false;  ///< The target did not run the request.
+  bool m_IsEncoded = false; ///< The body is not as the target made it.
+  /// How long the connection may rest before the target closes it.
+  std::optional<core::Duration> m_KeepAlive;
+};
+
+/// Something that the store said.
+struct ConfigurationSeen {
+  routing::RoutingTableHandle m_Table;
+};
+struct TargetSeen {
+  routing::Target m_Target;
+};
+struct TargetGone {
+  core::TargetName m_Target;
+};
+using StoreNews =
+    std::variant<std::monostate, ConfigurationSeen, TargetSeen, TargetGone>;
+
+class Dialect {
+public:
+  virtual ~Dialect() = default;
+
+  virtual RequestDescription
+  describe(const http::RequestMessage &Request) const = 0;
+  /// Turns the caller's headers into those for a target: whatever only this
+  /// system may say is replaced. May be used again on its own result.
+  virtual void prepare(http::RequestMessage &Request,
+                       const ForwardDescription &What) const = 0;
+  /// Names the request in an answer that the gateway itself makes.
+  virtual void prepare(http::ResponseHead &Answer,
+                       const RequestDescription &To) const = 0;
+  virtual AnswerDescription describe(const http::ResponseHead &Head) const = 0;
+  /// \throws core::Error of kind Protocol for an entry that can't be read.
+  virtual StoreNews read(const platform::Entry &Change) const = 0;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,324 @@
+#include "LibGateway/Gateway.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibGateway/GatewayRequest.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+using core::Error;
+
+/// How often waiting requests and stops are looked at.
+static constexpr std::chrono::milliseconds TickPeriod{20};
+/// How often what rarely changes is looked at.
+static constexpr std::chrono::milliseconds UpkeepPeriod{250};
+/// How long a stopping instance still takes requests: the balancer needs two
+/// seconds to notice that it is not ready.
+static constexpr std::chrono::milliseconds AcceptWhileStopping{3000};
+/// A stopping instance ends this long before it would be killed.
+static constexpr std::chrono::milliseconds StopMargin{300};
+/// A new connection to a target takes about a millisecond; a full queue of
+/// connections drops the opening packet for seconds.
+static constexpr std::chrono::milliseconds ConnectTimeout{350};
+static constexpr std::size_t MostIdleConnections = 64;
+static constexpr std::size_t MostChangesKept = 4096;
+/// Of the slack in the retry budget, the share that one instance may use
+/// without asking; twice as many instances as are seen may be at work.
+static constexpr double SlackShare = 0.5;
+
+Gateway::Gateway(asio::io_context &Context, GatewaySettings Settings,
+                 const Dialect &Wire, platform::KeyValueService &Store)
+    : m_Context(Context), m_Settings(std::move(Settings)), m_Wire(Wire),
+      m_Timers(Context), m_Mirror(MostChangesKept),
+      m_Follower(Context, Store, m_Mirror),
+      m_Dispatcher(
+          m_Targets, m_Settings.m_DataHall, m_Settings.m_Placement,
+          {[this](core::RequestId Request, const routing::Target &Where) {
+             m_Open.at(Request)->sendTo(Where);
+           },
+           [this](core::RequestId Request) { m_Open.at(Request)->refuse(); }}),
+      m_Quotas(m_Settings.m_IsFirstStart),
+      m_Connections(Context, {ConnectTimeout, MostIdleConnections}),
+      m_Random(core::randomBits()) {
+  m_Mirror.subscribe([this](const platform::Entry &Change) { take(Change); });
+  listen();
+}
+
+Gateway::~Gateway() = default;
+
+static http::ResponseMessage bare(unsigned Status) {
+  http::ResponseMessage Out;
+  Out.m_Head.m_Status = Status;
+  return Out;
+}
+
+static http::ServerLimits toServerLimits(const routing::CallerLimits &Limits,
+                                         std::size_t MostConnections) {
+  http::ServerLimits Out;
+  Out.m_HeaderBytes = Limits.m_HeaderBytes;
+  Out.m_BodyBytes = Limits.m_BodyBytes;
+  Out.m_OpenConnections = MostConnections;
+  Out.m_ReadTimeout = Limits.m_HeaderTimeout;
+  Out.m_IdleTimeout = Limits.m_IdleTimeout;
+  return Out;
+}
+
+void Gateway::listen() {
+  m_CallerServer = http::Server::create(
+      m_Context, m_Settings.m_CallerAddress.toTcp(),
+      toServerLimits({}, m_Settings.m_MostConnections),
+      [this](http::Exchange &Caller, asio::yield_context Yield) {
+        GatewayRequest Request(*this, Caller);
+        Request.run(Yield);
+      },
+      [this](unsigned Status) {
+        m_Metrics.count("yardrill_unreadable_requests_total");
+        core::LogLine("request-unreadable").add("status", Status);
+        return bare(Status);
+      });
+  m_ReadinessServer = http::Server::create(
+      m_Context, m_Settings.m_ReadinessAddress.toTcp(), http::ServerLimits(),
+      [this](http::Exchange &Call, asio::yield_context Yield) {
+        Call.sendWhole(answerReadiness(), Yield);
+      },
+      bare);
+  if (m_Settings.m_MetricsAddress)
+    m_MetricsServer = http::Server::create(
+        m_Context, m_Settings.m_MetricsAddress->toTcp(), http::ServerLimits(),
+        [this](http::Exchange &Call, asio::yield_context Yield) {
+          updateGauges();
+          http::ResponseMessage Answer = bare(200);
+          Answer.m_Head.m_Headers.set("Content-Type",
+                                      "text/plain; version=0.0.4");
+          Answer.m_Body = m_Metrics.exposition();
+          Call.sendWhole(std::move(Answer), Yield);
+        },
+        bare);
+  m_Peers = std::make_unique<PeerLink>(
+      m_Context, m_Settings, m_Mirror, m_Metrics,
+      PeerLinkHooks{[this](peer::LoadReport &Report) { describeLoad(Report); },
+                    [this] { peersChanged(); }});
+}
+
+void Gateway::start() {
+  m_Follower.start();
+  m_Peers->start(m_Timers);
+  m_Timers.subscribe(TickPeriod, [this](core::TimePoint Now) { tick(Now); });
+  m_Timers.subscribe(UpkeepPeriod, [this](core::TimePoint Now) {
+    m_Targets.forgetLapsed(Now);
+    m_Connections.closeExpired();
+  });
+  core::LogLine("instance-started")
+      .add("instance", m_Settings.m_Name)
+      .add("data_hall", m_Settings.m_DataHall)
+      .add("caller_address", m_Settings.m_CallerAddress.toString())
+      .add("peer_address", m_Settings.m_PeerAddress.toString())
+      .add("store_address", m_Settings.m_StoreAddress.toString())
+      .add("seeds", m_Settings.m_Seeds.size())
+      .add("is_first_start", m_Settings.m_IsFirstStart);
+}
+
+void Gateway::reload(const GatewaySettings &Settings) {
+  m_Settings.m_Retries = Settings.m_Retries;
+  m_Settings.m_StopGrace = Settings.m_StopGrace;
+  m_Settings.m_Seeds = Settings.m_Seeds;
+  m_Retries.clear();
+  core::LogLine("instance-reloaded").add("instance", m_Settings.m_Name);
+}
+
+//===----------------------------------------------------------------------===//
+// What the store and the peers say
+//===----------------------------------------------------------------------===//
+
+void Gateway::take(const platform::Entry &Change) {
+  StoreNews News;
+  try {
+    News = m_Wire.read(Change);
+  } catch (const Error &Failure) {
+    core::LogLine("store-entry-unreadable", core::LogLevel::Error)
+        .add("key", Change.m_Key)
+        .add("revision", Change.m_Modified)
+        .add("reason", Failure.what());
+    return;
+  }
+  if (auto *Seen = std::get_if<ConfigurationSeen>(&News))
+    return adopt(std::move(Seen->m_Table));
+  if (const auto *Seen = std::get_if<TargetSeen>(&News)) {
+    core::LogLine("target-seen")
+        .add("target", Seen->m_Target.m_Name)
+        .add("pool", Seen->m_Target.m_Pool)
+        .add("address", Seen->m_Target.m_Address.toString())
+        .add("is_leaving", Seen->m_Target.m_IsLeaving)
+        .add("revision", Change.m_Modified);
+    return m_Targets.announce(Seen->m_Target);
+  }
+  if (const auto *Gone = std::get_if<TargetGone>(&News)) {
+    core::LogLine("target-gone")
+        .add("target", Gone->m_Target)
+        .add("revision", Change.m_Modified);
+    m_Targets.withdraw(Gone->m_Target, core::steadyNow());
+  }
+}
+
+void Gateway::adopt(routing::RoutingTableHandle Next) {
+  if (m_Table && !(m_Table->version() < Next->version()))
+    return;
+  m_Table = std::move(Next);
+  m_Quotas.configure(*m_Table, core::steadyNow());
+  m_CallerServer->setLimits(
+      toServerLimits(m_Table->limits(), m_Settings.m_MostConnections));
+  core::LogLine("configuration-in-force")
+      .add("version", m_Table->version())
+      .add("accounts", m_Table->accounts().size());
+}
+
+void Gateway::describeLoad(peer::LoadReport &Report) const {
+  for (const auto &[Name, Known] : m_Targets.all()) {
+    const routing::TargetLoad &Own = Known.m_Own;
+    if (Own.m_Running == 0)
+      continue;
+    peer::TargetUse Use;
+    Use.m_Target = Known.m_Hash;
+    Use.m_Running = static_cast<std::uint16_t>(Own.m_Running);
+    Use.m_PendingPrompt = static_cast<std::uint32_t>(Own.m_PendingPrompt);
+    Report.m_Targets.push_back(Use);
+  }
+  for (const auto &[Account, Tokens] : m_Quotas.drawn())
+    Report.m_Accounts.push_back({Account, Tokens});
+}
+
+void Gateway::peersChanged() {
+  std::unordered_map<std::uint32_t, routing::TargetLoad> Sums;
+  for (const auto &[Incarnation, Report] : m_Peers->reports()) {
+    for (const peer::TargetUse &Use : Report.m_Targets) {
+      routing::TargetLoad &Sum = Sums[Use.m_Target];
+      Sum.m_Running += Use.m_Running;
+      Sum.m_PendingPrompt += Use.m_PendingPrompt;
+    }
+    routing::DrawnTokens Drawn;
+    for (const peer::AccountUse &Use : Report.m_Accounts)
+      Drawn[Use.m_Account] = Use.m_Tokens;
+    m_Quotas.noteOther(Incarnation, Drawn);
+  }
+  m_Targets.setOthers(Sums);
+  double Heard = 1 + static_cast<double>(m_Peers->reports().size());
+  double All = Heard + static_cast<double>(m_Peers->missing());
+  m_Quotas.setShare(Heard / All);
+}
+
+//===----------------------------------------------------------------------===//
+// Stopping
+//===----------------------------------------------------------------------===//
+
+bool Gateway::isReady() const {
+  return m_Table && m_StoppingSince == core::TimePoint();
+}
+
+http::ResponseMessage Gateway::answerReadiness() const {
+  return bare(isReady() ? 200 : 503);
+}
+
+bool Gateway::isTooLate(core::TimePoint Now) const {
+  return m_StoppingSince != core::TimePoint() &&
+         Now - m_StoppingSince > AcceptWhileStopping;
+}
+
+void Gateway::stop(std::function<void()> Finished) {
+  if (m_StoppingSince != core::TimePoint())
+    return;
+  m_StoppingSince = core::steadyNow();
+  m_Finished = std::move(Finished);
+  m_CallerServer->closeAfterAnswers();
+  m_Peers->setStopping();
+  core::LogLine("instance-stopping")
+      .add("instance", m_Settings.m_Name)
+      .add("open_requests", m_Open.size());
+}
+
+void Gateway::pollStop(core::TimePoint Now) {
+  core::Duration Passed = Now - m_StoppingSince;
+  if (Passed < AcceptWhileStopping || !m_Finished)
+    return;
+  m_CallerServer->stopAccepting();
+  bool IsIdle = m_CallerServer->openRequests() == 0;
+  if (!IsIdle && Passed < m_Settings.m_StopGrace - StopMargin)
+    return;
+  core::LogLine("instance-stopped")
+      .add("instance", m_Settings.m_Name)
+      .add("open_requests", m_Open.size());
+  std::function<void()> Finished = std::move(m_Finished);
+  m_Finished = nullptr;
+  Finished();
+}
+
+void Gateway::tick(core::TimePoint Now) {
+  if (m_Dispatcher.waiting() > 0)
+    m_Dispatcher.dispatchWaiting(Now);
+  if (m_StoppingSince != core::TimePoint())
+    pollStop(Now);
+}
+
+//===----------------------------------------------------------------------===//
+// Budgets and figures
+//===----------------------------------------------------------------------===//
+
+routing::RetryBudget &Gateway::retriesOf(const core::PoolName &Pool) {
+  auto Found = m_Retries.find(Pool);
+  if (Found != m_Retries.end())
+    return Found->second;
+  routing::RetryLimits Limits = m_Settings.m_Retries;
+  double Instances =
+      1 + static_cast<double>(m_Peers->reports().size() + m_Peers->missing());
+  Limits.m_Allowance *= SlackShare / Instances;
+  return m_Retries.emplace(Pool, routing::RetryBudget(Limits)).first->second;
+}
+
+void Gateway::updateGauges() {
+  auto Set = [this](const char *Name, std::size_t Value) {
+    m_Metrics.setGauge(Name, static_cast<double>(Value));
+  };
+  Set("yardrill_open_connections", m_CallerServer->openConnections());
+  Set("yardrill_open_requests", m_Open.size());
+  Set("yardrill_waiting_requests", m_Dispatcher.waiting());
+  Set("yardrill_targets", m_Targets.all().size());
+  Set("yardrill_peers", m_Peers->reports().size());
+  Set("yardrill_peers_missing", m_Peers->missing());
+  Set("yardrill_target_connections_opened", m_Connections.opened());
+  Set("yardrill_store_connected", m_Follower.isConnected() ? 1 : 0);
+  Set("yardrill_store_revision",
+      static_cast<std::size_t>(m_Mirror.revision().value()));
+  Set("yardrill_configuration_version",
+      m_Table ? m_Table->version().value() : 0);
+}
+
+//===----------------------------------------------------------------------===//
+// Builder
+//===----------------------------------------------------------------------===//
+
+Gateway::Builder &Gateway::Builder::settings(GatewaySettings Settings) {
+  m_Settings = std::move(Settings);
+  return *this;
+}
+
+Gateway::Builder &Gateway::Builder::dialect(const Dialect &Wire) {
+  m_Wire = &Wire;
+  return *this;
+}
+
+Gateway::Builder &Gateway::Builder::store(platform::KeyValueService &Store) {
+  m_Store = &Store;
+  return *this;
+}
+
+std::unique_ptr<Gateway> Gateway::Builder::build(asio::io_context &Context) {
+  assert(m_Wire && m_Store);
+  return std::unique_ptr<Gateway>(
+      new Gateway(Context, std::move(m_Settings), *m_Wire, *m_Store));
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,109 @@
+//===-- Gateway.h - One instance in front of targets that others run ------===//
+//
+// One loop on one thread carries requests, decides and follows the store: on a
+// quarter of a core each hand-off between threads is dearer than what it would
+// spread (docs/design/0005-platform.md).
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBGATEWAY_GATEWAY_H
+#define YARDRILL_LIBGATEWAY_GATEWAY_H
+
+#include "LibCore/TimerService.h"
+#include "LibGateway/Dialect.h"
+#include "LibGateway/GatewaySettings.h"
+#include "LibGateway/PeerLink.h"
+#include "LibGateway/StateFollower.h"
+#include "LibHTTP/ConnectionPool.h"
+#include "LibHTTP/Server.h"
+#include "LibMetrics/MetricsRegistry.h"
+#include "LibRouting/Dispatcher.h"
+#include "LibRouting/QuotaBook.h"
+#include "LibRouting/RetryBudget.h"
+#include "LibRouting/RoutingTable.h"
+#include "LibRouting/TargetDirectory.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace yardrill::gateway {
+
+class GatewayRequest;
+
+class Gateway {
+public:
+  class Builder;
+
+  ~Gateway();
+  Gateway(const Gateway &) = delete;
+  Gateway &operator=(const Gateway &) = delete;
+
+  void start();
+  /// Not ready from now on; what arrives is served for a while longer, and
+  /// \p Finished is called once nothing is left or the grace is nearly over.
+  void stop(std::function<void()> Finished);
+  /// New settings; addresses stay as they were.
+  void reload(const GatewaySettings &Settings);
+
+private:
+  friend class GatewayRequest;
+
+  Gateway(boost::asio::io_context &Context, GatewaySettings Settings,
+          const Dialect &Wire, platform::KeyValueService &Store);
+
+  void listen();
+  void take(const platform::Entry &Change);
+  void adopt(routing::RoutingTableHandle Next);
+  void describeLoad(peer::LoadReport &Report) const;
+  void peersChanged();
+  void tick(core::TimePoint Now);
+  void pollStop(core::TimePoint Now);
+  /// Whether a request that comes now could no longer be finished.
+  bool isTooLate(core::TimePoint Now) const;
+  bool isReady() const;
+  routing::RetryBudget &retriesOf(const core::PoolName &Pool);
+  http::ResponseMessage answerReadiness() const;
+  void updateGauges();
+
+  boost::asio::io_context &m_Context;
+  GatewaySettings m_Settings;
+  const Dialect &m_Wire;
+  core::SteadyTimerService m_Timers;
+  metrics::MetricsRegistry m_Metrics;
+  platform::StoreMirror m_Mirror;
+  StateFollower m_Follower;
+  routing::RoutingTableHandle m_Table;
+  routing::TargetDirectory m_Targets;
+  routing::Dispatcher m_Dispatcher;
+  routing::QuotaBook m_Quotas;
+  std::unordered_map<core::PoolName, routing::RetryBudget> m_Retries;
+  http::ConnectionPool m_Connections;
+  std::unique_ptr<PeerLink> m_Peers;
+  std::unique_ptr<http::Server> m_CallerServer;
+  std::unique_ptr<http::Server> m_ReadinessServer;
+  std::unique_ptr<http::Server> m_MetricsServer;
+  std::unordered_map<core::RequestId, GatewayRequest *> m_Open;
+  std::uint64_t m_NextRequest = 1;
+  std::mt19937_64 m_Random;
+  core::TimePoint m_StoppingSince{};
+  std::function<void()> m_Finished;
+};
+
+class Gateway::Builder {
+public:
+  Builder &settings(GatewaySettings Settings);
+  Builder &dialect(const Dialect &Wire);
+  Builder &store(platform::KeyValueService &Store);
+  /// \throws core::Error of kind AddressInUse.
+  std::unique_ptr<Gateway> build(boost::asio::io_context &Context);
+
+private:
+  GatewaySettings m_Settings;
+  const Dialect *m_Wire = nullptr;
+  platform::KeyValueService *m_Store = nullptr;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- /dev/null
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -0,0 +1,116 @@
+//===-- GatewayRequest.h - One request from its caller to its answer ------===//
+#ifndef YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
+#define YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
+
+#include "LibGateway/Dialect.h"
+#include "LibGateway/EventSplitter.h"
+#include "LibGateway/Gateway.h"
+#include "LibHTTP/ClientConnection.h"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace yardrill::gateway {
+
+/// Lives in its caller's coroutine. It belongs to the process that read it and
+/// to no other, so that it can be sent again only by this code: after a
+/// target's own word that it did not run, when no byte was sent, or when its
+/// route lets it run twice.
+class GatewayRequest {
+public:
+  GatewayRequest(Gateway &Owner, http::Exchange &Caller);
+  ~GatewayRequest();
+  GatewayRequest(const GatewayRequest &) = delete;
+  GatewayRequest &operator=(const GatewayRequest &) = delete;
+
+  /// Returns when the caller has its answer or is gone.
+  void run(boost::asio::yield_context Yield);
+  /// The dispatcher chose a target.
+  void sendTo(const routing::Target &Where);
+  /// The dispatcher found none.
+  void refuse();
+
+private:
+  /// How one try at one target ended.
+  enum class Outcome {
+    Complete,   ///< The caller has the whole answer.
+    NotSent,    ///< No byte reached the target.
+    NotRun,     ///< The target said that it did not run the request.
+    Failed,     ///< It may have run; nothing or too little came back.
+    CallerGone, ///< The caller hung up or does not read.
+  };
+
+  /// \returns the status that ends the request here, or 0 to go on.
+  unsigned admit();
+  unsigned checkQuota();
+  bool waitForTarget(boost::asio::yield_context Yield);
+  Outcome tryTarget(boost::asio::yield_context Yield);
+  Outcome exchange(http::ClientConnection &Connection,
+                   boost::asio::yield_context Yield);
+  /// Reads heads until one answers this request: an answer to an earlier one
+  /// may come late, in the place of the next.
+  http::ResponseHead readOwnHead(http::ClientConnection &Connection,
+                                 boost::asio::yield_context Yield);
+  Outcome relayWhole(http::ClientConnection &Connection,
+                     const http::ResponseHead &Head,
+                     boost::asio::yield_context Yield);
+  Outcome relayPieces(http::ClientConnection &Connection,
+                      const http::ResponseHead &Head,
+                      boost::asio::yield_context Yield);
+  Outcome relayEvents(http::ClientConnection &Connection,
+                      const http::ResponseHead &Head,
+                      boost::asio::yield_context Yield);
+  /// Sends to the caller. \throws core::Error when the caller is gone.
+  void startAnswer(const http::ResponseHead &Head,
+                   boost::asio::yield_context Yield);
+  void noteEvents(std::size_t Count);
+  /// Whether another target may be tried after \p Last.
+  bool mayTryAgain(Outcome Last);
+  void finishFailed(Outcome Last, boost::asio::yield_context Yield);
+  void answer(unsigned Status, const char *Reason, core::Duration RetryAfter,
+              boost::asio::yield_context Yield);
+  core::Duration timeLeft() const;
+  core::Duration retryAfter() const;
+  void callerHungUp();
+  void noteTry(Outcome Last, core::TimePoint StartedAt);
+  void logEnd(const char *Event) const;
+
+  Gateway &m_Owner;
+  http::Exchange &m_Caller;
+  core::RequestId m_Id;
+  RequestDescription m_Said;
+  routing::RoutingTableHandle m_Table; ///< In force when it arrived.
+  const routing::Route *m_Route = nullptr;
+  const routing::Account *m_Account = nullptr;
+  core::PoolName m_Pool;
+  core::TierNumber m_Tier{1};
+  std::uint32_t m_Charge = 0; ///< Tokens drawn from the account's quota.
+  core::TimePoint m_ArrivedAt;
+  core::TimePoint m_EndsAt;
+  boost::asio::steady_timer m_Wake;
+  std::optional<routing::Target> m_Target; ///< Chosen for the current try.
+  bool m_IsRefused = false;
+  bool m_IsCallerGone = false;
+  http::ClientConnection *m_Connection = nullptr;
+  std::set<core::TargetName> m_Tried;
+  unsigned m_Tries = 0;
+  unsigned m_Runs = 0;               ///< Tries that may have run.
+  std::uint32_t m_PendingPrompt = 0; ///< Counted at the current target.
+  bool m_IsStarted = false;          ///< The caller has the head of an answer.
+  EventSplitter m_Events;
+  core::TimePoint m_LastEventAt{};
+  /// How long the connection may be kept, by the last answer on it.
+  core::Duration m_KeepFor{};
+  unsigned m_Status = 0;
+  const char *m_Reason = "";
+  /// A target's own failure, passed on unless another target does better.
+  std::optional<http::ResponseMessage> m_FailureAnswer;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- /dev/null
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -0,0 +1,321 @@
+#include "LibGateway/PeerLink.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibGateway/StoreTransfer.h"
+#include "LibHTTP/ClientConnection.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using core::Error;
+
+/// Reports between a few instances: old enough to cost little, new enough that
+/// a place is not given away twice for long.
+static constexpr std::chrono::milliseconds ShortestReportPeriod{40};
+/// Each instance hears from all others, so the period grows with their number;
+/// about this many reports a second arrive at each.
+static constexpr double MostReportsPerSecond = 150;
+static constexpr std::chrono::milliseconds BeatPeriod{40};
+/// How often addresses are tried that have not answered.
+static constexpr std::chrono::milliseconds SeekPeriod{250};
+/// Silence after which a peer counts as gone: several lost reports in a row.
+static constexpr std::chrono::milliseconds PeerSilence{700};
+/// How long a silent peer's share of the quotas is kept for it.
+static constexpr std::chrono::seconds MissingTime{10};
+static constexpr std::size_t MostPeers = 1024;
+static constexpr std::size_t MostHinted = 64;
+static constexpr std::size_t HintsInReport = 3;
+/// How far behind the store's own word may be before a peer is asked.
+static constexpr std::chrono::milliseconds BehindPatience{250};
+static constexpr std::chrono::milliseconds FetchTimeout{1000};
+static constexpr std::size_t MostTransferBytes = 16UL * 1024 * 1024;
+static const char FetchPath[] = "/store/";
+/// Keeps a report within one datagram.
+static constexpr std::size_t MostTargetsInReport = 60;
+static constexpr std::size_t MostAccountsInReport = 24;
+
+PeerLink::PeerLink(asio::io_context &Context, const GatewaySettings &Settings,
+                   platform::StoreMirror &Mirror,
+                   metrics::MetricsRegistry &Metrics, PeerLinkHooks Hooks)
+    : m_Context(Context), m_Settings(Settings), m_Mirror(Mirror),
+      m_Metrics(Metrics),
+      m_Hooks(std::move(Hooks)), m_Self{core::IncarnationId(core::randomBits()),
+                                        Settings.m_PeerAddress},
+      m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, PeerSilence),
+      m_Socket(Context), m_Random(core::randomBits()) {
+  boost::system::error_code Failure;
+  udp::endpoint Address = Settings.m_PeerAddress.toUdp();
+  m_Socket.open(Address.protocol(), Failure);
+  if (!Failure)
+    m_Socket.bind(Address, Failure);
+  if (Failure)
+    throw Error(core::ErrorKind::AddressInUse,
+                Settings.m_PeerAddress.toString() +
+                    " (UDP): " + Failure.message());
+  m_FetchServer = http::Server::create(
+      Context, Settings.m_PeerAddress.toTcp(), http::ServerLimits(),
+      [this](http::Exchange &Call, asio::yield_context Yield) {
+        answerFetch(Call, Yield);
+      },
+      [](unsigned Status) {
+        http::ResponseMessage Out;
+        Out.m_Head.m_Status = Status;
+        return Out;
+      });
+}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::start(core::TimerService &Timers) {
+  for (const config::Endpoint &Seed : m_Settings.m_Seeds)
+    if (!(Seed == m_Settings.m_PeerAddress))
+      m_Hinted.insert(Seed);
+  asio::spawn(
+      m_Context, [this](asio::yield_context Yield) { receive(Yield); },
+      asio::detached);
+  Timers.subscribe(BeatPeriod, [this](core::TimePoint Now) { beat(Now); });
+}
+
+void PeerLink::setStopping() {
+  m_IsStopping = true;
+  sendReport(livePeers());
+}
+
+//===----------------------------------------------------------------------===//
+// Reports
+//===----------------------------------------------------------------------===//
+
+void PeerLink::receive(asio::yield_context Yield) {
+  // One byte more than allowed, so that a longer datagram is seen as such.
+  std::vector<char> Buffer(peer::MostDatagramBytes + 1);
+  while (true) {
+    udp::endpoint From;
+    boost::system::error_code Failure;
+    std::size_t Size =
+        m_Socket.async_receive_from(asio::buffer(Buffer), From, Yield[Failure]);
+    // A refused datagram of ours comes back as an error here.
+    if (Failure)
+      continue;
+    auto Decoded = m_Codec.decode({Buffer.data(), Size});
+    if (const auto *Reason = std::get_if<peer::DropReason>(&Decoded))
+      drop(*Reason);
+    else
+      take(std::get<peer::PeerMessage>(Decoded));
+  }
+}
+
+void PeerLink::drop(peer::DropReason Reason) {
+  std::string Name = peer::toString(Reason);
+  std::replace(Name.begin(), Name.end(), '-', '_');
+  m_Metrics.count("yardrill_peer_datagrams_dropped_" + Name + "_total");
+}
+
+void PeerLink::take(const peer::PeerMessage &Message) {
+  const auto *Report = std::get_if<peer::LoadReport>(&Message.m_Body);
+  if (Message.m_From == m_Self || !Report)
+    return;
+  bool IsNew = m_Directory.all().count(Message.m_From.m_Incarnation) == 0;
+  auto Reason = m_Directory.heard(Message, core::steadyNow(),
+                                  core::wallSeconds().count());
+  if (Reason)
+    return drop(*Reason);
+  m_Hinted.erase(Message.m_From.m_Peer);
+  m_Missing.erase(Message.m_From.m_Peer);
+  m_Reports[Message.m_From.m_Incarnation] = *Report;
+  for (const decision::Home &Other : Report->m_Others)
+    if (!(Other.m_Peer == m_Settings.m_PeerAddress) &&
+        m_Hinted.size() < MostHinted &&
+        m_Directory.all().count(Other.m_Incarnation) == 0)
+      m_Hinted.insert(Other.m_Peer);
+  if (IsNew) {
+    core::LogLine("peer-found")
+        .add("peer", Report->m_Name)
+        .add("address", Message.m_From.m_Peer.toString());
+    // It may not know of us yet.
+    sendReport({Message.m_From.m_Peer});
+  }
+  m_Hooks.m_Changed();
+}
+
+std::set<config::Endpoint> PeerLink::livePeers() const {
+  std::set<config::Endpoint> Out;
+  for (const auto &[Incarnation, Peer] : m_Directory.all())
+    Out.insert(Peer.m_Home.m_Peer);
+  return Out;
+}
+
+core::Duration PeerLink::reportPeriod() const {
+  double Seconds =
+      static_cast<double>(m_Directory.all().size()) / MostReportsPerSecond;
+  auto Wanted = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(Seconds));
+  return std::max<core::Duration>(Wanted, ShortestReportPeriod);
+}
+
+void PeerLink::beat(core::TimePoint Now) {
+  expire(Now);
+  if (Now - m_ReportedAt >= reportPeriod()) {
+    m_ReportedAt = Now;
+    std::set<config::Endpoint> To = livePeers();
+    if (Now - m_SoughtAt >= SeekPeriod) {
+      m_SoughtAt = Now;
+      To.insert(m_Hinted.begin(), m_Hinted.end());
+      for (const auto &[Address, Since] : m_Missing)
+        To.insert(Address);
+    }
+    sendReport(To);
+  }
+  fetchIfBehind(Now);
+}
+
+void PeerLink::expire(core::TimePoint Now) {
+  bool IsChanged = false;
+  for (const peer::KnownPeer &Gone : m_Directory.expire(Now)) {
+    auto Report = m_Reports.find(Gone.m_Home.m_Incarnation);
+    bool HasStopped = Report != m_Reports.end() && Report->second.m_IsStopping;
+    if (!HasStopped)
+      m_Missing.emplace(Gone.m_Home.m_Peer, Now);
+    if (Report != m_Reports.end()) {
+      core::LogLine("peer-lost", core::LogLevel::Warning)
+          .add("peer", Report->second.m_Name)
+          .add("address", Gone.m_Home.m_Peer.toString())
+          .add("has_stopped", HasStopped);
+      m_Reports.erase(Report);
+    }
+    IsChanged = true;
+  }
+  for (auto Each = m_Missing.begin(); Each != m_Missing.end();)
+    Each = Now - Each->second > MissingTime ? m_Missing.erase(Each)
+                                            : std::next(Each);
+  if (IsChanged)
+    m_Hooks.m_Changed();
+}
+
+void PeerLink::sendReport(const std::set<config::Endpoint> &To) {
+  if (To.empty())
+    return;
+  peer::PeerMessage Message;
+  Message.m_From = m_Self;
+  Message.m_Sequence = ++m_Sequence;
+  Message.m_WallSeconds = core::wallSeconds().count();
+  peer::LoadReport Report;
+  Report.m_Name = m_Settings.m_Name;
+  Report.m_StoreRevision = m_Mirror.revision().value();
+  Report.m_IsStopping = m_IsStopping;
+  m_Hooks.m_Describe(Report);
+  if (Report.m_Targets.size() > MostTargetsInReport)
+    Report.m_Targets.resize(MostTargetsInReport);
+  if (Report.m_Accounts.size() > MostAccountsInReport)
+    Report.m_Accounts.resize(MostAccountsInReport);
+  // A few at random, so that all learn of all within some reports.
+  std::vector<decision::Home> Known;
+  for (const auto &[Incarnation, Peer] : m_Directory.all())
+    Known.push_back(Peer.m_Home);
+  std::sample(Known.begin(), Known.end(), std::back_inserter(Report.m_Others),
+              HintsInReport, m_Random);
+  Message.m_Body = std::move(Report);
+  std::string Datagram = m_Codec.encode(Message);
+  boost::system::error_code Ignored; // Lost datagrams are expected.
+  for (const config::Endpoint &Address : To)
+    m_Socket.send_to(asio::buffer(Datagram), Address.toUdp(), 0, Ignored);
+}
+
+//===----------------------------------------------------------------------===//
+// What the store said
+//===----------------------------------------------------------------------===//
+
+void PeerLink::answerFetch(http::Exchange &Call, asio::yield_context Yield) {
+  const std::string &Target = Call.request().m_Target;
+  const std::string Prefix = FetchPath;
+  std::int64_t After = 0;
+  http::ResponseMessage Answer;
+  bool IsRead = false;
+  if (Target.compare(0, Prefix.size(), Prefix) == 0) {
+    const char *End = Target.data() + Target.size();
+    auto [Last, Code] =
+        std::from_chars(Target.data() + Prefix.size(), End, After);
+    IsRead = Code == std::errc() && Last == End;
+  }
+  if (!IsRead) {
+    Answer.m_Head.m_Status = 404;
+    return Call.sendWhole(std::move(Answer), Yield);
+  }
+  Answer.m_Head.m_Status = 200;
+  Answer.m_Body = m_Codec.seal(
+      StoreTransfer::from(m_Mirror, platform::Revision(After)).encode());
+  Call.sendWhole(std::move(Answer), Yield);
+}
+
+void PeerLink::fetchIfBehind(core::TimePoint Now) {
+  std::int64_t Newest = 0;
+  core::IncarnationId From;
+  for (const auto &[Incarnation, Report] : m_Reports)
+    if (Report.m_StoreRevision > Newest) {
+      Newest = Report.m_StoreRevision;
+      From = Incarnation;
+    }
+  if (Newest <= m_Mirror.revision().value()) {
+    m_BehindSince = core::TimePoint();
+    return;
+  }
+  if (m_BehindSince == core::TimePoint())
+    m_BehindSince = Now;
+  // One that knows nothing has nothing to wait for.
+  bool IsPatient = m_Mirror.revision() != platform::Revision();
+  if (m_IsFetching || (IsPatient && Now - m_BehindSince < BehindPatience))
+    return;
+  auto Peer = m_Directory.all().find(From);
+  if (Peer == m_Directory.all().end())
+    return;
+  m_IsFetching = true;
+  asio::spawn(
+      m_Context,
+      [this, Address = Peer->second.m_Home.m_Peer](asio::yield_context Yield) {
+        fetch(Address, Yield);
+      },
+      asio::detached);
+}
+
+void PeerLink::fetch(const config::Endpoint &From, asio::yield_context Yield) {
+  try {
+    fetchOnce(From, Yield);
+  } catch (const Error &Failure) {
+    core::LogLine("peer-fetch-failed", core::LogLevel::Warning)
+        .add("peer", From.toString())
+        .add("reason", Failure.what());
+  }
+  m_IsFetching = false;
+  m_BehindSince = core::steadyNow();
+}
+
+void PeerLink::fetchOnce(const config::Endpoint &From,
+                         asio::yield_context Yield) {
+  auto Connection = http::ClientConnection::connect(m_Context, From.toTcp(),
+                                                    FetchTimeout, Yield);
+  http::RequestMessage Request;
+  Request.m_Method = "GET";
+  Request.m_Target = FetchPath + std::to_string(m_Mirror.revision().value());
+  Request.m_Headers.set("Host", From.toString());
+  Connection->sendRequest(Request, FetchTimeout, Yield);
+  auto Answer = Connection->readWhole(FetchTimeout, MostTransferBytes, Yield);
+  auto Payload = m_Codec.unseal(Answer.m_Body);
+  if (const auto *Reason = std::get_if<peer::DropReason>(&Payload))
+    return drop(*Reason);
+  auto Transfer = StoreTransfer::decode(std::get<std::string_view>(Payload));
+  Transfer.applyTo(m_Mirror);
+  core::LogLine("store-heard-from-peer")
+      .add("peer", From.toString())
+      .add("revision", m_Mirror.revision())
+      .add("entries", Transfer.m_Entries.size())
+      .add("is_whole", Transfer.m_IsWhole);
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StateFollower.cpp
@@ -0,0 +1,82 @@
+#include "LibGateway/StateFollower.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibPlatform/Backoff.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+using platform::CallClass;
+
+/// Everything: one watch costs one call where three would cost three.
+static const char EverythingPrefix[] = "";
+/// Pauses after failures: the first is about a call's own time, the longest
+/// keeps the return of the store within the time a configuration may take.
+static constexpr std::chrono::milliseconds FirstPause{100};
+static constexpr std::chrono::milliseconds LongestPause{800};
+
+void StateFollower::start() {
+  asio::spawn(
+      m_Context, [this](asio::yield_context Yield) { follow(Yield); },
+      asio::detached);
+}
+
+void StateFollower::noteConnected() {
+  if (m_IsConnected)
+    return;
+  m_IsConnected = true;
+  core::LogLine("store-connected").add("revision", m_Mirror.revision());
+}
+
+void StateFollower::noteLost(const std::exception &Failure) {
+  if (!m_IsConnected)
+    return;
+  m_IsConnected = false;
+  core::LogLine("store-lost", core::LogLevel::Warning)
+      .add("revision", m_Mirror.revision())
+      .add("reason", Failure.what());
+}
+
+void StateFollower::follow(asio::yield_context Yield) {
+  platform::Backoff Pauses(FirstPause, LongestPause, core::randomBits());
+  asio::steady_timer Pause(m_Context);
+  while (true) {
+    bool WasConnected = m_IsConnected;
+    try {
+      followOnce(Yield);
+    } catch (const core::Error &Failure) {
+      if (Failure.kind() == core::ErrorKind::Conflict)
+        m_MustReadAll = true;
+      if (m_IsConnected && !WasConnected)
+        Pauses.reset();
+      noteLost(Failure);
+    }
+    Pause.expires_after(Pauses.next());
+    boost::system::error_code Ignored;
+    Pause.async_wait(Yield[Ignored]);
+  }
+}
+
+void StateFollower::followOnce(asio::yield_context Yield) {
+  if (m_MustReadAll || m_Mirror.revision() == platform::Revision()) {
+    auto Content =
+        m_Store.readPrefix(EverythingPrefix, CallClass::Control, Yield);
+    m_Mirror.replaceAll(m_Store.lastRevision(), Content);
+    m_MustReadAll = false;
+    noteConnected();
+  }
+  m_Store.watch(
+      EverythingPrefix, m_Mirror.revision(),
+      [this](const std::vector<platform::Entry> &Changes) {
+        m_Mirror.apply(m_Store.lastRevision(), Changes);
+        noteConnected();
+      },
+      Yield);
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StateFollower.h
@@ -0,0 +1,40 @@
+//===-- StateFollower.h - Keeps the mirror close behind the store ---------===//
+#ifndef YARDRILL_LIBGATEWAY_STATEFOLLOWER_H
+#define YARDRILL_LIBGATEWAY_STATEFOLLOWER_H
+
+#include "LibPlatform/KeyValueService.h"
+#include "LibPlatform/StoreMirror.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+namespace yardrill::gateway {
+
+/// Watches the whole store and copies it into the mirror, for as long as the
+/// process runs. Loss and return of the store are logged.
+class StateFollower {
+public:
+  StateFollower(boost::asio::io_context &Context,
+                platform::KeyValueService &Store, platform::StoreMirror &Mirror)
+      : m_Context(Context), m_Store(Store), m_Mirror(Mirror) {}
+
+  void start();
+  bool isConnected() const { return m_IsConnected; }
+
+private:
+  void follow(boost::asio::yield_context Yield);
+  /// Reads and watches until something fails. \throws core::Error.
+  void followOnce(boost::asio::yield_context Yield);
+  void noteConnected();
+  void noteLost(const std::exception &Failure);
+
+  boost::asio::io_context &m_Context;
+  platform::KeyValueService &m_Store;
+  platform::StoreMirror &m_Mirror;
+  bool m_IsConnected = false;
+  bool m_MustReadAll = true;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
 #include <optional>
 
 namespace yardrill::http {
@@ -30,6 +31,7 @@
   std::optional<Parser> m_Parser;
   bool m_IsHead = false;
   bool m_IsWhole = false;
+  bool m_IsCloseAnEnd = false;
 };
 
 static void check(error_code Failure, ErrorKind Kind, const char *Doing) {
@@ -37,6 +39,21 @@
     throw Error(Kind, std::string(Doing) + ": " + Failure.message());
 }
 
+/// A machine without power or behind a cut says nothing at all: the kernel's
+/// probes end such a connection after about three seconds.
+static void noticeSilentPeers(tcp::socket &Socket) {
+  using Seconds =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(Seconds(1), Ignored);
+  Socket.set_option(Interval(1), Ignored);
+  Socket.set_option(Count(2), Ignored);
+}
+
 ClientConnection::ClientConnection(std::unique_ptr<Implementation> Impl)
     : m_Impl(std::move(Impl)) {}
 
@@ -52,6 +69,7 @@
   Impl->m_Stream.async_connect(Address, Yield[Failure]);
   check(Failure, ErrorKind::Unavailable, "connect");
   Impl->m_Stream.socket().set_option(tcp::no_delay(true));
+  noticeSilentPeers(Impl->m_Stream.socket());
   return std::unique_ptr<ClientConnection>(
       new ClientConnection(std::move(Impl)));
 }
@@ -78,6 +96,8 @@
   check(Failure, ErrorKind::OutcomeUnknown, "send request");
 }
 
+void ClientConnection::allowBodyUntilClose() { m_Impl->m_IsCloseAnEnd = true; }
+
 ResponseHead ClientConnection::readHead(core::Duration Timeout,
                                         asio::yield_context Yield) {
   auto &Parser = m_Impl->m_Parser;
@@ -93,8 +113,8 @@
     check(Failure, ErrorKind::OutcomeUnknown, "read head");
     // Interim answers (RFC 9110, section 15.2) come before the final one.
   } while (Parser->get().result_int() < 200);
-  if (!Parser->is_done() && Parser->need_eof() && !Parser->chunked() &&
-      !Parser->content_length())
+  if (!m_Impl->m_IsCloseAnEnd && !Parser->is_done() && Parser->need_eof() &&
+      !Parser->chunked() && !Parser->content_length())
     throw Error(ErrorKind::OutcomeUnknown, "answer without a length");
   ResponseHead Head;
   Head.m_Status = Parser->get().result_int();
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -26,8 +26,11 @@
   /// \throws core::Error of kind OutcomeUnknown: bytes may have arrived.
   void sendRequest(const RequestMessage &Request, core::Duration Timeout,
                    boost::asio::yield_context Yield);
-  /// \throws core::Error of kind OutcomeUnknown; also for an answer whose end
-  /// could not be told from a broken connection (neither length nor chunks).
+  /// Takes answers with neither length nor chunks, whose body ends with the
+  /// connection (RFC 9112, section 6.3). Without this they are an error, since
+  /// a stop of the other side looks like their end.
+  void allowBodyUntilClose();
+  /// \throws core::Error of kind OutcomeUnknown.
   ResponseHead readHead(core::Duration Timeout,
                         boost::asio::yield_context Yield);
   /// \returns the next bytes of the body; empty at its end.
--- /dev/null
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -0,0 +1,62 @@
+//===-- ConnectionPool.h - Client connections, kept for reuse -------------===//
+#ifndef YARDRILL_LIBHTTP_CONNECTIONPOOL_H
+#define YARDRILL_LIBHTTP_CONNECTIONPOOL_H
+
+#include "LibCore/Time.h"
+#include "LibHTTP/ClientConnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace yardrill::http {
+
+struct ConnectionPoolLimits {
+  core::Duration m_ConnectTimeout = std::chrono::seconds(1);
+  std::size_t m_MostIdle = 64; ///< Kept for each address.
+};
+
+/// Hands out connections; used on one thread only.
+class ConnectionPool {
+public:
+  ConnectionPool(boost::asio::io_context &Context,
+                 const ConnectionPoolLimits &Limits)
+      : m_Context(Context), m_Limits(Limits) {}
+
+  /// \param IsFresh never reuse one: a reused connection may break under the
+  /// first byte, and then nobody knows whether the request arrived.
+  /// \throws core::Error of kind Unavailable; no byte was sent.
+  std::unique_ptr<ClientConnection>
+  open(const boost::asio::ip::tcp::endpoint &Address, bool IsFresh,
+       boost::asio::yield_context Yield);
+  /// Takes a connection back whose answer was read whole.
+  /// \param UsableFor when it rested longer, the other side may be closing it.
+  void giveBack(const boost::asio::ip::tcp::endpoint &Address,
+                std::unique_ptr<ClientConnection> Connection,
+                core::Duration UsableFor = std::chrono::hours(1));
+  /// Closes what is kept for an address that is no longer used.
+  void forget(const boost::asio::ip::tcp::endpoint &Address);
+  /// Closes connections that rested for too long.
+  void closeExpired();
+
+  std::uint64_t opened() const { return m_Opened; }
+
+private:
+  struct Idle {
+    std::unique_ptr<ClientConnection> m_Connection;
+    core::TimePoint m_UsableUntil;
+  };
+
+  boost::asio::io_context &m_Context;
+  ConnectionPoolLimits m_Limits;
+  std::uint64_t m_Opened = 0;
+  std::map<boost::asio::ip::tcp::endpoint, std::vector<Idle>> m_Idle;
+};
+
+} // namespace yardrill::http
+
+#endif
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -38,6 +38,8 @@
         std::count_if(m_Open.begin(), m_Open.end(),
                       [](const auto &C) { return !C->isIdle(); }));
   }
+  void setLimits(const ServerLimits &Limits) override { m_Limits = Limits; }
+  void closeAfterAnswers() override { m_IsClosing = true; }
   void stopAccepting() override;
 
 private:
@@ -52,6 +54,7 @@
   Rejection m_Reject;
   asio::steady_timer m_RoomTimer; ///< Cancelled when a connection closes.
   std::list<std::shared_ptr<ServerConnection>> m_Open;
+  bool m_IsClosing = false; ///< Each connection after its answer.
   bool m_IsStopping = false;
   std::uint16_t m_Port = 0;
 };
@@ -103,7 +106,7 @@
   auto Place = m_Open.insert(
       m_Open.end(),
       std::make_shared<ServerConnection>(std::move(Socket), m_Limits, m_Handle,
-                                         m_Reject, m_IsStopping));
+                                         m_Reject, m_IsClosing));
   asio::spawn(
       m_Context,
       [this, Place](asio::yield_context Yield) {
@@ -122,7 +125,7 @@
 }
 
 void BeastServer::stopAccepting() {
-  m_IsStopping = true;
+  m_IsClosing = m_IsStopping = true;
   m_Acceptor.close();
   m_RoomTimer.cancel();
   for (auto &Open : m_Open)
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -54,7 +54,7 @@
 public:
   using Handler = std::function<void(Exchange &, boost::asio::yield_context)>;
   /// Makes the answer to a request that could not be read; the status is one
-  /// of 400, 408, 413, 431 and 505.
+  /// of 400, 408, 413, 431, 501 and 505.
   using Rejection = std::function<ResponseMessage(unsigned Status)>;
 
   virtual ~Server() = default;
@@ -69,6 +69,11 @@
   virtual std::size_t openConnections() const = 0;
   /// Requests of which some bytes have come and whose answers are not complete.
   virtual std::size_t openRequests() const = 0;
+  /// In force from the next request of each connection.
+  virtual void setLimits(const ServerLimits &Limits) = 0;
+  /// Goes on accepting, but closes each connection after its next answer, which
+  /// says so.
+  virtual void closeAfterAnswers() = 0;
   /// Accepts nothing new and closes each connection after its answer.
   virtual void stopAccepting() = 0;
 };
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -95,6 +95,13 @@
     stopReadTimer();
     return 505;
   }
+  // A coding that is not understood hides where the body ends (RFC 9112,
+  // section 6.1).
+  if (IsHeaderRead && !Parser.chunked() &&
+      Parser.get().count(beast::http::field::transfer_encoding) != 0) {
+    stopReadTimer();
+    return 501;
+  }
   if (IsHeaderRead && beast::iequals(Parser.get()[beast::http::field::expect],
                                      "100-continue")) {
     beast::http::response<beast::http::empty_body> Continue(
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -22,10 +22,10 @@
 public:
   ServerConnection(boost::asio::ip::tcp::socket Socket,
                    const ServerLimits &Limits, const Server::Handler &Handle,
-                   const Server::Rejection &Reject, const bool &IsStopping)
+                   const Server::Rejection &Reject, const bool &IsClosing)
       : m_Stream(std::move(Socket)), m_ReadTimer(m_Stream.get_executor()),
         m_Limits(Limits), m_Handle(Handle), m_Reject(Reject),
-        m_IsStopping(IsStopping) {}
+        m_IsClosing(IsClosing) {}
 
   void run(boost::asio::yield_context Yield);
   bool isIdle() const { return m_IsIdle; }
@@ -52,7 +52,7 @@
   void linger(boost::asio::yield_context Yield);
   void watchForHangUp();
   void checkWritten(boost::system::error_code Failure);
-  bool mustClose() const { return !m_KeepAlive || m_IsStopping; }
+  bool mustClose() const { return !m_KeepAlive || m_IsClosing; }
 
   static const unsigned NoAnswer = 1;
 
@@ -67,7 +67,7 @@
   const ServerLimits &m_Limits;
   const Server::Handler &m_Handle;
   const Server::Rejection &m_Reject;
-  const bool &m_IsStopping;
+  const bool &m_IsClosing;
   boost::beast::flat_buffer m_Buffer;
   RequestMessage m_Request;
   bool m_KeepAlive = true;
--- a/Libraries/LibInstance/OpenRequest.cpp
+++ b/Libraries/LibInstance/OpenRequest.cpp
@@ -101,7 +101,8 @@
   } else if (!m_IsCallerGone || m_IsKeeping) {
     std::unique_ptr<http::ClientConnection> Target;
     try {
-      Target = m_Duty.m_Targets.open(What.m_Address, m_IsKeeping, Yield);
+      Target =
+          m_Duty.m_Targets.open(What.m_Address.toTcp(), m_IsKeeping, Yield);
     } catch (const Error &Failure) {
       core::LogLine("connect-failed", core::LogLevel::Warning)
           .add("request", m_PrintableId)
@@ -121,7 +122,7 @@
       Outcome = runAtTarget(*Target, Yield);
     m_Target = nullptr;
     if (Outcome == AnswerOutcome::Complete)
-      m_Duty.m_Targets.giveBack(What.m_Address, std::move(Target));
+      m_Duty.m_Targets.giveBack(What.m_Address.toTcp(), std::move(Target));
   }
   bool IsKept = false;
   if (Outcome == AnswerOutcome::Complete && m_IsKeeping && !m_IsTooLargeToKeep)
@@ -284,7 +285,7 @@
   Request.m_Headers.set(AccountHeader, m_Request.m_Arrival.m_Account.value());
   m_Duty.m_Signature.sign(Request, core::wallSeconds().count());
   try {
-    auto Home = m_Duty.m_Targets.open(What.m_Home.m_Peer, true, Yield);
+    auto Home = m_Duty.m_Targets.open(What.m_Home.m_Peer.toTcp(), true, Yield);
     m_Target = Home.get();
     Home->sendRequest(Request, m_Duty.m_Settings.m_Targets.m_SilenceTimeout,
                       Yield);
--- a/Libraries/LibInstance/PeerDuty.cpp
+++ b/Libraries/LibInstance/PeerDuty.cpp
@@ -24,10 +24,6 @@
 static const std::chrono::seconds FetchTimeout(2);
 static const std::size_t MostEnvelopeBytes = 4UL * 1024 * 1024;
 
-static udp::endpoint toUdp(const config::Endpoint &Address) {
-  return {asio::ip::make_address(Address.m_Address), Address.m_Port};
-}
-
 PeerDuty::PeerDuty(const config::InstanceSettings &Settings,
                    decision::Home Self, ConfigurationKeeper &Configuration,
                    metrics::MetricsRegistry &Metrics,
@@ -44,7 +40,7 @@
       })),
       m_Socket(m_Thread.context()), m_Random(core::randomBits()) {
   boost::system::error_code Failure;
-  udp::endpoint Address = toUdp(Settings.m_PeerAddress);
+  udp::endpoint Address = Settings.m_PeerAddress.toUdp();
   m_Socket.open(Address.protocol(), Failure);
   if (!Failure)
     m_Socket.bind(Address, Failure);
@@ -125,7 +121,8 @@
     return takeHeartbeat(Message, *Beat);
   if (const auto *Order = std::get_if<decision::FloorOrder>(&Message.m_Body))
     return m_Push(*Order);
-  m_Push(std::get<decision::FloorReport>(Message.m_Body));
+  if (const auto *Report = std::get_if<decision::FloorReport>(&Message.m_Body))
+    m_Push(*Report);
 }
 
 void PeerDuty::takeHeartbeat(const peer::PeerMessage &Message,
@@ -149,9 +146,7 @@
                                   asio::yield_context Yield) {
   try {
     auto Connection = http::ClientConnection::connect(
-        m_Thread.context(),
-        {asio::ip::make_address(From.m_Address), From.m_Port}, FetchTimeout,
-        Yield);
+        m_Thread.context(), From.toTcp(), FetchTimeout, Yield);
     http::RequestMessage Request;
     Request.m_Method = "GET";
     Request.m_Target = "/peer/configuration";
@@ -192,7 +187,7 @@
   std::string Datagram = m_Codec.encode(Message);
   boost::system::error_code Ignored;
   // A datagram that can't be sent now is as good as lost: all are repeated.
-  m_Socket.send_to(asio::buffer(Datagram), toUdp(To), 0, Ignored);
+  m_Socket.send_to(asio::buffer(Datagram), To.toUdp(), 0, Ignored);
   m_Metrics.count("yardrill_peer_bytes_sent_total", Datagram.size());
 }
 
--- a/Libraries/LibInstance/TrafficDuty.cpp
+++ b/Libraries/LibInstance/TrafficDuty.cpp
@@ -34,6 +34,10 @@
     Out.m_Type = "header-too-large";
     Out.m_Title = "The header is too large";
     break;
+  case 501:
+    Out.m_Type = "transfer-coding";
+    Out.m_Title = "Only the chunked transfer coding is served here";
+    break;
   case 505:
     Out.m_Type = "http-version";
     Out.m_Title = "Only HTTP/1.1 is served here";
@@ -46,10 +50,6 @@
   return Out;
 }
 
-static asio::ip::tcp::endpoint toTcp(const config::Endpoint &Address) {
-  return {asio::ip::make_address(Address.m_Address), Address.m_Port};
-}
-
 static http::ServerLimits toLimits(const config::CallerLimits &Limits) {
   return {Limits.m_HeaderBytes, Limits.m_BodyBytes,    Limits.m_OpenConnections,
           Limits.m_ReadTimeout, Limits.m_WriteTimeout, Limits.m_IdleTimeout};
@@ -71,21 +71,21 @@
       m_Signature(Settings.m_Peers.m_Key),
       m_Answers(Settings.m_Identities.m_AnswerBytes,
                 Settings.m_Identities.m_OneAnswerBytes),
-      m_Targets(m_Thread.context(), Settings.m_Targets.m_ConnectTimeout,
-                Settings.m_Targets.m_IdleConnections) {
+      m_Targets(m_Thread.context(), {Settings.m_Targets.m_ConnectTimeout,
+                                     Settings.m_Targets.m_IdleConnections}) {
   auto Reject = [this](unsigned Status) {
     m_Metrics.count("yardrill_unreadable_requests_total");
     return toResponse(unreadable(Status), "");
   };
   http::ServerLimits Limits = toLimits(Settings.m_Callers);
   m_CallerServer = http::Server::create(
-      m_Thread.context(), toTcp(Settings.m_CallerAddress), Limits,
+      m_Thread.context(), Settings.m_CallerAddress.toTcp(), Limits,
       [this](http::Exchange &Caller, asio::yield_context Yield) {
         handleCaller(Caller, Yield);
       },
       Reject);
   m_PeerServer = http::Server::create(
-      m_Thread.context(), toTcp(Settings.m_PeerAddress), Limits,
+      m_Thread.context(), Settings.m_PeerAddress.toTcp(), Limits,
       [this](http::Exchange &Peer, asio::yield_context Yield) {
         handlePeer(Peer, Yield);
       },
--- a/Libraries/LibInstance/TrafficDuty.h
+++ b/Libraries/LibInstance/TrafficDuty.h
@@ -13,12 +13,12 @@
 #include "LibCore/Ring.h"
 #include "LibDecision/Action.h"
 #include "LibDecision/Event.h"
+#include "LibHTTP/ConnectionPool.h"
 #include "LibHTTP/Server.h"
 #include "LibInstance/AnswerStore.h"
 #include "LibInstance/ConfigurationKeeper.h"
 #include "LibInstance/PeerSignature.h"
 #include "LibInstance/RequestReader.h"
-#include "LibInstance/TargetConnections.h"
 #include "LibInstance/TicketSigner.h"
 #include "LibMetrics/MetricsRegistry.h"
 
@@ -85,7 +85,7 @@
   TicketSigner m_Tickets;
   PeerSignature m_Signature;
   AnswerStore m_Answers;
-  TargetConnections m_Targets;
+  http::ConnectionPool m_Targets;
   std::unordered_map<core::RequestId, OpenRequest *> m_Open;
   std::uint64_t m_NextRequest = 1;
   std::unique_ptr<http::Server> m_CallerServer;
--- a/Libraries/LibPeer/PeerCodec.cpp
+++ b/Libraries/LibPeer/PeerCodec.cpp
@@ -41,17 +41,34 @@
   return core::hmacSha256(Key, Signed);
 }
 
+std::string PeerCodec::seal(std::string_view Payload) const {
+  std::string Sealed(Magic);
+  Sealed += ProtocolVersion;
+  Sealed += sign(m_Key, Payload);
+  Sealed += Payload;
+  return Sealed;
+}
+
+std::variant<std::string_view, DropReason>
+PeerCodec::unseal(std::string_view Sealed) const {
+  if (Sealed.size() < PayloadAt || Sealed.substr(0, VersionAt) != Magic)
+    return DropReason::Garbage;
+  if (Sealed[VersionAt] != ProtocolVersion)
+    return DropReason::OtherVersion;
+  std::string_view Payload = Sealed.substr(PayloadAt);
+  if (!core::isEqualConstantTime(Sealed.substr(SignatureAt, SignatureBytes),
+                                 sign(m_Key, Payload)))
+    return DropReason::WrongKey;
+  return Payload;
+}
+
 std::string PeerCodec::encode(const PeerMessage &Message) const {
   std::ostringstream Out;
   {
     cereal::PortableBinaryOutputArchive Archive(Out);
     Archive(Message);
   }
-  std::string Payload = Out.str();
-  std::string Datagram(Magic);
-  Datagram += ProtocolVersion;
-  Datagram += sign(m_Key, Payload);
-  Datagram += Payload;
+  std::string Datagram = seal(Out.str());
   if (Datagram.size() > MostDatagramBytes)
     throw core::Error(core::ErrorKind::LimitExceeded, "datagram is too large");
   return Datagram;
@@ -61,16 +78,11 @@
 PeerCodec::decode(std::string_view Datagram) const {
   if (Datagram.size() > MostDatagramBytes)
     return DropReason::TooLarge;
-  if (Datagram.size() < PayloadAt || Datagram.substr(0, VersionAt) != Magic)
-    return DropReason::Garbage;
-  if (Datagram[VersionAt] != ProtocolVersion)
-    return DropReason::OtherVersion;
-  std::string_view Payload = Datagram.substr(PayloadAt);
-  if (!core::isEqualConstantTime(Datagram.substr(SignatureAt, SignatureBytes),
-                                 sign(m_Key, Payload)))
-    return DropReason::WrongKey;
+  auto Payload = unseal(Datagram);
+  if (const auto *Reason = std::get_if<DropReason>(&Payload))
+    return *Reason;
   try {
-    std::istringstream In{std::string(Payload)};
+    std::istringstream In{std::string(std::get<std::string_view>(Payload))};
     cereal::PortableBinaryInputArchive Archive(In);
     PeerMessage Message;
     Archive(Message);
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -38,6 +38,11 @@
 
   /// \throws core::Error of kind LimitExceeded when it does not fit.
   std::string encode(const PeerMessage &Message) const;
+  /// Any payload with magic, version and signature before it.
+  std::string seal(std::string_view Payload) const;
+  /// \returns the payload of a sealed text whose signature is right.
+  std::variant<std::string_view, DropReason>
+  unseal(std::string_view Sealed) const;
   /// Reads nothing of a payload before its authentication has passed.
   std::variant<PeerMessage, DropReason> decode(std::string_view Datagram) const;
 
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -29,8 +29,45 @@
   }
 };
 
-using PeerBody =
-    std::variant<Heartbeat, decision::FloorOrder, decision::FloorReport>;
+/// Work under way at one target, sent by the reporting instance.
+struct TargetUse {
+  std::uint32_t m_Target = 0; ///< Low half of stableHash() of its name.
+  std::uint16_t m_Running = 0;
+  std::uint32_t m_PendingPrompt = 0; ///< Prompt tokens without a first event.
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Target, m_Running, m_PendingPrompt);
+  }
+};
+
+/// Tokens that one client account drew from its quota.
+struct AccountUse {
+  std::uint32_t m_Account = 0; ///< Low half of stableHash() of its name.
+  std::uint64_t m_Tokens = 0;  ///< Since the sender's incarnation began.
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Account, m_Tokens);
+  }
+};
+
+/// What the sender has under way, and how far it follows the store. Each
+/// report replaces the last: a lost one costs only its delay.
+struct LoadReport {
+  core::InstanceName m_Name;
+  std::int64_t m_StoreRevision = 0; ///< 0: knows nothing yet.
+  bool m_IsStopping = false;
+  std::vector<TargetUse> m_Targets; ///< Only those with work.
+  std::vector<AccountUse> m_Accounts;
+  /// Some other instances that the sender heard from lately.
+  std::vector<decision::Home> m_Others;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Name, m_StoreRevision, m_IsStopping, m_Targets, m_Accounts, m_Others);
+  }
+};
+
+using PeerBody = std::variant<Heartbeat, decision::FloorOrder,
+                              decision::FloorReport, LoadReport>;
 
 struct PeerMessage {
   decision::Home m_From;
--- /dev/null
+++ b/Libraries/LibPlatform/StoreMirror.h
@@ -0,0 +1,55 @@
+//===-- StoreMirror.h - A copy of the store that never goes back ----------===//
+#ifndef YARDRILL_LIBPLATFORM_STOREMIRROR_H
+#define YARDRILL_LIBPLATFORM_STOREMIRROR_H
+
+#include "LibPlatform/KeyValueService.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yardrill::platform {
+
+/// What the store held at one revision, fed by the store itself or by another
+/// instance that is further on. Answers that come late, twice or out of order
+/// change nothing.
+class StoreMirror {
+public:
+  using Subscriber = std::function<void(const Entry &)>;
+
+  /// \param MostChanges kept for changesSince().
+  explicit StoreMirror(std::size_t MostChanges) : m_MostChanges(MostChanges) {}
+
+  /// \p Notify gets each change, removals included, in the order applied.
+  void subscribe(Subscriber Notify) { m_Notify.push_back(std::move(Notify)); }
+
+  /// Takes the whole content as of \p At. Entries may be newer than that: a
+  /// range is read in several pages.
+  void replaceAll(Revision At, const std::vector<Entry> &Content);
+  /// Takes all changes after revision() up to \p At.
+  void apply(Revision At, const std::vector<Entry> &Changes);
+
+  /// 0: nothing was ever taken in.
+  Revision revision() const { return m_Revision; }
+  std::vector<Entry> content() const;
+  /// \returns none when some of the changes are no longer kept.
+  std::optional<std::vector<Entry>> changesSince(Revision After) const;
+
+private:
+  bool take(const Entry &Change);
+
+  std::size_t m_MostChanges;
+  Revision m_Revision;
+  /// Changes after this revision are all in m_Changes.
+  Revision m_ChangesBegin;
+  std::map<std::string, Entry> m_Entries;
+  std::deque<Entry> m_Changes;
+  std::vector<Subscriber> m_Notify;
+};
+
+} // namespace yardrill::platform
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -0,0 +1,38 @@
+//===-- RetryBudget.h - How many requests may go to a second target -------===//
+#ifndef YARDRILL_LIBROUTING_RETRYBUDGET_H
+#define YARDRILL_LIBROUTING_RETRYBUDGET_H
+
+#include "LibCore/Time.h"
+
+#include <deque>
+
+namespace yardrill::routing {
+
+struct RetryLimits {
+  double m_Ratio = 0;        ///< Retries for each request of the window.
+  core::Duration m_Window{}; ///< Sliding.
+  double m_Allowance = 0;    ///< Retries beyond the ratio, a window.
+};
+
+/// Keeps one instance's retries for one pool below a share of its own
+/// requests. Since every instance does, the sum over all stays below too,
+/// without a message between them.
+class RetryBudget {
+public:
+  explicit RetryBudget(const RetryLimits &Limits) : m_Limits(Limits) {}
+
+  void noteRequest(core::TimePoint Now);
+  /// \returns true and counts the retry, if one more is within the budget.
+  bool tryTake(core::TimePoint Now);
+
+private:
+  void forgetOld(core::TimePoint Now);
+
+  RetryLimits m_Limits;
+  std::deque<core::TimePoint> m_Requests;
+  std::deque<core::TimePoint> m_Retries;
+};
+
+} // namespace yardrill::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -0,0 +1,169 @@
+#include "LibRouting/TargetDirectory.h"
+
+#include "LibCore/Digest.h"
+
+#include <algorithm>
+
+namespace yardrill::routing {
+
+/// Announcements that ran out during an outage of the store are back within
+/// two seconds of its return (the platform's promise); a margin for the way.
+static constexpr std::chrono::milliseconds ManyLapsedGrace{2400};
+/// One that is missing alone has left; work sent on the old word until then
+/// would still be in time (a leaving target must be left alone after 2 s).
+static constexpr std::chrono::milliseconds OneLapsedGrace{1200};
+/// Rest after a failure: long enough to pass over a burst of failures, short
+/// enough to notice a restart; doubles with each further one.
+static constexpr std::chrono::milliseconds FirstRest{100};
+static constexpr std::chrono::milliseconds LongestRest{2000};
+/// Weight of the newest observation; about ten count.
+static constexpr double PaceWeight = 0.1;
+static constexpr double FailureWeight = 0.1;
+/// Bounds of the learned slowness; engines of one pool differ up to fivefold.
+static constexpr double LeastSlowness = 0.5;
+static constexpr double MostSlowness = 8;
+
+void TargetDirectory::announce(const Target &What) {
+  auto [Place, IsNew] = m_Targets.try_emplace(What.m_Name);
+  KnownTarget &Known = Place->second;
+  if (IsNew)
+    Known.m_Hash =
+        static_cast<std::uint32_t>(core::stableHash(What.m_Name.value()));
+  if (!IsNew && Known.m_Target.m_Pool != What.m_Pool) {
+    auto &Old = m_ByPool[Known.m_Target.m_Pool];
+    Old.erase(std::remove(Old.begin(), Old.end(), What.m_Name), Old.end());
+  }
+  auto &Names = m_ByPool[What.m_Pool];
+  if (std::find(Names.begin(), Names.end(), What.m_Name) == Names.end())
+    Names.push_back(What.m_Name);
+  Known.m_Target = What;
+  Known.m_LapsedAt.reset();
+}
+
+void TargetDirectory::withdraw(const core::TargetName &Name,
+                               core::TimePoint Now) {
+  KnownTarget *Known = find(Name);
+  if (!Known || Known->m_LapsedAt)
+    return;
+  Known->m_LapsedAt = Now;
+}
+
+void TargetDirectory::forgetLapsed(core::TimePoint Now) {
+  for (auto &[Pool, Names] : m_ByPool) {
+    auto IsLapsed = [this](const core::TargetName &Name) {
+      return m_Targets[Name].m_LapsedAt.has_value();
+    };
+    std::size_t Lapsed = static_cast<std::size_t>(
+        std::count_if(Names.begin(), Names.end(), IsLapsed));
+    bool IsMany = Lapsed * 2 > Names.size();
+    core::Duration Grace = IsMany ? ManyLapsedGrace : OneLapsedGrace;
+    auto MustGo = [&](const core::TargetName &Name) {
+      const KnownTarget &Known = m_Targets[Name];
+      return Known.m_LapsedAt && Now - *Known.m_LapsedAt >= Grace;
+    };
+    auto First = std::remove_if(Names.begin(), Names.end(), MustGo);
+    std::vector<core::TargetName> Gone(First, Names.end());
+    Names.erase(First, Names.end());
+    for (const core::TargetName &Name : Gone)
+      m_Targets.erase(Name);
+  }
+}
+
+void TargetDirectory::started(const core::TargetName &Name,
+                              std::uint32_t PromptTokens) {
+  if (KnownTarget *Known = find(Name)) {
+    ++Known->m_Own.m_Running;
+    Known->m_Own.m_PendingPrompt += PromptTokens;
+  }
+}
+
+void TargetDirectory::began(const core::TargetName &Name,
+                            std::uint32_t PromptTokens) {
+  KnownTarget *Known = find(Name);
+  if (!Known)
+    return;
+  std::uint64_t &Pending = Known->m_Own.m_PendingPrompt;
+  Pending -= std::min<std::uint64_t>(Pending, PromptTokens);
+}
+
+void TargetDirectory::ended(const core::TargetName &Name,
+                            std::uint32_t PendingPrompt) {
+  KnownTarget *Known = find(Name);
+  if (!Known || Known->m_Own.m_Running == 0)
+    return;
+  --Known->m_Own.m_Running;
+  began(Name, PendingPrompt);
+}
+
+void TargetDirectory::failed(const core::TargetName &Name,
+                             core::TimePoint Now) {
+  KnownTarget *Known = find(Name);
+  if (!Known)
+    return;
+  Known->m_FailureShare += FailureWeight * (1 - Known->m_FailureShare);
+  unsigned Doublings = std::min(Known->m_FailuresInARow, 5U);
+  ++Known->m_FailuresInARow;
+  core::Duration Rest =
+      std::min<core::Duration>(FirstRest * (1U << Doublings), LongestRest);
+  Known->m_RestsUntil = Now + Rest;
+}
+
+void TargetDirectory::succeeded(const core::TargetName &Name) {
+  KnownTarget *Known = find(Name);
+  if (!Known)
+    return;
+  Known->m_FailureShare -= FailureWeight * Known->m_FailureShare;
+  Known->m_FailuresInARow = 0;
+}
+
+void TargetDirectory::notePace(const core::TargetName &Name,
+                               core::Duration Pace) {
+  KnownTarget *Known = find(Name);
+  if (!Known)
+    return;
+  double Ms = core::toSeconds(Pace) * 1000;
+  Known->m_PaceMs = Known->m_PaceMs == 0
+                        ? Ms
+                        : Known->m_PaceMs + PaceWeight * (Ms - Known->m_PaceMs);
+  updateSlowness(Known->m_Target.m_Pool);
+}
+
+void TargetDirectory::updateSlowness(const core::PoolName &Pool) {
+  std::vector<double> Paces;
+  for (const KnownTarget *Each : of(Pool))
+    if (Each->m_PaceMs > 0)
+      Paces.push_back(Each->m_PaceMs);
+  if (Paces.empty())
+    return;
+  auto Middle = Paces.begin() + static_cast<long>(Paces.size() / 2);
+  std::nth_element(Paces.begin(), Middle, Paces.end());
+  for (KnownTarget *Each : of(Pool))
+    if (Each->m_PaceMs > 0)
+      Each->m_Slowness =
+          std::clamp(Each->m_PaceMs / *Middle, LeastSlowness, MostSlowness);
+}
+
+void TargetDirectory::setOthers(
+    const std::unordered_map<std::uint32_t, TargetLoad> &Sums) {
+  for (auto &[Name, Known] : m_Targets) {
+    auto Found = Sums.find(Known.m_Hash);
+    Known.m_Others = Found == Sums.end() ? TargetLoad() : Found->second;
+  }
+}
+
+KnownTarget *TargetDirectory::find(const core::TargetName &Name) {
+  auto Found = m_Targets.find(Name);
+  return Found == m_Targets.end() ? nullptr : &Found->second;
+}
+
+std::vector<KnownTarget *> TargetDirectory::of(const core::PoolName &Pool) {
+  std::vector<KnownTarget *> Out;
+  auto Found = m_ByPool.find(Pool);
+  if (Found == m_ByPool.end())
+    return Out;
+  for (const core::TargetName &Name : Found->second)
+    Out.push_back(&m_Targets[Name]);
+  return Out;
+}
+
+} // namespace yardrill::routing
--- /dev/null
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -0,0 +1,79 @@
+//===-- TargetDirectory.h - The targets of all pools and their state ------===//
+#ifndef YARDRILL_LIBROUTING_TARGETDIRECTORY_H
+#define YARDRILL_LIBROUTING_TARGETDIRECTORY_H
+
+#include "LibCore/Time.h"
+#include "LibRouting/Target.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace yardrill::routing {
+
+/// Work under way at a target, as one instance or all others count it.
+struct TargetLoad {
+  std::size_t m_Running = 0;         ///< Requests sent and not answered.
+  std::uint64_t m_PendingPrompt = 0; ///< Prompt tokens without a first event.
+};
+
+/// One target as this instance knows it.
+struct KnownTarget {
+  Target m_Target;
+  std::uint32_t m_Hash = 0; ///< Low half of stableHash() of its name.
+  TargetLoad m_Own;
+  TargetLoad m_Others;
+  double m_PaceMs = 0;       ///< Learned: time of one event or short answer.
+  double m_Slowness = 1;     ///< Against the faster targets of its pool.
+  double m_FailureShare = 0; ///< Learned: share of failures, decaying.
+  unsigned m_FailuresInARow = 0;
+  core::TimePoint m_RestsUntil{};
+  /// Since when its announcement is missing.
+  std::optional<core::TimePoint> m_LapsedAt;
+
+  std::size_t running() const { return m_Own.m_Running + m_Others.m_Running; }
+  bool hasFreePlace() const { return running() < m_Target.m_Places; }
+};
+
+/// Takes announcements in and remembers what was learned about each target.
+class TargetDirectory {
+public:
+  /// A target was announced or changed.
+  void announce(const Target &What);
+  /// Its announcement is gone. It is used for a little longer if nothing else
+  /// is there: announcements that ran out while the store was away come back
+  /// within two seconds of its return.
+  void withdraw(const core::TargetName &Name, core::TimePoint Now);
+  /// Forgets targets whose announcements did not come back.
+  void forgetLapsed(core::TimePoint Now);
+
+  void started(const core::TargetName &Name, std::uint32_t PromptTokens);
+  void began(const core::TargetName &Name, std::uint32_t PromptTokens);
+  void ended(const core::TargetName &Name, std::uint32_t PendingPrompt);
+  void failed(const core::TargetName &Name, core::TimePoint Now);
+  void succeeded(const core::TargetName &Name);
+  /// Time between two events of a stream, or of a whole short answer.
+  void notePace(const core::TargetName &Name, core::Duration Pace);
+  /// Sums over all other instances, by KnownTarget::m_Hash; a target that is
+  /// not named has no work of theirs.
+  void setOthers(const std::unordered_map<std::uint32_t, TargetLoad> &Sums);
+
+  KnownTarget *find(const core::TargetName &Name);
+  /// Targets of a pool, in the order of their names.
+  std::vector<KnownTarget *> of(const core::PoolName &Pool);
+  const std::map<core::TargetName, KnownTarget> &all() const {
+    return m_Targets;
+  }
+
+private:
+  void updateSlowness(const core::PoolName &Pool);
+
+  std::map<core::TargetName, KnownTarget> m_Targets;
+  std::map<core::PoolName, std::vector<core::TargetName>> m_ByPool;
+};
+
+} // namespace yardrill::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/TokenQuota.cpp
@@ -0,0 +1,43 @@
+#include "LibRouting/TokenQuota.h"
+
+#include <algorithm>
+
+namespace yardrill::routing {
+
+TokenQuota::TokenQuota(const QuotaLimits &Limits, bool IsFull,
+                       core::TimePoint Now)
+    : m_Limits(Limits), m_Level(IsFull ? Limits.m_Burst : 0),
+      m_RefilledAt(Now) {}
+
+void TokenQuota::setLimits(const QuotaLimits &Limits, core::TimePoint Now) {
+  refill(1, Now);
+  m_Limits = Limits;
+  m_Level = std::min(m_Level, Limits.m_Burst);
+}
+
+void TokenQuota::refill(double Share, core::TimePoint Now) {
+  double Passed = core::toSeconds(Now - m_RefilledAt);
+  m_RefilledAt = Now;
+  m_Level = std::min(m_Limits.m_Burst,
+                     m_Level + Passed * Share * m_Limits.m_TokensPerSecond);
+}
+
+bool TokenQuota::tryTake(double Tokens, double Share, core::TimePoint Now) {
+  refill(Share, Now);
+  // One request may be larger than what is left, or than the whole burst; the
+  // debt is paid before the next.
+  if (m_Level <= 0)
+    return false;
+  m_Level -= Tokens;
+  return true;
+}
+
+core::Duration TokenQuota::untilAvailable() const {
+  if (m_Level > 0 || m_Limits.m_TokensPerSecond <= 0)
+    return core::Duration::zero();
+  double Seconds = -m_Level / m_Limits.m_TokensPerSecond;
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+} // namespace yardrill::routing
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -24,6 +24,13 @@
        {"config"},
        0,
        runServe},
+      {"gateway",
+       "[--config=FILE] [--least_outstanding]",
+       "run one instance on the operators' platform until SIGTERM; the "
+       "settings file is the one that the platform names",
+       {"config", "least_outstanding"},
+       0,
+       runGateway},
       {"check",
        "--config=FILE | --fleet=FILE | --example | --fleet_example",
        "check a settings file or a fleet configuration, or print a commented "
--- a/Programs/yardrill/CommandLine.h
+++ b/Programs/yardrill/CommandLine.h
@@ -30,6 +30,7 @@
 
 // The verbs themselves.
 int runServe(const std::vector<std::string> &);
+int runGateway(const std::vector<std::string> &);
 int runCheck(const std::vector<std::string> &);
 int runConfigGet(const std::vector<std::string> &);
 int runConfigPublish(const std::vector<std::string> &);
--- /dev/null
+++ b/Programs/yardrill/GatewayVerb.cpp
@@ -0,0 +1,123 @@
+#include "CommandLine.h"
+#include "DeploymentSettings.h"
+#include "PlatformDialect.h"
+#include "StoreClient.h"
+
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+#include "LibCore/TimerService.h"
+#include "LibGateway/Gateway.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <gflags/gflags.h>
+
+DECLARE_string(config);
+DEFINE_bool(least_outstanding, false,
+            "place by own outstanding requests alone, without a queue: the "
+            "baseline that measurements compare with");
+
+namespace yardrill::program {
+
+namespace {
+
+/// SIGTERM and SIGINT stop, a second one cuts what is left; SIGHUP reloads.
+class GatewayProgram {
+public:
+  explicit GatewayProgram(std::string File)
+      : m_File(std::move(File)), m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP),
+        m_Timers(m_Context) {}
+
+  int run() {
+    auto Settings = load();
+    platform::StoreClient Store(m_Context, Settings.m_Store);
+    m_Gateway = gateway::Gateway::Builder()
+                    .settings(Settings.m_Gateway)
+                    .dialect(m_Dialect)
+                    .store(Store)
+                    .build(m_Context);
+    m_Gateway->start();
+    m_Timers.subscribe(FilePeriod, [this](auto) { reloadIfChanged(); });
+    waitForSignal();
+    while (!m_Context.stopped())
+      runLoop();
+    return ExitDone;
+  }
+
+private:
+  /// The file may change without a signal.
+  static constexpr std::chrono::seconds FilePeriod{1};
+
+  platform::DeploymentSettings load() {
+    m_Text = config::readFile(m_File);
+    auto Settings = platform::DeploymentSettings::parse(m_Text, m_File);
+    if (FLAGS_least_outstanding)
+      Settings.m_Gateway.m_Placement =
+          routing::PlacementPolicy::LeastOutstanding;
+    return Settings;
+  }
+
+  void runLoop() {
+    try {
+      m_Context.run();
+    } catch (const std::exception &Failure) {
+      // One request's failure must not end the instance for all others.
+      core::LogLine("loop-failure", core::LogLevel::Error)
+          .add("reason", Failure.what());
+    }
+  }
+
+  void reloadIfChanged() {
+    try {
+      std::string Before = m_Text;
+      auto Settings = load();
+      if (m_Text != Before)
+        m_Gateway->reload(Settings.m_Gateway);
+    } catch (const core::Error &Failure) {
+      core::LogLine("reload-failed", core::LogLevel::Error)
+          .add("file", m_File)
+          .add("reason", Failure.what());
+    }
+  }
+
+  void waitForSignal() {
+    m_Signals.async_wait([this](boost::system::error_code Failure, int Which) {
+      if (Failure)
+        return;
+      if (Which == SIGHUP)
+        reloadIfChanged();
+      else if (m_IsStopping)
+        m_Context.stop();
+      else
+        stop();
+      waitForSignal();
+    });
+  }
+
+  void stop() {
+    m_IsStopping = true;
+    m_Gateway->stop([this] { m_Context.stop(); });
+  }
+
+  std::string m_File;
+  std::string m_Text; ///< Of the settings file, as last read.
+  boost::asio::io_context m_Context{1};
+  boost::asio::signal_set m_Signals;
+  core::SteadyTimerService m_Timers;
+  platform::PlatformDialect m_Dialect;
+  std::unique_ptr<gateway::Gateway> m_Gateway;
+  bool m_IsStopping = false;
+};
+
+} // namespace
+
+int runGateway(const std::vector<std::string> &) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string File = FLAGS_config.empty()
+                         ? platform::DeploymentSettings::fileName()
+                         : FLAGS_config;
+  return GatewayProgram(File).run();
+}
+
+} // namespace yardrill::program
