LibRouting: Forget lapsed targets, and test the platform's parts

Cause: forgetLapsed() read the names behind std::remove_if's end, which are moved from, so no lapsed target was ever forgotten; found by the new test DispatcherTest::testLapsedTargetsServeUntilTheyAreForgotten, which failed first. Ruled out: the grace itself (the partition alone mends it). Change: std::stable_partition. Tests for LibRouting, the mirror, the event splitter, the dialect and the settings file.

--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -61,7 +61,9 @@
       const KnownTarget &Known = m_Targets[Name];
       return Known.m_LapsedAt && Now - *Known.m_LapsedAt >= Grace;
     };
-    auto First = std::remove_if(Names.begin(), Names.end(), MustGo);
+    auto First = std::stable_partition(
+        Names.begin(), Names.end(),
+        [&](const core::TargetName &Name) { return !MustGo(Name); });
     std::vector<core::TargetName> Gone(First, Names.end());
     Names.erase(First, Names.end());
     for (const core::TargetName &Name : Gone)
--- /dev/null
+++ b/Tests/LibGateway/EventSplitterTest.cpp
@@ -0,0 +1,68 @@
+#include "LibGateway/EventSplitter.h"
+
+#include "LibCore/Error.h"
+#include "LibGateway/StoreTransfer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill::gateway;
+using namespace yardrill;
+
+class EventSplitterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventSplitterTest);
+  CPPUNIT_TEST(testAnyCutOfTheBytesGivesTheSameEvents);
+  CPPUNIT_TEST(testPartialEventIsKeptBack);
+  CPPUNIT_TEST(testStoreTransferReadsBack);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testAnyCutOfTheBytesGivesTheSameEvents() {
+    const std::string Text = "id: 1\ndata: a\n\nweight-versions: 2\nid:2\n"
+                             "data: b\n\nid: 3\r\ndata: c\n\n";
+    for (std::size_t Cut = 0; Cut <= Text.size(); ++Cut) {
+      EventSplitter Splitter;
+      auto First = Splitter.push(Text.substr(0, Cut));
+      auto Second = Splitter.push(Text.substr(Cut));
+      CPPUNIT_ASSERT_EQUAL(Text, First.m_Bytes + Second.m_Bytes);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), First.m_Count + Second.m_Count);
+      CPPUNIT_ASSERT_EQUAL(std::string("3"), Splitter.lastId());
+      CPPUNIT_ASSERT(!Splitter.hasPartial());
+    }
+  }
+
+  void testPartialEventIsKeptBack() {
+    EventSplitter Splitter;
+    auto Got = Splitter.push("id: 1\ndata: a\n\nid: 2\ndata: ");
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), Got.m_Bytes);
+    CPPUNIT_ASSERT(Splitter.hasPartial());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Splitter.lastId());
+    // The stream goes on at another target, from the start of that event.
+    Splitter.dropPartial();
+    Got = Splitter.push("id: 2\ndata: b\n\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: b\n\n"), Got.m_Bytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), Splitter.lastId());
+  }
+
+  void testStoreTransferReadsBack() {
+    platform::StoreMirror Mirror(10);
+    Mirror.replaceAll(platform::Revision(5),
+                      {{"k", std::string("v\0w", 3), platform::Revision(4)}});
+    auto Whole = StoreTransfer::decode(
+        StoreTransfer::from(Mirror, platform::Revision()).encode());
+    CPPUNIT_ASSERT(Whole.m_IsWhole);
+    platform::StoreMirror Other(10);
+    Whole.applyTo(Other);
+    CPPUNIT_ASSERT(Other.revision() == platform::Revision(5));
+    CPPUNIT_ASSERT_EQUAL(std::string("v\0w", 3), Other.content()[0].m_Value);
+    Mirror.apply(platform::Revision(6),
+                 {{"k", "", platform::Revision(6), true}});
+    auto Part = StoreTransfer::decode(
+        StoreTransfer::from(Mirror, Other.revision()).encode());
+    CPPUNIT_ASSERT(!Part.m_IsWhole);
+    Part.applyTo(Other);
+    CPPUNIT_ASSERT(Other.content().empty());
+    CPPUNIT_ASSERT_THROW(StoreTransfer::decode("nonsense"), core::Error);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
--- /dev/null
+++ b/Tests/LibPlatform/StoreMirrorTest.cpp
@@ -0,0 +1,102 @@
+#include "LibPlatform/StoreMirror.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill::platform;
+
+class StoreMirrorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreMirrorTest);
+  CPPUNIT_TEST(testFollowsChanges);
+  CPPUNIT_TEST(testOlderWordsChangeNothing);
+  CPPUNIT_TEST(testWholeContentRemovesWhatIsMissing);
+  CPPUNIT_TEST(testPagesMayBeNewerThanTheirRevision);
+  CPPUNIT_TEST(testChangesSinceBringAnotherMirrorUpToDate);
+  CPPUNIT_TEST(testForgottenChangesAreSaid);
+  CPPUNIT_TEST_SUITE_END();
+
+  StoreMirror m_Mirror{4};
+  std::vector<std::string> m_Seen;
+
+  static Entry put(const std::string &Key, const std::string &Value,
+                   std::int64_t At) {
+    return {Key, Value, Revision(At), false};
+  }
+  static Entry removal(const std::string &Key, std::int64_t At) {
+    return {Key, "", Revision(At), true};
+  }
+  static std::string text(const StoreMirror &Mirror) {
+    std::string Out;
+    for (const Entry &Each : Mirror.content())
+      Out += Each.m_Key + "=" + Each.m_Value + " ";
+    return Out;
+  }
+
+public:
+  void setUp() override {
+    m_Mirror.subscribe([this](const Entry &Change) {
+      m_Seen.push_back(Change.m_Key + (Change.m_IsDeleted ? "-" : "+"));
+    });
+    m_Mirror.replaceAll(Revision(10), {put("a", "1", 3), put("b", "1", 5)});
+  }
+
+  void testFollowsChanges() {
+    m_Mirror.apply(Revision(12), {put("a", "2", 11), removal("b", 12)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a=2 "), text(m_Mirror));
+    CPPUNIT_ASSERT(m_Mirror.revision() == Revision(12));
+    CPPUNIT_ASSERT(m_Seen ==
+                   (std::vector<std::string>{"a+", "b+", "a+", "b-"}));
+  }
+
+  void testOlderWordsChangeNothing() {
+    m_Mirror.apply(Revision(12), {put("a", "2", 11), removal("b", 12)});
+    auto Before = m_Seen;
+    m_Mirror.apply(Revision(11), {put("a", "2", 11)});
+    m_Mirror.apply(Revision(9), {put("b", "1", 5)});
+    m_Mirror.replaceAll(Revision(10), {put("a", "1", 3), put("b", "1", 5)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a=2 "), text(m_Mirror));
+    CPPUNIT_ASSERT(m_Mirror.revision() == Revision(12));
+    CPPUNIT_ASSERT(m_Seen == Before);
+  }
+
+  void testWholeContentRemovesWhatIsMissing() {
+    m_Mirror.replaceAll(Revision(20), {put("b", "2", 15), put("c", "1", 16)});
+    CPPUNIT_ASSERT_EQUAL(std::string("b=2 c=1 "), text(m_Mirror));
+    // The same once more, at the revision of the removal.
+    m_Mirror.replaceAll(Revision(20), {put("b", "2", 15), put("c", "1", 16)});
+    CPPUNIT_ASSERT_EQUAL(std::string("b=2 c=1 "), text(m_Mirror));
+  }
+
+  void testPagesMayBeNewerThanTheirRevision() {
+    m_Mirror.apply(Revision(22), {put("d", "1", 22)});
+    // Read from revision 20 on; its second page saw the change of 21.
+    m_Mirror.replaceAll(
+        Revision(22), {put("a", "1", 3), put("b", "9", 23), put("d", "1", 22)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a=1 b=9 d=1 "), text(m_Mirror));
+    m_Mirror.apply(Revision(24), {put("b", "9", 23), put("a", "2", 24)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a=2 b=9 d=1 "), text(m_Mirror));
+  }
+
+  void testChangesSinceBringAnotherMirrorUpToDate() {
+    StoreMirror Other(4);
+    Other.replaceAll(Revision(10), m_Mirror.content());
+    m_Mirror.apply(Revision(12), {put("a", "2", 11), removal("b", 12)});
+    auto Changes = m_Mirror.changesSince(Other.revision());
+    CPPUNIT_ASSERT(Changes);
+    Other.apply(m_Mirror.revision(), *Changes);
+    CPPUNIT_ASSERT_EQUAL(text(m_Mirror), text(Other));
+    CPPUNIT_ASSERT(Other.revision() == Revision(12));
+  }
+
+  void testForgottenChangesAreSaid() {
+    for (std::int64_t At = 11; At <= 16; ++At)
+      m_Mirror.apply(Revision(At), {put("a", std::to_string(At), At)});
+    CPPUNIT_ASSERT(!m_Mirror.changesSince(Revision(10)));
+    CPPUNIT_ASSERT(!m_Mirror.changesSince(Revision(11)));
+    CPPUNIT_ASSERT(m_Mirror.changesSince(Revision(12)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4),
+                         m_Mirror.changesSince(Revision(12))->size());
+    CPPUNIT_ASSERT(!m_Mirror.changesSince(Revision()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreMirrorTest);
--- /dev/null
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -0,0 +1,212 @@
+#include "LibRouting/Dispatcher.h"
+
+#include "LibCore/Digest.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::routing;
+using std::chrono::milliseconds;
+
+class DispatcherTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatcherTest);
+  CPPUNIT_TEST(testSpreadsOverFreePlaces);
+  CPPUNIT_TEST(testWorkOfOthersCounts);
+  CPPUNIT_TEST(testSlowTargetGetsLess);
+  CPPUNIT_TEST(testHigherTierLeavesTheQueueFirst);
+  CPPUNIT_TEST(testIsOfferedInTimeWithoutAFreePlace);
+  CPPUNIT_TEST(testLeavingAndTriedTargetsGetNothing);
+  CPPUNIT_TEST(testRestingTargetIsUsedOnlyAlone);
+  CPPUNIT_TEST(testLapsedTargetsServeUntilTheyAreForgotten);
+  CPPUNIT_TEST(testReturnedTargetIsAsBefore);
+  CPPUNIT_TEST_SUITE_END();
+
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  core::PoolName m_Pool{"pool"};
+  TargetDirectory m_Targets;
+  std::map<core::RequestId, core::TargetName> m_Sent;
+  std::vector<core::RequestId> m_Order;
+  std::set<core::RequestId> m_Refused;
+  Dispatcher m_Dispatcher{
+      m_Targets,
+      core::DataHallName("hall"),
+      PlacementPolicy::LeastPredictedWait,
+      {[this](core::RequestId Request, const Target &Where) {
+         m_Sent[Request] = Where.m_Name;
+         m_Order.push_back(Request);
+       },
+       [this](core::RequestId Request) { m_Refused.insert(Request); }}};
+
+  Target target(const std::string &Name, std::size_t Places = 2) const {
+    Target Out;
+    Out.m_Name = core::TargetName(Name);
+    Out.m_Pool = m_Pool;
+    Out.m_DataHall = core::DataHallName("hall");
+    Out.m_Places = Places;
+    return Out;
+  }
+  void announce(const std::string &Name, std::size_t Places = 2) {
+    m_Targets.announce(target(Name, Places));
+  }
+  PlacementRequest request(std::uint64_t Id, std::uint32_t Tier = 1) const {
+    PlacementRequest Out;
+    Out.m_Request = core::RequestId(Id);
+    Out.m_Pool = m_Pool;
+    Out.m_Tier = core::TierNumber(Tier);
+    Out.m_OfferBy = m_Now + milliseconds(100);
+    return Out;
+  }
+  void place(std::uint64_t Id, std::uint32_t Tier = 1) {
+    m_Dispatcher.place(request(Id, Tier), m_Now);
+  }
+  std::string sentTo(std::uint64_t Id) {
+    auto Found = m_Sent.find(core::RequestId(Id));
+    return Found == m_Sent.end() ? "" : Found->second.value();
+  }
+  void fail(const std::string &Name) {
+    m_Targets.failed(core::TargetName(Name), m_Now);
+  }
+
+public:
+  void testSpreadsOverFreePlaces() {
+    announce("a");
+    announce("b");
+    std::map<std::string, int> Counts;
+    for (std::uint64_t Id = 1; Id <= 4; ++Id) {
+      place(Id);
+      ++Counts[sentTo(Id)];
+    }
+    CPPUNIT_ASSERT_EQUAL(2, Counts["a"]);
+    CPPUNIT_ASSERT_EQUAL(2, Counts["b"]);
+    place(5);
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(5));
+    m_Targets.ended(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(5));
+  }
+
+  void testWorkOfOthersCounts() {
+    announce("a");
+    announce("b");
+    auto Hash = [](const char *Name) {
+      return static_cast<std::uint32_t>(core::stableHash(Name));
+    };
+    m_Targets.setOthers({{Hash("a"), {2, 0}}});
+    place(1);
+    place(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(2));
+    place(3);
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(3));
+    m_Targets.setOthers({});
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(3));
+  }
+
+  void testSlowTargetGetsLess() {
+    announce("quick", 10);
+    announce("slow", 10);
+    for (int I = 0; I < 50; ++I) {
+      m_Targets.notePace(core::TargetName("quick"), milliseconds(10));
+      m_Targets.notePace(core::TargetName("slow"), milliseconds(40));
+    }
+    std::map<std::string, int> Counts;
+    for (std::uint64_t Id = 1; Id <= 10; ++Id) {
+      place(Id);
+      ++Counts[sentTo(Id)];
+    }
+    CPPUNIT_ASSERT(Counts["quick"] >= 2 * Counts["slow"]);
+  }
+
+  void testHigherTierLeavesTheQueueFirst() {
+    announce("a", 1);
+    place(1);
+    place(2, 3);
+    place(3, 2);
+    place(4, 1);
+    m_Targets.ended(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(4));
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(3));
+    m_Targets.ended(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(3));
+    CPPUNIT_ASSERT(m_Dispatcher.withdraw(core::RequestId(2)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Dispatcher.waiting());
+  }
+
+  void testIsOfferedInTimeWithoutAFreePlace() {
+    announce("a", 1);
+    place(1);
+    place(2);
+    m_Now += milliseconds(99);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
+    m_Now += milliseconds(1);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(2));
+  }
+
+  void testLeavingAndTriedTargetsGetNothing() {
+    announce("a");
+    Target Leaving = target("b");
+    Leaving.m_IsLeaving = true;
+    m_Targets.announce(Leaving);
+    PlacementRequest Again = request(1);
+    Again.m_Tried.insert(core::TargetName("a"));
+    m_Dispatcher.place(Again, m_Now);
+    CPPUNIT_ASSERT(m_Sent.empty());
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(1)) == 1);
+  }
+
+  void testRestingTargetIsUsedOnlyAlone() {
+    announce("a");
+    announce("b");
+    fail("a");
+    place(1);
+    place(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(2));
+    fail("b");
+    m_Targets.ended(core::TargetName("b"), 0);
+    place(3);
+    CPPUNIT_ASSERT(!sentTo(3).empty());
+  }
+
+  void testLapsedTargetsServeUntilTheyAreForgotten() {
+    announce("a");
+    announce("b");
+    m_Targets.withdraw(core::TargetName("a"), m_Now);
+    place(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(1));
+    // Alone it is gone soon.
+    m_Now += milliseconds(1300);
+    m_Targets.forgetLapsed(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Targets.all().size());
+    // All at once is the mark of an outage: they may yet come back.
+    m_Targets.withdraw(core::TargetName("b"), m_Now);
+    m_Now += milliseconds(2000);
+    m_Targets.forgetLapsed(m_Now);
+    place(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(2));
+    m_Now += milliseconds(500);
+    m_Targets.forgetLapsed(m_Now);
+    CPPUNIT_ASSERT(m_Targets.all().empty());
+    place(3);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(3)) == 1);
+  }
+
+  void testReturnedTargetIsAsBefore() {
+    announce("a");
+    place(1);
+    m_Targets.withdraw(core::TargetName("a"), m_Now);
+    announce("a");
+    m_Now += std::chrono::seconds(10);
+    m_Targets.forgetLapsed(m_Now);
+    const KnownTarget *Known = m_Targets.find(core::TargetName("a"));
+    CPPUNIT_ASSERT(Known && !Known->m_LapsedAt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Known->m_Own.m_Running);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
--- /dev/null
+++ b/Tests/Platform/DeploymentSettingsTest.cpp
@@ -0,0 +1,80 @@
+#include "DeploymentSettings.h"
+
+#include "LibConfig/Fault.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::platform;
+
+static const char Example[] = R"(nodeName = "edge-edin-hall-a-1"
+ip = "10.1.0.25"
+zone = "edin-hall-a"
+portRange = [7600,7615]
+seeds = ["10.1.0.25:8229","10.2.0.17:8229"]
+bootstrap = true
+somethingNew = [1, 2]
+[listen]
+frontend = "10.1.0.25:8221"
+readiness = "10.1.0.25:8224"
+[limits]
+maxFds = 4100
+[bounds]
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 52
+graceS = 8
+[platform]
+address = "10.200.1.7:8225"
+readsPerS = 2000
+)";
+
+class DeploymentSettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DeploymentSettingsTest);
+  CPPUNIT_TEST(testReadsTheExample);
+  CPPUNIT_TEST(testNamesEveryFault);
+  CPPUNIT_TEST(testNoTomlAtAll);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testReadsTheExample() {
+    auto Read = DeploymentSettings::parse(Example, "local.toml");
+    const auto &Gateway = Read.m_Gateway;
+    CPPUNIT_ASSERT_EQUAL(std::string("edge-edin-hall-a-1"),
+                         Gateway.m_Name.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.25:7600"),
+                         Gateway.m_PeerAddress.toString());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Gateway.m_Seeds.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.17:7600"),
+                         Gateway.m_Seeds[1].toString());
+    CPPUNIT_ASSERT(Gateway.m_IsFirstStart);
+    CPPUNIT_ASSERT(Gateway.m_StopGrace == std::chrono::seconds(8));
+    CPPUNIT_ASSERT_EQUAL(0.2, Gateway.m_Retries.m_Ratio);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Read.m_Store.m_Addresses.size());
+  }
+
+  void testNamesEveryFault() {
+    std::string Text = Example;
+    Text.replace(Text.find("10.1.0.25:8221"), 14, "nowhere");
+    Text.replace(Text.find("graceS = 8"), 10, "graceS = \"8\"");
+    Text.replace(Text.find("portRange = [7600,7615]"), 23, "");
+    try {
+      DeploymentSettings::parse(Text, "local.toml");
+      CPPUNIT_FAIL("accepted");
+    } catch (const config::FaultyDocument &Failure) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), Failure.faults().size());
+      CPPUNIT_ASSERT(Failure.kind() == core::ErrorKind::Settings);
+    }
+  }
+
+  void testNoTomlAtAll() {
+    try {
+      DeploymentSettings::parse("a = 1\na = 2\n", "local.toml");
+      CPPUNIT_FAIL("accepted");
+    } catch (const config::FaultyDocument &Failure) {
+      CPPUNIT_ASSERT_EQUAL(2, Failure.faults().front().m_Line);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeploymentSettingsTest);
--- /dev/null
+++ b/Tests/Platform/DialectTest.cpp
@@ -0,0 +1,183 @@
+//===-- DialectTest.cpp - The wire's names, read and written --------------===//
+#include "PlatformDialect.h"
+#include "StoreEntries.h"
+
+#include "LibCore/Error.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::platform;
+
+class DialectTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DialectTest);
+  CPPUNIT_TEST(testReadsARequest);
+  CPPUNIT_TEST(testWrongNumbersCountAsMissing);
+  CPPUNIT_TEST(testSetsWhatOnlyTheSystemMaySay);
+  CPPUNIT_TEST(testReadsAnAnswer);
+  CPPUNIT_TEST(testReadsAConfiguration);
+  CPPUNIT_TEST(testReadsTargets);
+  CPPUNIT_TEST(testUnreadableEntriesAreTypedErrors);
+  CPPUNIT_TEST_SUITE_END();
+
+  PlatformDialect m_Dialect;
+
+  static http::RequestMessage request() {
+    http::RequestMessage Out;
+    Out.m_Method = "POST";
+    Out.m_Target = "/lohu930/2f?x=1";
+    Out.m_Headers = {{"Host", "Ficu95.example:80"},
+                     {"attempt-id", "9c41"},
+                     {"Token-Counts", "1460, 80"},
+                     {"Deadline-Ms", "12000"},
+                     {"Api-Key", "secret"},
+                     {"Tenant", "forged"},
+                     {"expect-replica", "forged"},
+                     {"Kv-From", "forged"},
+                     {"Connection", "X-Hop"},
+                     {"X-Hop", "1"},
+                     {"Model", "m"}};
+    return Out;
+  }
+
+public:
+  void testReadsARequest() {
+    auto Said = m_Dialect.describe(request());
+    CPPUNIT_ASSERT_EQUAL(std::string("9c41"), Said.m_Id);
+    CPPUNIT_ASSERT_EQUAL(std::string("ficu95.example"), Said.m_Host);
+    CPPUNIT_ASSERT_EQUAL(std::string("/lohu930/2f"), Said.m_Path);
+    CPPUNIT_ASSERT_EQUAL(std::string("secret"), Said.m_Key.value());
+    CPPUNIT_ASSERT(Said.m_Deadline == std::chrono::seconds(12));
+    CPPUNIT_ASSERT(Said.m_HasSize);
+    CPPUNIT_ASSERT_EQUAL(1460U, Said.m_PromptTokens);
+    CPPUNIT_ASSERT_EQUAL(80U, Said.m_OutputTokens);
+    CPPUNIT_ASSERT(!Said.m_LastEvent);
+  }
+
+  void testWrongNumbersCountAsMissing() {
+    http::RequestMessage Bad = request();
+    for (const char *Text : {"", "-1", "1e3", "99999999999999999999", "1 2"}) {
+      Bad.m_Headers.set("Deadline-Ms", Text);
+      Bad.m_Headers.set("Token-Counts", std::string(Text) + ",4");
+      auto Said = m_Dialect.describe(Bad);
+      CPPUNIT_ASSERT(!Said.m_Deadline);
+      CPPUNIT_ASSERT(!Said.m_HasSize);
+    }
+  }
+
+  void testSetsWhatOnlyTheSystemMaySay() {
+    http::RequestMessage Out = request();
+    gateway::ForwardDescription What;
+    What.m_Target = core::TargetName("i-7f");
+    What.m_TimeLeft = std::chrono::milliseconds(11900);
+    m_Dialect.prepare(Out, What);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-7f"),
+                         *Out.m_Headers.find("Expect-Replica"));
+    CPPUNIT_ASSERT_EQUAL(std::string("11900"),
+                         *Out.m_Headers.find("Deadline-Ms"));
+    for (const char *Name :
+         {"Tenant", "Api-Key", "Kv-From", "Connection", "X-Hop"})
+      CPPUNIT_ASSERT_MESSAGE(Name, !Out.m_Headers.find(Name));
+    CPPUNIT_ASSERT_EQUAL(std::string("9c41"),
+                         *Out.m_Headers.find("Attempt-Id"));
+    CPPUNIT_ASSERT(Out.m_Headers.find("Model") && Out.m_Headers.find("Host"));
+    // Once more for another target, with an account and a place to go on.
+    What.m_Target = core::TargetName("i-8f");
+    What.m_Account = core::AccountName("hule930");
+    What.m_LastEvent = "12";
+    m_Dialect.prepare(Out, What);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-8f"),
+                         *Out.m_Headers.find("Expect-Replica"));
+    CPPUNIT_ASSERT_EQUAL(std::string("hule930"), *Out.m_Headers.find("Tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::string("12"),
+                         *Out.m_Headers.find("Last-Event-Id"));
+  }
+
+  void testReadsAnAnswer() {
+    http::ResponseHead Head;
+    Head.m_Status = 200;
+    Head.m_Headers = {{"Attempt-Id", "9c41"},
+                      {"Replica-Seal", "3e1b"},
+                      {"Keep-Alive", "timeout=5, max=100"}};
+    auto Says = m_Dialect.describe(Head);
+    CPPUNIT_ASSERT_EQUAL(std::string("9c41"), Says.m_Id);
+    CPPUNIT_ASSERT(Says.m_IsSigned && !Says.m_IsNotRun && !Says.m_IsEncoded);
+    CPPUNIT_ASSERT(Says.m_KeepAlive == std::chrono::seconds(5));
+    Head.m_Status = 421;
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_IsNotRun);
+    Head.m_Status = 503;
+    CPPUNIT_ASSERT(!m_Dialect.describe(Head).m_IsNotRun);
+    Head.m_Headers.add("Not-Executed", "1");
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_IsNotRun);
+  }
+
+  void testReadsAConfiguration() {
+    auto Table = readConfiguration(R"({"version":7,"routes":[
+      {"name":"r1","host":"Ficu95.example","pathPrefix":"/pufi791/",
+       "routeKind":"streaming","timeoutMs":8000,"sloMs":600,"priority":1,
+       "service":"huvo11a","maxAttempts":1,"public":false,"resumable":false,
+       "gapAimMs":200},
+      {"name":"r2","host":"ficu95.example","pathPrefix":"/lohu930/",
+       "routeKind":"idempotent","timeoutMs":12000,"priority":0,
+       "split":[{"service":"huvo11a","weight":90},
+                {"service":"wuno96b","weight":10}],
+       "maxAttempts":2,"public":true,"unknown":{}}],
+      "services":[{"name":"huvo11a","maxConns":360,"engine":{"slots":6}},
+                  {"name":"wuno96b","maxConns":100}],
+      "limits":{"maxHeaderBytes":8192,"maxBodyBytes":4194304,
+                "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+      "tenants":[{"name":"hule930","apiKeys":["k1","k2"],"priority":1,
+                  "unit":"token_stream","plainTokens":200,"ratePerS":77261,
+                  "burst":100}]})");
+    CPPUNIT_ASSERT(Table->version() == core::ConfigurationVersion(7));
+    const auto *First = Table->findRoute("ficu95.example", "/pufi791/x");
+    CPPUNIT_ASSERT(First && First->m_Kind == routing::RouteKind::Stream);
+    CPPUNIT_ASSERT(First->m_Tier == core::TierNumber(2));
+    CPPUNIT_ASSERT(First->m_LongestPause == std::chrono::milliseconds(200));
+    const auto *Second = Table->findRoute("ficu95.example", "/lohu930/");
+    CPPUNIT_ASSERT(Second && Second->m_IsPublic);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Second->m_Pools.size());
+    CPPUNIT_ASSERT_EQUAL(2U, Second->m_MostTargets);
+    CPPUNIT_ASSERT(Table->findPool(core::PoolName("huvo11a"))->m_IsModel);
+    CPPUNIT_ASSERT(!Table->findPool(core::PoolName("wuno96b"))->m_IsModel);
+    const auto *Owner = Table->findAccountByKey("k2");
+    CPPUNIT_ASSERT(Owner && Owner->m_Tier == core::TierNumber(2));
+    CPPUNIT_ASSERT_EQUAL(77261.0, Owner->m_TokensPerSecond);
+    CPPUNIT_ASSERT_EQUAL(200U, Owner->m_PlainTokens);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8192), Table->limits().m_HeaderBytes);
+  }
+
+  void testReadsTargets() {
+    Entry Change{"servers/i-7f",
+                 R"({"service":"huvo11a","address":"10.128.0.9:8080",
+                     "zone":"bandung","slots":6,"state":"ready","seq":4})",
+                 Revision(1)};
+    auto News = m_Dialect.read(Change);
+    const auto &Seen = std::get<gateway::TargetSeen>(News).m_Target;
+    CPPUNIT_ASSERT(Seen.m_Name == core::TargetName("i-7f"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), Seen.m_Places);
+    CPPUNIT_ASSERT(!Seen.m_IsLeaving);
+    Change.m_Value.replace(Change.m_Value.find("ready"), 5, "draining");
+    News = m_Dialect.read(Change);
+    CPPUNIT_ASSERT(std::get<gateway::TargetSeen>(News).m_Target.m_IsLeaving);
+    Change.m_IsDeleted = true;
+    News = m_Dialect.read(Change);
+    CPPUNIT_ASSERT(std::holds_alternative<gateway::TargetGone>(News));
+    Change.m_Key = "status/x";
+    News = m_Dialect.read(Change);
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(News));
+  }
+
+  void testUnreadableEntriesAreTypedErrors() {
+    for (const char *Value :
+         {"", "[]", "{", R"({"service":1})", R"({"service":"a"})",
+          R"({"service":"a","address":"nowhere"})"}) {
+      Entry Change{"servers/i-7f", Value, Revision(1)};
+      CPPUNIT_ASSERT_THROW(m_Dialect.read(Change), core::Error);
+      Change.m_Key = "op/config";
+      CPPUNIT_ASSERT_THROW(m_Dialect.read(Change), core::Error);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DialectTest);
