Dispatcher: Hold late and lowest-tier requests behind those in time

Ruled out: refusals (under 1 in 100) and connections. Change: queue by urgency, places kept from the lowest tier, places of slow targets scaled down, expected length against the time left.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -17,11 +17,6 @@
 /// A target stops at the deadline it was given and says so; its own word is
 /// waited for this long beyond.
 static constexpr std::chrono::milliseconds AnswerSlack{200};
-/// Share of the latency objective for which a request may wait here for a free
-/// place; then it is sent to wait at a target.
-static constexpr double WaitShare = 0.5;
-/// Wait here where a route names no objective.
-static constexpr std::chrono::milliseconds DefaultWait{100};
 /// Least time left for which another target is tried.
 static constexpr std::chrono::milliseconds LeastUsefulTime{20};
 /// When to come back after a refusal: spread, so that those who were refused
@@ -146,11 +141,18 @@
   Wanted.m_PromptTokens =
       m_Said.m_HasSize ? m_Said.m_PromptTokens : UnknownPromptTokens;
   Wanted.m_Tried = m_Tried;
-  core::Duration Wait = DefaultWait;
+  if (Wanted.m_IsModel) {
+    // The estimate is right at the median; without one, half of the most.
+    double Tokens = m_Said.m_ExpectedTokens != 0
+                        ? static_cast<double>(m_Said.m_ExpectedTokens)
+                        : static_cast<double>(m_Said.m_OutputTokens) / 2;
+    Wanted.m_ExpectedEvents = Tokens / Pool->m_TokensPerEvent;
+  }
+  Wanted.m_ArrivedAt = m_ArrivedAt;
+  Wanted.m_EndsAt = m_EndsAt;
+  Wanted.m_LateAt = m_EndsAt;
   if (m_Route->m_Objective > core::Duration::zero())
-    Wait = std::chrono::duration_cast<core::Duration>(m_Route->m_Objective *
-                                                      WaitShare);
-  Wanted.m_OfferBy = m_ArrivedAt + Wait;
+    Wanted.m_LateAt = m_ArrivedAt + m_Route->m_Objective;
   m_PendingPrompt = Wanted.m_PromptTokens;
   m_Owner.m_Dispatcher.place(Wanted, core::steadyNow());
   while (!m_Target && !m_IsRefused && !m_IsCallerGone &&
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -1,6 +1,10 @@
 #include "LibRouting/Dispatcher.h"
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
+#include <tuple>
+#include <vector>
 
 namespace yardrill::routing {
 
@@ -16,9 +20,20 @@
 static constexpr double OtherHallCostMs = 2;
 /// A target that fails every request costs as much as this wait.
 static constexpr double FailureCostMs = 2000;
+/// Each millisecond by which an answer would miss its end counts so often.
+static constexpr double OverrunWeight = 3;
+/// Part of the time left that an answer should take at the most, since its
+/// length and the target's pace are only expected.
+static constexpr double UsableTime = 0.8;
+/// Part of a request's time after which it is sent without a free place.
+static constexpr double MostWaitShare = 0.5;
+/// Part of a target's places that the lowest tier leaves to the others.
+static constexpr double KeptShare = 0.34;
+/// A tier counts as present for so long after its last request.
+static constexpr std::chrono::seconds TierMemory{10};
 
-double Dispatcher::cost(const KnownTarget &At,
-                        const PlacementRequest &What) const {
+double Dispatcher::cost(const KnownTarget &At, const PlacementRequest &What,
+                        core::TimePoint Now) const {
   double HallCost = At.m_Target.m_DataHall == m_Home ? 0 : OtherHallCostMs;
   if (m_Policy == PlacementPolicy::LeastOutstanding)
     return static_cast<double>(At.m_Own.m_Running) /
@@ -33,22 +48,86 @@
         static_cast<double>(At.m_Own.m_PendingPrompt +
                             At.m_Others.m_PendingPrompt + What.m_PromptTokens) /
         PromptTokensPerMs;
-  double Time = Prompt + Running * RunningCostMs + Queued * QueuedCostMs;
-  return (Time + 1) * At.m_Slowness + HallCost +
-         At.m_FailureShare * FailureCostMs;
+  double Start =
+      (Prompt + Running * RunningCostMs + Queued * QueuedCostMs + 1) *
+      At.m_Slowness;
+  double Finish = Start + What.m_ExpectedEvents * At.m_PaceMs;
+  double TimeLeft = core::toSeconds(What.m_EndsAt - Now) * 1000 * UsableTime;
+  double Overrun = std::max(0.0, Finish - TimeLeft);
+  return Start + HallCost + At.m_FailureShare * FailureCostMs +
+         Overrun * OverrunWeight;
 }
 
-KnownTarget *Dispatcher::choose(const PlacementRequest &What,
-                                core::TimePoint Now) {
+//===----------------------------------------------------------------------===//
+// Who goes first
+//===----------------------------------------------------------------------===//
+
+void Dispatcher::noteTier(const PlacementRequest &What, core::TimePoint Now) {
+  auto &Tiers = m_Tiers[What.m_Pool];
+  Tiers[What.m_Tier] = Now;
+  for (auto Each = Tiers.begin(); Each != Tiers.end();)
+    Each =
+        Now - Each->second > TierMemory ? Tiers.erase(Each) : std::next(Each);
+}
+
+bool Dispatcher::isLowest(const PlacementRequest &What) const {
+  auto Found = m_Tiers.find(What.m_Pool);
+  return Found != m_Tiers.end() && Found->second.size() > 1 &&
+         Found->second.rbegin()->first == What.m_Tier;
+}
+
+Dispatcher::Urgency Dispatcher::urgencyOf(const PlacementRequest &What,
+                                          core::TimePoint Now) const {
+  bool IsLate = What.m_LateAt <= Now;
+  if (isLowest(What))
+    return IsLate ? Urgency::LowestLate : Urgency::LowestInTime;
+  return IsLate ? Urgency::Late : Urgency::InTime;
+}
+
+bool Dispatcher::goesBefore(const PlacementRequest &A,
+                            const PlacementRequest &B,
+                            core::TimePoint Now) const {
+  return std::make_tuple(urgencyOf(A, Now), A.m_Tier, A.m_LateAt, A.m_Request) <
+         std::make_tuple(urgencyOf(B, Now), B.m_Tier, B.m_LateAt, B.m_Request);
+}
+
+core::TimePoint Dispatcher::forceAt(const PlacementRequest &What) const {
+  if (m_Policy == PlacementPolicy::LeastOutstanding)
+    return What.m_ArrivedAt;
+  core::Duration All = What.m_EndsAt - What.m_ArrivedAt;
+  return What.m_ArrivedAt +
+         std::chrono::duration_cast<core::Duration>(All * MostWaitShare);
+}
+
+//===----------------------------------------------------------------------===//
+// Where
+//===----------------------------------------------------------------------===//
+
+std::size_t Dispatcher::placesFor(const KnownTarget &At,
+                                  const PlacementRequest &What) const {
+  double Places = static_cast<double>(At.m_Target.m_Places);
+  // Streams beside each other hold each other up, a slow target's the more.
+  if (What.m_IsModel)
+    Places = std::max(1.0, std::round(Places / std::max(1.0, At.m_Slowness)));
+  if (isLowest(What))
+    Places = std::max(1.0, Places - std::ceil(Places * KeptShare));
+  return static_cast<std::size_t>(Places);
+}
+
+KnownTarget *Dispatcher::choose(const PlacementRequest &What, bool MustSend,
+                                core::TimePoint Now, bool &HasAny) {
   KnownTarget *Best = nullptr;
   int BestClass = std::numeric_limits<int>::max();
   double BestCost = 0;
   for (KnownTarget *Each : m_Targets.of(What.m_Pool)) {
     if (Each->m_Target.m_IsLeaving || What.m_Tried.count(Each->m_Target.m_Name))
       continue;
+    HasAny = true;
+    if (!MustSend && Each->running() >= placesFor(*Each, What))
+      continue;
     // Worse classes are used only when a better one is empty.
     int Class = Each->m_LapsedAt ? 2 : Each->m_RestsUntil > Now ? 1 : 0;
-    double Cost = cost(*Each, What);
+    double Cost = cost(*Each, What, Now);
     if (Class > BestClass || (Class == BestClass && Cost >= BestCost))
       continue;
     Best = Each;
@@ -58,15 +137,14 @@
   return Best;
 }
 
-bool Dispatcher::trySend(const PlacementRequest &What, bool MustSend,
-                         core::TimePoint Now) {
-  KnownTarget *Best = choose(What, Now);
-  if (!Best) {
+bool Dispatcher::trySend(const PlacementRequest &What, core::TimePoint Now) {
+  bool HasAny = false;
+  KnownTarget *Best = choose(What, forceAt(What) <= Now, Now, HasAny);
+  if (!HasAny) {
     m_Hooks.m_Refuse(What.m_Request);
     return true;
   }
-  bool IsBaseline = m_Policy == PlacementPolicy::LeastOutstanding;
-  if (!MustSend && !IsBaseline && !Best->hasFreePlace())
+  if (!Best)
     return false;
   Target Where = Best->m_Target;
   m_Targets.started(Where.m_Name, What.m_PromptTokens);
@@ -75,40 +153,40 @@
 }
 
 void Dispatcher::place(const PlacementRequest &What, core::TimePoint Now) {
-  auto &Queue = m_Queues[What.m_Pool];
-  // Those of the same or a higher tier who wait already go first.
+  noteTier(What, Now);
   bool IsBehindOthers =
-      !Queue.empty() && !(What.m_Tier < std::get<0>(Queue.begin()->first));
-  if (!IsBehindOthers && trySend(What, What.m_OfferBy <= Now, Now))
+      std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
+        return Each.second.m_Pool == What.m_Pool &&
+               goesBefore(Each.second, What, Now);
+      });
+  if (!IsBehindOthers && trySend(What, Now))
     return;
-  QueueKey Key(What.m_Tier, What.m_OfferBy, What.m_Request);
-  Queue.emplace(Key, What);
-  m_Waiting.emplace(What.m_Request, std::make_pair(What.m_Pool, Key));
+  m_Waiting.emplace(What.m_Request, What);
 }
 
 bool Dispatcher::withdraw(core::RequestId Request) {
-  auto Found = m_Waiting.find(Request);
-  if (Found == m_Waiting.end())
-    return false;
-  m_Queues[Found->second.first].erase(Found->second.second);
-  m_Waiting.erase(Found);
-  return true;
+  return m_Waiting.erase(Request) != 0;
 }
 
 void Dispatcher::dispatchWaiting(core::TimePoint Now) {
-  for (auto &[Pool, Queue] : m_Queues) {
-    bool HasPlaces = true;
-    for (auto Place = Queue.begin(); Place != Queue.end();) {
-      const PlacementRequest &What = Place->second;
-      bool MustSend = What.m_OfferBy <= Now;
-      if ((!HasPlaces && !MustSend) || !trySend(What, MustSend, Now)) {
-        HasPlaces = false;
-        ++Place;
-        continue;
-      }
-      m_Waiting.erase(What.m_Request);
-      Place = Queue.erase(Place);
-    }
+  std::vector<const PlacementRequest *> Order;
+  Order.reserve(m_Waiting.size());
+  for (const auto &[Request, What] : m_Waiting)
+    Order.push_back(&What);
+  std::sort(Order.begin(), Order.end(),
+            [&](const PlacementRequest *A, const PlacementRequest *B) {
+              return goesBefore(*A, *B, Now);
+            });
+  // Where one finds no place, those behind it find none either, unless their
+  // time to be sent without one has come.
+  std::set<core::PoolName> Full;
+  for (const PlacementRequest *What : Order) {
+    if (Full.count(What->m_Pool) != 0 && Now < forceAt(*What))
+      continue;
+    if (trySend(*What, Now))
+      m_Waiting.erase(core::RequestId(What->m_Request));
+    else
+      Full.insert(What->m_Pool);
   }
 }
 
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -21,12 +21,15 @@
   core::RequestId m_Request;
   core::PoolName m_Pool;
   core::TierNumber m_Tier{1};
-  std::uint32_t m_PromptTokens = 0;
   bool m_IsModel = false;
-  /// Until then it may wait here for a free place. After that it is sent to
-  /// the best target even if it has to wait there.
-  core::TimePoint m_OfferBy{};
-  std::set<core::TargetName> m_Tried; ///< Not again, unless nothing else is.
+  std::uint32_t m_PromptTokens = 0;
+  double m_ExpectedEvents = 0; ///< Of a stream; 0: unknown, or no stream.
+  core::TimePoint m_ArrivedAt{};
+  /// A first byte after that is late; the request is still to be served.
+  core::TimePoint m_LateAt{};
+  /// The answer must be complete by then.
+  core::TimePoint m_EndsAt{};
+  std::set<core::TargetName> m_Tried; ///< Not again.
 };
 
 struct DispatcherHooks {
@@ -48,7 +51,8 @@
       : m_Targets(Targets), m_Home(std::move(Home)), m_Policy(Policy),
         m_Hooks(std::move(Hooks)) {}
 
-  /// Sends, queues or refuses.
+  /// Sends, queues or refuses. It waits here for a free place rather than at a
+  /// target, since targets serve in the order of arrival.
   void place(const PlacementRequest &What, core::TimePoint Now);
   /// The request waits no longer. \returns false if it did not wait.
   bool withdraw(core::RequestId Request);
@@ -57,22 +61,32 @@
   std::size_t waiting() const { return m_Waiting.size(); }
 
 private:
-  /// Highest tier first, then who must be offered first.
-  using QueueKey =
-      std::tuple<core::TierNumber, core::TimePoint, core::RequestId>;
+  /// Who is served first when places are short. The lowest of several tiers
+  /// waits for all others, also for those that are late already.
+  enum class Urgency { InTime, Late, LowestInTime, LowestLate };
 
-  bool trySend(const PlacementRequest &What, bool MustSend,
-               core::TimePoint Now);
-  KnownTarget *choose(const PlacementRequest &What, core::TimePoint Now);
-  double cost(const KnownTarget &At, const PlacementRequest &What) const;
+  Urgency urgencyOf(const PlacementRequest &What, core::TimePoint Now) const;
+  bool isLowest(const PlacementRequest &What) const;
+  /// When it is sent even without a free place.
+  core::TimePoint forceAt(const PlacementRequest &What) const;
+  bool goesBefore(const PlacementRequest &A, const PlacementRequest &B,
+                  core::TimePoint Now) const;
+  bool trySend(const PlacementRequest &What, core::TimePoint Now);
+  KnownTarget *choose(const PlacementRequest &What, bool MustSend,
+                      core::TimePoint Now, bool &HasAny);
+  double cost(const KnownTarget &At, const PlacementRequest &What,
+              core::TimePoint Now) const;
+  std::size_t placesFor(const KnownTarget &At,
+                        const PlacementRequest &What) const;
+  void noteTier(const PlacementRequest &What, core::TimePoint Now);
 
   TargetDirectory &m_Targets;
   core::DataHallName m_Home;
   PlacementPolicy m_Policy;
   DispatcherHooks m_Hooks;
-  std::map<core::PoolName, std::map<QueueKey, PlacementRequest>> m_Queues;
-  std::unordered_map<core::RequestId, std::pair<core::PoolName, QueueKey>>
-      m_Waiting;
+  std::unordered_map<core::RequestId, PlacementRequest> m_Waiting;
+  /// Tiers of each pool's requests, and when one was last seen.
+  std::map<core::PoolName, std::map<core::TierNumber, core::TimePoint>> m_Tiers;
 };
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/RoutingTable.h
@@ -51,6 +51,7 @@
   core::PoolName m_Name;
   std::size_t m_MostConnections = 0; ///< Of a target, from all instances.
   bool m_IsModel = false;            ///< Its targets batch and stream tokens.
+  double m_TokensPerEvent = 1;       ///< Of a model's streams.
 };
 
 struct Account {
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -14,7 +14,10 @@
   CPPUNIT_TEST(testWorkOfOthersCounts);
   CPPUNIT_TEST(testSlowTargetGetsLess);
   CPPUNIT_TEST(testHigherTierLeavesTheQueueFirst);
-  CPPUNIT_TEST(testIsOfferedInTimeWithoutAFreePlace);
+  CPPUNIT_TEST(testIsSentInTimeWithoutAFreePlace);
+  CPPUNIT_TEST(testLateRequestsGoBehindThoseInTime);
+  CPPUNIT_TEST(testLowestTierLeavesPlacesFree);
+  CPPUNIT_TEST(testLongAnswersGoToQuickTargets);
   CPPUNIT_TEST(testLeavingAndTriedTargetsGetNothing);
   CPPUNIT_TEST(testRestingTargetIsUsedOnlyAlone);
   CPPUNIT_TEST(testLapsedTargetsServeUntilTheyAreForgotten);
@@ -53,7 +56,9 @@
     Out.m_Request = core::RequestId(Id);
     Out.m_Pool = m_Pool;
     Out.m_Tier = core::TierNumber(Tier);
-    Out.m_OfferBy = m_Now + milliseconds(100);
+    Out.m_ArrivedAt = m_Now;
+    Out.m_LateAt = m_Now + milliseconds(100);
+    Out.m_EndsAt = m_Now + milliseconds(1000);
     return Out;
   }
   void place(std::uint64_t Id, std::uint32_t Tier = 1) {
@@ -135,11 +140,11 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Dispatcher.waiting());
   }
 
-  void testIsOfferedInTimeWithoutAFreePlace() {
+  void testIsSentInTimeWithoutAFreePlace() {
     announce("a", 1);
     place(1);
     place(2);
-    m_Now += milliseconds(99);
+    m_Now += milliseconds(499);
     m_Dispatcher.dispatchWaiting(m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
     m_Now += milliseconds(1);
@@ -147,6 +152,51 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(2));
   }
 
+  void testLateRequestsGoBehindThoseInTime() {
+    announce("a", 1);
+    place(1);
+    place(2);
+    m_Now += milliseconds(150);
+    place(3);
+    m_Targets.ended(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(3));
+    m_Targets.ended(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(2));
+  }
+
+  void testLowestTierLeavesPlacesFree() {
+    announce("a", 6);
+    place(1, 1);
+    for (std::uint64_t Id = 2; Id <= 6; ++Id)
+      place(Id, 3);
+    // One of the higher tier and three of the lowest run.
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(5));
+    place(7, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(7));
+    // A tier that is alone may use every place.
+    m_Now += std::chrono::seconds(11);
+    place(8, 3);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(8));
+  }
+
+  void testLongAnswersGoToQuickTargets() {
+    announce("quick", 10);
+    announce("slow", 10);
+    for (int I = 0; I < 50; ++I) {
+      m_Targets.notePace(core::TargetName("quick"), milliseconds(10));
+      m_Targets.notePace(core::TargetName("slow"), milliseconds(40));
+    }
+    for (std::uint64_t Id = 1; Id <= 6; ++Id) {
+      PlacementRequest Long = request(Id);
+      // 0.5 s at the quick target, 2 s at the other, of 1 s.
+      Long.m_ExpectedEvents = 50;
+      m_Dispatcher.place(Long, m_Now);
+      CPPUNIT_ASSERT_EQUAL(std::string("quick"), sentTo(Id));
+    }
+  }
+
   void testLeavingAndTriedTargetsGetNothing() {
     announce("a");
     Target Leaving = target("b");
