Dispatcher: Rank by the account's tier, then the route's

Ruled out: the queue itself. Change: a rank of both; places kept for higher ranks over the whole pool, not at each target; sent without a free place after 0.35 of the time, not 0.5.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -136,7 +136,7 @@
   routing::PlacementRequest Wanted;
   Wanted.m_Request = m_Id;
   Wanted.m_Pool = m_Pool;
-  Wanted.m_Tier = m_Tier;
+  Wanted.m_Rank = {m_Tier, m_Route->m_Tier};
   Wanted.m_IsModel = Pool && Pool->m_IsModel;
   Wanted.m_PromptTokens =
       m_Said.m_HasSize ? m_Said.m_PromptTokens : UnknownPromptTokens;
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -26,11 +26,12 @@
 /// length and the target's pace are only expected.
 static constexpr double UsableTime = 0.8;
 /// Part of a request's time after which it is sent without a free place.
-static constexpr double MostWaitShare = 0.5;
-/// Part of a target's places that the lowest tier leaves to the others.
-static constexpr double KeptShare = 0.34;
-/// A tier counts as present for so long after its last request.
-static constexpr std::chrono::seconds TierMemory{10};
+static constexpr double MostWaitShare = 0.35;
+/// Part of a pool's places that the lowest rank leaves free for the others: of
+/// those about as many arrive until all instances know of a dispatch.
+static constexpr double KeptShare = 0.15;
+/// A rank counts as present for so long after its last request.
+static constexpr std::chrono::seconds RankMemory{10};
 
 double Dispatcher::cost(const KnownTarget &At, const PlacementRequest &What,
                         core::TimePoint Now) const {
@@ -62,18 +63,18 @@
 // Who goes first
 //===----------------------------------------------------------------------===//
 
-void Dispatcher::noteTier(const PlacementRequest &What, core::TimePoint Now) {
-  auto &Tiers = m_Tiers[What.m_Pool];
-  Tiers[What.m_Tier] = Now;
-  for (auto Each = Tiers.begin(); Each != Tiers.end();)
+void Dispatcher::noteRank(const PlacementRequest &What, core::TimePoint Now) {
+  auto &Ranks = m_Ranks[What.m_Pool];
+  Ranks[What.m_Rank] = Now;
+  for (auto Each = Ranks.begin(); Each != Ranks.end();)
     Each =
-        Now - Each->second > TierMemory ? Tiers.erase(Each) : std::next(Each);
+        Now - Each->second > RankMemory ? Ranks.erase(Each) : std::next(Each);
 }
 
 bool Dispatcher::isLowest(const PlacementRequest &What) const {
-  auto Found = m_Tiers.find(What.m_Pool);
-  return Found != m_Tiers.end() && Found->second.size() > 1 &&
-         Found->second.rbegin()->first == What.m_Tier;
+  auto Found = m_Ranks.find(What.m_Pool);
+  return Found != m_Ranks.end() && Found->second.size() > 1 &&
+         Found->second.rbegin()->first == What.m_Rank;
 }
 
 Dispatcher::Urgency Dispatcher::urgencyOf(const PlacementRequest &What,
@@ -87,8 +88,8 @@
 bool Dispatcher::goesBefore(const PlacementRequest &A,
                             const PlacementRequest &B,
                             core::TimePoint Now) const {
-  return std::make_tuple(urgencyOf(A, Now), A.m_Tier, A.m_LateAt, A.m_Request) <
-         std::make_tuple(urgencyOf(B, Now), B.m_Tier, B.m_LateAt, B.m_Request);
+  return std::make_tuple(urgencyOf(A, Now), A.m_Rank, A.m_LateAt, A.m_Request) <
+         std::make_tuple(urgencyOf(B, Now), B.m_Rank, B.m_LateAt, B.m_Request);
 }
 
 core::TimePoint Dispatcher::forceAt(const PlacementRequest &What) const {
@@ -109,11 +110,24 @@
   // Streams beside each other hold each other up, a slow target's the more.
   if (What.m_IsModel)
     Places = std::max(1.0, std::round(Places / std::max(1.0, At.m_Slowness)));
-  if (isLowest(What))
-    Places = std::max(1.0, Places - std::ceil(Places * KeptShare));
   return static_cast<std::size_t>(Places);
 }
 
+bool Dispatcher::leavesKeptPlaces(const PlacementRequest &What) const {
+  if (!isLowest(What))
+    return true;
+  double All = 0;
+  double Free = 0;
+  for (const KnownTarget *Each : m_Targets.of(What.m_Pool)) {
+    if (Each->m_Target.m_IsLeaving)
+      continue;
+    double Places = static_cast<double>(placesFor(*Each, What));
+    All += Places;
+    Free += std::max(0.0, Places - static_cast<double>(Each->running()));
+  }
+  return Free - 1 >= All * KeptShare;
+}
+
 KnownTarget *Dispatcher::choose(const PlacementRequest &What, bool MustSend,
                                 core::TimePoint Now, bool &HasAny) {
   KnownTarget *Best = nullptr;
@@ -139,7 +153,10 @@
 
 bool Dispatcher::trySend(const PlacementRequest &What, core::TimePoint Now) {
   bool HasAny = false;
-  KnownTarget *Best = choose(What, forceAt(What) <= Now, Now, HasAny);
+  bool MustSend = forceAt(What) <= Now;
+  KnownTarget *Best = choose(What, MustSend, Now, HasAny);
+  if (Best && !MustSend && !leavesKeptPlaces(What))
+    return false;
   if (!HasAny) {
     m_Hooks.m_Refuse(What.m_Request);
     return true;
@@ -153,7 +170,7 @@
 }
 
 void Dispatcher::place(const PlacementRequest &What, core::TimePoint Now) {
-  noteTier(What, Now);
+  noteRank(What, Now);
   bool IsBehindOthers =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
         return Each.second.m_Pool == What.m_Pool &&
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -7,6 +7,7 @@
 #ifndef YARDRILL_LIBROUTING_DISPATCHER_H
 #define YARDRILL_LIBROUTING_DISPATCHER_H
 
+#include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
 
 #include <functional>
@@ -20,7 +21,7 @@
 struct PlacementRequest {
   core::RequestId m_Request;
   core::PoolName m_Pool;
-  core::TierNumber m_Tier{1};
+  Rank m_Rank;
   bool m_IsModel = false;
   std::uint32_t m_PromptTokens = 0;
   double m_ExpectedEvents = 0; ///< Of a stream; 0: unknown, or no stream.
@@ -61,7 +62,7 @@
   std::size_t waiting() const { return m_Waiting.size(); }
 
 private:
-  /// Who is served first when places are short. The lowest of several tiers
+  /// Who is served first when places are short. The lowest of several ranks
   /// waits for all others, also for those that are late already.
   enum class Urgency { InTime, Late, LowestInTime, LowestLate };
 
@@ -78,15 +79,17 @@
               core::TimePoint Now) const;
   std::size_t placesFor(const KnownTarget &At,
                         const PlacementRequest &What) const;
-  void noteTier(const PlacementRequest &What, core::TimePoint Now);
+  /// Whether the lowest rank may take one more place.
+  bool leavesKeptPlaces(const PlacementRequest &What) const;
+  void noteRank(const PlacementRequest &What, core::TimePoint Now);
 
   TargetDirectory &m_Targets;
   core::DataHallName m_Home;
   PlacementPolicy m_Policy;
   DispatcherHooks m_Hooks;
   std::unordered_map<core::RequestId, PlacementRequest> m_Waiting;
-  /// Tiers of each pool's requests, and when one was last seen.
-  std::map<core::PoolName, std::map<core::TierNumber, core::TimePoint>> m_Tiers;
+  /// Ranks of each pool's requests, and when one was last seen.
+  std::map<core::PoolName, std::map<Rank, core::TimePoint>> m_Ranks;
 };
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/RoutingTable.h
@@ -13,6 +13,22 @@
 
 namespace yardrill::routing {
 
+/// Who is served first: the client account's tier decides, and between those
+/// of one tier the route's.
+struct Rank {
+  core::TierNumber m_Account{1};
+  core::TierNumber m_Route{1};
+
+  bool operator==(const Rank &Other) const {
+    return m_Account == Other.m_Account && m_Route == Other.m_Route;
+  }
+  /// The higher rank comes first.
+  bool operator<(const Rank &Other) const {
+    return m_Account == Other.m_Account ? m_Route < Other.m_Route
+                                        : m_Account < Other.m_Account;
+  }
+};
+
 enum class RouteKind {
   Repeatable, ///< A request may run more than once.
   RunOnce,    ///< A request runs at most once.
@@ -57,7 +73,7 @@
 struct Account {
   core::AccountName m_Name;
   std::vector<std::string> m_Keys;
-  core::TierNumber m_Tier{0};   ///< Before the route's; 0: the route's.
+  core::TierNumber m_Tier{0};   ///< Goes before the route's; 0: it has none.
   double m_TokensPerSecond = 0; ///< Over all instances; 0: no limit.
   double m_Burst = 0;
   std::uint32_t m_PlainTokens = 1; ///< Charged when a request names no size.
