--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -19,6 +19,11 @@
 static constexpr std::chrono::milliseconds AnswerSlack{200};
 /// Least time left for which another target is tried.
 static constexpr std::chrono::milliseconds LeastUsefulTime{20};
+/// Callers give a stream up, also before its first event, after a gap of the
+/// longest of these (the platform's word on its clients).
+static constexpr std::chrono::seconds LeastPatience{2};
+static constexpr int PatienceOverObjective = 4;
+static constexpr int PatienceOverPause = 8;
 /// When to come back after a refusal: spread, so that those who were refused
 /// together do not return together.
 static constexpr double FirstRetryAfterSeconds = 0.15;
@@ -129,6 +134,12 @@
   return 0;
 }
 
+core::Duration GatewayRequest::callersPatience() const {
+  return std::max({core::Duration(LeastPatience),
+                   m_Route->m_Objective * PatienceOverObjective,
+                   m_Route->m_LongestPause * PatienceOverPause});
+}
+
 bool GatewayRequest::waitForTarget(asio::yield_context Yield) {
   m_Target.reset();
   m_IsRefused = false;
@@ -153,6 +164,9 @@
   Wanted.m_LateAt = m_EndsAt;
   if (m_Route->m_Objective > core::Duration::zero())
     Wanted.m_LateAt = m_ArrivedAt + m_Route->m_Objective;
+  Wanted.m_BeginsBy = m_EndsAt;
+  if (m_Route->m_Kind == routing::RouteKind::Stream)
+    Wanted.m_BeginsBy = std::min(m_EndsAt, m_ArrivedAt + callersPatience());
   m_PendingPrompt = Wanted.m_PromptTokens;
   m_Owner.m_Dispatcher.place(Wanted, core::steadyNow());
   while (!m_Target && !m_IsRefused && !m_IsCallerGone &&
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -47,6 +47,8 @@
   /// \returns the status that ends the request here, or 0 to go on.
   unsigned admit();
   unsigned checkQuota();
+  /// How long the caller waits for an event of a stream.
+  core::Duration callersPatience() const;
   bool waitForTarget(boost::asio::yield_context Yield);
   Outcome tryTarget(boost::asio::yield_context Yield);
   Outcome exchange(http::ClientConnection &Connection,
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -86,7 +86,7 @@
 
 void PeerLink::setStopping() {
   m_IsStopping = true;
-  sendReport(livePeers());
+  sendReport(livePeers(), true);
 }
 
 //===----------------------------------------------------------------------===//
@@ -140,7 +140,7 @@
         .add("peer", Report->m_Name)
         .add("address", Message.m_From.m_Peer.toString());
     // It may not know of us yet.
-    sendReport({Message.m_From.m_Peer});
+    sendReport({Message.m_From.m_Peer}, true);
   }
   m_Hooks.m_Changed();
 }
@@ -162,18 +162,19 @@
 
 void PeerLink::beat(core::TimePoint Now) {
   expire(Now);
-  if (Now - m_ReportedAt >= reportPeriod()) {
-    m_ReportedAt = Now;
+  fetchIfBehind(Now);
+  if (Now - m_SoughtAt >= SeekPeriod) {
+    m_SoughtAt = m_ReportedAt = Now;
     std::set<config::Endpoint> To = livePeers();
-    if (Now - m_SoughtAt >= SeekPeriod) {
-      m_SoughtAt = Now;
-      To.insert(m_Hinted.begin(), m_Hinted.end());
-      for (const auto &[Address, Since] : m_Missing)
-        To.insert(Address);
-    }
-    sendReport(To);
+    To.insert(m_Hinted.begin(), m_Hinted.end());
+    for (const auto &[Address, Since] : m_Missing)
+      To.insert(Address);
+    return sendReport(To, true);
   }
-  fetchIfBehind(Now);
+  if (Now - m_ReportedAt < reportPeriod())
+    return;
+  m_ReportedAt = Now;
+  sendReport(livePeers(), false);
 }
 
 void PeerLink::expire(core::TimePoint Now) {
@@ -199,13 +200,9 @@
     m_Hooks.m_Changed();
 }
 
-void PeerLink::sendReport(const std::set<config::Endpoint> &To) {
+void PeerLink::sendReport(const std::set<config::Endpoint> &To, bool IsFull) {
   if (To.empty())
     return;
-  peer::PeerMessage Message;
-  Message.m_From = m_Self;
-  Message.m_Sequence = ++m_Sequence;
-  Message.m_WallSeconds = core::wallSeconds().count();
   peer::LoadReport Report;
   Report.m_Name = m_Settings.m_Name;
   Report.m_StoreRevision = m_Mirror.revision().value();
@@ -215,12 +212,23 @@
     Report.m_Targets.resize(MostTargetsInReport);
   if (Report.m_Accounts.size() > MostAccountsInReport)
     Report.m_Accounts.resize(MostAccountsInReport);
+  bool IsNews = Report.m_Targets != m_Reported.m_Targets ||
+                Report.m_Accounts != m_Reported.m_Accounts ||
+                Report.m_StoreRevision != m_Reported.m_StoreRevision;
+  if (!IsFull && !IsNews)
+    return;
+  m_Reported = Report;
   // A few at random, so that all learn of all within some reports.
   std::vector<decision::Home> Known;
   for (const auto &[Incarnation, Peer] : m_Directory.all())
     Known.push_back(Peer.m_Home);
-  std::sample(Known.begin(), Known.end(), std::back_inserter(Report.m_Others),
-              HintsInReport, m_Random);
+  if (IsFull)
+    std::sample(Known.begin(), Known.end(), std::back_inserter(Report.m_Others),
+                HintsInReport, m_Random);
+  peer::PeerMessage Message;
+  Message.m_From = m_Self;
+  Message.m_Sequence = ++m_Sequence;
+  Message.m_WallSeconds = core::wallSeconds().count();
   Message.m_Body = std::move(Report);
   std::string Datagram = m_Codec.encode(Message);
   boost::system::error_code Ignored; // Lost datagrams are expected.
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -57,7 +57,8 @@
   void take(const peer::PeerMessage &Message);
   void drop(peer::DropReason Reason);
   void beat(core::TimePoint Now);
-  void sendReport(const std::set<config::Endpoint> &To);
+  /// \param IsFull also when nothing changed, and with hints of other peers.
+  void sendReport(const std::set<config::Endpoint> &To, bool IsFull);
   std::set<config::Endpoint> livePeers() const;
   void expire(core::TimePoint Now);
   core::Duration reportPeriod() const;
@@ -83,6 +84,7 @@
   std::set<config::Endpoint> m_Hinted; ///< Perhaps peers; not heard from yet.
   /// Silent peers that did not say that they stop, and since when.
   std::map<config::Endpoint, core::TimePoint> m_Missing;
+  peer::LoadReport m_Reported; ///< As last sent.
   std::uint64_t m_Sequence = 0;
   core::TimePoint m_ReportedAt{};
   core::TimePoint m_SoughtAt{};
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -35,6 +35,10 @@
   std::uint16_t m_Running = 0;
   std::uint32_t m_PendingPrompt = 0; ///< Prompt tokens without a first event.
 
+  bool operator==(const TargetUse &Other) const {
+    return m_Target == Other.m_Target && m_Running == Other.m_Running &&
+           m_PendingPrompt == Other.m_PendingPrompt;
+  }
   template <class Archive> void serialize(Archive &Ar) {
     Ar(m_Target, m_Running, m_PendingPrompt);
   }
@@ -45,6 +49,9 @@
   std::uint32_t m_Account = 0; ///< Low half of stableHash() of its name.
   std::uint64_t m_Tokens = 0;  ///< Since the sender's incarnation began.
 
+  bool operator==(const AccountUse &Other) const {
+    return m_Account == Other.m_Account && m_Tokens == Other.m_Tokens;
+  }
   template <class Archive> void serialize(Archive &Ar) {
     Ar(m_Account, m_Tokens);
   }
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -27,6 +27,8 @@
 static constexpr double UsableTime = 0.8;
 /// Part of a request's time after which it is sent without a free place.
 static constexpr double MostWaitShare = 0.35;
+/// Time to the first event at a target that has no free place.
+static constexpr std::chrono::milliseconds TimeToBegin{700};
 /// Part of a pool's places that the lowest rank leaves free for the others: of
 /// those about as many arrive until all instances know of a dispatch.
 static constexpr double KeptShare = 0.15;
@@ -92,7 +94,7 @@
          std::make_tuple(urgencyOf(B, Now), B.m_Rank, B.m_LateAt, B.m_Request);
 }
 
-core::TimePoint Dispatcher::forceAt(const PlacementRequest &What) const {
+core::TimePoint Dispatcher::waitsUntil(const PlacementRequest &What) const {
   if (m_Policy == PlacementPolicy::LeastOutstanding)
     return What.m_ArrivedAt;
   core::Duration All = What.m_EndsAt - What.m_ArrivedAt;
@@ -153,7 +155,7 @@
 
 bool Dispatcher::trySend(const PlacementRequest &What, core::TimePoint Now) {
   bool HasAny = false;
-  bool MustSend = forceAt(What) <= Now;
+  bool MustSend = waitsUntil(What) <= Now;
   KnownTarget *Best = choose(What, MustSend, Now, HasAny);
   if (Best && !MustSend && !leavesKeptPlaces(What))
     return false;
@@ -198,7 +200,7 @@
   // time to be sent without one has come.
   std::set<core::PoolName> Full;
   for (const PlacementRequest *What : Order) {
-    if (Full.count(What->m_Pool) != 0 && Now < forceAt(*What))
+    if (Full.count(What->m_Pool) != 0 && Now < waitsUntil(*What))
       continue;
     if (trySend(*What, Now))
       m_Waiting.erase(core::RequestId(What->m_Request));
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -28,6 +28,8 @@
   core::TimePoint m_ArrivedAt{};
   /// A first byte after that is late; the request is still to be served.
   core::TimePoint m_LateAt{};
+  /// A stream without an event by then is given up by its caller.
+  core::TimePoint m_BeginsBy{};
   /// The answer must be complete by then.
   core::TimePoint m_EndsAt{};
   std::set<core::TargetName> m_Tried; ///< Not again.
@@ -36,7 +38,7 @@
 struct DispatcherHooks {
   /// Send the request there now.
   std::function<void(core::RequestId, const Target &)> m_Send;
-  /// No target of the pool can take it; nothing was sent.
+  /// No target of the pool can take it in time; nothing was sent.
   std::function<void(core::RequestId)> m_Refuse;
 };
 
@@ -68,8 +70,8 @@
 
   Urgency urgencyOf(const PlacementRequest &What, core::TimePoint Now) const;
   bool isLowest(const PlacementRequest &What) const;
-  /// When it is sent even without a free place.
-  core::TimePoint forceAt(const PlacementRequest &What) const;
+  /// When it no longer waits for a free place.
+  core::TimePoint waitsUntil(const PlacementRequest &What) const;
   bool goesBefore(const PlacementRequest &A, const PlacementRequest &B,
                   core::TimePoint Now) const;
   bool trySend(const PlacementRequest &What, core::TimePoint Now);
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -59,6 +59,7 @@
     Out.m_Rank.m_Route = core::TierNumber(Tier);
     Out.m_ArrivedAt = m_Now;
     Out.m_LateAt = m_Now + milliseconds(100);
+    Out.m_BeginsBy = m_Now + milliseconds(1000);
     Out.m_EndsAt = m_Now + milliseconds(1000);
     return Out;
   }
@@ -145,7 +146,7 @@
     announce("a", 1);
     place(1);
     place(2);
-    m_Now += milliseconds(349);
+    m_Now += milliseconds(299);
     m_Dispatcher.dispatchWaiting(m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
     m_Now += milliseconds(1);
