--- a/Libraries/LibConfig/InstanceSettings.cpp
+++ b/Libraries/LibConfig/InstanceSettings.cpp
@@ -50,7 +50,7 @@
   retention_ms: 600000               # how long an identity is remembered
 
 platform:
-  addresses: [127.0.0.1:2379]        # etcd v3 JSON gateway
+  addresses: [127.0.0.1:8225]        # the metadata store
   call_timeout_ms: 2000
   calls_per_second: 20               # budget of this instance
   call_burst: 40
--- a/Libraries/LibInstance/PlatformDuty.cpp
+++ b/Libraries/LibInstance/PlatformDuty.cpp
@@ -22,12 +22,11 @@
 static const int ResolveTries = 5;
 static const std::chrono::seconds PublishTimeout(20);
 
-static platform::EtcdGatewaySettings
-toGatewaySettings(const config::PlatformSettings &Settings) {
-  platform::EtcdGatewaySettings Out;
+static platform::StoreSettings
+toStoreSettings(const config::PlatformSettings &Settings) {
+  platform::StoreSettings Out;
   for (const config::Endpoint &Address : Settings.m_Addresses)
-    Out.m_Addresses.emplace_back(asio::ip::make_address(Address.m_Address),
-                                 Address.m_Port);
+    Out.m_Addresses.push_back(Address.toTcp());
   Out.m_CallTimeout = Settings.m_CallTimeout;
   Out.m_CallsPerSecond = Settings.m_CallsPerSecond;
   Out.m_CallBurst = Settings.m_CallBurst;
@@ -43,7 +42,7 @@
     : m_Thread("platform"), m_Timers(m_Thread.context()),
       m_Configuration(Configuration), m_Metrics(Metrics),
       m_Hooks(std::move(Hooks)),
-      m_Service(m_Thread.context(), toGatewaySettings(Settings.m_Platform)),
+      m_Service(m_Thread.context(), toStoreSettings(Settings.m_Platform)),
       m_Claims(m_Service, std::move(Self), Settings.m_Identities.m_Retention),
       m_Floors(m_Service),
       m_Actions(Settings.m_RingCapacity, m_Thread.waker([this] {
--- a/Libraries/LibInstance/PlatformDuty.h
+++ b/Libraries/LibInstance/PlatformDuty.h
@@ -13,7 +13,8 @@
 #include "LibInstance/FloorRecordKeeper.h"
 #include "LibInstance/InstanceList.h"
 #include "LibMetrics/MetricsRegistry.h"
-#include "LibPlatform/EtcdGateway.h"
+
+#include "StoreClient.h"
 
 #include <functional>
 #include <future>
@@ -70,7 +71,7 @@
   ConfigurationKeeper &m_Configuration;
   metrics::MetricsRegistry &m_Metrics;
   PlatformHooks m_Hooks;
-  platform::EtcdGateway m_Service;
+  platform::StoreClient m_Service;
   ClaimKeeper m_Claims;
   FloorRecordKeeper m_Floors;
   InstanceList m_List;
--- a/Tests/StandIns/Platform.cpp
+++ b/Tests/StandIns/Platform.cpp
@@ -13,18 +13,45 @@
 
 static const std::chrono::milliseconds LeaseCheckPeriod(50);
 
+/// One parameter of the query, decoded (RFC 3986, section 2.1); "" if missing.
+static std::string parameter(const std::string &Target,
+                             const std::string &Name) {
+  std::size_t At = Target.find('?');
+  while (At != std::string::npos) {
+    std::size_t Next = Target.find('&', At + 1);
+    std::string Pair = Target.substr(At + 1, Next - At - 1);
+    At = Next;
+    if (Pair.compare(0, Name.size() + 1, Name + "=") != 0)
+      continue;
+    std::string Out;
+    for (std::size_t I = Name.size() + 1; I < Pair.size(); ++I) {
+      if (Pair[I] != '%') {
+        Out += Pair[I];
+        continue;
+      }
+      Out += core::fromHex(Pair.substr(I + 1, 2));
+      I += 2;
+    }
+    return Out;
+  }
+  return "";
+}
+
+static std::int64_t toInteger(const std::string &Text) {
+  return Text.empty() ? 0 : std::stoll(Text);
+}
+
 static std::string textOf(const json::object &Object, const char *Name) {
-  const json::value *Value = Object.if_contains(Name);
-  return Value ? core::fromBase64(std::string(Value->as_string())) : "";
+  return std::string(Object.at(Name).as_string());
 }
 
 static std::int64_t integerOf(const json::object &Object, const char *Name) {
   const json::value *Value = Object.if_contains(Name);
-  if (!Value)
-    return 0;
-  if (Value->is_string())
-    return std::stoll(std::string(Value->as_string()));
-  return Value->to_number<std::int64_t>();
+  return Value ? Value->to_number<std::int64_t>() : 0;
+}
+
+static bool startsWith(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
 }
 
 void Platform::start() {
@@ -61,92 +88,118 @@
     sleep(std::chrono::milliseconds(m_SlowMilliseconds), Yield);
   if (m_IsDown)
     return Call.abort();
+  while (m_IsSilent)
+    sleep(LeaseCheckPeriod, Yield);
   if (isOverRate())
     return sendJson(Call, json::object{{"error", "rate limit"}}, Yield, 429);
-  std::string Path = Call.request().m_Target;
-  json::value Parsed = json::parse(Call.request().m_Body);
-  if (Path == "/v3/watch")
-    return watch(Call, Parsed.as_object(), Yield);
-  bool IsWrite = Path == "/v3/kv/txn";
-  bool IsLost = IsWrite && m_LoseAnswers > 0;
+  const http::RequestMessage Request = Call.request();
+  if (startsWith(Request.m_Target, "/kv-watch"))
+    return watch(Call, Yield);
+  bool IsLost = Request.m_Target == "/kv-txn" && m_LoseAnswers > 0;
   if (IsLost) {
     --m_LoseAnswers;
     if (m_LateMilliseconds > 0) {
       Call.abort();
       sleep(std::chrono::milliseconds(m_LateMilliseconds), Yield);
-      answer(Path, Parsed.as_object());
+      answer(Request);
       return;
     }
   }
-  json::object Answer = answer(Path, Parsed.as_object());
+  Answer Made = answer(Request);
   if (IsLost)
     return Call.abort();
-  sendJson(Call, Answer, Yield);
+  sendJson(Call, Made.m_Body, Yield, Made.m_Status);
 }
 
-json::object Platform::answer(const std::string &Path,
-                              const json::object &Body) {
-  if (Path == "/v3/kv/range")
-    return range(Body);
-  if (Path == "/v3/kv/txn")
-    return transact(Body);
-  if (Path == "/v3/lease/grant")
-    return grant(Body);
-  if (Path == "/v3/lease/keepalive")
-    return keepAlive(Body);
-  if (Path == "/v3/lease/revoke")
-    return revoke(Body);
-  return {{"error", "no such path"}};
-}
-
-json::object Platform::header() const {
-  return {{"revision", std::to_string(m_Revision)}};
+Platform::Answer Platform::answer(const http::RequestMessage &Call) {
+  const std::string &Target = Call.m_Target;
+  if (startsWith(Target, "/kv-key?"))
+    return readItem(parameter(Target, "privateKey"));
+  if (startsWith(Target, "/kv-range?"))
+    return readRange(parameter(Target, "pathPrefix"),
+                     parameter(Target, "sinceRev"));
+  static const std::string Keep = "/kv-keep/";
+  if (startsWith(Target, Keep))
+    return keepAlive(toInteger(Target.substr(Keep.size())));
+  static const std::string End = "/kv-lease-end/";
+  if (startsWith(Target, End))
+    return endLeaseCall(toInteger(Target.substr(End.size())));
+  json::value Body = json::parse(Call.m_Body);
+  if (Target == "/kv-txn")
+    return transact(Body.as_object());
+  if (Target == "/kv-lease")
+    return grant(Body.as_object());
+  return {404, {{"error", "no such call"}}};
 }
 
 json::object Platform::toJson(const std::string &Key, const Item &What) const {
-  return {{"key", core::toBase64(Key)},
+  return {{"privateKey", Key},
           {"value", core::toBase64(What.m_Value)},
-          {"mod_revision", std::to_string(What.m_Modified)}};
+          {"rev", What.m_Modified},
+          {"createRevision", What.m_Modified},
+          {"lease", What.m_Lease}};
 }
 
-json::object Platform::range(const json::object &Body) const {
-  std::string First = textOf(Body, "key");
-  std::string End = textOf(Body, "range_end");
+Platform::Answer Platform::readItem(const std::string &Key) const {
+  auto Found = m_Items.find(Key);
+  if (Found == m_Items.end())
+    return {404, {{"storeRevision", m_Revision}}};
+  json::object Body = toJson(Key, Found->second);
+  Body["storeRevision"] = m_Revision;
+  return {200, Body};
+}
+
+Platform::Answer Platform::readRange(const std::string &Prefix,
+                                     const std::string &After) const {
   json::array Found;
-  for (auto Place = m_Items.lower_bound(First); Place != m_Items.end();
+  bool HasMore = false;
+  for (auto Place = m_Items.lower_bound(Prefix); Place != m_Items.end();
        ++Place) {
-    bool IsInside = End.empty() ? Place->first == First : Place->first < End;
-    if (!IsInside)
+    if (!startsWith(Place->first, Prefix))
+      break;
+    if (!After.empty() && Place->first <= After)
+      continue;
+    HasMore = Found.size() >= static_cast<std::size_t>(m_PageItems);
+    if (HasMore)
       break;
     Found.push_back(toJson(Place->first, Place->second));
   }
-  return {{"header", header()}, {"kvs", Found}};
+  return {200,
+          {{"items", Found},
+           {"morePages", HasMore},
+           {"storeRevision", m_Revision}}};
 }
 
-json::object Platform::transact(const json::object &Body) {
-  const json::object &Compare = Body.at("compare").as_array().at(0).as_object();
-  auto Found = m_Items.find(textOf(Compare, "key"));
-  std::int64_t Modified = Found == m_Items.end() ? 0 : Found->second.m_Modified;
-  if (Modified != integerOf(Compare, "mod_revision")) {
-    const json::object &Read = Body.at("failure").as_array().at(0).as_object();
-    json::object Response{
-        {"response_range", range(Read.at("requestRange").as_object())}};
-    return {{"header", header()}, {"responses", json::array{Response}}};
+Platform::Answer Platform::transact(const json::object &Body) {
+  json::array Current;
+  bool IsMet = true;
+  for (const json::value &Each : Body.at("expectedRev").as_array()) {
+    const json::object &Condition = Each.as_object();
+    std::string Key = textOf(Condition, "privateKey");
+    auto Found = m_Items.find(Key);
+    std::int64_t Stands = Found == m_Items.end() ? 0 : Found->second.m_Modified;
+    IsMet = IsMet && Stands == integerOf(Condition, "rev");
+    if (Found != m_Items.end())
+      Current.push_back(toJson(Key, Found->second));
   }
+  if (!IsMet)
+    return {412, {{"items", Current}, {"storeRevision", m_Revision}}};
   ++m_Writes;
-  for (const json::value &Step : Body.at("success").as_array()) {
-    const json::object &Put = Step.as_object().at("requestPut").as_object();
-    std::int64_t Id = integerOf(Put, "lease");
+  const json::array &Puts = Body.at("setKeys").as_array();
+  for (const json::value &Each : Puts) {
+    std::int64_t Id = integerOf(Each.as_object(), "lease");
     if (Id != 0 && m_Leases.count(Id) == 0)
-      return {{"error", "requested lease not found"}};
+      return {404, {{"error", "no such lease"}}};
   }
   ++m_Revision;
-  for (const json::value &Step : Body.at("success").as_array()) {
-    const json::object &Put = Step.as_object().at("requestPut").as_object();
-    put(textOf(Put, "key"),
-        Item{textOf(Put, "value"), m_Revision, integerOf(Put, "lease")});
+  for (const json::value &Each : Puts) {
+    const json::object &Put = Each.as_object();
+    put(textOf(Put, "privateKey"), Item{core::fromBase64(textOf(Put, "value")),
+                                        m_Revision, integerOf(Put, "lease")});
   }
-  return {{"header", header()}, {"succeeded", true}};
+  for (const json::value &Key : Body.at("remove").as_array())
+    put(std::string(Key.as_string()), std::nullopt);
+  return {200, {{"rev", m_Revision}}};
 }
 
 void Platform::put(const std::string &Key, std::optional<Item> What) {
@@ -159,29 +212,25 @@
     Watcher->cancel();
 }
 
-json::object Platform::grant(const json::object &Body) {
+Platform::Answer Platform::grant(const json::object &Body) {
   std::int64_t Id = m_NextLease++;
-  std::int64_t Seconds = integerOf(Body, "TTL");
-  m_Leases[Id] = {Seconds, Clock::now() + std::chrono::seconds(Seconds)};
-  return {{"header", header()},
-          {"ID", std::to_string(Id)},
-          {"TTL", std::to_string(Seconds)}};
+  std::chrono::milliseconds Length(integerOf(Body, "ttlMs"));
+  m_Leases[Id] = {Length, Clock::now() + Length};
+  return {200, {{"lease", Id}, {"ttlMs", Length.count()}}};
 }
 
-json::object Platform::keepAlive(const json::object &Body) {
-  auto Found = m_Leases.find(integerOf(Body, "ID"));
-  json::object Result{{"header", header()}};
-  if (Found != m_Leases.end()) {
-    Lease &Which = Found->second;
-    Which.m_Until = Clock::now() + std::chrono::seconds(Which.m_Seconds);
-    Result["TTL"] = std::to_string(Which.m_Seconds);
-  }
-  return {{"result", Result}};
+Platform::Answer Platform::keepAlive(std::int64_t Id) {
+  auto Found = m_Leases.find(Id);
+  if (Found == m_Leases.end())
+    return {404, {}};
+  Lease &Which = Found->second;
+  Which.m_Until = Clock::now() + Which.m_Length;
+  return {200, {{"ttlMs", Which.m_Length.count()}}};
 }
 
-json::object Platform::revoke(const json::object &Body) {
-  endLease(integerOf(Body, "ID"));
-  return {{"header", header()}};
+Platform::Answer Platform::endLeaseCall(std::int64_t Id) {
+  endLease(Id);
+  return {200, {}};
 }
 
 void Platform::endLease(std::int64_t Id) {
@@ -196,12 +245,31 @@
   }
 }
 
-void Platform::watch(http::Exchange &Call, const json::object &Body,
-                     asio::yield_context Yield) {
-  const json::object &Create = Body.at("create_request").as_object();
-  std::string First = textOf(Create, "key");
-  std::string End = textOf(Create, "range_end");
-  std::int64_t Next = integerOf(Create, "start_revision");
+json::array Platform::changesAfter(const std::string &Prefix,
+                                   std::int64_t After) const {
+  json::array Out;
+  for (const Change &What : m_Changes) {
+    if (What.m_Revision <= After || !startsWith(What.m_Key, Prefix))
+      continue;
+    if (What.m_Item)
+      Out.push_back(toJson(What.m_Key, *What.m_Item));
+    else
+      Out.push_back(json::object{{"privateKey", What.m_Key},
+                                 {"rev", What.m_Revision},
+                                 {"removed", true}});
+  }
+  return Out;
+}
+
+void Platform::watch(http::Exchange &Call, asio::yield_context Yield) {
+  const std::string Target = Call.request().m_Target;
+  std::string Prefix = parameter(Target, "pathPrefix");
+  std::int64_t After = toInteger(parameter(Target, "sinceRev"));
+  if (After < m_HistoryBegin)
+    return sendJson(Call, json::object{{"error", "history is gone"}}, Yield,
+                    410);
+  auto Ends = Clock::now() +
+              std::chrono::milliseconds(toInteger(parameter(Target, "waitMs")));
   auto Wake = std::make_shared<asio::steady_timer>(m_Context);
   auto Place = m_Watchers.insert(m_Watchers.end(), Wake);
   bool IsGone = false;
@@ -210,38 +278,20 @@
     Wake->cancel();
   });
   ++m_OpenWatches;
-  try {
-    http::ResponseHead Head;
-    Head.m_Status = 200;
-    Call.startStream(Head, Yield);
-    while (!IsGone && !m_IsDown) {
-      json::array Events;
-      for (const Change &What : m_Changes) {
-        if (What.m_Revision < Next || What.m_Key < First || What.m_Key >= End)
-          continue;
-        json::object Event{
-            {"kv", toJson(What.m_Key, What.m_Item.value_or(Item()))}};
-        if (!What.m_Item)
-          Event["type"] = "DELETE";
-        Events.push_back(Event);
-      }
-      Next = m_Revision + 1;
-      if (!Events.empty()) {
-        json::object Result{{"header", header()}, {"events", Events}};
-        Call.sendPiece(json::serialize(json::object{{"result", Result}}) + "\n",
-                       Yield);
-        continue;
-      }
-      boost::system::error_code Ignored;
-      Wake->expires_at(asio::steady_timer::time_point::max());
-      Wake->async_wait(Yield[Ignored]);
-    }
-  } catch (const std::exception &) {
-    IsGone = true;
+  json::array Changes = changesAfter(Prefix, After);
+  while (!IsGone && !m_IsDown && Changes.empty() && Clock::now() < Ends) {
+    boost::system::error_code Ignored;
+    Wake->expires_at(Ends);
+    Wake->async_wait(Yield[Ignored]);
+    Changes = changesAfter(Prefix, After);
   }
   --m_OpenWatches;
   m_Watchers.erase(Place);
-  Call.abort();
+  if (IsGone || m_IsDown)
+    return Call.abort();
+  sendJson(Call,
+           json::object{{"events", Changes}, {"storeRevision", m_Revision}},
+           Yield);
 }
 
 void Platform::schedulePut(const json::object &Wanted) {
@@ -265,12 +315,18 @@
 
 void Platform::control(const json::object &Settings) {
   take(Settings, "down", m_IsDown);
+  take(Settings, "silent", m_IsSilent);
+  take(Settings, "page_items", m_PageItems);
   take(Settings, "slow_ms", m_SlowMilliseconds);
   take(Settings, "lose_answers", m_LoseAnswers);
   take(Settings, "late_ms", m_LateMilliseconds);
   take(Settings, "calls_per_second", m_CallsPerSecond);
   if (const json::value *Put = Settings.if_contains("put"))
     schedulePut(Put->as_object());
+  if (Settings.if_contains("forget_history")) {
+    m_HistoryBegin = m_Revision;
+    m_Changes.clear();
+  }
   // An outage ends the watches too.
   if (m_IsDown)
     for (auto &Watcher : m_Watchers)
--- a/Tests/StandIns/Platform.h
+++ b/Tests/StandIns/Platform.h
@@ -13,10 +13,11 @@
 
 namespace yardrill::standins {
 
-/// Speaks as much of the etcd v3 JSON gateway as yardrill uses: range, txn,
-/// leases, watch. The instance list is keys in it, written by control with a
-/// lag. Faults by control: outage, slowness, a rate limit, answers lost after
-/// the write took effect, writes that take effect late.
+/// Speaks the calls of the users' metadata store: items, ranges in pages,
+/// conditional writes, leases, watches. The instance list is keys in it,
+/// written by control with a lag. Faults by control: outage, silence, slowness,
+/// a rate limit, answers lost after the write took effect, writes that take
+/// effect late, a history that is forgotten.
 class Platform final : public StandIn {
 public:
   using StandIn::StandIn;
@@ -41,20 +42,25 @@
     std::optional<Item> m_Item; ///< None: deleted.
   };
   struct Lease {
-    std::int64_t m_Seconds = 0;
+    std::chrono::milliseconds m_Length{};
     std::chrono::steady_clock::time_point m_Until;
   };
 
-  boost::json::object answer(const std::string &Path,
-                             const boost::json::object &Body);
-  boost::json::object range(const boost::json::object &Body) const;
-  boost::json::object transact(const boost::json::object &Body);
-  boost::json::object grant(const boost::json::object &Body);
-  boost::json::object keepAlive(const boost::json::object &Body);
-  boost::json::object revoke(const boost::json::object &Body);
-  void watch(http::Exchange &Call, const boost::json::object &Body,
-             boost::asio::yield_context Yield);
-  boost::json::object header() const;
+  struct Answer {
+    unsigned m_Status = 200;
+    boost::json::object m_Body;
+  };
+
+  Answer answer(const http::RequestMessage &Call);
+  Answer readItem(const std::string &Key) const;
+  Answer readRange(const std::string &Prefix, const std::string &After) const;
+  Answer transact(const boost::json::object &Body);
+  Answer grant(const boost::json::object &Body);
+  Answer keepAlive(std::int64_t Id);
+  Answer endLeaseCall(std::int64_t Id);
+  void watch(http::Exchange &Call, boost::asio::yield_context Yield);
+  boost::json::array changesAfter(const std::string &Prefix,
+                                  std::int64_t After) const;
   boost::json::object toJson(const std::string &Key, const Item &What) const;
   void put(const std::string &Key, std::optional<Item> What);
   void endLease(std::int64_t Id);
@@ -67,7 +73,10 @@
   std::list<std::shared_ptr<boost::asio::steady_timer>> m_Watchers;
   std::int64_t m_Revision = 1;
   std::int64_t m_NextLease = 1;
+  std::int64_t m_HistoryBegin = 0; ///< Changes up to it are forgotten.
+  std::int64_t m_PageItems = 500;
   bool m_IsDown = false;
+  bool m_IsSilent = false; ///< Takes calls and never answers.
   std::int64_t m_SlowMilliseconds = 0;
   std::int64_t m_LoseAnswers = 0;      ///< Of so many next writes.
   std::int64_t m_LateMilliseconds = 0; ///< Lost writes take effect so late.
