Dispatcher: Refuse a stream while its caller listens, never pile it on a full target

Cause: a stream that waited past its caller's patience ended without an answer ("worth held to the end"). Conclusion: kept for the caller's sake; streams are never sent to wait.

--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -25,10 +25,10 @@
 /// Part of the time left that an answer should take at the most, since its
 /// length and the target's pace are only expected.
 static constexpr double UsableTime = 0.8;
-/// Part of a request's time after which it is sent without a free place.
+/// Part of a short request's time after which it is sent without a free place.
 static constexpr double MostWaitShare = 0.35;
-/// Time to the first event at a target that has no free place.
-static constexpr std::chrono::milliseconds TimeToBegin{700};
+/// Time to the first event of a stream at a target with a free place.
+static constexpr std::chrono::milliseconds TimeToBegin{150};
 /// Part of a pool's places that the lowest rank leaves free for the others: of
 /// those about as many arrive until all instances know of a dispatch.
 static constexpr double KeptShare = 0.15;
@@ -97,6 +97,8 @@
 core::TimePoint Dispatcher::waitsUntil(const PlacementRequest &What) const {
   if (m_Policy == PlacementPolicy::LeastOutstanding)
     return What.m_ArrivedAt;
+  if (What.m_IsModel)
+    return What.m_BeginsBy - TimeToBegin;
   core::Duration All = What.m_EndsAt - What.m_ArrivedAt;
   return What.m_ArrivedAt +
          std::chrono::duration_cast<core::Duration>(All * MostWaitShare);
@@ -155,11 +157,15 @@
 
 bool Dispatcher::trySend(const PlacementRequest &What, core::TimePoint Now) {
   bool HasAny = false;
-  bool MustSend = waitsUntil(What) <= Now;
+  bool IsTimeUp = waitsUntil(What) <= Now;
+  // A stream sent to wait at a full target makes all that run there late; its
+  // caller can come back in a better moment.
+  bool MustSend = IsTimeUp && (!What.m_IsModel ||
+                               m_Policy == PlacementPolicy::LeastOutstanding);
   KnownTarget *Best = choose(What, MustSend, Now, HasAny);
   if (Best && !MustSend && !leavesKeptPlaces(What))
     return false;
-  if (!HasAny) {
+  if (!HasAny || (IsTimeUp && !Best)) {
     m_Hooks.m_Refuse(What.m_Request);
     return true;
   }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -70,7 +70,8 @@
 
   Urgency urgencyOf(const PlacementRequest &What, core::TimePoint Now) const;
   bool isLowest(const PlacementRequest &What) const;
-  /// When it no longer waits for a free place.
+  /// When it no longer waits for a free place: a stream is then refused, while
+  /// its caller still listens, and a short request sent without one.
   core::TimePoint waitsUntil(const PlacementRequest &What) const;
   bool goesBefore(const PlacementRequest &A, const PlacementRequest &B,
                   core::TimePoint Now) const;
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testSlowTargetGetsLess);
   CPPUNIT_TEST(testHigherTierLeavesTheQueueFirst);
   CPPUNIT_TEST(testIsSentInTimeWithoutAFreePlace);
+  CPPUNIT_TEST(testStreamIsRefusedWhileItsCallerListens);
   CPPUNIT_TEST(testLateRequestsGoBehindThoseInTime);
   CPPUNIT_TEST(testLowestTierLeavesPlacesFree);
   CPPUNIT_TEST(testAccountGoesBeforeRoute);
@@ -146,7 +147,7 @@
     announce("a", 1);
     place(1);
     place(2);
-    m_Now += milliseconds(299);
+    m_Now += milliseconds(349);
     m_Dispatcher.dispatchWaiting(m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
     m_Now += milliseconds(1);
@@ -154,6 +155,21 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(2));
   }
 
+  void testStreamIsRefusedWhileItsCallerListens() {
+    announce("a", 1);
+    place(1);
+    PlacementRequest Stream = request(2);
+    Stream.m_IsModel = true;
+    m_Dispatcher.place(Stream, m_Now);
+    m_Now += milliseconds(849);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT(m_Refused.empty());
+    m_Now += milliseconds(1);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(2)) == 1);
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
+  }
+
   void testLateRequestsGoBehindThoseInTime() {
     announce("a", 1);
     place(1);
