LibCore, LibGateway: Bounded log on standard output, and requests through one real gateway

Change: BoundedLog (budget, buffer, drops counted in one line), a line request-sent with what decided. Ruled out: a thread for the log (one more wake-up for each write).

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -75,20 +75,36 @@
   return *this;
 }
 
-LogLine::~LogLine() {
-  switch (m_Level) {
+static std::function<void(const std::string &)> &sink() {
+  static std::function<void(const std::string &)> Sink;
+  return Sink;
+}
+
+void setLogSink(std::function<void(const std::string &)> Sink) {
+  sink() = std::move(Sink);
+}
+
+static void logWithGlog(LogLevel Level, const std::string &Text) {
+  switch (Level) {
   case LogLevel::Info:
-    LOG(INFO) << m_Text;
+    LOG(INFO) << Text;
     return;
   case LogLevel::Warning:
-    LOG(WARNING) << m_Text;
+    LOG(WARNING) << Text;
     return;
   case LogLevel::Error:
-    LOG(ERROR) << m_Text;
+    LOG(ERROR) << Text;
     return;
   }
 }
 
+LogLine::~LogLine() {
+  if (sink())
+    sink()(m_Text);
+  else
+    logWithGlog(m_Level, m_Text);
+}
+
 void startLogging(const char *ProgramName) {
   FLAGS_logtostderr = true;
   FLAGS_log_prefix = false;
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -5,6 +5,7 @@
 #include "LibCore/StrongType.h"
 #include "LibCore/Time.h"
 
+#include <functional>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
   std::string m_Text;
 };
 
+/// Hands every line to \p Sink instead of glog; null goes back to glog. For a
+/// process with one thread, whose output must not block it.
+void setLogSink(std::function<void(const std::string &)> Sink);
+
 /// Sends logs to standard error, without glog's own prefix.
 void startLogging(const char *ProgramName);
 
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -217,7 +217,32 @@
 // At a target
 //===----------------------------------------------------------------------===//
 
+void GatewayRequest::logSent() const {
+  const routing::KnownTarget *Known = m_Owner.m_Targets.find(m_Target->m_Name);
+  core::LogLine Line("request-sent");
+  Line.add("request", m_Said.m_Id)
+      .add("route", m_Route->m_Name)
+      .add("account_tier", m_Tier)
+      .add("route_tier", m_Route->m_Tier)
+      .add("target", m_Target->m_Name)
+      .add("try", m_Tries)
+      .add("waited_us", core::steadyNow() - m_ArrivedAt)
+      .add("configuration", m_Table->version())
+      .add("store_revision", m_Owner.m_Mirror.revision());
+  if (Known)
+    Line.add("running_own", Known->m_Own.m_Running)
+        .add("running_others", Known->m_Others.m_Running)
+        .add("places", Known->m_Target.m_Places)
+        .add("slowness", Known->m_Slowness)
+        .add("failure_share", Known->m_FailureShare);
+}
+
 GatewayRequest::Outcome GatewayRequest::tryTarget(asio::yield_context Yield) {
+  logSent();
+  if (timeLeft() <= core::Duration::zero()) {
+    m_Reason = "time-over";
+    return Outcome::NotSent;
+  }
   auto Address = m_Target->m_Address.toTcp();
   std::unique_ptr<http::ClientConnection> Connection;
   try {
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -79,6 +79,8 @@
   core::Duration retryAfter() const;
   void callerHungUp();
   void noteTry(Outcome Last, core::TimePoint StartedAt);
+  /// What decided for the target, and how old it is.
+  void logSent() const;
   void logEnd(const char *Event) const;
 
   Gateway &m_Owner;
--- a/Programs/yardrill/GatewayVerb.cpp
+++ b/Programs/yardrill/GatewayVerb.cpp
@@ -4,6 +4,7 @@
 #include "StoreClient.h"
 
 #include "LibConfig/InstanceSettings.h"
+#include "LibCore/BoundedLog.h"
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibCore/TimerService.h"
@@ -12,6 +13,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 DECLARE_string(config);
 DEFINE_bool(least_outstanding, false,
@@ -26,8 +28,18 @@
 class GatewayProgram {
 public:
   explicit GatewayProgram(std::string File)
-      : m_File(std::move(File)), m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP),
-        m_Timers(m_Context) {}
+      : m_File(std::move(File)), m_Log(STDOUT_FILENO, core::LogBudget()),
+        m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP), m_Timers(m_Context) {
+    core::setLogSink([this](const std::string &Line) {
+      m_Log.add(Line, core::steadyNow());
+    });
+  }
+  ~GatewayProgram() {
+    m_Log.flush(core::steadyNow());
+    core::setLogSink(nullptr);
+  }
+  GatewayProgram(const GatewayProgram &) = delete;
+  GatewayProgram &operator=(const GatewayProgram &) = delete;
 
   int run() {
     auto Settings = load();
@@ -38,6 +50,8 @@
                     .store(Store)
                     .build(m_Context);
     m_Gateway->start();
+    m_Timers.subscribe(LogPeriod,
+                       [this](core::TimePoint Now) { m_Log.flush(Now); });
     m_Timers.subscribe(FilePeriod, [this](auto) { reloadIfChanged(); });
     waitForSignal();
     while (!m_Context.stopped())
@@ -46,6 +60,8 @@
   }
 
 private:
+  /// Lines are written together, since each write is paid for.
+  static constexpr std::chrono::milliseconds LogPeriod{200};
   /// The file may change without a signal.
   static constexpr std::chrono::seconds FilePeriod{1};
 
@@ -101,6 +117,7 @@
   }
 
   std::string m_File;
+  core::BoundedLog m_Log;
   std::string m_Text; ///< Of the settings file, as last read.
   boost::asio::io_context m_Context{1};
   boost::asio::signal_set m_Signals;
