--- a/Libraries/LibConfig/InstanceSettings.h
+++ b/Libraries/LibConfig/InstanceSettings.h
@@ -13,7 +13,7 @@
 namespace yardrill::config {
 
 /// Limits on one caller connection and on all of them. Each has a stated
-/// answer when it is reached (docs/OPERATORS.md).
+/// answer when it is reached (docs/OPERATIONS.md).
 struct CallerLimits {
   std::size_t m_HeaderBytes = 0;     ///< More: 431.
   std::size_t m_BodyBytes = 0;       ///< More: 413.
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -40,7 +40,7 @@
 /// share a quota; it counts on this part of what it would have.
 static constexpr std::chrono::seconds FindTime{3};
 static constexpr std::chrono::milliseconds SettleTime{300};
-static constexpr double UnsettledPart = 0.33;
+static constexpr double UnsettledPart = 0.75;
 /// How long a silent peer's share of the quotas is kept for it.
 static constexpr std::chrono::seconds MissingTime{10};
 static constexpr std::size_t MostPeers = 1024;
--- a/Libraries/LibRouting/TokenQuota.cpp
+++ b/Libraries/LibRouting/TokenQuota.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/TokenQuota.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yardrill::routing {
 
@@ -18,6 +19,7 @@
 void TokenQuota::refill(double Share, core::TimePoint Now) {
   double Passed = core::toSeconds(Now - m_RefilledAt);
   m_RefilledAt = Now;
+  m_Refused *= std::exp2(-Passed);
   m_Level = std::min(Share * m_Limits.m_Burst,
                      m_Level + Passed * Share * m_Limits.m_TokensPerSecond);
 }
@@ -26,8 +28,10 @@
   refill(Share, Now);
   // One request may be larger than what is left, or than the whole burst; the
   // debt is paid before the next.
-  if (m_Level <= 0)
+  if (m_Level <= 0) {
+    m_Refused += Tokens;
     return false;
+  }
   m_Level -= Tokens;
   return true;
 }
@@ -35,7 +39,7 @@
 core::Duration TokenQuota::untilAvailable() const {
   if (m_Level > 0 || m_Limits.m_TokensPerSecond <= 0)
     return core::Duration::zero();
-  double Seconds = -m_Level / m_Limits.m_TokensPerSecond;
+  double Seconds = (m_Refused - m_Level) / m_Limits.m_TokensPerSecond;
   return std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double>(Seconds));
 }
--- a/Libraries/LibRouting/TokenQuota.h
+++ b/Libraries/LibRouting/TokenQuota.h
@@ -27,7 +27,8 @@
   void noteOthers(double Tokens) { m_Level -= Tokens; }
   /// Gives back what was taken for a request that did not run.
   void giveBack(double Tokens) { m_Level += Tokens; }
-  /// How long until the bucket holds something again.
+  /// How long until the bucket holds something again for one who comes back:
+  /// those who were refused lately come back as well.
   core::Duration untilAvailable() const;
   double level() const { return m_Level; }
 
@@ -36,6 +37,7 @@
 
   QuotaLimits m_Limits;
   double m_Level = 0;
+  double m_Refused = 0; ///< Tokens refused lately; halves every second.
   core::TimePoint m_RefilledAt;
 };
 
--- a/Tests/LibRouting/BudgetTest.cpp
+++ b/Tests/LibRouting/BudgetTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testRetriesStayBelowTheRatioInEveryWindow);
   CPPUNIT_TEST(testAllowanceWithoutRequests);
   CPPUNIT_TEST(testQuotaBoundsEveryWindow);
+  CPPUNIT_TEST(testManyRefusedAreToldToComeLater);
   CPPUNIT_TEST(testRestartedInstanceStartsEmpty);
   CPPUNIT_TEST(testMissingPeersReduceTheRate);
   CPPUNIT_TEST(testOthersAreCountedOnce);
@@ -75,7 +76,23 @@
     // 8 s x 1000 + 500, and one request that went below zero.
     CPPUNIT_ASSERT(Taken <= 8550);
     CPPUNIT_ASSERT(Taken >= 8400);
-    CPPUNIT_ASSERT(Quota.untilAvailable() <= milliseconds(50));
+    // Without others who were refused, only the debt has to be waited for.
+    m_Now += seconds(20);
+    CPPUNIT_ASSERT(Quota.tryTake(550, 1, m_Now));
+    CPPUNIT_ASSERT(Quota.untilAvailable() <= milliseconds(51));
+    CPPUNIT_ASSERT(Quota.untilAvailable() >= milliseconds(50));
+  }
+
+  void testManyRefusedAreToldToComeLater() {
+    TokenQuota Quota({1000, 500}, false, m_Now);
+    CPPUNIT_ASSERT(!Quota.tryTake(200, 1, m_Now));
+    CPPUNIT_ASSERT(Quota.untilAvailable() <= milliseconds(200));
+    for (int I = 0; I < 9; ++I)
+      Quota.tryTake(200, 1, m_Now);
+    CPPUNIT_ASSERT(Quota.untilAvailable() >= milliseconds(1900));
+    m_Now += seconds(5);
+    CPPUNIT_ASSERT(Quota.tryTake(600, 1, m_Now));
+    CPPUNIT_ASSERT(Quota.untilAvailable() <= milliseconds(200));
   }
 
   void testRestartedInstanceStartsEmpty() {
