--- a/Programs/yardrill/CheckVerb.cpp
+++ b/Programs/yardrill/CheckVerb.cpp
@@ -1,4 +1,5 @@
 #include "CommandLine.h"
+#include "DeploymentSettings.h"
 
 #include "LibConfig/FleetConfiguration.h"
 #include "LibConfig/InstanceSettings.h"
@@ -10,6 +11,7 @@
 
 DECLARE_string(config);
 DEFINE_string(fleet, "", "fleet configuration file");
+DEFINE_string(deployment, "", "settings file that the platform lays out");
 DEFINE_bool(example, false, "print a commented settings file");
 DEFINE_bool(fleet_example, false, "print a commented fleet configuration");
 
@@ -31,9 +33,12 @@
     std::cout << config::FleetConfiguration::example();
     return ExitDone;
   }
-  if (FLAGS_config.empty() && FLAGS_fleet.empty())
-    throw core::Error(core::ErrorKind::Usage,
-                      "check needs --config=FILE or --fleet=FILE");
+  if (FLAGS_config.empty() && FLAGS_fleet.empty() && FLAGS_deployment.empty())
+    throw core::Error(
+        core::ErrorKind::Usage,
+        "check needs --config=FILE, --fleet=FILE or --deployment=FILE");
+  if (!FLAGS_deployment.empty())
+    platform::DeploymentSettings::load(FLAGS_deployment);
   if (!FLAGS_config.empty())
     config::InstanceSettings::load(FLAGS_config);
   if (!FLAGS_fleet.empty())
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -32,10 +32,11 @@
        0,
        runGateway},
       {"check",
-       "--config=FILE | --fleet=FILE | --example | --fleet_example",
+       "--config=FILE | --fleet=FILE | --deployment=FILE | --example | "
+       "--fleet_example",
        "check a settings file or a fleet configuration, or print a commented "
        "example",
-       {"config", "fleet", "example", "fleet_example"},
+       {"config", "fleet", "deployment", "example", "fleet_example"},
        0,
        runCheck},
       {"config get",
--- /dev/null
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -0,0 +1,209 @@
+//===-- StoreClientTest.cpp - The store's calls against its stand-in ------===//
+#include "StoreClient.h"
+
+#include "LibCore/Error.h"
+#include "Platform.h"
+#include "Process.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::platform;
+namespace asio = boost::asio;
+using core::ErrorKind;
+
+class StoreClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreClientTest);
+  CPPUNIT_TEST(testSwapsReadsAndRanges);
+  CPPUNIT_TEST(testReadsAllPages);
+  CPPUNIT_TEST(testWatchTellsChangesAndRemovals);
+  CPPUNIT_TEST(testForgottenHistoryIsAConflict);
+  CPPUNIT_TEST(testLeaseTakesItsKeysAlong);
+  CPPUNIT_TEST(testOutageSilenceAndRateLimitAreTyped);
+  CPPUNIT_TEST(testBudgetRefusesBeforeCalling);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context m_Context{1};
+  std::unique_ptr<standins::Platform> m_Store;
+  std::unique_ptr<StoreClient> m_Client;
+  int m_Port = 0;
+
+  StoreSettings settings() const {
+    StoreSettings Out;
+    Out.m_Addresses = {{asio::ip::make_address("127.0.0.1"),
+                        static_cast<std::uint16_t>(m_Port)}};
+    Out.m_CallTimeout = std::chrono::milliseconds(300);
+    Out.m_WatchWait = std::chrono::milliseconds(100);
+    return Out;
+  }
+  /// Runs \p Test as a coroutine beside the stand-in, until it returns.
+  void run(const std::function<void(asio::yield_context)> &Test) {
+    std::exception_ptr Failure;
+    asio::spawn(
+        m_Context,
+        [&](asio::yield_context Yield) {
+          try {
+            Test(Yield);
+          } catch (...) {
+            Failure = std::current_exception();
+          }
+          m_Context.stop();
+        },
+        asio::detached);
+    m_Context.restart();
+    m_Context.run();
+    if (Failure)
+      std::rethrow_exception(Failure);
+  }
+  Revision put(const std::string &Key, const std::string &Value,
+               asio::yield_context Yield, std::int64_t Expected = 0,
+               std::optional<LeaseId> Lease = std::nullopt) {
+    CompareAndSwap Swap{Key, Revision(Expected), {{Key, Value, Lease}}};
+    SwapResult Result =
+        m_Client->compareAndSwap(Swap, CallClass::Control, Yield);
+    CPPUNIT_ASSERT(Result.m_IsSwapped);
+    return Result.m_Revision;
+  }
+  /// Drives the stand-in by its control path from within the loop.
+  void controlWithin(const std::string &Json, asio::yield_context Yield) {
+    auto Connection = http::ClientConnection::connect(
+        m_Context, settings().m_Addresses.front(), std::chrono::seconds(1),
+        Yield);
+    http::RequestMessage Call;
+    Call.m_Method = "POST";
+    Call.m_Target = "/control";
+    Call.m_Headers.set("Host", "stand-in");
+    Call.m_Body = Json;
+    Connection->sendRequest(Call, std::chrono::seconds(1), Yield);
+    Connection->readWhole(std::chrono::seconds(1), 65536, Yield);
+  }
+  ErrorKind failureOf(const std::function<void()> &Call) {
+    try {
+      Call();
+    } catch (const core::Error &Failure) {
+      return Failure.kind();
+    }
+    CPPUNIT_FAIL("no error");
+    return ErrorKind::Usage;
+  }
+
+public:
+  void setUp() override {
+    m_Port = tests::freePort();
+    m_Store = std::make_unique<standins::Platform>(m_Context);
+    m_Store->listen(static_cast<std::uint16_t>(m_Port));
+    m_Store->start();
+    m_Client = std::make_unique<StoreClient>(m_Context, settings());
+  }
+
+  void testSwapsReadsAndRanges() {
+    run([&](asio::yield_context Yield) {
+      std::string Key = "a b/&=%?";
+      std::string Value("x\0y", 3);
+      Revision First = put(Key, Value, Yield);
+      auto Read = m_Client->read(Key, CallClass::Control, Yield);
+      CPPUNIT_ASSERT(Read && Read->m_Value == Value);
+      CPPUNIT_ASSERT(Read->m_Modified == First);
+      CPPUNIT_ASSERT(!m_Client->read("none", CallClass::Control, Yield));
+      CompareAndSwap Again{Key, Revision(0), {{Key, "z", std::nullopt}}};
+      auto Lost = m_Client->compareAndSwap(Again, CallClass::Control, Yield);
+      CPPUNIT_ASSERT(!Lost.m_IsSwapped && Lost.m_Current);
+      CPPUNIT_ASSERT(Lost.m_Current->m_Value == Value);
+      put(Key, "z", Yield, First.value());
+    });
+  }
+
+  void testReadsAllPages() {
+    run([&](asio::yield_context Yield) {
+      controlWithin(R"({"page_items":3})", Yield);
+      for (int I = 0; I < 10; ++I)
+        put("p/" + std::to_string(I), "v", Yield);
+      put("q", "v", Yield);
+      auto All = m_Client->readPrefix("p/", CallClass::Control, Yield);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(10), All.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("p/9"), All.back().m_Key);
+    });
+  }
+
+  void testWatchTellsChangesAndRemovals() {
+    run([&](asio::yield_context Yield) {
+      Revision Before = put("w/1", "v", Yield);
+      LeaseId Lease = m_Client->grantLease(std::chrono::seconds(5),
+                                           CallClass::Control, Yield);
+      put("w/2", "v", Yield, 0, Lease);
+      m_Client->revoke(Lease, Yield);
+      std::vector<Entry> Seen;
+      m_Client->watch(
+          "w/", Before,
+          [&](const std::vector<Entry> &Changes) {
+            Seen.insert(Seen.end(), Changes.begin(), Changes.end());
+            return Seen.size() < 2;
+          },
+          Yield);
+      CPPUNIT_ASSERT_EQUAL(std::string("w/2"), Seen.at(0).m_Key);
+      CPPUNIT_ASSERT(!Seen.at(0).m_IsDeleted && Seen.at(1).m_IsDeleted);
+      CPPUNIT_ASSERT(Seen.at(0).m_Modified < Seen.at(1).m_Modified);
+    });
+  }
+
+  void testForgottenHistoryIsAConflict() {
+    run([&](asio::yield_context Yield) {
+      Revision Before = put("k", "v", Yield);
+      put("l", "v", Yield);
+      controlWithin(R"({"forget_history":true})", Yield);
+      auto Watch = [&] {
+        m_Client->watch(
+            "", Before, [](const std::vector<Entry> &) { return false; },
+            Yield);
+      };
+      CPPUNIT_ASSERT(failureOf(Watch) == ErrorKind::Conflict);
+    });
+  }
+
+  void testLeaseTakesItsKeysAlong() {
+    run([&](asio::yield_context Yield) {
+      LeaseId Lease = m_Client->grantLease(std::chrono::seconds(5),
+                                           CallClass::Control, Yield);
+      put("leased", "v", Yield, 0, Lease);
+      CPPUNIT_ASSERT(m_Client->keepAlive(Lease, Yield));
+      m_Client->revoke(Lease, Yield);
+      CPPUNIT_ASSERT(!m_Client->keepAlive(Lease, Yield));
+      CPPUNIT_ASSERT(!m_Client->read("leased", CallClass::Control, Yield));
+      auto Put = [&] { put("leased", "v", Yield, 0, Lease); };
+      CPPUNIT_ASSERT(failureOf(Put) == ErrorKind::Unavailable);
+    });
+  }
+
+  void testOutageSilenceAndRateLimitAreTyped() {
+    run([&](asio::yield_context Yield) {
+      auto Read = [&] { m_Client->read("k", CallClass::Control, Yield); };
+      controlWithin(R"({"silent":true})", Yield);
+      CPPUNIT_ASSERT(failureOf(Read) == ErrorKind::OutcomeUnknown);
+      controlWithin(R"({"silent":false,"down":true})", Yield);
+      CPPUNIT_ASSERT(failureOf(Read) == ErrorKind::OutcomeUnknown);
+      controlWithin(R"({"down":false,"calls_per_second":1})", Yield);
+      Read();
+      CPPUNIT_ASSERT(failureOf(Read) == ErrorKind::Unavailable);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), m_Client->counters().m_Calls);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), m_Client->counters().m_Failures);
+    });
+  }
+
+  void testBudgetRefusesBeforeCalling() {
+    StoreSettings Few = settings();
+    Few.m_CallsPerSecond = 0.1;
+    Few.m_CallBurst = 1;
+    m_Client = std::make_unique<StoreClient>(m_Context, Few);
+    run([&](asio::yield_context Yield) {
+      auto Read = [&] { m_Client->read("k", CallClass::Control, Yield); };
+      Read();
+      CPPUNIT_ASSERT(failureOf(Read) == ErrorKind::BudgetSpent);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_Client->counters().m_Calls);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreClientTest);
--- a/Tests/Program/CommandLineTest.cpp
+++ b/Tests/Program/CommandLineTest.cpp
@@ -63,6 +63,12 @@
         {{"serve", "extra"}, 2, "takes 0 arguments"},
         {{"check", "--config=" + Bad}, 2, "instance.name: is missing"},
         {{"check", "--fleet=" + Bad}, 2, "tiers: names no tier"},
+        {{"check", "--deployment=/none"}, 2, "settings: cannot read file"},
+        {{"check", "--deployment=" + Bad}, 2, "allowed: TOML"},
+        {{"gateway", "--config=/none"}, 2, "settings: cannot read file"},
+        {{"gateway", "--config=" + file("e.toml", "ip = 7\n")},
+         2,
+         "nodeName: missing or not a text"},
         {{"replay"}, 2, "takes 1 arguments"},
         {{"replay", "/none"}, 2, "trace: cannot read /none"},
         {{"replay", file("t", "{\"at\":1,\"event\":{}}\n")}, 2, "trace: "},
@@ -84,7 +90,8 @@
   void testRightCalls() {
     std::string Output;
     CPPUNIT_ASSERT_EQUAL(0, run({"help"}, Output));
-    for (const char *Verb : {"serve", "check", "config publish", "replay"})
+    for (const char *Verb :
+         {"serve", "gateway", "check", "config publish", "replay"})
       CPPUNIT_ASSERT(Output.find(Verb) != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(0, run({"version"}, Output));
     CPPUNIT_ASSERT_EQUAL(0, run({"check", "--example"}, Output));
