LibRouting: Share quotas by the recorded size of the fleet just after a start

Change: the fleet's size is one entry in the store, written by one follower when it is off; for 3 s after its start a process counts on heard / recorded of a quota, and starts with half its share of the burst.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -5,8 +5,9 @@
 #include "LibCore/Log.h"
 #include "LibGateway/GatewayRequest.h"
 
-#include <algorithm>
+#include <boost/asio/detached.hpp>
 #include <cassert>
+#include <charconv>
 
 namespace yardrill::gateway {
 
@@ -34,10 +35,15 @@
 /// without asking; twice as many instances as are seen may be at work.
 static constexpr double SlackShare = 0.5;
 
+/// How many instances share the quotas, for processes that start together.
+static const char FleetSizeKey[] = "yardrill/fleet-size";
+/// Least time between two writes of it: each is paid for.
+static constexpr std::chrono::seconds FleetSizePeriod{10};
+
 Gateway::Gateway(asio::io_context &Context, GatewaySettings Settings,
                  const Dialect &Wire, platform::KeyValueService &Store)
     : m_Context(Context), m_Settings(std::move(Settings)), m_Wire(Wire),
-      m_Timers(Context), m_Mirror(MostChangesKept),
+      m_Timers(Context), m_Store(Store), m_Mirror(MostChangesKept),
       m_Follower(Context, Store, m_Mirror),
       m_Dispatcher(
           m_Targets, m_Settings.m_DataHall, m_Settings.m_Placement,
@@ -121,6 +127,7 @@
     m_Targets.forgetLapsed(Now);
     m_Follower.setNeeded(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
+    recordFleetSize(Now);
   });
   core::LogLine("instance-started")
       .add("instance", m_Settings.m_Name)
@@ -145,6 +152,8 @@
 //===----------------------------------------------------------------------===//
 
 void Gateway::take(const platform::Entry &Change) {
+  if (Change.m_Key == FleetSizeKey)
+    return noteRecordedSize(Change);
   StoreNews News;
   try {
     News = m_Wire.read(Change);
@@ -174,6 +183,49 @@
   }
 }
 
+void Gateway::noteRecordedSize(const platform::Entry &Change) {
+  std::size_t Size = 0;
+  const std::string &Text = Change.m_Value;
+  auto [Last, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Size);
+  bool IsRead = Code == std::errc() && Last == Text.data() + Text.size();
+  if (!IsRead && !Change.m_IsDeleted)
+    core::LogLine("store-entry-unreadable", core::LogLevel::Error)
+        .add("key", Change.m_Key)
+        .add("revision", Change.m_Modified);
+  m_FleetSizeRevision =
+      Change.m_IsDeleted ? platform::Revision() : Change.m_Modified;
+  m_Peers->setRecordedSize(IsRead ? Size : 0);
+}
+
+void Gateway::recordFleetSize(core::TimePoint Now) {
+  bool IsDue = Now - m_FleetSizeTriedAt > FleetSizePeriod;
+  if (!IsDue || !m_Follower.isConnected() || !m_Peers->mustRecordSize())
+    return;
+  m_FleetSizeTriedAt = Now;
+  asio::spawn(
+      m_Context, [this](asio::yield_context Yield) { writeFleetSize(Yield); },
+      asio::detached);
+}
+
+void Gateway::writeFleetSize(asio::yield_context Yield) {
+  std::string Size = std::to_string(m_Peers->fleetSize());
+  platform::CompareAndSwap Swap{
+      FleetSizeKey, m_FleetSizeRevision, {{FleetSizeKey, Size, std::nullopt}}};
+  try {
+    bool IsWritten =
+        m_Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
+            .m_IsSwapped;
+    core::LogLine("fleet-size-recorded")
+        .add("size", Size)
+        .add("is_written", IsWritten);
+  } catch (const Error &Failure) {
+    // Tried again later; until then a restart counts on the older one.
+    core::LogLine("fleet-size-not-recorded", core::LogLevel::Warning)
+        .add("reason", Failure.what());
+  }
+}
+
 void Gateway::adopt(routing::RoutingTableHandle Next) {
   if (m_Table && !(m_Table->version() < Next->version()))
     return;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -65,12 +65,16 @@
   routing::RetryBudget &retriesOf(const core::PoolName &Pool);
   http::ResponseMessage answerReadiness() const;
   void updateGauges();
+  void noteRecordedSize(const platform::Entry &Change);
+  void recordFleetSize(core::TimePoint Now);
+  void writeFleetSize(boost::asio::yield_context Yield);
 
   boost::asio::io_context &m_Context;
   GatewaySettings m_Settings;
   const Dialect &m_Wire;
   core::SteadyTimerService m_Timers;
   metrics::MetricsRegistry m_Metrics;
+  platform::KeyValueService &m_Store;
   platform::StoreMirror m_Mirror;
   StateFollower m_Follower;
   routing::RoutingTableHandle m_Table;
@@ -86,6 +90,8 @@
   std::unordered_map<core::RequestId, GatewayRequest *> m_Open;
   std::uint64_t m_NextRequest = 1;
   std::mt19937_64 m_Random;
+  platform::Revision m_FleetSizeRevision; ///< Of its entry; 0: none.
+  core::TimePoint m_FleetSizeTriedAt{};
   core::TimePoint m_StoppingSince{};
   std::function<void()> m_Finished;
 };
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -36,11 +36,11 @@
 static constexpr std::size_t FollowersInFleet = 6;
 /// Where there are several groups, reports are rarer: each costs all others.
 static constexpr std::chrono::milliseconds LargeFleetPeriod{100};
-/// After its start, an instance that still finds others can't know how many
-/// share a quota; it counts on this part of what it would have.
+/// A process that has started has found the others after this time.
 static constexpr std::chrono::seconds FindTime{3};
-static constexpr std::chrono::milliseconds SettleTime{300};
-static constexpr double UnsettledPart = 0.75;
+/// The recorded size of the fleet may be too large by this factor before it is
+/// written anew; it is only read just after a start.
+static constexpr double RecordedExcess = 1.3;
 /// How long a silent peer's share of the quotas is kept for it.
 static constexpr std::chrono::seconds MissingTime{10};
 static constexpr std::size_t MostPeers = 1024;
@@ -210,8 +210,6 @@
   Fleet.insert(m_Settings.m_PeerAddress);
   if (Fleet == m_Fleet)
     return;
-  if (Fleet.size() > m_Fleet.size())
-    m_GrewAt = core::steadyNow();
   m_Fleet = std::move(Fleet);
   m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet);
   core::LogLine("fleet-cut")
@@ -222,18 +220,7 @@
 }
 
 bool PeerLink::mustFollowStore() const {
-  if (m_Share.groups() == 1)
-    return true;
-  // By a hash, so that they lie in several data halls.
-  std::uint64_t Self = core::stableHash(m_Settings.m_PeerAddress.toString());
-  std::size_t Before = 0;
-  for (const auto &[Incarnation, Report] : m_Reports) {
-    auto Peer = m_Directory.all().find(Incarnation);
-    if (Peer != m_Directory.all().end() && Report.m_IsStoreConnected &&
-        core::stableHash(Peer->second.m_Home.m_Peer.toString()) < Self)
-      ++Before;
-  }
-  return Before < FollowersInFleet;
+  return m_Share.groups() == 1 || followersBefore() < FollowersInFleet;
 }
 
 std::size_t PeerLink::missing() const {
@@ -243,17 +230,43 @@
       }));
 }
 
-double PeerLink::quotaShare() const {
-  auto Heard =
-      1 + static_cast<double>(std::count_if(
-              m_Reports.begin(), m_Reports.end(),
-              [this](const auto &Each) { return isNear(Each.first); }));
-  double Part =
-      m_Share.partOfFleet() * Heard / (Heard + static_cast<double>(missing()));
+bool PeerLink::isSettled() const {
   core::TimePoint Now = core::steadyNow();
-  bool IsSettled = m_Settings.m_IsFirstStart || Now - m_StartedAt > FindTime ||
-                   Now - m_GrewAt > SettleTime;
-  return IsSettled ? Part : Part * UnsettledPart;
+  return Now - m_StartedAt > FindTime;
+}
+
+double PeerLink::quotaShare() const {
+  routing::QuotaView View;
+  View.m_Heard += static_cast<std::size_t>(
+      std::count_if(m_Reports.begin(), m_Reports.end(),
+                    [this](const auto &Each) { return isNear(Each.first); }));
+  View.m_Missing = missing();
+  View.m_PartOfFleet = m_Share.partOfFleet();
+  View.m_IsSettled = m_Settings.m_IsFirstStart || isSettled();
+  View.m_Recorded = m_RecordedSize;
+  return routing::quotaShare(View);
+}
+
+bool PeerLink::mustRecordSize() const {
+  if (!isSettled() || m_RecordedSize == m_Fleet.size())
+    return false;
+  auto Known = static_cast<double>(m_Fleet.size());
+  auto Recorded = static_cast<double>(m_RecordedSize);
+  bool IsFar = Recorded < Known || Recorded > Known * RecordedExcess;
+  return IsFar && followersBefore() == 0;
+}
+
+std::size_t PeerLink::followersBefore() const {
+  // By a hash, so that they lie in several data halls.
+  std::uint64_t Self = core::stableHash(m_Settings.m_PeerAddress.toString());
+  std::size_t Before = 0;
+  for (const auto &[Incarnation, Report] : m_Reports) {
+    auto Peer = m_Directory.all().find(Incarnation);
+    if (Peer != m_Directory.all().end() && Report.m_IsStoreConnected &&
+        core::stableHash(Peer->second.m_Home.m_Peer.toString()) < Self)
+      ++Before;
+  }
+  return Before;
 }
 
 bool PeerLink::isNear(core::IncarnationId Peer) const {
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -61,6 +61,11 @@
   /// draw included: below 1 in a fleet of several groups, while near peers are
   /// missing, and while it still finds others.
   double quotaShare() const;
+  /// What the store says of the fleet's size.
+  void setRecordedSize(std::size_t Size) { m_RecordedSize = Size; }
+  /// Whether it is this instance's to write the size anew.
+  bool mustRecordSize() const;
+  std::size_t fleetSize() const { return m_Fleet.size(); }
   bool isNear(core::IncarnationId Peer) const;
 
 private:
@@ -75,6 +80,9 @@
   /// A few of the far peers, each in its turn.
   std::set<config::Endpoint> someFarPeers(std::size_t Most);
   void recut();
+  bool isSettled() const;
+  /// Peers that follow the store and come before this instance in that duty.
+  std::size_t followersBefore() const;
   void tellChange();
   void expire(core::TimePoint Now);
   void noteSilent(const peer::KnownPeer &Gone, core::TimePoint Now);
@@ -114,7 +122,7 @@
   bool m_IsStopping = false;
   bool m_IsChanged = false; ///< Since the hook was last called.
   core::TimePoint m_StartedAt = core::steadyNow();
-  core::TimePoint m_GrewAt = m_StartedAt;
+  std::size_t m_RecordedSize = 0;
   std::mt19937_64 m_Random;
 };
 
--- a/Libraries/LibRouting/FleetShare.cpp
+++ b/Libraries/LibRouting/FleetShare.cpp
@@ -1,9 +1,25 @@
 #include "LibRouting/FleetShare.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace yardrill::routing {
 
+/// Of a quota whose sharers are not all known, where no record tells how many
+/// there are.
+static constexpr double UnsettledPart = 0.75;
+
+double quotaShare(const QuotaView &View) {
+  auto Heard = static_cast<double>(View.m_Heard);
+  double Part = View.m_PartOfFleet * Heard /
+                (Heard + static_cast<double>(View.m_Missing));
+  if (View.m_IsSettled)
+    return Part;
+  if (View.m_Recorded == 0)
+    return Part * UnsettledPart;
+  return std::min(Part, Heard / static_cast<double>(View.m_Recorded));
+}
+
 FleetShare::FleetShare(const config::Endpoint &Self,
                        const std::set<config::Endpoint> &Fleet)
     : m_Fleet(Fleet.size()),
--- a/Libraries/LibRouting/TokenQuota.cpp
+++ b/Libraries/LibRouting/TokenQuota.cpp
@@ -5,9 +5,12 @@
 
 namespace yardrill::routing {
 
+/// Of its share of the burst, in a process that starts among others.
+static constexpr double FirstPart = 0.5;
+
 TokenQuota::TokenQuota(const QuotaLimits &Limits, bool IsFull,
                        core::TimePoint Now)
-    : m_Limits(Limits), m_Level(IsFull ? Limits.m_Burst : 0),
+    : m_Limits(Limits), m_IsNew(!IsFull), m_Level(IsFull ? Limits.m_Burst : 0),
       m_RefilledAt(Now) {}
 
 void TokenQuota::setLimits(const QuotaLimits &Limits, core::TimePoint Now) {
@@ -19,6 +22,9 @@
 void TokenQuota::refill(double Share, core::TimePoint Now) {
   double Passed = core::toSeconds(Now - m_RefilledAt);
   m_RefilledAt = Now;
+  if (m_IsNew)
+    m_Level = std::max(m_Level, FirstPart * Share * m_Limits.m_Burst);
+  m_IsNew = false;
   m_Refused *= std::exp2(-Passed);
   m_Level = std::min(Share * m_Limits.m_Burst,
                      m_Level + Passed * Share * m_Limits.m_TokensPerSecond);
--- a/Libraries/LibRouting/TokenQuota.h
+++ b/Libraries/LibRouting/TokenQuota.h
@@ -14,7 +14,8 @@
 /// This instance's view of one token bucket that all instances draw on. Own
 /// use is subtracted at once, that of others as they report it. A process that
 /// starts among others knows nothing of what was used, so its bucket starts
-/// empty: over any window no more than rate x window + burst is granted.
+/// with half of its share of the burst: however many start at once, they grant
+/// half a burst beyond rate x window + burst at the most.
 class TokenQuota {
 public:
   TokenQuota(const QuotaLimits &Limits, bool IsFull, core::TimePoint Now);
@@ -36,6 +37,7 @@
   void refill(double Share, core::TimePoint Now);
 
   QuotaLimits m_Limits;
+  bool m_IsNew; ///< Nothing was asked of it yet, and it did not start full.
   double m_Level = 0;
   double m_Refused = 0; ///< Tokens refused lately; halves every second.
   core::TimePoint m_RefilledAt;
--- a/Tests/LibRouting/BudgetTest.cpp
+++ b/Tests/LibRouting/BudgetTest.cpp
@@ -16,7 +16,7 @@
   CPPUNIT_TEST(testAllowanceWithoutRequests);
   CPPUNIT_TEST(testQuotaBoundsEveryWindow);
   CPPUNIT_TEST(testManyRefusedAreToldToComeLater);
-  CPPUNIT_TEST(testRestartedInstanceStartsEmpty);
+  CPPUNIT_TEST(testRestartedInstancesStartWithLittle);
   CPPUNIT_TEST(testMissingPeersReduceTheRate);
   CPPUNIT_TEST(testOthersAreCountedOnce);
   CPPUNIT_TEST(testLowerLimitBindsAtOnce);
@@ -84,7 +84,8 @@
   }
 
   void testManyRefusedAreToldToComeLater() {
-    TokenQuota Quota({1000, 500}, false, m_Now);
+    TokenQuota Quota({1000, 500}, true, m_Now);
+    CPPUNIT_ASSERT(Quota.tryTake(500, 1, m_Now));
     CPPUNIT_ASSERT(!Quota.tryTake(200, 1, m_Now));
     CPPUNIT_ASSERT(Quota.untilAvailable() <= milliseconds(200));
     for (int I = 0; I < 9; ++I)
@@ -95,11 +96,15 @@
     CPPUNIT_ASSERT(Quota.untilAvailable() <= milliseconds(200));
   }
 
-  void testRestartedInstanceStartsEmpty() {
-    TokenQuota Quota({1000, 500}, false, m_Now);
-    CPPUNIT_ASSERT(!Quota.tryTake(1, 1, m_Now));
-    m_Now += milliseconds(100);
-    CPPUNIT_ASSERT(Quota.tryTake(1, 1, m_Now));
+  void testRestartedInstancesStartWithLittle() {
+    // All of ten start at once and hear of nobody.
+    double Taken = 0;
+    for (int I = 0; I < 10; ++I) {
+      TokenQuota Quota({1000, 500}, false, m_Now);
+      for (int J = 0; J < 100; ++J)
+        Taken += Quota.tryTake(1, 0.1, m_Now) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(250.0, Taken);
   }
 
   void testMissingPeersReduceTheRate() {
