LibGateway: Give the relay, admission and the store's fetcher files of their own

Change: AnswerRelay, RequestAdmission and StoreFetcher; a stream that goes on elsewhere no longer counts its gap as the new target's pace.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -41,9 +41,11 @@
 static const char EventStreamType[] = "text/event-stream";
 
 GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller)
-    : m_Owner(Owner), m_Caller(Caller), m_Id(Owner.m_NextRequest++),
-      m_Table(Owner.m_Table), m_ArrivedAt(core::steadyNow()),
-      m_Wake(Owner.m_Context) {
+    : m_Owner(Owner), m_Caller(Caller),
+      m_Relay(Caller, {[this] { return timeLeft() + AnswerSlack; },
+                       [this](std::size_t Count) { noteEvents(Count); }}),
+      m_Id(Owner.m_NextRequest++), m_Table(Owner.m_Table),
+      m_ArrivedAt(core::steadyNow()), m_Wake(Owner.m_Context) {
   m_Owner.m_Open.emplace(m_Id, this);
 }
 
@@ -87,51 +89,20 @@
 
 unsigned GatewayRequest::admit() {
   m_Said = m_Owner.m_Wire.describe(m_Caller.request());
-  if (!m_Table) {
-    m_Reason = "no-configuration";
-    return 503;
-  }
   if (m_Owner.isTooLate(m_ArrivedAt)) {
     m_Reason = "stopping";
     return 503;
   }
-  if (m_Said.m_Id.empty()) {
-    m_Reason = "no-id";
-    return 400;
-  }
-  m_Route = m_Table->findRoute(m_Said.m_Host, m_Said.m_Path);
-  if (!m_Route) {
-    m_Reason = "no-route";
-    return 404;
-  }
-  if (m_Said.m_Key)
-    m_Account = m_Table->findAccountByKey(*m_Said.m_Key);
-  if (!m_Account && !m_Route->m_IsPublic && m_Table->hasAccounts()) {
-    m_Reason = "unknown-key";
-    return 401;
-  }
-  m_Tier = m_Account && m_Account->m_Tier.value() != 0 ? m_Account->m_Tier
-                                                       : m_Route->m_Tier;
-  core::Duration Limit = m_Route->m_Timeout;
-  if (m_Said.m_Deadline)
-    Limit = std::min(Limit, *m_Said.m_Deadline);
-  m_EndsAt = m_ArrivedAt + Limit;
-  m_Pool = m_Route->choosePool(m_Owner.m_Random());
-  return checkQuota();
-}
-
-unsigned GatewayRequest::checkQuota() {
-  if (!m_Account)
-    return 0;
-  std::uint32_t Charge = m_Said.m_HasSize
-                             ? m_Said.m_PromptTokens + m_Said.m_OutputTokens
-                             : m_Account->m_PlainTokens;
-  if (!m_Owner.m_Quotas.tryTake(m_Account->m_Name, Charge, m_ArrivedAt)) {
-    m_Reason = "over-quota";
-    return 429;
-  }
-  m_Charge = Charge;
-  return 0;
+  RequestAdmission Admission(m_Table.get(), m_Owner.m_Quotas, m_ArrivedAt);
+  AdmittedRequest Admitted = Admission.admit(m_Said, m_Owner.m_Random());
+  m_Reason = Admitted.m_Reason;
+  m_Route = Admitted.m_Route;
+  m_Account = Admitted.m_Account;
+  m_Pool = Admitted.m_Pool;
+  m_Tier = Admitted.m_Tier;
+  m_Charge = Admitted.m_Charge;
+  m_EndsAt = Admitted.m_EndsAt;
+  return Admitted.m_Status;
 }
 
 core::Duration GatewayRequest::callersPatience() const {
@@ -191,23 +162,23 @@
     return answer(Status, m_Reason, Wait, Yield);
   }
   m_Owner.retriesOf(m_Pool).noteRequest(m_ArrivedAt);
-  Outcome Last = Outcome::NotSent;
+  TryOutcome Last = TryOutcome::NotSent;
   while (true) {
     if (!waitForTarget(Yield)) {
       if (m_IsCallerGone)
-        Last = Outcome::CallerGone;
+        Last = TryOutcome::CallerGone;
       break;
     }
     ++m_Tries;
     core::TimePoint StartedAt = core::steadyNow();
     Last = tryTarget(Yield);
     noteTry(Last, StartedAt);
-    if (Last == Outcome::Complete || Last == Outcome::CallerGone ||
+    if (Last == TryOutcome::Complete || Last == TryOutcome::CallerGone ||
         !mayTryAgain(Last))
       break;
   }
-  if (Last == Outcome::Complete || Last == Outcome::CallerGone) {
-    m_Reason = Last == Outcome::Complete ? "complete" : "caller-gone";
+  if (Last == TryOutcome::Complete || Last == TryOutcome::CallerGone) {
+    m_Reason = Last == TryOutcome::Complete ? "complete" : "caller-gone";
     return logEnd("request-finished");
   }
   finishFailed(Last, Yield);
@@ -237,11 +208,11 @@
         .add("failure_share", Known->m_FailureShare);
 }
 
-GatewayRequest::Outcome GatewayRequest::tryTarget(asio::yield_context Yield) {
+TryOutcome GatewayRequest::tryTarget(asio::yield_context Yield) {
   logSent();
   if (timeLeft() <= core::Duration::zero()) {
     m_Reason = "time-over";
-    return Outcome::NotSent;
+    return TryOutcome::NotSent;
   }
   auto Address = m_Target->m_Address.toTcp();
   std::unique_ptr<http::ClientConnection> Connection;
@@ -253,12 +224,12 @@
         .add("request", m_Said.m_Id)
         .add("target", m_Target->m_Name)
         .add("reason", Failure.what());
-    return Outcome::NotSent;
+    return TryOutcome::NotSent;
   }
   if (m_IsCallerGone)
-    return Outcome::CallerGone;
+    return TryOutcome::CallerGone;
   m_Connection = Connection.get();
-  Outcome Result = Outcome::Failed;
+  TryOutcome Result = TryOutcome::Failed;
   try {
     Result = exchange(*Connection, Yield);
   } catch (const Error &Failure) {
@@ -270,10 +241,10 @@
         .add("reason", Failure.what());
   }
   m_Connection = nullptr;
-  if (Result == Outcome::Complete || Result == Outcome::NotRun)
+  if (Result == TryOutcome::Complete || Result == TryOutcome::NotRun)
     m_Owner.m_Connections.giveBack(Address, std::move(Connection), m_KeepFor);
-  if (m_IsCallerGone && Result != Outcome::Complete)
-    return Outcome::CallerGone;
+  if (m_IsCallerGone && Result != TryOutcome::Complete)
+    return TryOutcome::CallerGone;
   return Result;
 }
 
@@ -301,153 +272,74 @@
          Type->compare(0, sizeof EventStreamType - 1, EventStreamType) == 0;
 }
 
-GatewayRequest::Outcome
-GatewayRequest::exchange(http::ClientConnection &Connection,
-                         asio::yield_context Yield) {
+TryOutcome GatewayRequest::exchange(http::ClientConnection &Connection,
+                                    asio::yield_context Yield) {
   Connection.allowBodyUntilClose();
+  m_LastEventAt = core::TimePoint();
   ForwardDescription What;
   What.m_Target = m_Target->m_Name;
   What.m_TimeLeft = timeLeft();
   if (m_Account)
     What.m_Account = m_Account->m_Name;
   What.m_LastEvent = m_Said.m_LastEvent;
-  if (!m_Events.lastId().empty())
-    What.m_LastEvent = m_Events.lastId();
+  if (!m_Relay.lastEventId().empty())
+    What.m_LastEvent = m_Relay.lastEventId();
   m_Owner.m_Wire.prepare(m_Caller.request(), What);
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   http::ResponseHead Head = readOwnHead(Connection, Yield);
   AnswerDescription Says = m_Owner.m_Wire.describe(Head);
-  Outcome Result = Outcome::Failed;
+  TryOutcome Result = TryOutcome::Failed;
   bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
   if (Says.m_IsNotRun) {
     m_Reason = "target-refused";
     while (!Connection.readPiece(timeLeft() + AnswerSlack, Yield).empty()) {
       // Its reason is for us alone.
     }
-    Result = Outcome::NotRun;
+    Result = TryOutcome::NotRun;
   } else if (IsSuccess && (!Says.m_IsSigned || Says.m_IsEncoded)) {
     m_Reason = "unsigned-answer";
-    return Outcome::Failed;
+    return TryOutcome::Failed;
   } else if (IsSuccess && isEventStream(Head)) {
-    Result = relayEvents(Connection, Head, Yield);
-  } else if (m_IsStarted) {
+    Result = m_Relay.relayEvents(Connection, Head, Yield);
+    if (Result == TryOutcome::Failed)
+      m_Reason = "stream-cut";
+  } else if (m_Relay.isStarted()) {
     // A stream that goes on elsewhere can only go on as a stream.
     m_Reason = "resume-refused";
-    return Outcome::Failed;
+    return TryOutcome::Failed;
   } else if (Head.m_ContentLength &&
              *Head.m_ContentLength <= MostBytesReadWhole) {
-    Result = relayWhole(Connection, Head, Yield);
+    Result = passWhole(m_Relay.readWhole(Connection, Head, Yield), Yield);
   } else {
-    Result = relayPieces(Connection, Head, Yield);
+    Result = m_Relay.relayPieces(Connection, Head, Yield);
   }
   m_KeepFor = Says.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
   return Result;
 }
 
-GatewayRequest::Outcome
-GatewayRequest::relayWhole(http::ClientConnection &Connection,
-                           const http::ResponseHead &Head,
-                           asio::yield_context Yield) {
-  http::ResponseMessage Answer;
-  Answer.m_Head = Head;
-  while (true) {
-    std::string Piece = Connection.readPiece(timeLeft() + AnswerSlack, Yield);
-    if (Piece.empty())
-      break;
-    Answer.m_Body += Piece;
-  }
-  Answer.m_Head.m_Headers.removeHopByHop();
-  m_Status = Head.m_Status;
-  if (Head.m_Status >= 500 && m_Route->mayRunAgain()) {
+TryOutcome GatewayRequest::passWhole(http::ResponseMessage Answer,
+                                     asio::yield_context Yield) {
+  if (Answer.m_Head.m_Status >= 500 && m_Route->mayRunAgain()) {
     m_Reason = "target-failed";
     m_FailureAnswer = std::move(Answer);
-    return Outcome::Failed;
-  }
-  try {
-    m_Caller.sendWhole(std::move(Answer), Yield);
-  } catch (const Error &) {
-    m_IsCallerGone = true;
-    return Outcome::CallerGone;
-  }
-  return Outcome::Complete;
-}
-
-void GatewayRequest::startAnswer(const http::ResponseHead &Head,
-                                 asio::yield_context Yield) {
-  if (m_IsStarted)
-    return;
-  http::ResponseHead Own = Head;
-  Own.m_Headers.removeHopByHop();
-  m_Status = Head.m_Status;
-  m_IsStarted = true;
-  m_Caller.startStream(Own, Yield);
-}
-
-GatewayRequest::Outcome
-GatewayRequest::relayPieces(http::ClientConnection &Connection,
-                            const http::ResponseHead &Head,
-                            asio::yield_context Yield) {
-  while (true) {
-    std::string Piece = Connection.readPiece(timeLeft() + AnswerSlack, Yield);
-    try {
-      startAnswer(Head, Yield);
-      if (Piece.empty()) {
-        m_Caller.finishStream(Yield);
-        return Outcome::Complete;
-      }
-      m_Caller.sendPiece(Piece, Yield);
-    } catch (const Error &) {
-      m_IsCallerGone = true;
-      return Outcome::CallerGone;
-    }
-  }
-}
-
-GatewayRequest::Outcome
-GatewayRequest::relayEvents(http::ClientConnection &Connection,
-                            const http::ResponseHead &Head,
-                            asio::yield_context Yield) {
-  m_Events.dropPartial();
-  http::ResponseHead Streamed = Head;
-  // Whole events only, perhaps of several targets: their sum is not known.
-  Streamed.m_ContentLength.reset();
-  while (true) {
-    std::string Piece = Connection.readPiece(timeLeft() + AnswerSlack, Yield);
-    if (Piece.empty() && m_Events.hasPartial()) {
-      m_Reason = "stream-cut";
-      return Outcome::Failed;
-    }
-    EventSplitter::Events Whole = m_Events.push(Piece);
-    if (Whole.m_Count > 0)
-      noteEvents(Whole.m_Count);
-    else if (!Piece.empty())
-      continue;
-    try {
-      startAnswer(Streamed, Yield);
-      if (Piece.empty()) {
-        m_Caller.finishStream(Yield);
-        return Outcome::Complete;
-      }
-      m_Caller.sendPiece(Whole.m_Bytes, Yield);
-    } catch (const Error &) {
-      m_IsCallerGone = true;
-      return Outcome::CallerGone;
-    }
+    return TryOutcome::Failed;
   }
+  return m_Relay.sendWhole(std::move(Answer), Yield);
 }
 
 void GatewayRequest::noteEvents(std::size_t Count) {
   core::TimePoint Now = core::steadyNow();
-  metrics::RequestLabels Labels{
-      m_Account ? m_Account->m_Name : core::AccountName(), m_Tier, m_Pool};
+  metrics::RequestLabels Labels = labels();
   if (m_PendingPrompt > 0) {
     m_Owner.m_Targets.began(m_Target->m_Name, m_PendingPrompt);
     m_PendingPrompt = 0;
   }
-  if (m_LastEventAt == core::TimePoint()) {
+  if (!m_HasFirstEvent) {
+    m_HasFirstEvent = true;
     m_Owner.m_Metrics.observe(metrics::RequestTime::FirstToken, Labels,
                               Now - m_ArrivedAt);
-  } else {
+  }
+  if (m_LastEventAt != core::TimePoint()) {
     core::Duration Pause = (Now - m_LastEventAt) / static_cast<long>(Count);
     m_Owner.m_Metrics.observe(metrics::RequestTime::BetweenTokens, Labels,
                               Pause);
@@ -460,43 +352,47 @@
 // After a target
 //===----------------------------------------------------------------------===//
 
-void GatewayRequest::noteTry(Outcome Last, core::TimePoint StartedAt) {
+void GatewayRequest::noteTry(TryOutcome Last, core::TimePoint StartedAt) {
   core::TimePoint Now = core::steadyNow();
   const core::TargetName &Name = m_Target->m_Name;
   m_Owner.m_Targets.ended(Name, m_PendingPrompt);
   m_Tried.insert(Name);
   bool IsShort = m_LastEventAt == core::TimePoint();
   switch (Last) {
-  case Outcome::Complete:
+  case TryOutcome::Complete:
     m_Owner.m_Targets.succeeded(Name);
     if (IsShort)
       m_Owner.m_Targets.notePace(Name, Now - StartedAt);
     break;
-  case Outcome::NotSent:
-  case Outcome::NotRun:
+  case TryOutcome::NotSent:
+  case TryOutcome::NotRun:
     m_Owner.m_Targets.failed(Name, Now);
     break;
-  case Outcome::Failed:
+  case TryOutcome::Failed:
     ++m_Runs;
     m_Owner.m_Targets.failed(Name, Now);
     break;
-  case Outcome::CallerGone:
+  case TryOutcome::CallerGone:
     break;
   }
   m_Owner.m_Dispatcher.dispatchWaiting(Now);
 }
 
-bool GatewayRequest::mayTryAgain(Outcome Last) {
+metrics::RequestLabels GatewayRequest::labels() const {
+  return {m_Account ? m_Account->m_Name : core::AccountName(), m_Tier, m_Pool};
+}
+
+bool GatewayRequest::mayTryAgain(TryOutcome Last) {
   if (m_IsCallerGone || timeLeft() < LeastUsefulTime)
     return false;
-  if (Last == Outcome::Failed &&
+  if (Last == TryOutcome::Failed &&
       (!m_Route->mayRunAgain() || m_Runs >= m_Route->m_MostTargets))
     return false;
   // A stream without an id to go on from can't be taken up elsewhere.
-  if (m_IsStarted && m_Events.lastId().empty())
+  if (m_Relay.isStarted() && m_Relay.lastEventId().empty())
     return false;
   // Where no byte arrived nothing counts against the budget.
-  if (Last == Outcome::NotSent)
+  if (Last == TryOutcome::NotSent)
     return m_Tries < MostTries;
   if (m_Owner.retriesOf(m_Pool).tryTake(core::steadyNow()))
     return true;
@@ -506,21 +402,16 @@
   return false;
 }
 
-void GatewayRequest::finishFailed(Outcome Last, asio::yield_context Yield) {
-  if (m_IsStarted) {
+void GatewayRequest::finishFailed(TryOutcome Last, asio::yield_context Yield) {
+  if (m_Relay.isStarted()) {
     // Never let half an answer look whole.
     m_Caller.abort();
     return logEnd("request-broken-off");
   }
   bool IsOver = timeLeft() <= core::Duration::zero();
-  if (m_FailureAnswer && Last == Outcome::Failed) {
+  if (m_FailureAnswer && Last == TryOutcome::Failed) {
     m_Reason = "target-failed";
-    m_Status = m_FailureAnswer->m_Head.m_Status;
-    try {
-      m_Caller.sendWhole(std::move(*m_FailureAnswer), Yield);
-    } catch (const Error &) {
-      m_IsCallerGone = true;
-    }
+    m_Relay.sendWhole(std::move(*m_FailureAnswer), Yield);
     return logEnd("request-finished");
   }
   if (m_Runs > 0)
@@ -561,7 +452,7 @@
       .add("route", m_Route ? m_Route->m_Name : "")
       .add("tier", m_Tier)
       .add("pool", m_Pool)
-      .add("status", m_Status)
+      .add("status", m_Status != 0 ? m_Status : m_Relay.status())
       .add("reason", m_Reason)
       .add("tries", m_Tries)
       .add("total_us", Total);
@@ -569,8 +460,7 @@
     Line.add("configuration", m_Table->version());
   if (m_Target)
     Line.add("target", m_Target->m_Name);
-  metrics::RequestLabels Labels{
-      m_Account ? m_Account->m_Name : core::AccountName(), m_Tier, m_Pool};
+  metrics::RequestLabels Labels = labels();
   m_Owner.m_Metrics.observe(metrics::RequestTime::Total, Labels, Total);
   m_Owner.m_Metrics.countOutcome(Labels, m_Reason);
 }
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -2,9 +2,10 @@
 #ifndef YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
 #define YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
 
+#include "LibGateway/AnswerRelay.h"
 #include "LibGateway/Dialect.h"
-#include "LibGateway/EventSplitter.h"
 #include "LibGateway/Gateway.h"
+#include "LibGateway/RequestAdmission.h"
 #include "LibHTTP/ClientConnection.h"
 
 #include <boost/asio/spawn.hpp>
@@ -35,56 +36,39 @@
   void refuse();
 
 private:
-  /// How one try at one target ended.
-  enum class Outcome {
-    Complete,   ///< The caller has the whole answer.
-    NotSent,    ///< No byte reached the target.
-    NotRun,     ///< The target said that it did not run the request.
-    Failed,     ///< It may have run; nothing or too little came back.
-    CallerGone, ///< The caller hung up or does not read.
-  };
-
   /// \returns the status that ends the request here, or 0 to go on.
   unsigned admit();
-  unsigned checkQuota();
   /// How long the caller waits for an event of a stream.
   core::Duration callersPatience() const;
   bool waitForTarget(boost::asio::yield_context Yield);
-  Outcome tryTarget(boost::asio::yield_context Yield);
-  Outcome exchange(http::ClientConnection &Connection,
-                   boost::asio::yield_context Yield);
+  TryOutcome tryTarget(boost::asio::yield_context Yield);
+  TryOutcome exchange(http::ClientConnection &Connection,
+                      boost::asio::yield_context Yield);
   /// Reads heads until one answers this request: an answer to an earlier one
   /// may come late, in the place of the next.
   http::ResponseHead readOwnHead(http::ClientConnection &Connection,
                                  boost::asio::yield_context Yield);
-  Outcome relayWhole(http::ClientConnection &Connection,
-                     const http::ResponseHead &Head,
-                     boost::asio::yield_context Yield);
-  Outcome relayPieces(http::ClientConnection &Connection,
-                      const http::ResponseHead &Head,
-                      boost::asio::yield_context Yield);
-  Outcome relayEvents(http::ClientConnection &Connection,
-                      const http::ResponseHead &Head,
-                      boost::asio::yield_context Yield);
-  /// Sends to the caller. \throws core::Error when the caller is gone.
-  void startAnswer(const http::ResponseHead &Head,
-                   boost::asio::yield_context Yield);
+  /// Keeps a failure back where another target may do better.
+  TryOutcome passWhole(http::ResponseMessage Answer,
+                       boost::asio::yield_context Yield);
+  metrics::RequestLabels labels() const;
   void noteEvents(std::size_t Count);
   /// Whether another target may be tried after \p Last.
-  bool mayTryAgain(Outcome Last);
-  void finishFailed(Outcome Last, boost::asio::yield_context Yield);
+  bool mayTryAgain(TryOutcome Last);
+  void finishFailed(TryOutcome Last, boost::asio::yield_context Yield);
   void answer(unsigned Status, const char *Reason, core::Duration RetryAfter,
               boost::asio::yield_context Yield);
   core::Duration timeLeft() const;
   core::Duration retryAfter() const;
   void callerHungUp();
-  void noteTry(Outcome Last, core::TimePoint StartedAt);
+  void noteTry(TryOutcome Last, core::TimePoint StartedAt);
   /// What decided for the target, and how old it is.
   void logSent() const;
   void logEnd(const char *Event) const;
 
   Gateway &m_Owner;
   http::Exchange &m_Caller;
+  AnswerRelay m_Relay;
   core::RequestId m_Id;
   RequestDescription m_Said;
   routing::RoutingTableHandle m_Table; ///< In force when it arrived.
@@ -104,9 +88,8 @@
   unsigned m_Tries = 0;
   unsigned m_Runs = 0;               ///< Tries that may have run.
   std::uint32_t m_PendingPrompt = 0; ///< Counted at the current target.
-  bool m_IsStarted = false;          ///< The caller has the head of an answer.
-  EventSplitter m_Events;
-  core::TimePoint m_LastEventAt{};
+  bool m_HasFirstEvent = false;
+  core::TimePoint m_LastEventAt{}; ///< Of the current try.
   /// How long the connection may be kept, by the last answer on it.
   core::Duration m_KeepFor{};
   unsigned m_Status = 0;
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -3,13 +3,10 @@
 #include "LibCore/Digest.h"
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
-#include "LibGateway/StoreTransfer.h"
-#include "LibHTTP/ClientConnection.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/detached.hpp>
-#include <charconv>
 
 namespace yardrill::gateway {
 
@@ -46,11 +43,6 @@
 static constexpr std::size_t MostPeers = 1024;
 static constexpr std::size_t MostHinted = 64;
 static constexpr std::size_t HintsInReport = 3;
-/// How far behind the store's own word may be before a peer is asked.
-static constexpr std::chrono::milliseconds BehindPatience{250};
-static constexpr std::chrono::milliseconds FetchTimeout{1000};
-static constexpr std::size_t MostTransferBytes = 16UL * 1024 * 1024;
-static const char FetchPath[] = "/store/";
 /// Keeps a report within one datagram.
 static constexpr std::size_t MostTargetsInReport = 60;
 static constexpr std::size_t MostAccountsInReport = 24;
@@ -63,7 +55,9 @@
       m_Hooks(std::move(Hooks)), m_Self{core::IncarnationId(core::randomBits()),
                                         Settings.m_PeerAddress},
       m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, FarSilence),
-      m_Socket(Context), m_Random(core::randomBits()) {
+      m_Socket(Context),
+      m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror),
+      m_Random(core::randomBits()) {
   boost::system::error_code Failure;
   udp::endpoint Address = Settings.m_PeerAddress.toUdp();
   m_Socket.open(Address.protocol(), Failure);
@@ -73,16 +67,6 @@
     throw Error(core::ErrorKind::AddressInUse,
                 Settings.m_PeerAddress.toString() +
                     " (UDP): " + Failure.message());
-  m_FetchServer = http::Server::create(
-      Context, Settings.m_PeerAddress.toTcp(), http::ServerLimits(),
-      [this](http::Exchange &Call, asio::yield_context Yield) {
-        answerFetch(Call, Yield);
-      },
-      [](unsigned Status) {
-        http::ResponseMessage Out;
-        Out.m_Head.m_Status = Status;
-        return Out;
-      });
 }
 
 PeerLink::~PeerLink() = default;
@@ -367,95 +351,19 @@
     m_Socket.send_to(asio::buffer(Datagram), Address.toUdp(), 0, Ignored);
 }
 
-//===----------------------------------------------------------------------===//
-// What the store said
-//===----------------------------------------------------------------------===//
-
-void PeerLink::answerFetch(http::Exchange &Call, asio::yield_context Yield) {
-  const std::string &Target = Call.request().m_Target;
-  const std::string Prefix = FetchPath;
-  std::int64_t After = 0;
-  http::ResponseMessage Answer;
-  bool IsRead = false;
-  if (Target.compare(0, Prefix.size(), Prefix) == 0) {
-    const char *End = Target.data() + Target.size();
-    auto [Last, Code] =
-        std::from_chars(Target.data() + Prefix.size(), End, After);
-    IsRead = Code == std::errc() && Last == End;
-  }
-  if (!IsRead) {
-    Answer.m_Head.m_Status = 404;
-    return Call.sendWhole(std::move(Answer), Yield);
-  }
-  Answer.m_Head.m_Status = 200;
-  Answer.m_Body = m_Codec.seal(
-      StoreTransfer::from(m_Mirror, platform::Revision(After)).encode());
-  Call.sendWhole(std::move(Answer), Yield);
-}
-
 void PeerLink::fetchIfBehind(core::TimePoint Now) {
-  std::int64_t Newest = 0;
-  core::IncarnationId From;
-  for (const auto &[Incarnation, Report] : m_Reports)
-    if (Report.m_StoreRevision > Newest) {
-      Newest = Report.m_StoreRevision;
-      From = Incarnation;
-    }
-  if (Newest <= m_Mirror.revision().value()) {
-    m_BehindSince = core::TimePoint();
-    return;
-  }
-  if (m_BehindSince == core::TimePoint())
-    m_BehindSince = Now;
-  // One that knows nothing, or does not ask the store, has nothing to wait for.
-  bool IsPatient =
-      m_Mirror.revision() != platform::Revision() && mustFollowStore();
-  if (m_IsFetching || (IsPatient && Now - m_BehindSince < BehindPatience))
-    return;
-  auto Peer = m_Directory.all().find(From);
-  if (Peer == m_Directory.all().end())
-    return;
-  m_IsFetching = true;
-  asio::spawn(
-      m_Context,
-      [this, Address = Peer->second.m_Home.m_Peer](asio::yield_context Yield) {
-        fetch(Address, Yield);
-      },
-      asio::detached);
-}
-
-void PeerLink::fetch(const config::Endpoint &From, asio::yield_context Yield) {
-  try {
-    fetchOnce(From, Yield);
-  } catch (const Error &Failure) {
-    core::LogLine("peer-fetch-failed", core::LogLevel::Warning)
-        .add("peer", From.toString())
-        .add("reason", Failure.what());
+  platform::Revision Newest;
+  config::Endpoint From;
+  for (const auto &[Incarnation, Report] : m_Reports) {
+    platform::Revision Known(Report.m_StoreRevision);
+    auto Peer = m_Directory.all().find(Incarnation);
+    if (!(Newest < Known) || Peer == m_Directory.all().end())
+      continue;
+    Newest = Known;
+    From = Peer->second.m_Home.m_Peer;
   }
-  m_IsFetching = false;
-  m_BehindSince = core::steadyNow();
-}
-
-void PeerLink::fetchOnce(const config::Endpoint &From,
-                         asio::yield_context Yield) {
-  auto Connection = http::ClientConnection::connect(m_Context, From.toTcp(),
-                                                    FetchTimeout, Yield);
-  http::RequestMessage Request;
-  Request.m_Method = "GET";
-  Request.m_Target = FetchPath + std::to_string(m_Mirror.revision().value());
-  Request.m_Headers.set("Host", From.toString());
-  Connection->sendRequest(Request, FetchTimeout, Yield);
-  auto Answer = Connection->readWhole(FetchTimeout, MostTransferBytes, Yield);
-  auto Payload = m_Codec.unseal(Answer.m_Body);
-  if (const auto *Reason = std::get_if<peer::DropReason>(&Payload))
-    return drop(*Reason);
-  auto Transfer = StoreTransfer::decode(std::get<std::string_view>(Payload));
-  Transfer.applyTo(m_Mirror);
-  core::LogLine("store-heard-from-peer")
-      .add("peer", From.toString())
-      .add("revision", m_Mirror.revision())
-      .add("entries", Transfer.m_Entries.size())
-      .add("is_whole", Transfer.m_IsWhole);
+  // One that does not ask the store has nothing to wait for.
+  m_Fetcher.consider(From, Newest, mustFollowStore(), Now);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -9,7 +9,7 @@
 
 #include "LibCore/TimerService.h"
 #include "LibGateway/GatewaySettings.h"
-#include "LibHTTP/Server.h"
+#include "LibGateway/StoreFetcher.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPeer/PeerDirectory.h"
@@ -89,12 +89,7 @@
   /// Drops the reports of a process that ended, once its successor is heard.
   void forgetEarlier(const decision::Home &Newest);
 
-  /// Serves what the store said to an instance that is behind.
-  void answerFetch(http::Exchange &Call, boost::asio::yield_context Yield);
   void fetchIfBehind(core::TimePoint Now);
-  void fetch(const config::Endpoint &From, boost::asio::yield_context Yield);
-  void fetchOnce(const config::Endpoint &From,
-                 boost::asio::yield_context Yield);
 
   boost::asio::io_context &m_Context;
   const GatewaySettings &m_Settings;
@@ -105,7 +100,7 @@
   peer::PeerCodec m_Codec;
   peer::PeerDirectory m_Directory;
   boost::asio::ip::udp::socket m_Socket;
-  std::unique_ptr<http::Server> m_FetchServer;
+  StoreFetcher m_Fetcher;
   std::map<core::IncarnationId, peer::LoadReport> m_Reports;
   std::set<config::Endpoint> m_Hinted; ///< Perhaps peers; not heard from yet.
   /// Silent peers that did not say that they stop, and since when.
@@ -117,8 +112,6 @@
   std::uint64_t m_Sequence = 0;
   core::TimePoint m_ReportedAt{};
   core::TimePoint m_SoughtAt{};
-  core::TimePoint m_BehindSince{};
-  bool m_IsFetching = false;
   bool m_IsStopping = false;
   bool m_IsChanged = false; ///< Since the hook was last called.
   core::TimePoint m_StartedAt = core::steadyNow();
--- /dev/null
+++ b/Libraries/LibGateway/RequestAdmission.cpp
@@ -0,0 +1,56 @@
+#include "LibGateway/RequestAdmission.h"
+
+#include <algorithm>
+
+namespace yardrill::gateway {
+
+AdmittedRequest RequestAdmission::refuse(unsigned Status,
+                                         const char *Reason) const {
+  AdmittedRequest Out;
+  Out.m_Status = Status;
+  Out.m_Reason = Reason;
+  return Out;
+}
+
+AdmittedRequest RequestAdmission::admit(const RequestDescription &Said,
+                                        std::uint64_t Point) {
+  if (!m_Table)
+    return refuse(503, "no-configuration");
+  if (Said.m_Id.empty())
+    return refuse(400, "no-id");
+  AdmittedRequest Out;
+  Out.m_Route = m_Table->findRoute(Said.m_Host, Said.m_Path);
+  if (!Out.m_Route)
+    return refuse(404, "no-route");
+  if (Said.m_Key)
+    Out.m_Account = m_Table->findAccountByKey(*Said.m_Key);
+  if (!Out.m_Account && !Out.m_Route->m_IsPublic && m_Table->hasAccounts())
+    return refuse(401, "unknown-key");
+  bool HasOwnTier = Out.m_Account && Out.m_Account->m_Tier.value() != 0;
+  Out.m_Tier = HasOwnTier ? Out.m_Account->m_Tier : Out.m_Route->m_Tier;
+  core::Duration Limit = Out.m_Route->m_Timeout;
+  if (Said.m_Deadline)
+    Limit = std::min(Limit, *Said.m_Deadline);
+  Out.m_EndsAt = m_Now + Limit;
+  Out.m_Pool = Out.m_Route->choosePool(Point);
+  if (!takeFromQuota(Said, Out)) {
+    Out.m_Status = 429;
+    Out.m_Reason = "over-quota";
+  }
+  return Out;
+}
+
+bool RequestAdmission::takeFromQuota(const RequestDescription &Said,
+                                     AdmittedRequest &Out) {
+  if (!Out.m_Account)
+    return true;
+  std::uint32_t Charge = Said.m_HasSize
+                             ? Said.m_PromptTokens + Said.m_OutputTokens
+                             : Out.m_Account->m_PlainTokens;
+  if (!m_Quotas.tryTake(Out.m_Account->m_Name, Charge, m_Now))
+    return false;
+  Out.m_Charge = Charge;
+  return true;
+}
+
+} // namespace yardrill::gateway
