--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -163,7 +163,8 @@
   bool MustSend = IsTimeUp && (!What.m_IsModel ||
                                m_Policy == PlacementPolicy::LeastOutstanding);
   KnownTarget *Best = choose(What, MustSend, Now, HasAny);
-  if (Best && !MustSend && !leavesKeptPlaces(What))
+  // Before its caller leaves it may have a place that is kept and still free.
+  if (Best && !IsTimeUp && !leavesKeptPlaces(What))
     return false;
   if (!HasAny || (IsTimeUp && !Best)) {
     m_Hooks.m_Refuse(What.m_Request);
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testStreamIsRefusedWhileItsCallerListens);
   CPPUNIT_TEST(testLateRequestsGoBehindThoseInTime);
   CPPUNIT_TEST(testLowestTierLeavesPlacesFree);
+  CPPUNIT_TEST(testKeptPlaceIsGivenBeforeTheCallerLeaves);
   CPPUNIT_TEST(testAccountGoesBeforeRoute);
   CPPUNIT_TEST(testLongAnswersGoToQuickTargets);
   CPPUNIT_TEST(testLeavingAndTriedTargetsGetNothing);
@@ -202,6 +203,23 @@
     CPPUNIT_ASSERT(!sentTo(8).empty());
   }
 
+  void testKeptPlaceIsGivenBeforeTheCallerLeaves() {
+    announce("a", 3);
+    PlacementRequest High = request(1, 1);
+    High.m_IsModel = true;
+    m_Dispatcher.place(High, m_Now);
+    for (std::uint64_t Id = 2; Id <= 3; ++Id) {
+      PlacementRequest Low = request(Id, 3);
+      Low.m_IsModel = true;
+      m_Dispatcher.place(Low, m_Now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(2));
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(3));
+    m_Now += milliseconds(850);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(3));
+  }
+
   void testAccountGoesBeforeRoute() {
     announce("a", 1);
     place(1);
