LibPeer: One socket for both kinds of instance, and drop what nothing calls

PeerLink and PeerDuty opened, bound, received and counted drops in the same words: PeerSocket and dropCounter() serve both. PeerLink hashed the addresses of all peers at each beat to learn whether it may wait for the store, also when it was not behind: only then now. Not called by anything: ConnectionPool::forget, PeerLink::share, hasFreePlace, a constant of zero. No behaviour is meant to change.

--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -25,6 +25,12 @@
   return std::chrono::duration<double>(Value).count();
 }
 
+/// Rounded towards zero.
+inline Duration fromSeconds(double Value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Value));
+}
+
 } // namespace yardrill::core
 
 #endif
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -4,15 +4,12 @@
 #include "LibCore/Log.h"
 
 #include <algorithm>
-#include <boost/asio/error.hpp>
-#include <cmath>
 #include <cstdio>
 
 namespace yardrill::gateway {
 
 namespace asio = boost::asio;
 using core::Error;
-using core::ErrorKind;
 
 /// A target stops at the deadline it was given and says so; its own word is
 /// waited for this long beyond.
@@ -36,8 +33,6 @@
 static constexpr std::chrono::seconds DefaultKeepAlive{4};
 /// Bounds tries at targets that can't be connected to.
 static constexpr unsigned MostTries = 4;
-/// Charged against a prompt of unknown size.
-static constexpr std::uint32_t UnknownPromptTokens = 0;
 static const char EventStreamType[] = "text/event-stream";
 
 GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller)
@@ -79,8 +74,7 @@
 core::Duration GatewayRequest::retryAfter() const {
   std::uniform_real_distribution<double> Spread(0, RetryAfterSpreadSeconds);
   double Seconds = FirstRetryAfterSeconds + Spread(m_Owner.m_Random);
-  return std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(Seconds));
+  return core::fromSeconds(Seconds);
 }
 
 //===----------------------------------------------------------------------===//
@@ -120,8 +114,7 @@
   Wanted.m_Pool = m_Pool;
   Wanted.m_Rank = {m_Tier, m_Route->m_Tier};
   Wanted.m_IsModel = Pool && Pool->m_IsModel;
-  Wanted.m_PromptTokens =
-      m_Said.m_HasSize ? m_Said.m_PromptTokens : UnknownPromptTokens;
+  Wanted.m_PromptTokens = m_Said.m_PromptTokens;
   Wanted.m_Tried = m_Tried;
   if (Wanted.m_IsModel) {
     // The estimate is right at the median; without one, half of the most.
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -1,18 +1,13 @@
 #include "LibGateway/PeerLink.h"
 
 #include "LibCore/Digest.h"
-#include "LibCore/Error.h"
 #include "LibCore/Log.h"
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace yardrill::gateway {
 
 namespace asio = boost::asio;
-using asio::ip::udp;
-using core::Error;
 
 /// Reports within a group: old enough to cost little, new enough that a place
 /// is not given away twice for long.
@@ -50,24 +45,13 @@
 PeerLink::PeerLink(asio::io_context &Context, const GatewaySettings &Settings,
                    platform::StoreMirror &Mirror,
                    metrics::MetricsRegistry &Metrics, PeerLinkHooks Hooks)
-    : m_Context(Context), m_Settings(Settings), m_Mirror(Mirror),
-      m_Metrics(Metrics),
+    : m_Settings(Settings), m_Mirror(Mirror), m_Metrics(Metrics),
       m_Hooks(std::move(Hooks)), m_Self{core::IncarnationId(core::randomBits()),
                                         Settings.m_PeerAddress},
       m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, FarSilence),
-      m_Socket(Context),
+      m_Socket(Context, Settings.m_PeerAddress, m_Codec),
       m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror),
-      m_Random(core::randomBits()) {
-  boost::system::error_code Failure;
-  udp::endpoint Address = Settings.m_PeerAddress.toUdp();
-  m_Socket.open(Address.protocol(), Failure);
-  if (!Failure)
-    m_Socket.bind(Address, Failure);
-  if (Failure)
-    throw Error(core::ErrorKind::AddressInUse,
-                Settings.m_PeerAddress.toString() +
-                    " (UDP): " + Failure.message());
-}
+      m_Random(core::randomBits()) {}
 
 PeerLink::~PeerLink() = default;
 
@@ -75,9 +59,8 @@
   for (const config::Endpoint &Seed : m_Settings.m_Seeds)
     if (!(Seed == m_Settings.m_PeerAddress))
       m_Hinted.insert(Seed);
-  asio::spawn(
-      m_Context, [this](asio::yield_context Yield) { receive(Yield); },
-      asio::detached);
+  m_Socket.start({[this](const peer::PeerMessage &Message) { take(Message); },
+                  [this](peer::DropReason Reason) { drop(Reason); }});
   Timers.subscribe(BeatPeriod, [this](core::TimePoint Now) { beat(Now); });
 }
 
@@ -90,29 +73,8 @@
 // Reports
 //===----------------------------------------------------------------------===//
 
-void PeerLink::receive(asio::yield_context Yield) {
-  // One byte more than allowed, so that a longer datagram is seen as such.
-  std::vector<char> Buffer(peer::MostDatagramBytes + 1);
-  while (true) {
-    udp::endpoint From;
-    boost::system::error_code Failure;
-    std::size_t Size =
-        m_Socket.async_receive_from(asio::buffer(Buffer), From, Yield[Failure]);
-    // A refused datagram of ours comes back as an error here.
-    if (Failure)
-      continue;
-    auto Decoded = m_Codec.decode({Buffer.data(), Size});
-    if (const auto *Reason = std::get_if<peer::DropReason>(&Decoded))
-      drop(*Reason);
-    else
-      take(std::get<peer::PeerMessage>(Decoded));
-  }
-}
-
 void PeerLink::drop(peer::DropReason Reason) {
-  std::string Name = peer::toString(Reason);
-  std::replace(Name.begin(), Name.end(), '-', '_');
-  m_Metrics.count("yardrill_peer_datagrams_dropped_" + Name + "_total");
+  m_Metrics.count(peer::dropCounter(Reason));
 }
 
 void PeerLink::take(const peer::PeerMessage &Message) {
@@ -346,9 +308,8 @@
   Message.m_WallSeconds = core::wallSeconds().count();
   Message.m_Body = std::move(Report);
   std::string Datagram = m_Codec.encode(Message);
-  boost::system::error_code Ignored; // Lost datagrams are expected.
   for (const config::Endpoint &Address : To)
-    m_Socket.send_to(asio::buffer(Datagram), Address.toUdp(), 0, Ignored);
+    m_Socket.send(Datagram, Address);
 }
 
 void PeerLink::fetchIfBehind(core::TimePoint Now) {
@@ -362,8 +323,10 @@
     Newest = Known;
     From = Peer->second.m_Home.m_Peer;
   }
-  // One that does not ask the store has nothing to wait for.
-  m_Fetcher.consider(From, Newest, mustFollowStore(), Now);
+  // One that does not ask the store has nothing to wait for. Asked only when
+  // it matters: it hashes the addresses of all peers.
+  bool IsPatient = m_Mirror.revision() < Newest && mustFollowStore();
+  m_Fetcher.consider(From, Newest, IsPatient, Now);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -13,14 +13,13 @@
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPeer/PeerDirectory.h"
+#include "LibPeer/PeerSocket.h"
 #include "LibPlatform/StoreMirror.h"
 #include "LibRouting/FleetShare.h"
 
-#include <boost/asio/ip/udp.hpp>
-#include <boost/asio/spawn.hpp>
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
-#include <memory>
 #include <random>
 #include <set>
 
@@ -47,7 +46,6 @@
   /// Sends reports now and takes no more part afterwards.
   void setStopping();
 
-  const routing::FleetShare &share() const { return m_Share; }
   /// Whether this instance, or a near one that it hears, follows the store.
   bool mustFollowStore() const;
   /// The newest report of each live peer.
@@ -69,7 +67,6 @@
   bool isNear(core::IncarnationId Peer) const;
 
 private:
-  void receive(boost::asio::yield_context Yield);
   void take(const peer::PeerMessage &Message);
   void drop(peer::DropReason Reason);
   void beat(core::TimePoint Now);
@@ -91,7 +88,6 @@
 
   void fetchIfBehind(core::TimePoint Now);
 
-  boost::asio::io_context &m_Context;
   const GatewaySettings &m_Settings;
   platform::StoreMirror &m_Mirror;
   metrics::MetricsRegistry &m_Metrics;
@@ -99,7 +95,7 @@
   decision::Home m_Self;
   peer::PeerCodec m_Codec;
   peer::PeerDirectory m_Directory;
-  boost::asio::ip::udp::socket m_Socket;
+  peer::PeerSocket m_Socket;
   StoreFetcher m_Fetcher;
   std::map<core::IncarnationId, peer::LoadReport> m_Reports;
   std::set<config::Endpoint> m_Hinted; ///< Perhaps peers; not heard from yet.
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -30,10 +30,6 @@
     Kept.push_back({std::move(Connection), core::steadyNow() + UsableFor});
 }
 
-void ConnectionPool::forget(const tcp::endpoint &Address) {
-  m_Idle.erase(Address);
-}
-
 void ConnectionPool::closeExpired() {
   core::TimePoint Now = core::steadyNow();
   for (auto &[Address, Kept] : m_Idle) {
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -38,8 +38,6 @@
   void giveBack(const boost::asio::ip::tcp::endpoint &Address,
                 std::unique_ptr<ClientConnection> Connection,
                 core::Duration UsableFor = std::chrono::hours(1));
-  /// Closes what is kept for an address that is no longer used.
-  void forget(const boost::asio::ip::tcp::endpoint &Address);
   /// Closes connections that rested for too long.
   void closeExpired();
 
--- a/Libraries/LibInstance/PeerDuty.cpp
+++ b/Libraries/LibInstance/PeerDuty.cpp
@@ -11,7 +11,6 @@
 namespace yardrill::instance {
 
 namespace asio = boost::asio;
-using asio::ip::udp;
 using core::Error;
 
 /// A small fleet hears from everyone each period; in a larger one each
@@ -38,24 +37,14 @@
       m_Actions(Settings.m_RingCapacity, m_Thread.waker([this] {
         m_Actions.drain([this](const decision::Action &What) { act(What); });
       })),
-      m_Socket(m_Thread.context()), m_Random(core::randomBits()) {
-  boost::system::error_code Failure;
-  udp::endpoint Address = Settings.m_PeerAddress.toUdp();
-  m_Socket.open(Address.protocol(), Failure);
-  if (!Failure)
-    m_Socket.bind(Address, Failure);
-  if (Failure)
-    throw Error(core::ErrorKind::AddressInUse,
-                Settings.m_PeerAddress.toString() +
-                    " (UDP): " + Failure.message());
-}
+      m_Socket(m_Thread.context(), Settings.m_PeerAddress, m_Codec),
+      m_Random(core::randomBits()) {}
 
 PeerDuty::~PeerDuty() { stop(); }
 
 void PeerDuty::start() {
-  asio::spawn(
-      m_Thread.context(), [this](asio::yield_context Yield) { receive(Yield); },
-      asio::detached);
+  m_Socket.start({[this](const peer::PeerMessage &Message) { take(Message); },
+                  [this](peer::DropReason Reason) { drop(Reason); }});
   m_Timers.subscribe(m_Settings.m_Peers.m_HeartbeatPeriod,
                      [this](core::TimePoint Now) { beat(Now); });
   m_Thread.start();
@@ -83,29 +72,8 @@
 // Receiving
 //===----------------------------------------------------------------------===//
 
-void PeerDuty::receive(asio::yield_context Yield) {
-  // One byte more than allowed, so that a longer datagram is seen as such.
-  std::vector<char> Buffer(peer::MostDatagramBytes + 1);
-  while (true) {
-    udp::endpoint From;
-    boost::system::error_code Failure;
-    std::size_t Size =
-        m_Socket.async_receive_from(asio::buffer(Buffer), From, Yield[Failure]);
-    // A refused datagram of ours comes back as an error here.
-    if (Failure)
-      continue;
-    auto Decoded = m_Codec.decode({Buffer.data(), Size});
-    if (const auto *Reason = std::get_if<peer::DropReason>(&Decoded))
-      drop(*Reason);
-    else
-      take(std::get<peer::PeerMessage>(Decoded));
-  }
-}
-
 void PeerDuty::drop(peer::DropReason Reason) {
-  std::string Name = peer::toString(Reason);
-  std::replace(Name.begin(), Name.end(), '-', '_');
-  m_Metrics.count("yardrill_peer_datagrams_dropped_" + Name + "_total");
+  m_Metrics.count(peer::dropCounter(Reason));
 }
 
 void PeerDuty::take(const peer::PeerMessage &Message) {
@@ -185,9 +153,7 @@
   Message.m_WallSeconds = core::wallSeconds().count();
   Message.m_Body = std::move(Body);
   std::string Datagram = m_Codec.encode(Message);
-  boost::system::error_code Ignored;
-  // A datagram that can't be sent now is as good as lost: all are repeated.
-  m_Socket.send_to(asio::buffer(Datagram), To.toUdp(), 0, Ignored);
+  m_Socket.send(Datagram, To);
   m_Metrics.count("yardrill_peer_bytes_sent_total", Datagram.size());
 }
 
--- a/Libraries/LibInstance/PeerDuty.h
+++ b/Libraries/LibInstance/PeerDuty.h
@@ -13,9 +13,9 @@
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPeer/PeerDirectory.h"
+#include "LibPeer/PeerSocket.h"
 
 #include <array>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <functional>
 #include <mutex>
@@ -54,7 +54,6 @@
   std::vector<PeerStatus> status() const;
 
 private:
-  void receive(boost::asio::yield_context Yield);
   void take(const peer::PeerMessage &Message);
   void takeHeartbeat(const peer::PeerMessage &Message,
                      const peer::Heartbeat &Beat);
@@ -81,7 +80,7 @@
   peer::PeerDirectory m_Directory;
   PeerSignature m_Signature;
   core::Ring<decision::Action> m_Actions;
-  boost::asio::ip::udp::socket m_Socket;
+  peer::PeerSocket m_Socket;
   std::mt19937_64 m_Random;
   std::vector<config::Endpoint> m_Listed;
   std::set<config::Endpoint> m_Hinted; ///< Heard of, not heard from.
--- a/Libraries/LibPeer/PeerCodec.cpp
+++ b/Libraries/LibPeer/PeerCodec.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Digest.h"
 #include "LibCore/Error.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
@@ -35,6 +36,12 @@
   return "unknown";
 }
 
+std::string dropCounter(DropReason Reason) {
+  std::string Name = toString(Reason);
+  std::replace(Name.begin(), Name.end(), '-', '_');
+  return "yardrill_peer_datagrams_dropped_" + Name + "_total";
+}
+
 static std::string sign(const std::string &Key, std::string_view Payload) {
   std::string Signed(1, ProtocolVersion);
   Signed += Payload;
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -31,6 +31,8 @@
 };
 
 const char *toString(DropReason Reason);
+/// The name of the counter of datagrams dropped for that reason.
+std::string dropCounter(DropReason Reason);
 
 class PeerCodec {
 public:
--- /dev/null
+++ b/Libraries/LibPeer/PeerSocket.cpp
@@ -0,0 +1,58 @@
+#include "LibPeer/PeerSocket.h"
+
+#include "LibCore/Error.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/detached.hpp>
+#include <vector>
+
+namespace yardrill::peer {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+PeerSocket::PeerSocket(asio::io_context &Context,
+                       const config::Endpoint &Address, const PeerCodec &Codec)
+    : m_Context(Context), m_Codec(Codec), m_Socket(Context) {
+  boost::system::error_code Failure;
+  udp::endpoint Own = Address.toUdp();
+  m_Socket.open(Own.protocol(), Failure);
+  if (!Failure)
+    m_Socket.bind(Own, Failure);
+  if (Failure)
+    throw core::Error(core::ErrorKind::AddressInUse,
+                      Address.toString() + " (UDP): " + Failure.message());
+}
+
+void PeerSocket::start(PeerSocketHooks Hooks) {
+  m_Hooks = std::move(Hooks);
+  asio::spawn(
+      m_Context, [this](asio::yield_context Yield) { receive(Yield); },
+      asio::detached);
+}
+
+void PeerSocket::send(const std::string &Datagram, const config::Endpoint &To) {
+  boost::system::error_code Ignored;
+  m_Socket.send_to(asio::buffer(Datagram), To.toUdp(), 0, Ignored);
+}
+
+void PeerSocket::receive(asio::yield_context Yield) {
+  // One byte more than allowed, so that a longer datagram is seen as such.
+  std::vector<char> Buffer(MostDatagramBytes + 1);
+  while (true) {
+    udp::endpoint From;
+    boost::system::error_code Failure;
+    std::size_t Size =
+        m_Socket.async_receive_from(asio::buffer(Buffer), From, Yield[Failure]);
+    // A refused datagram of ours comes back as an error here.
+    if (Failure)
+      continue;
+    auto Decoded = m_Codec.decode({Buffer.data(), Size});
+    if (const auto *Reason = std::get_if<DropReason>(&Decoded))
+      m_Hooks.m_Dropped(*Reason);
+    else
+      m_Hooks.m_Received(std::get<PeerMessage>(Decoded));
+  }
+}
+
+} // namespace yardrill::peer
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -174,16 +174,11 @@
 }
 
 std::vector<KnownTarget *> TargetDirectory::of(const core::PoolName &Pool) {
+  std::vector<KnownTarget *> Out;
   auto Found = m_Own.find(Pool);
   if (Found == m_Own.end())
-    return {};
-  return named(Found->second);
-}
-
-std::vector<KnownTarget *>
-TargetDirectory::named(const std::vector<core::TargetName> &Names) {
-  std::vector<KnownTarget *> Out;
-  for (const core::TargetName &Name : Names)
+    return Out;
+  for (const core::TargetName &Name : Found->second)
     Out.push_back(&m_Targets[Name]);
   return Out;
 }
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -35,7 +35,6 @@
   std::optional<core::TimePoint> m_LapsedAt;
 
   std::size_t running() const { return m_Own.m_Running + m_Others.m_Running; }
-  bool hasFreePlace() const { return running() < m_Target.m_Places; }
 };
 
 /// Takes announcements in and remembers what was learned about each target.
@@ -75,7 +74,6 @@
   void updateSlowness(const core::PoolName &Pool);
   /// Works out anew which targets of the pool are this instance's.
   void cut(const core::PoolName &Pool);
-  std::vector<KnownTarget *> named(const std::vector<core::TargetName> &Names);
 
   std::map<core::TargetName, KnownTarget> m_Targets;
   FleetShare m_Share;
--- a/Libraries/LibRouting/TokenQuota.cpp
+++ b/Libraries/LibRouting/TokenQuota.cpp
@@ -46,8 +46,7 @@
   if (m_Level > 0 || m_Limits.m_TokensPerSecond <= 0)
     return core::Duration::zero();
   double Seconds = (m_Refused - m_Level) / m_Limits.m_TokensPerSecond;
-  return std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(Seconds));
+  return core::fromSeconds(Seconds);
 }
 
 } // namespace yardrill::routing
