LibRouting: Leave failed targets alone while others are sound

From the logs: a crashed target has free places because it is down, so where all others were full everything that waited was sent to it, tried four times and refused with the retry budget spent; once it had restarted under a new name at the same address, requests for its old name got 421 until its entry lapsed. Ruled out: targets that are full (none refused for its queue), quotas. Change: a resting target is a candidate only where no other is left; after two failures in a row it is tried with one request at a time until an answer begins; a target whose address another one answers at gets nothing more; one error of a target that runs requests does not close it. A target's refusal has a log line of its own.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -44,9 +44,11 @@
 
 /// What a target's answer says about itself.
 struct AnswerDescription {
-  std::string m_Id;         ///< Of the request it answers.
-  bool m_IsSigned = false;  ///< Bears the target's signature.
-  bool m_IsNotRun = false;  ///< The target did not run the request.
+  std::string m_Id;        ///< Of the request it answers.
+  bool m_IsSigned = false; ///< Bears the target's signature.
+  bool m_IsNotRun = false; ///< The target did not run the request.
+  /// It comes from another target than the one the request was meant for.
+  bool m_IsMisdirected = false;
   bool m_IsEncoded = false; ///< The body is not as the target made it.
   /// How long the connection may rest before the target closes it.
   std::optional<core::Duration> m_KeepAlive;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -259,6 +259,14 @@
   }
 }
 
+void GatewayRequest::logTargetRefusal(const http::ResponseHead &Head) const {
+  core::LogLine(m_Reason, core::LogLevel::Warning)
+      .add("request", m_Said.m_Id)
+      .add("target", m_Target->m_Name)
+      .add("status", Head.m_Status)
+      .add("try", m_Tries);
+}
+
 static bool isEventStream(const http::ResponseHead &Head) {
   const std::string *Type = Head.m_Headers.find("Content-Type");
   return Type &&
@@ -278,13 +286,18 @@
   if (!m_Relay.lastEventId().empty())
     What.m_LastEvent = m_Relay.lastEventId();
   m_Owner.m_Wire.prepare(m_Caller.request(), What);
+  m_HasAnswerBegun = false;
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   http::ResponseHead Head = readOwnHead(Connection, Yield);
+  m_HasAnswerBegun = true;
   AnswerDescription Says = m_Owner.m_Wire.describe(Head);
   TryOutcome Result = TryOutcome::Failed;
   bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
   if (Says.m_IsNotRun) {
-    m_Reason = "target-refused";
+    m_Reason = Says.m_IsMisdirected ? "target-replaced" : "target-refused";
+    logTargetRefusal(Head);
+    if (Says.m_IsMisdirected)
+      m_Owner.m_Targets.replaced(m_Target->m_Name);
     while (!Connection.readPiece(timeLeft() + AnswerSlack, Yield).empty()) {
       // Its reason is for us alone.
     }
@@ -358,12 +371,18 @@
       m_Owner.m_Targets.notePace(Name, Now - StartedAt);
     break;
   case TryOutcome::NotSent:
+    m_Owner.m_Targets.failed(Name, routing::TargetFailure::Unreachable, Now);
+    break;
   case TryOutcome::NotRun:
-    m_Owner.m_Targets.failed(Name, Now);
+    m_Owner.m_Targets.failed(Name, routing::TargetFailure::Refused, Now);
     break;
   case TryOutcome::Failed:
     ++m_Runs;
-    m_Owner.m_Targets.failed(Name, Now);
+    m_Owner.m_Targets.failed(Name,
+                             m_HasAnswerBegun
+                                 ? routing::TargetFailure::Failed
+                                 : routing::TargetFailure::Unreachable,
+                             Now);
     break;
   case TryOutcome::CallerGone:
     break;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -64,6 +64,7 @@
   void noteTry(TryOutcome Last, core::TimePoint StartedAt);
   /// What decided for the target, and how old it is.
   void logSent() const;
+  void logTargetRefusal(const http::ResponseHead &Head) const;
   void logEnd(const char *Event) const;
 
   Gateway &m_Owner;
@@ -89,6 +90,7 @@
   unsigned m_Runs = 0;               ///< Tries that may have run.
   std::uint32_t m_PendingPrompt = 0; ///< Counted at the current target.
   bool m_HasFirstEvent = false;
+  bool m_HasAnswerBegun = false;   ///< Of the current try.
   core::TimePoint m_LastEventAt{}; ///< Of the current try.
   /// How long the connection may be kept, by the last answer on it.
   core::Duration m_KeepFor{};
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <tuple>
 #include <vector>
 
@@ -123,7 +122,7 @@
   double All = 0;
   double Free = 0;
   for (const KnownTarget *Each : m_Targets.of(What.m_Pool)) {
-    if (Each->m_Target.m_IsLeaving)
+    if (!Each->isOpen())
       continue;
     double Places = static_cast<double>(placesFor(*Each, What));
     All += Places;
@@ -132,24 +131,45 @@
   return Free - 1 >= All * KeptShare;
 }
 
+std::vector<KnownTarget *> Dispatcher::candidates(const PlacementRequest &What,
+                                                  core::TimePoint Now) const {
+  std::vector<KnownTarget *> Out;
+  for (KnownTarget *Each : m_Targets.of(What.m_Pool))
+    if (Each->isOpen() && What.m_Tried.count(Each->m_Target.m_Name) == 0)
+      Out.push_back(Each);
+  // A target that has just failed always has free places: where the others are
+  // full, everything that waits would fall on it.
+  auto IsResting = [Now](const KnownTarget *Each) {
+    return Each->m_RestsUntil > Now;
+  };
+  if (!std::all_of(Out.begin(), Out.end(), IsResting))
+    Out.erase(std::remove_if(Out.begin(), Out.end(), IsResting), Out.end());
+  return Out;
+}
+
+bool Dispatcher::hasPlace(const KnownTarget &At,
+                          const PlacementRequest &What) const {
+  if (At.isOnProbation())
+    return At.m_Own.m_Running == 0;
+  return At.running() < placesFor(At, What);
+}
+
 KnownTarget *Dispatcher::choose(const PlacementRequest &What, bool MustSend,
                                 core::TimePoint Now, bool &HasAny) {
   KnownTarget *Best = nullptr;
-  int BestClass = std::numeric_limits<int>::max();
+  bool IsBestLapsed = false;
   double BestCost = 0;
-  for (KnownTarget *Each : m_Targets.of(What.m_Pool)) {
-    if (Each->m_Target.m_IsLeaving || What.m_Tried.count(Each->m_Target.m_Name))
-      continue;
+  for (KnownTarget *Each : candidates(What, Now)) {
     HasAny = true;
-    if (!MustSend && Each->running() >= placesFor(*Each, What))
+    if (!MustSend && !hasPlace(*Each, What))
       continue;
-    // Worse classes are used only when a better one is empty.
-    int Class = Each->m_LapsedAt ? 2 : Each->m_RestsUntil > Now ? 1 : 0;
+    // One that is not announced any more is used when the others are full.
+    bool IsLapsed = Each->m_LapsedAt.has_value();
     double Cost = cost(*Each, What, Now);
-    if (Class > BestClass || (Class == BestClass && Cost >= BestCost))
+    if (Best && std::tie(IsLapsed, Cost) >= std::tie(IsBestLapsed, BestCost))
       continue;
     Best = Each;
-    BestClass = Class;
+    IsBestLapsed = IsLapsed;
     BestCost = Cost;
   }
   return Best;
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -76,6 +76,11 @@
   bool goesBefore(const PlacementRequest &A, const PlacementRequest &B,
                   core::TimePoint Now) const;
   bool trySend(const PlacementRequest &What, core::TimePoint Now);
+  /// Targets that may be tried: those that failed just now only where there is
+  /// no other.
+  std::vector<KnownTarget *> candidates(const PlacementRequest &What,
+                                        core::TimePoint Now) const;
+  bool hasPlace(const KnownTarget &At, const PlacementRequest &What) const;
   KnownTarget *choose(const PlacementRequest &What, bool MustSend,
                       core::TimePoint Now, bool &HasAny);
   double cost(const KnownTarget &At, const PlacementRequest &What,
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -17,6 +17,9 @@
 /// enough to notice a restart; doubles with each further one.
 static constexpr std::chrono::milliseconds FirstRest{100};
 static constexpr std::chrono::milliseconds LongestRest{2000};
+/// Failures in a row after which a target that has rested is tried with one
+/// request at a time, until one succeeds.
+static constexpr unsigned FailuresBeforeProbation = 2;
 /// Weight of the newest observation; about ten count.
 static constexpr double PaceWeight = 0.1;
 static constexpr double FailureWeight = 0.1;
@@ -24,6 +27,14 @@
 static constexpr double LeastSlowness = 0.5;
 static constexpr double MostSlowness = 8;
 
+bool KnownTarget::isOnProbation() const {
+  return m_FailuresInARow >= FailuresBeforeProbation;
+}
+
+void TargetLoad::forgetPrompt(std::uint32_t Tokens) {
+  m_PendingPrompt -= std::min<std::uint64_t>(m_PendingPrompt, Tokens);
+}
+
 void TargetDirectory::announce(const Target &What) {
   auto [Place, IsNew] = m_Targets.try_emplace(What.m_Name);
   KnownTarget &Known = Place->second;
@@ -90,8 +101,13 @@
   KnownTarget *Known = find(Name);
   if (!Known)
     return;
-  std::uint64_t &Pending = Known->m_Own.m_PendingPrompt;
-  Pending -= std::min<std::uint64_t>(Pending, PromptTokens);
+  Known->m_FailuresInARow = 0;
+  Known->m_Own.forgetPrompt(PromptTokens);
+}
+
+void TargetDirectory::replaced(const core::TargetName &Name) {
+  if (KnownTarget *Known = find(Name))
+    Known->m_IsReplaced = true;
 }
 
 void TargetDirectory::ended(const core::TargetName &Name,
@@ -100,10 +116,10 @@
   if (!Known || Known->m_Own.m_Running == 0)
     return;
   --Known->m_Own.m_Running;
-  began(Name, PendingPrompt);
+  Known->m_Own.forgetPrompt(PendingPrompt);
 }
 
-void TargetDirectory::failed(const core::TargetName &Name,
+void TargetDirectory::failed(const core::TargetName &Name, TargetFailure How,
                              core::TimePoint Now) {
   KnownTarget *Known = find(Name);
   if (!Known)
@@ -111,6 +127,9 @@
   Known->m_FailureShare += FailureWeight * (1 - Known->m_FailureShare);
   unsigned Doublings = std::min(Known->m_FailuresInARow, 5U);
   ++Known->m_FailuresInARow;
+  // One that runs requests and fails some still does part of the work.
+  if (How == TargetFailure::Failed && Doublings == 0)
+    return;
   core::Duration Rest =
       std::min<core::Duration>(FirstRest * (1U << Doublings), LongestRest);
   Known->m_RestsUntil = Now + Rest;
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -18,6 +18,15 @@
 struct TargetLoad {
   std::size_t m_Running = 0;         ///< Requests sent and not answered.
   std::uint64_t m_PendingPrompt = 0; ///< Prompt tokens without a first event.
+
+  void forgetPrompt(std::uint32_t Tokens);
+};
+
+/// How a request failed at a target.
+enum class TargetFailure {
+  Unreachable, ///< No connection, or it ended before an answer began.
+  Refused,     ///< The target said that it did not run the request.
+  Failed,      ///< It ran: an error, or an answer that broke off.
 };
 
 /// One target as this instance knows it.
@@ -31,10 +40,16 @@
   double m_FailureShare = 0; ///< Learned: share of failures, decaying.
   unsigned m_FailuresInARow = 0;
   core::TimePoint m_RestsUntil{};
+  /// Another run of a target answers at its address; it never comes back.
+  bool m_IsReplaced = false;
   /// Since when its announcement is missing.
   std::optional<core::TimePoint> m_LapsedAt;
 
   std::size_t running() const { return m_Own.m_Running + m_Others.m_Running; }
+  /// Whether it may get new work at all.
+  bool isOpen() const { return !m_Target.m_IsLeaving && !m_IsReplaced; }
+  /// Whether it failed too lately to be trusted with more than one request.
+  bool isOnProbation() const;
 };
 
 /// Takes announcements in and remembers what was learned about each target.
@@ -52,7 +67,10 @@
   void started(const core::TargetName &Name, std::uint32_t PromptTokens);
   void began(const core::TargetName &Name, std::uint32_t PromptTokens);
   void ended(const core::TargetName &Name, std::uint32_t PendingPrompt);
-  void failed(const core::TargetName &Name, core::TimePoint Now);
+  void failed(const core::TargetName &Name, TargetFailure How,
+              core::TimePoint Now);
+  /// Another target answered at its address.
+  void replaced(const core::TargetName &Name);
   void succeeded(const core::TargetName &Name);
   /// Time between two events of a stream, or of a whole short answer.
   void notePace(const core::TargetName &Name, core::Duration Pace);
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -201,6 +201,7 @@
   CPPUNIT_TEST(testRefusesWhatIsNotAllowed);
   CPPUNIT_TEST(testRunsOnceWhatMayRunOnce);
   CPPUNIT_TEST(testGoesOnAfterATargetsOwnRefusal);
+  CPPUNIT_TEST(testTargetThatWasReplacedIsLeftAlone);
   CPPUNIT_TEST(testRepeatsWhatMayBeRepeated);
   CPPUNIT_TEST(testSkipsASurplusAnswer);
   CPPUNIT_TEST(testUnsignedSuccessIsNoAnswer);
@@ -364,6 +365,20 @@
     CPPUNIT_ASSERT(!m_Targets[0]->requests().empty());
   }
 
+  void testTargetThatWasReplacedIsLeftAlone() {
+    addTarget([](const Request &Read) {
+      return whole(Read, "", "421 Misdirected Request", "");
+    });
+    addTarget([](const Request &Read) { return whole(Read, "answer"); });
+    start();
+    for (int I = 0; I < 6; ++I) {
+      CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
+      // Longer than a target rests after a failure.
+      std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    }
+    CPPUNIT_ASSERT(m_Targets[0]->requests().size() <= 1);
+  }
+
   void testRepeatsWhatMayBeRepeated() {
     addTarget([](const Request &Read) {
       return whole(Read, "broken", "500 Internal Server Error");
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -23,6 +23,10 @@
   CPPUNIT_TEST(testLongAnswersGoToQuickTargets);
   CPPUNIT_TEST(testLeavingAndTriedTargetsGetNothing);
   CPPUNIT_TEST(testRestingTargetIsUsedOnlyAlone);
+  CPPUNIT_TEST(testWaitsForASoundTargetBesideARestingOne);
+  CPPUNIT_TEST(testRestedTargetIsTriedWithOneRequest);
+  CPPUNIT_TEST(testOneErrorDoesNotCloseATarget);
+  CPPUNIT_TEST(testReplacedTargetGetsNothing);
   CPPUNIT_TEST(testLapsedTargetsServeUntilTheyAreForgotten);
   CPPUNIT_TEST(testReturnedTargetIsAsBefore);
   CPPUNIT_TEST_SUITE_END();
@@ -73,7 +77,7 @@
     return Found == m_Sent.end() ? "" : Found->second.value();
   }
   void fail(const std::string &Name) {
-    m_Targets.failed(core::TargetName(Name), m_Now);
+    m_Targets.failed(core::TargetName(Name), TargetFailure::Unreachable, m_Now);
   }
 
 public:
@@ -274,6 +278,53 @@
     CPPUNIT_ASSERT(!sentTo(3).empty());
   }
 
+  void testWaitsForASoundTargetBesideARestingOne() {
+    announce("a");
+    announce("b");
+    fail("a");
+    for (std::uint64_t Id = 1; Id <= 4; ++Id)
+      place(Id);
+    // The resting one has free places because it is down.
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Dispatcher.waiting());
+    m_Targets.ended(core::TargetName("b"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(3));
+  }
+
+  void testRestedTargetIsTriedWithOneRequest() {
+    announce("a", 3);
+    announce("b", 1);
+    fail("a");
+    fail("a");
+    m_Now += std::chrono::seconds(3);
+    for (std::uint64_t Id = 1; Id <= 4; ++Id)
+      place(Id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Sent.size());
+    // It answers: as good as any.
+    m_Targets.began(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), m_Sent.size());
+  }
+
+  void testOneErrorDoesNotCloseATarget() {
+    announce("a");
+    announce("b", 1);
+    m_Targets.failed(core::TargetName("a"), TargetFailure::Failed, m_Now);
+    for (std::uint64_t Id = 1; Id <= 3; ++Id)
+      place(Id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_Sent.size());
+  }
+
+  void testReplacedTargetGetsNothing() {
+    announce("a");
+    m_Targets.replaced(core::TargetName("a"));
+    // Its announcement may be repeated before it ends.
+    announce("a");
+    place(1);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(1)) == 1);
+  }
+
   void testLapsedTargetsServeUntilTheyAreForgotten() {
     announce("a");
     announce("b");
