LibGateway: Share the retry allowance by who is there now; keep cut peers' quotas

After a restart of all at once nobody is found yet, so six instances could spend half of the allowance each: three times the whole. A reload emptied the counters. - A silent peer's part of the quotas was taken over after 10 s on both sides of a cut. A longer cut let both sides spend the whole quota. Change: the part is worked out at each retry from the instances heard, missing or recorded; limits change without forgetting. A peer is given up only while the store is heard, directly or through a peer; so the side of a cut that has no store keeps the others' part. `request-finished` tells the first event's time, the longest pause and the prompt's size, for questions about lateness.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -31,8 +31,8 @@
 static constexpr std::chrono::milliseconds ConnectTimeout{350};
 static constexpr std::size_t MostIdleConnections = 64;
 static constexpr std::size_t MostChangesKept = 4096;
-/// Of the slack in the retry budget, the share that one instance may use
-/// without asking; twice as many instances as are seen may be at work.
+/// Part of the retry allowance that is used: twice as many instances as are
+/// seen may be at work, and one that restarts forgets what it used.
 static constexpr double SlackShare = 0.5;
 
 /// How many instances share the quotas, for processes that start together.
@@ -143,7 +143,8 @@
   m_Settings.m_Retries = Settings.m_Retries;
   m_Settings.m_StopGrace = Settings.m_StopGrace;
   m_Settings.m_Seeds = Settings.m_Seeds;
-  m_Retries.clear();
+  for (auto &[Pool, Budget] : m_Retries)
+    Budget.setLimits(retryLimits());
   core::LogLine("instance-reloaded").add("instance", m_Settings.m_Name);
 }
 
@@ -333,11 +334,18 @@
   auto Found = m_Retries.find(Pool);
   if (Found != m_Retries.end())
     return Found->second;
+  return m_Retries.emplace(Pool, routing::RetryBudget(retryLimits()))
+      .first->second;
+}
+
+routing::RetryLimits Gateway::retryLimits() const {
   routing::RetryLimits Limits = m_Settings.m_Retries;
-  double Instances =
-      1 + static_cast<double>(m_Peers->reports().size() + m_Peers->missing());
-  Limits.m_Allowance *= SlackShare / Instances;
-  return m_Retries.emplace(Pool, routing::RetryBudget(Limits)).first->second;
+  Limits.m_Allowance *= SlackShare;
+  return Limits;
+}
+
+bool Gateway::mayRetry(const core::PoolName &Pool) {
+  return retriesOf(Pool).tryTake(core::steadyNow(), m_Peers->sharers());
 }
 
 void Gateway::updateGauges() {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -63,6 +63,9 @@
   bool isTooLate(core::TimePoint Now) const;
   bool isReady() const;
   routing::RetryBudget &retriesOf(const core::PoolName &Pool);
+  routing::RetryLimits retryLimits() const;
+  /// Counts the retry, if one more is within the budget.
+  bool mayRetry(const core::PoolName &Pool);
   http::ResponseMessage answerReadiness() const;
   void updateGauges();
   void noteRecordedSize(const platform::Entry &Change);
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -340,12 +340,13 @@
     m_Owner.m_Targets.began(m_Target->m_Name, m_PendingPrompt);
     m_PendingPrompt = 0;
   }
-  if (!m_HasFirstEvent) {
-    m_HasFirstEvent = true;
+  if (m_FirstEventAt == core::TimePoint()) {
+    m_FirstEventAt = Now;
     m_Owner.m_Metrics.observe(metrics::RequestTime::FirstToken, Labels,
                               Now - m_ArrivedAt);
   }
   if (m_LastEventAt != core::TimePoint()) {
+    m_LongestPause = std::max(m_LongestPause, Now - m_LastEventAt);
     core::Duration Pause = (Now - m_LastEventAt) / static_cast<long>(Count);
     m_Owner.m_Metrics.observe(metrics::RequestTime::BetweenTokens, Labels,
                               Pause);
@@ -406,7 +407,7 @@
   // Where no byte arrived nothing counts against the budget.
   if (Last == TryOutcome::NotSent)
     return m_Tries < MostTries;
-  if (m_Owner.retriesOf(m_Pool).tryTake(core::steadyNow()))
+  if (m_Owner.mayRetry(m_Pool))
     return true;
   core::LogLine("retry-budget-spent")
       .add("request", m_Said.m_Id)
@@ -468,6 +469,10 @@
       .add("reason", m_Reason)
       .add("tries", m_Tries)
       .add("total_us", Total);
+  if (m_FirstEventAt != core::TimePoint())
+    Line.add("first_event_us", m_FirstEventAt - m_ArrivedAt)
+        .add("longest_pause_us", m_LongestPause)
+        .add("prompt_tokens", m_Said.m_PromptTokens);
   if (m_Table)
     Line.add("configuration", m_Table->version());
   if (m_Target)
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -89,9 +89,10 @@
   unsigned m_Tries = 0;
   unsigned m_Runs = 0;               ///< Tries that may have run.
   std::uint32_t m_PendingPrompt = 0; ///< Counted at the current target.
-  bool m_HasFirstEvent = false;
-  bool m_HasAnswerBegun = false;   ///< Of the current try.
-  core::TimePoint m_LastEventAt{}; ///< Of the current try.
+  core::TimePoint m_FirstEventAt{};  ///< Not set: none came.
+  core::Duration m_LongestPause{};   ///< Between events at one target.
+  bool m_HasAnswerBegun = false;     ///< Of the current try.
+  core::TimePoint m_LastEventAt{};   ///< Of the current try.
   /// How long the connection may be kept, by the last answer on it.
   core::Duration m_KeepFor{};
   unsigned m_Status = 0;
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -33,8 +33,6 @@
 /// The recorded size of the fleet may be too large by this factor before it is
 /// written anew; it is only read just after a start.
 static constexpr double RecordedExcess = 1.3;
-/// How long a silent peer's share of the quotas is kept for it.
-static constexpr std::chrono::seconds MissingTime{10};
 static constexpr std::size_t MostPeers = 1024;
 static constexpr std::size_t MostHinted = 64;
 static constexpr std::size_t HintsInReport = 3;
@@ -87,7 +85,7 @@
   if (Reason)
     return drop(*Reason);
   m_Hinted.erase(Message.m_From.m_Peer);
-  m_Missing.erase(Message.m_From.m_Peer);
+  m_Missing.heard(Message.m_From.m_Peer);
   forgetEarlier(Message.m_From);
   m_Reports[Message.m_From.m_Incarnation] = *Report;
   for (const decision::Home &Other : Report->m_Others)
@@ -170,12 +168,20 @@
 }
 
 std::size_t PeerLink::missing() const {
+  const auto &All = m_Missing.all();
   return static_cast<std::size_t>(
-      std::count_if(m_Missing.begin(), m_Missing.end(), [this](const auto &M) {
-        return m_Share.groups() == 1 || m_Share.isNear(M.first);
+      std::count_if(All.begin(), All.end(), [this](const auto &Each) {
+        return m_Share.groups() == 1 || m_Share.isNear(Each.first);
       }));
 }
 
+bool PeerLink::isStoreHeard() const {
+  return m_Reported.m_IsStoreConnected ||
+         std::any_of(m_Reports.begin(), m_Reports.end(), [](const auto &Each) {
+           return Each.second.m_IsStoreConnected;
+         });
+}
+
 bool PeerLink::isSettled() const {
   core::TimePoint Now = core::steadyNow();
   return Now - m_StartedAt > FindTime;
@@ -193,6 +199,11 @@
   return routing::quotaShare(View);
 }
 
+std::size_t PeerLink::sharers() const {
+  std::size_t Seen = 1 + m_Reports.size() + m_Missing.all().size();
+  return isSettled() ? Seen : std::max(Seen, m_RecordedSize);
+}
+
 bool PeerLink::mustRecordSize() const {
   if (!isSettled() || m_RecordedSize == m_Fleet.size())
     return false;
@@ -241,7 +252,7 @@
   std::set<config::Endpoint> To = nearPeers();
   To.merge(someFarPeers((m_Fleet.size() + FarTurns - 1) / FarTurns));
   To.insert(m_Hinted.begin(), m_Hinted.end());
-  for (const auto &[Address, Since] : m_Missing)
+  for (const auto &[Address, Since] : m_Missing.all())
     To.insert(Address);
   sendReport(To, true);
 }
@@ -256,9 +267,8 @@
     Silent.push_back(Gone);
   for (const peer::KnownPeer &Gone : Silent)
     noteSilent(Gone, Now);
-  for (auto Each = m_Missing.begin(); Each != m_Missing.end();)
-    Each = Now - Each->second > MissingTime ? m_Missing.erase(Each)
-                                            : std::next(Each);
+  if (isStoreHeard())
+    m_Missing.forgetOld(Now);
   m_IsChanged = m_IsChanged || !Silent.empty();
 }
 
@@ -268,7 +278,7 @@
     return;
   bool HasStopped = Report->second.m_IsStopping;
   if (!HasStopped)
-    m_Missing.emplace(Gone.m_Home.m_Peer, Now);
+    m_Missing.lost(Gone.m_Home.m_Peer, Now);
   core::LogLine("peer-lost", core::LogLevel::Warning)
       .add("peer", Report->second.m_Name)
       .add("address", Gone.m_Home.m_Peer.toString())
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -9,6 +9,7 @@
 
 #include "LibCore/TimerService.h"
 #include "LibGateway/GatewaySettings.h"
+#include "LibGateway/MissingPeers.h"
 #include "LibGateway/StoreFetcher.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
@@ -64,6 +65,9 @@
   /// Whether it is this instance's to write the size anew.
   bool mustRecordSize() const;
   std::size_t fleetSize() const { return m_Fleet.size(); }
+  /// Instances that may be at work, this one included: those heard from and
+  /// those missing, or the recorded size while this one still finds others.
+  std::size_t sharers() const;
   bool isNear(core::IncarnationId Peer) const;
 
 private:
@@ -78,6 +82,8 @@
   std::set<config::Endpoint> someFarPeers(std::size_t Most);
   void recut();
   bool isSettled() const;
+  /// Whether this instance or one that it hears follows the store.
+  bool isStoreHeard() const;
   /// Peers that follow the store and come before this instance in that duty.
   std::size_t followersBefore() const;
   void tellChange();
@@ -99,8 +105,7 @@
   StoreFetcher m_Fetcher;
   std::map<core::IncarnationId, peer::LoadReport> m_Reports;
   std::set<config::Endpoint> m_Hinted; ///< Perhaps peers; not heard from yet.
-  /// Silent peers that did not say that they stop, and since when.
-  std::map<config::Endpoint, core::TimePoint> m_Missing;
+  MissingPeers m_Missing;
   routing::FleetShare m_Share;
   std::set<config::Endpoint> m_Fleet; ///< That m_Share was cut from.
   std::size_t m_NextFar = 0;
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/RetryBudget.h"
 
+#include <cassert>
+
 namespace yardrill::routing {
 
 static void dropBefore(std::deque<core::TimePoint> &Times,
@@ -18,10 +20,11 @@
   m_Requests.push_back(Now);
 }
 
-bool RetryBudget::tryTake(core::TimePoint Now) {
+bool RetryBudget::tryTake(core::TimePoint Now, std::size_t Instances) {
+  assert(Instances > 0);
   forgetOld(Now);
   double Allowed = m_Limits.m_Ratio * static_cast<double>(m_Requests.size()) +
-                   m_Limits.m_Allowance;
+                   m_Limits.m_Allowance / static_cast<double>(Instances);
   if (static_cast<double>(m_Retries.size()) + 1 > Allowed)
     return false;
   m_Retries.push_back(Now);
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -4,6 +4,7 @@
 
 #include "LibCore/Time.h"
 
+#include <cstddef>
 #include <deque>
 
 namespace yardrill::routing {
@@ -11,7 +12,8 @@
 struct RetryLimits {
   double m_Ratio = 0;        ///< Retries for each request of the window.
   core::Duration m_Window{}; ///< Sliding.
-  double m_Allowance = 0;    ///< Retries beyond the ratio, a window.
+  /// Retries beyond the ratio, a window; all instances together.
+  double m_Allowance = 0;
 };
 
 /// Keeps one instance's retries for one pool below a share of its own
@@ -22,8 +24,12 @@
   explicit RetryBudget(const RetryLimits &Limits) : m_Limits(Limits) {}
 
   void noteRequest(core::TimePoint Now);
+  /// What was counted so far stays counted.
+  void setLimits(const RetryLimits &Limits) { m_Limits = Limits; }
+  /// \param Instances that may be spending the allowance, this one included;
+  /// not 0.
   /// \returns true and counts the retry, if one more is within the budget.
-  bool tryTake(core::TimePoint Now);
+  bool tryTake(core::TimePoint Now, std::size_t Instances);
 
 private:
   void forgetOld(core::TimePoint Now);
--- a/Tests/LibRouting/BudgetTest.cpp
+++ b/Tests/LibRouting/BudgetTest.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST_SUITE(BudgetTest);
   CPPUNIT_TEST(testRetriesStayBelowTheRatioInEveryWindow);
   CPPUNIT_TEST(testAllowanceWithoutRequests);
+  CPPUNIT_TEST(testAllowanceIsSharedByAllInstances);
+  CPPUNIT_TEST(testNewLimitsForgetNothing);
   CPPUNIT_TEST(testQuotaBoundsEveryWindow);
   CPPUNIT_TEST(testManyRefusedAreToldToComeLater);
   CPPUNIT_TEST(testRestartedInstancesStartWithLittle);
@@ -42,7 +44,7 @@
       // Requests come only in every other five seconds.
       if (I / 500 % 2 == 0)
         Budget.noteRequest(m_Now);
-      if (Budget.tryTake(m_Now))
+      if (Budget.tryTake(m_Now, 1))
         Taken.push_back(m_Now);
     }
     CPPUNIT_ASSERT(!Taken.empty());
@@ -59,10 +61,25 @@
   void testAllowanceWithoutRequests() {
     RetryBudget Budget({0.2, seconds(10), 3});
     for (int I = 0; I < 3; ++I)
-      CPPUNIT_ASSERT(Budget.tryTake(m_Now));
-    CPPUNIT_ASSERT(!Budget.tryTake(m_Now));
+      CPPUNIT_ASSERT(Budget.tryTake(m_Now, 1));
+    CPPUNIT_ASSERT(!Budget.tryTake(m_Now, 1));
     m_Now += seconds(11);
-    CPPUNIT_ASSERT(Budget.tryTake(m_Now));
+    CPPUNIT_ASSERT(Budget.tryTake(m_Now, 1));
+  }
+
+  void testAllowanceIsSharedByAllInstances() {
+    // The others are found only after the first retry.
+    RetryBudget Budget({0.2, seconds(10), 6});
+    CPPUNIT_ASSERT(Budget.tryTake(m_Now, 1));
+    CPPUNIT_ASSERT(Budget.tryTake(m_Now, 3));
+    CPPUNIT_ASSERT(!Budget.tryTake(m_Now, 3));
+  }
+
+  void testNewLimitsForgetNothing() {
+    RetryBudget Budget({0.2, seconds(10), 2});
+    CPPUNIT_ASSERT(Budget.tryTake(m_Now, 1));
+    Budget.setLimits({0.2, seconds(10), 1});
+    CPPUNIT_ASSERT(!Budget.tryTake(m_Now, 1));
   }
 
   void testQuotaBoundsEveryWindow() {
