Tests: A randomized soak of the real programs, first version

Gateways and the store's stand-in as processes; targets, callers, proxies and the ledger of promises in the soak's own. The peers' key can be set in the settings, since each gateway of the soak reaches the store under another address.

--- /dev/null
+++ b/Tests/Soak/Callers.h
@@ -0,0 +1,67 @@
+//===-- Callers.h - Callers, the balancer and probes of a soak ------------===//
+#ifndef YARDRILL_TESTS_SOAK_CALLERS_H
+#define YARDRILL_TESTS_SOAK_CALLERS_H
+
+#include "Deployment.h"
+#include "Ledger.h"
+
+#include "LibHTTP/ClientConnection.h"
+
+#include <random>
+
+namespace yardrill::soak {
+
+/// Sends requests through the gateways until it is told to stop, and compares
+/// every answer with what the target must have said.
+class Callers {
+public:
+  Callers(boost::asio::io_context &Context, Ledger &Book, Deployment &Under,
+          std::mt19937_64 &Random);
+
+  /// Starts \p Count callers, one prober and one balancer for each gateway.
+  void start(std::size_t Count);
+  /// Each ends after what it is doing now.
+  void stop() { m_IsStopped = true; }
+  bool isIdle() const { return m_Busy == 0; }
+
+private:
+  using ConnectionHandle = std::unique_ptr<http::ClientConnection>;
+
+  template <class Body> void spawn(Body What);
+  void call(boost::asio::yield_context Yield);
+  /// Requests over one connection, until it ends.
+  void useConnection(std::size_t Gateway, boost::asio::yield_context Yield);
+  void probe(std::size_t Gateway, boost::asio::yield_context Yield);
+  /// Takes a gateway out after two misses, as the platform's balancer does.
+  void balance(std::size_t Gateway, boost::asio::yield_context Yield);
+  std::size_t chooseGateway();
+
+  Attempt makeAttempt(std::size_t Gateway, RequestKind Kind, bool IsLimited);
+  /// Sends and compares. \returns the status, or nothing without a whole
+  /// answer; then the connection is of no more use.
+  std::optional<unsigned> exchange(http::ClientConnection &Connection,
+                                   const Attempt &What, const std::string &Path,
+                                   boost::asio::yield_context Yield);
+  std::string readBody(http::ClientConnection &Connection, const Attempt &What,
+                       bool IsStream, boost::asio::yield_context Yield);
+  void judgeProbe(std::size_t Gateway, std::size_t Life,
+                  const AcceptedVersion &Asked, TimePoint SentAt,
+                  unsigned Status);
+  void wait(std::chrono::milliseconds Time, boost::asio::yield_context Yield);
+  std::uint64_t draw(std::uint64_t Below) { return m_Random() % Below; }
+
+  boost::asio::io_context &m_Context;
+  Ledger &m_Book;
+  Deployment &m_Under;
+  std::mt19937_64 &m_Random;
+  std::vector<int> m_Misses; ///< Of readiness, in a row; by gateway.
+  /// Newest version seen in force, by gateway and life.
+  std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> m_Seen;
+  std::uint64_t m_NextId = 1;
+  std::size_t m_Busy = 0;
+  bool m_IsStopped = false;
+};
+
+} // namespace yardrill::soak
+
+#endif
--- /dev/null
+++ b/Tests/Soak/Deployment.cpp
@@ -0,0 +1,295 @@
+#include "Deployment.h"
+
+#include "LibCore/Error.h"
+#include "LibHTTP/ClientConnection.h"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace yardrill::soak {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+static constexpr std::uint16_t CallerPort = 8221;
+static constexpr std::uint16_t ReadinessPort = 8224;
+static constexpr std::uint16_t ControlPort = 8229;
+static constexpr std::uint16_t PeerPort = 7600;
+static constexpr std::chrono::seconds StopGrace{8};
+static constexpr std::chrono::milliseconds RestartDelay{300};
+/// A leaving target serves on for so long after the store has taken its word.
+static constexpr std::chrono::milliseconds LeavingTime{2600};
+static constexpr std::chrono::milliseconds AfterLeaving{600};
+static constexpr std::chrono::seconds OperatorTimeout{20};
+
+/// Each soak has a block of loopback addresses of its own, so that several can
+/// run at once.
+static std::string loopbackAddress(std::size_t Index) {
+  auto Process = static_cast<unsigned>(getpid());
+  std::ostringstream Out;
+  Out << "127." << 1 + Process / 256 % 254 << "." << Process % 256 << "."
+      << 10 + Index;
+  return Out.str();
+}
+
+Deployment::Deployment(asio::io_context &Context, Ledger &Book,
+                       const DeploymentShape &Shape, std::mt19937_64 &Random)
+    : m_Context(Context), m_Book(Book), m_Shape(Shape),
+      m_StorePort(tests::freePort()),
+      m_Store({Shape.m_StandIn, "platform",
+               "--port=" + std::to_string(m_StorePort)},
+              Shape.m_Folder + "/store.log"),
+      m_Gateways(Shape.m_Gateways) {
+  for (std::size_t I = 0; I < m_Gateways.size(); ++I) {
+    m_Gateways[I].m_Address = loopbackAddress(I);
+    m_Gateways[I].m_StoreProxy = std::make_unique<LoopbackProxy>(
+        Context, tests::freePort(), m_StorePort);
+  }
+  for (const char *Pool : {"app", "engine"})
+    for (std::size_t I = 0; I < Shape.m_TargetsOfPool; ++I)
+      m_Targets.push_back(std::make_unique<SoakTarget>(Context, Book, Random,
+                                                       nextTargetName(), Pool));
+}
+
+Deployment::~Deployment() = default;
+
+std::string Deployment::nextTargetName() {
+  return "i-" + std::to_string(m_NextTarget++);
+}
+
+static asio::ip::tcp::endpoint toTcp(const std::string &Address,
+                                     std::uint16_t Port) {
+  return {asio::ip::make_address(Address), Port};
+}
+
+asio::ip::tcp::endpoint Deployment::callerAddress(std::size_t Gateway) const {
+  return toTcp(m_Gateways[Gateway].m_Address, CallerPort);
+}
+
+asio::ip::tcp::endpoint
+Deployment::readinessAddress(std::size_t Gateway) const {
+  return toTcp(m_Gateways[Gateway].m_Address, ReadinessPort);
+}
+
+void Deployment::wait(std::chrono::milliseconds Time,
+                      asio::yield_context Yield) {
+  asio::steady_timer Timer(m_Context, Time);
+  boost::system::error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
+//===----------------------------------------------------------------------===//
+// Processes
+//===----------------------------------------------------------------------===//
+
+void Deployment::writeSettings(std::size_t Index, bool IsFirstStart) const {
+  const Gateway &Which = m_Gateways[Index];
+  const std::string &Ip = Which.m_Address;
+  auto At = [&Ip](std::uint16_t Port) {
+    return "\"" + Ip + ":" + std::to_string(Port) + "\"\n";
+  };
+  std::ofstream Out(m_Shape.m_Folder + "/gateway-" + std::to_string(Index) +
+                    ".toml");
+  Out << "nodeName = \"gateway-" << Index << "\"\nip = \"" << Ip
+      << "\"\nzone = \"hall\"\nportRange = [" << PeerPort << ", "
+      << PeerPort + 15 << "]\nseeds = [\"" << m_Gateways[0].m_Address << ":"
+      << ControlPort << "\"]\nbootstrap = " << (IsFirstStart ? "true" : "false")
+      << "\npeerKey = \"soak " << getpid()
+      << "\"\n[listen]\nfrontend = " << At(CallerPort)
+      << "readiness = " << At(ReadinessPort) << "control = " << At(ControlPort)
+      << "[limits]\nmaxFds = 4100\n[bounds]\ngraceS = "
+      << std::chrono::seconds(StopGrace).count()
+      << "\nretryRatio = " << bounds::RetryRatio
+      << "\nretryWindowS = " << bounds::RetryWindow.count()
+      << "\nretrySlack = " << bounds::RetrySlack
+      << "\n[platform]\naddress = \"127.0.0.1:" << Which.m_StoreProxy->port()
+      << "\"\nreadsPerS = 2000\n";
+}
+
+void Deployment::startGateway(std::size_t Index, bool IsFirstStart) {
+  writeSettings(Index, IsFirstStart);
+  Gateway &Which = m_Gateways[Index];
+  std::string Stem = m_Shape.m_Folder + "/gateway-" + std::to_string(Index);
+  Which.m_Process = tests::Process(
+      {m_Shape.m_Program, "gateway", "--config=" + Stem + ".toml"},
+      Stem + ".log");
+  Which.m_IsEndExpected = false;
+  Which.m_StoppingSince = TimePoint();
+}
+
+void Deployment::start(asio::yield_context Yield) {
+  for (bool IsUp = false; !IsUp; wait(std::chrono::milliseconds(20), Yield)) {
+    try {
+      controlStore({}, Yield);
+      IsUp = true;
+    } catch (const core::Error &) {
+      // The store's process is still starting.
+    }
+  }
+  publish(Yield);
+  for (const auto &Each : m_Targets)
+    put(Each->key(), Each->announcement(), Yield);
+  for (std::size_t I = 0; I < m_Gateways.size(); ++I)
+    startGateway(I, true);
+}
+
+void Deployment::killGateway(std::size_t Index) {
+  Gateway &Which = m_Gateways[Index];
+  if (!Which.m_Process.isRunning())
+    return;
+  Which.m_IsEndExpected = true;
+  // Before the signal: what callers see of it is excused.
+  m_Book.processTrouble(Index, true);
+  Which.m_Process.kill();
+  noteEnd(Index, -SIGKILL);
+  m_Book.processTrouble(Index, false);
+}
+
+void Deployment::stopGateway(std::size_t Index) {
+  Gateway &Which = m_Gateways[Index];
+  if (!Which.m_Process.isRunning() || Which.m_StoppingSince != TimePoint())
+    return;
+  Which.m_StoppingSince = Clock::now();
+  Which.m_IsEndExpected = true;
+  m_Book.setStopping(Index, true);
+  Which.m_Process.signal(SIGTERM);
+}
+
+void Deployment::signalGateway(std::size_t Index, int Signal) {
+  m_Gateways[Index].m_Process.signal(Signal);
+}
+
+void Deployment::noteEnd(std::size_t Index, int ExitCode) {
+  Gateway &Which = m_Gateways[Index];
+  if (!Which.m_IsEndExpected)
+    m_Book.broken("exit", "gateway " + std::to_string(Index) + " ended with " +
+                              std::to_string(ExitCode));
+  m_Book.setStopping(Index, false);
+  m_Book.processTrouble(Index, true);
+  Which.m_StartsAt = Clock::now() + RestartDelay;
+}
+
+void Deployment::supervise() {
+  for (std::size_t I = 0; I < m_Gateways.size(); ++I) {
+    Gateway &Which = m_Gateways[I];
+    if (!Which.m_Process.isRunning()) {
+      if (Which.m_StartsAt > Clock::now())
+        continue;
+      ++Which.m_Lives;
+      startGateway(I, false);
+      m_Book.processTrouble(I, false);
+      continue;
+    }
+    if (auto Code = Which.m_Process.poll())
+      noteEnd(I, *Code);
+    else if (Which.m_StoppingSince != TimePoint() &&
+             Clock::now() > Which.m_StoppingSince + StopGrace)
+      killGateway(I);
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// The store and the operator
+//===----------------------------------------------------------------------===//
+
+void Deployment::freezeStore(bool IsFrozen) {
+  m_Store.signal(IsFrozen ? SIGSTOP : SIGCONT);
+}
+
+void Deployment::controlStore(const json::object &Settings,
+                              asio::yield_context Yield) {
+  http::RequestMessage Request;
+  Request.m_Method = "POST";
+  Request.m_Target = "/control";
+  Request.m_Headers.set("Host", "store");
+  Request.m_Body = json::serialize(Settings);
+  auto Connection = http::ClientConnection::connect(
+      m_Context, toTcp("127.0.0.1", static_cast<std::uint16_t>(m_StorePort)),
+      OperatorTimeout, Yield);
+  Connection->sendRequest(Request, OperatorTimeout, Yield);
+  Connection->readWhole(OperatorTimeout, std::size_t(64) << 20, Yield);
+}
+
+void Deployment::put(const std::string &Key, const std::string &Value,
+                     asio::yield_context Yield) {
+  controlStore({{"put", json::object{{"key", Key}, {"value", Value}}}}, Yield);
+}
+
+void Deployment::remove(const std::string &Key, asio::yield_context Yield) {
+  controlStore({{"put", json::object{{"key", Key}}}}, Yield);
+}
+
+static json::object route(const std::string &Prefix, const char *Kind,
+                          const char *Pool, bool IsResumable = false) {
+  return {{"name", Prefix},       {"host", "h"},
+          {"pathPrefix", Prefix}, {"routeKind", Kind},
+          {"timeoutMs", 2000},    {"sloMs", 300},
+          {"service", Pool},      {"maxAttempts", 2},
+          {"gapAimMs", 200},      {"resumable", IsResumable}};
+}
+
+void Deployment::publish(asio::yield_context Yield) {
+  std::uint64_t Number = m_NextVersion++;
+  json::array Routes{
+      route("/once/", "non_idempotent", "app"),
+      route("/again/", "idempotent", "app"),
+      route("/stream/", "streaming", "engine"),
+      route("/resume/", "streaming", "engine", true),
+      // Only this version has it.
+      route("/probe-" + std::to_string(Number) + "/", "idempotent", "app")};
+  json::object Text{
+      {"version", Number},
+      {"routes", Routes},
+      {"services",
+       json::array{json::object{{"name", "app"}},
+                   json::object{{"name", "engine"},
+                                {"engine", json::object{{"stride", 1}}}}}},
+      {"tenants",
+       json::array{json::object{{"name", "open"},
+                                {"apiKeys", json::array{"open-key"}},
+                                {"plainTokens", 100}},
+                   json::object{{"name", "limited"},
+                                {"apiKeys", json::array{"limited-key"}},
+                                {"plainTokens", 100},
+                                {"ratePerS", 2000},
+                                {"burst", 2000}}}}};
+  put("op/config", json::serialize(Text), Yield);
+  m_Versions.push_back({Number, Clock::now()});
+}
+
+//===----------------------------------------------------------------------===//
+// Targets
+//===----------------------------------------------------------------------===//
+
+void Deployment::replaceTarget(std::size_t Index, asio::yield_context Yield) {
+  SoakTarget &Which = *m_Targets[Index];
+  std::string Key = Which.key();
+  Which.setLeaving();
+  // Counted from the store's answer.
+  put(Key, Which.announcement(), Yield);
+  Which.setLeaving();
+  wait(LeavingTime, Yield);
+  remove(Key, Yield);
+  wait(AfterLeaving, Yield);
+  crashTarget(Index, RestartDelay, Yield);
+}
+
+void Deployment::crashTarget(std::size_t Index,
+                             std::chrono::milliseconds DownFor,
+                             asio::yield_context Yield) {
+  SoakTarget &Which = *m_Targets[Index];
+  std::string Old = Which.key();
+  Which.setDisturbed(true);
+  Which.proxy().setPassage(Passage::Down);
+  Which.proxy().resetAll();
+  wait(DownFor, Yield);
+  Which.restart(nextTargetName());
+  Which.proxy().setPassage(Passage::Whole);
+  Which.setDisturbed(false);
+  put(Which.key(), Which.announcement(), Yield);
+  remove(Old, Yield);
+}
+
+} // namespace yardrill::soak
--- /dev/null
+++ b/Tests/Soak/Ledger.cpp
@@ -0,0 +1,219 @@
+#include "Ledger.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace yardrill::soak {
+
+/// These statuses promise that the request has not run and never will.
+static bool isRefusal(unsigned Status) {
+  return Status == 429 || Status == 503 || Status == 408 || Status == 421;
+}
+
+static bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
+
+//===----------------------------------------------------------------------===//
+// Trouble
+//===----------------------------------------------------------------------===//
+
+void Ledger::Trouble::change(bool Begins) {
+  m_Open += Begins ? 1 : -1;
+  m_EndedAt = Clock::now();
+}
+
+void Ledger::processTrouble(std::size_t Gateway, bool Begins) {
+  m_Gateways[Gateway].m_Process.change(Begins);
+}
+
+void Ledger::pathTrouble(std::size_t Gateway, bool Begins) {
+  m_Gateways[Gateway].m_Path.change(Begins);
+}
+
+void Ledger::storeTrouble(bool Begins) { m_Store.change(Begins); }
+
+void Ledger::setStopping(std::size_t Gateway, bool IsStopping) {
+  m_Gateways[Gateway].m_IsStopping = IsStopping;
+}
+
+bool Ledger::isInTouchSince(std::size_t Which, TimePoint Since) const {
+  const Gateway &At = m_Gateways[Which];
+  return !At.m_IsStopping && At.m_Process.isOverSince(Since) &&
+         At.m_Path.isOverSince(Since) && m_Store.isOverSince(Since);
+}
+
+//===----------------------------------------------------------------------===//
+// Observations
+//===----------------------------------------------------------------------===//
+
+Attempt *Ledger::find(const std::string &Id) {
+  auto Found = m_Attempts.find(Id);
+  return Found == m_Attempts.end() ? nullptr : &Found->second;
+}
+
+void Ledger::broken(const std::string &Rule, const std::string &What) {
+  m_Violations.push_back(Rule + ": " + What);
+}
+
+void Ledger::sent(Attempt What) {
+  m_Requests.push_back({What.m_SentAt});
+  std::string Id = What.m_Id;
+  m_Attempts.emplace(std::move(Id), std::move(What));
+}
+
+void Ledger::arrived(const std::string &Id, const std::string &Target,
+                     std::optional<TimePoint> LeavingSince) {
+  Attempt *What = find(Id);
+  if (!What)
+    return broken("unasked", "nobody sent " + Id);
+  if (++What->m_Arrivals > 1)
+    m_Repeats.push_back({Clock::now()});
+  if (!LeavingSince || Clock::now() <= *LeavingSince + bounds::NoNewWork)
+    return;
+  if (isInTouchSince(What->m_Gateway, *LeavingSince))
+    broken("leaving", Id + " came to " + Target + " after it left");
+}
+
+void Ledger::ran(const std::string &Id) {
+  Attempt *What = find(Id);
+  if (!What)
+    return;
+  m_TokensRun[What->m_Account].push_back({Clock::now(), What->m_Tokens});
+  if (++What->m_Runs > 1 && !What->mayRunAgain())
+    broken("once", Id + " ran again");
+  if (What->m_Status && isRefusal(*What->m_Status) && !What->mayRunAgain())
+    broken("refusal", Id + " ran after it was refused");
+}
+
+void Ledger::targetTrouble(const std::string &Id) {
+  if (Attempt *What = find(Id))
+    What->m_HasTargetTrouble = true;
+}
+
+void Ledger::answered(const std::string &Id, unsigned Status) {
+  Attempt &What = m_Attempts.at(Id);
+  What.m_Status = Status;
+  if (isRefusal(Status) && What.m_Runs > 0 && !What.mayRunAgain())
+    broken("refusal", Id + " was refused after it ran");
+  if (!What.m_IsProbe && (Status == 401 || Status == 404))
+    broken("denied", Id + " got " + std::to_string(Status));
+}
+
+void Ledger::unanswered(const std::string &Id, const std::string &How) {
+  ++m_Unanswered;
+  Attempt &What = m_Attempts.at(Id);
+  const Gateway &At = m_Gateways[What.m_Gateway];
+  auto Passed = Clock::now() - What.m_SentAt;
+  if (!At.m_Process.isOverSince(What.m_SentAt))
+    return;
+  if (Passed > What.m_TimeLimit + bounds::AnswerSlack)
+    return broken("held", Id + " had no answer at its time limit: " + How);
+  bool IsOurs = What.m_Runs > 0 || Passed > bounds::LossSlack;
+  if (IsOurs && !What.m_HasTargetTrouble)
+    broken(At.m_IsStopping ? "stop" : "lost", Id + " ended: " + How);
+}
+
+void Ledger::wrongAnswer(const std::string &Id, const std::string &How) {
+  broken("answer", Id + ": " + How);
+}
+
+//===----------------------------------------------------------------------===//
+// Windows
+//===----------------------------------------------------------------------===//
+
+/// Sum of the marks in [From, From + Length).
+static double sumFrom(const std::vector<std::pair<TimePoint, double>> &Marks,
+                      std::size_t First, Clock::duration Length) {
+  double Sum = 0;
+  TimePoint End = Marks[First].first + Length;
+  for (std::size_t I = First; I < Marks.size() && Marks[I].first < End; ++I)
+    Sum += Marks[I].second;
+  return Sum;
+}
+
+template <class Marks> static auto toPairs(const Marks &From) {
+  std::vector<std::pair<TimePoint, double>> Out;
+  for (const auto &Each : From)
+    Out.emplace_back(Each.m_At, Each.m_Amount);
+  return Out;
+}
+
+void Ledger::checkQuotas() {
+  auto Window = std::chrono::duration<double>(bounds::QuotaWindow).count();
+  for (const auto &[Account, Terms] : m_Quotas) {
+    double Most = (Terms.m_TokensPerSecond * Window + Terms.m_Burst) *
+                      (1 + bounds::QuotaOvershoot) +
+                  bounds::QuotaSlack;
+    auto Marks = toPairs(m_TokensRun[Account]);
+    for (std::size_t I = 0; I < Marks.size(); ++I) {
+      double Sum = sumFrom(Marks, I, bounds::QuotaWindow);
+      if (Sum <= Most)
+        continue;
+      std::ostringstream Text;
+      Text << Account << " ran " << Sum << " tokens in a window of " << Most;
+      return broken("quota", Text.str());
+    }
+  }
+}
+
+void Ledger::checkRetries() {
+  auto Requests = toPairs(m_Requests);
+  auto Repeats = toPairs(m_Repeats);
+  for (std::size_t I = 0; I < Repeats.size(); ++I) {
+    double Again = sumFrom(Repeats, I, bounds::RetryWindow);
+    TimePoint From = Repeats[I].first;
+    auto First = std::lower_bound(Requests.begin(), Requests.end(),
+                                  std::make_pair(From, 0.0));
+    double Asked =
+        First == Requests.end()
+            ? 0
+            : sumFrom(Requests,
+                      static_cast<std::size_t>(First - Requests.begin()),
+                      bounds::RetryWindow);
+    if (Again <= bounds::RetryRatio * Asked + bounds::RetrySlack)
+      continue;
+    std::ostringstream Text;
+    Text << Again << " repeats of " << Asked << " requests in a window";
+    return broken("retries", Text.str());
+  }
+}
+
+void Ledger::checkRecovery(TimePoint CalmSince) {
+  std::size_t Asked = 0;
+  std::size_t Served = 0;
+  for (const auto &[Id, What] : m_Attempts) {
+    bool IsLimited = m_Quotas.count(What.m_Account) != 0;
+    if (What.m_SentAt < CalmSince + bounds::Contact || IsLimited)
+      continue;
+    ++Asked;
+    Served += What.m_Status && isSuccess(*What.m_Status) ? 1 : 0;
+  }
+  if (static_cast<double>(Served) >=
+      bounds::ServedAfterRecovery * static_cast<double>(Asked))
+    return;
+  std::ostringstream Text;
+  Text << Served << " of " << Asked << " served once all trouble was over";
+  broken("recovery", Text.str());
+}
+
+void Ledger::finish(TimePoint CalmSince) {
+  checkQuotas();
+  checkRetries();
+  checkRecovery(CalmSince);
+}
+
+std::string Ledger::summary() const {
+  std::size_t Served = 0;
+  std::size_t Refused = 0;
+  for (const auto &[Id, What] : m_Attempts) {
+    Served += What.m_Status && isSuccess(*What.m_Status) ? 1 : 0;
+    Refused += What.m_Status && isRefusal(*What.m_Status) ? 1 : 0;
+  }
+  std::ostringstream Out;
+  Out << "requests=" << m_Attempts.size() << " served=" << Served
+      << " refused=" << Refused << " unanswered=" << m_Unanswered
+      << " repeats=" << m_Repeats.size()
+      << " violations=" << m_Violations.size();
+  return Out.str();
+}
+
+} // namespace yardrill::soak
--- /dev/null
+++ b/Tests/Soak/Ledger.h
@@ -0,0 +1,155 @@
+//===-- Ledger.h - What callers, targets and operators saw ----------------===//
+//
+// Every observation of a soak comes here, and every promise is checked here:
+// at once where one observation shows that it is broken, at the end where it
+// takes a whole window.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_TESTS_SOAK_LEDGER_H
+#define YARDRILL_TESTS_SOAK_LEDGER_H
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace yardrill::soak {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+
+/// The bounds that the promises are held to; as the platform states them.
+namespace bounds {
+/// Without trouble for so long, an instance is bound by rules with a time.
+inline constexpr std::chrono::milliseconds Contact{3000};
+inline constexpr std::chrono::milliseconds ConfigurationInForce{2000};
+inline constexpr std::chrono::milliseconds NoNewWork{2000};
+inline constexpr std::chrono::milliseconds LossSlack{200};
+/// Beyond the route's time limit.
+inline constexpr std::chrono::milliseconds AnswerSlack{500};
+inline constexpr std::chrono::milliseconds RollbackSlack{250};
+inline constexpr std::chrono::seconds QuotaWindow{8};
+inline constexpr double QuotaOvershoot = 0.1;
+inline constexpr double QuotaSlack = 2800;
+inline constexpr std::chrono::seconds RetryWindow{10};
+inline constexpr double RetryRatio = 0.2;
+inline constexpr double RetrySlack = 52;
+/// Part of the requests that must be served once all trouble is over.
+inline constexpr double ServedAfterRecovery = 0.9;
+} // namespace bounds
+
+enum class RequestKind { RunOnce, Repeatable, Stream, ResumableStream };
+
+struct QuotaTerms {
+  double m_TokensPerSecond = 0;
+  double m_Burst = 0;
+};
+
+/// One request of a caller.
+struct Attempt {
+  std::string m_Id;
+  RequestKind m_Kind = RequestKind::RunOnce;
+  std::size_t m_Gateway = 0;
+  std::string m_Account;
+  double m_Tokens = 0;
+  TimePoint m_SentAt;
+  std::chrono::milliseconds m_TimeLimit{};
+  std::size_t m_Arrivals = 0;
+  std::size_t m_Runs = 0;
+  bool m_IsProbe = false; ///< Of the configuration: 404 may be right.
+  /// A target it came to broke off, failed or was disturbed.
+  bool m_HasTargetTrouble = false;
+  std::optional<unsigned> m_Status; ///< Of a refusal or a whole answer.
+
+  bool mayRunAgain() const {
+    return m_Kind == RequestKind::Repeatable ||
+           m_Kind == RequestKind::ResumableStream;
+  }
+};
+
+class Ledger {
+public:
+  explicit Ledger(std::size_t Gateways) : m_Gateways(Gateways) {}
+
+  // Trouble, which may overlap: of a gateway's process, of its way to the
+  // store, and of the store itself.
+  void processTrouble(std::size_t Gateway, bool Begins);
+  void pathTrouble(std::size_t Gateway, bool Begins);
+  void storeTrouble(bool Begins);
+  /// A planned stop has begun (or its process is gone, with false).
+  void setStopping(std::size_t Gateway, bool IsStopping);
+  /// Whether no trouble touched the gateway since \p Since, nor for the contact
+  /// time before.
+  bool isInTouchSince(std::size_t Gateway, TimePoint Since) const;
+
+  // What callers see.
+  void sent(Attempt What);
+  void answered(const std::string &Id, unsigned Status);
+  /// The connection ended, or the time was over, without a whole answer.
+  void unanswered(const std::string &Id, const std::string &How);
+  /// An answer that is not the request's own, or not whole, but looks so.
+  void wrongAnswer(const std::string &Id, const std::string &How);
+
+  // What targets see.
+  void arrived(const std::string &Id, const std::string &Target,
+               std::optional<TimePoint> LeavingSince);
+  void ran(const std::string &Id);
+  void targetTrouble(const std::string &Id);
+
+  void broken(const std::string &Rule, const std::string &What);
+  void setQuota(const std::string &Account, const QuotaTerms &Terms) {
+    m_Quotas[Account] = Terms;
+  }
+  /// Checks what takes whole windows. \param CalmSince when all trouble ended.
+  void finish(TimePoint CalmSince);
+
+  const std::vector<std::string> &violations() const { return m_Violations; }
+  std::string summary() const;
+
+private:
+  struct Trouble {
+    int m_Open = 0;
+    TimePoint m_EndedAt;
+
+    void change(bool Begins);
+    bool isOverSince(TimePoint Since) const {
+      return m_Open == 0 && m_EndedAt + bounds::Contact <= Since;
+    }
+  };
+  /// Something counted at a moment.
+  struct Mark {
+    TimePoint m_At;
+    double m_Amount = 1;
+  };
+  using Marks = std::vector<Mark>;
+
+  void checkQuotas();
+  void checkRetries();
+  void checkRecovery(TimePoint CalmSince);
+  Attempt *find(const std::string &Id);
+
+  struct Gateway {
+    Trouble m_Process;
+    Trouble m_Path;
+    bool m_IsStopping = false;
+  };
+
+  std::vector<Gateway> m_Gateways;
+  Trouble m_Store;
+  std::map<std::string, Attempt> m_Attempts;
+  std::map<std::string, QuotaTerms> m_Quotas;
+  std::map<std::string, Marks> m_TokensRun; ///< By account.
+  Marks m_Requests;
+  Marks m_Repeats;
+  std::vector<std::string> m_Violations;
+  std::size_t m_Unanswered = 0;
+};
+
+} // namespace yardrill::soak
+
+#endif
--- /dev/null
+++ b/Tests/Soak/LoopbackProxy.cpp
@@ -0,0 +1,128 @@
+#include "LoopbackProxy.h"
+
+#include <array>
+#include <boost/asio/spawn.hpp>
+
+namespace yardrill::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+static constexpr std::size_t BufferBytes = 16384;
+/// Added to each piece while the proxy delays.
+static constexpr std::chrono::milliseconds AddedDelay{120};
+/// How often a cut is looked at.
+static constexpr std::chrono::milliseconds HoldStep{10};
+
+static tcp::endpoint loopback(int Port) {
+  return {asio::ip::make_address("127.0.0.1"),
+          static_cast<std::uint16_t>(Port)};
+}
+
+static void sleepFor(asio::io_context &Context, std::chrono::milliseconds Time,
+                     asio::yield_context Yield) {
+  asio::steady_timer Timer(Context, Time);
+  error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
+LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, int ToPort)
+    : m_Context(Context), m_Port(Port), m_ToPort(ToPort),
+      m_Acceptor(Context, loopback(Port)) {
+  asio::spawn(
+      Context, [this](asio::yield_context Yield) { accept(Yield); },
+      asio::detached);
+}
+
+void LoopbackProxy::Link::reset() {
+  for (tcp::socket *Each : {&m_Near, &m_Far}) {
+    error_code Ignored;
+    Each->set_option(asio::socket_base::linger(true, 0), Ignored);
+    Each->close(Ignored);
+  }
+}
+
+void LoopbackProxy::resetAll() { resetIdle(std::chrono::milliseconds(0)); }
+
+void LoopbackProxy::resetIdle(std::chrono::milliseconds Idle) {
+  for (const auto &Weak : m_Links) {
+    LinkHandle Which = Weak.lock();
+    if (Which && Clock::now() - Which->m_LastByte >= Idle)
+      Which->reset();
+  }
+}
+
+void LoopbackProxy::accept(asio::yield_context Yield) {
+  while (true) {
+    auto Which = std::make_shared<Link>(m_Context);
+    error_code Failure;
+    m_Acceptor.async_accept(Which->m_Near, Yield[Failure]);
+    if (Failure)
+      return;
+    m_Links.remove_if([](const auto &Weak) { return Weak.expired(); });
+    m_Links.push_back(Which);
+    asio::spawn(
+        m_Context,
+        [this, Which](asio::yield_context Inner) { connect(Which, Inner); },
+        asio::detached);
+  }
+}
+
+void LoopbackProxy::connect(const LinkHandle &Which,
+                            asio::yield_context Yield) {
+  error_code Failure;
+  Which->m_LastByte = Clock::now();
+  if (m_Passage == Passage::Down)
+    return Which->reset();
+  Which->m_Far.async_connect(loopback(m_ToPort), Yield[Failure]);
+  if (Failure)
+    return Which->reset();
+  error_code Ignored;
+  Which->m_Near.set_option(tcp::no_delay(true), Ignored);
+  Which->m_Far.set_option(tcp::no_delay(true), Ignored);
+  asio::spawn(
+      m_Context,
+      [this, Which](asio::yield_context Inner) { pump(Which, false, Inner); },
+      asio::detached);
+  pump(Which, true, Yield);
+}
+
+bool LoopbackProxy::isCut(bool IsForward) const {
+  return m_Passage == Passage::CutBoth ||
+         m_Passage == (IsForward ? Passage::CutForward : Passage::CutBackward);
+}
+
+void LoopbackProxy::hold(bool IsForward, asio::yield_context Yield) {
+  if (m_Passage == Passage::Delayed)
+    sleepFor(m_Context, AddedDelay, Yield);
+  while (isCut(IsForward))
+    sleepFor(m_Context, HoldStep, Yield);
+}
+
+void LoopbackProxy::pump(const LinkHandle &Which, bool IsForward,
+                         asio::yield_context Yield) {
+  tcp::socket &From = IsForward ? Which->m_Near : Which->m_Far;
+  tcp::socket &To = IsForward ? Which->m_Far : Which->m_Near;
+  std::array<char, BufferBytes> Buffer;
+  while (true) {
+    error_code Failure;
+    std::size_t Size =
+        From.async_read_some(asio::buffer(Buffer), Yield[Failure]);
+    // An end is held back by a cut like bytes are.
+    hold(IsForward, Yield);
+    Which->m_LastByte = Clock::now();
+    error_code Ignored;
+    if (Failure == asio::error::eof) {
+      To.shutdown(tcp::socket::shutdown_send, Ignored);
+      return;
+    }
+    if (!Failure)
+      asio::async_write(To, asio::buffer(Buffer, Size), Yield[Failure]);
+    if (Failure)
+      return Which->reset();
+  }
+}
+
+} // namespace yardrill::soak
--- /dev/null
+++ b/Tests/Soak/LoopbackProxy.h
@@ -0,0 +1,64 @@
+//===-- LoopbackProxy.h - A TCP proxy that disturbs what it carries -------===//
+#ifndef YARDRILL_TESTS_SOAK_LOOPBACKPROXY_H
+#define YARDRILL_TESTS_SOAK_LOOPBACKPROXY_H
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <memory>
+
+namespace yardrill::soak {
+
+/// How a proxy treats bytes. A cut is silent: nothing is closed, and what was
+/// held back is delivered once the proxy passes again.
+enum class Passage {
+  Whole,
+  Delayed,
+  CutForward,
+  CutBackward,
+  CutBoth,
+  Down, ///< New connections are reset.
+};
+
+/// Forwards connections on a loopback port to another one.
+class LoopbackProxy {
+public:
+  LoopbackProxy(boost::asio::io_context &Context, int Port, int ToPort);
+
+  int port() const { return m_Port; }
+  void setPassage(Passage How) { m_Passage = How; }
+  /// Resets every connection that is open now.
+  void resetAll();
+  /// Resets connections over which nothing has come for \p Idle.
+  void resetIdle(std::chrono::milliseconds Idle);
+
+private:
+  struct Link {
+    explicit Link(boost::asio::io_context &Context)
+        : m_Near(Context), m_Far(Context) {}
+    boost::asio::ip::tcp::socket m_Near;
+    boost::asio::ip::tcp::socket m_Far;
+    std::chrono::steady_clock::time_point m_LastByte;
+    void reset();
+  };
+  using LinkHandle = std::shared_ptr<Link>;
+
+  void accept(boost::asio::yield_context Yield);
+  void connect(const LinkHandle &Which, boost::asio::yield_context Yield);
+  void pump(const LinkHandle &Which, bool IsForward,
+            boost::asio::yield_context Yield);
+  void hold(bool IsForward, boost::asio::yield_context Yield);
+  bool isCut(bool IsForward) const;
+
+  boost::asio::io_context &m_Context;
+  int m_Port;
+  int m_ToPort;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  std::list<std::weak_ptr<Link>> m_Links;
+  Passage m_Passage = Passage::Whole;
+};
+
+} // namespace yardrill::soak
+
+#endif
--- /dev/null
+++ b/Tests/Soak/SoakTarget.cpp
@@ -0,0 +1,180 @@
+#include "SoakTarget.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "Process.h"
+
+#include <boost/json.hpp>
+
+namespace yardrill::soak {
+
+namespace asio = boost::asio;
+
+static constexpr std::size_t Places = 4;
+/// Requests that a target keeps beyond its places before it refuses.
+static constexpr std::size_t QueueLimit = 24;
+static constexpr std::chrono::milliseconds WorkTime{12};
+static constexpr std::chrono::milliseconds EventPause{15};
+/// Longer than any caller waits.
+static constexpr std::chrono::seconds MuteTime{6};
+
+static std::uint64_t hashOf(const std::string &Id) {
+  return core::stableHash(Id);
+}
+
+std::string answerTo(const std::string &Id) {
+  std::string Out = "answer to " + Id + ":";
+  Out.append(hashOf(Id) % 4000, 'x');
+  return Out;
+}
+
+std::size_t eventCountOf(const std::string &Id) { return 3 + hashOf(Id) % 12; }
+
+std::string eventOf(const std::string &Id, std::size_t Number) {
+  std::string Count = std::to_string(Number);
+  return "id: " + Count + "\ndata: " + Id + "/" + Count + "\n\n";
+}
+
+std::string bodyOf(const std::string &Id) { return "body of " + Id; }
+
+SoakTarget::SoakTarget(asio::io_context &Context, Ledger &Book,
+                       std::mt19937_64 &Random, std::string Name,
+                       std::string Pool)
+    : m_Context(Context), m_Book(Book), m_Random(Random),
+      m_Name(std::move(Name)), m_Pool(std::move(Pool)) {
+  auto Port = static_cast<std::uint16_t>(tests::freePort());
+  m_Server = http::Server::create(
+      Context, {asio::ip::make_address("127.0.0.1"), Port},
+      http::ServerLimits(),
+      [this](http::Exchange &Call, asio::yield_context Yield) {
+        handle(Call, Yield);
+      },
+      [this](unsigned Status) {
+        m_Book.broken("unasked", "unreadable request at " + m_Name);
+        http::ResponseMessage Out;
+        Out.m_Head.m_Status = Status;
+        return Out;
+      });
+  m_Proxy = std::make_unique<LoopbackProxy>(Context, tests::freePort(), Port);
+}
+
+std::string SoakTarget::announcement() const {
+  boost::json::object Out{
+      {"service", m_Pool},
+      {"address", "127.0.0.1:" + std::to_string(m_Proxy->port())},
+      {"zone", "hall"},
+      {"slots", Places},
+      {"state", m_LeavingSince ? "draining" : "ready"}};
+  return boost::json::serialize(Out);
+}
+
+void SoakTarget::setDisturbed(bool IsDisturbed) {
+  m_IsDisturbed = IsDisturbed;
+  for (const std::string &Id : m_Running)
+    m_Book.targetTrouble(Id);
+}
+
+void SoakTarget::restart(std::string Name) {
+  m_Name = std::move(Name);
+  m_LeavingSince.reset();
+  m_How = Misbehaviour();
+}
+
+bool SoakTarget::happens(double Share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_Random) < Share;
+}
+
+void SoakTarget::wait(std::chrono::milliseconds Time,
+                      asio::yield_context Yield) {
+  asio::steady_timer Timer(m_Context, Time);
+  boost::system::error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
+static std::string headerOf(const http::RequestMessage &Request,
+                            const char *Name) {
+  const std::string *Value = Request.m_Headers.find(Name);
+  return Value ? *Value : "";
+}
+
+static http::ResponseMessage refusal(unsigned Status, const std::string &Id) {
+  http::ResponseMessage Out;
+  Out.m_Head.m_Status = Status;
+  Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Not-Executed", "1"}};
+  return Out;
+}
+
+void SoakTarget::handle(http::Exchange &Call, asio::yield_context Yield) {
+  const http::RequestMessage &Request = Call.request();
+  std::string Id = headerOf(Request, "Attempt-Id");
+  m_Book.arrived(Id, m_Name, m_LeavingSince);
+  if (m_IsDisturbed)
+    m_Book.targetTrouble(Id);
+  if (headerOf(Request, "Expect-Replica") != m_Name)
+    return Call.sendWhole(refusal(421, Id), Yield);
+  if (m_Running.size() >= Places + QueueLimit || happens(m_How.m_Refuses)) {
+    m_Book.targetTrouble(Id);
+    return Call.sendWhole(refusal(503, Id), Yield);
+  }
+  if (Request.m_Body != bodyOf(Id))
+    m_Book.broken("unasked", Id + " came with another body");
+  if (headerOf(Request, "Tenant").empty())
+    m_Book.broken("unasked", Id + " came without its account");
+  auto Place = m_Running.insert(Id);
+  try {
+    serve(Call, Id, Yield);
+  } catch (const core::Error &) {
+    // Its caller left; what ran, ran.
+  }
+  m_Running.erase(Place);
+}
+
+void SoakTarget::serve(http::Exchange &Call, const std::string &Id,
+                       asio::yield_context Yield) {
+  m_Book.ran(Id);
+  bool MustBreak = happens(m_How.m_Breaks);
+  bool MustFail = happens(m_How.m_Fails);
+  bool IsMute = happens(m_How.m_IsMute);
+  if (MustBreak || MustFail || IsMute)
+    m_Book.targetTrouble(Id);
+  wait(IsMute ? std::chrono::milliseconds(MuteTime) : WorkTime, Yield);
+  http::ResponseMessage Out;
+  Out.m_Head.m_Status = MustFail ? 500 : 200;
+  Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Replica-Seal", "s-" + m_Name}};
+  Out.m_Body = answerTo(Id);
+  if (MustFail)
+    return Call.sendWhole(std::move(Out), Yield);
+  if (m_Pool == "engine")
+    return stream(Call, Id, MustBreak, Yield);
+  if (!MustBreak)
+    return Call.sendWhole(std::move(Out), Yield);
+  Out.m_Head.m_ContentLength = Out.m_Body.size();
+  Call.startStream(Out.m_Head, Yield);
+  Call.sendPiece(Out.m_Body.substr(0, Out.m_Body.size() / 2), Yield);
+  Call.abort();
+}
+
+void SoakTarget::stream(http::Exchange &Call, const std::string &Id,
+                        bool MustBreak, asio::yield_context Yield) {
+  std::string After = headerOf(Call.request(), "Last-Event-Id");
+  std::size_t Next = After.empty() ? 1 : std::stoul(After) + 1;
+  http::ResponseHead Head;
+  Head.m_Status = 200;
+  Head.m_Headers = {{"Attempt-Id", Id},
+                    {"Replica-Seal", "s-" + m_Name},
+                    {"Content-Type", "text/event-stream"}};
+  Call.startStream(Head, Yield);
+  for (; Next <= eventCountOf(Id); ++Next) {
+    std::string Event = eventOf(Id, Next);
+    if (MustBreak && Next > 1) {
+      // Also partway through an event.
+      Call.sendPiece(Event.substr(0, Event.size() / 2), Yield);
+      return Call.abort();
+    }
+    Call.sendPiece(Event, Yield);
+    wait(EventPause, Yield);
+  }
+  Call.finishStream(Yield);
+}
+
+} // namespace yardrill::soak
--- /dev/null
+++ b/Tests/Soak/SoakTarget.h
@@ -0,0 +1,73 @@
+//===-- SoakTarget.h - A target that tells the ledger what it saw ---------===//
+#ifndef YARDRILL_TESTS_SOAK_SOAKTARGET_H
+#define YARDRILL_TESTS_SOAK_SOAKTARGET_H
+
+#include "Ledger.h"
+#include "LoopbackProxy.h"
+
+#include "LibHTTP/Server.h"
+
+#include <memory>
+#include <random>
+#include <set>
+
+namespace yardrill::soak {
+
+/// Shares of the requests, 0 to 1.
+struct Misbehaviour {
+  double m_Fails = 0;   ///< Runs, then answers 500.
+  double m_Refuses = 0; ///< Does not run, and says so.
+  double m_Breaks = 0;  ///< Runs, then breaks off within the answer.
+  double m_IsMute = 0;  ///< Runs and never answers.
+};
+
+/// What every answer of a target to the request holds; the caller compares.
+std::string answerTo(const std::string &Id);
+std::size_t eventCountOf(const std::string &Id);
+std::string eventOf(const std::string &Id, std::size_t Number);
+std::string bodyOf(const std::string &Id);
+
+/// Runs in the soak's own process, behind a proxy whose port is announced.
+class SoakTarget {
+public:
+  SoakTarget(boost::asio::io_context &Context, Ledger &Book,
+             std::mt19937_64 &Random, std::string Name, std::string Pool);
+
+  /// What the store holds for it.
+  std::string key() const { return "servers/" + m_Name; }
+  std::string announcement() const;
+  LoopbackProxy &proxy() { return *m_Proxy; }
+
+  void setMisbehaviour(const Misbehaviour &How) { m_How = How; }
+  /// Its connections are disturbed from now on (or not any more).
+  void setDisturbed(bool IsDisturbed);
+  /// The store has taken its word that it leaves.
+  void setLeaving() { m_LeavingSince = Clock::now(); }
+  /// Starts anew, under another name at the same address.
+  void restart(std::string Name);
+
+private:
+  void handle(http::Exchange &Call, boost::asio::yield_context Yield);
+  void serve(http::Exchange &Call, const std::string &Id,
+             boost::asio::yield_context Yield);
+  void stream(http::Exchange &Call, const std::string &Id, bool MustBreak,
+              boost::asio::yield_context Yield);
+  void wait(std::chrono::milliseconds Time, boost::asio::yield_context Yield);
+  bool happens(double Share);
+
+  boost::asio::io_context &m_Context;
+  Ledger &m_Book;
+  std::mt19937_64 &m_Random;
+  std::string m_Name;
+  std::string m_Pool;
+  std::unique_ptr<http::Server> m_Server;
+  std::unique_ptr<LoopbackProxy> m_Proxy;
+  Misbehaviour m_How;
+  bool m_IsDisturbed = false;
+  std::optional<TimePoint> m_LeavingSince;
+  std::multiset<std::string> m_Running; ///< Ids of requests under way.
+};
+
+} // namespace yardrill::soak
+
+#endif
--- /dev/null
+++ b/Tests/Soak/main.cpp
@@ -0,0 +1,136 @@
+//===-- main.cpp - A randomized soak of the real programs -----------------===//
+//
+// usage: soak --yardrill=PROGRAM --stand_in=PROGRAM --folder=DIRECTORY
+//             [--seed=N] [--seconds=N] [--gateways=N] [--callers=N]
+//
+// Gateways and the store's stand-in are processes; targets, callers and proxies
+// live here. The seed repeats the schedule of faults. Exit code 0: nothing was
+// broken; 1: the violations are printed, and the folder holds every log.
+//
+//===----------------------------------------------------------------------===//
+#include "Callers.h"
+#include "Deployment.h"
+#include "FaultPlan.h"
+#include "Ledger.h"
+
+#include "LibCore/Log.h"
+
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(yardrill, "", "the yardrill program");
+DEFINE_string(stand_in, "", "the program of the stand-ins");
+DEFINE_string(folder, "", "for settings and logs; must exist");
+DEFINE_uint64(seed, 1, "of the schedule of faults");
+DEFINE_uint64(seconds, 20, "how long faults happen");
+DEFINE_uint64(gateways, 4, "gateway processes");
+DEFINE_uint64(targets, 4, "targets of each of the two pools");
+DEFINE_uint64(callers, 24, "callers");
+
+namespace asio = boost::asio;
+using namespace yardrill::soak;
+
+namespace {
+
+/// Before the first fault and after the last one.
+constexpr std::chrono::milliseconds StartTime{1500};
+constexpr std::chrono::milliseconds CalmTime{6000};
+constexpr std::chrono::milliseconds SupervisePeriod{20};
+/// Longer than any request is waited for.
+constexpr std::chrono::milliseconds LastAnswers{4000};
+
+class Soak {
+public:
+  Soak()
+      : m_Random(FLAGS_seed), m_Book(FLAGS_gateways),
+        m_Under(m_Context, m_Book,
+                {FLAGS_gateways, FLAGS_targets, FLAGS_yardrill, FLAGS_stand_in,
+                 FLAGS_folder},
+                m_Random),
+        m_Callers(m_Context, m_Book, m_Under, m_Random) {}
+
+  int run() {
+    m_Book.setQuota("limited", {2000, 2000});
+    asio::spawn(
+        m_Context, [this](asio::yield_context Yield) { direct(Yield); },
+        asio::detached);
+    m_Context.run();
+    for (const std::string &Each : m_Book.violations())
+      std::cout << "violation " << Each << "\n";
+    std::cout << "soak seed=" << FLAGS_seed << " " << m_Book.summary() << "\n";
+    return m_Book.violations().empty() ? 0 : 1;
+  }
+
+private:
+  void wait(std::chrono::milliseconds Time, asio::yield_context Yield) {
+    asio::steady_timer Timer(m_Context, Time);
+    boost::system::error_code Ignored;
+    Timer.async_wait(Yield[Ignored]);
+  }
+
+  void direct(asio::yield_context Yield) {
+    m_Under.start(Yield);
+    asio::spawn(
+        m_Context, [this](asio::yield_context Inner) { supervise(Inner); },
+        asio::detached);
+    wait(StartTime, Yield);
+    m_Callers.start(FLAGS_callers);
+    wait(StartTime, Yield);
+    TimePoint Start = Clock::now();
+    for (const Fault &What :
+         drawFaults(FLAGS_seed, std::chrono::seconds(FLAGS_seconds))) {
+      wait(std::chrono::duration_cast<std::chrono::milliseconds>(
+               Start + What.m_At - Clock::now()),
+           Yield);
+      begin(What);
+    }
+    while (m_Open > 0)
+      wait(SupervisePeriod, Yield);
+    TimePoint CalmSince = Clock::now();
+    wait(CalmTime, Yield);
+    m_Callers.stop();
+    wait(LastAnswers, Yield);
+    m_Book.finish(CalmSince);
+    m_Context.stop();
+  }
+
+  void begin(const Fault &What) {
+    std::cout << "fault at_ms=" << What.m_At.count()
+              << " length_ms=" << What.m_Length.count()
+              << " kind=" << toString(What.m_Kind)
+              << " which=" << What.m_Which % FLAGS_gateways << "/"
+              << What.m_Which % m_Under.targets() << std::endl;
+    ++m_Open;
+    asio::spawn(
+        m_Context,
+        [this, What](asio::yield_context Yield) {
+          runFault(What, m_Under, m_Book, m_Context, Yield);
+          --m_Open;
+        },
+        asio::detached);
+  }
+
+  void supervise(asio::yield_context Yield) {
+    while (true) {
+      m_Under.supervise();
+      wait(SupervisePeriod, Yield);
+    }
+  }
+
+  asio::io_context m_Context{1};
+  std::mt19937_64 m_Random;
+  Ledger m_Book;
+  Deployment m_Under;
+  Callers m_Callers;
+  int m_Open = 0; ///< Faults under way.
+};
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  yardrill::core::startLogging(Arguments[0]);
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Soak().run();
+}
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -54,12 +54,24 @@
   wait();
 }
 
+static int toExitCode(int Status) {
+  return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+}
+
 int Process::wait() {
   int Status = 0;
   if (m_Pid <= 0 || waitpid(m_Pid, &Status, 0) != m_Pid)
     return -1;
   m_Pid = 0;
-  return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+  return toExitCode(Status);
+}
+
+std::optional<int> Process::poll() {
+  int Status = 0;
+  if (m_Pid <= 0 || waitpid(m_Pid, &Status, WNOHANG) != m_Pid)
+    return std::nullopt;
+  m_Pid = 0;
+  return toExitCode(Status);
 }
 
 static int bindFree(int Type, int Port) {
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -2,6 +2,7 @@
 #ifndef YARDRILL_TESTS_SUPPORT_PROCESS_H
 #define YARDRILL_TESTS_SUPPORT_PROCESS_H
 
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -24,6 +25,8 @@
   void kill();
   /// Waits for the end. \returns the exit code, or minus the signal's number.
   int wait();
+  /// The same if it has ended already; else nothing.
+  std::optional<int> poll();
 
 private:
   pid_t m_Pid = 0;
