LibGateway: Tell peers of a dispatch at once; groups that mix all data halls

Tests: FleetShareTest::testEachGroupIsAMixOfAllHalls (the old cut has one hall a group), testStreamIsGivenUpWhenItWouldBeginTooLate, testShortReportIsCompleted. Two tests changed: testOneMoreInstanceMovesFewTargets now asks every instance instead of one; testGoesOnAfterATargetsOwnRefusal relied on which of two equal targets is first, now both refuse what they see first.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -49,6 +49,7 @@
           m_Targets, m_Settings.m_DataHall, m_Settings.m_Placement,
           {[this](core::RequestId Request, const routing::Target &Where) {
              m_Open.at(Request)->sendTo(Where);
+             m_Peers->reportSoon();
            },
            [this](core::RequestId Request) { m_Open.at(Request)->refuse(); }}),
       m_Quotas(m_Settings.m_IsFirstStart),
@@ -318,10 +319,21 @@
   Finished();
 }
 
+void Gateway::place(const routing::PlacementRequest &What) {
+  m_Peers->tellChange();
+  m_Dispatcher.place(What, core::steadyNow());
+}
+
+void Gateway::dispatchWaiting(core::TimePoint Now) {
+  if (m_Dispatcher.waiting() == 0)
+    return;
+  m_Peers->tellChange();
+  m_Dispatcher.dispatchWaiting(Now);
+}
+
 void Gateway::tick(core::TimePoint Now) {
   m_Quotas.setShare(m_Peers->quotaShare());
-  if (m_Dispatcher.waiting() > 0)
-    m_Dispatcher.dispatchWaiting(Now);
+  dispatchWaiting(Now);
   if (m_StoppingSince != core::TimePoint())
     pollStop(Now);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -57,6 +57,9 @@
   void adopt(routing::RoutingTableHandle Next);
   void describeLoad(peer::LoadReport &Report) const;
   void peersChanged();
+  /// Both decide by what the peers said up to now.
+  void place(const routing::PlacementRequest &What);
+  void dispatchWaiting(core::TimePoint Now);
   void tick(core::TimePoint Now);
   void pollStop(core::TimePoint Now);
   /// Whether a request that comes now could no longer be finished.
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -132,7 +132,7 @@
   if (m_Route->m_Kind == routing::RouteKind::Stream)
     Wanted.m_BeginsBy = std::min(m_EndsAt, m_ArrivedAt + callersPatience());
   m_PendingPrompt = Wanted.m_PromptTokens;
-  m_Owner.m_Dispatcher.place(Wanted, core::steadyNow());
+  m_Owner.place(Wanted);
   while (!m_Target && !m_IsRefused && !m_IsCallerGone &&
          timeLeft() > core::Duration::zero()) {
     boost::system::error_code Ignored;
@@ -163,9 +163,9 @@
       break;
     }
     ++m_Tries;
-    core::TimePoint StartedAt = core::steadyNow();
+    m_TryStartedAt = core::steadyNow();
     Last = tryTarget(Yield);
-    noteTry(Last, StartedAt);
+    noteTry(Last);
     if (Last == TryOutcome::Complete || Last == TryOutcome::CallerGone ||
         !mayTryAgain(Last))
       break;
@@ -342,6 +342,7 @@
   }
   if (m_FirstEventAt == core::TimePoint()) {
     m_FirstEventAt = Now;
+    m_Owner.m_Targets.noteBegin(m_Pool, Now - m_TryStartedAt);
     m_Owner.m_Metrics.observe(metrics::RequestTime::FirstToken, Labels,
                               Now - m_ArrivedAt);
   }
@@ -359,7 +360,7 @@
 // After a target
 //===----------------------------------------------------------------------===//
 
-void GatewayRequest::noteTry(TryOutcome Last, core::TimePoint StartedAt) {
+void GatewayRequest::noteTry(TryOutcome Last) {
   core::TimePoint Now = core::steadyNow();
   const core::TargetName &Name = m_Target->m_Name;
   m_Owner.m_Targets.ended(Name, m_PendingPrompt);
@@ -369,7 +370,7 @@
   case TryOutcome::Complete:
     m_Owner.m_Targets.succeeded(Name);
     if (IsShort)
-      m_Owner.m_Targets.notePace(Name, Now - StartedAt);
+      m_Owner.m_Targets.notePace(Name, Now - m_TryStartedAt);
     break;
   case TryOutcome::NotSent:
     m_Owner.m_Targets.failed(Name, routing::TargetFailure::Unreachable, Now);
@@ -388,7 +389,7 @@
   case TryOutcome::CallerGone:
     break;
   }
-  m_Owner.m_Dispatcher.dispatchWaiting(Now);
+  m_Owner.dispatchWaiting(Now);
 }
 
 metrics::RequestLabels GatewayRequest::labels() const {
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -61,7 +61,7 @@
   core::Duration timeLeft() const;
   core::Duration retryAfter() const;
   void callerHungUp();
-  void noteTry(TryOutcome Last, core::TimePoint StartedAt);
+  void noteTry(TryOutcome Last);
   /// What decided for the target, and how old it is.
   void logSent() const;
   void logTargetRefusal(const http::ResponseHead &Head) const;
@@ -92,7 +92,8 @@
   core::TimePoint m_FirstEventAt{};  ///< Not set: none came.
   core::Duration m_LongestPause{};   ///< Between events at one target.
   bool m_HasAnswerBegun = false;     ///< Of the current try.
-  core::TimePoint m_LastEventAt{};   ///< Of the current try.
+  core::TimePoint m_TryStartedAt{};
+  core::TimePoint m_LastEventAt{}; ///< Of the current try.
   /// How long the connection may be kept, by the last answer on it.
   core::Duration m_KeepFor{};
   unsigned m_Status = 0;
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -32,6 +32,8 @@
   /// For one pool, summed over all instances.
   routing::RetryLimits m_Retries;
   std::size_t m_MostConnections = 1024; ///< Of callers.
+  /// Instances of a large fleet that share their targets.
+  std::size_t m_GroupSize = routing::FleetShare::DefaultMostMembers;
   routing::PlacementPolicy m_Placement =
       routing::PlacementPolicy::LeastPredictedWait;
 };
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -43,7 +43,8 @@
 PeerLink::PeerLink(asio::io_context &Context, const GatewaySettings &Settings,
                    platform::StoreMirror &Mirror,
                    metrics::MetricsRegistry &Metrics, PeerLinkHooks Hooks)
-    : m_Settings(Settings), m_Mirror(Mirror), m_Metrics(Metrics),
+    : m_Context(Context), m_Settings(Settings), m_Mirror(Mirror),
+      m_Metrics(Metrics),
       m_Hooks(std::move(Hooks)), m_Self{core::IncarnationId(core::randomBits()),
                                         Settings.m_PeerAddress},
       m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, FarSilence),
@@ -79,6 +80,9 @@
   const auto *Report = std::get_if<peer::LoadReport>(&Message.m_Body);
   if (Message.m_From == m_Self || !Report)
     return;
+  auto Known = m_Reports.find(Message.m_From.m_Incarnation);
+  if (Known == m_Reports.end() && !Report->m_IsFull)
+    return; // A full one comes soon.
   bool IsNew = m_Directory.all().count(Message.m_From.m_Incarnation) == 0;
   auto Reason = m_Directory.heard(Message, core::steadyNow(),
                                   core::wallSeconds().count());
@@ -87,7 +91,12 @@
   m_Hinted.erase(Message.m_From.m_Peer);
   m_Missing.heard(Message.m_From.m_Peer);
   forgetEarlier(Message.m_From);
-  m_Reports[Message.m_From.m_Incarnation] = *Report;
+  if (Report->m_IsFull) {
+    m_Reports[Message.m_From.m_Incarnation] = *Report;
+    m_Halls[Message.m_From.m_Peer] = Report->m_DataHall;
+  } else {
+    Known->second = peer::completed(*Report, Known->second);
+  }
   for (const decision::Home &Other : Report->m_Others)
     if (!(Other.m_Peer == m_Settings.m_PeerAddress) &&
         m_Hinted.size() < MostHinted &&
@@ -100,10 +109,18 @@
     // It may not know of us yet.
     sendReport({Message.m_From.m_Peer}, true);
   }
+  // Worked out when it matters: reports come more often than requests.
   m_IsChanged = true;
-  // In a large fleet reports come too often to work each one out by itself.
-  if (m_Share.groups() == 1)
-    tellChange();
+}
+
+void PeerLink::reportSoon() {
+  if (m_IsReportDue)
+    return;
+  m_IsReportDue = true;
+  asio::post(m_Context, [this] {
+    m_IsReportDue = false;
+    sendReport(nearPeers(), false);
+  });
 }
 
 void PeerLink::tellChange() {
@@ -150,12 +167,16 @@
 }
 
 void PeerLink::recut() {
-  std::set<config::Endpoint> Fleet = livePeers();
-  Fleet.insert(m_Settings.m_PeerAddress);
+  routing::FleetShare::Fleet Fleet;
+  for (const config::Endpoint &Each : livePeers())
+    Fleet[Each] = m_Halls[Each];
+  Fleet[m_Settings.m_PeerAddress] = m_Settings.m_DataHall;
+  m_Halls = Fleet;
   if (Fleet == m_Fleet)
     return;
   m_Fleet = std::move(Fleet);
-  m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet);
+  m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet,
+                                m_Settings.m_GroupSize);
   core::LogLine("fleet-cut")
       .add("instances", m_Fleet.size())
       .add("groups", m_Share.groups())
@@ -291,6 +312,7 @@
     return;
   peer::LoadReport Report;
   Report.m_Name = m_Settings.m_Name;
+  Report.m_DataHall = m_Settings.m_DataHall;
   Report.m_StoreRevision = m_Mirror.revision().value();
   Report.m_IsStopping = m_IsStopping;
   m_Hooks.m_Describe(Report);
@@ -304,7 +326,8 @@
                 Report.m_StoreRevision != m_Reported.m_StoreRevision;
   if (!IsFull && !IsNews)
     return;
-  m_Reported = Report;
+  std::swap(m_Reported, Report);
+  Report = IsFull ? m_Reported : peer::shortened(m_Reported, Report);
   // A few at random, so that all learn of all within some reports.
   std::vector<decision::Home> Known;
   for (const auto &[Incarnation, Peer] : m_Directory.all())
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -47,6 +47,12 @@
   /// Sends reports now and takes no more part afterwards.
   void setStopping();
 
+  /// Tells near peers of new work once the current step is over: until they
+  /// know of it, they would choose the same target.
+  void reportSoon();
+  /// Calls the hook for changes if reports came since it was called last.
+  void tellChange();
+
   /// Whether this instance, or a near one that it hears, follows the store.
   bool mustFollowStore() const;
   /// The newest report of each live peer.
@@ -86,7 +92,6 @@
   bool isStoreHeard() const;
   /// Peers that follow the store and come before this instance in that duty.
   std::size_t followersBefore() const;
-  void tellChange();
   void expire(core::TimePoint Now);
   void noteSilent(const peer::KnownPeer &Gone, core::TimePoint Now);
   /// Drops the reports of a process that ended, once its successor is heard.
@@ -94,6 +99,7 @@
 
   void fetchIfBehind(core::TimePoint Now);
 
+  boost::asio::io_context &m_Context;
   const GatewaySettings &m_Settings;
   platform::StoreMirror &m_Mirror;
   metrics::MetricsRegistry &m_Metrics;
@@ -107,7 +113,9 @@
   std::set<config::Endpoint> m_Hinted; ///< Perhaps peers; not heard from yet.
   MissingPeers m_Missing;
   routing::FleetShare m_Share;
-  std::set<config::Endpoint> m_Fleet; ///< That m_Share was cut from.
+  routing::FleetShare::Fleet m_Fleet; ///< That m_Share was cut from.
+  /// Of peers, as they last said; bounded by the live ones at each cut.
+  routing::FleetShare::Fleet m_Halls;
   std::size_t m_NextFar = 0;
   peer::LoadReport m_Reported; ///< As last sent.
   std::uint64_t m_Sequence = 0;
@@ -115,6 +123,7 @@
   core::TimePoint m_SoughtAt{};
   bool m_IsStopping = false;
   bool m_IsChanged = false; ///< Since the hook was last called.
+  bool m_IsReportDue = false;
   core::TimePoint m_StartedAt = core::steadyNow();
   std::size_t m_RecordedSize = 0;
   std::mt19937_64 m_Random;
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -60,7 +60,11 @@
 /// What the sender has under way, and how far it follows the store. Each
 /// report replaces the last: a lost one costs only its delay.
 struct LoadReport {
+  /// False: the name, the data hall and those accounts are left out that are
+  /// as in the report before. The targets are always complete.
+  bool m_IsFull = true;
   core::InstanceName m_Name;
+  core::DataHallName m_DataHall;
   std::int64_t m_StoreRevision = 0; ///< 0: knows nothing yet.
   bool m_IsStoreConnected = false;  ///< Follows the store itself, and hears it.
   bool m_IsStopping = false;
@@ -70,11 +74,16 @@
   std::vector<decision::Home> m_Others;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Name, m_StoreRevision, m_IsStoreConnected, m_IsStopping, m_Targets,
-       m_Accounts, m_Others);
+    Ar(m_IsFull, m_Name, m_DataHall, m_StoreRevision, m_IsStoreConnected,
+       m_IsStopping, m_Targets, m_Accounts, m_Others);
   }
 };
 
+/// Leaves out of \p Full what the receivers of \p Before know already.
+LoadReport shortened(const LoadReport &Full, const LoadReport &Before);
+/// Completes \p Short by what was left out. \p Before is a complete one.
+LoadReport completed(const LoadReport &Short, const LoadReport &Before);
+
 using PeerBody = std::variant<Heartbeat, decision::FloorOrder,
                               decision::FloorReport, LoadReport>;
 
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -26,8 +26,6 @@
 static constexpr double UsableTime = 0.8;
 /// Part of a short request's time after which it is sent without a free place.
 static constexpr double MostWaitShare = 0.35;
-/// Time to the first event of a stream at a target with a free place.
-static constexpr std::chrono::milliseconds TimeToBegin{150};
 /// Part of a pool's places that the lowest rank leaves free for the others: of
 /// those about as many arrive until all instances know of a dispatch.
 static constexpr double KeptShare = 0.15;
@@ -97,7 +95,7 @@
   if (m_Policy == PlacementPolicy::LeastOutstanding)
     return What.m_ArrivedAt;
   if (What.m_IsModel)
-    return What.m_BeginsBy - TimeToBegin;
+    return What.m_BeginsBy - m_Targets.timeToBegin(What.m_Pool);
   core::Duration All = What.m_EndsAt - What.m_ArrivedAt;
   return What.m_ArrivedAt +
          std::chrono::duration_cast<core::Duration>(All * MostWaitShare);
--- a/Libraries/LibRouting/FleetShare.cpp
+++ b/Libraries/LibRouting/FleetShare.cpp
@@ -1,7 +1,9 @@
 #include "LibRouting/FleetShare.h"
 
+#include "LibCore/Digest.h"
+
 #include <algorithm>
-#include <iterator>
+#include <tuple>
 
 namespace yardrill::routing {
 
@@ -20,24 +22,55 @@
   return std::min(Part, Heard / static_cast<double>(View.m_Recorded));
 }
 
-FleetShare::FleetShare(const config::Endpoint &Self,
-                       const std::set<config::Endpoint> &Fleet)
-    : m_Fleet(Fleet.size()),
-      m_Groups((Fleet.size() + MostMembers - 1) / MostMembers) {
-  auto GroupOf = [this](std::size_t Rank) { return Rank * m_Groups / m_Fleet; };
-  auto Place = Fleet.find(Self);
-  auto Rank = static_cast<std::size_t>(std::distance(Fleet.begin(), Place));
-  m_Group = GroupOf(Rank);
-  std::size_t Other = 0;
-  for (const config::Endpoint &Each : Fleet) {
-    if (GroupOf(Other) == m_Group && Other != Rank)
+std::vector<std::size_t> mixedOrder(const std::vector<PlacedMember> &Members) {
+  std::map<core::DataHallName, std::vector<std::size_t>> ByHall;
+  for (std::size_t I = 0; I < Members.size(); ++I)
+    ByHall[Members[I].m_DataHall].push_back(I);
+  // Each hall is laid evenly over the whole order.
+  std::vector<std::tuple<double, std::uint64_t, std::size_t>> Places;
+  for (auto &[Hall, Indexes] : ByHall) {
+    std::sort(Indexes.begin(), Indexes.end(),
+              [&Members](std::size_t A, std::size_t B) {
+                return Members[A].m_Hash < Members[B].m_Hash;
+              });
+    for (std::size_t Rank = 0; Rank < Indexes.size(); ++Rank) {
+      double Place = (static_cast<double>(Rank) + 0.5) /
+                     static_cast<double>(Indexes.size());
+      Places.emplace_back(Place, Members[Indexes[Rank]].m_Hash, Indexes[Rank]);
+    }
+  }
+  std::sort(Places.begin(), Places.end());
+  std::vector<std::size_t> Out;
+  Out.reserve(Places.size());
+  for (const auto &[Place, Hash, Index] : Places)
+    Out.push_back(Index);
+  return Out;
+}
+
+FleetShare::FleetShare(const config::Endpoint &Self, const Fleet &All,
+                       std::size_t MostMembers)
+    : m_Size(All.size()),
+      m_Groups((All.size() + MostMembers - 1) / MostMembers) {
+  std::vector<config::Endpoint> Addresses;
+  std::vector<PlacedMember> Members;
+  for (const auto &[Address, Hall] : All) {
+    Addresses.push_back(Address);
+    Members.push_back({Hall, core::stableHash(Address.toString())});
+  }
+  std::vector<std::size_t> Order = mixedOrder(Members);
+  auto GroupOf = [this](std::size_t Rank) { return Rank * m_Groups / m_Size; };
+  for (std::size_t Rank = 0; Rank < Order.size(); ++Rank)
+    if (Addresses[Order[Rank]] == Self)
+      m_Group = GroupOf(Rank);
+  for (std::size_t Rank = 0; Rank < Order.size(); ++Rank) {
+    const config::Endpoint &Each = Addresses[Order[Rank]];
+    if (GroupOf(Rank) == m_Group && !(Each == Self))
       m_Near.insert(Each);
-    ++Other;
   }
 }
 
 double FleetShare::partOfFleet() const {
-  return static_cast<double>(m_Near.size() + 1) / static_cast<double>(m_Fleet);
+  return static_cast<double>(m_Near.size() + 1) / static_cast<double>(m_Size);
 }
 
 bool FleetShare::isShared(std::size_t Count) const {
--- a/Libraries/LibRouting/FleetShare.h
+++ b/Libraries/LibRouting/FleetShare.h
@@ -12,9 +12,13 @@
 #define YARDRILL_LIBROUTING_FLEETSHARE_H
 
 #include "LibConfig/Endpoint.h"
+#include "LibCore/StrongType.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <set>
+#include <vector>
 
 namespace yardrill::routing {
 
@@ -33,14 +37,33 @@
 /// when every process starts anew at once and none has found the others.
 double quotaShare(const QuotaView &View);
 
+/// An instance or a target, as the cut sees it.
+struct PlacedMember {
+  core::DataHallName m_DataHall;
+  std::uint64_t m_Hash = 0; ///< Of its name; no two alike.
+};
+
+/// Indexes of \p Members in an order in which any run of neighbours is a mix
+/// of all data halls by their sizes. One member more or less moves the others
+/// little.
+std::vector<std::size_t> mixedOrder(const std::vector<PlacedMember> &Members);
+
 class FleetShare {
 public:
+  /// Members of a group: few enough that each hears from all others several
+  /// times a second at little cost, many enough to even out their callers.
+  static constexpr std::size_t DefaultMostMembers = 8;
+
+  /// Data hall of each instance, by its peer address.
+  using Fleet = std::map<config::Endpoint, core::DataHallName>;
+
   /// The whole fleet is one group.
   FleetShare() = default;
-  /// \param Fleet peer addresses of all instances known, this one included.
-  /// Addresses of one data hall lie together in their order.
-  FleetShare(const config::Endpoint &Self,
-             const std::set<config::Endpoint> &Fleet);
+  /// \param All instances known, \p Self included. Each group is a mix of all
+  /// data halls, since callers and instances are spread unevenly over them.
+  /// \param MostMembers of a group; not 0.
+  FleetShare(const config::Endpoint &Self, const Fleet &All,
+             std::size_t MostMembers = DefaultMostMembers);
 
   /// The other instances of the group.
   const std::set<config::Endpoint> &near() const { return m_Near; }
@@ -51,7 +74,7 @@
   /// Part of the fleet that the group is, 0 to 1.
   double partOfFleet() const;
 
-  /// Whether the target at \p Rank of \p Count, in an order that every
+  /// Whether the target at \p Rank of \p Count, in the mixed order that every
   /// instance uses, belongs to the group. Pools with few targets are shared by
   /// all.
   bool isOwn(std::size_t Rank, std::size_t Count) const;
@@ -59,14 +82,11 @@
   bool isShared(std::size_t Count) const;
 
 private:
-  /// Members of a group: few enough that each hears from all others every
-  /// 40 ms at little cost, many enough to even out their callers.
-  static constexpr std::size_t MostMembers = 8;
   /// Least targets of a pool for each group.
   static constexpr std::size_t LeastTargets = 6;
 
   std::set<config::Endpoint> m_Near;
-  std::size_t m_Fleet = 1;
+  std::size_t m_Size = 1; ///< Of the fleet.
   std::size_t m_Groups = 1;
   std::size_t m_Group = 0;
 };
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -3,7 +3,6 @@
 #include "LibCore/Digest.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace yardrill::routing {
 
@@ -155,6 +154,17 @@
   updateSlowness(Known->m_Target.m_Pool);
 }
 
+void TargetDirectory::noteBegin(const core::PoolName &Pool,
+                                core::Duration Time) {
+  m_Begins[Pool].add(Time);
+}
+
+core::Duration TargetDirectory::timeToBegin(const core::PoolName &Pool) const {
+  auto Found = m_Begins.find(Pool);
+  return Found == m_Begins.end() ? BeginEstimate().upperBound()
+                                 : Found->second.upperBound();
+}
+
 void TargetDirectory::updateSlowness(const core::PoolName &Pool) {
   std::vector<double> Paces;
   for (const KnownTarget *Each : of(Pool))
@@ -209,20 +219,18 @@
 }
 
 void TargetDirectory::cut(const core::PoolName &Pool) {
-  std::vector<core::TargetName> Order = m_ByPool[Pool];
-  auto Place = [this](const core::TargetName &Name) {
-    const Target &What = m_Targets[Name].m_Target;
-    return std::tie(What.m_DataHall, What.m_Name);
-  };
-  std::sort(Order.begin(), Order.end(),
-            [&](const core::TargetName &A, const core::TargetName &B) {
-              return Place(A) < Place(B);
-            });
+  const std::vector<core::TargetName> &Names = m_ByPool[Pool];
+  std::vector<PlacedMember> Members;
+  for (const core::TargetName &Name : Names) {
+    const KnownTarget &Known = m_Targets[Name];
+    Members.push_back({Known.m_Target.m_DataHall, Known.m_Hash});
+  }
+  std::vector<std::size_t> Order = mixedOrder(Members);
   auto &Own = m_Own[Pool];
   Own.clear();
   for (std::size_t Rank = 0; Rank < Order.size(); ++Rank)
     if (m_Share.isOwn(Rank, Order.size()))
-      Own.push_back(Order[Rank]);
+      Own.push_back(Names[Order[Rank]]);
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -3,6 +3,7 @@
 #define YARDRILL_LIBROUTING_TARGETDIRECTORY_H
 
 #include "LibCore/Time.h"
+#include "LibRouting/BeginEstimate.h"
 #include "LibRouting/FleetShare.h"
 #include "LibRouting/Target.h"
 
@@ -74,6 +75,10 @@
   void succeeded(const core::TargetName &Name);
   /// Time between two events of a stream, or of a whole short answer.
   void notePace(const core::TargetName &Name, core::Duration Pace);
+  /// Time from the dispatch of a stream to its first event.
+  void noteBegin(const core::PoolName &Pool, core::Duration Time);
+  /// By when nearly every stream that is sent now has begun.
+  core::Duration timeToBegin(const core::PoolName &Pool) const;
   /// Sums over all other instances, by KnownTarget::m_Hash; a target that is
   /// not named has no work of theirs.
   void setOthers(const std::unordered_map<std::uint32_t, TargetLoad> &Sums);
@@ -97,6 +102,7 @@
   FleetShare m_Share;
   std::map<core::PoolName, std::vector<core::TargetName>> m_ByPool;
   std::map<core::PoolName, std::vector<core::TargetName>> m_Own;
+  std::map<core::PoolName, BeginEstimate> m_Begins;
 };
 
 } // namespace yardrill::routing
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -25,10 +25,10 @@
        0,
        runServe},
       {"gateway",
-       "[--config=FILE] [--least_outstanding]",
+       "[--config=FILE] [--least_outstanding] [--group_size=N]",
        "run one instance on the operators' platform until SIGTERM; the "
        "settings file is the one that the platform names",
-       {"config", "least_outstanding"},
+       {"config", "least_outstanding", "group_size"},
        0,
        runGateway},
       {"check",
--- a/Programs/yardrill/GatewayVerb.cpp
+++ b/Programs/yardrill/GatewayVerb.cpp
@@ -19,6 +19,8 @@
 DEFINE_bool(least_outstanding, false,
             "place by own outstanding requests alone, without a queue: the "
             "baseline that measurements compare with");
+DEFINE_uint32(group_size, yardrill::routing::FleetShare::DefaultMostMembers,
+              "instances of a large fleet that share their targets");
 
 namespace yardrill::program {
 
@@ -71,6 +73,8 @@
     if (FLAGS_least_outstanding)
       Settings.m_Gateway.m_Placement =
           routing::PlacementPolicy::LeastOutstanding;
+    if (FLAGS_group_size > 0)
+      Settings.m_Gateway.m_GroupSize = FLAGS_group_size;
     return Settings;
   }
 
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <mutex>
+#include <set>
 #include <thread>
 
 using namespace yardrill;
@@ -356,13 +357,18 @@
   }
 
   void testGoesOnAfterATargetsOwnRefusal() {
-    addTarget(notExecuted);
-    addTarget([](const Request &Read) { return whole(Read, "answer"); });
+    // Whichever target a request comes to first refuses it.
+    std::set<std::string> Seen;
+    auto Make = [&Seen](const Request &Read) {
+      bool IsFirst = Seen.insert(idOf(Read)).second;
+      return IsFirst ? notExecuted(Read) : whole(Read, "answer");
+    };
+    addTarget(Make);
+    addTarget(Make);
     start();
     for (int I = 0; I < 6; ++I)
       CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(6), m_Targets[1]->requests().size());
-    CPPUNIT_ASSERT(!m_Targets[0]->requests().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(12), allRequests());
   }
 
   void testTargetThatWasReplacedIsLeftAlone() {
--- a/Tests/LibPeer/PeerCodecTest.cpp
+++ b/Tests/LibPeer/PeerCodecTest.cpp
@@ -4,6 +4,7 @@
 #include "LibPeer/PeerDirectory.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <random>
 
 using namespace yardrill;
@@ -30,6 +31,7 @@
   CPPUNIT_TEST(testTooLarge);
   CPPUNIT_TEST(testReplayAndAge);
   CPPUNIT_TEST(testBoundedPeers);
+  CPPUNIT_TEST(testShortReportIsCompleted);
   CPPUNIT_TEST_SUITE_END();
 
   PeerCodec m_Codec{"the shared key"};
@@ -111,6 +113,29 @@
                    DropReason::TooManyPeers);
     CPPUNIT_ASSERT(!Known.heard(message(1, 2), Now, 1000));
   }
+
+  void testShortReportIsCompleted() {
+    LoadReport Before;
+    Before.m_Name = core::InstanceName("entry-1");
+    Before.m_DataHall = core::DataHallName("hall");
+    Before.m_Accounts = {{1, 100}, {2, 50}};
+    Before.m_Targets = {{7, 1, 0}};
+    LoadReport Now = Before;
+    Now.m_Accounts[1].m_Tokens = 60;
+    Now.m_Targets.clear();
+    LoadReport Short = shortened(Now, Before);
+    CPPUNIT_ASSERT(!Short.m_IsFull);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Short.m_Accounts.size());
+    LoadReport Got = completed(Short, Before);
+    CPPUNIT_ASSERT(Got.m_IsFull && Got.m_Name == Before.m_Name &&
+                   Got.m_DataHall == Before.m_DataHall);
+    // Targets without work are left out of every report.
+    CPPUNIT_ASSERT(Got.m_Targets.empty());
+    std::map<std::uint32_t, std::uint64_t> Accounts;
+    for (const AccountUse &Use : Got.m_Accounts)
+      Accounts[Use.m_Account] = Use.m_Tokens;
+    CPPUNIT_ASSERT(Accounts[1] == 100 && Accounts[2] == 60);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerCodecTest);
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(testHigherTierLeavesTheQueueFirst);
   CPPUNIT_TEST(testIsSentInTimeWithoutAFreePlace);
   CPPUNIT_TEST(testStreamIsRefusedWhileItsCallerListens);
+  CPPUNIT_TEST(testStreamIsGivenUpWhenItWouldBeginTooLate);
   CPPUNIT_TEST(testLateRequestsGoBehindThoseInTime);
   CPPUNIT_TEST(testLowestTierLeavesPlacesFree);
   CPPUNIT_TEST(testKeptPlaceIsGivenBeforeTheCallerLeaves);
@@ -175,6 +176,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
   }
 
+  void testStreamIsGivenUpWhenItWouldBeginTooLate() {
+    announce("a", 1);
+    for (int I = 0; I < 30; ++I)
+      m_Targets.noteBegin(m_Pool, milliseconds(400));
+    place(1);
+    PlacementRequest Stream = request(2);
+    Stream.m_IsModel = true;
+    m_Dispatcher.place(Stream, m_Now);
+    m_Now += milliseconds(580);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT(m_Refused.empty());
+    // Streams begin 0.4 s after they are sent, and its caller leaves at 1 s.
+    m_Now += milliseconds(30);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(2)) == 1);
+  }
+
   void testLateRequestsGoBehindThoseInTime() {
     announce("a", 1);
     place(1);
--- a/Tests/LibRouting/FleetShareTest.cpp
+++ b/Tests/LibRouting/FleetShareTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(FleetShareTest);
   CPPUNIT_TEST(testSmallFleetIsOneGroup);
   CPPUNIT_TEST(testGroupsCoverTheFleetAndTheTargets);
+  CPPUNIT_TEST(testEachGroupIsAMixOfAllHalls);
   CPPUNIT_TEST(testFewTargetsAreSharedByAll);
   CPPUNIT_TEST(testQuotaShares);
   CPPUNIT_TEST(testOneMoreInstanceMovesFewTargets);
@@ -18,10 +19,16 @@
   static config::Endpoint address(std::size_t Index) {
     return {"10.1.0." + std::to_string(100 + Index), 7600};
   }
-  static std::set<config::Endpoint> fleet(std::size_t Size) {
-    std::set<config::Endpoint> Out;
+  /// Halls of one half, three tenths and a fifth of the fleet.
+  static core::DataHallName hallOf(std::size_t Index) {
+    static const char *Halls[] = {"a", "a", "b", "a", "c",
+                                  "a", "b", "a", "c", "b"};
+    return core::DataHallName(Halls[Index % 10]);
+  }
+  static FleetShare::Fleet fleet(std::size_t Size) {
+    FleetShare::Fleet Out;
     for (std::size_t I = 0; I < Size; ++I)
-      Out.insert(address(I));
+      Out[address(I)] = hallOf(I);
     return Out;
   }
 
@@ -85,12 +92,29 @@
   }
 
   void testOneMoreInstanceMovesFewTargets() {
-    FleetShare Before(address(40), fleet(89));
-    FleetShare After(address(40), fleet(90));
+    // Whichever instance looks, and on the average of all.
     int Moved = 0;
-    for (std::size_t Rank = 0; Rank < 90; ++Rank)
-      Moved += Before.isOwn(Rank, 90) != After.isOwn(Rank, 90) ? 1 : 0;
-    CPPUNIT_ASSERT(Moved <= 2);
+    for (std::size_t I = 0; I < 89; ++I) {
+      FleetShare Before(address(I), fleet(89));
+      FleetShare After(address(I), fleet(90));
+      for (std::size_t Rank = 0; Rank < 90; ++Rank)
+        Moved += Before.isOwn(Rank, 90) != After.isOwn(Rank, 90) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(Moved <= 2 * 89);
+  }
+
+  void testEachGroupIsAMixOfAllHalls() {
+    auto Fleet = fleet(80);
+    for (std::size_t I = 0; I < 80; ++I) {
+      FleetShare Share(address(I), Fleet);
+      std::map<core::DataHallName, int> Counts{{hallOf(I), 1}};
+      for (const config::Endpoint &Peer : Share.near())
+        ++Counts[Fleet.at(Peer)];
+      // Halves, three tenths and a fifth of eight.
+      CPPUNIT_ASSERT(Counts[core::DataHallName("a")] >= 3);
+      CPPUNIT_ASSERT(Counts[core::DataHallName("b")] >= 2);
+      CPPUNIT_ASSERT(Counts[core::DataHallName("c")] >= 1);
+    }
   }
 };
 
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -16,20 +16,20 @@
 // Trouble
 //===----------------------------------------------------------------------===//
 
-void Ledger::Trouble::change(bool Begins) {
+void Ledger::Trouble::change(bool Begins, TimePoint Now) {
   m_Open += Begins ? 1 : -1;
-  m_EndedAt = Clock::now();
+  m_EndedAt = Now;
 }
 
 void Ledger::processTrouble(std::size_t Gateway, bool Begins) {
-  m_Gateways[Gateway].m_Process.change(Begins);
+  m_Gateways[Gateway].m_Process.change(Begins, m_Now());
 }
 
 void Ledger::pathTrouble(std::size_t Gateway, bool Begins) {
-  m_Gateways[Gateway].m_Path.change(Begins);
+  m_Gateways[Gateway].m_Path.change(Begins, m_Now());
 }
 
-void Ledger::storeTrouble(bool Begins) { m_Store.change(Begins); }
+void Ledger::storeTrouble(bool Begins) { m_Store.change(Begins, m_Now()); }
 
 void Ledger::setStopping(std::size_t Gateway, bool IsStopping) {
   m_Gateways[Gateway].m_IsStopping = IsStopping;
@@ -66,8 +66,8 @@
   if (!What)
     return broken("unasked", "nobody sent " + Id);
   if (++What->m_Arrivals > 1)
-    m_Repeats.push_back({Clock::now()});
-  if (!LeavingSince || Clock::now() <= *LeavingSince + bounds::NoNewWork)
+    m_Repeats.push_back({m_Now()});
+  if (!LeavingSince || m_Now() <= *LeavingSince + bounds::NoNewWork)
     return;
   if (isInTouchSince(What->m_Gateway, *LeavingSince))
     broken("leaving", Id + " came to " + Target + " after it left");
@@ -77,7 +77,7 @@
   Attempt *What = find(Id);
   if (!What)
     return;
-  m_TokensRun[What->m_Account].push_back({Clock::now(), What->m_Tokens});
+  m_TokensRun[What->m_Account].push_back({m_Now(), What->m_Tokens});
   if (++What->m_Runs > 1 && !What->mayRunAgain())
     broken("once", Id + " ran again");
   if (What->m_Status && isRefusal(*What->m_Status) && !What->mayRunAgain())
@@ -102,7 +102,7 @@
   ++m_Unanswered;
   Attempt &What = m_Attempts.at(Id);
   const Gateway &At = m_Gateways[What.m_Gateway];
-  auto Passed = Clock::now() - What.m_SentAt;
+  auto Passed = m_Now() - What.m_SentAt;
   if (!At.m_Process.isOverSince(What.m_SentAt))
     return;
   if (Passed > What.m_TimeLimit + bounds::AnswerSlack)
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -74,7 +74,10 @@
 
 class Ledger {
 public:
-  explicit Ledger(std::size_t Gateways) : m_Gateways(Gateways) {}
+  using Hook = std::function<TimePoint()>;
+
+  explicit Ledger(std::size_t Gateways, Hook Now = Clock::now)
+      : m_Now(std::move(Now)), m_Gateways(Gateways) {}
 
   // Trouble, which may overlap: of a gateway's process, of its way to the
   // store, and of the store itself.
@@ -116,7 +119,7 @@
     int m_Open = 0;
     TimePoint m_EndedAt;
 
-    void change(bool Begins);
+    void change(bool Begins, TimePoint Now);
     bool isOverSince(TimePoint Since) const {
       return m_Open == 0 && m_EndedAt + bounds::Contact <= Since;
     }
@@ -139,6 +142,7 @@
     bool m_IsStopping = false;
   };
 
+  Hook m_Now;
   std::vector<Gateway> m_Gateways;
   Trouble m_Store;
   std::map<std::string, Attempt> m_Attempts;
--- /dev/null
+++ b/Tests/Soak/LedgerTest.cpp
@@ -0,0 +1,195 @@
+//===-- LedgerTest.cpp - Each check of the soak notices what it is for ----===//
+#include "Ledger.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill::soak;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class LedgerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LedgerTest);
+  CPPUNIT_TEST(testQuietRunBreaksNothing);
+  CPPUNIT_TEST(testSecondRun);
+  CPPUNIT_TEST(testRefusalThatIsNotTrue);
+  CPPUNIT_TEST(testRequestThatNobodySent);
+  CPPUNIT_TEST(testDenied);
+  CPPUNIT_TEST(testLeavingTarget);
+  CPPUNIT_TEST(testLostAnswer);
+  CPPUNIT_TEST(testPlannedStop);
+  CPPUNIT_TEST(testHeldBeyondItsTime);
+  CPPUNIT_TEST(testTroubleExcuses);
+  CPPUNIT_TEST(testQuota);
+  CPPUNIT_TEST(testRetries);
+  CPPUNIT_TEST(testRecovery);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint m_Now{std::chrono::hours(1)};
+  Ledger m_Book{2, [this] { return m_Now; }};
+  int m_Next = 0;
+
+  std::string send(RequestKind Kind = RequestKind::RunOnce,
+                   const std::string &Account = "open") {
+    Attempt What;
+    What.m_Id = "a" + std::to_string(++m_Next);
+    What.m_Kind = Kind;
+    What.m_Account = Account;
+    What.m_Tokens = 100;
+    What.m_SentAt = m_Now;
+    What.m_TimeLimit = seconds(2);
+    m_Book.sent(What);
+    return What.m_Id;
+  }
+  void run(const std::string &Id) {
+    m_Book.arrived(Id, "i-1", std::nullopt);
+    m_Book.ran(Id);
+  }
+  void expect(const std::string &Rule) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Book.violations().size());
+    CPPUNIT_ASSERT_EQUAL(Rule, m_Book.violations()[0].substr(
+                                   0, m_Book.violations()[0].find(':')));
+  }
+  void expectNothing() { CPPUNIT_ASSERT(m_Book.violations().empty()); }
+
+public:
+  void testQuietRunBreaksNothing() {
+    for (int I = 0; I < 100; ++I) {
+      m_Now += milliseconds(100);
+      std::string Id = send();
+      run(Id);
+      m_Book.answered(Id, 200);
+    }
+    m_Book.finish(m_Now - seconds(5));
+    expectNothing();
+  }
+
+  void testSecondRun() {
+    std::string Again = send(RequestKind::Repeatable);
+    run(Again);
+    run(Again);
+    expectNothing();
+    std::string Once = send(RequestKind::Stream);
+    run(Once);
+    run(Once);
+    expect("once");
+  }
+
+  void testRefusalThatIsNotTrue() {
+    std::string Id = send();
+    m_Book.answered(Id, 503);
+    expectNothing();
+    run(Id);
+    expect("refusal");
+  }
+
+  void testRequestThatNobodySent() {
+    m_Book.arrived("forged", "i-1", std::nullopt);
+    expect("unasked");
+  }
+
+  void testDenied() {
+    m_Book.answered(send(), 404);
+    expect("denied");
+  }
+
+  void testLeavingTarget() {
+    TimePoint LeftAt = m_Now;
+    m_Now += milliseconds(1900);
+    m_Book.arrived(send(), "i-1", LeftAt);
+    expectNothing();
+    m_Now += milliseconds(200);
+    m_Book.arrived(send(), "i-1", LeftAt);
+    expect("leaving");
+  }
+
+  void testLostAnswer() {
+    std::string Untouched = send();
+    m_Now += milliseconds(100);
+    m_Book.unanswered(Untouched, "reset");
+    std::string OfTarget = send();
+    run(OfTarget);
+    m_Book.targetTrouble(OfTarget);
+    m_Book.unanswered(OfTarget, "reset");
+    expectNothing();
+    std::string Id = send();
+    run(Id);
+    m_Book.unanswered(Id, "reset");
+    expect("lost");
+  }
+
+  void testPlannedStop() {
+    m_Book.setStopping(0, true);
+    std::string Id = send();
+    run(Id);
+    m_Book.unanswered(Id, "reset");
+    expect("stop");
+  }
+
+  void testHeldBeyondItsTime() {
+    std::string Id = send();
+    run(Id);
+    m_Book.targetTrouble(Id);
+    m_Now += milliseconds(2600);
+    m_Book.unanswered(Id, "time-out");
+    expect("held");
+  }
+
+  void testTroubleExcuses() {
+    m_Book.processTrouble(0, true);
+    m_Book.unanswered(send(), "reset");
+    m_Book.processTrouble(0, false);
+    TimePoint LeftAt = m_Now;
+    m_Now += milliseconds(2500);
+    m_Book.arrived(send(), "i-1", LeftAt);
+    expectNothing();
+    // The other gateway had no trouble, and later this one has none either.
+    CPPUNIT_ASSERT(m_Book.isInTouchSince(1, m_Now));
+    CPPUNIT_ASSERT(!m_Book.isInTouchSince(0, m_Now));
+    CPPUNIT_ASSERT(m_Book.isInTouchSince(0, m_Now + seconds(1)));
+    m_Book.storeTrouble(true);
+    CPPUNIT_ASSERT(!m_Book.isInTouchSince(1, m_Now + seconds(9)));
+  }
+
+  void testQuota() {
+    m_Book.setQuota("limited", {100, 100});
+    // (100 x 8 + 100) x 1.1 + 2,800 tokens are allowed in 8 s.
+    for (int I = 0; I < 38; ++I)
+      run(send(RequestKind::RunOnce, "limited"));
+    m_Book.finish(m_Now);
+    expect("quota");
+  }
+
+  void testRetries() {
+    for (int I = 0; I < 53; ++I) {
+      std::string Id = send(RequestKind::Repeatable);
+      run(Id);
+      run(Id);
+      m_Book.answered(Id, 200);
+    }
+    m_Book.finish(m_Now);
+    // 53 of 53: a fifth of them and 52 are allowed.
+    expectNothing();
+    std::string Id = send(RequestKind::Repeatable);
+    for (int I = 0; I < 14; ++I)
+      run(Id);
+    m_Book.answered(Id, 200);
+    m_Book.finish(m_Now);
+    expect("retries");
+  }
+
+  void testRecovery() {
+    TimePoint CalmSince = m_Now;
+    m_Book.answered(send(), 503);
+    m_Now += seconds(4);
+    for (int I = 0; I < 9; ++I)
+      m_Book.answered(send(), 200);
+    m_Book.answered(send(), 503);
+    m_Book.finish(CalmSince);
+    expectNothing();
+    m_Book.answered(send(), 503);
+    m_Book.finish(CalmSince);
+    expect("recovery");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LedgerTest);
