--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -28,7 +28,7 @@
 static constexpr double MostWaitShare = 0.35;
 /// Part of a pool's places that the lowest rank leaves free for the others: of
 /// those about as many arrive until all instances know of a dispatch.
-static constexpr double KeptShare = 0.15;
+static constexpr double KeptShare = 0.05;
 /// A rank counts as present for so long after its last request.
 static constexpr std::chrono::seconds RankMemory{10};
 
