Programs: Explain one request from the logs; report repeated keys and empty files

`yardrill explain REQUEST` reads the logs of all instances, prints the request's steps in order, what its end means, and how often its targets failed, the store was lost or peers fell silent in the five seconds before. Tests, failing before: SettingsTest::testRepeatedKeys, testFilesThatCanNotBeRead; CommandLineTest::testExplainsARequest.

--- a/Libraries/LibConfig/InstanceSettings.cpp
+++ b/Libraries/LibConfig/InstanceSettings.cpp
@@ -159,6 +159,10 @@
 std::string readFile(const std::string &File) {
   std::ifstream In(File, std::ios::binary);
   std::ostringstream Text;
+  // Copying nothing counts as a failure of the stream.
+  bool IsEmpty = In && In.peek() == std::ifstream::traits_type::eof();
+  if (IsEmpty)
+    throw core::Error(core::ErrorKind::Settings, "file " + File + " is empty");
   if (!In || !(Text << In.rdbuf()))
     throw core::Error(core::ErrorKind::Settings, "cannot read file " + File);
   return Text.str();
--- a/Libraries/LibConfig/YamlReader.cpp
+++ b/Libraries/LibConfig/YamlReader.cpp
@@ -10,6 +10,18 @@
   if (m_Node.IsDefined() && !m_Node.IsNull() && !m_Node.IsMap())
     m_Faults.push_back({m_Node.Mark().line + 1, m_Path, "is not a mapping",
                         "key: value pairs"});
+  reportRepeatedKeys();
+}
+
+void YamlReader::reportRepeatedKeys() {
+  if (!m_Node.IsDefined() || !m_Node.IsMap())
+    return;
+  std::set<std::string> Seen;
+  for (const auto &Each : m_Node)
+    if (Each.first.IsScalar() && !Seen.insert(Each.first.Scalar()).second)
+      m_Faults.push_back({Each.first.Mark().line + 1,
+                          pathOf(Each.first.Scalar()), "is given twice",
+                          "each key once"});
 }
 
 YAML::Node YamlReader::load(const std::string &Text, const std::string &File,
--- a/Libraries/LibConfig/YamlReader.h
+++ b/Libraries/LibConfig/YamlReader.h
@@ -65,6 +65,9 @@
   void finish();
 
 private:
+  /// YAML wants unique keys (YAML 1.2, section 3.2.1.3); the library takes
+  /// repeated ones without a word.
+  void reportRepeatedKeys();
   YAML::Node child(const std::string &Key);
   std::optional<std::string> scalar(const std::string &Key, bool IsRequired,
                                     const std::string &Allowed);
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -70,6 +70,12 @@
        {},
        1,
        runReplay},
+      {"explain",
+       "REQUEST [--logs=FILE,FILE,...]",
+       "print what the logs of all instances tell of one request",
+       {"logs"},
+       1,
+       runExplain},
       {"version", "", "print the version", {}, 0, runVersion},
   };
   return All;
--- a/Programs/yardrill/CommandLine.h
+++ b/Programs/yardrill/CommandLine.h
@@ -36,6 +36,7 @@
 int runConfigPublish(const std::vector<std::string> &);
 int runConfigStatus(const std::vector<std::string> &);
 int runPolicyCheck(const std::vector<std::string> &Positionals);
+int runExplain(const std::vector<std::string> &Positionals);
 int runReplay(const std::vector<std::string> &Positionals);
 
 } // namespace yardrill::program
--- /dev/null
+++ b/Programs/yardrill/RequestStory.cpp
@@ -0,0 +1,177 @@
+#include "RequestStory.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <istream>
+#include <ostream>
+#include <set>
+
+namespace yardrill::program {
+
+using core::LogEntry;
+
+/// Events that may explain a failure without naming the request.
+static const std::set<std::string> &surroundingEvents() {
+  static const std::set<std::string> All = {
+      "store-lost",        "store-connected",  "peer-lost",
+      "target-gone",       "target-replaced",  "target-refused",
+      "target-broke",      "connect-failed",   "instance-started",
+      "instance-stopping", "instance-stopped", "log-lines-dropped"};
+  return All;
+}
+
+/// How long before the request's end the surroundings are looked at.
+static constexpr double SurroundingSeconds = 5;
+
+namespace {
+
+struct Meaning {
+  const char *m_Reason;
+  const char *m_Text;
+};
+
+/// By the reason of the line that ended the request.
+const Meaning Meanings[] = {
+    {"complete", "the caller has a target's whole answer"},
+    {"caller-gone", "the caller left before its answer was complete; what ran "
+                    "at a target was cancelled"},
+    {"no-target",
+     "not run: until its time to wait was over every target of the "
+     "pool was full, tried or failing; compare places and "
+     "running_* in the sent lines of that instant"},
+    {"target-refused", "not run: the target said that it is full or leaving, "
+                       "and the retry budget or the targets were used up"},
+    {"target-replaced", "not run: another target has that address now"},
+    {"target-failed", "it ran, and the target itself answered with a failure"},
+    {"target-broke", "it may have run: the connection ended without a whole "
+                     "answer, and the route does not let it run again"},
+    {"stream-cut", "it ran in part: the target broke its stream off"},
+    {"connect-failed", "the last target could not be connected to"},
+    {"unsigned-answer",
+     "the answer bore no signature, so it was not passed on"},
+    {"resume-refused", "no other target took the stream up"},
+    {"time-over", "its time was over; it ran if it was sent"},
+    {"over-quota", "not run: its client account is beyond its quota"},
+    {"unknown-key", "not run: no account of the configuration in force has "
+                    "that key"},
+    {"no-route", "not run: the configuration in force has no such route"},
+    {"no-configuration", "not run: the instance had no configuration yet"},
+    {"stopping", "not run: the instance was about to end"},
+};
+
+const char *meaningOf(const std::string &Reason) {
+  for (const Meaning &Each : Meanings)
+    if (Reason == Each.m_Reason)
+      return Each.m_Text;
+  return "no explanation for this reason";
+}
+
+/// Seconds of the day; logs of one request do not span midnight twice.
+double secondsOf(const std::string &Time) {
+  int Hours = 0;
+  int Minutes = 0;
+  double Seconds = 0;
+  std::size_t At = Time.find('T');
+  if (At == std::string::npos || std::sscanf(Time.c_str() + At + 1, "%d:%d:%lf",
+                                             &Hours, &Minutes, &Seconds) != 3)
+    return 0;
+  return Hours * 3600 + Minutes * 60 + Seconds;
+}
+
+std::string describe(const LogEntry &Entry) {
+  auto Of = [&Entry](const char *Name) { return Entry.field(Name); };
+  const std::string &Event = Entry.m_Event;
+  if (Event == "request-sent")
+    return "sent to " + Of("target") + ", try " + Of("try") + ", after " +
+           Of("waited_us") + " us; there ran " + Of("running_own") +
+           " of ours and " + Of("running_others") + " of others in " +
+           Of("places") + " places; slowness " + Of("slowness") +
+           ", failure share " + Of("failure_share") + "; by configuration " +
+           Of("configuration") + " and store revision " + Of("store_revision");
+  if (Event == "request-finished" || Event == "request-refused" ||
+      Event == "request-broken-off") {
+    std::string Out = Event.substr(sizeof "request-" - 1) + ": status " +
+                      Of("status") + ", " + Of("reason") + ", after " +
+                      Of("tries") + " tries and " + Of("total_us") + " us";
+    if (!Of("first_event_us").empty())
+      Out += "; first event after " + Of("first_event_us") +
+             " us, longest pause " + Of("longest_pause_us") + " us";
+    return Out;
+  }
+  std::string Out = Event;
+  for (const auto &[Key, Value] : Entry.m_Fields)
+    if (Key != "request" && Key != "level")
+      Out += " " + Key + "=" + Value;
+  return Out;
+}
+
+} // namespace
+
+void RequestStory::add(std::istream &Log, const std::string &Source) {
+  std::string Name = Source;
+  std::string Line;
+  while (std::getline(Log, Line)) {
+    auto Entry = core::readLogLine(Line);
+    if (!Entry)
+      continue;
+    if (!Entry->m_Source.empty())
+      Name = Entry->m_Source;
+    else if (Entry->m_Event == "instance-started")
+      Name = Entry->field("instance");
+    if (Entry->field("request") == m_Request)
+      m_Own.push_back({Name, std::move(*Entry)});
+    else if (surroundingEvents().count(Entry->m_Event) != 0)
+      m_Others.push_back({Name, std::move(*Entry)});
+  }
+}
+
+void RequestStory::print(std::ostream &Out) const {
+  std::vector<Step> Steps = m_Own;
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [](const Step &A, const Step &B) {
+                     return A.m_Entry.m_Time < B.m_Entry.m_Time;
+                   });
+  double First = secondsOf(Steps.front().m_Entry.m_Time);
+  for (const Step &Each : Steps) {
+    char Offset[32];
+    std::snprintf(Offset, sizeof Offset, "+%.3f s",
+                  secondsOf(Each.m_Entry.m_Time) - First);
+    Out << Offset << "  " << Each.m_Source << "  " << describe(Each.m_Entry)
+        << '\n';
+  }
+  std::string Reason = Steps.back().m_Entry.field("reason");
+  bool HasEnded = Steps.back().m_Entry.m_Event.rfind("request-", 0) == 0 &&
+                  Steps.back().m_Entry.m_Event != "request-sent";
+  Out << (HasEnded ? meaningOf(Reason)
+                   : "no line tells its end: the instance ended, or its lines "
+                     "were dropped")
+      << '\n';
+  printSurroundings(Out);
+}
+
+void RequestStory::printSurroundings(std::ostream &Out) const {
+  std::set<std::string> Targets;
+  std::set<std::string> Sources;
+  for (const Step &Each : m_Own) {
+    Targets.insert(Each.m_Entry.field("target"));
+    Sources.insert(Each.m_Source);
+  }
+  double End = secondsOf(m_Own.back().m_Entry.m_Time);
+  std::map<std::string, std::size_t> Counts;
+  for (const Step &Each : m_Others) {
+    double Before = End - secondsOf(Each.m_Entry.m_Time);
+    std::string Target = Each.m_Entry.field("target");
+    bool Concerns = Target.empty() ? Sources.count(Each.m_Source) != 0
+                                   : Targets.count(Target) != 0;
+    if (Before < 0 || Before > SurroundingSeconds || !Concerns)
+      continue;
+    std::string What = Each.m_Entry.m_Event;
+    What += Target.empty() ? " at " + Each.m_Source : " of " + Target;
+    ++Counts[What];
+  }
+  for (const auto &[What, Count] : Counts)
+    Out << "in the " << SurroundingSeconds << " s before: " << What << ", "
+        << Count << " times\n";
+}
+
+} // namespace yardrill::program
--- /dev/null
+++ b/Programs/yardrill/RequestStory.h
@@ -0,0 +1,42 @@
+//===-- RequestStory.h - What logs tell of one request --------------------===//
+#ifndef YARDRILL_PROGRAMS_YARDRILL_REQUESTSTORY_H
+#define YARDRILL_PROGRAMS_YARDRILL_REQUESTSTORY_H
+
+#include "LibCore/LogReader.h"
+
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace yardrill::program {
+
+/// Collects the lines of one request from the logs of all instances, and what
+/// happened to its targets and its instance shortly before it ended.
+class RequestStory {
+public:
+  explicit RequestStory(std::string Request) : m_Request(std::move(Request)) {}
+
+  /// Lines of one instance in their order. \p Source names it when its log does
+  /// not, for instance the file.
+  void add(std::istream &Log, const std::string &Source);
+  bool isEmpty() const { return m_Own.empty(); }
+  /// One line for each step, then what it means.
+  void print(std::ostream &Out) const;
+
+private:
+  struct Step {
+    std::string m_Source;
+    core::LogEntry m_Entry;
+  };
+
+  void printSurroundings(std::ostream &Out) const;
+
+  std::string m_Request;
+  std::vector<Step> m_Own;
+  std::vector<Step> m_Others; ///< Failures of targets, peers and the store.
+};
+
+} // namespace yardrill::program
+
+#endif
--- a/Tests/LibConfig/SettingsTest.cpp
+++ b/Tests/LibConfig/SettingsTest.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(testEveryFaultIsNamed);
   CPPUNIT_TEST(testFleetFaults);
   CPPUNIT_TEST(testNotYaml);
+  CPPUNIT_TEST(testRepeatedKeys);
+  CPPUNIT_TEST(testFilesThatCanNotBeRead);
   CPPUNIT_TEST(testLongestRouteWins);
   CPPUNIT_TEST_SUITE_END();
 
@@ -121,6 +123,34 @@
       CPPUNIT_ASSERT_THROW(InstanceSettings::parse(Text, "x"), FaultyDocument);
   }
 
+  void testRepeatedKeys() {
+    std::string Text =
+        replaced(InstanceSettings::example(), "  data_hall: edinburgh\n",
+                 "  data_hall: edinburgh\n  name: entry-2\n");
+    auto Faults = faultsOf([&] { InstanceSettings::parse(Text, "twice"); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Faults.size());
+    CPPUNIT_ASSERT(Faults[0].find("instance.name") != std::string::npos);
+    CPPUNIT_ASSERT(Faults[0].find("given twice") != std::string::npos);
+    std::string All = InstanceSettings::example();
+    CPPUNIT_ASSERT(
+        !faultsOf([&] { InstanceSettings::parse(All + All, "t"); }).empty());
+  }
+
+  void testFilesThatCanNotBeRead() {
+    auto MessageOf = [](const std::string &File) -> std::string {
+      try {
+        readFile(File);
+      } catch (const core::Error &Failure) {
+        return Failure.what();
+      }
+      return "";
+    };
+    CPPUNIT_ASSERT(MessageOf("/dev/null").find("is empty") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(MessageOf("/nonexistent").find("cannot read") !=
+                   std::string::npos);
+  }
+
   void testLongestRouteWins() {
     Pool Seats;
     Seats.m_Routes = {{"/a", true}, {"/a/b", false}};
--- a/Tests/Program/CommandLineTest.cpp
+++ b/Tests/Program/CommandLineTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testWrongCalls);
   CPPUNIT_TEST(testRightCalls);
   CPPUNIT_TEST(testPortInUse);
+  CPPUNIT_TEST(testExplainsARequest);
   CPPUNIT_TEST_SUITE_END();
 
   std::filesystem::path m_Folder;
@@ -119,6 +120,48 @@
     CPPUNIT_ASSERT(Output.find("address-in-use: 127.0.0.1:" +
                                std::to_string(Port)) != std::string::npos);
   }
+
+  void testExplainsARequest() {
+    // As two instances wrote them; the second sent the target work as well.
+    std::string One = file("one.log", R"(garbage
+time=2026-04-04T14:03:04.850000Z level=info event=instance-started instance=gateway-1
+time=2026-04-04T14:03:07.000000Z level=info event=request-sent request=a1 target=i-1 try=1 waited_us=12 running_own=1 running_others=3 places=4 slowness=1 failure_share=0.1 configuration=7 store_revision=20
+time=2026-04-04T14:03:07.200000Z level=warning event=target-broke request=a1 target=i-1 reason="outcome-unknown: read head: end of \"stream\""
+time=2026-04-04T14:03:07.200100Z level=info event=request-refused request=a1 status=502 reason=target-broke tries=1 total_us=200100 target=i-1
+time=2026-04-04T14:03:07.300000Z level=info event=request-sent request=a2 target=i-1 try=1
+)");
+    std::string Two = file("two.log", R"(
+time=2026-04-04T14:03:04.900000Z level=info event=instance-started instance=gateway-2
+time=2026-04-04T14:03:06.900000Z level=warning event=target-broke request=b1 target=i-1 reason=x
+time=2026-04-04T14:03:06.950000Z level=warning event=store-lost revision=20
+)");
+    std::string Output;
+    CPPUNIT_ASSERT_EQUAL(
+        0, run({"explain", "a1", "--logs=" + One + "," + Two}, Output));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            "+0.000 s  gateway-1  sent to i-1, try 1, after 12 us; there ran 1 "
+            "of ours and 3 of others in 4 places; slowness 1, failure share "
+            "0.1; by configuration 7 and store revision 20\n"
+            "+0.200 s  gateway-1  target-broke reason=outcome-unknown: read "
+            "head: end of \"stream\" target=i-1\n"
+            "+0.200 s  gateway-1  refused: status 502, target-broke, after 1 "
+            "tries and 200100 us\n"
+            "it may have run: the connection ended without a whole answer, and "
+            "the route does not let it run again\n"
+            "in the 5 s before: instance-started at gateway-1, 1 times\n"
+            "in the 5 s before: target-broke of i-1, 1 times\n"),
+        Output);
+    // One stream of all logs, in which a collector names the instances.
+    std::string All = file(
+        "all.log", "  7.01 edge-1 time=2026-04-04T14:03:07.000000Z level=info "
+                   "event=request-refused request=a3 status=503 "
+                   "reason=stopping tries=0 total_us=90\n");
+    CPPUNIT_ASSERT_EQUAL(0, run({"explain", "a3", "--logs=" + All}, Output));
+    CPPUNIT_ASSERT(Output.find("+0.000 s  edge-1  refused: status 503") == 0);
+    CPPUNIT_ASSERT_EQUAL(1, run({"explain", "zz", "--logs=" + One}, Output));
+    CPPUNIT_ASSERT_EQUAL(2, run({"explain", "a1", "--logs=/none"}, Output));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CommandLineTest);
