LibHTTP: Never block the loop on a look at a caller's socket

The debugger showed the soak's own loop in poll() without a time limit, below ServerConnection::watchForHangUp(): when the readiness event is about bytes that were read before the event is handled, the look at the socket finds nothing, and a blocking socket then waits in the kernel for the caller's next byte. The gateway has the same code: one quiet caller could have stopped all others. Ruled out: load (the process was idle), the proxies (they only use asynchronous calls), a target's handler. Change: callers' sockets do not block; after such an event the watch is set again, where a hang-up went unnoticed before. Tests: ServerTest (64 callers on the server's thread, hang-ups after bodies in pieces). Processes of tests now end with the test that started them.

--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -32,6 +32,8 @@
 
 void ServerConnection::run(asio::yield_context Yield) {
   m_Stream.socket().set_option(tcp::no_delay(true));
+  // A look at what may not be there must never hold up the whole loop.
+  m_Stream.socket().non_blocking(true);
   while (!m_IsAborted) {
     m_IsIdle = m_Buffer.size() == 0;
     m_IsAnswered = m_IsStreamStarted = m_IsChunked = false;
@@ -171,7 +173,11 @@
 
 void ServerConnection::watchForHangUp() {
   m_HangUpHook = std::make_shared<std::function<void()>>();
-  std::weak_ptr<std::function<void()>> Weak = m_HangUpHook;
+  waitForHangUp(m_HangUpHook);
+}
+
+void ServerConnection::waitForHangUp(
+    std::weak_ptr<std::function<void()>> Weak) {
   m_Stream.socket().async_wait(
       tcp::socket::wait_read, [this, Weak](error_code Failure) {
         auto Hook = Weak.lock();
@@ -182,8 +188,11 @@
         error_code PeekFailure;
         m_Stream.socket().receive(asio::buffer(&Byte, 1),
                                   tcp::socket::message_peek, PeekFailure);
+        // The event may be about bytes that were read meanwhile.
+        if (PeekFailure == asio::error::would_block)
+          return waitForHangUp(Weak);
         // Data means a pipelined request: the caller is still there.
-        if (PeekFailure && PeekFailure != asio::error::would_block && *Hook)
+        if (PeekFailure && *Hook)
           (*Hook)();
       });
 }
--- /dev/null
+++ b/Tests/LibHTTP/ServerTest.cpp
@@ -0,0 +1,109 @@
+//===-- ServerTest.cpp - The server under callers that do odd things ------===//
+#include "LibHTTP/Server.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+
+using namespace yardrill;
+using namespace yardrill::http;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class ServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerTest);
+  CPPUNIT_TEST(testQuickCallersNeverStopTheLoop);
+  CPPUNIT_TEST(testHangUpIsNoticedAfterABodyInPieces);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr int Callers = 64;
+  static constexpr int RequestsOfCaller = 300;
+
+  asio::io_context m_Context{1};
+  std::unique_ptr<Server> m_Server;
+  std::thread m_Thread;
+  std::atomic<int> m_HangUps{0};
+  std::atomic<int> m_Done{0};
+
+  void start(std::chrono::milliseconds WorkTime) {
+    m_Server = Server::create(
+        m_Context, {asio::ip::make_address("127.0.0.1"), 0}, ServerLimits(),
+        [this, WorkTime](Exchange &Call, asio::yield_context Yield) {
+          Call.setHangUpHook([this] { ++m_HangUps; });
+          asio::steady_timer Timer(m_Context, WorkTime);
+          boost::system::error_code Ignored;
+          Timer.async_wait(Yield[Ignored]);
+          ResponseMessage Answer;
+          Answer.m_Head.m_Status = 200;
+          Call.sendWhole(std::move(Answer), Yield);
+        },
+        [](unsigned Status) {
+          ResponseMessage Out;
+          Out.m_Head.m_Status = Status;
+          return Out;
+        });
+    m_Thread = std::thread([this] { m_Context.run(); });
+  }
+  tcp::socket connect(asio::io_context &Own) const {
+    tcp::socket Out(Own);
+    Out.connect({asio::ip::make_address("127.0.0.1"), m_Server->port()});
+    Out.set_option(tcp::no_delay(true));
+    return Out;
+  }
+  /// The end of the body comes in a packet of its own, right behind the rest.
+  static void sendInPieces(tcp::socket &To) {
+    static const std::string Head =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\n";
+    asio::write(To, asio::buffer(Head));
+    asio::write(To, asio::buffer("one", 3));
+    asio::write(To, asio::buffer("two", 3));
+  }
+  /// On the server's own thread, so that the next request is often there before
+  /// the server's write of the last answer has returned.
+  void callMany(asio::yield_context Yield) {
+    tcp::socket To(m_Context);
+    To.async_connect({asio::ip::make_address("127.0.0.1"), m_Server->port()},
+                     Yield);
+    static const std::string Request = "POST / HTTP/1.1\r\nHost: h\r\n"
+                                       "Content-Length: 6\r\n\r\nonetwo";
+    for (int I = 0; I < RequestsOfCaller; ++I) {
+      asio::async_write(To, asio::buffer(Request), Yield);
+      char Answer[256];
+      To.async_read_some(asio::buffer(Answer), Yield);
+    }
+    ++m_Done;
+  }
+
+public:
+  void tearDown() override {
+    m_Context.stop();
+    m_Thread.join();
+  }
+
+  void testQuickCallersNeverStopTheLoop() {
+    start(std::chrono::milliseconds(1));
+    for (int I = 0; I < Callers; ++I)
+      asio::spawn(
+          m_Context, [this](asio::yield_context Yield) { callMany(Yield); },
+          asio::detached);
+    for (int I = 0; I < 4000 && m_Done < Callers; ++I)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    CPPUNIT_ASSERT_EQUAL(Callers, m_Done.load());
+  }
+
+  void testHangUpIsNoticedAfterABodyInPieces() {
+    start(std::chrono::seconds(30));
+    for (int I = 0; I < 50; ++I) {
+      asio::io_context Own;
+      tcp::socket To = connect(Own);
+      sendInPieces(To);
+      std::this_thread::sleep_for(std::chrono::milliseconds(3));
+    }
+    for (int I = 0; I < 200 && m_HangUps < 50; ++I)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    CPPUNIT_ASSERT_EQUAL(50, m_HangUps.load());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerTest);
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -22,6 +23,8 @@
     throw std::runtime_error("fork failed");
   if (m_Pid > 0)
     return;
+  // A test that is killed takes its processes with it.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
