LibRouting: Do not guess the work of other groups at shared targets

From the logs: one request of the own group was scaled up to one of every group, so the target was believed full. Ruled out: the target (17 ms a request), the balance between instances. Conclusion: a short queue at the target is cheaper than a wrong belief here. Test: DispatcherTest::testWorkOfOtherGroupsIsNotGuessed, failing before.

--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -185,15 +185,6 @@
   for (auto &[Name, Known] : m_Targets) {
     auto Found = Sums.find(Known.m_Hash);
     Known.m_Others = Found == Sums.end() ? TargetLoad() : Found->second;
-    // Of a pool that all groups share, only the own group's work is heard of;
-    // the others are taken to do as much.
-    std::size_t Count = m_ByPool[Known.m_Target.m_Pool].size();
-    if (m_Share.groups() == 1 || !m_Share.isShared(Count))
-      continue;
-    double Group =
-        static_cast<double>(Known.m_Others.m_Running + Known.m_Own.m_Running);
-    Known.m_Others.m_Running +=
-        static_cast<std::size_t>(Group / m_Share.partOfFleet() - Group);
   }
 }
 
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -79,8 +79,9 @@
   void noteBegin(const core::PoolName &Pool, core::Duration Time);
   /// By when nearly every stream that is sent now has begun.
   core::Duration timeToBegin(const core::PoolName &Pool) const;
-  /// Sums over all other instances, by KnownTarget::m_Hash; a target that is
-  /// not named has no work of theirs.
+  /// Sums over the other instances of the group, by KnownTarget::m_Hash; a
+  /// target that is not named has no work of theirs. What other groups do at
+  /// targets that all groups share is not known, and not guessed.
   void setOthers(const std::unordered_map<std::uint32_t, TargetLoad> &Sums);
 
   /// The part of the targets that this instance works with.
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(DispatcherTest);
   CPPUNIT_TEST(testSpreadsOverFreePlaces);
   CPPUNIT_TEST(testWorkOfOthersCounts);
+  CPPUNIT_TEST(testWorkOfOtherGroupsIsNotGuessed);
   CPPUNIT_TEST(testSlowTargetGetsLess);
   CPPUNIT_TEST(testHigherTierLeavesTheQueueFirst);
   CPPUNIT_TEST(testIsSentInTimeWithoutAFreePlace);
@@ -117,6 +118,21 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(3));
   }
 
+  void testWorkOfOtherGroupsIsNotGuessed() {
+    FleetShare::Fleet Fleet;
+    for (int I = 0; I < 80; ++I)
+      Fleet[{"10.1.0." + std::to_string(100 + I), 7600}] =
+          core::DataHallName("hall");
+    m_Targets.setShare(FleetShare({"10.1.0.100", 7600}, Fleet));
+    announce("a", 6);
+    place(1);
+    // That one request runs here does not mean that all ten groups have one
+    // there, which would fill it.
+    m_Targets.setOthers({});
+    place(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(2));
+  }
+
   void testSlowTargetGetsLess() {
     announce("quick", 10);
     announce("slow", 10);
