LibGateway: Let requests that come before the first configuration wait for it

Change: within 0.4 s of its start an instance lets requests wait for the configuration; later the store is away, and they are refused at once as before. Test: GatewayTest::testRequestBeforeTheConfigurationWaitsForIt, 503 before.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -18,6 +18,9 @@
 static constexpr std::chrono::milliseconds TickPeriod{20};
 /// How often what rarely changes is looked at.
 static constexpr std::chrono::milliseconds UpkeepPeriod{250};
+/// The store answers a start within tens of milliseconds; after this time it is
+/// away, and requests are refused at once.
+static constexpr std::chrono::milliseconds ConfigurationPatience{400};
 /// How long a stopping instance still takes requests: the balancer needs two
 /// seconds to notice that it is not ready.
 static constexpr std::chrono::milliseconds AcceptWhileStopping{3000};
@@ -281,6 +284,10 @@
 // Stopping
 //===----------------------------------------------------------------------===//
 
+bool Gateway::isJustStarted() const {
+  return core::steadyNow() - m_StartedAt < ConfigurationPatience;
+}
+
 bool Gateway::isReady() const {
   return m_Table && m_StoppingSince == core::TimePoint();
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -67,6 +67,8 @@
   /// Whether a request that comes now could no longer be finished.
   bool isTooLate(core::TimePoint Now) const;
   bool isReady() const;
+  /// Whether the configuration may still be on its way.
+  bool isJustStarted() const;
   routing::RetryBudget &retriesOf(const core::PoolName &Pool);
   routing::RetryLimits retryLimits() const;
   /// Counts the retry, if one more is within the budget.
@@ -101,6 +103,7 @@
   std::mt19937_64 m_Random;
   platform::Revision m_FleetSizeRevision; ///< Of its entry; 0: none.
   core::TimePoint m_FleetSizeTriedAt{};
+  core::TimePoint m_StartedAt = core::steadyNow();
   core::TimePoint m_StoppingSince{};
   std::function<void()> m_Finished;
 };
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -31,6 +31,8 @@
 /// A kept connection is used until this long before its target closes it.
 static constexpr std::chrono::milliseconds KeepAliveMargin{500};
 static constexpr std::chrono::seconds DefaultKeepAlive{4};
+/// How often a request that came before the configuration looks for it.
+static constexpr std::chrono::milliseconds ConfigurationLook{5};
 /// Bounds tries at targets that can't be connected to.
 static constexpr unsigned MostTries = 4;
 static const char EventStreamType[] = "text/event-stream";
@@ -143,8 +145,18 @@
   return m_Target.has_value();
 }
 
+void GatewayRequest::waitForConfiguration(asio::yield_context Yield) {
+  while (!m_Owner.m_Table && m_Owner.isJustStarted() && !m_IsCallerGone) {
+    boost::system::error_code Ignored;
+    m_Wake.expires_after(ConfigurationLook);
+    m_Wake.async_wait(Yield[Ignored]);
+  }
+  m_Table = m_Owner.m_Table;
+}
+
 void GatewayRequest::run(asio::yield_context Yield) {
   m_Caller.setHangUpHook([this] { callerHungUp(); });
+  waitForConfiguration(Yield);
   unsigned Status = admit();
   if (Status != 0) {
     core::Duration Wait = core::Duration::zero();
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -40,6 +40,9 @@
   unsigned admit();
   /// How long the caller waits for an event of a stream.
   core::Duration callersPatience() const;
+  /// Callers that waited for this instance to start come before the store's
+  /// first answer.
+  void waitForConfiguration(boost::asio::yield_context Yield);
   bool waitForTarget(boost::asio::yield_context Yield);
   TryOutcome tryTarget(boost::asio::yield_context Yield);
   TryOutcome exchange(http::ClientConnection &Connection,
@@ -72,7 +75,7 @@
   AnswerRelay m_Relay;
   core::RequestId m_Id;
   RequestDescription m_Said;
-  routing::RoutingTableHandle m_Table; ///< In force when it arrived.
+  routing::RoutingTableHandle m_Table; ///< In force when it was admitted.
   const routing::Route *m_Route = nullptr;
   const routing::Account *m_Account = nullptr;
   core::PoolName m_Pool;
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -34,10 +34,14 @@
   explicit MockStore(asio::io_context &Context) : m_Context(Context) {}
 
   std::vector<platform::Entry> m_Content;
+  std::chrono::milliseconds m_ReadDelay{0};
 
   std::vector<platform::Entry> readPrefix(const std::string &,
                                           platform::CallClass,
-                                          asio::yield_context) override {
+                                          asio::yield_context Yield) override {
+    asio::steady_timer Timer(m_Context, m_ReadDelay);
+    boost::system::error_code Ignored;
+    Timer.async_wait(Yield[Ignored]);
     if (m_Content.empty())
       throw core::Error(core::ErrorKind::Unavailable, "down");
     return m_Content;
@@ -199,6 +203,7 @@
   CPPUNIT_TEST_SUITE(GatewayTest);
   CPPUNIT_TEST(testPassesRequestAndAnswerOn);
   CPPUNIT_TEST(testIsNotReadyWithoutAConfiguration);
+  CPPUNIT_TEST(testRequestBeforeTheConfigurationWaitsForIt);
   CPPUNIT_TEST(testRefusesWhatIsNotAllowed);
   CPPUNIT_TEST(testRunsOnceWhatMayRunOnce);
   CPPUNIT_TEST(testGoesOnAfterATargetsOwnRefusal);
@@ -236,7 +241,7 @@
   static config::Endpoint local(int Port) {
     return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
   }
-  void start(bool IsConfigured = true) {
+  void start(bool IsConfigured = true, bool MustBeReady = true) {
     if (IsConfigured)
       m_Store.m_Content.push_back(
           {"op/config", Configuration, platform::Revision(1)});
@@ -257,7 +262,7 @@
                     .build(m_Context);
     m_Gateway->start();
     m_Thread = std::thread([this] { m_Context.run(); });
-    if (IsConfigured)
+    if (IsConfigured && MustBeReady)
       CPPUNIT_ASSERT(eventually([this] { return readiness() == 200; }));
   }
   unsigned readiness() const {
@@ -329,6 +334,14 @@
     CPPUNIT_ASSERT(!Got.header("Retry-After").empty());
   }
 
+  void testRequestBeforeTheConfigurationWaitsForIt() {
+    addTarget([](const Request &Read) { return whole(Read, "answer"); });
+    m_Store.m_ReadDelay = std::chrono::milliseconds(100);
+    start(true, false);
+    CPPUNIT_ASSERT_EQUAL(503U, readiness());
+    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
+  }
+
   void testRefusesWhatIsNotAllowed() {
     addTarget([](const Request &Read) { return whole(Read, ""); });
     start();
