--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -177,7 +177,7 @@
 }
 
 void ServerConnection::waitForHangUp(
-    std::weak_ptr<std::function<void()>> Weak) {
+    const std::weak_ptr<std::function<void()>> &Weak) {
   m_Stream.socket().async_wait(
       tcp::socket::wait_read, [this, Weak](error_code Failure) {
         auto Hook = Weak.lock();
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -51,7 +51,7 @@
   void refuse(unsigned Status, boost::asio::yield_context Yield);
   void linger(boost::asio::yield_context Yield);
   void watchForHangUp();
-  void waitForHangUp(std::weak_ptr<std::function<void()>> Weak);
+  void waitForHangUp(const std::weak_ptr<std::function<void()>> &Weak);
   void checkWritten(boost::system::error_code Failure);
   bool mustClose() const { return !m_KeepAlive || m_IsClosing; }
 
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -29,7 +29,7 @@
       "target-link-one-way", "target-idle-reset", "target-crashes",
       "target-leaves",       "target-fails",      "target-refuses",
       "target-breaks-off",   "target-is-mute",    "publish"};
-  static_assert(std::size(Names) == static_cast<int>(FaultKind::Count_));
+  static_assert(std::size(Names) == FaultKinds);
   return Names[static_cast<int>(Kind)];
 }
 
@@ -44,8 +44,7 @@
     Fault Next;
     Next.m_At = At;
     Next.m_Length = std::min(Draw(LeastLengthMs, LengthSpreadMs), Length - At);
-    Next.m_Kind = static_cast<FaultKind>(
-        Random() % static_cast<std::uint64_t>(FaultKind::Count_));
+    Next.m_Kind = static_cast<FaultKind>(Random() % FaultKinds);
     Next.m_Which = Random();
     Out.push_back(Next);
     At += Draw(LeastGapMs, GapSpreadMs);
@@ -197,8 +196,6 @@
     return misbehave({0, 0, 0, MuteShare});
   case FaultKind::Publish:
     return m_On.publish(m_Yield);
-  case FaultKind::Count_:
-    return;
   }
 }
 
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -38,8 +38,9 @@
   TargetBreaksOff,
   TargetIsMute,
   Publish,
-  Count_,
 };
+inline constexpr std::uint64_t FaultKinds =
+    static_cast<std::uint64_t>(FaultKind::Publish) + 1;
 
 const char *toString(FaultKind Kind);
 
--- a/Tests/Soak/LoopbackProxy.cpp
+++ b/Tests/Soak/LoopbackProxy.cpp
@@ -1,7 +1,6 @@
 #include "LoopbackProxy.h"
 
 #include <array>
-#include <boost/asio/spawn.hpp>
 
 namespace yardrill::soak {
 
--- a/Tests/Soak/LoopbackProxy.h
+++ b/Tests/Soak/LoopbackProxy.h
@@ -3,6 +3,7 @@
 #define YARDRILL_TESTS_SOAK_LOOPBACKPROXY_H
 
 #include <boost/asio.hpp>
+#include <boost/asio/spawn.hpp>
 #include <chrono>
 #include <cstdint>
 #include <list>
