Tests: A stream cut at its time limit is not lost

The promise does not hold beyond the time limit, so the ledger's check was wrong. Change: before the time limit it checks as before; after it, only that an answer came in time. LedgerTest::testTimeOverIsNotLost holds both sides.

--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -107,7 +107,9 @@
     return;
   if (Passed > What.m_TimeLimit + bounds::AnswerSlack)
     return broken("held", Id + " had no answer at its time limit: " + How);
-  bool IsOurs = What.m_Runs > 0 || Passed > bounds::LossSlack;
+  // What had not ended when its time was over may be broken off.
+  bool IsOver = Passed >= What.m_TimeLimit;
+  bool IsOurs = !IsOver && (What.m_Runs > 0 || Passed > bounds::LossSlack);
   if (IsOurs && !What.m_HasTargetTrouble)
     broken(At.m_IsStopping ? "stop" : "lost", Id + " ended: " + How);
 }
--- a/Tests/Soak/LedgerTest.cpp
+++ b/Tests/Soak/LedgerTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testLostAnswer);
   CPPUNIT_TEST(testPlannedStop);
   CPPUNIT_TEST(testHeldBeyondItsTime);
+  CPPUNIT_TEST(testTimeOverIsNotLost);
   CPPUNIT_TEST(testTroubleExcuses);
   CPPUNIT_TEST(testQuota);
   CPPUNIT_TEST(testRetries);
@@ -134,6 +135,20 @@
     expect("held");
   }
 
+  void testTimeOverIsNotLost() {
+    // A target that the request reached late begins its answer too late.
+    std::string Late = send(RequestKind::Stream);
+    run(Late);
+    m_Now += milliseconds(2200);
+    m_Book.unanswered(Late, "reset");
+    expectNothing();
+    std::string Early = send(RequestKind::Stream);
+    run(Early);
+    m_Now += milliseconds(1900);
+    m_Book.unanswered(Early, "reset");
+    expect("lost");
+  }
+
   void testTroubleExcuses() {
     m_Book.processTrouble(0, true);
     m_Book.unanswered(send(), "reset");
