Bench: Give the routing comparison's classes files of their own

Now Simulation, Baseline, Cores and the program, which hands the cores their settings instead of letting them read flags.

--- /dev/null
+++ b/Bench/Baseline.h
@@ -0,0 +1,74 @@
+//===-- Baseline.h - Ways of deciding to compare with
+//----------------------===//
+#ifndef YARDRILL_BENCH_BASELINE_H
+#define YARDRILL_BENCH_BASELINE_H
+
+#include "Simulation.h"
+
+#include <random>
+
+namespace yardrill::bench {
+
+enum class Choice { Random, LeastReported, TwoChoices, LeastOwn };
+
+/// Each request goes to an engine's own queue at once.
+class Baseline final : public Scheduler {
+public:
+  Baseline(Simulation &Owner, Choice How, unsigned Seed)
+      : Scheduler(Owner), m_How(How), m_Random(Seed),
+        m_Own(16, std::vector<std::size_t>(EngineCount)),
+        m_EngineOf(Owner.requests().size()) {}
+
+  void arrived(std::size_t Index) override {
+    std::size_t Instance = m_Owner.requests()[Index].m_Instance;
+    std::size_t Engine = choose(Instance);
+    m_EngineOf[Index] = Engine;
+    ++m_Own[Instance][Engine];
+    m_Owner.dispatch(Index, Engine);
+  }
+  void ended(std::size_t Index, bool) override {
+    --m_Own[m_Owner.requests()[Index].m_Instance][m_EngineOf[Index]];
+  }
+
+private:
+  std::size_t any() { return m_Random() % EngineCount; }
+
+  template <class Load> std::size_t least(Load &&LoadOf) {
+    std::size_t First = any();
+    std::size_t Best = First;
+    for (std::size_t I = 1; I < EngineCount; ++I) {
+      std::size_t Next = (First + I) % EngineCount;
+      if (LoadOf(Next) < LoadOf(Best))
+        Best = Next;
+    }
+    return Best;
+  }
+
+  std::size_t choose(std::size_t Instance) {
+    auto Reported = [this](std::size_t E) { return m_Owner.reportedLoad(E); };
+    auto Own = [this, Instance](std::size_t E) { return m_Own[Instance][E]; };
+    switch (m_How) {
+    case Choice::Random:
+      return any();
+    case Choice::LeastReported:
+      return least(Reported);
+    case Choice::LeastOwn:
+      return least(Own);
+    case Choice::TwoChoices: {
+      std::size_t A = any();
+      std::size_t B = any();
+      return Reported(A) <= Reported(B) ? A : B;
+    }
+    }
+    return 0;
+  }
+
+  Choice m_How;
+  std::mt19937_64 m_Random;
+  std::vector<std::vector<std::size_t>> m_Own;
+  std::vector<std::size_t> m_EngineOf;
+};
+
+} // namespace yardrill::bench
+
+#endif
--- /dev/null
+++ b/Bench/Cores.cpp
@@ -0,0 +1,189 @@
+#include "Cores.h"
+
+#include "LibDecision/DecisionCore.h"
+
+#include <chrono>
+#include <map>
+#include <set>
+
+namespace yardrill::bench {
+
+static const core::Duration TickPeriod = std::chrono::milliseconds(50);
+static const core::Duration MessageDelay = std::chrono::milliseconds(1);
+static const core::PoolName Pool("p");
+
+namespace {
+
+class Cores final : public Scheduler {
+public:
+  Cores(Simulation &Owner, const CoreSettings &Settings, unsigned Seed)
+      : Scheduler(Owner), m_Settings(Settings), m_Cores(Settings.m_Instances),
+        m_IsLost(Settings.m_Instances), m_Seed(Seed) {}
+
+  void start() override {
+    auto Configuration = config::FleetConfiguration::parse(
+        configuration(), "bench", core::ConfigurationVersion(1));
+    for (std::size_t I = 0; I < m_Cores.size(); ++I) {
+      decision::InstanceStarted First;
+      First.m_Self = home(I);
+      First.m_Seed = m_Seed * 100UL + I;
+      tell(I, First);
+      tell(I, decision::ConfigurationAccepted{Configuration});
+      tell(I, decision::InstancesCounted{
+                  static_cast<std::uint32_t>(m_Cores.size())});
+      tick(I);
+    }
+  }
+
+  void arrived(std::size_t Index) override {
+    const Request &Which = m_Owner.requests()[Index];
+    std::size_t Instance = Which.m_Instance;
+    // The balancer no longer sends to an instance that is gone.
+    while (m_IsLost[Instance])
+      Instance = (Instance + 1) % m_Cores.size();
+    m_InstanceOf[Index] = Instance;
+    decision::RequestArrived What;
+    What.m_Request = core::RequestId(Index + 1);
+    What.m_Tier = core::TierNumber(Which.m_Tier);
+    What.m_Account = core::AccountName("a" + std::to_string(Which.m_Account));
+    What.m_Pool = Pool;
+    What.m_PrefillTokens = Which.m_Prefill;
+    What.m_OutputTokens = Which.m_Output;
+    What.m_PrefixHash = Which.m_Prefix;
+    tell(Instance, What);
+  }
+
+  void began(std::size_t Index) override {
+    tellOwner(Index, decision::AnswerBegan{core::RequestId(Index + 1)});
+  }
+
+  void ended(std::size_t Index, bool IsEvicted) override {
+    tellOwner(Index, decision::AnswerEnded{
+                         core::RequestId(Index + 1),
+                         IsEvicted ? decision::AnswerOutcome::Evicted
+                                   : decision::AnswerOutcome::Complete,
+                         false, m_Owner.requests()[Index].m_Output});
+  }
+
+  void loseInstance(std::size_t Instance) override {
+    m_IsLost[Instance] = true;
+    // Its callers' connections break, and the engines cancel what it ran.
+    for (const auto &[Index, Owner] : m_InstanceOf)
+      if (Owner == Instance && m_Dispatched.count(Index) != 0)
+        m_Owner.cancel(Index);
+    m_Owner.at(m_Owner.now() + std::chrono::seconds(7), [this, Instance] {
+      for (std::size_t I = 0; I < m_Cores.size(); ++I) {
+        if (m_IsLost[I])
+          continue;
+        tell(I, decision::MemberGone{home(Instance).m_Incarnation});
+        tell(I, decision::InstancesCounted{
+                    static_cast<std::uint32_t>(m_Cores.size() - 1)});
+      }
+    });
+  }
+
+private:
+  std::string configuration() const {
+    std::string Text =
+        "tiers:\n"
+        "  - {name: a, tier: 1, deadline_ms: 2000}\n"
+        "  - {name: b, tier: 2, deadline_ms: 12000}\n"
+        "  - {name: c, tier: 3, deadline_ms: 80000}\n"
+        "pools:\n  - name: p\n    kind: model\n    models: [m]\n"
+        "    queue_limit: 10000\n    kept_places: " +
+        std::to_string(m_Settings.m_KeptPlaces) +
+        "\n    prefill_weight: " + std::to_string(m_Settings.m_PrefillWeight) +
+        "\n    targets:\n";
+    for (std::size_t I = 0; I < EngineCount; ++I)
+      Text += "      - {name: e" + std::to_string(I) +
+              ", address: 127.0.0.1:1, data_hall: h, places: " +
+              std::to_string(EnginePlaces) + "}\n";
+    return Text;
+  }
+
+  static decision::Home home(std::size_t Instance) {
+    return {core::IncarnationId(Instance + 1),
+            {"127.0.0.1", static_cast<std::uint16_t>(Instance + 1)}};
+  }
+
+  void tick(std::size_t Instance) {
+    if (m_IsLost[Instance])
+      return;
+    tell(Instance, decision::TimePassed{});
+    m_Owner.at(m_Owner.now() + TickPeriod,
+               [this, Instance] { tick(Instance); });
+  }
+
+  void tellOwner(std::size_t Index, const decision::Event &What) {
+    std::size_t Instance = m_InstanceOf.at(Index);
+    if (!m_IsLost[Instance])
+      tell(Instance, What);
+  }
+
+  void tell(std::size_t Instance, const decision::Event &What) {
+    if (m_IsLost[Instance])
+      return;
+    for (const decision::Action &Next :
+         m_Cores[Instance].handle(What, m_Owner.steady()))
+      act(Instance, Next);
+    if (const auto *End = std::get_if<decision::AnswerEnded>(&What))
+      m_Dispatched.erase(End->m_Request.value() - 1);
+  }
+
+  void send(const decision::Home &To, const decision::Event &What) {
+    m_Owner.at(m_Owner.now() + MessageDelay,
+               [this, To, What] { tell(To.m_Incarnation.value() - 1, What); });
+  }
+
+  void act(std::size_t Instance, const decision::Action &What) {
+    if (const auto *Go = std::get_if<decision::Dispatch>(&What)) {
+      std::size_t Index = Go->m_Request.value() - 1;
+      m_Dispatched.insert(Index);
+      m_Owner.dispatch(Index, std::stoul(Go->m_Target.value().substr(1)));
+    }
+    if (const auto *No = std::get_if<decision::Refuse>(&What)) {
+      m_Owner.refuse(No->m_Request.value() - 1);
+      if (No->m_ValidUntil != 0)
+        send(home(Instance), decision::RefusalSettled{No->m_Request, true});
+    }
+    if (const auto *Cut = std::get_if<decision::Cancel>(&What))
+      m_Owner.cancel(Cut->m_Request.value() - 1);
+    if (const auto *Order = std::get_if<decision::SendFloorOrder>(&What))
+      send(Order->m_To, Order->m_Order);
+    if (const auto *Report = std::get_if<decision::SendFloorReport>(&What))
+      send(Report->m_To, Report->m_Report);
+    if (std::get_if<decision::ReadFloorRecord>(&What))
+      send(home(Instance),
+           decision::FloorRecordRead{
+               Pool, m_Revision, m_Record,
+               m_Revision != 0 &&
+                   !m_IsLost[m_Record.m_Leader.m_Incarnation.value() - 1]});
+    if (const auto *Write = std::get_if<decision::WriteFloorRecord>(&What)) {
+      bool IsWritten = Write->m_Revision == m_Revision;
+      if (IsWritten) {
+        m_Record = Write->m_Record;
+        ++m_Revision;
+      }
+      send(home(Instance),
+           decision::FloorRecordWritten{Pool, IsWritten, m_Revision});
+    }
+  }
+
+  CoreSettings m_Settings;
+  std::vector<decision::DecisionCore> m_Cores;
+  std::vector<bool> m_IsLost;
+  unsigned m_Seed;
+  std::map<std::size_t, std::size_t> m_InstanceOf;
+  std::set<std::size_t> m_Dispatched;
+  decision::FloorRecord m_Record;
+  std::int64_t m_Revision = 0;
+};
+
+} // namespace
+
+std::unique_ptr<Scheduler>
+makeCores(Simulation &Owner, const CoreSettings &Settings, unsigned Seed) {
+  return std::make_unique<Cores>(Owner, Settings, Seed);
+}
+
+} // namespace yardrill::bench
--- /dev/null
+++ b/Bench/Simulation.h
@@ -0,0 +1,110 @@
+//===-- Simulation.h - Workloads before engine models, in model time
+//-------===//
+#ifndef YARDRILL_BENCH_SIMULATION_H
+#define YARDRILL_BENCH_SIMULATION_H
+
+#include "EngineModel.h"
+#include "Workload.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <vector>
+
+namespace yardrill::bench {
+
+inline constexpr std::size_t EngineCount = 12;
+inline constexpr std::size_t EnginePlaces = 8;
+
+/// Sums over one or several runs, by tier where there are four.
+struct Result {
+  double m_InTime[4] = {};
+  double m_Arrived[4] = {};
+  double m_InTimeOfBurst[4] = {}; ///< Of those that arrived in the burst.
+  double m_ArrivedInBurst[4] = {};
+  double m_Wasted = 0;
+  double m_Read = 0;
+  double m_Refused = 0;
+  double m_Evicted = 0;
+  std::vector<double> m_FirstToken[4];
+
+  void add(const Result &Other);
+};
+
+class Simulation;
+
+/// One way of deciding. It calls back Simulation::dispatch and refuse.
+class Scheduler {
+public:
+  explicit Scheduler(Simulation &Owner) : m_Owner(Owner) {}
+  virtual ~Scheduler() = default;
+  virtual void arrived(std::size_t Index) = 0;
+  virtual void began(std::size_t) {}
+  virtual void ended(std::size_t, bool IsEvicted) = 0;
+  virtual void start() {}
+  virtual void loseInstance(std::size_t) {}
+
+protected:
+  Simulation &m_Owner;
+};
+
+/// Plays one workload under one way of deciding. One engine slows to a third in
+/// the middle; reports of load are two seconds old; an instance is lost in the
+/// burst.
+class Simulation {
+public:
+  using Make = std::function<std::unique_ptr<Scheduler>(Simulation &)>;
+
+  Simulation(std::vector<Request> Requests, unsigned Seed, const Make &Wanted);
+
+  Result run();
+  void at(core::Duration When, std::function<void()> What);
+  core::Duration now() const { return m_Now; }
+  core::TimePoint steady() const {
+    return core::TimePoint(std::chrono::hours(1)) + m_Now;
+  }
+  void dispatch(std::size_t Index, std::size_t Engine);
+  void cancel(std::size_t Index);
+  void refuse(std::size_t Index);
+
+  const std::vector<Request> &requests() const { return m_Requests; }
+  std::size_t reportedLoad(std::size_t Engine) const {
+    return m_Reported[Engine];
+  }
+
+private:
+  struct Timed {
+    core::Duration m_At;
+    std::uint64_t m_Order;
+    std::function<void()> m_What;
+    bool operator<(const Timed &Other) const {
+      return m_At != Other.m_At ? m_At > Other.m_At : m_Order > Other.m_Order;
+    }
+  };
+  bool isInBurst(std::size_t Index) const {
+    core::Duration End = m_Requests.back().m_At;
+    return m_Requests[Index].m_At > End / 3 &&
+           m_Requests[Index].m_At < End * 2 / 3;
+  }
+  void startAt(std::size_t Engine);
+  void finish(std::size_t Index, std::size_t Engine);
+  void noteRead(std::size_t Engine, const Started &What);
+  void report();
+
+  std::vector<Request> m_Requests;
+  std::vector<double> m_Speeds;
+  std::vector<EngineModel> m_Engines;
+  std::vector<std::size_t> m_Reported;
+  std::vector<int> m_EngineOf;
+  std::vector<bool> m_IsCancelled;
+  std::vector<bool> m_HasStarted;
+  std::priority_queue<Timed> m_Queue;
+  std::uint64_t m_NextOrder = 0;
+  core::Duration m_Now{};
+  std::unique_ptr<Scheduler> m_Scheduler;
+  Result m_Result;
+};
+
+} // namespace yardrill::bench
+
+#endif
