Tests, Bench: One pause, one kind of mark, one message delay

Read again before the landing: the soak paused a coroutine in six places by the same lines (now Sleep.h), its ledger copied marks into pairs before summing them, and the routing comparison named its message delay twice.

--- a/Bench/Cores.cpp
+++ b/Bench/Cores.cpp
@@ -9,7 +9,6 @@
 namespace yardrill::bench {
 
 static const core::Duration TickPeriod = std::chrono::milliseconds(50);
-static const core::Duration MessageDelay = std::chrono::milliseconds(1);
 static const core::PoolName Pool("p");
 
 namespace {
--- a/Bench/Simulation.cpp
+++ b/Bench/Simulation.cpp
@@ -7,8 +7,6 @@
 
 static const std::size_t CachedPrefixes = 10;
 static const core::Duration ReportPeriod = std::chrono::seconds(2);
-/// Until an engine's word that it cancelled a request is heard.
-static const core::Duration MessageDelay = std::chrono::milliseconds(1);
 
 void Result::add(const Result &Other) {
   for (int T = 1; T < 4; ++T) {
--- a/Bench/Simulation.h
+++ b/Bench/Simulation.h
@@ -6,6 +6,7 @@
 #include "EngineModel.h"
 #include "Workload.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -15,6 +16,8 @@
 
 inline constexpr std::size_t EngineCount = 12;
 inline constexpr std::size_t EnginePlaces = 8;
+/// Of messages between instances, and of an engine's word that it cancelled.
+inline constexpr core::Duration MessageDelay = std::chrono::milliseconds(1);
 
 /// Sums over one or several runs, by tier where there are four.
 struct Result {
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -1,5 +1,7 @@
 #include "Callers.h"
 
+#include "Sleep.h"
+
 #include "LibCore/Error.h"
 
 #include <boost/asio/spawn.hpp>
@@ -45,12 +47,6 @@
     spawn([this](asio::yield_context Yield) { call(Yield); });
 }
 
-void Callers::wait(std::chrono::milliseconds Time, asio::yield_context Yield) {
-  asio::steady_timer Timer(m_Context, Time);
-  boost::system::error_code Ignored;
-  Timer.async_wait(Yield[Ignored]);
-}
-
 //===----------------------------------------------------------------------===//
 // Requests
 //===----------------------------------------------------------------------===//
@@ -146,7 +142,7 @@
     Connection = http::ClientConnection::connect(
         m_Context, m_Under.callerAddress(Gateway), ConnectTime, Yield);
   } catch (const core::Error &) {
-    return wait(std::chrono::milliseconds(50), Yield);
+    return sleepFor(m_Context, std::chrono::milliseconds(50), Yield);
   }
   static const struct {
     RequestKind m_Kind;
@@ -162,7 +158,7 @@
     if (!Status || !Connection->isReusable() || m_IsStopped)
       return;
     // Streams of a pause between requests, also longer than a connection rests.
-    wait(std::chrono::milliseconds(draw(MostPauseMs)), Yield);
+    sleepFor(m_Context, std::chrono::milliseconds(draw(MostPauseMs)), Yield);
     if (!Connection->isReusable())
       return;
   }
@@ -190,7 +186,7 @@
   Ask.m_Method = "GET";
   Ask.m_Target = "/readyz";
   Ask.m_Headers.set("Host", "h");
-  for (; !m_IsStopped; wait(BalancePeriod, Yield)) {
+  for (; !m_IsStopped; sleepFor(m_Context, BalancePeriod, Yield)) {
     unsigned Status = 0;
     try {
       auto Connection = http::ClientConnection::connect(
@@ -226,7 +222,7 @@
 }
 
 void Callers::probe(std::size_t Gateway, asio::yield_context Yield) {
-  for (; !m_IsStopped; wait(ProbePeriod, Yield)) {
+  for (; !m_IsStopped; sleepFor(m_Context, ProbePeriod, Yield)) {
     if (m_Under.versions().empty())
       continue;
     AcceptedVersion Asked = m_Under.versions().back();
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -47,7 +47,6 @@
   void judgeProbe(std::size_t Gateway, std::size_t Life,
                   const AcceptedVersion &Asked, TimePoint SentAt,
                   unsigned Status);
-  void wait(std::chrono::milliseconds Time, boost::asio::yield_context Yield);
   std::uint64_t draw(std::uint64_t Below) { return m_Random() % Below; }
 
   boost::asio::io_context &m_Context;
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -1,5 +1,7 @@
 #include "Deployment.h"
 
+#include "Sleep.h"
+
 #include "LibCore/Error.h"
 #include "LibHTTP/ClientConnection.h"
 
@@ -73,13 +75,6 @@
   return toTcp(m_Gateways[Gateway].m_Address, ReadinessPort);
 }
 
-void Deployment::wait(std::chrono::milliseconds Time,
-                      asio::yield_context Yield) {
-  asio::steady_timer Timer(m_Context, Time);
-  boost::system::error_code Ignored;
-  Timer.async_wait(Yield[Ignored]);
-}
-
 //===----------------------------------------------------------------------===//
 // Processes
 //===----------------------------------------------------------------------===//
@@ -120,7 +115,8 @@
 }
 
 void Deployment::start(asio::yield_context Yield) {
-  for (bool IsUp = false; !IsUp; wait(std::chrono::milliseconds(20), Yield)) {
+  for (bool IsUp = false; !IsUp;
+       sleepFor(m_Context, std::chrono::milliseconds(20), Yield)) {
     try {
       controlStore({}, Yield);
       IsUp = true;
@@ -270,9 +266,9 @@
   // Counted from the store's answer.
   put(Key, Which.announcement(), Yield);
   Which.setLeaving();
-  wait(LeavingTime, Yield);
+  sleepFor(m_Context, LeavingTime, Yield);
   remove(Key, Yield);
-  wait(AfterLeaving, Yield);
+  sleepFor(m_Context, AfterLeaving, Yield);
   crashTarget(Index, RestartDelay, Yield);
 }
 
@@ -284,7 +280,7 @@
   Which.setDisturbed(true);
   Which.proxy().setPassage(Passage::Down);
   Which.proxy().resetAll();
-  wait(DownFor, Yield);
+  sleepFor(m_Context, DownFor, Yield);
   Which.restart(nextTargetName());
   Which.proxy().setPassage(Passage::Whole);
   Which.setDisturbed(false);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -86,7 +86,6 @@
   void put(const std::string &Key, const std::string &Value,
            boost::asio::yield_context Yield);
   void remove(const std::string &Key, boost::asio::yield_context Yield);
-  void wait(std::chrono::milliseconds Time, boost::asio::yield_context Yield);
   std::string nextTargetName();
 
   boost::asio::io_context &m_Context;
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -1,5 +1,7 @@
 #include "FaultPlan.h"
 
+#include "Sleep.h"
+
 #include <csignal>
 #include <functional>
 #include <random>
@@ -66,11 +68,7 @@
   void run();
 
 private:
-  void pause() {
-    asio::steady_timer Timer(m_Context, m_What.m_Length);
-    boost::system::error_code Ignored;
-    Timer.async_wait(m_Yield[Ignored]);
-  }
+  void pause() { sleepFor(m_Context, m_What.m_Length, m_Yield); }
   void freezeGateway() {
     m_Book.processTrouble(m_Gateway, true);
     m_On.signalGateway(m_Gateway, SIGSTOP);
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -122,32 +122,25 @@
 // Windows
 //===----------------------------------------------------------------------===//
 
-/// Sum of the marks in [From, From + Length).
-static double sumFrom(const std::vector<std::pair<TimePoint, double>> &Marks,
-                      std::size_t First, Clock::duration Length) {
+/// Sum of the marks in [their First, First + Length).
+static double sumFrom(const std::vector<Mark> &Marks, std::size_t First,
+                      Clock::duration Length) {
   double Sum = 0;
-  TimePoint End = Marks[First].first + Length;
-  for (std::size_t I = First; I < Marks.size() && Marks[I].first < End; ++I)
-    Sum += Marks[I].second;
+  TimePoint End = Marks[First].m_At + Length;
+  for (std::size_t I = First; I < Marks.size() && Marks[I].m_At < End; ++I)
+    Sum += Marks[I].m_Amount;
   return Sum;
 }
 
-template <class Marks> static auto toPairs(const Marks &From) {
-  std::vector<std::pair<TimePoint, double>> Out;
-  for (const auto &Each : From)
-    Out.emplace_back(Each.m_At, Each.m_Amount);
-  return Out;
-}
-
 void Ledger::checkQuotas() {
   auto Window = std::chrono::duration<double>(bounds::QuotaWindow).count();
   for (const auto &[Account, Terms] : m_Quotas) {
     double Most = (Terms.m_TokensPerSecond * Window + Terms.m_Burst) *
                       (1 + bounds::QuotaOvershoot) +
                   bounds::QuotaSlack;
-    auto Marks = toPairs(m_TokensRun[Account]);
-    for (std::size_t I = 0; I < Marks.size(); ++I) {
-      double Sum = sumFrom(Marks, I, bounds::QuotaWindow);
+    const Marks &Run = m_TokensRun[Account];
+    for (std::size_t I = 0; I < Run.size(); ++I) {
+      double Sum = sumFrom(Run, I, bounds::QuotaWindow);
       if (Sum <= Most)
         continue;
       std::ostringstream Text;
@@ -158,18 +151,16 @@
 }
 
 void Ledger::checkRetries() {
-  auto Requests = toPairs(m_Requests);
-  auto Repeats = toPairs(m_Repeats);
-  for (std::size_t I = 0; I < Repeats.size(); ++I) {
-    double Again = sumFrom(Repeats, I, bounds::RetryWindow);
-    TimePoint From = Repeats[I].first;
-    auto First = std::lower_bound(Requests.begin(), Requests.end(),
-                                  std::make_pair(From, 0.0));
+  for (std::size_t I = 0; I < m_Repeats.size(); ++I) {
+    double Again = sumFrom(m_Repeats, I, bounds::RetryWindow);
+    auto First = std::lower_bound(
+        m_Requests.begin(), m_Requests.end(), m_Repeats[I].m_At,
+        [](const Mark &Each, TimePoint At) { return Each.m_At < At; });
     double Asked =
-        First == Requests.end()
+        First == m_Requests.end()
             ? 0
-            : sumFrom(Requests,
-                      static_cast<std::size_t>(First - Requests.begin()),
+            : sumFrom(m_Requests,
+                      static_cast<std::size_t>(First - m_Requests.begin()),
                       bounds::RetryWindow);
     if (Again <= bounds::RetryRatio * Asked + bounds::RetrySlack)
       continue;
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -72,6 +72,12 @@
   }
 };
 
+/// Something counted at a moment.
+struct Mark {
+  TimePoint m_At;
+  double m_Amount = 1;
+};
+
 class Ledger {
 public:
   using Hook = std::function<TimePoint()>;
@@ -124,11 +130,6 @@
       return m_Open == 0 && m_EndedAt + bounds::Contact <= Since;
     }
   };
-  /// Something counted at a moment.
-  struct Mark {
-    TimePoint m_At;
-    double m_Amount = 1;
-  };
   using Marks = std::vector<Mark>;
 
   void checkQuotas();
--- a/Tests/Soak/LoopbackProxy.cpp
+++ b/Tests/Soak/LoopbackProxy.cpp
@@ -1,5 +1,7 @@
 #include "LoopbackProxy.h"
 
+#include "Sleep.h"
+
 #include <array>
 
 namespace yardrill::soak {
@@ -20,13 +22,6 @@
           static_cast<std::uint16_t>(Port)};
 }
 
-static void sleepFor(asio::io_context &Context, std::chrono::milliseconds Time,
-                     asio::yield_context Yield) {
-  asio::steady_timer Timer(Context, Time);
-  error_code Ignored;
-  Timer.async_wait(Yield[Ignored]);
-}
-
 LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, int ToPort)
     : m_Context(Context), m_Port(Port), m_ToPort(ToPort),
       m_Acceptor(Context, loopback(Port)) {
--- /dev/null
+++ b/Tests/Soak/Sleep.h
@@ -0,0 +1,22 @@
+//===-- Sleep.h - A pause of one coroutine --------------------------------===//
+#ifndef YARDRILL_TESTS_SOAK_SLEEP_H
+#define YARDRILL_TESTS_SOAK_SLEEP_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+
+namespace yardrill::soak {
+
+inline void sleepFor(boost::asio::io_context &Context,
+                     std::chrono::milliseconds Time,
+                     boost::asio::yield_context Yield) {
+  boost::asio::steady_timer Timer(Context, Time);
+  boost::system::error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
+} // namespace yardrill::soak
+
+#endif
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -1,5 +1,7 @@
 #include "SoakTarget.h"
 
+#include "Sleep.h"
+
 #include "LibCore/Digest.h"
 #include "LibCore/Error.h"
 #include "Process.h"
@@ -84,13 +86,6 @@
   return std::uniform_real_distribution<double>(0, 1)(m_Random) < Share;
 }
 
-void SoakTarget::wait(std::chrono::milliseconds Time,
-                      asio::yield_context Yield) {
-  asio::steady_timer Timer(m_Context, Time);
-  boost::system::error_code Ignored;
-  Timer.async_wait(Yield[Ignored]);
-}
-
 static std::string headerOf(const http::RequestMessage &Request,
                             const char *Name) {
   const std::string *Value = Request.m_Headers.find(Name);
@@ -137,7 +132,8 @@
   bool IsMute = happens(m_How.m_IsMute);
   if (MustBreak || MustFail || IsMute)
     m_Book.targetTrouble(Id);
-  wait(IsMute ? std::chrono::milliseconds(MuteTime) : WorkTime, Yield);
+  sleepFor(m_Context, IsMute ? std::chrono::milliseconds(MuteTime) : WorkTime,
+           Yield);
   http::ResponseMessage Out;
   Out.m_Head.m_Status = MustFail ? 500 : 200;
   Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Replica-Seal", "s-" + m_Name}};
@@ -172,7 +168,7 @@
       return Call.abort();
     }
     Call.sendPiece(Event, Yield);
-    wait(EventPause, Yield);
+    sleepFor(m_Context, EventPause, Yield);
   }
   Call.finishStream(Yield);
 }
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -52,7 +52,6 @@
              boost::asio::yield_context Yield);
   void stream(http::Exchange &Call, const std::string &Id, bool MustBreak,
               boost::asio::yield_context Yield);
-  void wait(std::chrono::milliseconds Time, boost::asio::yield_context Yield);
   bool happens(double Share);
 
   boost::asio::io_context &m_Context;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -12,6 +12,7 @@
 #include "Deployment.h"
 #include "FaultPlan.h"
 #include "Ledger.h"
+#include "Sleep.h"
 
 #include "LibCore/Log.h"
 
@@ -63,34 +64,29 @@
   }
 
 private:
-  void wait(std::chrono::milliseconds Time, asio::yield_context Yield) {
-    asio::steady_timer Timer(m_Context, Time);
-    boost::system::error_code Ignored;
-    Timer.async_wait(Yield[Ignored]);
-  }
-
   void direct(asio::yield_context Yield) {
     m_Under.start(Yield);
     asio::spawn(
         m_Context, [this](asio::yield_context Inner) { supervise(Inner); },
         asio::detached);
-    wait(StartTime, Yield);
+    sleepFor(m_Context, StartTime, Yield);
     m_Callers.start(FLAGS_callers);
-    wait(StartTime, Yield);
+    sleepFor(m_Context, StartTime, Yield);
     TimePoint Start = Clock::now();
     for (const Fault &What :
          drawFaults(FLAGS_seed, std::chrono::seconds(FLAGS_seconds))) {
-      wait(std::chrono::duration_cast<std::chrono::milliseconds>(
-               Start + What.m_At - Clock::now()),
-           Yield);
+      sleepFor(m_Context,
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   Start + What.m_At - Clock::now()),
+               Yield);
       begin(What);
     }
     while (m_Open > 0)
-      wait(SupervisePeriod, Yield);
+      sleepFor(m_Context, SupervisePeriod, Yield);
     TimePoint CalmSince = Clock::now();
-    wait(CalmTime, Yield);
+    sleepFor(m_Context, CalmTime, Yield);
     m_Callers.stop();
-    wait(LastAnswers, Yield);
+    sleepFor(m_Context, LastAnswers, Yield);
     m_Book.finish(CalmSince);
     m_Context.stop();
   }
@@ -114,7 +110,7 @@
   void supervise(asio::yield_context Yield) {
     while (true) {
       m_Under.supervise();
-      wait(SupervisePeriod, Yield);
+      sleepFor(m_Context, SupervisePeriod, Yield);
     }
   }
 
