LibInstance: End with the typed error where the caller port is taken

Cause: an instance whose first duty could not bind its address was destroyed half built, and ~Instance() stopped duties that were not made yet (null). Change: only duties that exist are stopped. The test takes the caller port with a socket of its own: an error (segmentation fault) before, the exit code 1 and address-in-use after.

--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -43,13 +43,17 @@
 }
 
 Instance::~Instance() {
+  auto Stop = [](const auto &Duty) {
+    // Missing where an address was taken.
+    if (Duty)
+      Duty->stop();
+  };
   // Whoever calls another duty stops first.
-  if (m_Operators)
-    m_Operators->stop();
-  m_Traffic->stop();
-  m_Platform->stop();
-  m_Peers->stop();
-  m_Decision->stop();
+  Stop(m_Operators);
+  Stop(m_Traffic);
+  Stop(m_Platform);
+  Stop(m_Peers);
+  Stop(m_Decision);
 }
 
 void Instance::wire() {
--- a/Tests/Program/CommandLineTest.cpp
+++ b/Tests/Program/CommandLineTest.cpp
@@ -3,6 +3,7 @@
 
 #include "LibConfig/InstanceSettings.h"
 
+#include <boost/asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <filesystem>
 #include <fstream>
@@ -15,6 +16,7 @@
   CPPUNIT_TEST(testWrongCalls);
   CPPUNIT_TEST(testRightCalls);
   CPPUNIT_TEST(testPortInUse);
+  CPPUNIT_TEST(testCallerPortTakenByAnother);
   CPPUNIT_TEST(testExplainsARequest);
   CPPUNIT_TEST_SUITE_END();
 
@@ -103,24 +105,39 @@
     CPPUNIT_ASSERT_EQUAL(0, run({"check", "--fleet=" + Fleet}, Output));
   }
 
-  void testPortInUse() {
-    int Port = freePort();
-    int Other = freePort();
-    // Two addresses of one instance on the same port: the second fails.
-    std::string Settings =
-        file("same.yaml",
-             "instance: {name: a, data_hall: b, caller_address: 127.0.0.1:" +
-                 std::to_string(Port) +
-                 ", operator_address: 127.0.0.1:" + std::to_string(Port) +
-                 ", peer_address: 127.0.0.1:" + std::to_string(Other) +
-                 ", operator_token: t}\nplatform: {addresses: [127.0.0.1:1]}\n"
-                 "peers: {key_hex: 000102030405060708090a0b0c0d0e0f}\n");
+  std::string settingsWith(int CallerPort, int OperatorPort) {
+    return file(
+        "ports.yaml",
+        "instance: {name: a, data_hall: b, caller_address: 127.0.0.1:" +
+            std::to_string(CallerPort) +
+            ", operator_address: 127.0.0.1:" + std::to_string(OperatorPort) +
+            ", peer_address: 127.0.0.1:" + std::to_string(freePort()) +
+            ", operator_token: t}\nplatform: {addresses: [127.0.0.1:1]}\n"
+            "peers: {key_hex: 000102030405060708090a0b0c0d0e0f}\n");
+  }
+
+  void expectInUse(const std::string &Settings, int Port) {
     std::string Output;
     CPPUNIT_ASSERT_EQUAL(1, run({"serve", "--config=" + Settings}, Output));
     CPPUNIT_ASSERT(Output.find("address-in-use: 127.0.0.1:" +
                                std::to_string(Port)) != std::string::npos);
   }
 
+  void testPortInUse() {
+    // Two addresses of one instance on the same port: the second fails.
+    int Port = freePort();
+    expectInUse(settingsWith(Port, Port), Port);
+  }
+
+  void testCallerPortTakenByAnother() {
+    using boost::asio::ip::tcp;
+    boost::asio::io_context Context;
+    tcp::acceptor Other(Context, {boost::asio::ip::address_v4::loopback(), 0});
+    int Port = Other.local_endpoint().port();
+    // The first duty fails, before the others are made.
+    expectInUse(settingsWith(Port, freePort()), Port);
+  }
+
   void testExplainsARequest() {
     // As two instances wrote them; the second sent the target work as well.
     std::string One = file("one.log", R"(garbage
