--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -152,13 +152,15 @@
 
   void testSlowTargetTakesShortPromptsAtAllItsPlaces() {
     announce("quick", 4);
+    announce("quick too", 4);
     announce("slow", 4);
     for (int I = 0; I < 50; ++I) {
       m_Targets.notePace(core::TargetName("quick"), milliseconds(10));
+      m_Targets.notePace(core::TargetName("quick too"), milliseconds(10));
       m_Targets.notePace(core::TargetName("slow"), milliseconds(40));
     }
     auto PlaceMany = [this](std::uint64_t First, std::uint32_t Tokens) {
-      for (std::uint64_t Id = First; Id < First + 8; ++Id) {
+      for (std::uint64_t Id = First; Id < First + 12; ++Id) {
         PlacementRequest Stream = request(Id);
         Stream.m_IsModel = true;
         Stream.m_LateAt = Stream.m_EndsAt;
@@ -167,12 +169,12 @@
       }
     };
     PlaceMany(1, 20000);
-    // All of the quick one, and one at the slow one.
-    CPPUNIT_ASSERT_EQUAL(std::size_t(5), m_Sent.size());
-    for (std::uint64_t Id = 1; Id <= 8; ++Id)
+    // All of the quick ones, and one at the slow one.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(9), m_Sent.size());
+    for (std::uint64_t Id = 1; Id <= 12; ++Id)
       m_Dispatcher.withdraw(core::RequestId(Id));
-    PlaceMany(11, 100);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(8), m_Sent.size());
+    PlaceMany(21, 100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(12), m_Sent.size());
   }
 
   void testHigherTierLeavesTheQueueFirst() {
