--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -38,9 +38,6 @@
 /// seen may be at work, and one that restarts forgets what it used.
 static constexpr double SlackShare = 0.5;
 
-/// Routes whose usual deadline is kept; then all are learned anew.
-static constexpr std::size_t MostUsualDeadlines = 4096;
-
 /// How many instances share the quotas, for processes that start together.
 static const char FleetSizeKey[] = "yardrill/fleet-size";
 /// Least time between two writes of it: each is paid for.
@@ -382,26 +379,6 @@
   return retriesOf(Pool).tryTake(core::steadyNow(), m_Peers->sharers());
 }
 
-core::Duration Gateway::sinceFirstTry(const routing::Route &Where,
-                                      const RequestDescription &Said) {
-  if (!Said.m_Deadline)
-    return core::Duration::zero();
-  if (m_UsualDeadlines.size() >= MostUsualDeadlines)
-    m_UsualDeadlines.clear();
-  return m_UsualDeadlines[Where.m_Name].note(*Said.m_Deadline);
-}
-
-core::Duration Gateway::returnFor(const core::PoolName &Pool,
-                                  core::Duration TimeLeft) {
-  double Point = std::uniform_real_distribution<double>()(m_Random);
-  return m_Returns[Pool].refuse(core::steadyNow(), TimeLeft, Point);
-}
-
-core::Duration Gateway::returnSoon() {
-  return routing::shortReturn(
-      std::uniform_real_distribution<double>()(m_Random));
-}
-
 void Gateway::updateGauges() {
   auto Set = [this](const char *Name, std::size_t Value) {
     m_Metrics.setGauge(Name, static_cast<double>(Value));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -19,10 +19,8 @@
 #include "LibRouting/Dispatcher.h"
 #include "LibRouting/QuotaBook.h"
 #include "LibRouting/RetryBudget.h"
-#include "LibRouting/ReturnEstimate.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
-#include "LibRouting/UsualDeadline.h"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -75,14 +73,6 @@
   routing::RetryLimits retryLimits() const;
   /// Counts the retry, if one more is within the budget.
   bool mayRetry(const core::PoolName &Pool);
-  /// How long before this request its caller first tried, as far as the
-  /// route's other callers tell.
-  core::Duration sinceFirstTry(const routing::Route &Where,
-                               const RequestDescription &Said);
-  /// When a caller should come back who is refused for want of a place.
-  core::Duration returnFor(const core::PoolName &Pool, core::Duration TimeLeft);
-  /// When to come back in all other cases.
-  core::Duration returnSoon();
   http::ResponseMessage answerReadiness() const;
   void updateGauges();
   void noteRecordedSize(const platform::Entry &Change);
@@ -102,8 +92,6 @@
   routing::Dispatcher m_Dispatcher;
   routing::QuotaBook m_Quotas;
   std::unordered_map<core::PoolName, routing::RetryBudget> m_Retries;
-  std::unordered_map<std::string, routing::UsualDeadline> m_UsualDeadlines;
-  std::unordered_map<core::PoolName, routing::ReturnEstimate> m_Returns;
   http::ConnectionPool m_Connections;
   std::unique_ptr<PeerLink> m_Peers;
   std::unique_ptr<http::Server> m_CallerServer;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -21,6 +21,10 @@
 static constexpr std::chrono::seconds LeastPatience{2};
 static constexpr int PatienceOverObjective = 4;
 static constexpr int PatienceOverPause = 8;
+/// When to come back after a refusal: spread, so that those who were refused
+/// together do not return together.
+static constexpr double FirstRetryAfterSeconds = 0.15;
+static constexpr double RetryAfterSpreadSeconds = 0.35;
 /// Answers up to this size are read whole before they are passed on, so that
 /// a broken one can still be replaced.
 static constexpr std::uint64_t MostBytesReadWhole = 262144;
@@ -71,6 +75,12 @@
   return m_EndsAt - core::steadyNow();
 }
 
+core::Duration GatewayRequest::retryAfter() const {
+  std::uniform_real_distribution<double> Spread(0, RetryAfterSpreadSeconds);
+  double Seconds = FirstRetryAfterSeconds + Spread(m_Owner.m_Random);
+  return core::fromSeconds(Seconds);
+}
+
 //===----------------------------------------------------------------------===//
 // Before a target
 //===----------------------------------------------------------------------===//
@@ -90,8 +100,6 @@
   m_Tier = Admitted.m_Tier;
   m_Charge = Admitted.m_Charge;
   m_EndsAt = Admitted.m_EndsAt;
-  if (m_Route)
-    m_SinceFirstTry = m_Owner.sinceFirstTry(*m_Route, m_Said);
   return Admitted.m_Status;
 }
 
@@ -124,7 +132,6 @@
   Wanted.m_LateAt = m_EndsAt;
   if (m_Route->m_Objective > core::Duration::zero())
     Wanted.m_LateAt = m_ArrivedAt + m_Route->m_Objective;
-  Wanted.m_SinceFirstTry = m_SinceFirstTry;
   Wanted.m_BeginsBy = m_EndsAt;
   if (m_Route->m_Kind == routing::RouteKind::Stream)
     Wanted.m_BeginsBy = std::min(m_EndsAt, m_ArrivedAt + callersPatience());
@@ -164,7 +171,7 @@
     if (Status == 429)
       Wait = m_Owner.m_Quotas.untilAvailable(m_Account->m_Name);
     if (Status == 503)
-      Wait = m_Owner.returnSoon();
+      Wait = retryAfter();
     return answer(Status, m_Reason, Wait, Yield);
   }
   m_Owner.retriesOf(m_Pool).noteRequest(m_ArrivedAt);
@@ -445,11 +452,9 @@
     return answer(IsOver ? 504 : 502, m_Reason, core::Duration::zero(), Yield);
   if (m_Account)
     m_Owner.m_Quotas.giveBack(m_Account->m_Name, m_Charge);
-  core::Duration Return = m_IsRefused ? m_Owner.returnFor(m_Pool, timeLeft())
-                                      : m_Owner.returnSoon();
   if (m_IsRefused)
     m_Reason = "no-target";
-  answer(503, IsOver ? "time-over" : m_Reason, Return, Yield);
+  answer(503, IsOver ? "time-over" : m_Reason, retryAfter(), Yield);
 }
 
 void GatewayRequest::answer(unsigned Status, const char *Reason,
@@ -460,7 +465,6 @@
   http::ResponseMessage Answer;
   Answer.m_Head.m_Status = Status;
   m_Owner.m_Wire.prepare(Answer.m_Head, m_Said);
-  m_RetryAfter = RetryAfter;
   if (RetryAfter > core::Duration::zero()) {
     char Text[32];
     std::snprintf(Text, sizeof Text, "%.3f", core::toSeconds(RetryAfter));
@@ -485,10 +489,7 @@
       .add("status", m_Status != 0 ? m_Status : m_Relay.status())
       .add("reason", m_Reason)
       .add("tries", m_Tries)
-      .add("since_first_try_us", m_SinceFirstTry)
       .add("total_us", Total);
-  if (m_RetryAfter > core::Duration::zero())
-    Line.add("retry_after_us", m_RetryAfter);
   if (m_FirstEventAt != core::TimePoint())
     Line.add("first_event_us", m_FirstEventAt - m_ArrivedAt)
         .add("longest_pause_us", m_LongestPause)
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -65,6 +65,7 @@
   void answer(unsigned Status, const char *Reason, core::Duration RetryAfter,
               boost::asio::yield_context Yield);
   core::Duration timeLeft() const;
+  core::Duration retryAfter() const;
   void callerHungUp();
   void noteTry(TryOutcome Last);
   /// What decided for the target, and how old it is.
@@ -84,7 +85,6 @@
   core::TierNumber m_Tier{1};
   std::uint32_t m_Charge = 0; ///< Tokens drawn from the account's quota.
   core::TimePoint m_ArrivedAt;
-  core::Duration m_SinceFirstTry{}; ///< Of its caller, before m_ArrivedAt.
   core::TimePoint m_EndsAt;
   boost::asio::steady_timer m_Wake;
   std::optional<routing::Target> m_Target; ///< Chosen for the current try.
@@ -103,7 +103,6 @@
   core::TimePoint m_LastEventAt{}; ///< Of the current try.
   /// How long the connection may be kept, by the last answer on it.
   core::Duration m_KeepFor{};
-  core::Duration m_RetryAfter{}; ///< As told to the caller; zero: not told.
   unsigned m_Status = 0;
   const char *m_Reason = "";
   /// A target's own failure, passed on unless another target does better.
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -81,7 +81,7 @@
 
 Dispatcher::Urgency Dispatcher::urgencyOf(const PlacementRequest &What,
                                           core::TimePoint Now) const {
-  bool IsLate = What.lateForCaller() <= Now;
+  bool IsLate = What.m_LateAt <= Now;
   if (isLowest(What))
     return IsLate ? Urgency::LowestLate : Urgency::LowestInTime;
   return IsLate ? Urgency::Late : Urgency::InTime;
@@ -90,11 +90,8 @@
 bool Dispatcher::goesBefore(const PlacementRequest &A,
                             const PlacementRequest &B,
                             core::TimePoint Now) const {
-  auto Key = [&](const PlacementRequest &What) {
-    return std::make_tuple(urgencyOf(What, Now), What.m_Rank,
-                           What.lateForCaller(), What.m_Request);
-  };
-  return Key(A) < Key(B);
+  return std::make_tuple(urgencyOf(A, Now), A.m_Rank, A.m_LateAt, A.m_Request) <
+         std::make_tuple(urgencyOf(B, Now), B.m_Rank, B.m_LateAt, B.m_Request);
 }
 
 core::TimePoint Dispatcher::waitsUntil(const PlacementRequest &What) const {
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -29,17 +29,11 @@
   /// A first byte after that is late. A stream that can't begin by then any
   /// more is refused; a short request is still served.
   core::TimePoint m_LateAt{};
-  /// How long before m_ArrivedAt its caller first tried, if that is known. The
-  /// answer is late by so much sooner; the request waits as long as others.
-  core::Duration m_SinceFirstTry{};
   /// A stream without an event by then is given up by its caller.
   core::TimePoint m_BeginsBy{};
   /// The answer must be complete by then.
   core::TimePoint m_EndsAt{};
   std::set<core::TargetName> m_Tried; ///< Not again.
-
-  /// When a first byte is late for its caller, who counts from the first try.
-  core::TimePoint lateForCaller() const { return m_LateAt - m_SinceFirstTry; }
 };
 
 struct DispatcherHooks {
