--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -20,12 +20,16 @@
   m_Requests.push_back(Now);
 }
 
-bool RetryBudget::tryTake(core::TimePoint Now, std::size_t Instances) {
+bool RetryBudget::hasOne(core::TimePoint Now, std::size_t Instances) {
   assert(Instances > 0);
   forgetOld(Now);
   double Allowed = m_Limits.m_Ratio * static_cast<double>(m_Requests.size()) +
                    m_Limits.m_Allowance / static_cast<double>(Instances);
-  if (static_cast<double>(m_Retries.size()) + 1 > Allowed)
+  return static_cast<double>(m_Retries.size()) + 1 <= Allowed;
+}
+
+bool RetryBudget::tryTake(core::TimePoint Now, std::size_t Instances) {
+  if (!hasOne(Now, Instances))
     return false;
   m_Retries.push_back(Now);
   return true;
