--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -379,10 +379,6 @@
   return retriesOf(Pool).tryTake(core::steadyNow(), m_Peers->sharers());
 }
 
-bool Gateway::hasRetry(const core::PoolName &Pool) {
-  return retriesOf(Pool).hasOne(core::steadyNow(), m_Peers->sharers());
-}
-
 void Gateway::updateGauges() {
   auto Set = [this](const char *Name, std::size_t Value) {
     m_Metrics.setGauge(Name, static_cast<double>(Value));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -73,8 +73,6 @@
   routing::RetryLimits retryLimits() const;
   /// Counts the retry, if one more is within the budget.
   bool mayRetry(const core::PoolName &Pool);
-  /// Whether mayRetry() would hold now; counts nothing.
-  bool hasRetry(const core::PoolName &Pool);
   http::ResponseMessage answerReadiness() const;
   void updateGauges();
   void noteRecordedSize(const platform::Entry &Change);
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -14,11 +14,6 @@
 /// A target stops at the deadline it was given and says so; its own word is
 /// waited for this long beyond.
 static constexpr std::chrono::milliseconds AnswerSlack{200};
-/// A target that has not begun to answer after so many times the time within
-/// which nearly all begin is taken for dead or cut off, and the request goes to
-/// another where it may run again: without this it waits for its caller's
-/// deadline, 8 to 17 times as long.
-static constexpr int SilenceFactor = 4;
 /// Least time left for which another target is tried.
 static constexpr std::chrono::milliseconds LeastUsefulTime{20};
 /// Callers give a stream up, also before its first event, after a gap of the
@@ -251,8 +246,8 @@
   try {
     Result = exchange(*Connection, Yield);
   } catch (const Error &Failure) {
-    bool IsOver = timeLeft() <= core::Duration::zero();
-    m_Reason = IsOver ? "time-over" : "target-broke";
+    m_Reason =
+        timeLeft() <= core::Duration::zero() ? "time-over" : "target-broke";
     core::LogLine("target-broke", core::LogLevel::Warning)
         .add("request", m_Said.m_Id)
         .add("target", m_Target->m_Name)
@@ -266,21 +261,11 @@
   return Result;
 }
 
-core::Duration GatewayRequest::patienceWithTarget() const {
-  core::Duration ToTheEnd = timeLeft() + AnswerSlack;
-  if (!m_Route->mayRunAgain() || m_Runs + 1 >= m_Route->m_MostTargets ||
-      !m_Owner.hasRetry(m_Pool))
-    return ToTheEnd;
-  return std::min<core::Duration>(
-      ToTheEnd, m_Owner.m_Targets.timeToBegin(m_Pool) * SilenceFactor);
-}
-
 http::ResponseHead
 GatewayRequest::readOwnHead(http::ClientConnection &Connection,
                             asio::yield_context Yield) {
-  core::TimePoint GivenUpAt = core::steadyNow() + patienceWithTarget();
   while (true) {
-    core::Duration Limit = GivenUpAt - core::steadyNow();
+    core::Duration Limit = timeLeft() + AnswerSlack;
     http::ResponseHead Head = Connection.readHead(Limit, Yield);
     if (m_Owner.m_Wire.describe(Head).m_Id == m_Said.m_Id)
       return Head;
@@ -404,10 +389,8 @@
   switch (Last) {
   case TryOutcome::Complete:
     m_Owner.m_Targets.succeeded(Name);
-    if (IsShort) {
+    if (IsShort)
       m_Owner.m_Targets.notePace(Name, Now - m_TryStartedAt);
-      m_Owner.m_Targets.noteBegin(m_Pool, Now - m_TryStartedAt);
-    }
     break;
   case TryOutcome::NotSent:
     m_Owner.m_Targets.failed(Name, routing::TargetFailure::Unreachable, Now);
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -50,9 +50,6 @@
   TryOutcome tryTarget(boost::asio::yield_context Yield);
   TryOutcome exchange(http::ClientConnection &Connection,
                       boost::asio::yield_context Yield);
-  /// How long the head of the answer is waited for: to the end, unless another
-  /// target may be tried after a silent one.
-  core::Duration patienceWithTarget() const;
   /// Reads heads until one answers this request: an answer to an earlier one
   /// may come late, in the place of the next.
   http::ResponseHead readOwnHead(http::ClientConnection &Connection,
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -20,16 +20,12 @@
   m_Requests.push_back(Now);
 }
 
-bool RetryBudget::hasOne(core::TimePoint Now, std::size_t Instances) {
+bool RetryBudget::tryTake(core::TimePoint Now, std::size_t Instances) {
   assert(Instances > 0);
   forgetOld(Now);
   double Allowed = m_Limits.m_Ratio * static_cast<double>(m_Requests.size()) +
                    m_Limits.m_Allowance / static_cast<double>(Instances);
-  return static_cast<double>(m_Retries.size()) + 1 <= Allowed;
-}
-
-bool RetryBudget::tryTake(core::TimePoint Now, std::size_t Instances) {
-  if (!hasOne(Now, Instances))
+  if (static_cast<double>(m_Retries.size()) + 1 > Allowed)
     return false;
   m_Retries.push_back(Now);
   return true;
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -30,8 +30,6 @@
   /// not 0.
   /// \returns true and counts the retry, if one more is within the budget.
   bool tryTake(core::TimePoint Now, std::size_t Instances);
-  /// Whether tryTake() would grant one now; counts nothing.
-  bool hasOne(core::TimePoint Now, std::size_t Instances);
 
 private:
   void forgetOld(core::TimePoint Now);
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -75,10 +75,9 @@
   void succeeded(const core::TargetName &Name);
   /// Time between two events of a stream, or of a whole short answer.
   void notePace(const core::TargetName &Name, core::Duration Pace);
-  /// Time from a dispatch to a stream's first event or to a short answer.
+  /// Time from the dispatch of a stream to its first event.
   void noteBegin(const core::PoolName &Pool, core::Duration Time);
-  /// By when nearly every stream that is sent now has begun, and nearly every
-  /// short answer has come.
+  /// By when nearly every stream that is sent now has begun.
   core::Duration timeToBegin(const core::PoolName &Pool) const;
   /// Sums over the other instances of the group, by KnownTarget::m_Hash; a
   /// target that is not named has no work of theirs. What other groups do at
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -209,8 +209,6 @@
   CPPUNIT_TEST(testGoesOnAfterATargetsOwnRefusal);
   CPPUNIT_TEST(testTargetThatWasReplacedIsLeftAlone);
   CPPUNIT_TEST(testRepeatsWhatMayBeRepeated);
-  CPPUNIT_TEST(testLeavesASilentTarget);
-  CPPUNIT_TEST(testWaitsForASilentTargetWhereItMayRunOnce);
   CPPUNIT_TEST(testSkipsASurplusAnswer);
   CPPUNIT_TEST(testUnsignedSuccessIsNoAnswer);
   CPPUNIT_TEST(testResumesAStreamElsewhere);
@@ -425,38 +423,6 @@
       CPPUNIT_ASSERT_EQUAL(std::string("broken"), Got.m_Body);
   }
 
-  /// Two targets; whichever is asked first never answers.
-  void addSilentAndSound() {
-    auto Asked = std::make_shared<std::atomic<int>>(0);
-    for (int I = 0; I < 2; ++I)
-      addTarget([Asked](const Request &Read) {
-        return ++*Asked == 1 ? std::string("wait") : whole(Read, "answer");
-      });
-  }
-
-  void testLeavesASilentTarget() {
-    addSilentAndSound();
-    start();
-    auto SentAt = core::steadyNow();
-    Reply Got = send(request("/again/x"));
-    CPPUNIT_ASSERT_EQUAL(200U, Got.m_Status);
-    CPPUNIT_ASSERT(core::steadyNow() - SentAt < std::chrono::seconds(1));
-    // Its work is ended as well.
-    CPPUNIT_ASSERT(eventually([this] {
-      return m_Targets[0]->m_ClosedWhileWaiting +
-                 m_Targets[1]->m_ClosedWhileWaiting ==
-             1;
-    }));
-  }
-
-  void testWaitsForASilentTargetWhereItMayRunOnce() {
-    addSilentAndSound();
-    start();
-    Reply Got = send(request("/once/x"));
-    CPPUNIT_ASSERT_EQUAL(504U, Got.m_Status);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), allRequests());
-  }
-
   void testSkipsASurplusAnswer() {
     addTarget([](const Request &Read) {
       return "HTTP/1.1 200 OK\r\nAttempt-Id: old\r\nReplica-Seal: s\r\n"
