LibGateway: Tell how large transfers between instances are, and what they take

Cause: logs and metrics told that a change came late, not whether it waited for bytes or for the processor. Bytes and time of each transfer, transfers under way, and the time to read a configuration are now logged and counted. No change of logic.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -162,6 +162,7 @@
 void Gateway::take(const platform::Entry &Change) {
   if (Change.m_Key == FleetSizeKey)
     return noteRecordedSize(Change);
+  core::TimePoint Begin = core::steadyNow();
   StoreNews News;
   try {
     News = m_Wire.read(Change);
@@ -172,8 +173,14 @@
         .add("reason", Failure.what());
     return;
   }
-  if (auto *Seen = std::get_if<ConfigurationSeen>(&News))
+  if (auto *Seen = std::get_if<ConfigurationSeen>(&News)) {
+    core::LogLine("configuration-read")
+        .add("version", Seen->m_Table->version())
+        .add("revision", Change.m_Modified)
+        .add("bytes", Change.m_Value.size())
+        .add("took_us", core::steadyNow() - Begin);
     return adopt(std::move(Seen->m_Table));
+  }
   if (const auto *Seen = std::get_if<TargetSeen>(&News)) {
     core::LogLine("target-seen")
         .add("target", Seen->m_Target.m_Name)
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -49,7 +49,7 @@
                                         Settings.m_PeerAddress},
       m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, FarSilence),
       m_Socket(Context, Settings.m_PeerAddress, m_Codec),
-      m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror),
+      m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror, Metrics),
       m_Random(core::randomBits()) {}
 
 PeerLink::~PeerLink() = default;
--- a/Libraries/LibGateway/StoreFetcher.cpp
+++ b/Libraries/LibGateway/StoreFetcher.cpp
@@ -30,8 +30,9 @@
 StoreFetcher::StoreFetcher(asio::io_context &Context,
                            const config::Endpoint &Address,
                            const peer::PeerCodec &Codec,
-                           platform::StoreMirror &Mirror)
-    : m_Context(Context), m_Codec(Codec), m_Mirror(Mirror),
+                           platform::StoreMirror &Mirror,
+                           metrics::MetricsRegistry &Metrics)
+    : m_Context(Context), m_Codec(Codec), m_Mirror(Mirror), m_Metrics(Metrics),
       m_Server(http::Server::create(
           Context, Address.toTcp(), http::ServerLimits(),
           [this](http::Exchange &Call, asio::yield_context Yield) {
@@ -58,7 +59,27 @@
   Answer.m_Head.m_Status = 200;
   Answer.m_Body = m_Codec.seal(
       StoreTransfer::from(m_Mirror, platform::Revision(After)).encode());
-  Call.sendWhole(std::move(Answer), Yield);
+  sendCounted(Call, std::move(Answer), Yield);
+}
+
+void StoreFetcher::sendCounted(http::Exchange &Call,
+                               http::ResponseMessage Answer,
+                               asio::yield_context Yield) {
+  auto SetServing = [this](std::size_t Value) {
+    m_Serving = Value;
+    m_Metrics.setGauge("yardrill_peer_transfers_open",
+                       static_cast<double>(Value));
+  };
+  m_Metrics.count("yardrill_peer_transfer_bytes_sent_total",
+                  Answer.m_Body.size());
+  SetServing(m_Serving + 1);
+  try {
+    Call.sendWhole(std::move(Answer), Yield);
+  } catch (...) {
+    SetServing(m_Serving - 1);
+    throw;
+  }
+  SetServing(m_Serving - 1);
 }
 
 void StoreFetcher::consider(const config::Endpoint &From,
@@ -96,6 +117,7 @@
 
 void StoreFetcher::fetchOnce(const config::Endpoint &From,
                              asio::yield_context Yield) {
+  core::TimePoint Begin = core::steadyNow();
   auto Connection = http::ClientConnection::connect(m_Context, From.toTcp(),
                                                     FetchTimeout, Yield);
   http::RequestMessage Request;
@@ -108,12 +130,17 @@
   if (const auto *Reason = std::get_if<peer::DropReason>(&Payload))
     throw Error(core::ErrorKind::Protocol, peer::toString(*Reason));
   auto Transfer = StoreTransfer::decode(std::get<std::string_view>(Payload));
+  core::Duration Took = core::steadyNow() - Begin;
+  m_Metrics.count("yardrill_peer_transfer_bytes_received_total",
+                  Answer.m_Body.size());
   Transfer.applyTo(m_Mirror);
   core::LogLine("store-heard-from-peer")
       .add("peer", From.toString())
       .add("revision", m_Mirror.revision())
       .add("entries", Transfer.m_Entries.size())
-      .add("is_whole", Transfer.m_IsWhole);
+      .add("is_whole", Transfer.m_IsWhole)
+      .add("bytes", Answer.m_Body.size())
+      .add("took_us", Took);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StoreFetcher.h
+++ b/Libraries/LibGateway/StoreFetcher.h
@@ -5,6 +5,7 @@
 #include "LibConfig/Endpoint.h"
 #include "LibCore/Time.h"
 #include "LibHTTP/Server.h"
+#include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPlatform/StoreMirror.h"
 
@@ -23,7 +24,8 @@
   /// \throws core::Error of kind AddressInUse.
   StoreFetcher(boost::asio::io_context &Context,
                const config::Endpoint &Address, const peer::PeerCodec &Codec,
-               platform::StoreMirror &Mirror);
+               platform::StoreMirror &Mirror,
+               metrics::MetricsRegistry &Metrics);
 
   /// \param From who knows the \p Newest revision of all that are heard.
   /// \param IsPatient the store itself will probably say the same soon.
@@ -32,6 +34,9 @@
 
 private:
   void answer(http::Exchange &Call, boost::asio::yield_context Yield);
+  /// Counts what a peer is sent. \throws core::Error when the peer is gone.
+  void sendCounted(http::Exchange &Call, http::ResponseMessage Answer,
+                   boost::asio::yield_context Yield);
   void fetch(const config::Endpoint &From, boost::asio::yield_context Yield);
   void fetchOnce(const config::Endpoint &From,
                  boost::asio::yield_context Yield);
@@ -39,6 +44,8 @@
   boost::asio::io_context &m_Context;
   const peer::PeerCodec &m_Codec;
   platform::StoreMirror &m_Mirror;
+  metrics::MetricsRegistry &m_Metrics;
+  std::size_t m_Serving = 0; ///< Answers to peers under way.
   std::unique_ptr<http::Server> m_Server;
   core::TimePoint m_BehindSince{}; ///< Zero: is not behind.
   bool m_IsFetching = false;
