LibGateway, Tests: Let the fetcher choose whom it asks; a proxy with a slow link

No change of what is done: the peer with the newest revision, the first of several, as before. The loopback proxy moves from the soak to the support of all tests and can let answers pass at the rate of a small machine's link.

--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -347,20 +347,19 @@
 }
 
 void PeerLink::fetchIfBehind(core::TimePoint Now) {
-  platform::Revision Newest;
-  config::Endpoint From;
+  std::vector<StoreHolder> Ahead;
   for (const auto &[Incarnation, Report] : m_Reports) {
     platform::Revision Known(Report.m_StoreRevision);
-    auto Peer = m_Directory.all().find(Incarnation);
-    if (!(Newest < Known) || Peer == m_Directory.all().end())
+    if (!(m_Mirror.revision() < Known))
       continue;
-    Newest = Known;
-    From = Peer->second.m_Home.m_Peer;
+    auto Peer = m_Directory.all().find(Incarnation);
+    if (Peer != m_Directory.all().end())
+      Ahead.push_back({Peer->second.m_Home.m_Peer, Known});
   }
   // One that does not ask the store has nothing to wait for. Asked only when
   // it matters: it hashes the addresses of all peers.
-  bool IsPatient = m_Mirror.revision() < Newest && mustFollowStore();
-  m_Fetcher.consider(From, Newest, IsPatient, Now);
+  bool IsPatient = !Ahead.empty() && mustFollowStore();
+  m_Fetcher.consider(Ahead, IsPatient, Now);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StoreFetcher.cpp
+++ b/Libraries/LibGateway/StoreFetcher.cpp
@@ -5,6 +5,7 @@
 #include "LibGateway/StoreTransfer.h"
 #include "LibHTTP/ClientConnection.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <charconv>
 
@@ -82,10 +83,9 @@
   SetServing(m_Serving - 1);
 }
 
-void StoreFetcher::consider(const config::Endpoint &From,
-                            platform::Revision Newest, bool IsPatient,
-                            core::TimePoint Now) {
-  if (!(m_Mirror.revision() < Newest)) {
+void StoreFetcher::consider(const std::vector<StoreHolder> &Ahead,
+                            bool IsPatient, core::TimePoint Now) {
+  if (Ahead.empty()) {
     m_BehindSince = core::TimePoint();
     return;
   }
@@ -96,6 +96,11 @@
   if (m_IsFetching || (MayWait && Now - m_BehindSince < BehindPatience))
     return;
   m_IsFetching = true;
+  auto IsOlder = [](const StoreHolder &A, const StoreHolder &B) {
+    return A.m_Revision < B.m_Revision;
+  };
+  config::Endpoint From =
+      std::max_element(Ahead.begin(), Ahead.end(), IsOlder)->m_Address;
   asio::spawn(
       m_Context,
       [this, From](asio::yield_context Yield) { fetch(From, Yield); },
--- a/Libraries/LibGateway/StoreFetcher.h
+++ b/Libraries/LibGateway/StoreFetcher.h
@@ -12,9 +12,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <memory>
+#include <vector>
 
 namespace yardrill::gateway {
 
+/// A peer that may be asked, as its last report described it.
+struct StoreHolder {
+  config::Endpoint m_Address;
+  platform::Revision m_Revision; ///< Of its mirror.
+};
+
 /// Serves the mirror to other instances, and asks one of them when this one is
 /// behind: it is turned away by the store, does not follow it, or has just
 /// started.
@@ -27,10 +34,11 @@
                platform::StoreMirror &Mirror,
                metrics::MetricsRegistry &Metrics);
 
-  /// \param From who knows the \p Newest revision of all that are heard.
+  /// Asks one of those that are further on, if it is time to.
+  /// \param Ahead peers whose mirrors are newer than this instance's.
   /// \param IsPatient the store itself will probably say the same soon.
-  void consider(const config::Endpoint &From, platform::Revision Newest,
-                bool IsPatient, core::TimePoint Now);
+  void consider(const std::vector<StoreHolder> &Ahead, bool IsPatient,
+                core::TimePoint Now);
 
 private:
   void answer(http::Exchange &Call, boost::asio::yield_context Yield);
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -142,7 +142,7 @@
     Connection = http::ClientConnection::connect(
         m_Context, m_Under.callerAddress(Gateway), ConnectTime, Yield);
   } catch (const core::Error &) {
-    return sleepFor(m_Context, std::chrono::milliseconds(50), Yield);
+    return tests::sleepFor(m_Context, std::chrono::milliseconds(50), Yield);
   }
   static const struct {
     RequestKind m_Kind;
@@ -158,7 +158,8 @@
     if (!Status || !Connection->isReusable() || m_IsStopped)
       return;
     // Streams of a pause between requests, also longer than a connection rests.
-    sleepFor(m_Context, std::chrono::milliseconds(draw(MostPauseMs)), Yield);
+    tests::sleepFor(m_Context, std::chrono::milliseconds(draw(MostPauseMs)),
+                    Yield);
     if (!Connection->isReusable())
       return;
   }
@@ -186,7 +187,7 @@
   Ask.m_Method = "GET";
   Ask.m_Target = "/readyz";
   Ask.m_Headers.set("Host", "h");
-  for (; !m_IsStopped; sleepFor(m_Context, BalancePeriod, Yield)) {
+  for (; !m_IsStopped; tests::sleepFor(m_Context, BalancePeriod, Yield)) {
     unsigned Status = 0;
     try {
       auto Connection = http::ClientConnection::connect(
@@ -222,7 +223,7 @@
 }
 
 void Callers::probe(std::size_t Gateway, asio::yield_context Yield) {
-  for (; !m_IsStopped; sleepFor(m_Context, ProbePeriod, Yield)) {
+  for (; !m_IsStopped; tests::sleepFor(m_Context, ProbePeriod, Yield)) {
     if (m_Under.versions().empty())
       continue;
     AcceptedVersion Asked = m_Under.versions().back();
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -46,7 +46,7 @@
       m_Gateways(Shape.m_Gateways) {
   for (std::size_t I = 0; I < m_Gateways.size(); ++I) {
     m_Gateways[I].m_Address = loopbackAddress(I);
-    m_Gateways[I].m_StoreProxy = std::make_unique<LoopbackProxy>(
+    m_Gateways[I].m_StoreProxy = std::make_unique<tests::LoopbackProxy>(
         Context, tests::freePort(), m_StorePort);
   }
   for (const char *Pool : {"app", "engine"})
@@ -116,7 +116,7 @@
 
 void Deployment::start(asio::yield_context Yield) {
   for (bool IsUp = false; !IsUp;
-       sleepFor(m_Context, std::chrono::milliseconds(20), Yield)) {
+       tests::sleepFor(m_Context, std::chrono::milliseconds(20), Yield)) {
     try {
       controlStore({}, Yield);
       IsUp = true;
@@ -266,9 +266,9 @@
   // Counted from the store's answer.
   put(Key, Which.announcement(), Yield);
   Which.setLeaving();
-  sleepFor(m_Context, LeavingTime, Yield);
+  tests::sleepFor(m_Context, LeavingTime, Yield);
   remove(Key, Yield);
-  sleepFor(m_Context, AfterLeaving, Yield);
+  tests::sleepFor(m_Context, AfterLeaving, Yield);
   crashTarget(Index, RestartDelay, Yield);
 }
 
@@ -278,11 +278,11 @@
   SoakTarget &Which = *m_Targets[Index];
   std::string Old = Which.key();
   Which.setDisturbed(true);
-  Which.proxy().setPassage(Passage::Down);
+  Which.proxy().setPassage(tests::Passage::Down);
   Which.proxy().resetAll();
-  sleepFor(m_Context, DownFor, Yield);
+  tests::sleepFor(m_Context, DownFor, Yield);
   Which.restart(nextTargetName());
-  Which.proxy().setPassage(Passage::Whole);
+  Which.proxy().setPassage(tests::Passage::Whole);
   Which.setDisturbed(false);
   put(Which.key(), Which.announcement(), Yield);
   remove(Old, Yield);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -47,7 +47,7 @@
   }
   std::size_t targets() const { return m_Targets.size(); }
   SoakTarget &target(std::size_t Index) { return *m_Targets[Index]; }
-  LoopbackProxy &storeProxy(std::size_t Gateway) {
+  tests::LoopbackProxy &storeProxy(std::size_t Gateway) {
     return *m_Gateways[Gateway].m_StoreProxy;
   }
   const std::vector<AcceptedVersion> &versions() const { return m_Versions; }
@@ -72,7 +72,7 @@
 private:
   struct Gateway {
     std::string m_Address;
-    std::unique_ptr<LoopbackProxy> m_StoreProxy;
+    std::unique_ptr<tests::LoopbackProxy> m_StoreProxy;
     tests::Process m_Process;
     std::size_t m_Lives = 0;
     bool m_IsEndExpected = false;
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -68,7 +68,7 @@
   void run();
 
 private:
-  void pause() { sleepFor(m_Context, m_What.m_Length, m_Yield); }
+  void pause() { tests::sleepFor(m_Context, m_What.m_Length, m_Yield); }
   void freezeGateway() {
     m_Book.processTrouble(m_Gateway, true);
     m_On.signalGateway(m_Gateway, SIGSTOP);
@@ -76,14 +76,14 @@
     m_On.signalGateway(m_Gateway, SIGCONT);
     m_Book.processTrouble(m_Gateway, false);
   }
-  void disturbStoreLink(Passage How, bool MustReset) {
+  void disturbStoreLink(tests::Passage How, bool MustReset) {
     m_Book.pathTrouble(m_Gateway, true);
-    LoopbackProxy &Link = m_On.storeProxy(m_Gateway);
+    tests::LoopbackProxy &Link = m_On.storeProxy(m_Gateway);
     Link.setPassage(How);
     if (MustReset)
       Link.resetAll();
     pause();
-    Link.setPassage(Passage::Whole);
+    Link.setPassage(tests::Passage::Whole);
     m_Book.pathTrouble(m_Gateway, false);
   }
   void disturbStore(const boost::json::object &Begin,
@@ -101,14 +101,14 @@
     m_On.freezeStore(false);
     m_Book.storeTrouble(false);
   }
-  void disturbTargetLink(Passage How, bool MustReset) {
+  void disturbTargetLink(tests::Passage How, bool MustReset) {
     SoakTarget &Which = m_On.target(m_Index);
     Which.setDisturbed(true);
     Which.proxy().setPassage(How);
     if (MustReset)
       Which.proxy().resetAll();
     pause();
-    Which.proxy().setPassage(Passage::Whole);
+    Which.proxy().setPassage(tests::Passage::Whole);
     Which.setDisturbed(false);
   }
   void dropIdleConnections() {
@@ -151,13 +151,13 @@
   case FaultKind::ReloadGateway:
     return m_On.signalGateway(m_Gateway, SIGHUP);
   case FaultKind::StoreLinkDelayed:
-    return disturbStoreLink(Passage::Delayed, false);
+    return disturbStoreLink(tests::Passage::Delayed, false);
   case FaultKind::StoreLinkReset:
-    return disturbStoreLink(Passage::Down, true);
+    return disturbStoreLink(tests::Passage::Down, true);
   case FaultKind::StoreLinkSilent:
-    return disturbStoreLink(Passage::CutBoth, false);
+    return disturbStoreLink(tests::Passage::CutBoth, false);
   case FaultKind::StoreLinkOneWay:
-    return disturbStoreLink(Passage::CutBackward, false);
+    return disturbStoreLink(tests::Passage::CutBackward, false);
   case FaultKind::StoreFrozen:
     return freezeStore();
   case FaultKind::StoreDown:
@@ -171,13 +171,13 @@
   case FaultKind::StoreLosesAnswers:
     return disturbStore({{"lose_answers", 3}}, {{"lose_answers", 0}});
   case FaultKind::TargetLinkDelayed:
-    return disturbTargetLink(Passage::Delayed, false);
+    return disturbTargetLink(tests::Passage::Delayed, false);
   case FaultKind::TargetLinkReset:
-    return disturbTargetLink(Passage::Whole, true);
+    return disturbTargetLink(tests::Passage::Whole, true);
   case FaultKind::TargetLinkSilent:
-    return disturbTargetLink(Passage::CutBoth, false);
+    return disturbTargetLink(tests::Passage::CutBoth, false);
   case FaultKind::TargetLinkOneWay:
-    return disturbTargetLink(Passage::CutBackward, false);
+    return disturbTargetLink(tests::Passage::CutBackward, false);
   case FaultKind::TargetIdleReset:
     return dropIdleConnections();
   case FaultKind::TargetCrashes:
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -57,7 +57,8 @@
         Out.m_Head.m_Status = Status;
         return Out;
       });
-  m_Proxy = std::make_unique<LoopbackProxy>(Context, tests::freePort(), Port);
+  m_Proxy =
+      std::make_unique<tests::LoopbackProxy>(Context, tests::freePort(), Port);
 }
 
 std::string SoakTarget::announcement() const {
@@ -132,8 +133,9 @@
   bool IsMute = happens(m_How.m_IsMute);
   if (MustBreak || MustFail || IsMute)
     m_Book.targetTrouble(Id);
-  sleepFor(m_Context, IsMute ? std::chrono::milliseconds(MuteTime) : WorkTime,
-           Yield);
+  tests::sleepFor(m_Context,
+                  IsMute ? std::chrono::milliseconds(MuteTime) : WorkTime,
+                  Yield);
   http::ResponseMessage Out;
   Out.m_Head.m_Status = MustFail ? 500 : 200;
   Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Replica-Seal", "s-" + m_Name}};
@@ -168,7 +170,7 @@
       return Call.abort();
     }
     Call.sendPiece(Event, Yield);
-    sleepFor(m_Context, EventPause, Yield);
+    tests::sleepFor(m_Context, EventPause, Yield);
   }
   Call.finishStream(Yield);
 }
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -36,7 +36,7 @@
   /// What the store holds for it.
   std::string key() const { return "servers/" + m_Name; }
   std::string announcement() const;
-  LoopbackProxy &proxy() { return *m_Proxy; }
+  tests::LoopbackProxy &proxy() { return *m_Proxy; }
 
   void setMisbehaviour(const Misbehaviour &How) { m_How = How; }
   /// Its connections are disturbed from now on (or not any more).
@@ -60,7 +60,7 @@
   std::string m_Name;
   std::string m_Pool;
   std::unique_ptr<http::Server> m_Server;
-  std::unique_ptr<LoopbackProxy> m_Proxy;
+  std::unique_ptr<tests::LoopbackProxy> m_Proxy;
   Misbehaviour m_How;
   bool m_IsDisturbed = false;
   std::optional<TimePoint> m_LeavingSince;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -69,24 +69,25 @@
     asio::spawn(
         m_Context, [this](asio::yield_context Inner) { supervise(Inner); },
         asio::detached);
-    sleepFor(m_Context, StartTime, Yield);
+    yardrill::tests::sleepFor(m_Context, StartTime, Yield);
     m_Callers.start(FLAGS_callers);
-    sleepFor(m_Context, StartTime, Yield);
+    yardrill::tests::sleepFor(m_Context, StartTime, Yield);
     TimePoint Start = Clock::now();
     for (const Fault &What :
          drawFaults(FLAGS_seed, std::chrono::seconds(FLAGS_seconds))) {
-      sleepFor(m_Context,
-               std::chrono::duration_cast<std::chrono::milliseconds>(
-                   Start + What.m_At - Clock::now()),
-               Yield);
+      yardrill::tests::sleepFor(
+          m_Context,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              Start + What.m_At - Clock::now()),
+          Yield);
       begin(What);
     }
     while (m_Open > 0)
-      sleepFor(m_Context, SupervisePeriod, Yield);
+      yardrill::tests::sleepFor(m_Context, SupervisePeriod, Yield);
     TimePoint CalmSince = Clock::now();
-    sleepFor(m_Context, CalmTime, Yield);
+    yardrill::tests::sleepFor(m_Context, CalmTime, Yield);
     m_Callers.stop();
-    sleepFor(m_Context, LastAnswers, Yield);
+    yardrill::tests::sleepFor(m_Context, LastAnswers, Yield);
     m_Book.finish(CalmSince);
     m_Context.stop();
   }
@@ -110,7 +111,7 @@
   void supervise(asio::yield_context Yield) {
     while (true) {
       m_Under.supervise();
-      sleepFor(m_Context, SupervisePeriod, Yield);
+      yardrill::tests::sleepFor(m_Context, SupervisePeriod, Yield);
     }
   }
 
--- a/Tests/Soak/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -2,9 +2,10 @@
 
 #include "Sleep.h"
 
+#include <algorithm>
 #include <array>
 
-namespace yardrill::soak {
+namespace yardrill::tests {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -17,6 +18,9 @@
 /// How often a cut is looked at.
 static constexpr std::chrono::milliseconds HoldStep{10};
 
+/// Of a limited link: what is not yet through must not seem to be.
+static constexpr int LimitedBufferBytes = 16384;
+
 static tcp::endpoint loopback(int Port) {
   return {asio::ip::make_address("127.0.0.1"),
           static_cast<std::uint16_t>(Port)};
@@ -70,6 +74,11 @@
   Which->m_LastByte = Clock::now();
   if (m_Passage == Passage::Down)
     return Which->reset();
+  if (m_AnswerRate > 0) {
+    Which->m_Far.open(tcp::v4());
+    Which->m_Far.set_option(
+        asio::socket_base::receive_buffer_size(LimitedBufferBytes));
+  }
   Which->m_Far.async_connect(loopback(m_ToPort), Yield[Failure]);
   if (Failure)
     return Which->reset();
@@ -95,6 +104,15 @@
     sleepFor(m_Context, HoldStep, Yield);
 }
 
+void LoopbackProxy::waitForLink(std::size_t Size, asio::yield_context Yield) {
+  std::chrono::duration<double> Takes(static_cast<double>(Size) / m_AnswerRate);
+  m_LinkFreeAt = std::max(m_LinkFreeAt, Clock::now()) +
+                 std::chrono::duration_cast<Clock::duration>(Takes);
+  asio::steady_timer Timer(m_Context, m_LinkFreeAt);
+  error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
 void LoopbackProxy::pump(const LinkHandle &Which, bool IsForward,
                          asio::yield_context Yield) {
   tcp::socket &From = IsForward ? Which->m_Near : Which->m_Far;
@@ -106,6 +124,8 @@
         From.async_read_some(asio::buffer(Buffer), Yield[Failure]);
     // An end is held back by a cut like bytes are.
     hold(IsForward, Yield);
+    if (!IsForward && m_AnswerRate > 0)
+      waitForLink(Size, Yield);
     Which->m_LastByte = Clock::now();
     error_code Ignored;
     if (Failure == asio::error::eof) {
@@ -119,4 +139,4 @@
   }
 }
 
-} // namespace yardrill::soak
+} // namespace yardrill::tests
--- a/Tests/Soak/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -1,6 +1,6 @@
 //===-- LoopbackProxy.h - A TCP proxy that disturbs what it carries -------===//
-#ifndef YARDRILL_TESTS_SOAK_LOOPBACKPROXY_H
-#define YARDRILL_TESTS_SOAK_LOOPBACKPROXY_H
+#ifndef YARDRILL_TESTS_SUPPORT_LOOPBACKPROXY_H
+#define YARDRILL_TESTS_SUPPORT_LOOPBACKPROXY_H
 
 #include <boost/asio.hpp>
 #include <boost/asio/spawn.hpp>
@@ -9,7 +9,7 @@
 #include <list>
 #include <memory>
 
-namespace yardrill::soak {
+namespace yardrill::tests {
 
 /// How a proxy treats bytes. A cut is silent: nothing is closed, and what was
 /// held back is delivered once the proxy passes again.
@@ -29,6 +29,9 @@
 
   int port() const { return m_Port; }
   void setPassage(Passage How) { m_Passage = How; }
+  /// All answers together pass at this rate, each connection in its turn, as
+  /// over the link of a small machine. 0: as fast as they come.
+  void limitAnswers(double BytesPerSecond) { m_AnswerRate = BytesPerSecond; }
   /// Resets every connection that is open now.
   void resetAll();
   /// Resets connections over which nothing has come for \p Idle.
@@ -51,6 +54,8 @@
             boost::asio::yield_context Yield);
   void hold(bool IsForward, boost::asio::yield_context Yield);
   bool isCut(bool IsForward) const;
+  /// Until \p Size more bytes have passed the limited link.
+  void waitForLink(std::size_t Size, boost::asio::yield_context Yield);
 
   boost::asio::io_context &m_Context;
   int m_Port;
@@ -58,8 +63,10 @@
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::list<std::weak_ptr<Link>> m_Links;
   Passage m_Passage = Passage::Whole;
+  double m_AnswerRate = 0;
+  std::chrono::steady_clock::time_point m_LinkFreeAt;
 };
 
-} // namespace yardrill::soak
+} // namespace yardrill::tests
 
 #endif
--- a/Tests/Soak/Sleep.h
+++ b/Tests/Support/Sleep.h
@@ -1,13 +1,13 @@
 //===-- Sleep.h - A pause of one coroutine --------------------------------===//
-#ifndef YARDRILL_TESTS_SOAK_SLEEP_H
-#define YARDRILL_TESTS_SOAK_SLEEP_H
+#ifndef YARDRILL_TESTS_SUPPORT_SLEEP_H
+#define YARDRILL_TESTS_SUPPORT_SLEEP_H
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 
-namespace yardrill::soak {
+namespace yardrill::tests {
 
 inline void sleepFor(boost::asio::io_context &Context,
                      std::chrono::milliseconds Time,
@@ -17,6 +17,6 @@
   Timer.async_wait(Yield[Ignored]);
 }
 
-} // namespace yardrill::soak
+} // namespace yardrill::tests
 
 #endif
