LibPlatform, LibGateway: Tell of large values apart from the news of their change

Cause (hypothesis 2): an instance had one transfer under way, and it carried all that changed; targets that left while a configuration trickled in were heard of when it ended. Ruled out: two transfers at once of the same kind; the second would bring the same half megabyte again. A second watch of the store: the followers had the news in time, and each waiting watch is paid for. Change: values above 16 KB are left out of the news of a change (a detached entry); the older value stays in force and the newer one is asked for on its own. Reports tell up to which revision the sender has all values, so that it is asked only by those it can help. A follower's watch begins before the first value that is wanted: the store has it even if all others lost it.

--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -264,7 +264,7 @@
   if (Now - m_SoughtAt < SeekPeriod) {
     std::set<config::Endpoint> To = nearPeers();
     // Each group has to hear soon that the store said something new.
-    if (IsLarge && m_Reported.m_StoreRevision < m_Mirror.revision().value())
+    if (IsLarge && hasStoreNews())
       To.merge(someFarPeers(m_Share.groups()));
     return sendReport(To, false);
   }
@@ -278,6 +278,11 @@
   sendReport(To, true);
 }
 
+bool PeerLink::hasStoreNews() const {
+  return m_Reported.m_StoreRevision < m_Mirror.revision().value() ||
+         m_Reported.m_WholeRevision < m_Mirror.wholeRevision().value();
+}
+
 void PeerLink::expire(core::TimePoint Now) {
   std::vector<peer::KnownPeer> Silent;
   for (const auto &[Incarnation, Peer] : m_Directory.all())
@@ -314,6 +319,7 @@
   Report.m_Name = m_Settings.m_Name;
   Report.m_DataHall = m_Settings.m_DataHall;
   Report.m_StoreRevision = m_Mirror.revision().value();
+  Report.m_WholeRevision = m_Mirror.wholeRevision().value();
   Report.m_IsStopping = m_IsStopping;
   m_Hooks.m_Describe(Report);
   if (Report.m_Targets.size() > MostTargetsInReport)
@@ -324,7 +330,8 @@
                 Report.m_Accounts != m_Reported.m_Accounts ||
                 Report.m_HasWaiting != m_Reported.m_HasWaiting ||
                 Report.m_IsStoreConnected != m_Reported.m_IsStoreConnected ||
-                Report.m_StoreRevision != m_Reported.m_StoreRevision;
+                Report.m_StoreRevision != m_Reported.m_StoreRevision ||
+                Report.m_WholeRevision != m_Reported.m_WholeRevision;
   if (!IsFull && !IsNews)
     return;
   std::swap(m_Reported, Report);
@@ -350,11 +357,12 @@
   std::vector<StoreHolder> Ahead;
   for (const auto &[Incarnation, Report] : m_Reports) {
     platform::Revision Known(Report.m_StoreRevision);
-    if (!(m_Mirror.revision() < Known))
+    platform::Revision Whole(Report.m_WholeRevision);
+    if (!(m_Mirror.revision() < Known) && !(m_Mirror.wholeRevision() < Whole))
       continue;
     auto Peer = m_Directory.all().find(Incarnation);
     if (Peer != m_Directory.all().end())
-      Ahead.push_back({Peer->second.m_Home.m_Peer, Known});
+      Ahead.push_back({Peer->second.m_Home.m_Peer, Known, Whole});
   }
   // One that does not ask the store has nothing to wait for. Asked only when
   // it matters: it hashes the addresses of all peers.
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -92,6 +92,8 @@
   bool isStoreHeard() const;
   /// Peers that follow the store and come before this instance in that duty.
   std::size_t followersBefore() const;
+  /// Whether the mirror is further on than the last report said.
+  bool hasStoreNews() const;
   void expire(core::TimePoint Now);
   void noteSilent(const peer::KnownPeer &Gone, core::TimePoint Now);
   /// Drops the reports of a process that ended, once its successor is heard.
--- a/Libraries/LibGateway/StateFollower.cpp
+++ b/Libraries/LibGateway/StateFollower.cpp
@@ -85,8 +85,10 @@
     m_MustReadAll = false;
     noteConnected();
   }
+  // From before the first value that is wanted: the store has it, whatever
+  // becomes of the instances that told of it.
   m_Store.watch(
-      EverythingPrefix, m_Mirror.revision(),
+      EverythingPrefix, m_Mirror.wholeRevision(),
       [this](const std::vector<platform::Entry> &Changes) {
         m_Mirror.apply(m_Store.lastRevision(), Changes);
         noteConnected();
--- a/Libraries/LibGateway/StoreFetcher.cpp
+++ b/Libraries/LibGateway/StoreFetcher.cpp
@@ -7,26 +7,19 @@
 
 #include <algorithm>
 #include <boost/asio/detached.hpp>
-#include <charconv>
 
 namespace yardrill::gateway {
 
 namespace asio = boost::asio;
 using core::Error;
+using core::ErrorKind;
 
 /// How far behind the store's own word may be before a peer is asked.
 static constexpr std::chrono::milliseconds BehindPatience{250};
+/// For each step: to connect, to send, and from one piece to the next.
 static constexpr std::chrono::milliseconds FetchTimeout{1000};
 /// A configuration is at most a megabyte, a target's entry under a kilobyte.
 static constexpr std::size_t MostTransferBytes = 16UL * 1024 * 1024;
-/// Followed by the revision that the asking instance has.
-static const char FetchPath[] = "/store/";
-
-static http::ResponseMessage bare(unsigned Status) {
-  http::ResponseMessage Out;
-  Out.m_Head.m_Status = Status;
-  return Out;
-}
 
 StoreFetcher::StoreFetcher(asio::io_context &Context,
                            const config::Endpoint &Address,
@@ -34,118 +27,147 @@
                            platform::StoreMirror &Mirror,
                            metrics::MetricsRegistry &Metrics)
     : m_Context(Context), m_Codec(Codec), m_Mirror(Mirror), m_Metrics(Metrics),
-      m_Server(http::Server::create(
-          Context, Address.toTcp(), http::ServerLimits(),
-          [this](http::Exchange &Call, asio::yield_context Yield) {
-            answer(Call, Yield);
-          },
-          bare)) {}
-
-void StoreFetcher::answer(http::Exchange &Call, asio::yield_context Yield) {
-  const std::string &Target = Call.request().m_Target;
-  const std::string Prefix = FetchPath;
-  std::int64_t After = 0;
-  http::ResponseMessage Answer;
-  bool IsRead = false;
-  if (Target.compare(0, Prefix.size(), Prefix) == 0) {
-    const char *End = Target.data() + Target.size();
-    auto [Last, Code] =
-        std::from_chars(Target.data() + Prefix.size(), End, After);
-    IsRead = Code == std::errc() && Last == End;
-  }
-  if (!IsRead) {
-    Answer.m_Head.m_Status = 404;
-    return Call.sendWhole(std::move(Answer), Yield);
-  }
-  Answer.m_Head.m_Status = 200;
-  Answer.m_Body = m_Codec.seal(
-      StoreTransfer::from(m_Mirror, platform::Revision(After)).encode());
-  sendCounted(Call, std::move(Answer), Yield);
+      m_Server(Context, Address, Codec, Mirror, Metrics) {}
+
+//===----------------------------------------------------------------------===//
+// When to ask whom
+//===----------------------------------------------------------------------===//
+
+void StoreFetcher::consider(const std::vector<StoreHolder> &Ahead,
+                            bool IsPatient, core::TimePoint Now) {
+  considerChanges(Ahead, IsPatient, Now);
+  considerValues(Ahead, IsPatient, Now);
 }
 
-void StoreFetcher::sendCounted(http::Exchange &Call,
-                               http::ResponseMessage Answer,
-                               asio::yield_context Yield) {
-  auto SetServing = [this](std::size_t Value) {
-    m_Serving = Value;
-    m_Metrics.setGauge("yardrill_peer_transfers_open",
-                       static_cast<double>(Value));
+void StoreFetcher::considerChanges(const std::vector<StoreHolder> &Ahead,
+                                   bool IsPatient, core::TimePoint Now) {
+  auto IsOlder = [](const StoreHolder &A, const StoreHolder &B) {
+    return A.m_Revision < B.m_Revision;
   };
-  m_Metrics.count("yardrill_peer_transfer_bytes_sent_total",
-                  Answer.m_Body.size());
-  SetServing(m_Serving + 1);
-  try {
-    Call.sendWhole(std::move(Answer), Yield);
-  } catch (...) {
-    SetServing(m_Serving - 1);
-    throw;
+  auto Newest = std::max_element(Ahead.begin(), Ahead.end(), IsOlder);
+  if (Newest == Ahead.end() || !(m_Mirror.revision() < Newest->m_Revision)) {
+    m_Changes.m_BehindSince = core::TimePoint();
+    return;
   }
-  SetServing(m_Serving - 1);
+  if (!mustAsk(m_Changes, IsPatient, Now))
+    return;
+  config::Endpoint From = Newest->m_Address;
+  ask(m_Changes, From,
+      [this, From](asio::yield_context Yield) { fetchChanges(From, Yield); });
 }
 
-void StoreFetcher::consider(const std::vector<StoreHolder> &Ahead,
-                            bool IsPatient, core::TimePoint Now) {
-  if (Ahead.empty()) {
-    m_BehindSince = core::TimePoint();
+void StoreFetcher::considerValues(const std::vector<StoreHolder> &Ahead,
+                                  bool IsPatient, core::TimePoint Now) {
+  if (m_Mirror.wanted().empty()) {
+    m_Values.m_BehindSince = core::TimePoint();
     return;
   }
-  if (m_BehindSince == core::TimePoint())
-    m_BehindSince = Now;
+  const auto &[Key, Wanted] = *m_Mirror.wanted().begin();
+  auto Holder = std::find_if(
+      Ahead.begin(), Ahead.end(),
+      [At = Wanted](const StoreHolder &Each) { return !(Each.m_Whole < At); });
+  if (!mustAsk(m_Values, IsPatient, Now) || Holder == Ahead.end())
+    return;
+  config::Endpoint From = Holder->m_Address;
+  ask(m_Values, From, [this, From, Key = Key](asio::yield_context Yield) {
+    fetchValue(From, Key, Yield);
+  });
+}
+
+bool StoreFetcher::mustAsk(Lane &Which, bool IsPatient,
+                           core::TimePoint Now) const {
+  if (Which.m_BehindSince == core::TimePoint())
+    Which.m_BehindSince = Now;
+  if (Which.m_IsAsking)
+    return false;
   // One that knows nothing yet does not wait either.
   bool MayWait = IsPatient && m_Mirror.revision() != platform::Revision();
-  if (m_IsFetching || (MayWait && Now - m_BehindSince < BehindPatience))
-    return;
-  m_IsFetching = true;
-  auto IsOlder = [](const StoreHolder &A, const StoreHolder &B) {
-    return A.m_Revision < B.m_Revision;
-  };
-  config::Endpoint From =
-      std::max_element(Ahead.begin(), Ahead.end(), IsOlder)->m_Address;
-  asio::spawn(
-      m_Context,
-      [this, From](asio::yield_context Yield) { fetch(From, Yield); },
-      asio::detached);
+  return !MayWait || Now - Which.m_BehindSince >= BehindPatience;
 }
 
-void StoreFetcher::fetch(const config::Endpoint &From,
-                         asio::yield_context Yield) {
-  try {
-    fetchOnce(From, Yield);
-  } catch (const Error &Failure) {
-    core::LogLine("peer-fetch-failed", core::LogLevel::Warning)
-        .add("peer", From.toString())
-        .add("reason", Failure.what());
-  }
-  m_IsFetching = false;
-  m_BehindSince = core::steadyNow();
+//===----------------------------------------------------------------------===//
+// Questions
+//===----------------------------------------------------------------------===//
+
+void StoreFetcher::ask(Lane &Which, const config::Endpoint &From,
+                       std::function<void(asio::yield_context)> Question) {
+  Which.m_IsAsking = true;
+  auto Run = [&Which, From,
+              Question = std::move(Question)](asio::yield_context Yield) {
+    try {
+      Question(Yield);
+    } catch (const Error &Failure) {
+      core::LogLine("peer-fetch-failed", core::LogLevel::Warning)
+          .add("peer", From.toString())
+          .add("reason", Failure.what());
+    }
+    Which.m_IsAsking = false;
+    Which.m_BehindSince = core::steadyNow();
+  };
+  asio::spawn(m_Context, std::move(Run), asio::detached);
 }
 
-void StoreFetcher::fetchOnce(const config::Endpoint &From,
-                             asio::yield_context Yield) {
+void StoreFetcher::fetchChanges(const config::Endpoint &From,
+                                asio::yield_context Yield) {
   core::TimePoint Begin = core::steadyNow();
-  auto Connection = http::ClientConnection::connect(m_Context, From.toTcp(),
-                                                    FetchTimeout, Yield);
   http::RequestMessage Request;
   Request.m_Method = "GET";
-  Request.m_Target = FetchPath + std::to_string(m_Mirror.revision().value());
-  Request.m_Headers.set("Host", From.toString());
-  Connection->sendRequest(Request, FetchTimeout, Yield);
-  auto Answer = Connection->readWhole(FetchTimeout, MostTransferBytes, Yield);
-  auto Payload = m_Codec.unseal(Answer.m_Body);
-  if (const auto *Reason = std::get_if<peer::DropReason>(&Payload))
-    throw Error(core::ErrorKind::Protocol, peer::toString(*Reason));
-  auto Transfer = StoreTransfer::decode(std::get<std::string_view>(Payload));
-  core::Duration Took = core::steadyNow() - Begin;
-  m_Metrics.count("yardrill_peer_transfer_bytes_received_total",
-                  Answer.m_Body.size());
+  Request.m_Target =
+      StoreServer::ChangesPath + std::to_string(m_Mirror.revision().value());
+  std::string Answer = exchange(From, std::move(Request), Yield);
+  auto Transfer = StoreTransfer::decode(Answer);
   Transfer.applyTo(m_Mirror);
   core::LogLine("store-heard-from-peer")
       .add("peer", From.toString())
       .add("revision", m_Mirror.revision())
       .add("entries", Transfer.m_Entries.size())
       .add("is_whole", Transfer.m_IsWhole)
-      .add("bytes", Answer.m_Body.size())
+      .add("values_wanted", m_Mirror.wanted().size())
+      .add("bytes", Answer.size())
+      .add("took_us", core::steadyNow() - Begin);
+}
+
+void StoreFetcher::fetchValue(const config::Endpoint &From,
+                              const std::string &Key,
+                              asio::yield_context Yield) {
+  core::TimePoint Begin = core::steadyNow();
+  ValueQuery Query{Key, {}};
+  if (const platform::Entry *Known = m_Mirror.find(Key))
+    Query.m_Held = Known->m_Modified;
+  http::RequestMessage Request;
+  Request.m_Method = "POST";
+  Request.m_Target = StoreServer::ValuePath;
+  Request.m_Body = m_Codec.seal(Query.encode());
+  std::string Answer = exchange(From, std::move(Request), Yield);
+  auto Transfer = ValueTransfer::decode(Answer);
+  core::Duration Took = core::steadyNow() - Begin;
+  m_Mirror.supply({Key, std::move(Transfer.m_Value), Transfer.m_Modified});
+  core::LogLine("store-value-from-peer")
+      .add("peer", From.toString())
+      .add("key", Key)
+      .add("revision", Transfer.m_Modified)
+      .add("held", Query.m_Held)
+      .add("bytes", Answer.size())
       .add("took_us", Took);
 }
 
+std::string StoreFetcher::exchange(const config::Endpoint &From,
+                                   http::RequestMessage Request,
+                                   asio::yield_context Yield) {
+  auto Connection = http::ClientConnection::connect(m_Context, From.toTcp(),
+                                                    FetchTimeout, Yield);
+  Request.m_Headers.set("Host", From.toString());
+  Connection->sendRequest(Request, FetchTimeout, Yield);
+  auto Answer = Connection->readWhole(FetchTimeout, MostTransferBytes, Yield);
+  m_Metrics.count("yardrill_peer_transfer_bytes_received_total",
+                  Answer.m_Body.size());
+  if (Answer.m_Head.m_Status != 200)
+    throw Error(ErrorKind::Unavailable,
+                "the peer answered " + std::to_string(Answer.m_Head.m_Status));
+  auto Payload = m_Codec.unseal(Answer.m_Body);
+  if (const auto *Reason = std::get_if<peer::DropReason>(&Payload))
+    throw Error(ErrorKind::Protocol, peer::toString(*Reason));
+  return std::string(std::get<std::string_view>(Payload));
+}
+
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StoreFetcher.h
+++ b/Libraries/LibGateway/StoreFetcher.h
@@ -4,14 +4,15 @@
 
 #include "LibConfig/Endpoint.h"
 #include "LibCore/Time.h"
-#include "LibHTTP/Server.h"
+#include "LibGateway/StoreServer.h"
+#include "LibHTTP/Message.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPlatform/StoreMirror.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
-#include <memory>
+#include <functional>
 #include <vector>
 
 namespace yardrill::gateway {
@@ -20,11 +21,13 @@
 struct StoreHolder {
   config::Endpoint m_Address;
   platform::Revision m_Revision; ///< Of its mirror.
+  platform::Revision m_Whole;    ///< Up to which it has all values, too.
 };
 
 /// Serves the mirror to other instances, and asks one of them when this one is
 /// behind: it is turned away by the store, does not follow it, or has just
-/// started.
+/// started. News of changes and large values are asked for apart, so that
+/// neither waits for the other.
 class StoreFetcher {
 public:
   /// Listens for TCP on \p Address.
@@ -34,29 +37,44 @@
                platform::StoreMirror &Mirror,
                metrics::MetricsRegistry &Metrics);
 
-  /// Asks one of those that are further on, if it is time to.
-  /// \param Ahead peers whose mirrors are newer than this instance's.
+  /// Asks some of those that are further on, if it is time to.
+  /// \param Ahead peers that have what this instance has not.
   /// \param IsPatient the store itself will probably say the same soon.
   void consider(const std::vector<StoreHolder> &Ahead, bool IsPatient,
                 core::TimePoint Now);
 
 private:
-  void answer(http::Exchange &Call, boost::asio::yield_context Yield);
-  /// Counts what a peer is sent. \throws core::Error when the peer is gone.
-  void sendCounted(http::Exchange &Call, http::ResponseMessage Answer,
-                   boost::asio::yield_context Yield);
-  void fetch(const config::Endpoint &From, boost::asio::yield_context Yield);
-  void fetchOnce(const config::Endpoint &From,
-                 boost::asio::yield_context Yield);
+  /// Questions of one kind: one at a time.
+  struct Lane {
+    bool m_IsAsking = false;
+    core::TimePoint m_BehindSince{}; ///< Zero: is not behind.
+  };
+
+  void considerChanges(const std::vector<StoreHolder> &Ahead, bool IsPatient,
+                       core::TimePoint Now);
+  void considerValues(const std::vector<StoreHolder> &Ahead, bool IsPatient,
+                      core::TimePoint Now);
+  /// Notes that it is behind. \returns whether to ask now.
+  bool mustAsk(Lane &Which, bool IsPatient, core::TimePoint Now) const;
+  /// Runs \p Question; a failure is logged and may be tried again.
+  void ask(Lane &Which, const config::Endpoint &From,
+           std::function<void(boost::asio::yield_context)> Question);
+  void fetchChanges(const config::Endpoint &From,
+                    boost::asio::yield_context Yield);
+  void fetchValue(const config::Endpoint &From, const std::string &Key,
+                  boost::asio::yield_context Yield);
+  /// \returns what the peer answered, unsealed.
+  std::string exchange(const config::Endpoint &From,
+                       http::RequestMessage Request,
+                       boost::asio::yield_context Yield);
 
   boost::asio::io_context &m_Context;
   const peer::PeerCodec &m_Codec;
   platform::StoreMirror &m_Mirror;
   metrics::MetricsRegistry &m_Metrics;
-  std::size_t m_Serving = 0; ///< Answers to peers under way.
-  std::unique_ptr<http::Server> m_Server;
-  core::TimePoint m_BehindSince{}; ///< Zero: is not behind.
-  bool m_IsFetching = false;
+  StoreServer m_Server;
+  Lane m_Changes;
+  Lane m_Values;
 };
 
 } // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StoreServer.h
@@ -0,0 +1,54 @@
+//===-- StoreServer.h - Tells other instances what the store said ---------===//
+//
+// Two questions, by HTTP: what changed since a revision, and what a large value
+// is now. Questions and answers are sealed with the peers' key.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBGATEWAY_STORESERVER_H
+#define YARDRILL_LIBGATEWAY_STORESERVER_H
+
+#include "LibConfig/Endpoint.h"
+#include "LibGateway/StoreTransfer.h"
+#include "LibHTTP/Server.h"
+#include "LibMetrics/MetricsRegistry.h"
+#include "LibPeer/PeerCodec.h"
+#include "LibPlatform/StoreMirror.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace yardrill::gateway {
+
+class StoreServer {
+public:
+  /// Followed by the revision that the asking instance has.
+  static constexpr char ChangesPath[] = "/store/";
+  /// With a ValueQuery as its body.
+  static constexpr char ValuePath[] = "/value";
+
+  /// Listens for TCP on \p Address.
+  /// \throws core::Error of kind AddressInUse.
+  StoreServer(boost::asio::io_context &Context, const config::Endpoint &Address,
+              const peer::PeerCodec &Codec, platform::StoreMirror &Mirror,
+              metrics::MetricsRegistry &Metrics);
+
+private:
+  http::ResponseMessage answer(const http::RequestMessage &Request);
+  http::ResponseMessage answerChanges(const std::string &Since);
+  http::ResponseMessage answerValue(const std::string &Body);
+  http::ResponseMessage sealed(std::string_view Payload) const;
+  /// Counts what a peer is sent. \throws core::Error when the peer is gone.
+  void send(http::Exchange &Call, http::ResponseMessage Answer,
+            boost::asio::yield_context Yield);
+  void setOpen(std::size_t Value);
+
+  const peer::PeerCodec &m_Codec;
+  platform::StoreMirror &m_Mirror;
+  metrics::MetricsRegistry &m_Metrics;
+  std::size_t m_Open = 0; ///< Answers under way.
+  std::unique_ptr<http::Server> m_Server;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- a/Libraries/LibGateway/StoreTransfer.cpp
+++ b/Libraries/LibGateway/StoreTransfer.cpp
@@ -11,7 +11,8 @@
 
 /// cereal's hook.
 template <class Archive> void serialize(Archive &Ar, Entry &What) {
-  Ar(What.m_Key, What.m_Value, What.m_Modified, What.m_IsDeleted);
+  Ar(What.m_Key, What.m_Value, What.m_Modified, What.m_IsDeleted,
+     What.m_IsDetached);
 }
 
 } // namespace yardrill::platform
@@ -25,6 +26,12 @@
   auto Changes = Mirror.changesSince(After);
   Out.m_IsWhole = !Changes;
   Out.m_Entries = Changes ? *Changes : Mirror.content();
+  for (platform::Entry &Each : Out.m_Entries) {
+    if (!isLargeValue(Each.m_Value))
+      continue;
+    Each.m_Value.clear();
+    Each.m_IsDetached = true;
+  }
   return Out;
 }
 
@@ -35,25 +42,55 @@
     Mirror.apply(m_At, m_Entries);
 }
 
-std::string StoreTransfer::encode() const {
+template <class Message> static std::string encoded(const Message &What) {
   std::ostringstream Out;
   {
     cereal::PortableBinaryOutputArchive Archive(Out);
-    Archive(m_At, m_IsWhole, m_Entries);
+    Archive(What);
   }
   return Out.str();
 }
 
-StoreTransfer StoreTransfer::decode(std::string_view Text) {
-  StoreTransfer Out;
+template <class Message> static Message decoded(std::string_view Text) {
+  Message Out;
   try {
     std::istringstream In{std::string(Text)};
     cereal::PortableBinaryInputArchive Archive(In);
-    Archive(Out.m_At, Out.m_IsWhole, Out.m_Entries);
+    Archive(Out);
   } catch (const std::exception &Failure) {
     throw core::Error(core::ErrorKind::Protocol, Failure.what());
   }
   return Out;
 }
 
+template <class Archive> static void serialize(Archive &Ar, StoreTransfer &M) {
+  Ar(M.m_At, M.m_IsWhole, M.m_Entries);
+}
+
+template <class Archive> static void serialize(Archive &Ar, ValueQuery &M) {
+  Ar(M.m_Key, M.m_Held);
+}
+
+template <class Archive> static void serialize(Archive &Ar, ValueTransfer &M) {
+  Ar(M.m_Modified, M.m_Value);
+}
+
+std::string StoreTransfer::encode() const { return encoded(*this); }
+
+StoreTransfer StoreTransfer::decode(std::string_view Text) {
+  return decoded<StoreTransfer>(Text);
+}
+
+std::string ValueQuery::encode() const { return encoded(*this); }
+
+ValueQuery ValueQuery::decode(std::string_view Text) {
+  return decoded<ValueQuery>(Text);
+}
+
+std::string ValueTransfer::encode() const { return encoded(*this); }
+
+ValueTransfer ValueTransfer::decode(std::string_view Text) {
+  return decoded<ValueTransfer>(Text);
+}
+
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StoreTransfer.h
+++ b/Libraries/LibGateway/StoreTransfer.h
@@ -10,6 +10,16 @@
 
 namespace yardrill::gateway {
 
+/// Values above this size are not sent with the news of their change, but on
+/// request and apart from it: news of a target, under a kilobyte, must not wait
+/// behind half a megabyte (5 s over a link of 0.1 MB/s; 0.1 s since).
+constexpr std::size_t LargeValueBytes = 16384;
+
+inline bool isLargeValue(const std::string &Value) {
+  return Value.size() > LargeValueBytes;
+}
+
+/// What changed, with all values that are not large.
 struct StoreTransfer {
   platform::Revision m_At;
   bool m_IsWhole = false; ///< All entries; otherwise changes since one asked.
@@ -26,6 +36,26 @@
   static StoreTransfer decode(std::string_view Text);
 };
 
+/// Asks for a large value.
+struct ValueQuery {
+  std::string m_Key;
+  platform::Revision m_Held; ///< Of the older value that is here; 0: none.
+
+  std::string encode() const;
+  /// \throws core::Error of kind Protocol.
+  static ValueQuery decode(std::string_view Text);
+};
+
+/// A large value.
+struct ValueTransfer {
+  platform::Revision m_Modified;
+  std::string m_Value;
+
+  std::string encode() const;
+  /// \throws core::Error of kind Protocol.
+  static ValueTransfer decode(std::string_view Text);
+};
+
 } // namespace yardrill::gateway
 
 #endif
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -66,7 +66,9 @@
   core::InstanceName m_Name;
   core::DataHallName m_DataHall;
   std::int64_t m_StoreRevision = 0; ///< 0: knows nothing yet.
-  bool m_IsStoreConnected = false;  ///< Follows the store itself, and hears it.
+  /// Up to which the sender also has all values.
+  std::int64_t m_WholeRevision = 0;
+  bool m_IsStoreConnected = false; ///< Follows the store itself, and hears it.
   bool m_IsStopping = false;
   /// Whether requests wait there for a free place.
   bool m_HasWaiting = false;
@@ -76,8 +78,9 @@
   std::vector<decision::Home> m_Others;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_IsFull, m_Name, m_DataHall, m_StoreRevision, m_IsStoreConnected,
-       m_IsStopping, m_HasWaiting, m_Targets, m_Accounts, m_Others);
+    Ar(m_IsFull, m_Name, m_DataHall, m_StoreRevision, m_WholeRevision,
+       m_IsStoreConnected, m_IsStopping, m_HasWaiting, m_Targets, m_Accounts,
+       m_Others);
   }
 };
 
--- a/Libraries/LibPlatform/KeyValueService.h
+++ b/Libraries/LibPlatform/KeyValueService.h
@@ -23,6 +23,9 @@
   std::string m_Value;
   Revision m_Modified;
   bool m_IsDeleted = false; ///< Only in a watch.
+  /// Only between instances: the key has a value of this revision, which is
+  /// not here.
+  bool m_IsDetached = false;
 };
 
 struct Put {
--- a/Libraries/LibPlatform/StoreMirror.h
+++ b/Libraries/LibPlatform/StoreMirror.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,9 +17,14 @@
 /// What the store held at one revision, fed by the store itself or by another
 /// instance that is further on. Answers that come late, twice or out of order
 /// change nothing.
+///
+/// Another instance may tell of a change without its value (a detached entry).
+/// The older value then stays in force, and the newer one is wanted, until it
+/// is supplied.
 class StoreMirror {
 public:
   using Subscriber = std::function<void(const Entry &)>;
+  using ReplacedHook = std::function<void(Entry)>;
 
   /// \param MostChanges kept for changesSince().
   explicit StoreMirror(std::size_t MostChanges) : m_MostChanges(MostChanges) {}
@@ -26,14 +32,27 @@
   /// \p Notify gets each change, removals included, in the order applied.
   void subscribe(Subscriber Notify) { m_Notify.push_back(std::move(Notify)); }
 
+  /// \p Hook gets each entry that was just replaced or removed.
+  void setReplacedHook(ReplacedHook Hook) { m_Replaced = std::move(Hook); }
+
   /// Takes the whole content as of \p At. Entries may be newer than that: a
   /// range is read in several pages.
   void replaceAll(Revision At, const std::vector<Entry> &Content);
   /// Takes all changes after revision() up to \p At.
   void apply(Revision At, const std::vector<Entry> &Changes);
 
+  /// Takes a value that was wanted, or a newer one of the same key.
+  void supply(const Entry &Value);
+
   /// 0: nothing was ever taken in.
   Revision revision() const { return m_Revision; }
+  /// Up to which nothing is wanted.
+  Revision wholeRevision() const;
+  /// Of each key whose newest value is not here, that value's revision.
+  const std::map<std::string, Revision> &wanted() const { return m_Wanted; }
+  /// \returns null when the key is not here.
+  const Entry *find(const std::string &Key) const;
+  /// All entries; those that are wanted, detached.
   std::vector<Entry> content() const;
   /// The newest change of each key. \returns none when some of the changes are
   /// no longer kept.
@@ -46,10 +65,18 @@
   struct Change {
     std::string m_Key;
     Revision m_Modified;
-    bool m_IsDeleted = false;
   };
 
-  bool take(const Entry &News);
+  void take(const Entry &News);
+  void want(const Entry &News);
+  bool isWanted(const Entry &News) const;
+  /// Puts or removes, and tells the subscribers.
+  void store(const Entry &News);
+  /// Removes what is missing in a content read at \p At.
+  void removeMissing(Revision At, const std::set<std::string> &Present);
+  bool isPresent(const std::string &Key) const;
+  /// \pre isPresent(Key).
+  Entry current(const std::string &Key) const;
   void remember(const Entry &News);
 
   std::size_t m_MostChanges;
@@ -57,8 +84,10 @@
   /// Changes after this revision are all in m_Changes.
   Revision m_ChangesBegin;
   std::map<std::string, Entry> m_Entries;
+  std::map<std::string, Revision> m_Wanted;
   std::deque<Change> m_Changes;
   std::vector<Subscriber> m_Notify;
+  ReplacedHook m_Replaced;
 };
 
 } // namespace yardrill::platform
--- a/Tests/LibGateway/StoreSpreadTest.cpp
+++ b/Tests/LibGateway/StoreSpreadTest.cpp
@@ -77,7 +77,9 @@
     });
   }
 
-  StoreHolder asHolder() const { return {m_Linked, m_Mirror.revision()}; }
+  StoreHolder asHolder() const {
+    return {m_Linked, m_Mirror.revision(), m_Mirror.wholeRevision()};
+  }
   bool holds(const char *Key, std::int64_t At) const {
     auto Found = m_Held.find(Key);
     return Found != m_Held.end() && !(Found->second < Revision(At));
@@ -140,7 +142,8 @@
   void considerPeers(Member &Which) {
     std::vector<StoreHolder> Ahead;
     for (const auto &Other : m_Members)
-      if (Which.m_Mirror.revision() < Other->m_Mirror.revision())
+      if (Which.m_Mirror.revision() < Other->m_Mirror.revision() ||
+          Which.m_Mirror.wholeRevision() < Other->m_Mirror.wholeRevision())
         Ahead.push_back(Other->asHolder());
     Which.m_Fetcher.consider(Ahead, false, core::steadyNow());
   }
--- a/Tests/LibPlatform/StoreMirrorTest.cpp
+++ b/Tests/LibPlatform/StoreMirrorTest.cpp
@@ -13,6 +13,11 @@
   CPPUNIT_TEST(testChangesSinceBringAnotherMirrorUpToDate);
   CPPUNIT_TEST(testForgottenChangesAreSaid);
   CPPUNIT_TEST(testReplacedValuesAreNotPassedOn);
+  CPPUNIT_TEST(testOlderValueStaysUntilTheWantedOneComes);
+  CPPUNIT_TEST(testWantedValuesArePassedOnAsSuch);
+  CPPUNIT_TEST(testStoreItselfSuppliesWhatIsWanted);
+  CPPUNIT_TEST(testRemovalEndsAWant);
+  CPPUNIT_TEST(testReplacedEntriesAreHandedOver);
   CPPUNIT_TEST_SUITE_END();
 
   StoreMirror m_Mirror{4};
@@ -25,6 +30,9 @@
   static Entry removal(const std::string &Key, std::int64_t At) {
     return {Key, "", Revision(At), true};
   }
+  static Entry detached(const std::string &Key, std::int64_t At) {
+    return {Key, "", Revision(At), false, true};
+  }
   static std::string text(const StoreMirror &Mirror) {
     std::string Out;
     for (const Entry &Each : Mirror.content())
@@ -108,6 +116,72 @@
     CPPUNIT_ASSERT_EQUAL(std::string("3"), Changes->at(0).m_Value);
     CPPUNIT_ASSERT_EQUAL(std::string("4"), Changes->at(1).m_Value);
   }
+
+  void testOlderValueStaysUntilTheWantedOneComes() {
+    m_Mirror.apply(Revision(12), {detached("a", 11), put("b", "2", 12)});
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), m_Mirror.find("a")->m_Value);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), m_Mirror.find("b")->m_Value);
+    CPPUNIT_ASSERT(m_Mirror.revision() == Revision(12));
+    CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(10));
+    // An older one than is wanted brings it closer, and never back.
+    m_Mirror.apply(Revision(13), {detached("a", 13)});
+    m_Mirror.supply(put("a", "2", 11));
+    m_Mirror.supply(put("a", "1", 3));
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), m_Mirror.find("a")->m_Value);
+    CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(12));
+    m_Mirror.supply(put("a", "3", 13));
+    CPPUNIT_ASSERT_EQUAL(std::string("a=3 b=2 "), text(m_Mirror));
+    CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(13));
+    CPPUNIT_ASSERT(m_Seen ==
+                   (std::vector<std::string>{"a+", "b+", "b+", "a+", "a+"}));
+  }
+
+  void testWantedValuesArePassedOnAsSuch() {
+    m_Mirror.apply(Revision(12), {detached("a", 11), detached("n", 12)});
+    auto Changes = m_Mirror.changesSince(Revision(10));
+    CPPUNIT_ASSERT(Changes && Changes->size() == 2);
+    StoreMirror Behind(4);
+    Behind.apply(Revision(12), *Changes);
+    CPPUNIT_ASSERT(Behind.wanted() == m_Mirror.wanted());
+    StoreMirror Fresh(4);
+    Fresh.replaceAll(m_Mirror.revision(), m_Mirror.content());
+    CPPUNIT_ASSERT(Fresh.wanted() == m_Mirror.wanted());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Fresh.find("b")->m_Value);
+    CPPUNIT_ASSERT(!Fresh.find("a"));
+  }
+
+  void testStoreItselfSuppliesWhatIsWanted() {
+    m_Mirror.apply(Revision(12), {detached("a", 11), detached("b", 12)});
+    // A watch that began before what is wanted, and a whole content.
+    m_Mirror.apply(Revision(11), {put("a", "2", 11)});
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), m_Mirror.find("a")->m_Value);
+    m_Mirror.replaceAll(Revision(11), {put("b", "2", 12)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a=2 b=2 "), text(m_Mirror));
+    CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(12));
+  }
+
+  void testRemovalEndsAWant() {
+    m_Mirror.apply(Revision(12), {detached("a", 11), detached("n", 12)});
+    m_Mirror.apply(Revision(14), {removal("a", 13), removal("n", 14)});
+    CPPUNIT_ASSERT(m_Mirror.wanted().empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("b=1 "), text(m_Mirror));
+    m_Mirror.apply(Revision(15), {detached("n", 15)});
+    m_Mirror.replaceAll(Revision(16), {put("b", "1", 5)});
+    CPPUNIT_ASSERT(m_Mirror.wanted().empty());
+    auto Changes = m_Mirror.changesSince(Revision(14));
+    CPPUNIT_ASSERT(Changes && !Changes->empty());
+    for (const Entry &Each : *Changes)
+      CPPUNIT_ASSERT(Each.m_IsDeleted);
+  }
+
+  void testReplacedEntriesAreHandedOver() {
+    std::string Replaced;
+    m_Mirror.setReplacedHook([&](const Entry &Old) {
+      Replaced += Old.m_Key + "=" + Old.m_Value + " ";
+    });
+    m_Mirror.apply(Revision(12), {put("a", "2", 11), removal("b", 12)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a=1 b=1 "), Replaced);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreMirrorTest);
