LibGateway: Let every instance that has a large value pass it on

Cause (hypothesis 1): all instances asked the first of the newest in the order of one list, and that one answered all of them at once; each of its answers took as long as all together. Ruled out: fixed trees of instances (they break with each loss and must be agreed on); more followers of the store (each pays the whole text for every change). The link's rate is read from the settings and checked.

--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -24,6 +24,8 @@
   /// Peer addresses of some instances, perhaps out of date.
   std::vector<config::Endpoint> m_Seeds;
   config::Endpoint m_StoreAddress;
+  /// Of this instance's link: 10 Mbit/s, the smallest machines', unless told.
+  double m_LinkBytesPerSecond = 1.25e6;
   std::string m_PeerKey; ///< Tells this deployment's peers from others'.
   /// The whole deployment starts for the first time: no quota was used yet.
   bool m_IsFirstStart = false;
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -49,7 +49,8 @@
                                         Settings.m_PeerAddress},
       m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, FarSilence),
       m_Socket(Context, Settings.m_PeerAddress, m_Codec),
-      m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror, Metrics),
+      m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror, Metrics,
+                Settings.m_LinkBytesPerSecond),
       m_Random(core::randomBits()) {}
 
 PeerLink::~PeerLink() = default;
@@ -362,7 +363,8 @@
       continue;
     auto Peer = m_Directory.all().find(Incarnation);
     if (Peer != m_Directory.all().end())
-      Ahead.push_back({Peer->second.m_Home.m_Peer, Known, Whole});
+      Ahead.push_back({Peer->second.m_Home.m_Peer, Known, Whole,
+                       Report.m_DataHall == m_Settings.m_DataHall});
   }
   // One that does not ask the store has nothing to wait for. Asked only when
   // it matters: it hashes the addresses of all peers.
--- a/Libraries/LibGateway/StoreFetcher.cpp
+++ b/Libraries/LibGateway/StoreFetcher.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/StoreFetcher.h"
 
+#include "LibCore/Digest.h"
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibGateway/StoreTransfer.h"
@@ -8,6 +9,8 @@
 
 #include <algorithm>
 #include <boost/asio/detached.hpp>
+#include <cassert>
+#include <iterator>
 
 namespace yardrill::gateway {
 
@@ -19,6 +22,11 @@
 static constexpr std::chrono::milliseconds BehindPatience{250};
 /// For each step: to connect, to send, and from one piece to the next.
 static constexpr std::chrono::milliseconds FetchTimeout{1000};
+/// Before another peer is asked after one that refused; drawn, so that those
+/// who ask together do not do so again. The longest is the backlog at which
+/// peers refuse.
+static constexpr std::chrono::milliseconds LeastRefusedPause{20};
+static constexpr std::chrono::milliseconds MostRefusedPause{100};
 /// A configuration is at most a megabyte, a target's entry under a kilobyte.
 static constexpr std::size_t MostTransferBytes = 16UL * 1024 * 1024;
 
@@ -26,60 +34,85 @@
                            const config::Endpoint &Address,
                            const peer::PeerCodec &Codec,
                            platform::StoreMirror &Mirror,
-                           metrics::MetricsRegistry &Metrics)
+                           metrics::MetricsRegistry &Metrics,
+                           double LinkBytesPerSecond)
     : m_Context(Context), m_Codec(Codec), m_Mirror(Mirror), m_Metrics(Metrics),
-      m_Server(Context, Address, Codec, Mirror, Metrics) {}
+      m_Server(Context, Address, Codec, Mirror, Metrics, LinkBytesPerSecond),
+      m_Random(core::randomBits()) {}
+
+template <class Condition>
+static std::vector<StoreHolder> those(const std::vector<StoreHolder> &Of,
+                                      const Condition &Fulfil) {
+  std::vector<StoreHolder> Out;
+  std::copy_if(Of.begin(), Of.end(), std::back_inserter(Out), Fulfil);
+  return Out;
+}
 
 //===----------------------------------------------------------------------===//
 // When to ask whom
 //===----------------------------------------------------------------------===//
 
-void StoreFetcher::consider(const std::vector<StoreHolder> &Ahead,
-                            bool IsPatient, core::TimePoint Now) {
+void StoreFetcher::consider(const Holders &Ahead, bool IsPatient,
+                            core::TimePoint Now) {
   considerChanges(Ahead, IsPatient, Now);
   considerValues(Ahead, IsPatient, Now);
 }
 
-void StoreFetcher::considerChanges(const std::vector<StoreHolder> &Ahead,
-                                   bool IsPatient, core::TimePoint Now) {
-  auto IsOlder = [](const StoreHolder &A, const StoreHolder &B) {
-    return A.m_Revision < B.m_Revision;
-  };
-  auto Newest = std::max_element(Ahead.begin(), Ahead.end(), IsOlder);
-  if (Newest == Ahead.end() || !(m_Mirror.revision() < Newest->m_Revision)) {
+void StoreFetcher::considerChanges(const Holders &Ahead, bool IsPatient,
+                                   core::TimePoint Now) {
+  platform::Revision Newest;
+  for (const StoreHolder &Each : Ahead)
+    Newest = std::max(Newest, Each.m_Revision);
+  if (!(m_Mirror.revision() < Newest)) {
     m_Changes.m_BehindSince = core::TimePoint();
     return;
   }
   if (!mustAsk(m_Changes, IsPatient, Now))
     return;
-  config::Endpoint From = Newest->m_Address;
+  Holders Newer = those(Ahead, [Newest](const StoreHolder &Each) {
+    return Each.m_Revision == Newest;
+  });
+  config::Endpoint From = choose(Newer).m_Address;
   ask(m_Changes, From,
       [this, From](asio::yield_context Yield) { fetchChanges(From, Yield); });
 }
 
-void StoreFetcher::considerValues(const std::vector<StoreHolder> &Ahead,
-                                  bool IsPatient, core::TimePoint Now) {
+void StoreFetcher::considerValues(const Holders &Ahead, bool IsPatient,
+                                  core::TimePoint Now) {
   if (m_Mirror.wanted().empty()) {
     m_Values.m_BehindSince = core::TimePoint();
     return;
   }
   const auto &[Key, Wanted] = *m_Mirror.wanted().begin();
-  auto Holder = std::find_if(
-      Ahead.begin(), Ahead.end(),
-      [At = Wanted](const StoreHolder &Each) { return !(Each.m_Whole < At); });
-  if (!mustAsk(m_Values, IsPatient, Now) || Holder == Ahead.end())
+  Holders Have = those(Ahead, [At = Wanted](const StoreHolder &Each) {
+    return !(Each.m_Whole < At);
+  });
+  if (!mustAsk(m_Values, IsPatient, Now) || Have.empty())
     return;
-  config::Endpoint From = Holder->m_Address;
+  config::Endpoint From = choose(Have).m_Address;
   ask(m_Values, From, [this, From, Key = Key](asio::yield_context Yield) {
     fetchValue(From, Key, Yield);
   });
 }
 
+const StoreHolder &StoreFetcher::choose(const Holders &From) {
+  assert(!From.empty());
+  std::vector<const StoreHolder *> Choice;
+  for (const StoreHolder &Each : From)
+    if (Each.m_IsInSameHall && !m_WasRefused)
+      Choice.push_back(&Each);
+  if (Choice.empty())
+    for (const StoreHolder &Each : From)
+      Choice.push_back(&Each);
+  std::uniform_int_distribution<std::size_t> Draw(0, Choice.size() - 1);
+  return *Choice[Draw(m_Random)];
+}
+
 bool StoreFetcher::mustAsk(Lane &Which, bool IsPatient,
                            core::TimePoint Now) const {
   if (Which.m_BehindSince == core::TimePoint())
     Which.m_BehindSince = Now;
-  if (Which.m_IsAsking)
+  if (Which.m_IsAsking || Now < Which.m_PausesUntil)
     return false;
   // One that knows nothing yet does not wait either.
   bool MayWait = IsPatient && m_Mirror.revision() != platform::Revision();
@@ -115,8 +148,10 @@
   Request.m_Method = "GET";
   Request.m_Target =
       StoreServer::ChangesPath + std::to_string(m_Mirror.revision().value());
-  std::string Answer = exchange(From, std::move(Request), Yield);
-  auto Transfer = StoreTransfer::decode(Answer);
+  auto Answer = exchange(From, std::move(Request), Yield);
+  if (!Answer)
+    return pauseRefused(m_Changes);
+  auto Transfer = StoreTransfer::decode(*Answer);
   Transfer.applyTo(m_Mirror);
   core::LogLine("store-heard-from-peer")
       .add("peer", From.toString())
@@ -124,7 +159,7 @@
       .add("entries", Transfer.m_Entries.size())
       .add("is_whole", Transfer.m_IsWhole)
       .add("values_wanted", m_Mirror.wanted().size())
-      .add("bytes", Answer.size())
+      .add("bytes", Answer->size())
       .add("took_us", core::steadyNow() - Begin);
 }
 
@@ -139,8 +174,11 @@
   Request.m_Method = "POST";
   Request.m_Target = StoreServer::ValuePath;
   Request.m_Body = m_Codec.seal(Query.encode());
-  std::string Answer = exchange(From, std::move(Request), Yield);
-  auto Transfer = ValueTransfer::decode(Answer);
+  auto Answer = exchange(From, std::move(Request), Yield);
+  m_WasRefused = !Answer;
+  if (!Answer)
+    return pauseRefused(m_Values);
+  auto Transfer = ValueTransfer::decode(*Answer);
   core::Duration Took = core::steadyNow() - Begin;
   m_Mirror.supply({Key, patched(Key, Transfer), Transfer.m_Modified});
   core::LogLine("store-value-from-peer")
@@ -148,7 +186,7 @@
       .add("key", Key)
       .add("revision", Transfer.m_Modified)
       .add("base", Transfer.m_Base)
-      .add("bytes", Answer.size())
+      .add("bytes", Answer->size())
       .add("took_us", Took);
 }
 
@@ -165,9 +203,17 @@
   return applyPatch(Base, Transfer.m_Patch, MostTransferBytes);
 }
 
-std::string StoreFetcher::exchange(const config::Endpoint &From,
-                                   http::RequestMessage Request,
-                                   asio::yield_context Yield) {
+void StoreFetcher::pauseRefused(Lane &Which) {
+  m_Metrics.count("yardrill_peer_fetches_refused_total");
+  std::uniform_int_distribution<std::int64_t> Pause(
+      core::Duration(LeastRefusedPause).count(),
+      core::Duration(MostRefusedPause).count());
+  Which.m_PausesUntil = core::steadyNow() + core::Duration(Pause(m_Random));
+}
+
+std::optional<std::string> StoreFetcher::exchange(const config::Endpoint &From,
+                                                  http::RequestMessage Request,
+                                                  asio::yield_context Yield) {
   auto Connection = http::ClientConnection::connect(m_Context, From.toTcp(),
                                                     FetchTimeout, Yield);
   Request.m_Headers.set("Host", From.toString());
@@ -175,6 +221,9 @@
   auto Answer = Connection->readWhole(FetchTimeout, MostTransferBytes, Yield);
   m_Metrics.count("yardrill_peer_transfer_bytes_received_total",
                   Answer.m_Body.size());
+  // It is busy with others, or has not what its report will soon deny.
+  if (Answer.m_Head.m_Status == 503 || Answer.m_Head.m_Status == 404)
+    return std::nullopt;
   if (Answer.m_Head.m_Status != 200)
     throw Error(ErrorKind::Unavailable,
                 "the peer answered " + std::to_string(Answer.m_Head.m_Status));
--- a/Libraries/LibGateway/StoreFetcher.h
+++ b/Libraries/LibGateway/StoreFetcher.h
@@ -13,6 +13,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <optional>
+#include <random>
+#include <string>
 #include <vector>
 
 namespace yardrill::gateway {
@@ -22,6 +25,8 @@
   config::Endpoint m_Address;
   platform::Revision m_Revision; ///< Of its mirror.
   platform::Revision m_Whole;    ///< Up to which it has all values, too.
+  /// In this instance's data hall.
+  bool m_IsInSameHall = false;
 };
 
 /// Serves the mirror to other instances, and asks one of them when this one is
@@ -31,11 +36,12 @@
 class StoreFetcher {
 public:
   /// Listens for TCP on \p Address.
+  /// \param LinkBytesPerSecond of this instance's link.
   /// \throws core::Error of kind AddressInUse.
   StoreFetcher(boost::asio::io_context &Context,
                const config::Endpoint &Address, const peer::PeerCodec &Codec,
-               platform::StoreMirror &Mirror,
-               metrics::MetricsRegistry &Metrics);
+               platform::StoreMirror &Mirror, metrics::MetricsRegistry &Metrics,
+               double LinkBytesPerSecond);
 
   /// Asks some of those that are further on, if it is time to.
   /// \param Ahead peers that have what this instance has not.
@@ -48,12 +54,16 @@
   struct Lane {
     bool m_IsAsking = false;
     core::TimePoint m_BehindSince{}; ///< Zero: is not behind.
+    core::TimePoint m_PausesUntil{}; ///< After a failure.
   };
+  using Holders = std::vector<StoreHolder>;
 
-  void considerChanges(const std::vector<StoreHolder> &Ahead, bool IsPatient,
+  void considerChanges(const Holders &Ahead, bool IsPatient,
                        core::TimePoint Now);
-  void considerValues(const std::vector<StoreHolder> &Ahead, bool IsPatient,
+  void considerValues(const Holders &Ahead, bool IsPatient,
                       core::TimePoint Now);
+  /// One of \p From at random, of the own data hall if there is one. Not empty.
+  const StoreHolder &choose(const Holders &From);
   /// Notes that it is behind. \returns whether to ask now.
   bool mustAsk(Lane &Which, bool IsPatient, core::TimePoint Now) const;
   /// Runs \p Question; a failure is logged and may be tried again.
@@ -66,10 +76,12 @@
   /// \throws core::Error of kind Conflict when its base is not here any more.
   std::string patched(const std::string &Key,
                       const ValueTransfer &Transfer) const;
-  /// \returns what the peer answered, unsealed.
-  std::string exchange(const config::Endpoint &From,
-                       http::RequestMessage Request,
-                       boost::asio::yield_context Yield);
+  /// \returns what the peer answered, unsealed; none when it has not got it or
+  /// is busy.
+  std::optional<std::string> exchange(const config::Endpoint &From,
+                                      http::RequestMessage Request,
+                                      boost::asio::yield_context Yield);
+  void pauseRefused(Lane &Which);
 
   boost::asio::io_context &m_Context;
   const peer::PeerCodec &m_Codec;
@@ -78,6 +90,10 @@
   StoreServer m_Server;
   Lane m_Changes;
   Lane m_Values;
+  /// The last peer asked for a value refused: those of the own data hall may
+  /// all be busy.
+  bool m_WasRefused = false;
+  std::mt19937_64 m_Random;
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StoreServer.cpp
+++ b/Libraries/LibGateway/StoreServer.cpp
@@ -19,8 +19,10 @@
                          const config::Endpoint &Address,
                          const peer::PeerCodec &Codec,
                          platform::StoreMirror &Mirror,
-                         metrics::MetricsRegistry &Metrics)
+                         metrics::MetricsRegistry &Metrics,
+                         double LinkBytesPerSecond)
     : m_Codec(Codec), m_Mirror(Mirror), m_Metrics(Metrics),
+      m_Uploads(LinkBytesPerSecond),
       m_Server(http::Server::create(
           Context, Address.toTcp(), http::ServerLimits(),
           [this](http::Exchange &Call, asio::yield_context Yield) {
@@ -71,6 +73,10 @@
   if (!Known || !(Query.m_Held < Known->m_Modified))
     return bare(404);
   PatchHandle Found = m_History.patch(*Known, Query.m_Held);
+  if (!m_Uploads.tryTake(Found.m_Patch->size(), core::steadyNow())) {
+    m_Metrics.count("yardrill_peer_uploads_refused_total");
+    return bare(503);
+  }
   return sealed(
       ValueTransfer{Known->m_Modified, Found.m_Base, *Found.m_Patch}.encode());
 }
--- a/Libraries/LibGateway/StoreServer.h
+++ b/Libraries/LibGateway/StoreServer.h
@@ -9,6 +9,7 @@
 
 #include "LibConfig/Endpoint.h"
 #include "LibGateway/StoreTransfer.h"
+#include "LibGateway/UploadBudget.h"
 #include "LibGateway/ValueHistory.h"
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
@@ -24,14 +25,17 @@
 public:
   /// Followed by the revision that the asking instance has.
   static constexpr char ChangesPath[] = "/store/";
-  /// With a ValueQuery as its body.
+  /// With a ValueQuery as its body. Answered 404 when the value is not here,
+  /// and 503 when others are being sent it: all instances ask within tenths of
+  /// a second, and each that has it can pass it on.
   static constexpr char ValuePath[] = "/value";
 
   /// Listens for TCP on \p Address.
+  /// \param LinkBytesPerSecond of this instance's link.
   /// \throws core::Error of kind AddressInUse.
   StoreServer(boost::asio::io_context &Context, const config::Endpoint &Address,
               const peer::PeerCodec &Codec, platform::StoreMirror &Mirror,
-              metrics::MetricsRegistry &Metrics);
+              metrics::MetricsRegistry &Metrics, double LinkBytesPerSecond);
 
 private:
   http::ResponseMessage answer(const http::RequestMessage &Request);
@@ -47,6 +51,7 @@
   platform::StoreMirror &m_Mirror;
   metrics::MetricsRegistry &m_Metrics;
   ValueHistory m_History;
+  UploadBudget m_Uploads;
   std::size_t m_Open = 0; ///< Answers under way.
   std::unique_ptr<http::Server> m_Server;
 };
--- a/Tests/LibGateway/StoreSpreadTest.cpp
+++ b/Tests/LibGateway/StoreSpreadTest.cpp
@@ -70,7 +70,7 @@
 class Member {
 public:
   explicit Member(asio::io_context &Context)
-      : m_Fetcher(Context, m_Own, m_Codec, m_Mirror, m_Metrics),
+      : m_Fetcher(Context, m_Own, m_Codec, m_Mirror, m_Metrics, LinkRate),
         m_Link(Context, m_Linked.m_Port, m_Own.m_Port) {
     m_Mirror.subscribe([this](const Entry &Change) {
       m_Held[Change.m_Key] = Change.m_Modified;
--- a/Tests/Platform/DeploymentSettingsTest.cpp
+++ b/Tests/Platform/DeploymentSettingsTest.cpp
@@ -32,6 +32,7 @@
 class DeploymentSettingsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DeploymentSettingsTest);
   CPPUNIT_TEST(testReadsTheExample);
+  CPPUNIT_TEST(testLinkIsReadAndChecked);
   CPPUNIT_TEST(testNamesEveryFault);
   CPPUNIT_TEST(testNoTomlAtAll);
   CPPUNIT_TEST_SUITE_END();
@@ -51,6 +52,22 @@
     CPPUNIT_ASSERT(Gateway.m_StopGrace == std::chrono::seconds(8));
     CPPUNIT_ASSERT_EQUAL(0.2, Gateway.m_Retries.m_Ratio);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Read.m_Store.m_Addresses.size());
+    CPPUNIT_ASSERT_EQUAL(1.25e6, Gateway.m_LinkBytesPerSecond);
+  }
+
+  void testLinkIsReadAndChecked() {
+    auto With = [](const std::string &Line) {
+      std::string Text = Example;
+      Text.insert(Text.find("maxFds"), Line + "\n");
+      return DeploymentSettings::parse(Text, "local.toml");
+    };
+    CPPUNIT_ASSERT_EQUAL(
+        25e6, With("linkMbps = 200.0").m_Gateway.m_LinkBytesPerSecond);
+    CPPUNIT_ASSERT_EQUAL(
+        1.25e8, With("linkMbps = 1000").m_Gateway.m_LinkBytesPerSecond);
+    for (const char *Wrong :
+         {"linkMbps = 0", "linkMbps = -1.0", "linkMbps = \"fast\""})
+      CPPUNIT_ASSERT_THROW(With(Wrong), config::FaultyDocument);
   }
 
   void testNamesEveryFault() {
