--- /dev/null
+++ b/Bench/ConfigurationCostProgram.cpp
@@ -0,0 +1,82 @@
+//===-- ConfigurationCostProgram.cpp - What a change of the routes costs --===//
+//
+// For configurations of several sizes: processor time to read one, to make and
+// to apply the patch for one changed route, bytes of the patch, and memory of
+// the table that is in force.
+//
+//===----------------------------------------------------------------------===//
+#include "LibGateway/ValuePatch.h"
+#include "StoreEntries.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <malloc.h>
+#include <random>
+#include <string>
+
+using namespace yardrill;
+
+static constexpr int Runs = 9;
+static constexpr std::size_t MostBytes = 16UL * 1024 * 1024;
+
+/// As the operators write it, with names that repeat nowhere.
+static std::string configuration(std::size_t Routes, std::size_t Changed) {
+  std::mt19937 Random(1);
+  auto Name = [&Random] {
+    std::string Out;
+    for (int I = 0; I < 7; ++I)
+      Out += static_cast<char>('a' + Random() % 26);
+    return Out;
+  };
+  std::string Out = R"({"version":7,"routes":[)";
+  for (std::size_t I = 0; I < Routes; ++I) {
+    Out += I == 0 ? "" : ",";
+    Out += R"({"name":"r-)" + Name() + R"(","host":")" + Name() +
+           R"(.example","pathPrefix":"/)" + Name() +
+           R"(/","routeKind":"idempotent","timeoutMs":)" +
+           (I == Changed ? "4000" : "8000") +
+           R"(,"sloMs":100,"priority":3,"service":"pool","maxAttempts":2,)"
+           R"("public":false,"sticky":false,"resumable":false})";
+  }
+  return Out + R"(],"services":[{"name":"pool","maxConns":590}]})";
+}
+
+/// \returns the shortest of some runs, in milliseconds.
+static double cost(const std::function<void()> &What) {
+  double Best = 1e9;
+  for (int I = 0; I < Runs; ++I) {
+    auto Begin = std::chrono::steady_clock::now();
+    What();
+    std::chrono::duration<double, std::milli> Took =
+        std::chrono::steady_clock::now() - Begin;
+    Best = std::min(Best, Took.count());
+  }
+  return Best;
+}
+
+static double megabytesInUse() {
+  return static_cast<double>(mallinfo2().uordblks) / 1e6;
+}
+
+int main() {
+  std::cout << "routes,text_mb,read_ms,table_mb,patch_bytes,patch_ms,apply_ms,"
+               "whole_bytes\n";
+  for (std::size_t Routes : {40, 1440, 2840, 5500}) {
+    std::string Before = configuration(Routes, 0);
+    std::string After = configuration(Routes, Routes / 2);
+    double Empty = megabytesInUse();
+    auto Table = platform::readConfiguration(After);
+    double TableMb = megabytesInUse() - Empty;
+    double ReadMs = cost([&] { Table = platform::readConfiguration(After); });
+    std::string Patch;
+    double PatchMs = cost([&] { Patch = gateway::makePatch(Before, After); });
+    double ApplyMs =
+        cost([&] { gateway::applyPatch(Before, Patch, MostBytes); });
+    std::cout << Routes << ',' << static_cast<double>(After.size()) / 1e6 << ','
+              << ReadMs << ',' << TableMb << ',' << Patch.size() << ','
+              << PatchMs << ',' << ApplyMs << ','
+              << gateway::makePatch("", After).size() << '\n';
+  }
+}
