LibPlatform, LibGateway, Bench: Pass values on while newer ones already come

Cause: an instance that had received a value while the next one was written was not counted as further on by the others (its report said only that something was missing), so in a series of changes only the first source was asked; found by testChangesInQuickSuccessionReachAll, which failed before. Change: what is wanted is known from its oldest to its newest revision, and the revision up to which an instance is whole grows with each value that arrives; any peer that is further on may be asked, the newest first. testOlderValueStaysUntilTheWantedOneComes asked for a revision up to which it was not whole; it asks for the true one. The fleet of the spread test is shared with a bench, Bench/store_spread.

--- /dev/null
+++ b/Bench/StoreSpreadProgram.cpp
@@ -0,0 +1,84 @@
+//===-- StoreSpreadProgram.cpp - How changes reach a fleet of some size ---===//
+//
+// Six instances hear from the store, as in a large fleet; the others hear from
+// their peers, over links of 10 Mbit/s. Prints, for each number of instances
+// and routes, when the last one has a change, what it costs in bytes, and the
+// processor time of one instance (one process carries all of them).
+//
+//===----------------------------------------------------------------------===//
+#include "LibCore/Log.h"
+#include "SpreadFleet.h"
+
+#include <algorithm>
+#include <ctime>
+#include <iostream>
+#include <random>
+
+using namespace yardrill;
+using namespace yardrill::tests;
+using platform::Entry;
+using platform::Revision;
+
+static constexpr std::size_t Followers = 6;
+static constexpr std::chrono::seconds Patience{60};
+static const char Key[] = "configuration";
+
+static std::string configuration(std::size_t Routes, std::size_t Changed) {
+  std::mt19937 Random(1);
+  std::string Out;
+  for (std::size_t I = 0; I < Routes; ++I)
+    Out += R"({"name":"r-)" + std::to_string(Random()) + R"(","host":")" +
+           std::to_string(Random()) + R"(.example","pathPrefix":"/)" +
+           std::to_string(Random()) +
+           R"(/","routeKind":"idempotent","timeoutMs":)" +
+           (I == Changed ? "4000" : "8000") +
+           R"(,"sloMs":100,"priority":3,"service":"pool","maxAttempts":2,)"
+           R"("public":false,"sticky":false,"resumable":false})";
+  return Out;
+}
+
+static double processorMs() {
+  return 1e3 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+/// Plays one change from \p Before to \p After.
+static void play(std::size_t Instances, const char *What,
+                 const std::string &Before, const std::string &After) {
+  SpreadFleet Fleet;
+  for (std::size_t I = 0; I < Instances; ++I) {
+    auto &Each = Fleet.add(Revision(1), {Entry{Key, Before, Revision(1)}});
+    Each.link().limitAnswers(SmallLinkRate);
+  }
+  Fleet.start();
+  Fleet.runFor(std::chrono::milliseconds(100));
+  double Begin = processorMs();
+  for (std::size_t I = 0; I < Followers; ++I)
+    Fleet.member(I).mirror().apply(Revision(2),
+                                   {Entry{Key, After, Revision(2)}});
+  auto Took = Fleet.runUntil([&] { return Fleet.doAllHold(Key, Revision(2)); },
+                             Patience);
+  double Spent = processorMs() - Begin;
+  std::size_t Most = 0;
+  std::size_t All = 0;
+  for (std::size_t I = 0; I < Instances; ++I) {
+    Most = std::max(Most, Fleet.member(I).bytesSent());
+    All += Fleet.member(I).bytesSent();
+  }
+  std::cout << Instances << ',' << What << ',' << After.size() << ','
+            << Took.count() << ',' << All / Instances << ',' << Most << ','
+            << Spent / static_cast<double>(Instances) << std::endl;
+}
+
+int main() {
+  core::setLogSink([](const std::string &) {});
+  std::cout << "instances,change,text_bytes,last_ms,bytes_each,bytes_most,"
+               "processor_ms_each\n";
+  std::string Small = configuration(1440, 0);
+  std::string Large = configuration(2840, 0);
+  std::string Changed = configuration(2840, 1000);
+  for (std::size_t Instances : {24, 89, 220, 440}) {
+    play(Instances, "one-route", Large, Changed);
+    play(Instances, "1400-routes-more", Small, Large);
+    play(Instances, "all-of-it", "", Large);
+  }
+}
--- a/Libraries/LibGateway/StoreFetcher.cpp
+++ b/Libraries/LibGateway/StoreFetcher.cpp
@@ -48,6 +48,15 @@
   return Out;
 }
 
+static std::vector<StoreHolder>
+withNewestValues(const std::vector<StoreHolder> &Of) {
+  platform::Revision Newest;
+  for (const StoreHolder &Each : Of)
+    Newest = std::max(Newest, Each.m_Whole);
+  return those(
+      Of, [Newest](const StoreHolder &Each) { return Each.m_Whole == Newest; });
+}
+
 //===----------------------------------------------------------------------===//
 // When to ask whom
 //===----------------------------------------------------------------------===//
@@ -84,9 +93,13 @@
     return;
   }
   const auto &[Key, Wanted] = *m_Mirror.wanted().begin();
-  Holders Have = those(Ahead, [At = Wanted](const StoreHolder &Each) {
+  // Any that is further on helps, while values change faster than they arrive;
+  // the newest are asked first.
+  Holders Have = those(Ahead, [At = Wanted.m_First](const StoreHolder &Each) {
     return !(Each.m_Whole < At);
   });
+  if (!m_WasRefused)
+    Have = withNewestValues(Have);
   if (!mustAsk(m_Values, IsPatient, Now) || Have.empty())
     return;
   config::Endpoint From = choose(Have).m_Address;
--- a/Libraries/LibGateway/StoreFetcher.h
+++ b/Libraries/LibGateway/StoreFetcher.h
@@ -90,8 +90,8 @@
   StoreServer m_Server;
   Lane m_Changes;
   Lane m_Values;
-  /// The last peer asked for a value refused: those of the own data hall may
-  /// all be busy.
+  /// The last peer asked for a value refused: those that are nearest, and those
+  /// that have the newest, may all be busy.
   bool m_WasRefused = false;
   std::mt19937_64 m_Random;
 };
--- a/Libraries/LibPlatform/StoreMirror.cpp
+++ b/Libraries/LibPlatform/StoreMirror.cpp
@@ -8,6 +8,8 @@
 // Taking in
 //===----------------------------------------------------------------------===//
 
+static Revision next(Revision After) { return Revision(After.value() + 1); }
+
 void StoreMirror::take(const Entry &News) {
   const Entry *Known = find(News.m_Key);
   if (Known && !(Known->m_Modified < News.m_Modified))
@@ -19,19 +21,23 @@
   if (!Known && !IsWanted && News.m_IsDeleted)
     return;
   // The change was remembered when it was first told of.
-  bool IsRemembered = IsWanted && Wanted->second == News.m_Modified;
-  if (IsWanted && !(News.m_Modified < Wanted->second))
+  bool IsRemembered = IsWanted && Wanted->second.m_Newest == News.m_Modified;
+  if (IsWanted && !(News.m_Modified < Wanted->second.m_Newest))
     m_Wanted.erase(Wanted);
+  else if (IsWanted)
+    Wanted->second.m_First =
+        std::max(Wanted->second.m_First, next(News.m_Modified));
   if (!IsRemembered)
     remember(News);
   store(News);
 }
 
 void StoreMirror::want(const Entry &News) {
-  Revision &At = m_Wanted[News.m_Key];
-  if (!(At < News.m_Modified))
+  auto [Place, IsNew] = m_Wanted.try_emplace(
+      News.m_Key, Wanted{News.m_Modified, News.m_Modified});
+  if (!IsNew && !(Place->second.m_Newest < News.m_Modified))
     return;
-  At = News.m_Modified;
+  Place->second.m_Newest = News.m_Modified;
   remember(News);
 }
 
@@ -84,8 +90,8 @@
   for (const auto &[Key, Known] : m_Entries)
     if (IsMissing(Key, Known.m_Modified))
       Missing.push_back(Key);
-  for (const auto &[Key, Modified] : m_Wanted)
-    if (IsMissing(Key, Modified) && !find(Key))
+  for (const auto &[Key, What] : m_Wanted)
+    if (IsMissing(Key, What.m_Newest) && !find(Key))
       Missing.push_back(Key);
   for (const std::string &Key : Missing) {
     // The revision of the removal is not told; At is the latest it can be.
@@ -106,7 +112,8 @@
 
 bool StoreMirror::isWanted(const Entry &News) const {
   auto Wanted = m_Wanted.find(News.m_Key);
-  return Wanted != m_Wanted.end() && !(News.m_Modified < Wanted->second);
+  return Wanted != m_Wanted.end() &&
+         !(News.m_Modified < Wanted->second.m_Newest);
 }
 
 void StoreMirror::supply(const Entry &Value) {
@@ -120,8 +127,8 @@
 
 Revision StoreMirror::wholeRevision() const {
   Revision Out = m_Revision;
-  for (const auto &[Key, Modified] : m_Wanted)
-    Out = std::min(Out, Revision(Modified.value() - 1));
+  for (const auto &[Key, What] : m_Wanted)
+    Out = std::min(Out, Revision(What.m_First.value() - 1));
   return Out;
 }
 
@@ -140,7 +147,7 @@
     return m_Entries.at(Key);
   Entry Out;
   Out.m_Key = Key;
-  Out.m_Modified = Wanted->second;
+  Out.m_Modified = Wanted->second.m_Newest;
   Out.m_IsDetached = true;
   return Out;
 }
@@ -149,7 +156,7 @@
   std::vector<Entry> Out;
   for (const auto &[Key, Known] : m_Entries)
     Out.push_back(current(Key));
-  for (const auto &[Key, Modified] : m_Wanted)
+  for (const auto &[Key, What] : m_Wanted)
     if (!find(Key))
       Out.push_back(current(Key));
   return Out;
--- a/Libraries/LibPlatform/StoreMirror.h
+++ b/Libraries/LibPlatform/StoreMirror.h
@@ -26,6 +26,17 @@
   using Subscriber = std::function<void(const Entry &)>;
   using ReplacedHook = std::function<void(Entry)>;
 
+  /// Values of one key that are not here.
+  struct Wanted {
+    Revision m_First; ///< The oldest of them is not older than this.
+    Revision m_Newest;
+
+    bool operator==(const Wanted &Other) const {
+      return m_First == Other.m_First && m_Newest == Other.m_Newest;
+    }
+  };
+  using WantedMap = std::map<std::string, Wanted>;
+
   /// \param MostChanges kept for changesSince().
   explicit StoreMirror(std::size_t MostChanges) : m_MostChanges(MostChanges) {}
 
@@ -46,10 +57,11 @@
 
   /// 0: nothing was ever taken in.
   Revision revision() const { return m_Revision; }
-  /// Up to which nothing is wanted.
+  /// Up to which nothing is wanted. While values change faster than they
+  /// arrive it grows with each that does.
   Revision wholeRevision() const;
-  /// Of each key whose newest value is not here, that value's revision.
-  const std::map<std::string, Revision> &wanted() const { return m_Wanted; }
+  /// By key.
+  const WantedMap &wanted() const { return m_Wanted; }
   /// \returns null when the key is not here.
   const Entry *find(const std::string &Key) const;
   /// All entries; those that are wanted, detached.
@@ -84,7 +96,7 @@
   /// Changes after this revision are all in m_Changes.
   Revision m_ChangesBegin;
   std::map<std::string, Entry> m_Entries;
-  std::map<std::string, Revision> m_Wanted;
+  WantedMap m_Wanted;
   std::deque<Change> m_Changes;
   std::vector<Subscriber> m_Notify;
   ReplacedHook m_Replaced;
--- a/Tests/LibPlatform/StoreMirrorTest.cpp
+++ b/Tests/LibPlatform/StoreMirrorTest.cpp
@@ -128,7 +128,7 @@
     m_Mirror.supply(put("a", "2", 11));
     m_Mirror.supply(put("a", "1", 3));
     CPPUNIT_ASSERT_EQUAL(std::string("2"), m_Mirror.find("a")->m_Value);
-    CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(12));
+    CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(11));
     m_Mirror.supply(put("a", "3", 13));
     CPPUNIT_ASSERT_EQUAL(std::string("a=3 b=2 "), text(m_Mirror));
     CPPUNIT_ASSERT(m_Mirror.wholeRevision() == Revision(13));
