LibGateway, LibHTTP: Move the record of the fleet's size out; one bare answer

The record of how many instances share the quotas has a class of its own, and the answer without headers and body stood twice. No change of what is done.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/detached.hpp>
 #include <cassert>
-#include <charconv>
 
 namespace yardrill::gateway {
 
@@ -38,15 +37,10 @@
 /// seen may be at work, and one that restarts forgets what it used.
 static constexpr double SlackShare = 0.5;
 
-/// How many instances share the quotas, for processes that start together.
-static const char FleetSizeKey[] = "yardrill/fleet-size";
-/// Least time between two writes of it: each is paid for.
-static constexpr std::chrono::seconds FleetSizePeriod{10};
-
 Gateway::Gateway(asio::io_context &Context, GatewaySettings Settings,
                  const Dialect &Wire, platform::KeyValueService &Store)
     : m_Context(Context), m_Settings(std::move(Settings)), m_Wire(Wire),
-      m_Timers(Context), m_Store(Store), m_Mirror(MostChangesKept),
+      m_Timers(Context), m_FleetSize(Context, Store), m_Mirror(MostChangesKept),
       m_Follower(Context, Store, m_Mirror),
       m_Dispatcher(
           m_Targets, m_Settings.m_DataHall, m_Settings.m_Placement,
@@ -67,12 +61,6 @@
     Request->ownerIsGone();
 }
 
-static http::ResponseMessage bare(unsigned Status) {
-  http::ResponseMessage Out;
-  Out.m_Head.m_Status = Status;
-  return Out;
-}
-
 static http::ServerLimits toServerLimits(const routing::CallerLimits &Limits,
                                          std::size_t MostConnections) {
   http::ServerLimits Out;
@@ -95,26 +83,26 @@
       [this](unsigned Status) {
         m_Metrics.count("yardrill_unreadable_requests_total");
         core::LogLine("request-unreadable").add("status", Status);
-        return bare(Status);
+        return http::bareAnswer(Status);
       });
   m_ReadinessServer = http::Server::create(
       m_Context, m_Settings.m_ReadinessAddress.toTcp(), http::ServerLimits(),
       [this](http::Exchange &Call, asio::yield_context Yield) {
         Call.sendWhole(answerReadiness(), Yield);
       },
-      bare);
+      http::bareAnswer);
   if (m_Settings.m_MetricsAddress)
     m_MetricsServer = http::Server::create(
         m_Context, m_Settings.m_MetricsAddress->toTcp(), http::ServerLimits(),
         [this](http::Exchange &Call, asio::yield_context Yield) {
           updateGauges();
-          http::ResponseMessage Answer = bare(200);
+          http::ResponseMessage Answer = http::bareAnswer(200);
           Answer.m_Head.m_Headers.set("Content-Type",
                                       "text/plain; version=0.0.4");
           Answer.m_Body = m_Metrics.exposition();
           Call.sendWhole(std::move(Answer), Yield);
         },
-        bare);
+        http::bareAnswer);
   m_Peers = std::make_unique<PeerLink>(
       m_Context, m_Settings, m_Mirror, m_Metrics,
       PeerLinkHooks{[this](peer::LoadReport &Report) { describeLoad(Report); },
@@ -134,7 +122,8 @@
     m_Targets.forgetLapsed(Now);
     m_Follower.setNeeded(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
-    recordFleetSize(Now);
+    if (m_Follower.isConnected() && m_Peers->mustRecordSize())
+      m_FleetSize.write(m_Peers->fleetSize(), Now);
   });
   core::LogLine("instance-started")
       .add("instance", m_Settings.m_Name)
@@ -160,8 +149,8 @@
 //===----------------------------------------------------------------------===//
 
 void Gateway::take(const platform::Entry &Change) {
-  if (Change.m_Key == FleetSizeKey)
-    return noteRecordedSize(Change);
+  if (FleetSizeRecord::isItsKey(Change.m_Key))
+    return m_Peers->setRecordedSize(m_FleetSize.read(Change));
   core::TimePoint Begin = core::steadyNow();
   StoreNews News;
   try {
@@ -198,49 +187,6 @@
   }
 }
 
-void Gateway::noteRecordedSize(const platform::Entry &Change) {
-  std::size_t Size = 0;
-  const std::string &Text = Change.m_Value;
-  auto [Last, Code] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Size);
-  bool IsRead = Code == std::errc() && Last == Text.data() + Text.size();
-  if (!IsRead && !Change.m_IsDeleted)
-    core::LogLine("store-entry-unreadable", core::LogLevel::Error)
-        .add("key", Change.m_Key)
-        .add("revision", Change.m_Modified);
-  m_FleetSizeRevision =
-      Change.m_IsDeleted ? platform::Revision() : Change.m_Modified;
-  m_Peers->setRecordedSize(IsRead ? Size : 0);
-}
-
-void Gateway::recordFleetSize(core::TimePoint Now) {
-  bool IsDue = Now - m_FleetSizeTriedAt > FleetSizePeriod;
-  if (!IsDue || !m_Follower.isConnected() || !m_Peers->mustRecordSize())
-    return;
-  m_FleetSizeTriedAt = Now;
-  asio::spawn(
-      m_Context, [this](asio::yield_context Yield) { writeFleetSize(Yield); },
-      asio::detached);
-}
-
-void Gateway::writeFleetSize(asio::yield_context Yield) {
-  std::string Size = std::to_string(m_Peers->fleetSize());
-  platform::CompareAndSwap Swap{
-      FleetSizeKey, m_FleetSizeRevision, {{FleetSizeKey, Size, std::nullopt}}};
-  try {
-    bool IsWritten =
-        m_Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
-            .m_IsSwapped;
-    core::LogLine("fleet-size-recorded")
-        .add("size", Size)
-        .add("is_written", IsWritten);
-  } catch (const Error &Failure) {
-    // Tried again later; until then a restart counts on the older one.
-    core::LogLine("fleet-size-not-recorded", core::LogLevel::Warning)
-        .add("reason", Failure.what());
-  }
-}
-
 void Gateway::adopt(routing::RoutingTableHandle Next) {
   if (m_Table && !(m_Table->version() < Next->version()))
     return;
@@ -303,7 +249,7 @@
 }
 
 http::ResponseMessage Gateway::answerReadiness() const {
-  return bare(isReady() ? 200 : 503);
+  return http::bareAnswer(isReady() ? 200 : 503);
 }
 
 bool Gateway::isTooLate(core::TimePoint Now) const {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/TimerService.h"
 #include "LibGateway/Dialect.h"
+#include "LibGateway/FleetSizeRecord.h"
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/PeerLink.h"
 #include "LibGateway/StateFollower.h"
@@ -75,16 +76,13 @@
   bool mayRetry(const core::PoolName &Pool);
   http::ResponseMessage answerReadiness() const;
   void updateGauges();
-  void noteRecordedSize(const platform::Entry &Change);
-  void recordFleetSize(core::TimePoint Now);
-  void writeFleetSize(boost::asio::yield_context Yield);
 
   boost::asio::io_context &m_Context;
   GatewaySettings m_Settings;
   const Dialect &m_Wire;
   core::SteadyTimerService m_Timers;
   metrics::MetricsRegistry m_Metrics;
-  platform::KeyValueService &m_Store;
+  FleetSizeRecord m_FleetSize;
   platform::StoreMirror m_Mirror;
   StateFollower m_Follower;
   routing::RoutingTableHandle m_Table;
@@ -101,8 +99,6 @@
   bool m_DoPeersWait = false; ///< Near peers, for free places.
   std::uint64_t m_NextRequest = 1;
   std::mt19937_64 m_Random;
-  platform::Revision m_FleetSizeRevision; ///< Of its entry; 0: none.
-  core::TimePoint m_FleetSizeTriedAt{};
   core::TimePoint m_StartedAt = core::steadyNow();
   core::TimePoint m_StoppingSince{};
   std::function<void()> m_Finished;
--- a/Libraries/LibGateway/StoreServer.cpp
+++ b/Libraries/LibGateway/StoreServer.cpp
@@ -9,12 +9,6 @@
 
 namespace asio = boost::asio;
 
-static http::ResponseMessage bare(unsigned Status) {
-  http::ResponseMessage Out;
-  Out.m_Head.m_Status = Status;
-  return Out;
-}
-
 StoreServer::StoreServer(asio::io_context &Context,
                          const config::Endpoint &Address,
                          const peer::PeerCodec &Codec,
@@ -28,7 +22,7 @@
           [this](http::Exchange &Call, asio::yield_context Yield) {
             send(Call, answer(Call.request()), Yield);
           },
-          bare)) {
+          http::bareAnswer)) {
   m_Mirror.setReplacedHook(
       [this](platform::Entry Old) { m_History.replaced(std::move(Old)); });
 }
@@ -40,7 +34,7 @@
     return answerValue(Request.m_Body);
   if (Target.compare(0, Prefix.size(), Prefix) == 0)
     return answerChanges(Target.substr(Prefix.size()));
-  return bare(404);
+  return http::bareAnswer(404);
 }
 
 static std::optional<platform::Revision> toRevision(const std::string &Text) {
@@ -55,34 +49,34 @@
 http::ResponseMessage StoreServer::answerChanges(const std::string &Since) {
   auto After = toRevision(Since);
   if (!After)
-    return bare(404);
+    return http::bareAnswer(404);
   return sealed(StoreTransfer::from(m_Mirror, *After).encode());
 }
 
 http::ResponseMessage StoreServer::answerValue(const std::string &Body) {
   auto Payload = m_Codec.unseal(Body);
   if (std::holds_alternative<peer::DropReason>(Payload))
-    return bare(403);
+    return http::bareAnswer(403);
   ValueQuery Query;
   try {
     Query = ValueQuery::decode(std::get<std::string_view>(Payload));
   } catch (const core::Error &) {
-    return bare(400);
+    return http::bareAnswer(400);
   }
   const platform::Entry *Known = m_Mirror.find(Query.m_Key);
   if (!Known || !(Query.m_Held < Known->m_Modified))
-    return bare(404);
+    return http::bareAnswer(404);
   PatchHandle Found = m_History.patch(*Known, Query.m_Held);
   if (!m_Uploads.tryTake(Found.m_Patch->size(), core::steadyNow())) {
     m_Metrics.count("yardrill_peer_uploads_refused_total");
-    return bare(503);
+    return http::bareAnswer(503);
   }
   return sealed(
       ValueTransfer{Known->m_Modified, Found.m_Base, *Found.m_Patch}.encode());
 }
 
 http::ResponseMessage StoreServer::sealed(std::string_view Payload) const {
-  http::ResponseMessage Out = bare(200);
+  http::ResponseMessage Out = http::bareAnswer(200);
   Out.m_Body = m_Codec.seal(Payload);
   return Out;
 }
--- a/Libraries/LibHTTP/Message.cpp
+++ b/Libraries/LibHTTP/Message.cpp
@@ -52,4 +52,10 @@
     remove(Name);
 }
 
+ResponseMessage bareAnswer(unsigned Status) {
+  ResponseMessage Out;
+  Out.m_Head.m_Status = Status;
+  return Out;
+}
+
 } // namespace yardrill::http
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -57,6 +57,9 @@
   std::string m_Body;
 };
 
+/// Without headers and body.
+ResponseMessage bareAnswer(unsigned Status);
+
 } // namespace yardrill::http
 
 #endif
