--- /dev/null
+++ b/Tests/LibGateway/StateFollowerTest.cpp
@@ -0,0 +1,86 @@
+#include "LibGateway/StateFollower.h"
+
+#include "LibCore/Error.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::gateway;
+namespace asio = boost::asio;
+using platform::Entry;
+using platform::Revision;
+
+namespace {
+
+/// Has one content; each watch breaks at once, but is remembered.
+class BreakingStore final : public platform::KeyValueService {
+public:
+  explicit BreakingStore(std::function<void()> OnWatch)
+      : m_OnWatch(std::move(OnWatch)) {}
+
+  std::vector<Revision> m_WatchedFrom;
+
+  std::vector<Entry> readPrefix(const std::string &, platform::CallClass,
+                                asio::yield_context) override {
+    return {{"large", "old", Revision(4)}};
+  }
+  std::optional<Entry> read(const std::string &, platform::CallClass,
+                            asio::yield_context) override {
+    return std::nullopt;
+  }
+  platform::SwapResult compareAndSwap(const platform::CompareAndSwap &,
+                                      platform::CallClass,
+                                      asio::yield_context) override {
+    return {};
+  }
+  platform::LeaseId grantLease(std::chrono::seconds, platform::CallClass,
+                               asio::yield_context) override {
+    return platform::LeaseId(1);
+  }
+  bool keepAlive(platform::LeaseId, asio::yield_context) override {
+    return true;
+  }
+  void revoke(platform::LeaseId, asio::yield_context) override {}
+  void watch(const std::string &, Revision After,
+             const std::function<bool(const std::vector<Entry> &)> &,
+             asio::yield_context) override {
+    m_WatchedFrom.push_back(After);
+    m_OnWatch();
+    throw core::Error(core::ErrorKind::Unavailable, "cut");
+  }
+  Revision lastRevision() const override { return Revision(5); }
+
+private:
+  std::function<void()> m_OnWatch;
+};
+
+} // namespace
+
+class StateFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StateFollowerTest);
+  CPPUNIT_TEST(testWatchBeginsBeforeWhatIsWanted);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Peers may have told of a value that none of them has any more.
+  void testWatchBeginsBeforeWhatIsWanted() {
+    asio::io_context Context{1};
+    platform::StoreMirror Mirror(16);
+    BreakingStore Store([&] {
+      if (Store.m_WatchedFrom.size() == 2)
+        return Context.stop();
+      Mirror.apply(Revision(9), {{"large", "", Revision(7), false, true},
+                                 {"small", "new", Revision(9)}});
+    });
+    StateFollower Follower(Context, Store, Mirror);
+    Follower.start(core::Duration::zero());
+    Context.run_for(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Store.m_WatchedFrom.size());
+    CPPUNIT_ASSERT(Store.m_WatchedFrom[0] == Revision(5));
+    CPPUNIT_ASSERT(Mirror.revision() == Revision(9));
+    CPPUNIT_ASSERT(Store.m_WatchedFrom[1] == Revision(6));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StateFollowerTest);
