--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -226,6 +226,12 @@
           {"gapAimMs", 200},      {"resumable", IsResumable}};
 }
 
+/// None, 1,400 or 2,800 routes that nobody asks for: configurations grow and
+/// shrink between some hundred bytes and 0.4 MB.
+static std::uint64_t idleRoutes(std::uint64_t Version) {
+  return Version % 3 * 1400;
+}
+
 void Deployment::publish(asio::yield_context Yield) {
   std::uint64_t Number = m_NextVersion++;
   json::array Routes{
@@ -235,6 +241,9 @@
       route("/resume/", "streaming", "engine", true),
       // Only this version has it.
       route("/probe-" + std::to_string(Number) + "/", "idempotent", "app")};
+  for (std::uint64_t I = 0; I < idleRoutes(Number); ++I)
+    Routes.push_back(
+        route("/idle-" + std::to_string(I) + "/", "idempotent", "app"));
   json::object Text{
       {"version", Number},
       {"routes", Routes},
