Tests, docs: One operator in the soak; what 48 gateways found

Cause: with large configurations publishing takes long, and the soak judged by the last version whose acceptance it had heard: an instance that had the next one in force already seemed to go back (17 reports), and two versions published at once left the older one in the store (480 probes without a route, reported as missing recovery). Found in the logs: the refused probe for version 4 bears configuration=5, in force 10 ms before. Change: versions are published one after the other; one that was sent may be in force. A way back is still reported at every moment when no version is on its way.

--- a/Libraries/LibGateway/StoreFetcher.h
+++ b/Libraries/LibGateway/StoreFetcher.h
@@ -54,7 +54,7 @@
   struct Lane {
     bool m_IsAsking = false;
     core::TimePoint m_BehindSince{}; ///< Zero: is not behind.
-    core::TimePoint m_PausesUntil{}; ///< After a failure.
+    core::TimePoint m_PausesUntil{}; ///< After a refusal.
   };
   using Holders = std::vector<StoreHolder>;
 
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -209,7 +209,8 @@
                       std::to_string(Asked.m_Number);
   std::uint64_t &Seen = m_Seen[{Gateway, Life}];
   const AcceptedVersion &Newest = m_Under.versions().back();
-  bool IsNewest = Newest.m_Number == Asked.m_Number;
+  bool IsNewest = Newest.m_Number == Asked.m_Number &&
+                  m_Under.newestSentVersion() == Asked.m_Number;
   if (Status == 200)
     Seen = std::max(Seen, Asked.m_Number);
   // Without any configuration it answers 503, which is right.
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -25,6 +25,7 @@
 static constexpr std::chrono::milliseconds LeavingTime{2600};
 static constexpr std::chrono::milliseconds AfterLeaving{600};
 static constexpr std::chrono::seconds OperatorTimeout{20};
+static constexpr std::chrono::milliseconds OperatorPause{20};
 
 /// Each soak has a block of loopback addresses of its own, so that several can
 /// run at once.
@@ -233,6 +234,11 @@
 }
 
 void Deployment::publish(asio::yield_context Yield) {
+  // One operator: versions that overtook each other would leave the older one
+  // in the store, which no gateway goes back to.
+  while (m_IsPublishing)
+    tests::sleepFor(m_Context, OperatorPause, Yield);
+  m_IsPublishing = true;
   std::uint64_t Number = m_NextVersion++;
   json::array Routes{
       route("/once/", "non_idempotent", "app"),
@@ -262,6 +268,7 @@
                                 {"burst", 2000}}}}};
   put("op/config", json::serialize(Text), Yield);
   m_Versions.push_back({Number, Clock::now()});
+  m_IsPublishing = false;
 }
 
 //===----------------------------------------------------------------------===//
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -51,6 +51,8 @@
     return *m_Gateways[Gateway].m_StoreProxy;
   }
   const std::vector<AcceptedVersion> &versions() const { return m_Versions; }
+  /// May be in force before the store's answer says that it is accepted.
+  std::uint64_t newestSentVersion() const { return m_NextVersion - 1; }
 
   // Faults. A gateway that is down is left alone.
   void killGateway(std::size_t Gateway);
@@ -97,6 +99,7 @@
   std::vector<std::unique_ptr<SoakTarget>> m_Targets;
   std::vector<AcceptedVersion> m_Versions;
   std::uint64_t m_NextVersion = 1;
+  bool m_IsPublishing = false;
   std::size_t m_NextTarget = 1;
 };
 
