LibRouting: Take the lapse of most targets of all pools as an outage

Cause: announcements that lapse are missed for 2.4 s in place of 1.2 s when over half of a pool lapses, since an outage of the store does that; so do two of three targets that leave within a second. The time is above what a leaving target is allowed (2 s). Ruled out: always 1.2 s (after an outage of the store announcements are back within 2 s, and callers would find nobody); whether the store was lost lately (a silent loss is noticed after 3.2 s, which may be later than its end). Change: over half of all targets, of all pools together, is the mark of an outage. Test: testTargetsOfASmallPoolThatLeaveTogetherAreForgottenSoon, red before.

--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -8,6 +8,7 @@
 
 /// Announcements that ran out during an outage of the store are back within
 /// two seconds of its return (the platform's promise); a margin for the way.
+/// The mark of an outage is that most targets of all pools lapse.
 static constexpr std::chrono::milliseconds ManyLapsedGrace{2400};
 /// One that is missing alone has left; work sent on the old word until then
 /// would still be in time (a leaving target must be left alone after 2 s).
@@ -62,22 +63,24 @@
   Known->m_LapsedAt = Now;
 }
 
+bool TargetDirectory::areMostLapsed() const {
+  auto Lapsed = static_cast<std::size_t>(
+      std::count_if(m_Targets.begin(), m_Targets.end(), [](const auto &Each) {
+        return Each.second.m_LapsedAt.has_value();
+      }));
+  return Lapsed * 2 > m_Targets.size();
+}
+
 void TargetDirectory::forgetLapsed(core::TimePoint Now) {
+  // Of all pools together: two of a pool of three may well leave within a
+  // second, and were still sent requests 2.2 s later (2 s are allowed).
+  core::Duration Grace = areMostLapsed() ? ManyLapsedGrace : OneLapsedGrace;
+  auto MustStay = [&](const core::TargetName &Name) {
+    const KnownTarget &Known = m_Targets[Name];
+    return !Known.m_LapsedAt || Now - *Known.m_LapsedAt < Grace;
+  };
   for (auto &[Pool, Names] : m_ByPool) {
-    auto IsLapsed = [this](const core::TargetName &Name) {
-      return m_Targets[Name].m_LapsedAt.has_value();
-    };
-    std::size_t Lapsed = static_cast<std::size_t>(
-        std::count_if(Names.begin(), Names.end(), IsLapsed));
-    bool IsMany = Lapsed * 2 > Names.size();
-    core::Duration Grace = IsMany ? ManyLapsedGrace : OneLapsedGrace;
-    auto MustGo = [&](const core::TargetName &Name) {
-      const KnownTarget &Known = m_Targets[Name];
-      return Known.m_LapsedAt && Now - *Known.m_LapsedAt >= Grace;
-    };
-    auto First = std::stable_partition(
-        Names.begin(), Names.end(),
-        [&](const core::TargetName &Name) { return !MustGo(Name); });
+    auto First = std::stable_partition(Names.begin(), Names.end(), MustStay);
     std::vector<core::TargetName> Gone(First, Names.end());
     Names.erase(First, Names.end());
     for (const core::TargetName &Name : Gone)
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -95,6 +95,7 @@
   }
 
 private:
+  bool areMostLapsed() const;
   void updateSlowness(const core::PoolName &Pool);
   /// Works out anew which targets of the pool are this instance's.
   void cut(const core::PoolName &Pool);
