--- a/Libraries/LibGateway/StoreServer.h
+++ b/Libraries/LibGateway/StoreServer.h
@@ -1,7 +1,7 @@
 //===-- StoreServer.h - Tells other instances what the store said ---------===//
 //
 // Two questions, by HTTP: what changed since a revision, and what a large value
-// is now. Questions and answers are sealed with the peers' key.
+// is now. Answers, and questions for values, are sealed with the peers' key.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_LIBGATEWAY_STORESERVER_H
