LibPeer, Tests: Name the protocol's version once

The test takes the version from the codec now, and also asks that datagrams of an older version are dropped and counted as such.

--- a/Libraries/LibPeer/PeerCodec.cpp
+++ b/Libraries/LibPeer/PeerCodec.cpp
@@ -10,7 +10,6 @@
 namespace yardrill::peer {
 
 static const std::string_view Magic = "YD";
-static const char ProtocolVersion = 2;
 static const std::size_t VersionAt = 2;
 static const std::size_t SignatureAt = 3;
 static const std::size_t SignatureBytes = 32;
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -19,6 +19,10 @@
 /// Fits one Ethernet frame, so that no datagram is fragmented.
 inline constexpr std::size_t MostDatagramBytes = 1400;
 
+/// Of everything that peers send each other; instances of other versions are
+/// not heard.
+inline constexpr char ProtocolVersion = 2;
+
 /// Why a datagram was dropped; each reason is counted.
 enum class DropReason {
   TooLarge,
--- a/Tests/Failures/BadInputTest.cpp
+++ b/Tests/Failures/BadInputTest.cpp
@@ -4,6 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "Fleet.h"
+#include "LibPeer/PeerCodec.h"
 
 #include <boost/asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -130,12 +131,15 @@
       for (char &C : Noise)
         C = static_cast<char>(Random());
       if (I % 2 == 0)
+        Noise = std::string("YD") + peer::ProtocolVersion + Noise;
+      else if (I % 5 == 0)
         Noise = "YD\x01" + Noise;
       Socket.send_to(asio::buffer(Noise), To);
     }
     CPPUNIT_ASSERT(eventually([&] {
       std::string Metrics = m_All->askOperator(0, "/metrics").m_Body;
       return Metrics.find("dropped_wrong_key_total") != std::string::npos &&
+             Metrics.find("dropped_other_version_total") != std::string::npos &&
              Metrics.find("dropped_too_large_total") != std::string::npos &&
              Metrics.find("dropped_garbage_total") != std::string::npos &&
              Metrics.find("yardrill_open_connections ") != std::string::npos;
