--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "LibGateway/Gateway.h"
 
+#include "EmptyStore.h"
 #include "LibCore/Error.h"
 #include "PlatformDialect.h"
 #include "Process.h"
@@ -29,7 +30,7 @@
 namespace {
 
 /// Gives a fixed content, then says nothing.
-class MockStore final : public platform::KeyValueService {
+class MockStore final : public EmptyStore {
 public:
   explicit MockStore(asio::io_context &Context) : m_Context(Context) {}
 
@@ -46,23 +47,6 @@
       throw core::Error(core::ErrorKind::Unavailable, "down");
     return m_Content;
   }
-  std::optional<platform::Entry> read(const std::string &, platform::CallClass,
-                                      asio::yield_context) override {
-    return std::nullopt;
-  }
-  platform::SwapResult compareAndSwap(const platform::CompareAndSwap &,
-                                      platform::CallClass,
-                                      asio::yield_context) override {
-    return {};
-  }
-  platform::LeaseId grantLease(std::chrono::seconds, platform::CallClass,
-                               asio::yield_context) override {
-    return platform::LeaseId(1);
-  }
-  bool keepAlive(platform::LeaseId, asio::yield_context) override {
-    return true;
-  }
-  void revoke(platform::LeaseId, asio::yield_context) override {}
   void watch(const std::string &, platform::Revision,
              const std::function<bool(const std::vector<platform::Entry> &)> &,
              asio::yield_context Yield) override {
--- a/Tests/LibGateway/StateFollowerTest.cpp
+++ b/Tests/LibGateway/StateFollowerTest.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/StateFollower.h"
 
+#include "EmptyStore.h"
 #include "LibCore/Error.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -7,6 +8,7 @@
 
 using namespace yardrill;
 using namespace yardrill::gateway;
+using namespace yardrill::tests;
 namespace asio = boost::asio;
 using platform::Entry;
 using platform::Revision;
@@ -14,7 +16,7 @@
 namespace {
 
 /// Has one content; each watch breaks at once, but is remembered.
-class BreakingStore final : public platform::KeyValueService {
+class BreakingStore final : public EmptyStore {
 public:
   explicit BreakingStore(std::function<void()> OnWatch)
       : m_OnWatch(std::move(OnWatch)) {}
@@ -25,23 +27,6 @@
                                 asio::yield_context) override {
     return {{"large", "old", Revision(4)}};
   }
-  std::optional<Entry> read(const std::string &, platform::CallClass,
-                            asio::yield_context) override {
-    return std::nullopt;
-  }
-  platform::SwapResult compareAndSwap(const platform::CompareAndSwap &,
-                                      platform::CallClass,
-                                      asio::yield_context) override {
-    return {};
-  }
-  platform::LeaseId grantLease(std::chrono::seconds, platform::CallClass,
-                               asio::yield_context) override {
-    return platform::LeaseId(1);
-  }
-  bool keepAlive(platform::LeaseId, asio::yield_context) override {
-    return true;
-  }
-  void revoke(platform::LeaseId, asio::yield_context) override {}
   void watch(const std::string &, Revision After,
              const std::function<bool(const std::vector<Entry> &)> &,
              asio::yield_context) override {
