--- a/Tests/LibInstance/ClaimKeeperTest.cpp
+++ b/Tests/LibInstance/ClaimKeeperTest.cpp
@@ -1,6 +1,7 @@
 //===-- ClaimKeeperTest.cpp - Claims against a mock of the service --------===//
 #include "LibInstance/ClaimKeeper.h"
 
+#include "EmptyStore.h"
 #include "LibCore/Error.h"
 
 #include <boost/asio/detached.hpp>
@@ -24,18 +25,13 @@
 };
 
 /// Keeps entries in memory; one mishap for the next write.
-class MockService final : public platform::KeyValueService {
+class MockService final : public tests::EmptyStore {
 public:
   std::map<std::string, std::string> m_Entries;
   Mishap m_NextWrite = Mishap::None;
   bool m_AreReadsDown = false;
   int m_Grants = 0;
 
-  std::vector<platform::Entry> readPrefix(const std::string &,
-                                          platform::CallClass,
-                                          boost::asio::yield_context) override {
-    return {};
-  }
   std::optional<platform::Entry> read(const std::string &Key,
                                       platform::CallClass,
                                       boost::asio::yield_context) override {
@@ -70,14 +66,6 @@
                                boost::asio::yield_context) override {
     return platform::LeaseId(++m_Grants);
   }
-  bool keepAlive(platform::LeaseId, boost::asio::yield_context) override {
-    return true;
-  }
-  void revoke(platform::LeaseId, boost::asio::yield_context) override {}
-  void watch(const std::string &, platform::Revision,
-             const std::function<bool(const std::vector<platform::Entry> &)> &,
-             boost::asio::yield_context) override {}
-  platform::Revision lastRevision() const override { return {}; }
 };
 
 } // namespace
