LibRouting: Cut every pool into parts, whatever the fleet's size

Cause: a pool was cut only where it had six targets for each group. 37 groups want 222, so with 160 every instance placed on all of them and knew the work of 7 others of 295: a step from 6 targets to 160 at one size. Beside it: equal costs were met in the same order by all, so those who knew least chose the same targets.

Ruled out: weights (none of them was touched); the quota (429s are the same in both).

Change: a pool has as many parts as there are six targets for, up to one for each group; several groups share a part. Equal targets are met in an order that differs by instance. Nothing else; groups are of 8 as before.

Table over 6 to 440 instances and 3 to 12,000 targets: Bench/fleet_cut.

--- /dev/null
+++ b/Bench/FleetCutProgram.cpp
@@ -0,0 +1,57 @@
+//===-- FleetCutProgram.cpp - What each instance works with, by sizes -----===//
+//
+// For each size of fleet and pool: the targets that one instance works with,
+// how many instances share one of them, and how many of these it hears from.
+//
+//===----------------------------------------------------------------------===//
+#include "LibRouting/FleetShare.h"
+
+#include <algorithm>
+#include <iostream>
+
+using namespace yardrill;
+using routing::FleetShare;
+
+static const std::size_t FleetSizes[] = {6, 24, 89, 295, 440};
+static const std::size_t PoolSizes[] = {3,   8,   18,   48,   90,   140,
+                                        160, 222, 1000, 4000, 12000};
+/// As in the deployments of hundreds of instances.
+static constexpr std::size_t DataHalls = 5;
+
+static FleetShare::Fleet fleetOf(std::size_t Size) {
+  FleetShare::Fleet Out;
+  for (std::size_t I = 0; I < Size; ++I) {
+    config::Endpoint Address{"10." + std::to_string(1 + I % DataHalls) + ".0." +
+                                 std::to_string(10 + I / DataHalls),
+                             7600};
+    Out[Address] = core::DataHallName("hall-" + std::to_string(I % DataHalls));
+  }
+  return Out;
+}
+
+static void printRow(std::size_t Fleet, std::size_t Pool) {
+  FleetShare::Fleet All = fleetOf(Fleet);
+  std::size_t LeastOwn = Pool;
+  std::size_t MostOwn = 0;
+  std::size_t Near = 0;
+  std::size_t Sum = 0;
+  for (const auto &[Address, Hall] : All) {
+    FleetShare Share(Address, All);
+    std::size_t Own = 0;
+    for (std::size_t Rank = 0; Rank < Pool; ++Rank)
+      Own += Share.isOwn(Rank, Pool) ? 1 : 0;
+    LeastOwn = std::min(LeastOwn, Own);
+    MostOwn = std::max(MostOwn, Own);
+    Sum += Own;
+    Near = std::max(Near, Share.near().size());
+  }
+  std::cout << "instances=" << Fleet << " targets=" << Pool
+            << " own_least=" << LeastOwn << " own_most=" << MostOwn
+            << " sharers=" << Sum / Pool << " heard=" << Near << "\n";
+}
+
+int main() {
+  for (std::size_t Fleet : FleetSizes)
+    for (std::size_t Pool : PoolSizes)
+      printRow(Fleet, Pool);
+}
--- a/Libraries/LibRouting/FleetShare.cpp
+++ b/Libraries/LibRouting/FleetShare.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Digest.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace yardrill::routing {
@@ -46,7 +47,8 @@
   auto GroupOf = [this](std::size_t Rank) { return Rank * m_Groups / m_Size; };
   for (std::size_t Rank = 0; Rank < Order.size(); ++Rank)
     if (Addresses[Order[Rank]] == Self)
-      m_Group = GroupOf(Rank);
+      m_Rank = Rank;
+  m_Group = GroupOf(m_Rank);
   for (std::size_t Rank = 0; Rank < Order.size(); ++Rank) {
     const config::Endpoint &Each = Addresses[Order[Rank]];
     if (GroupOf(Rank) == m_Group && !(Each == Self))
@@ -54,12 +56,22 @@
   }
 }
 
-bool FleetShare::isShared(std::size_t Count) const {
-  return Count < m_Groups * LeastTargets;
+std::size_t FleetShare::partsOf(std::size_t Count) const {
+  return std::clamp<std::size_t>(Count / LeastTargets, 1, m_Groups);
 }
 
 bool FleetShare::isOwn(std::size_t Rank, std::size_t Count) const {
-  return isShared(Count) || Rank * m_Groups / Count == m_Group;
+  std::size_t Parts = partsOf(Count);
+  return Rank * Parts / Count == m_Group * Parts / m_Groups;
+}
+
+std::size_t FleetShare::firstOf(std::size_t Count) const {
+  // Multiples of the golden ratio lie evenly, whichever neighbours are taken
+  // (Weyl's sequence).
+  static constexpr double GoldenRatio = 0.6180339887498949;
+  double Place = static_cast<double>(m_Rank) * GoldenRatio;
+  Place -= std::floor(Place);
+  return static_cast<std::size_t>(Place * static_cast<double>(Count));
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/FleetShare.h
+++ b/Libraries/LibRouting/FleetShare.h
@@ -58,20 +58,25 @@
   std::size_t groups() const { return m_Groups; }
 
   /// Whether the target at \p Rank of \p Count, in the mixed order that every
-  /// instance uses, belongs to the group. Pools with few targets are shared by
-  /// all.
+  /// instance uses, belongs to the group. A pool with few targets has fewer
+  /// parts than there are groups, and several groups share one.
   bool isOwn(std::size_t Rank, std::size_t Count) const;
-  /// Whether a pool of \p Count targets is shared by all groups.
-  bool isShared(std::size_t Count) const;
+  /// Which of \p Count equal targets this instance should look at first, so
+  /// that instances which know little do not agree on the same ones.
+  std::size_t firstOf(std::size_t Count) const;
 
 private:
-  /// Least targets of a pool for each group.
+  /// Least targets of a part of a pool.
   static constexpr std::size_t LeastTargets = 6;
 
+  /// Into how many parts a pool of \p Count targets is cut.
+  std::size_t partsOf(std::size_t Count) const;
+
   std::set<config::Endpoint> m_Near;
   std::size_t m_Size = 1; ///< Of the fleet.
   std::size_t m_Groups = 1;
   std::size_t m_Group = 0;
+  std::size_t m_Rank = 0; ///< Of this instance in the mixed order.
 };
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -225,6 +225,8 @@
   for (std::size_t Rank = 0; Rank < Order.size(); ++Rank)
     if (m_Share.isOwn(Rank, Order.size()))
       Own.push_back(Names[Order[Rank]]);
+  auto First = Own.begin() + static_cast<long>(m_Share.firstOf(Own.size()));
+  std::rotate(Own.begin(), First, Own.end());
 }
 
 } // namespace yardrill::routing
--- a/Tests/LibRouting/FleetShareTest.cpp
+++ b/Tests/LibRouting/FleetShareTest.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(testGroupsCoverTheFleetAndTheTargets);
   CPPUNIT_TEST(testEachGroupIsAMixOfAllHalls);
   CPPUNIT_TEST(testFewTargetsAreSharedByAll);
+  CPPUNIT_TEST(testNothingChangesInKindAtASize);
+  CPPUNIT_TEST(testEqualTargetsAreMetInDifferentOrders);
   CPPUNIT_TEST(testOneMoreInstanceMovesFewTargets);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,10 +62,45 @@
 
   void testFewTargetsAreSharedByAll() {
     FleetShare Share(address(40), fleet(89));
-    CPPUNIT_ASSERT(Share.isShared(3));
     for (std::size_t Rank = 0; Rank < 3; ++Rank)
       CPPUNIT_ASSERT(Share.isOwn(Rank, 3));
-    CPPUNIT_ASSERT(!Share.isShared(90));
+    CPPUNIT_ASSERT(!Share.isOwn(89, 90) || !Share.isOwn(0, 90));
+  }
+
+  // 295 instances and 160 targets had all targets in common, where 222 would
+  // have been cut into parts of six; nobody knew what the others did there.
+  void testNothingChangesInKindAtASize() {
+    for (std::size_t Size : {6, 24, 89, 295, 440}) {
+      std::size_t Before = 0;
+      for (std::size_t Count = 3; Count <= 12000; Count += 1 + Count / 8) {
+        FleetShare Share(address(Size / 2), fleet(Size));
+        std::size_t Own = 0;
+        for (std::size_t Rank = 0; Rank < Count; ++Rank)
+          Own += Share.isOwn(Rank, Count) ? 1 : 0;
+        // An eighth more targets: at the most half of them more or fewer.
+        if (Before != 0) {
+          CPPUNIT_ASSERT(Own * 2 + 2 >= Before);
+          CPPUNIT_ASSERT(Own <= Before * 2 + 2);
+        }
+        // Whoever shares a target with many others hears a good part of them.
+        double Sharers =
+            static_cast<double>(Size * Own) / static_cast<double>(Count);
+        double Heard = static_cast<double>(Share.near().size() + 1);
+        if (Count * 2 >= Size)
+          CPPUNIT_ASSERT(Heard * 2 >= Sharers);
+        Before = Own;
+      }
+    }
+  }
+
+  void testEqualTargetsAreMetInDifferentOrders() {
+    auto Fleet = fleet(295);
+    std::map<std::size_t, int> First;
+    for (std::size_t I = 0; I < 295; ++I)
+      ++First[FleetShare(address(I), Fleet).firstOf(8)];
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), First.size());
+    for (const auto &[Place, Count] : First)
+      CPPUNIT_ASSERT(Count <= 295 / 8 + 8);
   }
 
   void testOneMoreInstanceMovesFewTargets() {
