LibGateway: Keep what is known of peers up to date in place of counting it anew

Cause, by the profile in the issue (about half of all processor time at 295 instances): each report scanned the directory for earlier runs of its sender, each beat scanned it for silence and for who is further on, each report that was sent built the sets of live and near peers, each cut the whole fleet; the share of the quotas, counted 50 times a second, went with its parts.

Change: PeerTable, pure, holds peers by incarnation and address, flags near ones, orders followers, notes the furthest revision. Near peers are looked at with each beat, all once a second; the fleet is cut anew only when a member comes or goes. What is sent, and when a peer counts as silent or gone, is as before.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -264,9 +264,8 @@
 void Gateway::peersChanged() {
   std::unordered_map<std::uint32_t, routing::TargetLoad> Sums;
   m_DoPeersWait = false;
-  for (const auto &[Incarnation, Report] : m_Peers->reports()) {
-    if (!m_Peers->isNear(Incarnation))
-      continue;
+  for (const LivePeer *Peer : m_Peers->peers().nearPeers()) {
+    const peer::LoadReport &Report = Peer->m_Report;
     m_DoPeersWait = m_DoPeersWait || Report.m_HasWaiting;
     for (const peer::TargetUse &Use : Report.m_Targets) {
       routing::TargetLoad &Sum = Sums[Use.m_Target];
@@ -380,7 +379,7 @@
   Set("yardrill_open_requests", m_Open.size());
   Set("yardrill_waiting_requests", m_Dispatcher.waiting());
   Set("yardrill_targets", m_Targets.all().size());
-  Set("yardrill_peers", m_Peers->reports().size());
+  Set("yardrill_peers", m_Peers->peers().all().size());
   Set("yardrill_peers_missing", m_Peers->missing());
   Set("yardrill_target_connections_opened", m_Connections.opened());
   Set("yardrill_store_connected", m_Follower.isConnected() ? 1 : 0);
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -14,11 +14,7 @@
 static constexpr std::chrono::milliseconds BeatPeriod{40};
 /// How often addresses are tried that have not answered.
 static constexpr std::chrono::milliseconds SeekPeriod{250};
-/// Silence after which a near peer counts as gone: several lost reports in a
-/// row.
-static constexpr std::chrono::milliseconds NearSilence{700};
-/// Far peers report every FarTurns seek periods; several may be lost.
-static constexpr std::chrono::seconds FarSilence{10};
+/// Far peers report every so many seek periods.
 static constexpr std::size_t FarTurns = 10;
 /// Prime, and above the size of a group.
 static constexpr std::size_t Stride = 11;
@@ -30,7 +26,6 @@
 static constexpr std::chrono::milliseconds LargeFleetPeriod{100};
 /// A process that has started has found the others after this time.
 static constexpr std::chrono::seconds FindTime{3};
-static constexpr std::size_t MostPeers = 1024;
 static constexpr std::size_t MostHinted = 64;
 static constexpr std::size_t HintsInReport = 3;
 /// Keeps a report within one datagram.
@@ -43,11 +38,11 @@
       m_Metrics(Metrics),
       m_Hooks(std::move(Hooks)), m_Self{core::IncarnationId(core::randomBits()),
                                         Settings.m_PeerAddress},
-      m_Codec(Settings.m_PeerKey), m_Directory(MostPeers, FarSilence),
+      m_Codec(Settings.m_PeerKey),
       m_Socket(Context, Settings.m_PeerAddress, m_Codec),
       m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror, Metrics,
                 Settings.m_LinkBytesPerSecond),
-      m_Random(core::randomBits()) {}
+      m_Peers(Settings.m_PeerAddress), m_Random(core::randomBits()) {}
 
 PeerLink::~PeerLink() = default;
 
@@ -62,7 +57,9 @@
 
 void PeerLink::setStopping() {
   m_IsStopping = true;
-  sendReport(livePeers(), true);
+  std::vector<config::Endpoint> All = m_Peers.far();
+  All.insert(All.end(), m_Peers.near().begin(), m_Peers.near().end());
+  sendReport(All, true);
 }
 
 //===----------------------------------------------------------------------===//
@@ -79,29 +76,17 @@
   const auto *Report = std::get_if<peer::LoadReport>(&Message.m_Body);
   if (!Report)
     return takeOther(Message);
-  auto Known = m_Reports.find(Message.m_From.m_Incarnation);
-  if (Known == m_Reports.end() && !Report->m_IsFull)
-    return; // A full one comes soon.
-  bool IsNew = m_Directory.all().count(Message.m_From.m_Incarnation) == 0;
-  auto Reason = m_Directory.heard(Message, core::steadyNow(),
-                                  core::wallSeconds().count());
-  if (Reason)
-    return drop(*Reason);
-  m_Hinted.erase(Message.m_From.m_Peer);
-  m_Missing.heard(Message.m_From.m_Peer);
-  forgetEarlier(Message.m_From);
-  if (Report->m_IsFull) {
-    m_Reports[Message.m_From.m_Incarnation] = *Report;
-    m_Halls[Message.m_From.m_Peer] = Report->m_DataHall;
-  } else {
-    Known->second = peer::completed(*Report, Known->second);
-  }
+  PeerTable::Taken Taken = m_Peers.take(Message, *Report, core::steadyNow(),
+                                        core::wallSeconds().count());
+  if (Taken.m_Dropped)
+    return drop(*Taken.m_Dropped);
   for (const decision::Home &Other : Report->m_Others)
     if (!(Other.m_Peer == m_Settings.m_PeerAddress) &&
-        m_Hinted.size() < MostHinted &&
-        m_Directory.all().count(Other.m_Incarnation) == 0)
+        m_Hinted.size() < MostHinted && !m_Peers.isLive(Other.m_Peer))
       m_Hinted.insert(Other.m_Peer);
-  if (IsNew) {
+  if (Taken.m_IsNew) {
+    m_Hinted.erase(Message.m_From.m_Peer);
+    m_Missing.heard(Message.m_From.m_Peer);
     core::LogLine("peer-found")
         .add("peer", Report->m_Name)
         .add("address", Message.m_From.m_Peer.toString());
@@ -113,13 +98,10 @@
 }
 
 void PeerLink::takeOther(const peer::PeerMessage &Message) {
-  // A process that has just started asks before its first report is here.
-  if (m_Reports.count(Message.m_From.m_Incarnation) != 0) {
-    auto Reason = m_Directory.heard(Message, core::steadyNow(),
-                                    core::wallSeconds().count());
-    if (Reason)
-      return drop(*Reason);
-  }
+  auto Reason =
+      m_Peers.check(Message, core::steadyNow(), core::wallSeconds().count());
+  if (Reason)
+    return drop(*Reason);
   m_Hooks.m_Other(Message);
 }
 
@@ -129,7 +111,7 @@
   m_IsReportDue = true;
   asio::post(m_Context, [this] {
     m_IsReportDue = false;
-    sendReport(nearPeers(), false);
+    sendReport(m_Peers.near(), false);
   });
 }
 
@@ -140,53 +122,28 @@
   m_Hooks.m_Changed();
 }
 
-void PeerLink::forgetEarlier(const decision::Home &Newest) {
-  for (const auto &[Incarnation, Peer] : m_Directory.all())
-    if (Peer.m_Home.m_Peer == Newest.m_Peer &&
-        Incarnation != Newest.m_Incarnation)
-      m_Reports.erase(Incarnation);
-}
-
-std::set<config::Endpoint> PeerLink::livePeers() const {
-  std::set<config::Endpoint> Out;
-  for (const auto &[Incarnation, Peer] : m_Directory.all())
-    Out.insert(Peer.m_Home.m_Peer);
-  return Out;
-}
-
-std::set<config::Endpoint> PeerLink::nearPeers() const {
-  std::set<config::Endpoint> Out;
-  for (const config::Endpoint &Each : livePeers())
-    if (m_Share.isNear(Each))
-      Out.insert(Each);
-  return Out;
-}
-
-std::set<config::Endpoint> PeerLink::someFarPeers(std::size_t Most) {
-  std::vector<config::Endpoint> Far;
-  for (const config::Endpoint &Each : livePeers())
-    if (!m_Share.isNear(Each))
-      Far.push_back(Each);
-  std::set<config::Endpoint> Out;
+void PeerLink::addSomeFarPeers(std::size_t Most,
+                               std::vector<config::Endpoint> &To) {
+  std::vector<config::Endpoint> Far = m_Peers.far();
   // A stride that meets all of them, and each group early.
   for (std::size_t I = 0; I < std::min(Most, Far.size()); ++I) {
     m_NextFar = (m_NextFar + Stride) % Far.size();
-    Out.insert(Far[m_NextFar]);
+    To.push_back(Far[m_NextFar]);
   }
-  return Out;
 }
 
 void PeerLink::recut() {
-  routing::FleetShare::Fleet Fleet;
-  for (const config::Endpoint &Each : livePeers())
-    Fleet[Each] = m_Halls[Each];
+  auto Changed = m_Peers.takeChangedFleet();
+  if (!Changed)
+    return;
+  routing::FleetShare::Fleet Fleet = std::move(*Changed);
   Fleet[m_Settings.m_PeerAddress] = m_Settings.m_DataHall;
-  m_Halls = Fleet;
   if (Fleet == m_Fleet)
     return;
   m_Fleet = std::move(Fleet);
   m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet,
                                 m_Settings.m_GroupSize);
+  m_Peers.setShare(m_Share);
   core::LogLine("fleet-cut")
       .add("instances", m_Fleet.size())
       .add("groups", m_Share.groups())
@@ -195,7 +152,7 @@
 }
 
 bool PeerLink::mustFollowStore() const {
-  return m_Share.groups() == 1 || followersBefore() < FollowersInFleet;
+  return m_Share.groups() == 1 || m_Peers.followersBefore() < FollowersInFleet;
 }
 
 std::size_t PeerLink::missing() const {
@@ -207,10 +164,7 @@
 }
 
 bool PeerLink::isStoreHeard() const {
-  return m_Reported.m_IsStoreConnected ||
-         std::any_of(m_Reports.begin(), m_Reports.end(), [](const auto &Each) {
-           return Each.second.m_IsStoreConnected;
-         });
+  return m_Reported.m_IsStoreConnected || m_Peers.followers() > 0;
 }
 
 bool PeerLink::isSettled() const {
@@ -226,29 +180,10 @@
 }
 
 std::size_t PeerLink::sharers() const {
-  std::size_t Seen = 1 + m_Reports.size() + m_Missing.all().size();
+  std::size_t Seen = 1 + m_Peers.all().size() + m_Missing.all().size();
   return isSettled() ? Seen : std::max(Seen, m_RecordedSize);
 }
 
-std::size_t PeerLink::followersBefore() const {
-  // By a hash, so that they lie in several data halls.
-  std::uint64_t Self = core::stableHash(m_Settings.m_PeerAddress.toString());
-  std::size_t Before = 0;
-  for (const auto &[Incarnation, Report] : m_Reports) {
-    auto Peer = m_Directory.all().find(Incarnation);
-    if (Peer != m_Directory.all().end() && Report.m_IsStoreConnected &&
-        core::stableHash(Peer->second.m_Home.m_Peer.toString()) < Self)
-      ++Before;
-  }
-  return Before;
-}
-
-bool PeerLink::isNear(core::IncarnationId Peer) const {
-  auto Found = m_Directory.all().find(Peer);
-  return Found != m_Directory.all().end() &&
-         m_Share.isNear(Found->second.m_Home.m_Peer);
-}
-
 void PeerLink::beat(core::TimePoint Now) {
   expire(Now);
   fetchIfBehind(Now);
@@ -258,19 +193,20 @@
     return;
   m_ReportedAt = Now;
   if (Now - m_SoughtAt < SeekPeriod) {
-    std::set<config::Endpoint> To = nearPeers();
+    std::vector<config::Endpoint> To = m_Peers.near();
     // Each group has to hear soon that the store said something new.
     if (IsLarge && hasStoreNews())
-      To.merge(someFarPeers(m_Share.groups()));
+      addSomeFarPeers(m_Share.groups(), To);
     return sendReport(To, false);
   }
   m_SoughtAt = Now;
   recut();
-  std::set<config::Endpoint> To = nearPeers();
-  To.merge(someFarPeers((m_Fleet.size() + FarTurns - 1) / FarTurns));
-  To.insert(m_Hinted.begin(), m_Hinted.end());
+  std::vector<config::Endpoint> To = m_Peers.near();
+  addSomeFarPeers((m_Fleet.size() + FarTurns - 1) / FarTurns, To);
+  To.insert(To.end(), m_Hinted.begin(), m_Hinted.end());
   for (const auto &[Address, Since] : m_Missing.all())
-    To.insert(Address);
+    if (!m_Peers.isLive(Address))
+      To.push_back(Address);
   sendReport(To, true);
 }
 
@@ -280,35 +216,26 @@
 }
 
 void PeerLink::expire(core::TimePoint Now) {
-  std::vector<peer::KnownPeer> Silent;
-  for (const auto &[Incarnation, Peer] : m_Directory.all())
-    if (Now - Peer.m_HeardAt > NearSilence && m_Reports.count(Incarnation) &&
-        m_Share.isNear(Peer.m_Home.m_Peer))
-      Silent.push_back(Peer);
-  for (const peer::KnownPeer &Gone : m_Directory.expire(Now))
-    Silent.push_back(Gone);
-  for (const peer::KnownPeer &Gone : Silent)
+  std::vector<LivePeer> Silent = m_Peers.expire(Now);
+  for (const LivePeer &Gone : Silent)
     noteSilent(Gone, Now);
   if (isStoreHeard())
     m_Missing.forgetOld(Now);
   m_IsChanged = m_IsChanged || !Silent.empty();
 }
 
-void PeerLink::noteSilent(const peer::KnownPeer &Gone, core::TimePoint Now) {
-  auto Report = m_Reports.find(Gone.m_Home.m_Incarnation);
-  if (Report == m_Reports.end())
-    return;
-  bool HasStopped = Report->second.m_IsStopping;
+void PeerLink::noteSilent(const LivePeer &Gone, core::TimePoint Now) {
+  bool HasStopped = Gone.m_Report.m_IsStopping;
   if (!HasStopped)
     m_Missing.lost(Gone.m_Home.m_Peer, Now);
   core::LogLine("peer-lost", core::LogLevel::Warning)
-      .add("peer", Report->second.m_Name)
+      .add("peer", Gone.m_Report.m_Name)
       .add("address", Gone.m_Home.m_Peer.toString())
       .add("has_stopped", HasStopped);
-  m_Reports.erase(Report);
 }
 
-void PeerLink::sendReport(const std::set<config::Endpoint> &To, bool IsFull) {
+void PeerLink::sendReport(const std::vector<config::Endpoint> &To,
+                          bool IsFull) {
   if (To.empty())
     return;
   peer::LoadReport Report;
@@ -330,17 +257,21 @@
   std::swap(m_Reported, Report);
   Report = IsFull ? m_Reported : peer::shortened(m_Reported);
   // A few at random, so that all learn of all within some reports.
-  std::vector<decision::Home> Known;
-  for (const auto &[Incarnation, Peer] : m_Directory.all())
-    Known.push_back(Peer.m_Home);
   if (IsFull)
-    std::sample(Known.begin(), Known.end(), std::back_inserter(Report.m_Others),
-                HintsInReport, m_Random);
+    addHints(Report);
   std::string Datagram = encode(std::move(Report));
   for (const config::Endpoint &Address : To)
     m_Socket.send(Datagram, Address);
 }
 
+void PeerLink::addHints(peer::LoadReport &Report) {
+  std::vector<PeerTable::Peers::value_type> Drawn;
+  std::sample(m_Peers.all().begin(), m_Peers.all().end(),
+              std::back_inserter(Drawn), HintsInReport, m_Random);
+  for (const auto &[Incarnation, Each] : Drawn)
+    Report.m_Others.push_back(Each.m_Home);
+}
+
 std::string PeerLink::encode(peer::PeerBody Body) {
   peer::PeerMessage Message;
   Message.m_From = m_Self;
@@ -356,20 +287,26 @@
 
 void PeerLink::fetchIfBehind(core::TimePoint Now) {
   std::vector<StoreHolder> Ahead;
-  for (const auto &[Incarnation, Report] : m_Reports) {
-    platform::Revision Known(Report.m_StoreRevision);
-    platform::Revision Whole(Report.m_WholeRevision);
-    if (!(m_Mirror.revision() < Known) && !(m_Mirror.wholeRevision() < Whole))
-      continue;
-    auto Peer = m_Directory.all().find(Incarnation);
-    if (Peer != m_Directory.all().end())
-      Ahead.push_back({Peer->second.m_Home.m_Peer, Known, Whole,
-                       Report.m_DataHall == m_Settings.m_DataHall});
-  }
-  // One that does not ask the store has nothing to wait for. Asked only when
-  // it matters: it hashes the addresses of all peers.
+  if (m_Mirror.revision().value() < m_Peers.newestRevision() ||
+      m_Mirror.wholeRevision().value() < m_Peers.newestWholeRevision())
+    Ahead = peersAhead();
+  // One that does not ask the store has nothing to wait for.
   bool IsPatient = !Ahead.empty() && mustFollowStore();
   m_Fetcher.consider(Ahead, IsPatient, Now);
 }
 
+std::vector<StoreHolder> PeerLink::peersAhead() const {
+  std::vector<StoreHolder> Out;
+  for (const auto &[Incarnation, Each] : m_Peers.all()) {
+    platform::Revision Known(Each.m_Report.m_StoreRevision);
+    platform::Revision Whole(Each.m_Report.m_WholeRevision);
+    bool IsAhead =
+        m_Mirror.revision() < Known || m_Mirror.wholeRevision() < Whole;
+    if (IsAhead && !Each.m_IsSilent)
+      Out.push_back({Each.m_Home.m_Peer, Known, Whole,
+                     Each.m_Report.m_DataHall == m_Settings.m_DataHall});
+  }
+  return Out;
+}
+
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -10,10 +10,10 @@
 #include "LibCore/TimerService.h"
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/MissingPeers.h"
+#include "LibGateway/PeerTable.h"
 #include "LibGateway/StoreFetcher.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
-#include "LibPeer/PeerDirectory.h"
 #include "LibPeer/PeerSocket.h"
 #include "LibPlatform/StoreMirror.h"
 #include "LibRouting/FleetShare.h"
@@ -59,10 +59,7 @@
 
   /// Whether this instance, or a near one that it hears, follows the store.
   bool mustFollowStore() const;
-  /// The newest report of each live peer.
-  const std::map<core::IncarnationId, peer::LoadReport> &reports() const {
-    return m_Reports;
-  }
+  const PeerTable &peers() const { return m_Peers; }
   /// Near peers that are neither heard from nor known to have stopped.
   std::size_t missing() const;
   /// What the store says of the fleet's size.
@@ -70,13 +67,14 @@
   /// Whether this process has had the time to find the others.
   bool isSettled() const;
   /// Whether it is this instance's to keep the list of instances in the store.
-  bool keepsRecord() const { return isSettled() && followersBefore() == 0; }
+  bool keepsRecord() const {
+    return isSettled() && m_Peers.followersBefore() == 0;
+  }
   /// All instances that are heard from, and this one, in order.
   std::vector<config::Endpoint> instances() const;
   /// Instances that may be at work, this one included: those heard from and
   /// those missing, or the recorded size while this one still finds others.
   std::size_t sharers() const;
-  bool isNear(core::IncarnationId Peer) const;
 
 private:
   void take(const peer::PeerMessage &Message);
@@ -85,24 +83,19 @@
   void drop(peer::DropReason Reason);
   void beat(core::TimePoint Now);
   /// \param IsFull also when nothing changed, and with hints of other peers.
-  void sendReport(const std::set<config::Endpoint> &To, bool IsFull);
-  std::set<config::Endpoint> livePeers() const;
-  std::set<config::Endpoint> nearPeers() const;
-  /// A few of the far peers, each in its turn.
-  std::set<config::Endpoint> someFarPeers(std::size_t Most);
+  void sendReport(const std::vector<config::Endpoint> &To, bool IsFull);
+  /// Adds a few of the far peers, each in its turn.
+  void addSomeFarPeers(std::size_t Most, std::vector<config::Endpoint> &To);
   void recut();
   /// Whether this instance or one that it hears follows the store.
   bool isStoreHeard() const;
-  /// Peers that follow the store and come before this instance in that duty.
-  std::size_t followersBefore() const;
   /// Whether the mirror is further on than the last report said.
   bool hasStoreNews() const;
   void expire(core::TimePoint Now);
-  void noteSilent(const peer::KnownPeer &Gone, core::TimePoint Now);
-  /// Drops the reports of a process that ended, once its successor is heard.
-  void forgetEarlier(const decision::Home &Newest);
-
+  void noteSilent(const LivePeer &Gone, core::TimePoint Now);
   void fetchIfBehind(core::TimePoint Now);
+  std::vector<StoreHolder> peersAhead() const;
+  void addHints(peer::LoadReport &Report);
 
   boost::asio::io_context &m_Context;
   const GatewaySettings &m_Settings;
@@ -111,16 +104,13 @@
   PeerLinkHooks m_Hooks;
   decision::Home m_Self;
   peer::PeerCodec m_Codec;
-  peer::PeerDirectory m_Directory;
   peer::PeerSocket m_Socket;
   StoreFetcher m_Fetcher;
-  std::map<core::IncarnationId, peer::LoadReport> m_Reports;
+  PeerTable m_Peers;
   std::set<config::Endpoint> m_Hinted; ///< Perhaps peers; not heard from yet.
   MissingPeers m_Missing;
   routing::FleetShare m_Share;
   routing::FleetShare::Fleet m_Fleet; ///< That m_Share was cut from.
-  /// Of peers, as they last said; bounded by the live ones at each cut.
-  routing::FleetShare::Fleet m_Halls;
   std::size_t m_NextFar = 0;
   peer::LoadReport m_Reported; ///< As last sent.
   std::uint64_t m_Sequence = 0;
--- /dev/null
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -0,0 +1,171 @@
+#include "LibGateway/PeerTable.h"
+
+#include "LibCore/Digest.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace yardrill::gateway {
+
+/// Silence after which a near peer counts as gone: several lost reports in a
+/// row.
+static constexpr std::chrono::milliseconds NearSilence{700};
+/// Far peers report rarely; several reports may be lost.
+static constexpr std::chrono::seconds FarSilence{10};
+static constexpr std::chrono::seconds LookPeriod{1};
+static constexpr std::size_t MostPeers = 1024;
+
+PeerTable::PeerTable(const config::Endpoint &Self)
+    : m_SelfHash(core::stableHash(Self.toString())),
+      m_Directory(MostPeers, FarSilence) {}
+
+const LivePeer *PeerTable::find(core::IncarnationId Peer) const {
+  auto Found = m_Peers.find(Peer);
+  return Found == m_Peers.end() ? nullptr : &Found->second;
+}
+
+PeerTable::Taken PeerTable::take(const peer::PeerMessage &Message,
+                                 const peer::LoadReport &Report,
+                                 core::TimePoint Now,
+                                 std::int64_t NowWallSeconds) {
+  core::IncarnationId From = Message.m_From.m_Incarnation;
+  auto Known = m_Peers.find(From);
+  bool IsNew = Known == m_Peers.end() || Known->second.m_IsSilent;
+  if (IsNew && !Report.m_IsFull)
+    return {}; // A full one comes soon.
+  auto Dropped = m_Directory.heard(Message, Now, NowWallSeconds);
+  if (Dropped)
+    return {Dropped, false};
+  if (Known == m_Peers.end()) {
+    // A process that ended, whose successor this is.
+    auto Earlier = m_ByAddress.find(Message.m_From.m_Peer);
+    if (Earlier != m_ByAddress.end())
+      remove(Earlier->second);
+    Known = m_Peers.emplace(From, LivePeer()).first;
+    LivePeer &Added = Known->second;
+    Added.m_Home = Message.m_From;
+    Added.m_AddressHash = core::stableHash(Message.m_From.m_Peer.toString());
+    m_ByAddress[Message.m_From.m_Peer] = From;
+    m_IsFleetChanged = true;
+    rebuildNear();
+  }
+  Known->second.m_HeardAt = Now;
+  Known->second.m_IsSilent = false;
+  adopt(Known->second, Report);
+  return {std::nullopt, IsNew};
+}
+
+void PeerTable::adopt(LivePeer &Which, const peer::LoadReport &Report) {
+  std::pair<std::uint64_t, core::IncarnationId> Place(
+      Which.m_AddressHash, Which.m_Home.m_Incarnation);
+  if (Report.m_IsFull) {
+    m_IsFleetChanged =
+        m_IsFleetChanged || Which.m_Report.m_DataHall != Report.m_DataHall;
+    Which.m_Report = Report;
+  } else {
+    Which.m_Report = peer::completed(Report, Which.m_Report);
+  }
+  if (Report.m_IsStoreConnected)
+    m_Followers.insert(Place);
+  else
+    m_Followers.erase(Place);
+  m_NewestRevision = std::max(m_NewestRevision, Report.m_StoreRevision);
+  m_NewestWhole = std::max(m_NewestWhole, Report.m_WholeRevision);
+}
+
+std::optional<peer::DropReason>
+PeerTable::check(const peer::PeerMessage &Message, core::TimePoint Now,
+                 std::int64_t NowWallSeconds) {
+  if (m_Peers.count(Message.m_From.m_Incarnation) == 0)
+    return std::nullopt;
+  return m_Directory.heard(Message, Now, NowWallSeconds);
+}
+
+void PeerTable::remove(core::IncarnationId Peer) {
+  auto Found = m_Peers.find(Peer);
+  if (Found == m_Peers.end())
+    return;
+  m_Followers.erase({Found->second.m_AddressHash, Peer});
+  auto Named = m_ByAddress.find(Found->second.m_Home.m_Peer);
+  if (Named != m_ByAddress.end() && Named->second == Peer)
+    m_ByAddress.erase(Named);
+  m_Peers.erase(Found);
+  m_IsFleetChanged = true;
+}
+
+std::vector<LivePeer> PeerTable::expire(core::TimePoint Now) {
+  std::vector<LivePeer> Silent;
+  for (core::IncarnationId Near : m_NearPeers) {
+    LivePeer &Each = m_Peers.at(Near);
+    if (Each.m_IsSilent || Now - Each.m_HeardAt <= NearSilence)
+      continue;
+    Silent.push_back(Each);
+    Each.m_IsSilent = true;
+    m_Followers.erase({Each.m_AddressHash, Near});
+  }
+  if (Now - m_LookedAt <= LookPeriod)
+    return Silent;
+  m_LookedAt = Now;
+  for (const peer::KnownPeer &Each : m_Directory.expire(Now)) {
+    auto Gone = m_Peers.find(Each.m_Home.m_Incarnation);
+    if (Gone == m_Peers.end())
+      continue;
+    if (!Gone->second.m_IsSilent)
+      Silent.push_back(Gone->second);
+    remove(Each.m_Home.m_Incarnation);
+    rebuildNear();
+  }
+  return Silent;
+}
+
+void PeerTable::setShare(const routing::FleetShare &Share) {
+  m_Share = Share;
+  rebuildNear();
+}
+
+void PeerTable::rebuildNear() {
+  m_Near.clear();
+  m_NearPeers.clear();
+  for (auto &[Incarnation, Each] : m_Peers) {
+    Each.m_IsNear = m_Share.isNear(Each.m_Home.m_Peer);
+    if (!Each.m_IsNear)
+      continue;
+    m_Near.push_back(Each.m_Home.m_Peer);
+    m_NearPeers.push_back(Incarnation);
+  }
+}
+
+std::vector<const LivePeer *> PeerTable::nearPeers() const {
+  std::vector<const LivePeer *> Out;
+  for (core::IncarnationId Near : m_NearPeers) {
+    const LivePeer &Each = m_Peers.at(Near);
+    if (!Each.m_IsSilent)
+      Out.push_back(&Each);
+  }
+  return Out;
+}
+
+std::vector<config::Endpoint> PeerTable::far() const {
+  std::vector<config::Endpoint> Out;
+  for (const auto &[Address, Incarnation] : m_ByAddress)
+    if (!m_Peers.at(Incarnation).m_IsNear)
+      Out.push_back(Address);
+  return Out;
+}
+
+std::optional<routing::FleetShare::Fleet> PeerTable::takeChangedFleet() {
+  if (!m_IsFleetChanged)
+    return std::nullopt;
+  m_IsFleetChanged = false;
+  routing::FleetShare::Fleet Out;
+  for (const auto &[Address, Incarnation] : m_ByAddress)
+    Out[Address] = m_Peers.at(Incarnation).m_Report.m_DataHall;
+  return Out;
+}
+
+std::size_t PeerTable::followersBefore() const {
+  auto End = m_Followers.lower_bound({m_SelfHash, core::IncarnationId()});
+  return static_cast<std::size_t>(std::distance(m_Followers.begin(), End));
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/PeerTable.h
@@ -0,0 +1,102 @@
+//===-- PeerTable.h - The live peers and their newest reports -------------===//
+//
+// Pure. What is asked for with each report or beat is kept up to date as peers
+// come, change and go, so that it costs the same in a fleet of any size.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBGATEWAY_PEERTABLE_H
+#define YARDRILL_LIBGATEWAY_PEERTABLE_H
+
+#include "LibCore/Time.h"
+#include "LibPeer/PeerDirectory.h"
+#include "LibPeer/PeerMessage.h"
+#include "LibRouting/FleetShare.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace yardrill::gateway {
+
+struct LivePeer {
+  decision::Home m_Home;
+  peer::LoadReport m_Report; ///< The newest, complete.
+  core::TimePoint m_HeardAt{};
+  std::uint64_t m_AddressHash = 0;
+  bool m_IsNear = false; ///< Of this instance's group.
+  /// A near one whose last reports are missing; what it said does not hold any
+  /// more. It stays a member of its group for as long as the others know it.
+  bool m_IsSilent = false;
+};
+
+class PeerTable {
+public:
+  using Peers = std::unordered_map<core::IncarnationId, LivePeer>;
+
+  /// \param Self this instance's peer address.
+  explicit PeerTable(const config::Endpoint &Self);
+
+  /// What became of a report.
+  struct Taken {
+    std::optional<peer::DropReason> m_Dropped;
+    bool m_IsNew = false; ///< Of a peer that was not live until now.
+  };
+  /// A short report of a peer that is not live is passed over.
+  Taken take(const peer::PeerMessage &Message, const peer::LoadReport &Report,
+             core::TimePoint Now, std::int64_t NowWallSeconds);
+  /// Checks a message that is no report; one of an unknown peer is let through.
+  std::optional<peer::DropReason> check(const peer::PeerMessage &Message,
+                                        core::TimePoint Now,
+                                        std::int64_t NowWallSeconds);
+  /// \returns peers that fell silent since. To be called often; far ones are
+  /// looked at once a second.
+  std::vector<LivePeer> expire(core::TimePoint Now);
+  void setShare(const routing::FleetShare &Share);
+
+  const Peers &all() const { return m_Peers; }
+  const LivePeer *find(core::IncarnationId Peer) const;
+  bool isLive(const config::Endpoint &Address) const {
+    return m_ByAddress.count(Address) != 0;
+  }
+  /// Addresses of the group's others, silent ones as well.
+  const std::vector<config::Endpoint> &near() const { return m_Near; }
+  /// What the group's others said last; silent ones are left out.
+  std::vector<const LivePeer *> nearPeers() const;
+  std::vector<config::Endpoint> far() const;
+  /// Each live peer and its data hall, since the last call; not set: as then.
+  std::optional<routing::FleetShare::Fleet> takeChangedFleet();
+
+  /// Peers that follow the store, and how many of them come before this
+  /// instance in that duty.
+  std::size_t followers() const { return m_Followers.size(); }
+  std::size_t followersBefore() const;
+  /// The furthest that any peer may have come with the store.
+  std::int64_t newestRevision() const { return m_NewestRevision; }
+  std::int64_t newestWholeRevision() const { return m_NewestWhole; }
+
+private:
+  void adopt(LivePeer &Which, const peer::LoadReport &Report);
+  void remove(core::IncarnationId Peer);
+  void rebuildNear();
+
+  /// By a hash, so that followers lie in several data halls.
+  std::uint64_t m_SelfHash;
+  peer::PeerDirectory m_Directory;
+  Peers m_Peers;
+  std::map<config::Endpoint, core::IncarnationId> m_ByAddress;
+  std::vector<config::Endpoint> m_Near;
+  std::vector<core::IncarnationId> m_NearPeers;
+  routing::FleetShare m_Share;
+  std::set<std::pair<std::uint64_t, core::IncarnationId>> m_Followers;
+  std::int64_t m_NewestRevision = 0;
+  std::int64_t m_NewestWhole = 0;
+  bool m_IsFleetChanged = true;
+  core::TimePoint m_LookedAt{}; ///< At all of them.
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- /dev/null
+++ b/Tests/LibGateway/PeerTableTest.cpp
@@ -0,0 +1,137 @@
+#include "LibGateway/PeerTable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class PeerTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerTableTest);
+  CPPUNIT_TEST(testFirstReportMustBeFull);
+  CPPUNIT_TEST(testReplayedReportIsDropped);
+  CPPUNIT_TEST(testNearPeerFallsSilentAndReturns);
+  CPPUNIT_TEST(testFarPeerStaysForLonger);
+  CPPUNIT_TEST(testSuccessorTakesTheAddress);
+  CPPUNIT_TEST(testFollowersBefore);
+  CPPUNIT_TEST(testFleetChangesAreToldOnce);
+  CPPUNIT_TEST(testOtherMessagesOfUnknownPeersPass);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::int64_t WallSeconds = 1000;
+  const config::Endpoint m_Self{"10.1.0.1", 7600};
+  PeerTable m_Table{m_Self};
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  std::uint64_t m_Sequence = 0;
+
+  static config::Endpoint address(std::size_t Index) {
+    return {"10.1.0." + std::to_string(10 + Index), 7600};
+  }
+  peer::PeerMessage message(std::uint64_t Incarnation, std::size_t Index) {
+    peer::PeerMessage Out;
+    Out.m_From = {core::IncarnationId(Incarnation), address(Index)};
+    Out.m_Sequence = ++m_Sequence;
+    Out.m_WallSeconds = WallSeconds;
+    return Out;
+  }
+  PeerTable::Taken take(std::uint64_t Incarnation, std::size_t Index,
+                        bool IsFull = true, bool IsFollower = false) {
+    peer::LoadReport Report;
+    Report.m_IsFull = IsFull;
+    Report.m_DataHall = core::DataHallName("hall");
+    Report.m_IsStoreConnected = IsFollower;
+    return m_Table.take(message(Incarnation, Index), Report, m_Now,
+                        WallSeconds);
+  }
+  /// Everyone in one group.
+  void cutInOne(std::size_t Count) {
+    routing::FleetShare::Fleet Fleet{{m_Self, core::DataHallName("hall")}};
+    for (std::size_t I = 0; I < Count; ++I)
+      Fleet[address(I)] = core::DataHallName("hall");
+    m_Table.setShare(routing::FleetShare(m_Self, Fleet));
+  }
+
+public:
+  void testFirstReportMustBeFull() {
+    CPPUNIT_ASSERT(!take(1, 0, false).m_IsNew);
+    CPPUNIT_ASSERT(m_Table.all().empty());
+    CPPUNIT_ASSERT(take(1, 0).m_IsNew);
+    CPPUNIT_ASSERT(!take(1, 0, false).m_IsNew);
+    const LivePeer *Peer = m_Table.find(core::IncarnationId(1));
+    CPPUNIT_ASSERT(Peer->m_Report.m_DataHall.value() == "hall");
+  }
+
+  void testReplayedReportIsDropped() {
+    take(1, 0);
+    --m_Sequence;
+    CPPUNIT_ASSERT(*take(1, 0).m_Dropped == peer::DropReason::Replayed);
+  }
+
+  void testNearPeerFallsSilentAndReturns() {
+    take(1, 0, true, true);
+    cutInOne(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.nearPeers().size());
+    m_Now += milliseconds(800);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.expire(m_Now).size());
+    CPPUNIT_ASSERT(m_Table.expire(m_Now).empty());
+    // What it said holds no more, yet it is still told what happens here.
+    CPPUNIT_ASSERT(m_Table.nearPeers().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Table.followers());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.near().size());
+    CPPUNIT_ASSERT(!take(1, 0, false).m_IsNew);
+    CPPUNIT_ASSERT(m_Table.nearPeers().empty());
+    CPPUNIT_ASSERT(take(1, 0).m_IsNew);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.nearPeers().size());
+  }
+
+  void testFarPeerStaysForLonger() {
+    take(1, 0);
+    m_Now += seconds(9);
+    CPPUNIT_ASSERT(m_Table.expire(m_Now).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.far().size());
+    m_Now += seconds(2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.expire(m_Now).size());
+    CPPUNIT_ASSERT(m_Table.far().empty() && m_Table.all().empty());
+  }
+
+  void testSuccessorTakesTheAddress() {
+    take(1, 0);
+    take(2, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.all().size());
+    CPPUNIT_ASSERT(m_Table.find(core::IncarnationId(2)));
+    CPPUNIT_ASSERT(m_Table.isLive(address(0)));
+  }
+
+  void testFollowersBefore() {
+    // Whoever follows the store, about half come before this instance.
+    for (std::size_t I = 0; I < 40; ++I)
+      take(I + 1, I, true, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(40), m_Table.followers());
+    std::size_t Before = m_Table.followersBefore();
+    CPPUNIT_ASSERT(Before > 5 && Before < 35);
+    for (std::size_t I = 0; I < 40; ++I)
+      take(I + 1, I, false, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Table.followers());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Table.followersBefore());
+  }
+
+  void testFleetChangesAreToldOnce() {
+    m_Table.takeChangedFleet();
+    take(1, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.takeChangedFleet()->size());
+    take(1, 0);
+    CPPUNIT_ASSERT(!m_Table.takeChangedFleet());
+  }
+
+  void testOtherMessagesOfUnknownPeersPass() {
+    peer::PeerMessage Ask = message(1, 0);
+    CPPUNIT_ASSERT(!m_Table.check(Ask, m_Now, WallSeconds));
+    take(1, 0);
+    CPPUNIT_ASSERT(*m_Table.check(Ask, m_Now, WallSeconds) ==
+                   peer::DropReason::Replayed);
+    CPPUNIT_ASSERT(!m_Table.check(message(1, 0), m_Now, WallSeconds));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
