LibGateway: Tell the fleet of followers and members, not of everybody

Cause: every instance told every other one of itself each 2.5 s, and 37 others of each change of the store: at 295, 118 far reports a second for each to hear, whose content only groups need. Each was woken 50 times a second to look at an empty queue.

Ruled out: the bookkeeping (35 us a second by now); the reports within a group (they carry what placement needs).

Change: the list of instances in the store (since quotas have owners) says who belongs to which group. Followers of the store tell all others once a second, and 74 of them at once of something new; the others report to their group, and every 2 s to the one that keeps the list. Without a list it is as before. Only a majority may leave others out of the list. Seeds ask the store at the first start, the others 1.5 to 4 s later unless they have heard. The queue is looked at while it holds something.

--- a/Bench/MembershipProgram.cpp
+++ b/Bench/MembershipProgram.cpp
@@ -34,11 +34,10 @@
   }
 
   void playSecond() {
-    std::size_t Far = m_Fleet - 1 - m_Table.near().size();
+    std::size_t Far = m_Fleet - 1 - m_NearIndexes.size();
     auto FarInBeat = static_cast<std::size_t>(
         static_cast<double>(Far) / FarPeriods / BeatsInSecond + 1);
-    std::size_t NearInBeat =
-        m_Table.near().size() * NearReports / BeatsInSecond;
+    std::size_t NearInBeat = m_NearIndexes.size() * NearReports / BeatsInSecond;
     for (int I = 0; I < BeatsInSecond; ++I) {
       m_Now += Beat;
       for (std::size_t J = 0; J < FarInBeat; ++J)
@@ -70,11 +69,12 @@
   }
 
   void recut() {
-    auto Changed = m_Table.takeChangedFleet();
-    if (!Changed)
+    if (!m_Table.takeFleetChange())
       return;
-    (*Changed)[address(0)] = core::DataHallName();
-    routing::FleetShare Share(address(0), *Changed);
+    routing::FleetShare::Fleet All;
+    for (std::size_t I = 0; I < m_Fleet; ++I)
+      All[address(I)] = core::DataHallName();
+    routing::FleetShare Share(address(0), All);
     m_Table.setShare(Share);
     for (std::size_t I = 1; I < m_Fleet; ++I)
       if (Share.isNear(address(I)))
--- a/Libraries/LibCore/TimerService.cpp
+++ b/Libraries/LibCore/TimerService.cpp
@@ -18,6 +18,8 @@
 SteadyTimerService::~SteadyTimerService() {
   for (auto &Sub : m_Subscriptions)
     Sub->m_Timer.cancel();
+  for (const auto &Call : m_Calls)
+    Call->cancel();
 }
 
 void SteadyTimerService::subscribe(Duration Period, Subscriber Notify) {
@@ -27,6 +29,19 @@
   arm(Sub);
 }
 
+void SteadyTimerService::callAfter(Duration Delay, Subscriber Notify) {
+  auto Timer = std::make_shared<boost::asio::steady_timer>(m_Context, Delay);
+  m_Calls.insert(Timer);
+  Timer->async_wait([this, Timer, Notify = std::move(Notify)](
+                        boost::system::error_code Failure) {
+    // The service may have ended.
+    if (Failure)
+      return;
+    m_Calls.erase(Timer);
+    Notify(steadyNow());
+  });
+}
+
 void SteadyTimerService::arm(const std::shared_ptr<Subscription> &Sub) {
   Sub->m_Timer.expires_after(Sub->m_Period);
   Sub->m_Timer.async_wait([Sub](boost::system::error_code Failure) {
--- a/Libraries/LibCore/TimerService.h
+++ b/Libraries/LibCore/TimerService.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace yardrill::core {
@@ -21,6 +22,8 @@
   virtual TimePoint now() const = 0;
   /// Calls \p Notify every \p Period until the service ends.
   virtual void subscribe(Duration Period, Subscriber Notify) = 0;
+  /// Calls \p Notify once, after \p Delay, unless the service ends before.
+  virtual void callAfter(Duration Delay, Subscriber Notify) = 0;
 };
 
 /// Real time, on the thread that runs \p Context.
@@ -31,6 +34,7 @@
 
   TimePoint now() const override { return steadyNow(); }
   void subscribe(Duration Period, Subscriber Notify) override;
+  void callAfter(Duration Delay, Subscriber Notify) override;
 
 private:
   struct Subscription;
@@ -38,6 +42,8 @@
 
   boost::asio::io_context &m_Context;
   std::vector<std::shared_ptr<Subscription>> m_Subscriptions;
+  /// Of calls that are to come; each removes itself.
+  std::set<std::shared_ptr<boost::asio::steady_timer>> m_Calls;
 };
 
 } // namespace yardrill::core
--- a/Libraries/LibGateway/FleetRecord.cpp
+++ b/Libraries/LibGateway/FleetRecord.cpp
@@ -16,11 +16,11 @@
 
 bool FleetRecord::isItsKey(const std::string &Name) { return Name == Key; }
 
-/// One address a line.
+/// On each line an address, and after a blank the data hall.
 static std::string toText(const FleetList &Instances) {
   std::string Out;
-  for (const config::Endpoint &Each : Instances)
-    Out += Each.toString() + "\n";
+  for (const auto &[Address, Hall] : Instances)
+    Out += Address.toString() + " " + Hall.value() + "\n";
   return Out;
 }
 
@@ -29,14 +29,15 @@
   FleetList Out;
   std::istringstream Lines(Change.m_IsDeleted ? std::string() : Change.m_Value);
   for (std::string Line; std::getline(Lines, Line);) {
-    auto Address = config::Endpoint::parse(Line);
-    if (!Address) {
+    std::size_t Blank = Line.find(' ');
+    auto Address = config::Endpoint::parse(Line.substr(0, Blank));
+    if (!Address || Blank == std::string::npos) {
       core::LogLine("store-entry-unreadable", core::LogLevel::Error)
           .add("key", Change.m_Key)
           .add("revision", Change.m_Modified);
       return {};
     }
-    Out.push_back(*Address);
+    Out[*Address] = core::DataHallName(Line.substr(Blank + 1));
   }
   return Out;
 }
--- a/Libraries/LibGateway/FleetRecord.h
+++ b/Libraries/LibGateway/FleetRecord.h
@@ -8,18 +8,17 @@
 #ifndef YARDRILL_LIBGATEWAY_FLEETRECORD_H
 #define YARDRILL_LIBGATEWAY_FLEETRECORD_H
 
-#include "LibConfig/Endpoint.h"
 #include "LibCore/Time.h"
 #include "LibPlatform/KeyValueService.h"
+#include "LibRouting/FleetShare.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
-#include <vector>
 
 namespace yardrill::gateway {
 
-/// Peer addresses, in order.
-using FleetList = std::vector<config::Endpoint>;
+/// The data hall of each instance, by its peer address.
+using FleetList = routing::FleetShare::Fleet;
 
 class FleetRecord {
 public:
--- a/Libraries/LibGateway/FleetRoster.cpp
+++ b/Libraries/LibGateway/FleetRoster.cpp
@@ -1,7 +1,5 @@
 #include "LibGateway/FleetRoster.h"
 
-#include <algorithm>
-
 namespace yardrill::gateway {
 
 /// Longer than a restart, and than a window of the quotas (8 s): an instance
@@ -13,17 +11,18 @@
                                                  core::TimePoint Now) {
   std::map<config::Endpoint, core::TimePoint> Silent;
   FleetList Next = Live;
-  for (const config::Endpoint &Each : m_Recorded) {
-    if (std::binary_search(Live.begin(), Live.end(), Each))
+  for (const auto &[Address, Hall] : m_Recorded) {
+    if (Live.count(Address) != 0)
       continue;
-    auto Known = m_SilentSince.find(Each);
+    auto Known = m_SilentSince.find(Address);
     core::TimePoint Since = Known == m_SilentSince.end() ? Now : Known->second;
-    Silent.emplace(Each, Since);
+    Silent.emplace(Address, Since);
     if (Now - Since < GoneTime)
-      Next.push_back(Each);
+      Next.emplace(Address, Hall);
   }
+  if (Silent.size() * 2 >= m_Recorded.size())
+    Next.insert(m_Recorded.begin(), m_Recorded.end());
   m_SilentSince = std::move(Silent);
-  std::sort(Next.begin(), Next.end());
   if (Next == m_Recorded)
     return std::nullopt;
   return Next;
--- a/Libraries/LibGateway/FleetRoster.h
+++ b/Libraries/LibGateway/FleetRoster.h
@@ -22,8 +22,10 @@
   void setRecorded(FleetList Instances) { m_Recorded = std::move(Instances); }
   const FleetList &recorded() const { return m_Recorded; }
 
-  /// \param Live instances that are heard now, this one included, in order.
-  /// \returns what should be recorded in place of what is.
+  /// \param Live instances that are heard now, this one included. Where they
+  /// are not more than half of the recorded ones, they may be cut off
+  /// themselves, and leave nobody out. \returns what should be recorded in
+  /// place of what is.
   std::optional<FleetList> correction(const FleetList &Live,
                                       core::TimePoint Now);
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "LibCore/Log.h"
 #include "LibGateway/GatewayRequest.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <cassert>
 
@@ -25,9 +26,12 @@
 static constexpr std::chrono::milliseconds AcceptWhileStopping{3000};
 /// A stopping instance ends this long before it would be killed.
 static constexpr std::chrono::milliseconds StopMargin{300};
-/// A fleet that starts for the first time has time before its first request;
-/// so the store is not asked by all at once.
-static constexpr core::Duration LongestStartDelay = std::chrono::seconds(2);
+/// A fleet that starts for the first time has time before its first request:
+/// the seeds ask the store, and the others ask them. 295 that each asked within
+/// 2 s made 590 calls.
+static constexpr core::Duration LeastStartDelay =
+    std::chrono::milliseconds(1500);
+static constexpr core::Duration LongestStartDelay = std::chrono::seconds(4);
 /// A new connection to a target takes about a millisecond; a full queue of
 /// connections drops the opening packet for seconds.
 static constexpr std::chrono::milliseconds ConnectTimeout{350};
@@ -122,11 +126,8 @@
 }
 
 void Gateway::start() {
-  std::uniform_int_distribution<std::int64_t> Delay(
-      0, m_Settings.m_IsFirstStart ? LongestStartDelay.count() : 0);
-  m_Follower.start(core::Duration(Delay(m_Random)));
+  m_Follower.start(startDelay());
   m_Peers->start(m_Timers);
-  m_Timers.subscribe(TickPeriod, [this](core::TimePoint Now) { tick(Now); });
   m_Timers.subscribe(UpkeepPeriod, [this](core::TimePoint Now) {
     m_Targets.forgetLapsed(Now);
     m_Follower.setNeeded(m_Peers->mustFollowStore());
@@ -147,6 +148,17 @@
       .add("is_first_start", m_Settings.m_IsFirstStart);
 }
 
+core::Duration Gateway::startDelay() {
+  const auto &Seeds = m_Settings.m_Seeds;
+  bool IsSeed = std::find(Seeds.begin(), Seeds.end(),
+                          m_Settings.m_PeerAddress) != Seeds.end();
+  if (!m_Settings.m_IsFirstStart || IsSeed)
+    return core::Duration::zero();
+  std::uniform_int_distribution<std::int64_t> Delay(LeastStartDelay.count(),
+                                                    LongestStartDelay.count());
+  return core::Duration(Delay(m_Random));
+}
+
 void Gateway::reload(const GatewaySettings &Settings) {
   m_Settings.m_Retries = Settings.m_Retries;
   m_Settings.m_StopGrace = Settings.m_StopGrace;
@@ -163,7 +175,7 @@
 void Gateway::take(const platform::Entry &Change) {
   if (FleetRecord::isItsKey(Change.m_Key)) {
     m_Roster.setRecorded(m_Record.read(Change));
-    m_Peers->setRecordedSize(m_Roster.recorded().size());
+    m_Peers->setRecorded(m_Roster.recorded());
     return updateQuotaOwners();
   }
   core::TimePoint Begin = core::steadyNow();
@@ -244,11 +256,14 @@
   // process that starts in another fleet waits until it has found the others.
   bool IsFound = m_Settings.m_IsFirstStart || m_Peers->isSettled();
   if (Next.empty() && IsFound)
-    Next = m_Peers->instances();
+    Next = m_Peers->heard();
   if (Next == m_QuotaOwners)
     return;
   m_QuotaOwners = std::move(Next);
-  m_Quotas.setRing(routing::OwnerRing(m_QuotaOwners), core::steadyNow());
+  std::vector<config::Endpoint> Members;
+  for (const auto &[Address, Hall] : m_QuotaOwners)
+    Members.push_back(Address);
+  m_Quotas.setRing(routing::OwnerRing(Members), core::steadyNow());
   core::LogLine("quota-owners")
       .add("instances", m_QuotaOwners.size())
       .add("is_recorded", !m_Roster.recorded().empty());
@@ -257,7 +272,7 @@
 void Gateway::keepRecord(core::TimePoint Now) {
   if (!m_Follower.isConnected() || !m_Peers->keepsRecord())
     return;
-  if (auto List = m_Roster.correction(m_Peers->instances(), Now))
+  if (auto List = m_Roster.correction(m_Peers->heard(), Now))
     m_Record.write(*List, Now);
 }
 
@@ -304,6 +319,7 @@
   m_Finished = std::move(Finished);
   m_CallerServer->closeAfterAnswers();
   m_Peers->setStopping();
+  armTick();
   core::LogLine("instance-stopping")
       .add("instance", m_Settings.m_Name)
       .add("open_requests", m_Open.size());
@@ -328,6 +344,19 @@
 void Gateway::place(const routing::PlacementRequest &What) {
   m_Peers->tellChange();
   m_Dispatcher.place(What, core::steadyNow());
+  armTick();
+}
+
+void Gateway::armTick() {
+  bool IsNeeded = m_Dispatcher.waiting() > 0 || m_Finished;
+  if (m_IsTickArmed || !IsNeeded)
+    return;
+  m_IsTickArmed = true;
+  m_Timers.callAfter(TickPeriod, [this](core::TimePoint Now) {
+    m_IsTickArmed = false;
+    tick(Now);
+    armTick();
+  });
 }
 
 void Gateway::dispatchWaiting(core::TimePoint Now) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -56,6 +56,8 @@
           const Dialect &Wire, platform::KeyValueService &Store);
 
   void listen();
+  /// How long the store is left alone after the start.
+  core::Duration startDelay();
   void take(const platform::Entry &Change);
   void adopt(routing::RoutingTableHandle Next);
   void describeLoad(peer::LoadReport &Report) const;
@@ -69,6 +71,9 @@
   void dispatchWaiting(core::TimePoint Now);
   /// Gives the place to a request that waits here, or lets the peers know.
   void placeBecameFree();
+  /// Looks at what waits soon, if anything does: an instance at rest is not
+  /// woken 50 times a second.
+  void armTick();
   void tick(core::TimePoint Now);
   void pollStop(core::TimePoint Now);
   /// Whether a request that comes now could no longer be finished.
@@ -106,6 +111,7 @@
   std::unique_ptr<http::Server> m_MetricsServer;
   std::unordered_map<core::RequestId, GatewayRequest *> m_Open;
   bool m_DoPeersWait = false; ///< Near peers, for free places.
+  bool m_IsTickArmed = false;
   std::uint64_t m_NextRequest = 1;
   std::mt19937_64 m_Random;
   core::TimePoint m_StartedAt = core::steadyNow();
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -14,14 +14,21 @@
 static constexpr std::chrono::milliseconds BeatPeriod{40};
 /// How often addresses are tried that have not answered.
 static constexpr std::chrono::milliseconds SeekPeriod{250};
-/// Far peers report every so many seek periods.
-static constexpr std::size_t FarTurns = 10;
+/// While the store holds no list of instances, all far peers are told of this
+/// one in so many seek periods, so that all find all.
+static constexpr std::size_t FindTurns = 10;
+/// Those that follow the store tell all others in so many seek periods that
+/// they do, and how far they are: once a second. 295 instances that each told
+/// all others every 2.5 s heard 118 far reports a second.
+static constexpr std::size_t FollowerTurns = 4;
+/// The others tell the one that keeps the list that they live, every so many
+/// seek periods: it leaves out who is silent for 12 s.
+static constexpr std::size_t KeeperTurns = 8;
+/// Far peers that a follower tells at once of something new, for each group;
+/// these tell their groups.
+static constexpr std::size_t NewsInGroup = 2;
 /// Prime, and above the size of a group.
 static constexpr std::size_t Stride = 11;
-/// Instances of a large fleet that follow the store: each pays for its calls,
-/// and a third may be cut off at once without leaving none (0.35^6 = 0.002). A
-/// fleet of one group follows it with all.
-static constexpr std::size_t FollowersInFleet = 6;
 /// Where there are several groups, reports are rarer: each costs all others.
 static constexpr std::chrono::milliseconds LargeFleetPeriod{100};
 /// A process that has started has found the others after this time.
@@ -57,9 +64,11 @@
 
 void PeerLink::setStopping() {
   m_IsStopping = true;
-  std::vector<config::Endpoint> All = m_Peers.far();
-  All.insert(All.end(), m_Peers.near().begin(), m_Peers.near().end());
-  sendReport(All, true);
+  std::vector<config::Endpoint> To = m_Near;
+  for (const auto &[Incarnation, Each] : m_Peers.all())
+    if (!Each.m_IsNear)
+      To.push_back(Each.m_Home.m_Peer);
+  sendReport(To, true);
 }
 
 //===----------------------------------------------------------------------===//
@@ -80,23 +89,37 @@
                                         core::wallSeconds().count());
   if (Taken.m_Dropped)
     return drop(*Taken.m_Dropped);
-  for (const decision::Home &Other : Report->m_Others)
-    if (!(Other.m_Peer == m_Settings.m_PeerAddress) &&
-        m_Hinted.size() < MostHinted && !m_Peers.isLive(Other.m_Peer))
-      m_Hinted.insert(Other.m_Peer);
+  takeHints(*Report);
   if (Taken.m_IsNew) {
     m_Hinted.erase(Message.m_From.m_Peer);
     m_Missing.heard(Message.m_From.m_Peer);
-    core::LogLine("peer-found")
-        .add("peer", Report->m_Name)
-        .add("address", Message.m_From.m_Peer.toString());
-    // It may not know of us yet.
-    sendReport({Message.m_From.m_Peer}, true);
+    welcome(Message.m_From.m_Peer, *Report);
   }
   // Worked out when it matters: reports come more often than requests.
   m_IsChanged = true;
 }
 
+void PeerLink::takeHints(const peer::LoadReport &Report) {
+  // The store's list names them all.
+  if (!m_Recorded.empty())
+    return;
+  for (const decision::Home &Other : Report.m_Others)
+    if (!(Other.m_Peer == m_Settings.m_PeerAddress) &&
+        m_Hinted.size() < MostHinted && !m_Peers.isLive(Other.m_Peer))
+      m_Hinted.insert(Other.m_Peer);
+}
+
+void PeerLink::welcome(const config::Endpoint &Peer,
+                       const peer::LoadReport &Report) {
+  if (!m_Recorded.empty() && !m_Share.isNear(Peer))
+    return;
+  core::LogLine("peer-found")
+      .add("peer", Report.m_Name)
+      .add("address", Peer.toString());
+  // It may not know of us yet.
+  sendReport({Peer}, true);
+}
+
 void PeerLink::takeOther(const peer::PeerMessage &Message) {
   auto Reason =
       m_Peers.check(Message, core::steadyNow(), core::wallSeconds().count());
@@ -111,7 +134,7 @@
   m_IsReportDue = true;
   asio::post(m_Context, [this] {
     m_IsReportDue = false;
-    sendReport(m_Peers.near(), false);
+    sendReport(m_Near, false);
   });
 }
 
@@ -124,26 +147,46 @@
 
 void PeerLink::addSomeFarPeers(std::size_t Most,
                                std::vector<config::Endpoint> &To) {
-  std::vector<config::Endpoint> Far = m_Peers.far();
   // A stride that meets all of them, and each group early.
-  for (std::size_t I = 0; I < std::min(Most, Far.size()); ++I) {
-    m_NextFar = (m_NextFar + Stride) % Far.size();
-    To.push_back(Far[m_NextFar]);
+  for (std::size_t I = 0; I < std::min(Most, m_Far.size()); ++I) {
+    m_NextFar = (m_NextFar + Stride) % m_Far.size();
+    To.push_back(m_Far[m_NextFar]);
   }
 }
 
+void PeerLink::addFarReceivers(std::vector<config::Endpoint> &To) {
+  if (m_Recorded.empty())
+    return addSomeFarPeers((m_Far.size() + FindTurns - 1) / FindTurns, To);
+  if (m_Reported.m_IsStoreConnected)
+    return addSomeFarPeers((m_Far.size() + FollowerTurns - 1) / FollowerTurns,
+                           To);
+  auto Keeper = m_Peers.firstFollower();
+  if (Keeper && ++m_SeekNumber % KeeperTurns == 0 && !m_Share.isNear(*Keeper))
+    To.push_back(*Keeper);
+}
+
+void PeerLink::setRecorded(FleetList Instances) {
+  m_Recorded = std::move(Instances);
+  m_IsRecordNew = true;
+  if (!m_Recorded.empty())
+    m_Hinted.clear();
+}
+
 void PeerLink::recut() {
-  auto Changed = m_Peers.takeChangedFleet();
-  if (!Changed)
+  bool IsChanged = m_Peers.takeFleetChange();
+  if (!IsChanged && !m_IsRecordNew)
     return;
-  routing::FleetShare::Fleet Fleet = std::move(*Changed);
-  Fleet[m_Settings.m_PeerAddress] = m_Settings.m_DataHall;
+  m_IsRecordNew = false;
+  // With those that the list does not have yet.
+  routing::FleetShare::Fleet Fleet = heard();
+  Fleet.insert(m_Recorded.begin(), m_Recorded.end());
   if (Fleet == m_Fleet)
     return;
   m_Fleet = std::move(Fleet);
   m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet,
                                 m_Settings.m_GroupSize);
   m_Peers.setShare(m_Share);
+  noteFleet();
   core::LogLine("fleet-cut")
       .add("instances", m_Fleet.size())
       .add("groups", m_Share.groups())
@@ -151,8 +194,21 @@
   m_Hooks.m_Recut(m_Share);
 }
 
+void PeerLink::noteFleet() {
+  std::uint64_t Own = PeerTable::orderOf(m_Settings.m_PeerAddress);
+  std::size_t Rank = 0;
+  m_Near.assign(m_Share.near().begin(), m_Share.near().end());
+  m_Far.clear();
+  for (const auto &[Address, Hall] : m_Fleet) {
+    Rank += PeerTable::orderOf(Address) < Own ? 1 : 0;
+    if (!(Address == m_Settings.m_PeerAddress) && !m_Share.isNear(Address))
+      m_Far.push_back(Address);
+  }
+  m_Duty.setRank(Rank);
+}
+
 bool PeerLink::mustFollowStore() const {
-  return m_Share.groups() == 1 || m_Peers.followersBefore() < FollowersInFleet;
+  return m_Share.groups() == 1 || m_Duty.isNeeded();
 }
 
 std::size_t PeerLink::missing() const {
@@ -172,20 +228,20 @@
   return Now - m_StartedAt > FindTime;
 }
 
-std::vector<config::Endpoint> PeerLink::instances() const {
-  std::vector<config::Endpoint> Out;
-  for (const auto &[Address, Hall] : m_Fleet)
-    Out.push_back(Address);
+FleetList PeerLink::heard() const {
+  FleetList Out{{m_Settings.m_PeerAddress, m_Settings.m_DataHall}};
+  for (const auto &[Incarnation, Each] : m_Peers.all())
+    Out[Each.m_Home.m_Peer] = Each.m_Report.m_DataHall;
   return Out;
 }
 
 std::size_t PeerLink::sharers() const {
-  std::size_t Seen = 1 + m_Peers.all().size() + m_Missing.all().size();
-  return isSettled() ? Seen : std::max(Seen, m_RecordedSize);
+  return std::max(m_Fleet.size(), 1 + m_Missing.all().size());
 }
 
 void PeerLink::beat(core::TimePoint Now) {
   expire(Now);
+  m_Duty.update(m_Peers.followersBefore(), Now);
   fetchIfBehind(Now);
   tellChange();
   bool IsLarge = m_Share.groups() > 1;
@@ -193,19 +249,19 @@
     return;
   m_ReportedAt = Now;
   if (Now - m_SoughtAt < SeekPeriod) {
-    std::vector<config::Endpoint> To = m_Peers.near();
+    std::vector<config::Endpoint> To = m_Near;
     // Each group has to hear soon that the store said something new.
-    if (IsLarge && hasStoreNews())
-      addSomeFarPeers(m_Share.groups(), To);
+    if (IsLarge && m_Reported.m_IsStoreConnected && hasStoreNews())
+      addSomeFarPeers(m_Share.groups() * NewsInGroup, To);
     return sendReport(To, false);
   }
   m_SoughtAt = Now;
   recut();
-  std::vector<config::Endpoint> To = m_Peers.near();
-  addSomeFarPeers((m_Fleet.size() + FarTurns - 1) / FarTurns, To);
+  std::vector<config::Endpoint> To = m_Near;
+  addFarReceivers(To);
   To.insert(To.end(), m_Hinted.begin(), m_Hinted.end());
   for (const auto &[Address, Since] : m_Missing.all())
-    if (!m_Peers.isLive(Address))
+    if (!m_Share.isNear(Address))
       To.push_back(Address);
   sendReport(To, true);
 }
@@ -225,6 +281,9 @@
 }
 
 void PeerLink::noteSilent(const LivePeer &Gone, core::TimePoint Now) {
+  // Far peers report only for as long as there is no list.
+  if (!m_Recorded.empty() && !Gone.m_IsNear)
+    return;
   bool HasStopped = Gone.m_Report.m_IsStopping;
   if (!HasStopped)
     m_Missing.lost(Gone.m_Home.m_Peer, Now);
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -8,6 +8,8 @@
 #define YARDRILL_LIBGATEWAY_PEERLINK_H
 
 #include "LibCore/TimerService.h"
+#include "LibGateway/FleetRecord.h"
+#include "LibGateway/FollowerDuty.h"
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/MissingPeers.h"
 #include "LibGateway/PeerTable.h"
@@ -57,21 +59,21 @@
   /// Sends one message that is no report; it may be lost.
   void send(const config::Endpoint &To, const peer::PeerBody &Body);
 
-  /// Whether this instance, or a near one that it hears, follows the store.
+  /// Whether it is this instance's to follow the store.
   bool mustFollowStore() const;
   const PeerTable &peers() const { return m_Peers; }
   /// Near peers that are neither heard from nor known to have stopped.
   std::size_t missing() const;
-  /// What the store says of the fleet's size.
-  void setRecordedSize(std::size_t Size) { m_RecordedSize = Size; }
+  /// The list of instances that the store holds; empty: none.
+  void setRecorded(FleetList Instances);
   /// Whether this process has had the time to find the others.
   bool isSettled() const;
   /// Whether it is this instance's to keep the list of instances in the store.
   bool keepsRecord() const {
     return isSettled() && m_Peers.followersBefore() == 0;
   }
-  /// All instances that are heard from, and this one, in order.
-  std::vector<config::Endpoint> instances() const;
+  /// All instances that are heard from, and this one.
+  FleetList heard() const;
   /// Instances that may be at work, this one included: those heard from and
   /// those missing, or the recorded size while this one still finds others.
   std::size_t sharers() const;
@@ -79,6 +81,9 @@
 private:
   void take(const peer::PeerMessage &Message);
   void takeOther(const peer::PeerMessage &Message);
+  void takeHints(const peer::LoadReport &Report);
+  /// Tells a peer that has been found of this instance.
+  void welcome(const config::Endpoint &Peer, const peer::LoadReport &Report);
   std::string encode(peer::PeerBody Body);
   void drop(peer::DropReason Reason);
   void beat(core::TimePoint Now);
@@ -86,7 +91,11 @@
   void sendReport(const std::vector<config::Endpoint> &To, bool IsFull);
   /// Adds a few of the far peers, each in its turn.
   void addSomeFarPeers(std::size_t Most, std::vector<config::Endpoint> &To);
+  /// Whom a full report goes to, beside the near peers.
+  void addFarReceivers(std::vector<config::Endpoint> &To);
   void recut();
+  /// Works out what depends on who belongs to the fleet.
+  void noteFleet();
   /// Whether this instance or one that it hears follows the store.
   bool isStoreHeard() const;
   /// Whether the mirror is further on than the last report said.
@@ -112,6 +121,7 @@
   routing::FleetShare m_Share;
   routing::FleetShare::Fleet m_Fleet; ///< That m_Share was cut from.
   std::size_t m_NextFar = 0;
+  std::size_t m_SeekNumber = 0;
   peer::LoadReport m_Reported; ///< As last sent.
   std::uint64_t m_Sequence = 0;
   core::TimePoint m_ReportedAt{};
@@ -120,7 +130,11 @@
   bool m_IsChanged = false; ///< Since the hook was last called.
   bool m_IsReportDue = false;
   core::TimePoint m_StartedAt = core::steadyNow();
-  std::size_t m_RecordedSize = 0;
+  FleetList m_Recorded;
+  bool m_IsRecordNew = false;           ///< Since the last cut.
+  std::vector<config::Endpoint> m_Near; ///< As m_Share says.
+  std::vector<config::Endpoint> m_Far;  ///< All others of m_Fleet.
+  FollowerDuty m_Duty;
   std::mt19937_64 m_Random;
 };
 
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -13,11 +13,22 @@
 /// Far peers report rarely; several reports may be lost.
 static constexpr std::chrono::seconds FarSilence{10};
 static constexpr std::chrono::seconds LookPeriod{1};
+/// A far peer that follows the store reports every second.
+static constexpr std::chrono::milliseconds FollowerSilence{2500};
 static constexpr std::size_t MostPeers = 1024;
 
 PeerTable::PeerTable(const config::Endpoint &Self)
-    : m_SelfHash(core::stableHash(Self.toString())),
-      m_Directory(MostPeers, FarSilence) {}
+    : m_SelfHash(orderOf(Self)), m_Directory(MostPeers, FarSilence) {}
+
+std::uint64_t PeerTable::orderOf(const config::Endpoint &Address) {
+  return core::stableHash(Address.toString());
+}
+
+std::optional<config::Endpoint> PeerTable::firstFollower() const {
+  if (m_Followers.empty())
+    return std::nullopt;
+  return m_Peers.at(m_Followers.begin()->second).m_Home.m_Peer;
+}
 
 const LivePeer *PeerTable::find(core::IncarnationId Peer) const {
   auto Found = m_Peers.find(Peer);
@@ -44,7 +55,7 @@
     Known = m_Peers.emplace(From, LivePeer()).first;
     LivePeer &Added = Known->second;
     Added.m_Home = Message.m_From;
-    Added.m_AddressHash = core::stableHash(Message.m_From.m_Peer.toString());
+    Added.m_AddressHash = orderOf(Message.m_From.m_Peer);
     m_ByAddress[Message.m_From.m_Peer] = From;
     m_IsFleetChanged = true;
     rebuildNear();
@@ -103,6 +114,10 @@
     Each.m_IsSilent = true;
     m_Followers.erase({Each.m_AddressHash, Near});
   }
+  for (auto Each = m_Followers.begin(); Each != m_Followers.end();) {
+    bool IsHeard = Now - m_Peers.at(Each->second).m_HeardAt <= FollowerSilence;
+    Each = IsHeard ? std::next(Each) : m_Followers.erase(Each);
+  }
   if (Now - m_LookedAt <= LookPeriod)
     return Silent;
   m_LookedAt = Now;
@@ -124,14 +139,11 @@
 }
 
 void PeerTable::rebuildNear() {
-  m_Near.clear();
   m_NearPeers.clear();
   for (auto &[Incarnation, Each] : m_Peers) {
     Each.m_IsNear = m_Share.isNear(Each.m_Home.m_Peer);
-    if (!Each.m_IsNear)
-      continue;
-    m_Near.push_back(Each.m_Home.m_Peer);
-    m_NearPeers.push_back(Incarnation);
+    if (Each.m_IsNear)
+      m_NearPeers.push_back(Incarnation);
   }
 }
 
@@ -145,21 +157,9 @@
   return Out;
 }
 
-std::vector<config::Endpoint> PeerTable::far() const {
-  std::vector<config::Endpoint> Out;
-  for (const auto &[Address, Incarnation] : m_ByAddress)
-    if (!m_Peers.at(Incarnation).m_IsNear)
-      Out.push_back(Address);
-  return Out;
-}
-
-std::optional<routing::FleetShare::Fleet> PeerTable::takeChangedFleet() {
-  if (!m_IsFleetChanged)
-    return std::nullopt;
+bool PeerTable::takeFleetChange() {
+  bool Out = m_IsFleetChanged;
   m_IsFleetChanged = false;
-  routing::FleetShare::Fleet Out;
-  for (const auto &[Address, Incarnation] : m_ByAddress)
-    Out[Address] = m_Peers.at(Incarnation).m_Report.m_DataHall;
   return Out;
 }
 
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -61,13 +61,15 @@
   bool isLive(const config::Endpoint &Address) const {
     return m_ByAddress.count(Address) != 0;
   }
-  /// Addresses of the group's others, silent ones as well.
-  const std::vector<config::Endpoint> &near() const { return m_Near; }
+  /// Place of an address in the order by which instances follow the store.
+  static std::uint64_t orderOf(const config::Endpoint &Address);
+  /// The peer that comes first in that duty, of those that are heard to do it.
+  std::optional<config::Endpoint> firstFollower() const;
   /// What the group's others said last; silent ones are left out.
   std::vector<const LivePeer *> nearPeers() const;
-  std::vector<config::Endpoint> far() const;
-  /// Each live peer and its data hall, since the last call; not set: as then.
-  std::optional<routing::FleetShare::Fleet> takeChangedFleet();
+  /// \returns whether a peer came, went or changed its data hall since the last
+  /// call.
+  bool takeFleetChange();
 
   /// Peers that follow the store, and how many of them come before this
   /// instance in that duty.
@@ -87,7 +89,6 @@
   peer::PeerDirectory m_Directory;
   Peers m_Peers;
   std::map<config::Endpoint, core::IncarnationId> m_ByAddress;
-  std::vector<config::Endpoint> m_Near;
   std::vector<core::IncarnationId> m_NearPeers;
   routing::FleetShare m_Share;
   std::set<std::pair<std::uint64_t, core::IncarnationId>> m_Followers;
--- /dev/null
+++ b/Tests/LibCore/TimerServiceTest.cpp
@@ -0,0 +1,53 @@
+#include "LibCore/TimerService.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::core;
+using std::chrono::milliseconds;
+
+class TimerServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TimerServiceTest);
+  CPPUNIT_TEST(testCallsOnce);
+  CPPUNIT_TEST(testCallsAgainAndAgain);
+  CPPUNIT_TEST(testNobodyIsCalledAfterItsEnd);
+  CPPUNIT_TEST_SUITE_END();
+
+  boost::asio::io_context m_Context;
+  int m_Calls = 0;
+
+public:
+  void testCallsOnce() {
+    SteadyTimerService Timers(m_Context);
+    TimePoint Begin = steadyNow();
+    Timers.callAfter(milliseconds(20), [&](TimePoint Now) {
+      ++m_Calls;
+      CPPUNIT_ASSERT(Now - Begin >= milliseconds(20));
+    });
+    m_Context.run();
+    CPPUNIT_ASSERT_EQUAL(1, m_Calls);
+  }
+
+  void testCallsAgainAndAgain() {
+    SteadyTimerService Timers(m_Context);
+    Timers.subscribe(milliseconds(5), [&](TimePoint) {
+      if (++m_Calls == 3)
+        m_Context.stop();
+    });
+    m_Context.run();
+    CPPUNIT_ASSERT_EQUAL(3, m_Calls);
+  }
+
+  void testNobodyIsCalledAfterItsEnd() {
+    {
+      SteadyTimerService Timers(m_Context);
+      Timers.callAfter(milliseconds(5), [&](TimePoint) { ++m_Calls; });
+      Timers.subscribe(milliseconds(5), [&](TimePoint) { ++m_Calls; });
+    }
+    m_Context.run();
+    CPPUNIT_ASSERT_EQUAL(0, m_Calls);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TimerServiceTest);
--- a/Tests/LibGateway/FleetRosterTest.cpp
+++ b/Tests/LibGateway/FleetRosterTest.cpp
@@ -16,14 +16,16 @@
   CPPUNIT_TEST(testNewInstanceIsAddedAtOnce);
   CPPUNIT_TEST(testShortSilenceChangesNothing);
   CPPUNIT_TEST(testLongSilenceLeavesOut);
+  CPPUNIT_TEST(testMinorityLeavesNobodyOut);
   CPPUNIT_TEST(testRecordIsReadAsItWasWritten);
   CPPUNIT_TEST(testUnreadableRecordIsNone);
   CPPUNIT_TEST_SUITE_END();
 
   core::TimePoint m_Now{std::chrono::hours(1)};
-  const config::Endpoint A{"10.1.0.1", 7600};
-  const config::Endpoint B{"10.1.0.2", 7600};
-  const config::Endpoint C{"10.1.0.3", 7600};
+  using Instance = FleetList::value_type;
+  const Instance A{{"10.1.0.1", 7600}, core::DataHallName("hall a")};
+  const Instance B{{"10.1.0.2", 7600}, core::DataHallName("hall b")};
+  const Instance C{{"10.1.0.3", 7600}, core::DataHallName("hall a")};
 
   /// Keeps what is written.
   class WritableStore final : public tests::EmptyStore {
@@ -71,6 +73,14 @@
                    FleetList({A, C}));
   }
 
+  void testMinorityLeavesNobodyOut() {
+    // It is cut off from the others, and not from the store.
+    FleetRoster Roster;
+    Roster.setRecorded({A, B, C});
+    CPPUNIT_ASSERT(!Roster.correction({A}, m_Now));
+    CPPUNIT_ASSERT(!Roster.correction({A}, m_Now + seconds(60)));
+  }
+
   void testRecordIsReadAsItWasWritten() {
     boost::asio::io_context Context;
     WritableStore Store;
@@ -92,9 +102,9 @@
     WritableStore Store;
     FleetRecord Record(Context, Store);
     platform::Entry Change;
-    Change.m_Value = A.toString() + "\nnot an address\n";
+    Change.m_Value = "10.1.0.1:7600 hall\nnot an address\n";
     CPPUNIT_ASSERT(Record.read(Change).empty());
-    Change.m_Value = A.toString() + "\n";
+    Change.m_Value = "10.1.0.1:7600 hall\n";
     Change.m_IsDeleted = true;
     CPPUNIT_ASSERT(Record.read(Change).empty());
   }
