LibRouting, LibGateway: Groups so large that each has its part of a pool to itself

Cause: at 295 instances and 160 targets 37 groups of 8 shared 26 parts.

Ruled out: the number of members as such.

Change: members by instances and targets of the largest pool (rounded down to a power of two, so that all find the same while targets come and go), from 8 to 24. Fleets of 78 to 89 instances with 90 to 140 targets keep their groups of 8.

The test of the cut now asks that an instance hears nearly all with whom it shares a target (it had asked for half).

--- a/Bench/FleetCutProgram.cpp
+++ b/Bench/FleetCutProgram.cpp
@@ -36,7 +36,7 @@
   std::size_t Near = 0;
   std::size_t Sum = 0;
   for (const auto &[Address, Hall] : All) {
-    FleetShare Share(Address, All);
+    FleetShare Share(Address, All, FleetShare::membersFor(Fleet, Pool));
     std::size_t Own = 0;
     for (std::size_t Rank = 0; Rank < Pool; ++Rank)
       Own += Share.isOwn(Rank, Pool) ? 1 : 0;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -118,6 +118,7 @@
       PeerLinkHooks{
           [this](peer::LoadReport &Report) { describeLoad(Report); },
           [this] { peersChanged(); },
+          [this] { return m_Targets.largestPool(); },
           [this](const routing::FleetShare &Share) {
             m_Targets.setShare(Share);
             updateQuotaOwners();
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -37,8 +37,9 @@
   /// Nothing, unless told.
   routing::QuotaTolerance m_QuotaTolerance;
   std::size_t m_MostConnections = 1024; ///< Of callers.
-  /// Instances of a large fleet that share their targets.
-  std::size_t m_GroupSize = routing::FleetShare::DefaultMostMembers;
+  /// Instances of a large fleet that share their targets; 0: by the number of
+  /// targets.
+  std::size_t m_GroupSize = 0;
   routing::PlacementPolicy m_Placement =
       routing::PlacementPolicy::LeastPredictedWait;
 };
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -174,17 +174,18 @@
 
 void PeerLink::recut() {
   bool IsChanged = m_Peers.takeFleetChange();
-  if (!IsChanged && !m_IsRecordNew)
+  if (!IsChanged && !m_IsRecordNew && wantedMembers() == m_Members)
     return;
   m_IsRecordNew = false;
   // With those that the list does not have yet.
   routing::FleetShare::Fleet Fleet = heard();
   Fleet.insert(m_Recorded.begin(), m_Recorded.end());
-  if (Fleet == m_Fleet)
-    return;
+  bool IsSameFleet = Fleet == m_Fleet;
   m_Fleet = std::move(Fleet);
-  m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet,
-                                m_Settings.m_GroupSize);
+  if (IsSameFleet && wantedMembers() == m_Members)
+    return;
+  m_Members = wantedMembers();
+  m_Share = routing::FleetShare(m_Settings.m_PeerAddress, m_Fleet, m_Members);
   m_Peers.setShare(m_Share);
   noteFleet();
   core::LogLine("fleet-cut")
@@ -194,6 +195,13 @@
   m_Hooks.m_Recut(m_Share);
 }
 
+std::size_t PeerLink::wantedMembers() const {
+  if (m_Settings.m_GroupSize != 0)
+    return m_Settings.m_GroupSize;
+  return routing::FleetShare::membersFor(m_Fleet.size(),
+                                         m_Hooks.m_LargestPool());
+}
+
 void PeerLink::noteFleet() {
   std::uint64_t Own = PeerTable::orderOf(m_Settings.m_PeerAddress);
   std::size_t Rank = 0;
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -33,6 +33,8 @@
   std::function<void(peer::LoadReport &)> m_Describe;
   /// Called after a report came or a peer was lost.
   std::function<void()> m_Changed;
+  /// Targets of the largest pool.
+  std::function<std::size_t()> m_LargestPool;
   /// Called when the fleet has another cut.
   std::function<void(const routing::FleetShare &)> m_Recut;
   /// Called with each message that is no report.
@@ -94,6 +96,8 @@
   /// Whom a full report goes to, beside the near peers.
   void addFarReceivers(std::vector<config::Endpoint> &To);
   void recut();
+  /// Members that groups should have now, at the most.
+  std::size_t wantedMembers() const;
   /// Works out what depends on who belongs to the fleet.
   void noteFleet();
   /// Whether this instance or one that it hears follows the store.
@@ -120,6 +124,7 @@
   MissingPeers m_Missing;
   routing::FleetShare m_Share;
   routing::FleetShare::Fleet m_Fleet; ///< That m_Share was cut from.
+  std::size_t m_Members = 0;          ///< Of its groups, at the most.
   std::size_t m_NextFar = 0;
   std::size_t m_SeekNumber = 0;
   peer::LoadReport m_Reported; ///< As last sent.
--- a/Libraries/LibRouting/FleetShare.cpp
+++ b/Libraries/LibRouting/FleetShare.cpp
@@ -8,6 +8,10 @@
 
 namespace yardrill::routing {
 
+/// Each member hears from all others, so what a group costs grows with the
+/// square of this.
+static constexpr std::size_t MostMembersOfAll = 24;
+
 std::vector<std::size_t> mixedOrder(const std::vector<PlacedMember> &Members) {
   std::map<core::DataHallName, std::vector<std::size_t>> ByHall;
   for (std::size_t I = 0; I < Members.size(); ++I)
@@ -33,6 +37,17 @@
   return Out;
 }
 
+std::size_t FleetShare::membersFor(std::size_t Instances, std::size_t Targets) {
+  // A power of two: all instances must find the same number, also while some
+  // know of a target more or less, and while targets are replaced.
+  std::size_t Rounded = 1;
+  while (Rounded * 2 <= Targets)
+    Rounded *= 2;
+  std::size_t Groups = std::max<std::size_t>(1, Rounded / LeastTargets);
+  std::size_t Members = (Instances + Groups - 1) / Groups;
+  return std::clamp(Members, DefaultMostMembers, MostMembersOfAll);
+}
+
 FleetShare::FleetShare(const config::Endpoint &Self, const Fleet &All,
                        std::size_t MostMembers)
     : m_Size(All.size()),
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -229,4 +229,11 @@
   std::rotate(Own.begin(), First, Own.end());
 }
 
+std::size_t TargetDirectory::largestPool() const {
+  std::size_t Out = 0;
+  for (const auto &[Pool, Names] : m_ByPool)
+    Out = std::max(Out, Names.size());
+  return Out;
+}
+
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -84,6 +84,8 @@
   /// targets that all groups share is not known, and not guessed.
   void setOthers(const std::unordered_map<std::uint32_t, TargetLoad> &Sums);
 
+  /// How many targets the largest pool has.
+  std::size_t largestPool() const;
   /// The part of the targets that this instance works with.
   void setShare(const FleetShare &Share);
 
--- a/Programs/yardrill/GatewayVerb.cpp
+++ b/Programs/yardrill/GatewayVerb.cpp
@@ -19,8 +19,9 @@
 DEFINE_bool(least_outstanding, false,
             "place by own outstanding requests alone, without a queue: the "
             "baseline that measurements compare with");
-DEFINE_uint32(group_size, yardrill::routing::FleetShare::DefaultMostMembers,
-              "instances of a large fleet that share their targets");
+DEFINE_uint32(group_size, 0,
+              "instances of a large fleet that share their targets; 0: by the "
+              "number of targets");
 
 namespace yardrill::program {
 
--- a/Tests/LibRouting/FleetShareTest.cpp
+++ b/Tests/LibRouting/FleetShareTest.cpp
@@ -73,7 +73,8 @@
     for (std::size_t Size : {6, 24, 89, 295, 440}) {
       std::size_t Before = 0;
       for (std::size_t Count = 3; Count <= 12000; Count += 1 + Count / 8) {
-        FleetShare Share(address(Size / 2), fleet(Size));
+        FleetShare Share(address(Size / 2), fleet(Size),
+                         FleetShare::membersFor(Size, Count));
         std::size_t Own = 0;
         for (std::size_t Rank = 0; Rank < Count; ++Rank)
           Own += Share.isOwn(Rank, Count) ? 1 : 0;
@@ -86,8 +87,8 @@
         double Sharers =
             static_cast<double>(Size * Own) / static_cast<double>(Count);
         double Heard = static_cast<double>(Share.near().size() + 1);
-        if (Count * 2 >= Size)
-          CPPUNIT_ASSERT(Heard * 2 >= Sharers);
+        if (Count >= Size / 2)
+          CPPUNIT_ASSERT(Heard * 1.25 >= Sharers);
         Before = Own;
       }
     }
