--- a/Tests/LibGateway/FleetRosterTest.cpp
+++ b/Tests/LibGateway/FleetRosterTest.cpp
@@ -23,9 +23,9 @@
 
   core::TimePoint m_Now{std::chrono::hours(1)};
   using Instance = FleetList::value_type;
-  const Instance A{{"10.1.0.1", 7600}, core::DataHallName("hall a")};
-  const Instance B{{"10.1.0.2", 7600}, core::DataHallName("hall b")};
-  const Instance C{{"10.1.0.3", 7600}, core::DataHallName("hall a")};
+  const Instance m_A{{"10.1.0.1", 7600}, core::DataHallName("hall a")};
+  const Instance m_B{{"10.1.0.2", 7600}, core::DataHallName("hall b")};
+  const Instance m_C{{"10.1.0.3", 7600}, core::DataHallName("hall a")};
 
   /// Keeps what is written.
   class WritableStore final : public tests::EmptyStore {
@@ -43,58 +43,59 @@
 public:
   void testFirstListIsWhoIsHeard() {
     FleetRoster Roster;
-    CPPUNIT_ASSERT(*Roster.correction({A, B}, m_Now) == FleetList({A, B}));
+    CPPUNIT_ASSERT(*Roster.correction({m_A, m_B}, m_Now) ==
+                   FleetList({m_A, m_B}));
   }
 
   void testNewInstanceIsAddedAtOnce() {
     FleetRoster Roster;
-    Roster.setRecorded({A, C});
-    CPPUNIT_ASSERT(!Roster.correction({A, C}, m_Now));
-    CPPUNIT_ASSERT(*Roster.correction({A, B, C}, m_Now) ==
-                   FleetList({A, B, C}));
+    Roster.setRecorded({m_A, m_C});
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_C}, m_Now));
+    CPPUNIT_ASSERT(*Roster.correction({m_A, m_B, m_C}, m_Now) ==
+                   FleetList({m_A, m_B, m_C}));
   }
 
   void testShortSilenceChangesNothing() {
     FleetRoster Roster;
-    Roster.setRecorded({A, B, C});
-    CPPUNIT_ASSERT(!Roster.correction({A, C}, m_Now));
-    CPPUNIT_ASSERT(!Roster.correction({A, C}, m_Now + seconds(10)));
+    Roster.setRecorded({m_A, m_B, m_C});
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_C}, m_Now));
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_C}, m_Now + seconds(10)));
     // It came back; the next silence is another one.
-    CPPUNIT_ASSERT(!Roster.correction({A, B, C}, m_Now + seconds(11)));
-    CPPUNIT_ASSERT(!Roster.correction({A, C}, m_Now + seconds(12)));
-    CPPUNIT_ASSERT(!Roster.correction({A, C}, m_Now + seconds(22)));
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_B, m_C}, m_Now + seconds(11)));
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_C}, m_Now + seconds(12)));
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_C}, m_Now + seconds(22)));
   }
 
   void testLongSilenceLeavesOut() {
     FleetRoster Roster;
-    Roster.setRecorded({A, B, C});
-    CPPUNIT_ASSERT(!Roster.correction({A, C}, m_Now));
-    CPPUNIT_ASSERT(*Roster.correction({A, C}, m_Now + seconds(13)) ==
-                   FleetList({A, C}));
+    Roster.setRecorded({m_A, m_B, m_C});
+    CPPUNIT_ASSERT(!Roster.correction({m_A, m_C}, m_Now));
+    CPPUNIT_ASSERT(*Roster.correction({m_A, m_C}, m_Now + seconds(13)) ==
+                   FleetList({m_A, m_C}));
   }
 
   void testMinorityLeavesNobodyOut() {
     // It is cut off from the others, and not from the store.
     FleetRoster Roster;
-    Roster.setRecorded({A, B, C});
-    CPPUNIT_ASSERT(!Roster.correction({A}, m_Now));
-    CPPUNIT_ASSERT(!Roster.correction({A}, m_Now + seconds(60)));
+    Roster.setRecorded({m_A, m_B, m_C});
+    CPPUNIT_ASSERT(!Roster.correction({m_A}, m_Now));
+    CPPUNIT_ASSERT(!Roster.correction({m_A}, m_Now + seconds(60)));
   }
 
   void testRecordIsReadAsItWasWritten() {
     boost::asio::io_context Context;
     WritableStore Store;
     FleetRecord Record(Context, Store);
-    Record.write({A, B}, m_Now);
+    Record.write({m_A, m_B}, m_Now);
     // Not twice within a short time.
-    Record.write({A, B, C}, m_Now + seconds(1));
+    Record.write({m_A, m_B, m_C}, m_Now + seconds(1));
     Context.run();
     CPPUNIT_ASSERT(Store.m_Written);
     CPPUNIT_ASSERT(FleetRecord::isItsKey(Store.m_Written->m_Key));
     platform::Entry Change;
     Change.m_Key = Store.m_Written->m_Key;
     Change.m_Value = Store.m_Written->m_Puts.at(0).m_Value;
-    CPPUNIT_ASSERT(Record.read(Change) == FleetList({A, B}));
+    CPPUNIT_ASSERT(Record.read(Change) == FleetList({m_A, m_B}));
   }
 
   void testUnreadableRecordIsNone() {
--- a/Tests/Support/QuotaFleet.cpp
+++ b/Tests/Support/QuotaFleet.cpp
@@ -68,11 +68,11 @@
     m_Books[Instance]->setAccounts(m_Accounts, m_Now);
   }
 
-  void send(std::size_t To, Datagram What) {
+  void send(std::size_t To, const Datagram &What) {
     std::uniform_real_distribution<double> Chance(0, 1);
     if (m_Books[To] && !isCut(What.m_From) && !isCut(To) &&
         Chance(m_Random) >= LossShare)
-      m_Inboxes[To].push_back(std::move(What));
+      m_Inboxes[To].push_back(What);
   }
 
   void settle(std::uint64_t Id, QuotaStep Step) {
