--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <boost/asio/detached.hpp>
-#include <cassert>
 
 namespace yardrill::gateway {
 
@@ -53,14 +52,11 @@
              m_Peers->reportSoon();
            },
            [this](core::RequestId Request) { m_Open.at(Request)->refuse(); }}),
-      m_Quotas(m_Settings.m_PeerAddress, m_Settings.m_QuotaTolerance,
-               m_Settings.m_IsFirstStart, core::randomBits()),
       m_Connections(Context, {ConnectTimeout, MostIdleConnections}),
-      m_QuotaDesk(
-          m_Quotas, m_Metrics,
-          [this](const config::Endpoint &To, const peer::PeerBody &Body) {
-            m_Peers->send(To, Body);
-          }),
+      m_Quotas(Context, m_Settings, m_Metrics,
+               [this](const config::Endpoint &To, const peer::PeerBody &Body) {
+                 m_Peers->send(To, Body);
+               }),
       m_Random(core::randomBits()) {
   m_Mirror.subscribe([this](const platform::Entry &Change) { take(Change); });
   listen();
@@ -115,15 +111,16 @@
         http::bareAnswer);
   m_Peers = std::make_unique<PeerLink>(
       m_Context, m_Settings, m_Mirror, m_Metrics,
-      PeerLinkHooks{
-          [this](peer::LoadReport &Report) { describeLoad(Report); },
-          [this] { peersChanged(); },
-          [this] { return m_Targets.largestPool(); },
-          [this](const routing::FleetShare &Share) {
-            m_Targets.setShare(Share);
-            updateQuotaOwners();
-          },
-          [this](const peer::PeerMessage &Message) { takeFromPeer(Message); }});
+      PeerLinkHooks{[this](peer::LoadReport &Report) { describeLoad(Report); },
+                    [this] { peersChanged(); },
+                    [this] { return m_Targets.largestPool(); },
+                    [this](const routing::FleetShare &Share) {
+                      m_Targets.setShare(Share);
+                      updateQuotaOwners();
+                    },
+                    [this](const peer::PeerMessage &Message) {
+                      m_Quotas.take(Message);
+                    }});
 }
 
 void Gateway::start() {
@@ -133,7 +130,7 @@
     m_Targets.forgetLapsed(Now);
     m_Follower.setNeeded(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
-    m_QuotaDesk.upkeep(Now);
+    m_Quotas.upkeep(Now);
     // A process that has found the others does without a record.
     if (m_Roster.recorded().empty())
       updateQuotaOwners();
@@ -219,7 +216,7 @@
   if (m_Table && !(m_Table->version() < Next->version()))
     return;
   m_Table = std::move(Next);
-  m_Quotas.setAccounts(m_Table->accounts(), core::steadyNow());
+  m_Quotas.setAccounts(m_Table->accounts());
   m_CallerServer->setLimits(
       toServerLimits(m_Table->limits(), m_Settings.m_MostConnections));
   core::LogLine("configuration-in-force")
@@ -242,31 +239,17 @@
   Report.m_HasWaiting = m_Dispatcher.waiting() > 0;
 }
 
-void Gateway::takeFromPeer(const peer::PeerMessage &Message) {
-  core::TimePoint Now = core::steadyNow();
-  const config::Endpoint &From = Message.m_From.m_Peer;
-  if (const auto *Ask = std::get_if<peer::QuotaAsk>(&Message.m_Body))
-    return m_QuotaDesk.take(From, *Ask, Now);
-  if (const auto *Answer = std::get_if<peer::QuotaAnswer>(&Message.m_Body))
-    m_QuotaDesk.take(From, *Answer, Now);
-}
-
 void Gateway::updateQuotaOwners() {
-  FleetList Next = m_Roster.recorded();
+  FleetList Owners = m_Roster.recorded();
   // Nothing is recorded before a fleet has started for the first time. A
   // process that starts in another fleet waits until it has found the others.
   bool IsFound = m_Settings.m_IsFirstStart || m_Peers->isSettled();
-  if (Next.empty() && IsFound)
-    Next = m_Peers->heard();
-  if (Next == m_QuotaOwners)
+  if (Owners.empty() && IsFound)
+    Owners = m_Peers->heard();
+  if (!m_Quotas.setOwners(Owners))
     return;
-  m_QuotaOwners = std::move(Next);
-  std::vector<config::Endpoint> Members;
-  for (const auto &[Address, Hall] : m_QuotaOwners)
-    Members.push_back(Address);
-  m_Quotas.setRing(routing::OwnerRing(Members), core::steadyNow());
   core::LogLine("quota-owners")
-      .add("instances", m_QuotaOwners.size())
+      .add("instances", Owners.size())
       .add("is_recorded", !m_Roster.recorded().empty());
 }
 
@@ -419,29 +402,4 @@
       m_Table ? m_Table->version().value() : 0);
 }
 
-//===----------------------------------------------------------------------===//
-// Builder
-//===----------------------------------------------------------------------===//
-
-Gateway::Builder &Gateway::Builder::settings(GatewaySettings Settings) {
-  m_Settings = std::move(Settings);
-  return *this;
-}
-
-Gateway::Builder &Gateway::Builder::dialect(const Dialect &Wire) {
-  m_Wire = &Wire;
-  return *this;
-}
-
-Gateway::Builder &Gateway::Builder::store(platform::KeyValueService &Store) {
-  m_Store = &Store;
-  return *this;
-}
-
-std::unique_ptr<Gateway> Gateway::Builder::build(asio::io_context &Context) {
-  assert(m_Wire && m_Store);
-  return std::unique_ptr<Gateway>(
-      new Gateway(Context, std::move(m_Settings), *m_Wire, *m_Store));
-}
-
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -14,13 +14,12 @@
 #include "LibGateway/FleetRoster.h"
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/PeerLink.h"
-#include "LibGateway/QuotaDesk.h"
+#include "LibGateway/QuotaService.h"
 #include "LibGateway/StateFollower.h"
 #include "LibHTTP/ConnectionPool.h"
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibRouting/Dispatcher.h"
-#include "LibRouting/QuotaBook.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
@@ -62,7 +61,6 @@
   void adopt(routing::RoutingTableHandle Next);
   void describeLoad(peer::LoadReport &Report) const;
   void peersChanged();
-  void takeFromPeer(const peer::PeerMessage &Message);
   /// Who owns quotas, by what is known of the fleet now.
   void updateQuotaOwners();
   void keepRecord(core::TimePoint Now);
@@ -100,12 +98,10 @@
   routing::RoutingTableHandle m_Table;
   routing::TargetDirectory m_Targets;
   routing::Dispatcher m_Dispatcher;
-  routing::QuotaBook m_Quotas;
-  FleetList m_QuotaOwners; ///< Instances that may own quotas.
   std::unordered_map<core::PoolName, routing::RetryBudget> m_Retries;
   http::ConnectionPool m_Connections;
   std::unique_ptr<PeerLink> m_Peers;
-  QuotaDesk m_QuotaDesk;
+  QuotaService m_Quotas;
   std::unique_ptr<http::Server> m_CallerServer;
   std::unique_ptr<http::Server> m_ReadinessServer;
   std::unique_ptr<http::Server> m_MetricsServer;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -41,8 +41,8 @@
     : m_Owner(Owner), m_Caller(Caller),
       m_Relay(Caller, {[this] { return timeLeft() + AnswerSlack; },
                        [this](std::size_t Count) { noteEvents(Count); }}),
-      m_Id(Owner.m_NextRequest++), m_Table(Owner.m_Table),
-      m_Times(core::steadyNow()), m_Wake(Owner.m_Context) {
+      m_Id(Owner.m_NextRequest++), m_Wake(Owner.m_Context) {
+  m_Table = Owner.m_Table;
   m_Owner.m_Open.emplace(m_Id, this);
 }
 
@@ -50,7 +50,6 @@
   if (m_IsOwnerGone)
     return;
   m_Owner.m_Dispatcher.withdraw(m_Id);
-  m_Owner.m_QuotaDesk.abandon(m_QuotaAsk);
   m_Owner.m_Open.erase(m_Id);
   m_Caller.setHangUpHook(nullptr);
 }
@@ -112,10 +111,7 @@
     return true;
   m_Draw.m_Account = routing::hashOf(m_Account->m_Name);
   m_Draw.m_Tokens = Tokens;
-  routing::QuotaStep Step = m_Owner.m_Quotas.begin(m_Draw, core::steadyNow());
-  while (Step == routing::QuotaStep::Ask)
-    Step = askQuotaOwner(Yield);
-  bool IsGranted = Step == routing::QuotaStep::Granted;
+  bool IsGranted = m_Owner.m_Quotas.draw(m_Draw, Yield);
   if (!IsGranted)
     logQuota("quota-refused");
   else if (m_Draw.m_IsAlone)
@@ -123,44 +119,6 @@
   return IsGranted;
 }
 
-void GatewayRequest::logQuota(const char *Event) const {
-  core::LogLine Line(Event);
-  Line.add("request", m_Said.m_Id)
-      .add("account", m_Account->m_Name)
-      .add("tokens", m_Draw.m_Tokens)
-      .add("is_alone", m_Draw.m_IsAlone)
-      .add("took_us", core::steadyNow() - m_Times.arrivedAt());
-  if (m_Draw.m_RetryAfter)
-    Line.add("retry_after_us", *m_Draw.m_RetryAfter);
-}
-
-routing::QuotaStep GatewayRequest::askQuotaOwner(asio::yield_context Yield) {
-  core::TimePoint Now = core::steadyNow();
-  core::TimePoint GiveUpAt = Now + routing::QuotaBook::Patience;
-  m_QuotaAnswer.reset();
-  m_QuotaAsk = m_Owner.m_QuotaDesk.ask(
-      m_Draw,
-      [this](const routing::QuotaAnswer &Answer) {
-        m_QuotaAnswer = Answer;
-        m_Wake.cancel();
-      },
-      Now);
-  while (!m_QuotaAnswer && !m_IsCallerGone && core::steadyNow() < GiveUpAt) {
-    boost::system::error_code Ignored;
-    m_Wake.expires_at(GiveUpAt);
-    m_Wake.async_wait(Yield[Ignored]);
-  }
-  m_Owner.m_QuotaDesk.abandon(m_QuotaAsk);
-  m_QuotaAsk = 0;
-  Now = core::steadyNow();
-  if (m_QuotaAnswer)
-    return m_Owner.m_Quotas.answered(m_Draw, *m_QuotaAnswer, Now);
-  // Says nothing about the owner.
-  if (m_IsCallerGone)
-    return routing::QuotaStep::Refused;
-  return m_Owner.m_Quotas.unanswered(m_Draw, Now);
-}
-
 core::Duration GatewayRequest::callersPatience() const {
   return std::max({core::Duration(LeastPatience),
                    m_Route->m_Objective * PatienceOverObjective,
@@ -250,7 +208,7 @@
   }
   if (Last == TryOutcome::Complete || Last == TryOutcome::CallerGone) {
     m_Reason = Last == TryOutcome::Complete ? "complete" : "caller-gone";
-    return logEnd("request-finished");
+    return finish("request-finished");
   }
   finishFailed(Last, Yield);
 }
@@ -259,28 +217,9 @@
 // At a target
 //===----------------------------------------------------------------------===//
 
-void GatewayRequest::logSent() const {
-  const routing::KnownTarget *Known = m_Owner.m_Targets.find(m_Target->m_Name);
-  core::LogLine Line("request-sent");
-  Line.add("request", m_Said.m_Id)
-      .add("route", m_Route->m_Name)
-      .add("account_tier", m_Tier)
-      .add("route_tier", m_Route->m_Tier)
-      .add("target", m_Target->m_Name)
-      .add("try", m_Times.tries())
-      .add("waited_us", core::steadyNow() - m_Times.arrivedAt())
-      .add("configuration", m_Table->version())
-      .add("store_revision", m_Owner.m_Mirror.revision());
-  if (Known)
-    Line.add("running_own", Known->m_Own.m_Running)
-        .add("running_others", Known->m_Others.m_Running)
-        .add("places", Known->m_Target.m_Places)
-        .add("slowness", Known->m_Slowness)
-        .add("failure_share", Known->m_FailureShare);
-}
-
 TryOutcome GatewayRequest::tryTarget(asio::yield_context Yield) {
-  logSent();
+  logSent(m_Owner.m_Targets.find(m_Target->m_Name),
+          m_Owner.m_Mirror.revision());
   if (timeLeft() <= core::Duration::zero()) {
     m_Reason = "time-over";
     return TryOutcome::NotSent;
@@ -337,14 +276,6 @@
   }
 }
 
-void GatewayRequest::logTargetRefusal(const http::ResponseHead &Head) const {
-  core::LogLine(m_Reason, core::LogLevel::Warning)
-      .add("request", m_Said.m_Id)
-      .add("target", m_Target->m_Name)
-      .add("status", Head.m_Status)
-      .add("try", m_Times.tries());
-}
-
 static bool isEventStream(const http::ResponseHead &Head) {
   const std::string *Type = Head.m_Headers.find("Content-Type");
   return Type &&
@@ -372,7 +303,7 @@
   bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
   if (Says.m_IsNotRun) {
     m_Reason = Says.m_IsMisdirected ? "target-replaced" : "target-refused";
-    logTargetRefusal(Head);
+    logTargetRefusal(Head.m_Status);
     if (Says.m_IsMisdirected)
       m_Owner.m_Targets.replaced(m_Target->m_Name);
     while (!Connection.readPiece(timeLeft() + AnswerSlack, Yield).empty()) {
@@ -467,10 +398,6 @@
   m_Owner.placeBecameFree();
 }
 
-metrics::RequestLabels GatewayRequest::labels() const {
-  return {m_Account ? m_Account->m_Name : core::AccountName(), m_Tier, m_Pool};
-}
-
 bool GatewayRequest::mayTryAgain(TryOutcome Last) {
   if (m_IsCallerGone || timeLeft() < LeastUsefulTime)
     return false;
@@ -495,17 +422,17 @@
   if (m_Relay.isStarted()) {
     // Never let half an answer look whole.
     m_Caller.abort();
-    return logEnd("request-broken-off");
+    return finish("request-broken-off");
   }
   bool IsOver = timeLeft() <= core::Duration::zero();
   if (m_FailureAnswer && Last == TryOutcome::Failed) {
     m_Reason = "target-failed";
     m_Relay.sendWhole(std::move(*m_FailureAnswer), Yield);
-    return logEnd("request-finished");
+    return finish("request-finished");
   }
   if (m_Runs > 0)
     return answer(IsOver ? 504 : 502, m_Reason, core::Duration::zero(), Yield);
-  m_Owner.m_Quotas.giveBack(m_Draw, core::steadyNow());
+  m_Owner.m_Quotas.giveBack(m_Draw);
   if (m_IsRefused)
     m_Reason = "no-target";
   answer(503, IsOver ? "time-over" : m_Reason, retryAfter(), Yield);
@@ -530,35 +457,12 @@
   } catch (const Error &) {
     m_IsCallerGone = true;
   }
-  logEnd("request-refused");
+  finish("request-refused");
 }
 
-void GatewayRequest::logEnd(const char *Event) const {
-  core::LogLine Line(Event);
-  core::Duration Total = core::steadyNow() - m_Times.arrivedAt();
-  Line.add("request", m_Said.m_Id)
-      .add("route", m_Route ? m_Route->m_Name : "")
-      .add("tier", m_Tier)
-      .add("pool", m_Pool)
-      .add("status", m_Status != 0 ? m_Status : m_Relay.status())
-      .add("reason", m_Reason)
-      .add("tries", m_Times.tries())
-      .add("total_us", Total);
-  if (m_Route)
-    Line.add("late", toString(m_Times.lateness(m_Route->m_Objective,
-                                               m_Route->m_LongestPause,
-                                               core::steadyNow())));
-  if (m_Times.hasFirstEvent())
-    Line.add("first_event_us", m_Times.toFirstEvent())
-        .add("longest_pause_us", m_Times.longestPause())
-        .add("prompt_tokens", m_Said.m_PromptTokens);
-  if (m_Table)
-    Line.add("configuration", m_Table->version());
-  if (m_Target)
-    Line.add("target", m_Target->m_Name);
-  metrics::RequestLabels Labels = labels();
-  m_Owner.m_Metrics.observe(metrics::RequestTime::Total, Labels, Total);
-  m_Owner.m_Metrics.countOutcome(Labels, m_Reason);
+void GatewayRequest::finish(const char *Event) const {
+  logEnd(Event, m_Relay.status());
+  countEnd(m_Owner.m_Metrics);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -3,10 +3,9 @@
 #define YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
 
 #include "LibGateway/AnswerRelay.h"
-#include "LibGateway/AnswerTimes.h"
-#include "LibGateway/Dialect.h"
 #include "LibGateway/Gateway.h"
 #include "LibGateway/RequestAdmission.h"
+#include "LibGateway/RequestFacts.h"
 #include "LibHTTP/ClientConnection.h"
 
 #include <boost/asio/spawn.hpp>
@@ -22,7 +21,7 @@
 /// to no other, so that it can be sent again only by this code: after a
 /// target's own word that it did not run, when no byte was sent, or when its
 /// route lets it run twice.
-class GatewayRequest {
+class GatewayRequest : private RequestFacts {
 public:
   GatewayRequest(Gateway &Owner, http::Exchange &Caller);
   ~GatewayRequest();
@@ -44,8 +43,6 @@
   unsigned admit(boost::asio::yield_context Yield);
   /// \returns whether the request is within its account's quota.
   bool drawQuota(std::uint32_t Tokens, boost::asio::yield_context Yield);
-  routing::QuotaStep askQuotaOwner(boost::asio::yield_context Yield);
-  void logQuota(const char *Event) const;
   /// How long the caller waits for an event of a stream.
   core::Duration callersPatience() const;
   /// Callers that waited for this instance to start come before the store's
@@ -62,7 +59,6 @@
   /// Keeps a failure back where another target may do better.
   TryOutcome passWhole(http::ResponseMessage Answer,
                        boost::asio::yield_context Yield);
-  metrics::RequestLabels labels() const;
   void noteEvents(std::size_t Count);
   /// Whether another target may be tried after \p Last.
   bool mayTryAgain(TryOutcome Last);
@@ -73,28 +69,14 @@
   core::Duration retryAfter() const;
   void callerHungUp();
   void noteTry(TryOutcome Last);
-  /// What decided for the target, and how old it is.
-  void logSent() const;
-  void logTargetRefusal(const http::ResponseHead &Head) const;
-  void logEnd(const char *Event) const;
+  void finish(const char *Event) const;
 
   Gateway &m_Owner;
   http::Exchange &m_Caller;
   AnswerRelay m_Relay;
   core::RequestId m_Id;
-  RequestDescription m_Said;
-  routing::RoutingTableHandle m_Table; ///< In force when it was admitted.
-  const routing::Route *m_Route = nullptr;
-  const routing::Account *m_Account = nullptr;
-  core::PoolName m_Pool;
-  core::TierNumber m_Tier{1};
-  routing::QuotaDraw m_Draw;    ///< From the account's quota.
-  std::uint64_t m_QuotaAsk = 0; ///< Under way at an owner of it; 0: none.
-  std::optional<routing::QuotaAnswer> m_QuotaAnswer;
-  AnswerTimes m_Times;
   core::TimePoint m_EndsAt;
   boost::asio::steady_timer m_Wake;
-  std::optional<routing::Target> m_Target; ///< Chosen for the current try.
   bool m_IsRefused = false;
   bool m_IsCallerGone = false;
   bool m_IsOwnerGone = false;
@@ -105,8 +87,6 @@
   bool m_HasAnswerBegun = false;     ///< Of the current try.
   /// How long the connection may be kept, by the last answer on it.
   core::Duration m_KeepFor{};
-  unsigned m_Status = 0;
-  const char *m_Reason = "";
   /// A target's own failure, passed on unless another target does better.
   std::optional<http::ResponseMessage> m_FailureAnswer;
 };
--- a/Libraries/LibGateway/QuotaDesk.cpp
+++ b/Libraries/LibGateway/QuotaDesk.cpp
@@ -7,22 +7,13 @@
 /// An answer that has not come by then never comes.
 static constexpr std::chrono::seconds LongestWay{2};
 
-std::uint64_t QuotaDesk::ask(const routing::QuotaDraw &Draw, Receiver Answered,
-                             core::TimePoint Now) {
+void QuotaDesk::ask(const routing::QuotaDraw &Draw, Receiver Answered,
+                    core::TimePoint Now) {
   std::uint64_t Number = m_Next++;
   const config::Endpoint &Owner = Draw.m_Left.back();
   m_Pending[Number] = {Owner, Draw.m_Account, Now, std::move(Answered)};
   m_Metrics.count("yardrill_quota_asks_total");
   m_Send(Owner, peer::QuotaAsk{Number, Draw.m_Account, Draw.m_Tokens, 0});
-  return Number;
-}
-
-void QuotaDesk::abandon(std::uint64_t Ask) {
-  auto Found = m_Pending.find(Ask);
-  if (Found == m_Pending.end() || !Found->second.m_Answered)
-    return;
-  Found->second.m_Answered = nullptr;
-  m_Metrics.count("yardrill_quota_asks_unanswered_total");
 }
 
 void QuotaDesk::take(const config::Endpoint &From, const peer::QuotaAsk &Ask,
@@ -55,18 +46,20 @@
   Says.m_Tokens = Answer.m_Tokens;
   Says.m_RetryAfter =
       core::Duration(static_cast<std::int64_t>(Answer.m_RetryAfterUs));
-  if (Asked.m_Answered)
-    return Asked.m_Answered(Says);
-  m_Book.keep(From, Asked.m_Account, Says.m_Tokens, Now);
+  if (!Asked.m_Answered(Says))
+    m_Book.keep(From, Asked.m_Account, Says.m_Tokens, Now);
 }
 
 void QuotaDesk::upkeep(core::TimePoint Now) {
   for (const routing::QuotaReturn &Each : m_Book.takeUnused(Now))
     m_Send(Each.m_Owner, peer::QuotaAsk{0, Each.m_Account, 0, Each.m_Tokens});
   for (auto Each = m_Pending.begin(); Each != m_Pending.end();) {
-    bool IsOver =
-        !Each->second.m_Answered && Now - Each->second.m_AskedAt > LongestWay;
-    Each = IsOver ? m_Pending.erase(Each) : std::next(Each);
+    if (Now - Each->second.m_AskedAt <= LongestWay) {
+      ++Each;
+      continue;
+    }
+    m_Metrics.count("yardrill_quota_asks_unanswered_total");
+    Each = m_Pending.erase(Each);
   }
 }
 
--- a/Libraries/LibGateway/QuotaDesk.h
+++ b/Libraries/LibGateway/QuotaDesk.h
@@ -17,18 +17,17 @@
 public:
   using Sender =
       std::function<void(const config::Endpoint &, const peer::PeerBody &)>;
-  using Receiver = std::function<void(const routing::QuotaAnswer &)>;
+  /// \returns false when the answer is not waited for any more.
+  using Receiver = std::function<bool(const routing::QuotaAnswer &)>;
 
   QuotaDesk(routing::QuotaBook &Book, metrics::MetricsRegistry &Metrics,
             Sender Send)
       : m_Book(Book), m_Metrics(Metrics), m_Send(std::move(Send)) {}
 
-  /// Asks the owner that \p Draw has to ask next. \returns a number for it.
-  std::uint64_t ask(const routing::QuotaDraw &Draw, Receiver Answered,
-                    core::TimePoint Now);
-  /// The answer is not waited for any more. Tokens that it still brings are
-  /// kept for others.
-  void abandon(std::uint64_t Ask);
+  /// Asks the owner that \p Draw has to ask next. Tokens of an answer that is
+  /// not waited for any more are kept for others.
+  void ask(const routing::QuotaDraw &Draw, Receiver Answered,
+           core::TimePoint Now);
   /// Takes a message of another instance.
   void take(const config::Endpoint &From, const peer::QuotaAsk &Ask,
             core::TimePoint Now);
@@ -42,7 +41,7 @@
     config::Endpoint m_Owner;
     routing::AccountHash m_Account = 0;
     core::TimePoint m_AskedAt{};
-    Receiver m_Answered; ///< Empty: abandoned.
+    Receiver m_Answered;
   };
 
   routing::QuotaBook &m_Book;
--- /dev/null
+++ b/Libraries/LibGateway/QuotaService.cpp
@@ -0,0 +1,95 @@
+#include "LibGateway/QuotaService.h"
+
+#include "LibCore/Digest.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+using routing::QuotaStep;
+
+QuotaService::QuotaService(asio::io_context &Context,
+                           const GatewaySettings &Settings,
+                           metrics::MetricsRegistry &Metrics,
+                           QuotaDesk::Sender Send)
+    : m_Context(Context),
+      m_Book(Settings.m_PeerAddress, Settings.m_QuotaTolerance,
+             Settings.m_IsFirstStart, core::randomBits()),
+      m_Desk(m_Book, Metrics, std::move(Send)) {}
+
+void QuotaService::setAccounts(const std::vector<routing::Account> &Accounts) {
+  m_Book.setAccounts(Accounts, core::steadyNow());
+}
+
+bool QuotaService::setOwners(const FleetList &Instances) {
+  if (Instances == m_Owners)
+    return false;
+  m_Owners = Instances;
+  std::vector<config::Endpoint> Members;
+  for (const auto &[Address, Hall] : m_Owners)
+    Members.push_back(Address);
+  m_Book.setRing(routing::OwnerRing(Members), core::steadyNow());
+  return true;
+}
+
+void QuotaService::take(const peer::PeerMessage &Message) {
+  core::TimePoint Now = core::steadyNow();
+  const config::Endpoint &From = Message.m_From.m_Peer;
+  if (const auto *Ask = std::get_if<peer::QuotaAsk>(&Message.m_Body))
+    return m_Desk.take(From, *Ask, Now);
+  if (const auto *Answer = std::get_if<peer::QuotaAnswer>(&Message.m_Body))
+    m_Desk.take(From, *Answer, Now);
+}
+
+bool QuotaService::draw(routing::QuotaDraw &Draw, asio::yield_context Yield) {
+  QuotaStep Step = m_Book.begin(Draw, core::steadyNow());
+  while (Step == QuotaStep::Ask)
+    Step = ask(Draw, Yield);
+  return Step == QuotaStep::Granted;
+}
+
+namespace {
+
+/// Outlives whichever of the two ends first: the request, or the wait for the
+/// answer.
+struct Wait {
+  explicit Wait(asio::io_context &Context)
+      : m_Timer(Context, routing::QuotaBook::Patience) {}
+
+  asio::steady_timer m_Timer;
+  bool m_IsOver = false;
+  std::optional<routing::QuotaAnswer> m_Answer;
+};
+
+} // namespace
+
+QuotaStep QuotaService::ask(routing::QuotaDraw &Draw,
+                            asio::yield_context Yield) {
+  auto Waits = std::make_shared<Wait>(m_Context);
+  m_Desk.ask(
+      Draw,
+      [Waits](const routing::QuotaAnswer &Answer) {
+        if (Waits->m_IsOver)
+          return false;
+        Waits->m_Answer = Answer;
+        Waits->m_Timer.cancel();
+        return true;
+      },
+      core::steadyNow());
+  boost::system::error_code Ignored;
+  if (!Waits->m_Answer)
+    Waits->m_Timer.async_wait(Yield[Ignored]);
+  Waits->m_IsOver = true;
+  core::TimePoint Now = core::steadyNow();
+  if (Waits->m_Answer)
+    return m_Book.answered(Draw, *Waits->m_Answer, Now);
+  return m_Book.unanswered(Draw, Now);
+}
+
+void QuotaService::giveBack(const routing::QuotaDraw &Draw) {
+  m_Book.giveBack(Draw, core::steadyNow());
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/QuotaService.h
@@ -0,0 +1,48 @@
+//===-- QuotaService.h - Quotas of all accounts, kept with the others -----===//
+#ifndef YARDRILL_LIBGATEWAY_QUOTASERVICE_H
+#define YARDRILL_LIBGATEWAY_QUOTASERVICE_H
+
+#include "LibGateway/FleetRecord.h"
+#include "LibGateway/GatewaySettings.h"
+#include "LibGateway/QuotaDesk.h"
+#include "LibMetrics/MetricsRegistry.h"
+#include "LibPeer/PeerMessage.h"
+#include "LibRouting/QuotaBook.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+namespace yardrill::gateway {
+
+class QuotaService {
+public:
+  QuotaService(boost::asio::io_context &Context,
+               const GatewaySettings &Settings,
+               metrics::MetricsRegistry &Metrics, QuotaDesk::Sender Send);
+
+  void setAccounts(const std::vector<routing::Account> &Accounts);
+  /// \param Instances that may own quotas. \returns whether they are others
+  /// than before.
+  bool setOwners(const FleetList &Instances);
+  /// Takes a message of a peer, if it is about quotas.
+  void take(const peer::PeerMessage &Message);
+  /// To be called a few times a second.
+  void upkeep(core::TimePoint Now) { m_Desk.upkeep(Now); }
+
+  /// Waits for its owners' answers. \returns whether \p Draw is granted.
+  bool draw(routing::QuotaDraw &Draw, boost::asio::yield_context Yield);
+  void giveBack(const routing::QuotaDraw &Draw);
+
+private:
+  routing::QuotaStep ask(routing::QuotaDraw &Draw,
+                         boost::asio::yield_context Yield);
+
+  boost::asio::io_context &m_Context;
+  routing::QuotaBook m_Book;
+  QuotaDesk m_Desk;
+  FleetList m_Owners;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- /dev/null
+++ b/Libraries/LibGateway/RequestFacts.cpp
@@ -0,0 +1,81 @@
+#include "LibGateway/RequestFacts.h"
+
+#include "LibCore/Log.h"
+
+namespace yardrill::gateway {
+
+metrics::RequestLabels RequestFacts::labels() const {
+  return {m_Account ? m_Account->m_Name : core::AccountName(), m_Tier, m_Pool};
+}
+
+void RequestFacts::logQuota(const char *Event) const {
+  core::LogLine Line(Event);
+  Line.add("request", m_Said.m_Id)
+      .add("account", m_Account->m_Name)
+      .add("tokens", m_Draw.m_Tokens)
+      .add("is_alone", m_Draw.m_IsAlone)
+      .add("took_us", core::steadyNow() - m_Times.arrivedAt());
+  if (m_Draw.m_RetryAfter)
+    Line.add("retry_after_us", *m_Draw.m_RetryAfter);
+}
+
+void RequestFacts::logSent(const routing::KnownTarget *Known,
+                           platform::Revision StoreRevision) const {
+  core::LogLine Line("request-sent");
+  Line.add("request", m_Said.m_Id)
+      .add("route", m_Route->m_Name)
+      .add("account_tier", m_Tier)
+      .add("route_tier", m_Route->m_Tier)
+      .add("target", m_Target->m_Name)
+      .add("try", m_Times.tries())
+      .add("waited_us", core::steadyNow() - m_Times.arrivedAt())
+      .add("configuration", m_Table->version())
+      .add("store_revision", StoreRevision);
+  if (Known)
+    Line.add("running_own", Known->m_Own.m_Running)
+        .add("running_others", Known->m_Others.m_Running)
+        .add("places", Known->m_Target.m_Places)
+        .add("slowness", Known->m_Slowness)
+        .add("failure_share", Known->m_FailureShare);
+}
+
+void RequestFacts::logTargetRefusal(unsigned TargetStatus) const {
+  core::LogLine(m_Reason, core::LogLevel::Warning)
+      .add("request", m_Said.m_Id)
+      .add("target", m_Target->m_Name)
+      .add("status", TargetStatus)
+      .add("try", m_Times.tries());
+}
+
+void RequestFacts::logEnd(const char *Event, unsigned AnswerStatus) const {
+  core::LogLine Line(Event);
+  core::TimePoint Now = core::steadyNow();
+  Line.add("request", m_Said.m_Id)
+      .add("route", m_Route ? m_Route->m_Name : "")
+      .add("tier", m_Tier)
+      .add("pool", m_Pool)
+      .add("status", m_Status != 0 ? m_Status : AnswerStatus)
+      .add("reason", m_Reason)
+      .add("tries", m_Times.tries())
+      .add("total_us", Now - m_Times.arrivedAt());
+  if (m_Route)
+    Line.add("late", toString(m_Times.lateness(m_Route->m_Objective,
+                                               m_Route->m_LongestPause, Now)));
+  if (m_Times.hasFirstEvent())
+    Line.add("first_event_us", m_Times.toFirstEvent())
+        .add("longest_pause_us", m_Times.longestPause())
+        .add("prompt_tokens", m_Said.m_PromptTokens);
+  if (m_Table)
+    Line.add("configuration", m_Table->version());
+  if (m_Target)
+    Line.add("target", m_Target->m_Name);
+}
+
+void RequestFacts::countEnd(metrics::MetricsRegistry &Metrics) const {
+  metrics::RequestLabels Labels = labels();
+  Metrics.observe(metrics::RequestTime::Total, Labels,
+                  core::steadyNow() - m_Times.arrivedAt());
+  Metrics.countOutcome(Labels, m_Reason);
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/RequestFacts.h
@@ -0,0 +1,50 @@
+//===-- RequestFacts.h - What is known of one request ---------------------===//
+//
+// Read by its logs and metrics, which stand apart from what decides.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBGATEWAY_REQUESTFACTS_H
+#define YARDRILL_LIBGATEWAY_REQUESTFACTS_H
+
+#include "LibGateway/AnswerTimes.h"
+#include "LibGateway/Dialect.h"
+#include "LibMetrics/MetricsRegistry.h"
+#include "LibPlatform/KeyValueService.h"
+#include "LibRouting/QuotaBook.h"
+#include "LibRouting/RoutingTable.h"
+#include "LibRouting/TargetDirectory.h"
+
+#include <optional>
+
+namespace yardrill::gateway {
+
+struct RequestFacts {
+  RequestDescription m_Said;
+  routing::RoutingTableHandle m_Table; ///< In force when it was admitted.
+  const routing::Route *m_Route = nullptr;
+  const routing::Account *m_Account = nullptr;
+  core::PoolName m_Pool;
+  core::TierNumber m_Tier{1};
+  routing::QuotaDraw m_Draw; ///< From the account's quota.
+  AnswerTimes m_Times{core::steadyNow()};
+  std::optional<routing::Target> m_Target; ///< Chosen for the current try.
+  unsigned m_Status = 0;                   ///< Of an answer of our own.
+  const char *m_Reason = "";
+
+  metrics::RequestLabels labels() const;
+
+  /// What became of its account's quota.
+  void logQuota(const char *Event) const;
+  /// What decided for the target, and how old it is.
+  /// \param Known null: it is not known any more.
+  void logSent(const routing::KnownTarget *Known,
+               platform::Revision StoreRevision) const;
+  void logTargetRefusal(unsigned TargetStatus) const;
+  /// \param AnswerStatus of a target's answer that was passed on.
+  void logEnd(const char *Event, unsigned AnswerStatus) const;
+  void countEnd(metrics::MetricsRegistry &Metrics) const;
+};
+
+} // namespace yardrill::gateway
+
+#endif
