LibGateway: Give each far peer its turn, however many there are

Found by reading: far peers were told in strides of 11, "a stride that meets all of them". Where their number is a multiple of 11 (264, 275, 286 ...) it meets an eleventh: the others hear no follower and no news of the store, and ask the store themselves. The deployments at hand have 280 and 281.

Change: Rotation, a stride near the golden ratio that has no divisor in common with the size.

--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -27,8 +27,6 @@
 /// Far peers that a follower tells at once of something new, for each group;
 /// these tell their groups.
 static constexpr std::size_t NewsInGroup = 2;
-/// Prime, and above the size of a group.
-static constexpr std::size_t Stride = 11;
 /// Where there are several groups, reports are rarer: each costs all others.
 static constexpr std::chrono::milliseconds LargeFleetPeriod{100};
 /// A process that has started has found the others after this time.
@@ -147,11 +145,8 @@
 
 void PeerLink::addSomeFarPeers(std::size_t Most,
                                std::vector<config::Endpoint> &To) {
-  // A stride that meets all of them, and each group early.
-  for (std::size_t I = 0; I < std::min(Most, m_Far.size()); ++I) {
-    m_NextFar = (m_NextFar + Stride) % m_Far.size();
-    To.push_back(m_Far[m_NextFar]);
-  }
+  for (std::size_t I = 0; I < std::min(Most, m_Far.size()); ++I)
+    To.push_back(m_Far[m_FarTurns.next()]);
 }
 
 void PeerLink::addFarReceivers(std::vector<config::Endpoint> &To) {
@@ -212,6 +207,7 @@
     if (!(Address == m_Settings.m_PeerAddress) && !m_Share.isNear(Address))
       m_Far.push_back(Address);
   }
+  m_FarTurns.setSize(m_Far.size());
   m_Duty.setRank(Rank);
 }
 
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -13,6 +13,7 @@
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/MissingPeers.h"
 #include "LibGateway/PeerTable.h"
+#include "LibGateway/Rotation.h"
 #include "LibGateway/StoreFetcher.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
@@ -125,7 +126,7 @@
   routing::FleetShare m_Share;
   routing::FleetShare::Fleet m_Fleet; ///< That m_Share was cut from.
   std::size_t m_Members = 0;          ///< Of its groups, at the most.
-  std::size_t m_NextFar = 0;
+  Rotation m_FarTurns;                ///< Through m_Far.
   std::size_t m_SeekNumber = 0;
   peer::LoadReport m_Reported; ///< As last sent.
   std::uint64_t m_Sequence = 0;
--- /dev/null
+++ b/Tests/LibGateway/RotationTest.cpp
@@ -0,0 +1,56 @@
+//===-- RotationTest.cpp - Everyone's turn --------------------------------===//
+//
+// Far peers were told in strides of 11; where their number was a multiple of
+// 11, an eleventh of them was told again and again, and the others never.
+//
+//===----------------------------------------------------------------------===//
+#include "LibGateway/Rotation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+using namespace yardrill::gateway;
+
+class RotationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RotationTest);
+  CPPUNIT_TEST(testMeetsAllBeforeAnyComesAgain);
+  CPPUNIT_TEST(testEarlyOnesLieOverTheWholeList);
+  CPPUNIT_TEST(testSizeMayChange);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testMeetsAllBeforeAnyComesAgain() {
+    for (std::size_t Size = 1; Size <= 450; ++Size) {
+      Rotation Turns;
+      Turns.setSize(Size);
+      std::set<std::size_t> Met;
+      for (std::size_t I = 0; I < Size; ++I)
+        Met.insert(Turns.next());
+      CPPUNIT_ASSERT_EQUAL(Size, Met.size());
+    }
+  }
+
+  void testEarlyOnesLieOverTheWholeList() {
+    for (std::size_t Size : {80, 264, 281, 440}) {
+      Rotation Turns;
+      Turns.setSize(Size);
+      // A tenth of the turns meets each quarter of the list.
+      std::set<std::size_t> Quarters;
+      for (std::size_t I = 0; I < Size / 10; ++I)
+        Quarters.insert(Turns.next() * 4 / Size);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(4), Quarters.size());
+    }
+  }
+
+  void testSizeMayChange() {
+    Rotation Turns;
+    Turns.setSize(100);
+    for (int I = 0; I < 70; ++I)
+      Turns.next();
+    Turns.setSize(3);
+    for (int I = 0; I < 9; ++I)
+      CPPUNIT_ASSERT(Turns.next() < 3);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RotationTest);
