LibRouting, LibGateway, platform: A target may start again under its name

Cause: the platform now says that a target may start again under the id that it had, with a new time of birth, and knows nothing of before. Every place took a name for one run: the directory (work counted, prompts pending, learned pace and slowness, failures, rest, probation, "replaced", lapsed since), what instances tell each other (hash of the name), a request's list of tried targets, connections kept by address. A restarted target would have started full, slow or resting for ever, and a call that may run once could be lost on a connection of the earlier run.

Ruled out as places: the mirror (by key and revision of the store, no order by the target's own counts), Expect-Replica (the id alone), `seq` (never read).

Change: TargetRun is a name and a birth, compared for equality alone, since a clock may be set back; all of the above goes by it. A new run closes the connections kept to its address. Entries of other writers name no target: every field that the platform names must be there, of its type, with a known state; an entry that becomes unreadable withdraws what it said before; one undecodable value does not keep a range from being read; a name that fits no header field is none; pools that the configuration does not name do not decide how the fleet is cut.

Fixtures write whole announcements now, since shorter ones are no targets any more.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -83,6 +83,10 @@
   virtual AnswerDescription describe(const http::ResponseHead &Head) const = 0;
   /// \throws core::Error of kind Protocol for an entry that can't be read.
   virtual StoreNews read(const platform::Entry &Change) const = 0;
+  /// Whose announcement an entry is, whether it can be read or not.
+  /// \returns none for an entry that is no target's.
+  virtual std::optional<core::TargetName>
+  targetOf(const platform::Entry &Change) const = 0;
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -113,7 +113,7 @@
       m_Context, m_Settings, m_Mirror, m_Metrics,
       PeerLinkHooks{[this](peer::LoadReport &Report) { describeLoad(Report); },
                     [this] { peersChanged(); },
-                    [this] { return m_Targets.largestPool(); },
+                    [this] { return largestPool(); },
                     [this](const routing::FleetShare &Share) {
                       m_Targets.setShare(Share);
                       updateQuotaOwners();
@@ -185,6 +185,9 @@
         .add("key", Change.m_Key)
         .add("revision", Change.m_Modified)
         .add("reason", Failure.what());
+    // What stood there before does not hold any more.
+    if (auto Name = m_Wire.targetOf(Change))
+      m_Targets.withdraw(*Name, core::steadyNow());
     return;
   }
   if (auto *Seen = std::get_if<ConfigurationSeen>(&News)) {
@@ -198,11 +201,14 @@
   if (const auto *Seen = std::get_if<TargetSeen>(&News)) {
     core::LogLine("target-seen")
         .add("target", Seen->m_Target.m_Name)
+        .add("birth", Seen->m_Target.m_Birth)
         .add("pool", Seen->m_Target.m_Pool)
         .add("address", Seen->m_Target.m_Address.toString())
         .add("is_leaving", Seen->m_Target.m_IsLeaving)
         .add("revision", Change.m_Modified);
-    return m_Targets.announce(Seen->m_Target);
+    if (m_Targets.announce(Seen->m_Target))
+      m_Connections.forget(Seen->m_Target.m_Address.toTcp());
+    return;
   }
   if (const auto *Gone = std::get_if<TargetGone>(&News)) {
     core::LogLine("target-gone")
@@ -224,6 +230,14 @@
       .add("accounts", m_Table->accounts().size());
 }
 
+std::size_t Gateway::largestPool() const {
+  std::size_t Out = 0;
+  if (m_Table)
+    for (const auto &[Name, Pool] : m_Table->pools())
+      Out = std::max(Out, m_Targets.countOf(Name));
+  return Out;
+}
+
 void Gateway::describeLoad(peer::LoadReport &Report) const {
   for (const auto &[Name, Known] : m_Targets.all()) {
     const routing::TargetLoad &Own = Known.m_Own;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -59,6 +59,8 @@
   core::Duration startDelay();
   void take(const platform::Entry &Change);
   void adopt(routing::RoutingTableHandle Next);
+  /// Targets of the largest pool that the configuration names.
+  std::size_t largestPool() const;
   void describeLoad(peer::LoadReport &Report) const;
   void peersChanged();
   /// Who owns quotas, by what is known of the fleet now.
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -218,7 +218,7 @@
 //===----------------------------------------------------------------------===//
 
 TryOutcome GatewayRequest::tryTarget(asio::yield_context Yield) {
-  logSent(m_Owner.m_Targets.find(m_Target->m_Name),
+  logSent(m_Owner.m_Targets.findRun(m_Target->run()),
           m_Owner.m_Mirror.revision());
   if (timeLeft() <= core::Duration::zero()) {
     m_Reason = "time-over";
@@ -305,7 +305,7 @@
     m_Reason = Says.m_IsMisdirected ? "target-replaced" : "target-refused";
     logTargetRefusal(Head.m_Status);
     if (Says.m_IsMisdirected)
-      m_Owner.m_Targets.replaced(m_Target->m_Name);
+      m_Owner.m_Targets.replaced(m_Target->run());
     while (!Connection.readPiece(timeLeft() + AnswerSlack, Yield).empty()) {
       // Its reason is for us alone.
     }
@@ -347,7 +347,7 @@
   bool IsFirst = !m_Times.hasFirstEvent();
   std::optional<core::Duration> Pause = m_Times.noteEvents(Count, Now);
   if (m_PendingPrompt > 0) {
-    m_Owner.m_Targets.began(m_Target->m_Name, m_PendingPrompt);
+    m_Owner.m_Targets.began(m_Target->run(), m_PendingPrompt);
     m_PendingPrompt = 0;
   }
   if (IsFirst) {
@@ -358,7 +358,7 @@
   if (Pause) {
     m_Owner.m_Metrics.observe(metrics::RequestTime::BetweenTokens, Labels,
                               *Pause);
-    m_Owner.m_Targets.notePace(m_Target->m_Name, *Pause);
+    m_Owner.m_Targets.notePace(m_Target->run(), *Pause);
   }
 }
 
@@ -368,25 +368,25 @@
 
 void GatewayRequest::noteTry(TryOutcome Last) {
   core::TimePoint Now = core::steadyNow();
-  const core::TargetName &Name = m_Target->m_Name;
-  m_Owner.m_Targets.ended(Name, m_PendingPrompt);
-  m_Tried.insert(Name);
+  routing::TargetRun Run = m_Target->run();
+  m_Owner.m_Targets.ended(Run, m_PendingPrompt);
+  m_Tried.insert(Run);
   bool IsShort = !m_Times.hasEventOfTry();
   switch (Last) {
   case TryOutcome::Complete:
-    m_Owner.m_Targets.succeeded(Name);
+    m_Owner.m_Targets.succeeded(Run);
     if (IsShort)
-      m_Owner.m_Targets.notePace(Name, Now - m_Times.tryStartedAt());
+      m_Owner.m_Targets.notePace(Run, Now - m_Times.tryStartedAt());
     break;
   case TryOutcome::NotSent:
-    m_Owner.m_Targets.failed(Name, routing::TargetFailure::Unreachable, Now);
+    m_Owner.m_Targets.failed(Run, routing::TargetFailure::Unreachable, Now);
     break;
   case TryOutcome::NotRun:
-    m_Owner.m_Targets.failed(Name, routing::TargetFailure::Refused, Now);
+    m_Owner.m_Targets.failed(Run, routing::TargetFailure::Refused, Now);
     break;
   case TryOutcome::Failed:
     ++m_Runs;
-    m_Owner.m_Targets.failed(Name,
+    m_Owner.m_Targets.failed(Run,
                              m_HasAnswerBegun
                                  ? routing::TargetFailure::Failed
                                  : routing::TargetFailure::Unreachable,
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -81,7 +81,7 @@
   bool m_IsCallerGone = false;
   bool m_IsOwnerGone = false;
   http::ClientConnection *m_Connection = nullptr;
-  std::set<core::TargetName> m_Tried;
+  std::set<routing::TargetRun> m_Tried;
   unsigned m_Runs = 0;               ///< Tries that may have run.
   std::uint32_t m_PendingPrompt = 0; ///< Counted at the current target.
   bool m_HasAnswerBegun = false;     ///< Of the current try.
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -30,11 +30,22 @@
     Kept.push_back({std::move(Connection), core::steadyNow() + UsableFor});
 }
 
+void ConnectionPool::forget(const tcp::endpoint &Address) {
+  m_Idle.erase(Address);
+}
+
+std::size_t ConnectionPool::idle(const tcp::endpoint &Address) const {
+  auto Found = m_Idle.find(Address);
+  return Found == m_Idle.end() ? 0 : Found->second.size();
+}
+
 void ConnectionPool::closeExpired() {
   core::TimePoint Now = core::steadyNow();
-  for (auto &[Address, Kept] : m_Idle) {
-    auto IsOld = [Now](const Idle &Each) { return Each.m_UsableUntil <= Now; };
+  auto IsOld = [Now](const Idle &Each) { return Each.m_UsableUntil <= Now; };
+  for (auto Place = m_Idle.begin(); Place != m_Idle.end();) {
+    auto &Kept = Place->second;
     Kept.erase(std::remove_if(Kept.begin(), Kept.end(), IsOld), Kept.end());
+    Place = Kept.empty() ? m_Idle.erase(Place) : std::next(Place);
   }
 }
 
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -38,10 +38,15 @@
   void giveBack(const boost::asio::ip::tcp::endpoint &Address,
                 std::unique_ptr<ClientConnection> Connection,
                 core::Duration UsableFor = std::chrono::hours(1));
+  /// Closes the kept ones of an address: who answers there has changed. A
+  /// request sent on one would end without anybody knowing whether it arrived.
+  void forget(const boost::asio::ip::tcp::endpoint &Address);
   /// Closes connections that rested for too long.
   void closeExpired();
 
   std::uint64_t opened() const { return m_Opened; }
+  /// Kept for the address now.
+  std::size_t idle(const boost::asio::ip::tcp::endpoint &Address) const;
 
 private:
   struct Idle {
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -31,7 +31,7 @@
 
 /// Work under way at one target, sent by the reporting instance.
 struct TargetUse {
-  std::uint32_t m_Target = 0; ///< Low half of stableHash() of its name.
+  std::uint32_t m_Target = 0; ///< routing::TargetRun::hash().
   std::uint16_t m_Running = 0;
   std::uint32_t m_PendingPrompt = 0; ///< Prompt tokens without a first event.
 
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -148,7 +148,7 @@
                                                   core::TimePoint Now) const {
   std::vector<KnownTarget *> Out;
   for (KnownTarget *Each : m_Targets.of(What.m_Pool))
-    if (Each->isOpen() && What.m_Tried.count(Each->m_Target.m_Name) == 0)
+    if (Each->isOpen() && What.m_Tried.count(Each->m_Target.run()) == 0)
       Out.push_back(Each);
   // A target that has just failed always has free places: where the others are
   // full, everything that waits would fall on it.
@@ -206,7 +206,7 @@
   if (!Best)
     return false;
   Target Where = Best->m_Target;
-  m_Targets.started(Where.m_Name, What.m_PromptTokens);
+  m_Targets.started(Where.run(), What.m_PromptTokens);
   m_Hooks.m_Send(What.m_Request, Where);
   return true;
 }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -33,7 +33,7 @@
   core::TimePoint m_BeginsBy{};
   /// The answer must be complete by then.
   core::TimePoint m_EndsAt{};
-  std::set<core::TargetName> m_Tried; ///< Not again.
+  std::set<TargetRun> m_Tried; ///< Not again.
 };
 
 struct DispatcherHooks {
--- a/Libraries/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/RoutingTable.h
@@ -99,6 +99,9 @@
                          const std::string &Path) const;
   const Account *findAccountByKey(const std::string &Key) const;
   const Pool *findPool(const core::PoolName &Name) const;
+  const std::unordered_map<core::PoolName, Pool> &pools() const {
+    return m_Pools;
+  }
   const std::vector<Account> &accounts() const { return m_Accounts; }
   /// Whether requests on routes that are not public need a key.
   bool hasAccounts() const { return !m_Accounts.empty(); }
--- a/Libraries/LibRouting/Target.h
+++ b/Libraries/LibRouting/Target.h
@@ -6,16 +6,46 @@
 #include "LibCore/StrongType.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <tuple>
 
 namespace yardrill::routing {
 
+/// One life of a target, from its start to its end. A target may start again
+/// under the name that it had; it then holds and knows nothing of before, and
+/// what was learned or counted of the earlier run says nothing about it. Births
+/// are compared for equality alone: a clock that was set back must not make a
+/// later run look like an earlier one.
+struct TargetRun {
+  core::TargetName m_Name;
+  core::TargetBirth m_Birth;
+
+  TargetRun() = default;
+  /// A name alone is that of a target that does not say when it started.
+  TargetRun(core::TargetName Name, core::TargetBirth Birth = {})
+      : m_Name(std::move(Name)), m_Birth(Birth) {}
+
+  /// By which instances tell each other of it.
+  std::uint32_t hash() const;
+
+  bool operator==(const TargetRun &Other) const {
+    return m_Birth == Other.m_Birth && m_Name == Other.m_Name;
+  }
+  bool operator<(const TargetRun &Other) const {
+    return std::tie(m_Name, m_Birth) < std::tie(Other.m_Name, Other.m_Birth);
+  }
+};
+
 struct Target {
-  core::TargetName m_Name; ///< Of one run of the target; never used again.
+  core::TargetName m_Name;
+  core::TargetBirth m_Birth;
   core::PoolName m_Pool;
   config::Endpoint m_Address;
   core::DataHallName m_DataHall;
   std::size_t m_Places = 1; ///< Requests it runs at one time.
   bool m_IsLeaving = false; ///< Ends soon; gets no new work.
+
+  TargetRun run() const { return {m_Name, m_Birth}; }
 };
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -1,7 +1,5 @@
 #include "LibRouting/TargetDirectory.h"
 
-#include "LibCore/Digest.h"
-
 #include <algorithm>
 
 namespace yardrill::routing {
@@ -35,12 +33,16 @@
   m_PendingPrompt -= std::min<std::uint64_t>(m_PendingPrompt, Tokens);
 }
 
-void TargetDirectory::announce(const Target &What) {
+bool TargetDirectory::announce(const Target &What) {
   auto [Place, IsNew] = m_Targets.try_emplace(What.m_Name);
   KnownTarget &Known = Place->second;
-  if (IsNew)
-    Known.m_Hash =
-        static_cast<std::uint32_t>(core::stableHash(What.m_Name.value()));
+  bool IsNewRun = IsNew || Known.m_Target.m_Birth != What.m_Birth;
+  if (IsNewRun) {
+    core::PoolName Pool = Known.m_Target.m_Pool;
+    Known = KnownTarget();
+    Known.m_Target.m_Pool = Pool;
+    Known.m_Hash = What.run().hash();
+  }
   if (!IsNew && Known.m_Target.m_Pool != What.m_Pool) {
     auto &Old = m_ByPool[Known.m_Target.m_Pool];
     Old.erase(std::remove(Old.begin(), Old.end(), What.m_Name), Old.end());
@@ -51,8 +53,9 @@
     Names.push_back(What.m_Name);
   Known.m_Target = What;
   Known.m_LapsedAt.reset();
-  if (IsNew)
+  if (IsNewRun)
     cut(What.m_Pool);
+  return IsNewRun;
 }
 
 void TargetDirectory::withdraw(const core::TargetName &Name,
@@ -90,40 +93,40 @@
   }
 }
 
-void TargetDirectory::started(const core::TargetName &Name,
+void TargetDirectory::started(const TargetRun &Run,
                               std::uint32_t PromptTokens) {
-  if (KnownTarget *Known = find(Name)) {
+  if (KnownTarget *Known = findRun(Run)) {
     ++Known->m_Own.m_Running;
     Known->m_Own.m_PendingPrompt += PromptTokens;
   }
 }
 
-void TargetDirectory::began(const core::TargetName &Name,
+void TargetDirectory::began(const TargetRun &Run,
                             std::uint32_t PromptTokens) {
-  KnownTarget *Known = find(Name);
+  KnownTarget *Known = findRun(Run);
   if (!Known)
     return;
   Known->m_FailuresInARow = 0;
   Known->m_Own.forgetPrompt(PromptTokens);
 }
 
-void TargetDirectory::replaced(const core::TargetName &Name) {
-  if (KnownTarget *Known = find(Name))
+void TargetDirectory::replaced(const TargetRun &Run) {
+  if (KnownTarget *Known = findRun(Run))
     Known->m_IsReplaced = true;
 }
 
-void TargetDirectory::ended(const core::TargetName &Name,
+void TargetDirectory::ended(const TargetRun &Run,
                             std::uint32_t PendingPrompt) {
-  KnownTarget *Known = find(Name);
+  KnownTarget *Known = findRun(Run);
   if (!Known || Known->m_Own.m_Running == 0)
     return;
   --Known->m_Own.m_Running;
   Known->m_Own.forgetPrompt(PendingPrompt);
 }
 
-void TargetDirectory::failed(const core::TargetName &Name, TargetFailure How,
+void TargetDirectory::failed(const TargetRun &Run, TargetFailure How,
                              core::TimePoint Now) {
-  KnownTarget *Known = find(Name);
+  KnownTarget *Known = findRun(Run);
   if (!Known)
     return;
   Known->m_FailureShare += FailureWeight * (1 - Known->m_FailureShare);
@@ -137,17 +140,17 @@
   Known->m_RestsUntil = Now + Rest;
 }
 
-void TargetDirectory::succeeded(const core::TargetName &Name) {
-  KnownTarget *Known = find(Name);
+void TargetDirectory::succeeded(const TargetRun &Run) {
+  KnownTarget *Known = findRun(Run);
   if (!Known)
     return;
   Known->m_FailureShare -= FailureWeight * Known->m_FailureShare;
   Known->m_FailuresInARow = 0;
 }
 
-void TargetDirectory::notePace(const core::TargetName &Name,
+void TargetDirectory::notePace(const TargetRun &Run,
                                core::Duration Pace) {
-  KnownTarget *Known = find(Name);
+  KnownTarget *Known = findRun(Run);
   if (!Known)
     return;
   double Ms = core::toSeconds(Pace) * 1000;
@@ -196,6 +199,12 @@
   return Found == m_Targets.end() ? nullptr : &Found->second;
 }
 
+KnownTarget *TargetDirectory::findRun(const TargetRun &Run) {
+  KnownTarget *Known = find(Run.m_Name);
+  bool IsIt = Known && Known->m_Target.m_Birth == Run.m_Birth;
+  return IsIt ? Known : nullptr;
+}
+
 std::vector<KnownTarget *> TargetDirectory::of(const core::PoolName &Pool) {
   std::vector<KnownTarget *> Out;
   auto Found = m_Own.find(Pool);
@@ -229,11 +238,9 @@
   std::rotate(Own.begin(), First, Own.end());
 }
 
-std::size_t TargetDirectory::largestPool() const {
-  std::size_t Out = 0;
-  for (const auto &[Pool, Names] : m_ByPool)
-    Out = std::max(Out, Names.size());
-  return Out;
+std::size_t TargetDirectory::countOf(const core::PoolName &Pool) const {
+  auto Found = m_ByPool.find(Pool);
+  return Found == m_ByPool.end() ? 0 : Found->second.size();
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -33,7 +33,7 @@
 /// One target as this instance knows it.
 struct KnownTarget {
   Target m_Target;
-  std::uint32_t m_Hash = 0; ///< Low half of stableHash() of its name.
+  std::uint32_t m_Hash = 0; ///< TargetRun::hash().
   TargetLoad m_Own;
   TargetLoad m_Others;
   double m_PaceMs = 0;       ///< Learned: time of one event or short answer.
@@ -56,8 +56,10 @@
 /// Takes announcements in and remembers what was learned about each target.
 class TargetDirectory {
 public:
-  /// A target was announced or changed.
-  void announce(const Target &What);
+  /// A target was announced or changed. What is counted and was learned of an
+  /// earlier run under the same name is forgotten.
+  /// \returns whether it is a run that was not known.
+  bool announce(const Target &What);
   /// Its announcement is gone. It is used for a little longer if nothing else
   /// is there: announcements that ran out while the store was away come back
   /// within two seconds of its return.
@@ -65,16 +67,17 @@
   /// Forgets targets whose announcements did not come back.
   void forgetLapsed(core::TimePoint Now);
 
-  void started(const core::TargetName &Name, std::uint32_t PromptTokens);
-  void began(const core::TargetName &Name, std::uint32_t PromptTokens);
-  void ended(const core::TargetName &Name, std::uint32_t PendingPrompt);
-  void failed(const core::TargetName &Name, TargetFailure How,
-              core::TimePoint Now);
+  // What became of requests at a run. Of a run that has ended nothing is taken
+  // in: its requests may outlast it.
+  void started(const TargetRun &Run, std::uint32_t PromptTokens);
+  void began(const TargetRun &Run, std::uint32_t PromptTokens);
+  void ended(const TargetRun &Run, std::uint32_t PendingPrompt);
+  void failed(const TargetRun &Run, TargetFailure How, core::TimePoint Now);
   /// Another target answered at its address.
-  void replaced(const core::TargetName &Name);
-  void succeeded(const core::TargetName &Name);
+  void replaced(const TargetRun &Run);
+  void succeeded(const TargetRun &Run);
   /// Time between two events of a stream, or of a whole short answer.
-  void notePace(const core::TargetName &Name, core::Duration Pace);
+  void notePace(const TargetRun &Run, core::Duration Pace);
   /// Time from the dispatch of a stream to its first event.
   void noteBegin(const core::PoolName &Pool, core::Duration Time);
   /// By when nearly every stream that is sent now has begun.
@@ -84,12 +87,14 @@
   /// targets that all groups share is not known, and not guessed.
   void setOthers(const std::unordered_map<std::uint32_t, TargetLoad> &Sums);
 
-  /// How many targets the largest pool has.
-  std::size_t largestPool() const;
+  /// How many targets the pool has.
+  std::size_t countOf(const core::PoolName &Pool) const;
   /// The part of the targets that this instance works with.
   void setShare(const FleetShare &Share);
 
   KnownTarget *find(const core::TargetName &Name);
+  /// \returns null when the run has ended, as far as is known.
+  KnownTarget *findRun(const TargetRun &Run);
   /// Targets of a pool that this instance works with.
   std::vector<KnownTarget *> of(const core::PoolName &Pool);
   const std::map<core::TargetName, KnownTarget> &all() const {
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -29,7 +29,7 @@
 
 namespace {
 
-/// Gives a fixed content, then says nothing.
+/// Gives a fixed content, then what a test changes.
 class MockStore final : public EmptyStore {
 public:
   explicit MockStore(asio::io_context &Context) : m_Context(Context) {}
@@ -48,18 +48,34 @@
     return m_Content;
   }
   void watch(const std::string &, platform::Revision,
-             const std::function<bool(const std::vector<platform::Entry> &)> &,
+             const std::function<bool(const std::vector<platform::Entry> &)>
+                 &Notify,
              asio::yield_context Yield) override {
-    asio::steady_timer Forever(m_Context, std::chrono::hours(1));
-    boost::system::error_code Ignored;
-    Forever.async_wait(Yield[Ignored]);
+    asio::steady_timer Pause(m_Context);
+    while (true) {
+      Pause.expires_after(std::chrono::milliseconds(5));
+      boost::system::error_code Ignored;
+      Pause.async_wait(Yield[Ignored]);
+      std::lock_guard<std::mutex> Lock(m_Mutex);
+      if (m_Changes.empty())
+        continue;
+      m_Last = m_Changes.back().m_Modified;
+      Notify(std::exchange(m_Changes, {}));
+    }
   }
-  platform::Revision lastRevision() const override {
-    return platform::Revision(9);
+  platform::Revision lastRevision() const override { return m_Last; }
+  /// From any thread.
+  void change(const std::string &Key, const std::string &Value) {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Changes.push_back({Key, Value, platform::Revision(m_NextRevision++)});
   }
 
 private:
   asio::io_context &m_Context;
+  platform::Revision m_Last{9};
+  std::int64_t m_NextRevision = 10;
+  std::mutex m_Mutex;
+  std::vector<platform::Entry> m_Changes;
 };
 
 using Request = beast::http::request<beast::http::string_body>;
@@ -85,12 +101,14 @@
     return m_Requests;
   }
   std::atomic<int> m_ClosedWhileWaiting{0};
+  std::atomic<int> m_Accepted{0}; ///< Connections.
 
 private:
   void accept(asio::yield_context Yield) {
     while (true) {
       tcp::socket Socket(m_Acceptor.get_executor());
       m_Acceptor.async_accept(Socket, Yield);
+      ++m_Accepted;
       auto Kept = std::make_shared<tcp::socket>(std::move(Socket));
       asio::spawn(
           m_Acceptor.get_executor(),
@@ -192,6 +210,8 @@
   CPPUNIT_TEST(testRunsOnceWhatMayRunOnce);
   CPPUNIT_TEST(testGoesOnAfterATargetsOwnRefusal);
   CPPUNIT_TEST(testTargetThatWasReplacedIsLeftAlone);
+  CPPUNIT_TEST(testRestartedTargetIsCalledOnNewConnections);
+  CPPUNIT_TEST(testUnreadableAnnouncementsNameNoTarget);
   CPPUNIT_TEST(testRepeatsWhatMayBeRepeated);
   CPPUNIT_TEST(testSkipsASurplusAnswer);
   CPPUNIT_TEST(testUnsignedSuccessIsNoAnswer);
@@ -217,13 +237,19 @@
   void addTarget(ScriptedTarget::Script Make) {
     m_Targets.push_back(
         std::make_unique<ScriptedTarget>(m_Context, std::move(Make)));
-    std::string Name = "i-" + std::to_string(m_Targets.size());
+    std::size_t Number = m_Targets.size();
     m_Store.m_Content.push_back(
-        {"servers/" + Name,
-         R"({"service":"app","address":"127.0.0.1:)" +
-             std::to_string(m_Targets.back()->port()) +
-             R"(","zone":"hall","slots":4,"state":"ready"})",
-         platform::Revision(2)});
+        {keyOf(Number), announcement(Number, 1), platform::Revision(2)});
+  }
+  static std::string keyOf(std::size_t Number) {
+    return "servers/i-" + std::to_string(Number);
+  }
+  std::string announcement(std::size_t Number, std::int64_t Birth) const {
+    return R"({"service":"app","address":"127.0.0.1:)" +
+           std::to_string(m_Targets.at(Number - 1)->port()) +
+           R"(","zone":"hall","version":"v1","slots":4,"state":"ready",)"
+           R"("coldLeftMs":0,"seq":1,"born":)" +
+           std::to_string(Birth) + "}";
   }
   static config::Endpoint local(int Port) {
     return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
@@ -394,6 +420,43 @@
     CPPUNIT_ASSERT(m_Targets[0]->requests().size() <= 1);
   }
 
+  /// A call that may run once was lost with a connection that the target's
+  /// earlier run had left behind.
+  void testRestartedTargetIsCalledOnNewConnections() {
+    addTarget([](const Request &Read) { return whole(Read, "answer"); });
+    start();
+    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
+    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
+    CPPUNIT_ASSERT_EQUAL(1, m_Targets[0]->m_Accepted.load());
+    m_Store.change(keyOf(1), announcement(1, 2));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
+    CPPUNIT_ASSERT_EQUAL(2, m_Targets[0]->m_Accepted.load());
+    // The same run says more of itself.
+    m_Store.change(keyOf(1), announcement(1, 2) + " ");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
+    CPPUNIT_ASSERT_EQUAL(2, m_Targets[0]->m_Accepted.load());
+  }
+
+  /// An entry is overwritten by somebody who is no target, and others are added
+  /// beside it: the sound target serves on, alone.
+  void testUnreadableAnnouncementsNameNoTarget() {
+    addTarget([](const Request &Read) { return whole(Read, "one"); });
+    addTarget([](const Request &Read) { return whole(Read, "two"); });
+    start();
+    m_Store.change(keyOf(1), R"({"service":"app"})");
+    m_Store.change("servers/other", "\xff\xfe");
+    m_Store.change("servers/", announcement(1, 1));
+    // Longer than a missing announcement is waited for.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1700));
+    std::size_t Before = m_Targets[0]->requests().size();
+    for (int I = 0; I < 6; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                           send(request("/once/x")).m_Body);
+    CPPUNIT_ASSERT_EQUAL(Before, m_Targets[0]->requests().size());
+  }
+
   void testRepeatsWhatMayBeRepeated() {
     addTarget([](const Request &Read) {
       return whole(Read, "broken", "500 Internal Server Error");
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(testRestedTargetIsTriedWithOneRequest);
   CPPUNIT_TEST(testOneErrorDoesNotCloseATarget);
   CPPUNIT_TEST(testReplacedTargetGetsNothing);
+  CPPUNIT_TEST(testTriedRunThatStartedAgainIsAnother);
   CPPUNIT_TEST(testLapsedTargetsServeUntilTheyAreForgotten);
   CPPUNIT_TEST(testReturnedTargetIsAsBefore);
   CPPUNIT_TEST_SUITE_END();
@@ -413,6 +414,20 @@
     CPPUNIT_ASSERT(m_Refused.count(core::RequestId(1)) == 1);
   }
 
+  /// The only target crashed under a request that may be sent again, and is
+  /// back under its name: it is not the run that was tried.
+  void testTriedRunThatStartedAgainIsAnother() {
+    Target Again = target("a");
+    Again.m_Birth = core::TargetBirth(1);
+    m_Targets.announce(Again);
+    PlacementRequest Wanted = request(1);
+    Wanted.m_Tried.insert(Again.run());
+    Again.m_Birth = core::TargetBirth(2);
+    m_Targets.announce(Again);
+    m_Dispatcher.place(Wanted, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(1));
+  }
+
   void testLapsedTargetsServeUntilTheyAreForgotten() {
     announce("a");
     announce("b");
--- a/Tests/LibRouting/TargetDirectoryTest.cpp
+++ b/Tests/LibRouting/TargetDirectoryTest.cpp
@@ -9,16 +9,22 @@
 class TargetDirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetDirectoryTest);
   CPPUNIT_TEST(testSmallPoolThatLeavesIsForgottenSoon);
+  CPPUNIT_TEST(testRunThatStartsAgainUnderItsNameIsNew);
+  CPPUNIT_TEST(testRequestsThatOutlastTheirRunCountNowhere);
   CPPUNIT_TEST_SUITE_END();
 
   core::TimePoint m_Now{std::chrono::hours(1)};
   TargetDirectory m_Targets;
 
-  void announce(const char *Name, const char *Pool) {
+  bool announce(const char *Name, const char *Pool, std::int64_t Birth = 0) {
     Target What;
     What.m_Name = core::TargetName(Name);
+    What.m_Birth = core::TargetBirth(Birth);
     What.m_Pool = core::PoolName(Pool);
-    m_Targets.announce(What);
+    return m_Targets.announce(What);
+  }
+  static TargetRun run(const char *Name, std::int64_t Birth) {
+    return {core::TargetName(Name), core::TargetBirth(Birth)};
   }
 
 public:
@@ -49,6 +55,60 @@
     m_Targets.forgetLapsed(m_Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), m_Targets.all().size());
   }
+
+  /// A target crashes while it is full, slow, resting after failures and taken
+  /// for replaced, and starts again under its name: all its places are free and
+  /// nothing that was learned holds. The earlier run is known no more.
+  void testRunThatStartsAgainUnderItsNameIsNew() {
+    CPPUNIT_ASSERT(announce("a", "pool", 5000));
+    announce("b", "pool", 5000);
+    for (int I = 0; I < 3; ++I) {
+      m_Targets.started(run("a", 5000), 1000);
+      m_Targets.failed(run("a", 5000), TargetFailure::Unreachable, m_Now);
+      m_Targets.notePace(run("a", 5000), milliseconds(90));
+      m_Targets.notePace(run("b", 5000), milliseconds(10));
+    }
+    m_Targets.replaced(run("a", 5000));
+    std::uint32_t Before = m_Targets.find(core::TargetName("a"))->m_Hash;
+    m_Targets.setOthers({{Before, {4, 4000}}});
+    // An announcement that only says more of the same run changes none of it.
+    CPPUNIT_ASSERT(!announce("a", "pool", 5000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(7),
+                         m_Targets.find(core::TargetName("a"))->running());
+    m_Targets.withdraw(core::TargetName("a"), m_Now);
+    // Its clock was set back meanwhile.
+    CPPUNIT_ASSERT(announce("a", "pool", 4000));
+    const KnownTarget &Now = *m_Targets.find(core::TargetName("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Now.running());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Now.m_Own.m_PendingPrompt);
+    CPPUNIT_ASSERT(Now.isOpen() && !Now.isOnProbation() && !Now.m_LapsedAt);
+    CPPUNIT_ASSERT(Now.m_RestsUntil <= m_Now && Now.m_FailureShare == 0);
+    CPPUNIT_ASSERT(Now.m_Slowness == 1 && Now.m_PaceMs == 0);
+    // What others told of the earlier run is not counted at this one.
+    CPPUNIT_ASSERT(Now.m_Hash != Before);
+    m_Targets.setOthers({{Before, {4, 4000}}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Now.running());
+    CPPUNIT_ASSERT(!m_Targets.findRun(run("a", 5000)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         m_Targets.of(core::PoolName("pool")).size());
+  }
+
+  void testRequestsThatOutlastTheirRunCountNowhere() {
+    announce("a", "pool", 1);
+    m_Targets.started(run("a", 1), 1000);
+    m_Targets.started(run("a", 1), 1000);
+    announce("a", "pool", 2);
+    m_Targets.started(run("a", 2), 700);
+    m_Targets.began(run("a", 1), 1000);
+    m_Targets.ended(run("a", 1), 1000);
+    m_Targets.ended(run("a", 1), 1000);
+    m_Targets.failed(run("a", 1), TargetFailure::Unreachable, m_Now);
+    m_Targets.replaced(run("a", 1));
+    const KnownTarget &Now = *m_Targets.find(core::TargetName("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Now.running());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(700), Now.m_Own.m_PendingPrompt);
+    CPPUNIT_ASSERT(Now.isOpen() && Now.m_RestsUntil <= m_Now);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetDirectoryTest);
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -150,7 +150,8 @@
   void testReadsTargets() {
     Entry Change{"servers/i-7f",
                  R"({"service":"huvo11a","address":"10.128.0.9:8080",
-                     "zone":"bandung","slots":6,"state":"ready","seq":4})",
+                     "zone":"bandung","version":"v1","slots":6,"state":"ready",
+                     "coldLeftMs":0,"seq":4})",
                  Revision(1)};
     auto News = m_Dialect.read(Change);
     const auto &Seen = std::get<gateway::TargetSeen>(News).m_Target;
--- /dev/null
+++ b/Tests/Platform/ForeignEntryTest.cpp
@@ -0,0 +1,206 @@
+//===-- ForeignEntryTest.cpp - Announcements that no target wrote ---------===//
+//
+// Whoever may write to the store may write what looks like a target. Such an
+// entry names no target to use, and spoils none of the others.
+//
+//===----------------------------------------------------------------------===//
+#include "PlatformDialect.h"
+#include "StoreEntries.h"
+
+#include "LibCore/Error.h"
+#include "LibRouting/TargetDirectory.h"
+
+#include <boost/json.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace yardrill;
+using namespace yardrill::platform;
+namespace json = boost::json;
+
+class ForeignEntryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForeignEntryTest);
+  CPPUNIT_TEST(testReadsOldAndNewForms);
+  CPPUNIT_TEST(testMissingFieldsNameNoTarget);
+  CPPUNIT_TEST(testOtherTypesNameNoTarget);
+  CPPUNIT_TEST(testUnknownStatesAndNumbersNameNoTarget);
+  CPPUNIT_TEST(testNamesThatFitNoHeaderNameNoTarget);
+  CPPUNIT_TEST(testRandomEntriesAreTargetsOrTypedErrors);
+  CPPUNIT_TEST_SUITE_END();
+
+  PlatformDialect m_Dialect;
+
+  /// As deployments wrote them before runs told their birth.
+  static json::object oldForm() {
+    return {{"service", "huvo11a"},
+            {"address", "10.128.0.9:8080"},
+            {"zone", "bandung"},
+            {"version", "v1"},
+            {"slots", 6},
+            {"state", "ready"},
+            {"coldLeftMs", 0},
+            {"seq", 4}};
+  }
+  static json::object newForm() {
+    json::object Out = oldForm();
+    Out["born"] = 1796258454000;
+    return Out;
+  }
+  static Entry entry(const std::string &Text) {
+    return {"servers/i-7f", Text, Revision(1)};
+  }
+  static Entry entry(const json::object &Content) {
+    return entry(json::serialize(Content));
+  }
+  routing::Target read(const Entry &Change) const {
+    return std::get<gateway::TargetSeen>(m_Dialect.read(Change)).m_Target;
+  }
+  bool isTarget(const Entry &Change) const {
+    try {
+      return std::holds_alternative<gateway::TargetSeen>(
+          m_Dialect.read(Change));
+    } catch (const core::Error &) {
+      return false;
+    }
+  }
+
+public:
+  void testReadsOldAndNewForms() {
+    CPPUNIT_ASSERT(read(entry(oldForm())).m_Birth == core::TargetBirth());
+    CPPUNIT_ASSERT(read(entry(newForm())).m_Birth ==
+                   core::TargetBirth(1796258454000));
+    json::object More = newForm();
+    More["stage"] = "colocated";
+    More["models"] = json::array{json::object{{"name", "m"}}};
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), read(entry(More)).m_Places);
+  }
+
+  void testMissingFieldsNameNoTarget() {
+    for (const json::object &Form : {oldForm(), newForm()})
+      for (const auto &Field : Form) {
+        if (Field.key() == "born")
+          continue; // That is the old form.
+        json::object Lacking = Form;
+        Lacking.erase(Field.key());
+        CPPUNIT_ASSERT_MESSAGE(std::string(Field.key()),
+                               !isTarget(entry(Lacking)));
+      }
+  }
+
+  void testOtherTypesNameNoTarget() {
+    const json::value Values[] = {nullptr,       true,           json::array{4},
+                                  json::object{}, json::array{}, 1.5};
+    for (const auto &Field : newForm())
+      for (const json::value &Value : Values) {
+        if (Field.key() == "coldLeftMs" && Value.is_number())
+          continue; // A time may have a fraction.
+        json::object Other = newForm();
+        Other[Field.key()] = Value;
+        CPPUNIT_ASSERT_MESSAGE(json::serialize(Other), !isTarget(entry(Other)));
+      }
+    for (const char *Name : {"slots", "seq", "coldLeftMs", "born"}) {
+      json::object Other = newForm();
+      Other[Name] = "4";
+      CPPUNIT_ASSERT_MESSAGE(Name, !isTarget(entry(Other)));
+    }
+    for (const char *Name : {"service", "address", "zone", "version", "state"}) {
+      json::object Other = newForm();
+      Other[Name] = 4;
+      CPPUNIT_ASSERT_MESSAGE(Name, !isTarget(entry(Other)));
+    }
+  }
+
+  void testUnknownStatesAndNumbersNameNoTarget() {
+    for (const char *State : {"", "READY", "ready ", "starting", "gone"}) {
+      json::object Other = newForm();
+      Other["state"] = State;
+      CPPUNIT_ASSERT_MESSAGE(State, !isTarget(entry(Other)));
+    }
+    for (double Slots : {0.0, -1.0, 1e300, 65536.0}) {
+      json::object Other = newForm();
+      Other["slots"] = Slots;
+      CPPUNIT_ASSERT(!isTarget(entry(Other)));
+    }
+    for (double Birth : {-1.0, 1e300, 0.5}) {
+      json::object Other = newForm();
+      Other["born"] = Birth;
+      CPPUNIT_ASSERT(!isTarget(entry(Other)));
+    }
+    for (const char *Address :
+         {"", "10.1.0.9", "10.1.0.9:", "10.1.0.9:99999", "host:80", "::1"}) {
+      json::object Other = newForm();
+      Other["address"] = Address;
+      CPPUNIT_ASSERT_MESSAGE(Address, !isTarget(entry(Other)));
+    }
+  }
+
+  void testNamesThatFitNoHeaderNameNoTarget() {
+    for (const char *Name : {"", "a b", "a\r\nX: 1", "a\tb", "\xc3\xa9"}) {
+      Entry Change = entry(newForm());
+      Change.m_Key = std::string("servers/") + Name;
+      CPPUNIT_ASSERT_MESSAGE(Name, !isTarget(Change));
+    }
+  }
+
+  /// Fields dropped, changed and cut at random: each result is a target whose
+  /// fields hold what they promise, or an error of a known kind; the targets
+  /// that were there before stay as they were.
+  void testRandomEntriesAreTargetsOrTypedErrors() {
+    routing::TargetDirectory Targets;
+    for (int I = 0; I < 4; ++I) {
+      routing::Target Sound = read(entry(newForm()));
+      Sound.m_Name = core::TargetName("sound-" + std::to_string(I));
+      Targets.announce(Sound);
+    }
+    std::mt19937_64 Random(20261203);
+    std::size_t Readable = 0;
+    for (int Round = 0; Round < 20000; ++Round) {
+      Entry Change = entry(mutated(Random));
+      Change.m_Key = "servers/foreign";
+      try {
+        routing::Target Seen = read(Change);
+        CPPUNIT_ASSERT(Seen.m_Places >= 1 && Seen.m_Places <= 65535);
+        CPPUNIT_ASSERT(Seen.m_Birth.value() >= 0);
+        CPPUNIT_ASSERT(Seen.m_Address.m_Port != 0);
+        Targets.announce(Seen);
+        ++Readable;
+      } catch (const core::Error &Failure) {
+        CPPUNIT_ASSERT(Failure.kind() == core::ErrorKind::Protocol);
+        Targets.withdraw(*m_Dialect.targetOf(Change), core::TimePoint());
+      }
+    }
+    CPPUNIT_ASSERT(Readable > 100 && Readable < 19900);
+    for (int I = 0; I < 4; ++I) {
+      auto *Sound = Targets.find(core::TargetName("sound-" + std::to_string(I)));
+      CPPUNIT_ASSERT(Sound && !Sound->m_LapsedAt);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(6), Sound->m_Target.m_Places);
+    }
+  }
+
+private:
+  static std::size_t below(std::mt19937_64 &Random, std::size_t Limit) {
+    return std::uniform_int_distribution<std::size_t>(0, Limit - 1)(Random);
+  }
+  static std::string mutated(std::mt19937_64 &Random) {
+    static const json::value Values[] = {nullptr, false, 0,       -7,
+                                         1e18,    0.25,  "ready", "draining",
+                                         "v2",    "",    json::array{}};
+    json::object Content = below(Random, 2) == 0 ? oldForm() : newForm();
+    for (std::size_t Changes = below(Random, 3); Changes > 0; --Changes) {
+      auto Field = Content.begin() + below(Random, Content.size());
+      if (below(Random, 3) == 0)
+        Content.erase(Field->key());
+      else
+        Content[Field->key()] = Values[below(Random, std::size(Values))];
+    }
+    std::string Text = json::serialize(Content);
+    if (below(Random, 4) == 0)
+      Text.resize(below(Random, Text.size()));
+    for (std::size_t Bytes = below(Random, 8) / 6; Bytes > 0; --Bytes)
+      if (!Text.empty())
+        Text[below(Random, Text.size())] = static_cast<char>(below(Random, 256));
+    return Text;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForeignEntryTest);
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -66,7 +66,10 @@
       {"service", m_Pool},
       {"address", "127.0.0.1:" + std::to_string(m_Proxy->port())},
       {"zone", "hall"},
+      {"version", "v1"},
       {"slots", Places},
+      {"coldLeftMs", 0},
+      {"seq", 1},
       {"state", m_LeavingSince ? "draining" : "ready"}};
   return boost::json::serialize(Out);
 }
