LibRollout: Judge a version, bound its exposure and end its order, as pure code

Cause: the deployment's contract for roll-outs is in force and nothing of it is built: no order is read, and targets of a new version get requests like all others.

Change: pure parts, not wired yet. A member follows permits that lapse by themselves 1.5 s after the report that they answer, counts exposure by what it has sent (no allowance for rounding at any size), and keeps cumulative evidence by run, route and outcome. A coordinator sums, judges new against old in the same time, moves and ends. The judge compares failures, answers that are slow for their own target, and targets that are slow as a whole, for each route and together, over three spans, by sums of log likelihood ratios, and sets aside the quarter of the targets that look worst.

--- a/Libraries/LibCore/StrongType.h
+++ b/Libraries/LibCore/StrongType.h
@@ -55,6 +55,8 @@
 using AccountName = StrongType<struct AccountNameTag, std::string>;
 using PoolName = StrongType<struct PoolNameTag, std::string>;
 using TargetName = StrongType<struct TargetNameTag, std::string>;
+/// Of a target's software.
+using TargetVersion = StrongType<struct TargetVersionTag, std::string>;
 /// When a run of a target started: milliseconds since 1970 by its own clock,
 /// which may be wrong. 0: it does not say.
 using TargetBirth = StrongType<struct TargetBirthTag, std::int64_t>;
--- /dev/null
+++ b/Libraries/LibRollout/Comparison.cpp
@@ -0,0 +1,211 @@
+#include "LibRollout/Comparison.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace yardrill::rollout {
+
+/// A version is looked at for failing, or being slow, so much more often: of bad
+/// ones a part of the answers is meant, which users notice from about a tenth
+/// on. The larger ones find a plainly bad version with fewer answers.
+static constexpr double Worse[] = {0.12, 0.25, 0.5};
+/// Share that is taken for usual where the old side has shown nothing yet.
+static constexpr double LeastUsual = 0.015;
+/// An answer is slow from three half octaves (2.8 times) above the quarter of
+/// its target's answers that are quickest; a target, above the pool's middle.
+static constexpr int SlowBins = 3;
+static constexpr double LeastAnswersOfTarget = 4;
+/// Part of the new targets, those that look worst, that a finding must not rest
+/// on.
+static constexpr double SetAside = 0.25;
+static constexpr int NeverSlow = std::numeric_limits<int>::max();
+
+Comparison::Comparison(const Cells &Sum) {
+  countFailures(Sum);
+  countSlow(Sum);
+}
+
+void Comparison::countFailures(const Cells &Sum) {
+  for (const auto &[Key, Counts] : Sum) {
+    Sides &Of = m_Failures[Key.m_Route];
+    Count &Into =
+        (Key.m_Side == Side::New ? Of.m_New : Of.m_Old)[Key.m_Target];
+    Into.m_All += Counts.answers();
+    Into.m_Bad += Counts.m_Failures;
+  }
+}
+
+/// \returns the first bin at which \p Share of all is reached.
+template <class Map> static int binAt(const Map &Counts, double Share) {
+  double All = 0;
+  for (const auto &[Bin, Count] : Counts)
+    All += Count;
+  double Seen = 0;
+  for (const auto &[Bin, Count] : Counts) {
+    Seen += Count;
+    if (Seen >= All * Share && Seen > 0)
+      return Bin;
+  }
+  return 0;
+}
+
+int Comparison::slowFrom(Side Which, const RelativeTimes &Times) {
+  double All = 0;
+  for (const auto &[Bin, Count] : Times)
+    All += Count;
+  if (All < LeastAnswersOfTarget)
+    return NeverSlow;
+  Count &Targets = Which == Side::New ? m_NewTargets : m_OldTargets;
+  ++Targets.m_All;
+  if (binAt(Times, 0.5) >= SlowBins)
+    ++Targets.m_Bad;
+  return binAt(Times, 0.25) + SlowBins;
+}
+
+void Comparison::countSlow(const Cells &Sum) {
+  // What is usual on each route, by the old side, or where it has no answers by
+  // the new one.
+  std::map<std::uint32_t, std::map<int, double>> Usual;
+  for (Side Which : {Side::Old, Side::New}) {
+    std::map<std::uint32_t, std::map<int, double>> Seen;
+    for (const auto &[Key, Counts] : Sum)
+      if (Key.m_Side == Which && Counts.successes() > 0)
+        for (std::size_t I = 0; I < TimeBins; ++I)
+          Seen[Key.m_Route][static_cast<int>(I)] += Counts.m_Times[I];
+    for (auto &[Route, Times] : Seen)
+      Usual.try_emplace(Route, std::move(Times));
+  }
+  std::map<std::uint32_t, int> Middle;
+  for (const auto &[Route, Times] : Usual)
+    Middle[Route] = binAt(Times, 0.5);
+  std::map<std::pair<Side, std::uint32_t>, RelativeTimes> ByRun;
+  for (const auto &[Key, Counts] : Sum)
+    for (std::size_t I = 0; I < TimeBins; ++I)
+      if (Counts.m_Times[I] > 0)
+        ByRun[{Key.m_Side, Key.m_Target}]
+             [static_cast<int>(I) - Middle[Key.m_Route]] += Counts.m_Times[I];
+  std::map<std::pair<Side, std::uint32_t>, int> SlowFrom;
+  for (const auto &[Run, Times] : ByRun)
+    SlowFrom[Run] = slowFrom(Run.first, Times);
+  for (const auto &[Key, Counts] : Sum) {
+    auto From = SlowFrom.find({Key.m_Side, Key.m_Target});
+    if (From == SlowFrom.end() || From->second == NeverSlow)
+      continue;
+    Sides &Of = m_Slow[Key.m_Route];
+    Count &Into =
+        (Key.m_Side == Side::New ? Of.m_New : Of.m_Old)[Key.m_Target];
+    Into.m_All += Counts.successes();
+    for (std::size_t I = 0; I < TimeBins; ++I)
+      if (static_cast<int>(I) - Middle[Key.m_Route] >= From->second)
+        Into.m_Bad += Counts.m_Times[I];
+  }
+}
+
+Comparison::Count Comparison::sum(const ByTarget &Of) {
+  Count Out;
+  for (const auto &[Target, Each] : Of) {
+    Out.m_All += Each.m_All;
+    Out.m_Bad += Each.m_Bad;
+  }
+  return Out;
+}
+
+double Comparison::score(const Count &New, const Count &Old) {
+  double Usual = (Old.m_Bad + 0.5) / (Old.m_All + 1);
+  // Half of the way to what a few answers may hide.
+  Usual += std::sqrt(Usual * (1 - Usual) / (Old.m_All + 1)) + LeastUsual;
+  Usual = std::min(Usual, 0.9);
+  double Best = -std::numeric_limits<double>::max();
+  for (double More : Worse) {
+    double Share = std::min(Usual + More, 0.97);
+    Best = std::max(
+        Best, New.m_Bad * std::log(Share / Usual) +
+                  (New.m_All - New.m_Bad) *
+                      std::log((1 - Share) / (1 - Usual)));
+  }
+  // The best of several is a little high by chance.
+  return Best > 0 ? std::max(0.0, Best - std::log(std::size(Worse))) : Best;
+}
+
+double Comparison::robustScore(const Sides &What) {
+  Count Old = sum(What.m_Old);
+  double All = score(sum(What.m_New), Old);
+  if (All <= 0 || What.m_New.size() < 2)
+    return All;
+  std::vector<Count> Sorted;
+  for (const auto &[Target, Each] : What.m_New)
+    Sorted.push_back(Each);
+  std::sort(Sorted.begin(), Sorted.end(), [](const Count &A, const Count &B) {
+    return A.m_Bad > B.m_Bad;
+  });
+  auto Aside = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(Sorted.size()) * SetAside));
+  Count Rest;
+  for (std::size_t I = Aside; I < Sorted.size(); ++I) {
+    Rest.m_All += Sorted[I].m_All;
+    Rest.m_Bad += Sorted[I].m_Bad;
+  }
+  // The rest alone need not suffice, but must point the same way: it counts
+  // four times, so that a third of the targets that answered bears it out.
+  return std::min(All, 4 * std::max(0.0, score(Rest, Old)));
+}
+
+void Comparison::compare(const ByRoute &What, const char *Kind,
+                         Judgement &Into) const {
+  Sides Together;
+  double Sum = 0;
+  double SumRobust = 0;
+  for (const auto &[Route, Of] : What) {
+    double Score = robustScore(Of);
+    if (Score > Into.m_Worst.m_Score)
+      Into.m_Worst = {Score, Route, Kind};
+    Sum += score(sum(Of.m_New), sum(Of.m_Old));
+    SumRobust += Score;
+  }
+  // Routes are independent: what speaks for all being worse adds up.
+  if (std::min(Sum, SumRobust) > Into.m_Worst.m_Score)
+    Into.m_Worst = {std::min(Sum, SumRobust), 0, Kind};
+}
+
+void Comparison::compareTargets(Judgement &Into) const {
+  if (m_NewTargets.m_All == 0 || m_OldTargets.m_All == 0)
+    return;
+  // Chance of so many slow ones, if the new ones are drawn as the old ones are.
+  double Usual = (m_OldTargets.m_Bad + 0.1) / (m_OldTargets.m_All + 0.2);
+  double Chance = 0;
+  double Term = std::pow(1 - Usual, m_NewTargets.m_All);
+  for (double K = 0; K <= m_NewTargets.m_All; ++K) {
+    if (K >= m_NewTargets.m_Bad)
+      Chance += Term;
+    Term *= (m_NewTargets.m_All - K) / (K + 1) * Usual / (1 - Usual);
+  }
+  // Looked at anew only when another target has answered: one in 10,000 will do.
+  double Score = -std::log(std::max(Chance, 1e-12)) * 1.25;
+  if (Score > Into.m_Worst.m_Score)
+    Into.m_Worst = {Score, 0, "slow-targets"};
+}
+
+Judgement Comparison::judge() const {
+  Judgement Out;
+  Out.m_LeastGood = std::numeric_limits<double>::max();
+  for (const auto &[Route, Of] : m_Failures) {
+    Count Old = sum(Of.m_Old);
+    Count New = sum(Of.m_New);
+    Out.m_OldAnswers += static_cast<std::uint32_t>(Old.m_All);
+    Out.m_OldFailures += static_cast<std::uint32_t>(Old.m_Bad);
+    Out.m_NewAnswers += static_cast<std::uint32_t>(New.m_All);
+    Out.m_NewFailures += static_cast<std::uint32_t>(New.m_Bad);
+    if (Old.m_All > 0)
+      Out.m_LeastGood = std::min(Out.m_LeastGood, -score(New, Old));
+  }
+  if (m_Failures.empty())
+    Out.m_LeastGood = 0;
+  Out.m_NewTargets = static_cast<std::uint32_t>(m_NewTargets.m_All);
+  compare(m_Failures, "failures", Out);
+  compare(m_Slow, "slow-answers", Out);
+  compareTargets(Out);
+  return Out;
+}
+
+} // namespace yardrill::rollout
--- /dev/null
+++ b/Libraries/LibRollout/Judge.cpp
@@ -0,0 +1,66 @@
+#include "LibRollout/Judge.h"
+
+#include "LibRollout/Comparison.h"
+
+namespace yardrill::rollout {
+
+/// Spans that are looked at beside the whole time: a version that turns bad
+/// late shows in the shorter ones first.
+static constexpr std::chrono::milliseconds Spans[] = {
+    std::chrono::milliseconds(1500), std::chrono::milliseconds(4000)};
+
+static Cells difference(const Cells &Now, const Cells &Before) {
+  Cells Out;
+  for (const auto &[Key, Counts] : Now) {
+    Cell Grown = Counts;
+    auto Old = Before.find(Key);
+    if (Old != Before.end()) {
+      Grown.m_Failures -= Old->second.m_Failures;
+      for (std::size_t I = 0; I < TimeBins; ++I)
+        Grown.m_Times[I] -= Old->second.m_Times[I];
+    }
+    if (Grown.answers() > 0)
+      Out.emplace(Key, Grown);
+  }
+  return Out;
+}
+
+/// With fewer answers of the old version in a span, all of its answers are taken
+/// for what is usual: once all goes to the new one there are none.
+static constexpr std::uint32_t LeastOldAnswers = 100;
+
+static Cells withOldSide(Cells Span, const Cells &Sum) {
+  std::uint32_t Old = 0;
+  for (const auto &[Key, Counts] : Span)
+    Old += Key.m_Side == Side::Old ? Counts.answers() : 0;
+  if (Old >= LeastOldAnswers)
+    return Span;
+  for (const auto &[Key, Counts] : Sum)
+    if (Key.m_Side == Side::Old)
+      Span[Key] = Counts;
+  return Span;
+}
+
+Judgement Judge::look(const Cells &Sum, core::TimePoint Now) {
+  Comparison Whole(Sum);
+  Judgement Out = Whole.judge();
+  for (auto Span : Spans) {
+    // The newest snapshot that is at least so old.
+    const Snapshot *From = nullptr;
+    for (const Snapshot &Each : m_Past)
+      if (Now - Each.m_At >= Span)
+        From = &Each;
+    if (!From)
+      continue;
+    Cells Recent = withOldSide(difference(Sum, From->m_Sum), Sum);
+    Finding Late = Comparison(Recent).judge().m_Worst;
+    if (Late.m_Score > Out.m_Worst.m_Score)
+      Out.m_Worst = Late;
+  }
+  m_Past.push_back({Now, Sum});
+  while (m_Past.size() > 1 && Now - m_Past[1].m_At >= Spans[1])
+    m_Past.pop_front();
+  return Out;
+}
+
+} // namespace yardrill::rollout
--- /dev/null
+++ b/Libraries/LibRollout/Member.h
@@ -0,0 +1,69 @@
+//===-- Member.h - One instance's part in a roll-out ----------------------===//
+//
+// Pure. Says where new requests of the pool may go, and keeps the evidence.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBROLLOUT_MEMBER_H
+#define YARDRILL_LIBROLLOUT_MEMBER_H
+
+#include "LibRollout/Exposure.h"
+#include "LibRollout/Permit.h"
+
+#include <deque>
+
+namespace yardrill::rollout {
+
+class Member {
+public:
+  /// \param Age of the order already, as a start after it finds it.
+  Member(Order What, core::Duration Age, core::TimePoint Now);
+
+  const Order &order() const { return m_Order; }
+  core::Duration age(core::TimePoint Now) const { return Now - m_Since; }
+  /// Another instance knows of it for longer.
+  void learnAge(core::Duration Age, core::TimePoint Now);
+
+  Traffic traffic(core::TimePoint Now) const;
+  double share() const { return m_Permit.m_Share; }
+  /// Whether a request on \p Route is to try the new version now.
+  bool isSampleDue(std::uint32_t Route, core::TimePoint Now) const;
+
+  void take(const Permit &Given, core::TimePoint Now);
+  void sent(std::uint32_t Route, bool IsNew, core::TimePoint Now);
+  void answered(const CellKey &Where, AnswerQuality How, core::Duration Time,
+                core::TimePoint Now);
+  /// The next report. \param RunningOld see Report.
+  Report report(std::uint32_t RunningOld, core::TimePoint Now);
+
+private:
+  /// Answers of the new version that an instance looks at by itself.
+  static constexpr std::size_t OwnLook = 8;
+
+  bool isStopped(core::TimePoint Now) const { return Now < m_StoppedUntil; }
+  /// Stops by itself where all goes to the new version and it plainly fails:
+  /// sooner than the coordinator can.
+  void lookAtOwn(const CellKey &Where, AnswerQuality How, core::TimePoint Now);
+
+  struct Asked {
+    std::uint64_t m_Number = 0;
+    core::TimePoint m_At{};
+  };
+
+  Order m_Order;
+  core::TimePoint m_Since{};
+  Permit m_Permit;
+  core::TimePoint m_PermitEnds{};
+  core::TimePoint m_StoppedUntil{};
+  std::deque<Asked> m_Asked; ///< Reports that a permit may still answer.
+  Exposure m_Exposure;
+  Evidence m_Evidence;
+  std::deque<bool> m_OwnFailures; ///< Of the last answers of the new version.
+  double m_OldFailureShare = 0;   ///< Decaying.
+  std::uint64_t m_NextReport = 1;
+  std::uint32_t m_Sent = 0;
+  std::uint32_t m_SentNew = 0;
+};
+
+} // namespace yardrill::rollout
+
+#endif
--- a/Libraries/LibRouting/Target.h
+++ b/Libraries/LibRouting/Target.h
@@ -40,6 +40,7 @@
   core::TargetName m_Name;
   core::TargetBirth m_Birth;
   core::PoolName m_Pool;
+  core::TargetVersion m_Version;
   config::Endpoint m_Address;
   core::DataHallName m_DataHall;
   std::size_t m_Places = 1; ///< Requests it runs at one time.
@@ -48,6 +49,7 @@
   TargetRun run() const { return {m_Name, m_Birth}; }
   bool operator==(const Target &Other) const {
     return run() == Other.run() && m_Pool == Other.m_Pool &&
+           m_Version == Other.m_Version &&
            m_Address == Other.m_Address && m_DataHall == Other.m_DataHall &&
            m_Places == Other.m_Places && m_IsLeaving == Other.m_IsLeaving;
   }
--- /dev/null
+++ b/Tests/Support/RolloutFleet.cpp
@@ -0,0 +1,286 @@
+#include "RolloutFleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace yardrill::tests {
+
+using namespace rollout;
+using std::chrono::milliseconds;
+
+static constexpr milliseconds Step{10};
+static constexpr milliseconds LinkDelay{3};
+static constexpr double LossyShare = 0.01;
+static constexpr std::size_t BadAnswersThatCount = 50;
+/// Of the usual time of an answer.
+static constexpr double UsualMs = 60;
+
+namespace {
+
+struct Running {
+  core::TimePoint m_EndsAt{};
+  std::size_t m_Instance = 0;
+  CellKey m_Key;
+  AnswerQuality m_How = AnswerQuality::Whole;
+  core::Duration m_Time{};
+
+  bool operator<(const Running &Other) const {
+    return m_EndsAt > Other.m_EndsAt; // The earliest is the greatest.
+  }
+};
+
+struct Instance {
+  std::unique_ptr<Member> m_Member;
+  core::TimePoint m_DownUntil{};
+  core::TimePoint m_CutUntil{};
+  core::TimePoint m_ReportsAt{};
+  std::uint32_t m_RunningOld = 0;
+  std::uint64_t m_Incarnation = 0;
+};
+
+class Play {
+public:
+  Play(const RolloutCase &Case, std::uint64_t Seed)
+      : m_Case(Case), m_Random(Seed), m_Instances(Case.m_Instances) {
+    m_Order.m_Id = OrderId(7);
+    m_Order.m_Version = core::TargetVersion("v2");
+    m_Order.m_Bake = Case.m_Bake;
+    for (std::size_t I = 0; I < m_Instances.size(); ++I)
+      start(I, core::Duration::zero());
+    for (Instance &Each : m_Instances)
+      Each.m_ReportsAt = m_Now + drawDuration(period());
+    m_Coordinator =
+        std::make_unique<Coordinator>(
+        m_Order, ExposureLimits{Case.m_MostShare, 50}, m_Now);
+  }
+
+  RolloutResult run() {
+    core::Duration End = m_Order.m_Bake + std::chrono::seconds(8);
+    while (m_Now - Begin < End) {
+      m_Now += Step;
+      brewFaults();
+      finishRequests();
+      sendRequests();
+      report();
+      decide();
+    }
+    double Deadline = core::toSeconds(m_Order.m_Bake);
+    m_Result.m_Exposure = m_SentNew / std::max(1.0, m_Sent);
+    m_Result.m_ExposedBeyond =
+        m_SentNew - m_Case.m_MostShare * m_Case.m_RequestsPerSecond * Deadline;
+    return m_Result;
+  }
+
+private:
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(m_Random); }
+  core::Duration drawDuration(core::Duration Most) {
+    return core::fromSeconds(draw() * core::toSeconds(Most));
+  }
+  core::Duration period() const {
+    return reportPeriod(m_Case.m_Instances);
+  }
+  double age() const { return core::toSeconds(m_Now - Begin); }
+  bool hasEnded() const { return m_Result.m_End.has_value(); }
+
+  void start(std::size_t Which, core::Duration Age) {
+    Instance &Each = m_Instances[Which];
+    Each.m_Member = std::make_unique<Member>(m_Order, Age, m_Now);
+    Each.m_Incarnation = ++m_Incarnations;
+    Each.m_RunningOld = 0;
+  }
+
+  void brewFaults() {
+    double Chance = core::toSeconds(Step) / 2; // Each every 2 s.
+    std::size_t Which = m_Random() % m_Instances.size();
+    if (m_Case.m_HasKills && draw() < Chance) {
+      m_Instances[Which].m_DownUntil = m_Now + milliseconds(800);
+      start(Which, core::Duration::zero());
+    }
+    if (m_Case.m_HasCuts && draw() < Chance)
+      m_Instances[Which].m_CutUntil = m_Now + milliseconds(4000);
+    if (m_Case.m_HasGrey && m_GreyUntil < m_Now && draw() < Chance / 2) {
+      m_GreyUntil = m_Now + milliseconds(4000);
+      m_GreyOffset = m_Random() % 7;
+    }
+  }
+
+  bool isGrey(std::size_t Target) const {
+    return m_Now < m_GreyUntil && (Target + m_GreyOffset) % 7 == 0;
+  }
+
+  /// A target of the new version that this instance's group tries now.
+  std::size_t sampled(std::size_t Which) const {
+    auto Slot = static_cast<std::size_t>(age());
+    return (Which / 8 + Slot * 7) % m_Case.m_Targets;
+  }
+
+  bool isBadAnswer(std::size_t Route, Traffic How) {
+    bool IsRarest = Route + 1 == m_Case.m_Routes.size();
+    bool IsMeant = false;
+    switch (m_Case.m_Shape) {
+    case VersionShape::Good:
+      break;
+    case VersionShape::Fails:
+    case VersionShape::Slow:
+      IsMeant = true;
+      break;
+    case VersionShape::FailsLate:
+      IsMeant = age() > core::toSeconds(m_Order.m_Bake) * 0.5;
+      break;
+    case VersionShape::FailsUnderLoad:
+      // A sampled target gets as much as each will in the end.
+      IsMeant = How != Traffic::Old;
+      break;
+    case VersionShape::FailsOnOneRoute:
+    case VersionShape::SlowOnOneRoute:
+      IsMeant = IsRarest;
+      break;
+    }
+    return IsMeant && draw() < m_Case.m_BadPart;
+  }
+
+  bool isSlowShape() const {
+    return m_Case.m_Shape == VersionShape::Slow ||
+           m_Case.m_Shape == VersionShape::SlowOnOneRoute;
+  }
+
+  std::size_t drawRoute() {
+    double Point = draw();
+    for (std::size_t I = 0; I < m_Case.m_Routes.size(); ++I) {
+      Point -= m_Case.m_Routes[I];
+      if (Point < 0)
+        return I;
+    }
+    return m_Case.m_Routes.size() - 1;
+  }
+
+  void sendRequests() {
+    double Mean = m_Case.m_RequestsPerSecond * core::toSeconds(Step);
+    int Count = std::poisson_distribution<int>(Mean)(m_Random);
+    for (int I = 0; I < Count; ++I)
+      sendOne(m_Random() % m_Instances.size());
+  }
+
+  void sendOne(std::size_t Which) {
+    Instance &By = m_Instances[Which];
+    if (m_Now < By.m_DownUntil)
+      return;
+    std::size_t Route = drawRoute();
+    auto RouteHash = static_cast<std::uint32_t>(Route + 1);
+    Traffic How = By.m_Member->traffic(m_Now);
+    bool IsNew = How == Traffic::New ||
+                 By.m_Member->isSampleDue(RouteHash, m_Now);
+    // Its end has been heard of everywhere but where nothing is heard.
+    bool IsHeard = hasEnded() && m_Now > m_EndHeardAt && By.m_CutUntil < m_Now;
+    if (IsHeard)
+      IsNew = m_Result.m_End->m_State == State::Completed;
+    By.m_Member->sent(RouteHash, IsNew, m_Now);
+    countSent(IsNew);
+    std::size_t Target = IsNew && How == Traffic::Sample
+                             ? sampled(Which)
+                             : m_Random() % m_Case.m_Targets;
+    Running Next;
+    Next.m_Instance = Which;
+    Next.m_Key = {IsNew ? Side::New : Side::Old,
+                  static_cast<std::uint32_t>(Target + (IsNew ? 100000 : 0)),
+                  RouteHash};
+    double Ms = UsualMs * std::exp(std::normal_distribution<double>(0, 0.35)(m_Random));
+    if (Target % 3 == 0)
+      Ms *= m_Case.m_SlowHardware;
+    bool IsFailure = draw() < m_Case.m_UsualFailures[Route] ||
+                     (isGrey(Target) && draw() < 0.45);
+    bool IsBad = IsNew && isBadAnswer(Route, How);
+    if (IsBad && isSlowShape())
+      Ms *= m_Case.m_BadTimes;
+    else if (IsBad)
+      IsFailure = true;
+    if (IsBad && ++m_BadAnswers == BadAnswersThatCount)
+      m_FiftiethAt = m_Now;
+    Next.m_How = IsFailure ? AnswerQuality::Failed : AnswerQuality::Whole;
+    Next.m_Time = core::fromSeconds(Ms / 1000);
+    Next.m_EndsAt = m_Now + Next.m_Time;
+    By.m_RunningOld += IsNew ? 0 : 1;
+    m_Running.push(Next);
+  }
+
+  void countSent(bool IsNew) {
+    if (age() <= core::toSeconds(m_Order.m_Bake)) {
+      ++m_Sent;
+      m_SentNew += IsNew ? 1 : 0;
+    }
+    if (IsNew && m_BadAnswers >= BadAnswersThatCount)
+      m_Result.m_LastAfterFiftieth = core::toSeconds(m_Now - m_FiftiethAt);
+  }
+
+  void finishRequests() {
+    while (!m_Running.empty() && m_Running.top().m_EndsAt <= m_Now) {
+      Running Ended = m_Running.top();
+      m_Running.pop();
+      Instance &By = m_Instances[Ended.m_Instance];
+      By.m_Member->answered(Ended.m_Key, Ended.m_How, Ended.m_Time, m_Now);
+      if (Ended.m_Key.m_Side == Side::Old && By.m_RunningOld > 0)
+        --By.m_RunningOld;
+    }
+  }
+
+  void report() {
+    for (Instance &Each : m_Instances) {
+      if (m_Now < Each.m_ReportsAt || m_Now < Each.m_DownUntil)
+        continue;
+      Each.m_ReportsAt = m_Now + period();
+      Report Told = Each.m_Member->report(Each.m_RunningOld, m_Now);
+      bool IsLost = m_Now < Each.m_CutUntil || draw() < LossyShare;
+      if (IsLost)
+        continue;
+      Permit Given = m_Coordinator->take(
+          core::IncarnationId(Each.m_Incarnation), Told, m_Now + LinkDelay);
+      if (draw() >= LossyShare)
+        Each.m_Member->take(Given, m_Now + 2 * LinkDelay);
+    }
+  }
+
+  void decide() {
+    if (hasEnded() || m_Now < m_LooksAt)
+      return;
+    m_LooksAt = m_Now + LookPeriod;
+    Census Targets{m_Case.m_Targets * 4, m_Case.m_Targets * 4};
+    auto End = m_Coordinator->decide(Targets, m_Now - Begin, m_Now);
+    if (!End)
+      return;
+    m_Result.m_End = End;
+    m_Result.m_EndedAfter = age();
+    // The write, and the news of it.
+    m_EndHeardAt = m_Now + milliseconds(300);
+  }
+
+  static constexpr core::TimePoint Begin{std::chrono::hours(1)};
+
+  RolloutCase m_Case;
+  std::mt19937_64 m_Random;
+  core::TimePoint m_Now = Begin;
+  Order m_Order;
+  std::vector<Instance> m_Instances;
+  std::unique_ptr<Coordinator> m_Coordinator;
+  std::priority_queue<Running> m_Running;
+  std::uint64_t m_Incarnations = 0;
+  core::TimePoint m_LooksAt{};
+  core::TimePoint m_EndHeardAt{};
+  core::TimePoint m_GreyUntil{};
+  std::size_t m_GreyOffset = 0;
+  std::size_t m_BadAnswers = 0;
+  core::TimePoint m_FiftiethAt{};
+  double m_Sent = 0;
+  double m_SentNew = 0;
+  RolloutResult m_Result;
+};
+
+} // namespace
+
+RolloutResult playRollout(const RolloutCase &What, std::uint64_t Seed) {
+  return Play(What, Seed).run();
+}
+
+} // namespace yardrill::tests
