--- a/Tests/Soak/Operator.cpp
+++ b/Tests/Soak/Operator.cpp
@@ -2,6 +2,8 @@
 
 #include "Sleep.h"
 
+#include "LibCore/Error.h"
+
 namespace yardrill::soak {
 
 namespace asio = boost::asio;
@@ -22,9 +24,13 @@
 
 void Operator::run(asio::yield_context Yield) {
   m_IsIdle = false;
-  while (!m_IsStopped) {
-    rollOut(Yield);
-    tests::sleepFor(m_Context, BetweenOrders, Yield);
+  try {
+    while (!m_IsStopped) {
+      rollOut(Yield);
+      tests::sleepFor(m_Context, BetweenOrders, Yield);
+    }
+  } catch (const std::exception &Failure) {
+    m_Book.broken("operator", Failure.what());
   }
   m_IsIdle = true;
 }
@@ -55,7 +61,12 @@
                                asio::yield_context Yield) {
   while (Clock::now() < Terms.m_Deadline + LongestDelay) {
     tests::sleepFor(m_Context, LookPause, Yield);
-    std::string Text = m_Under.rolloutState(Terms.m_Pool, Yield);
+    std::string Text;
+    try {
+      Text = m_Under.rolloutState(Terms.m_Pool, Yield);
+    } catch (const core::Error &) {
+      continue; // The store is away.
+    }
     if (Text.empty())
       continue;
     boost::json::value Value = boost::json::parse(Text);
