--- /dev/null
+++ b/Tests/LibRollout/MemberTest.cpp
@@ -0,0 +1,182 @@
+#include "LibRollout/Member.h"
+#include "LibRollout/Coordinator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::rollout;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class MemberTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MemberTest);
+  CPPUNIT_TEST(testNothingWithoutAPermit);
+  CPPUNIT_TEST(testPermitLapsesFromItsReport);
+  CPPUNIT_TEST(testLateAndForeignPermitsAreNone);
+  CPPUNIT_TEST(testShareIsNeverExceeded);
+  CPPUNIT_TEST(testRareRoutesAreTriedToo);
+  CPPUNIT_TEST(testStopsByItself);
+  CPPUNIT_TEST(testEvidenceToldTwiceCountsOnce);
+  CPPUNIT_TEST(testCompletesOnlyWhenDrained);
+  CPPUNIT_TEST_SUITE_END();
+
+  core::TimePoint m_Now{std::chrono::hours(1)};
+
+  static Order order() {
+    Order Out;
+    Out.m_Id = OrderId(7);
+    Out.m_Version = core::TargetVersion("v2");
+    Out.m_Bake = seconds(10);
+    return Out;
+  }
+  Permit permit(const Report &Told, Traffic How, double Share = 0.1) const {
+    return {OrderId(7), Told.m_Number, How, Share};
+  }
+  void give(Member &To, Traffic How, double Share = 0.1) {
+    To.take(permit(To.report(0, m_Now), How, Share), m_Now);
+  }
+  static CellKey key(Side Which, std::uint32_t Target) {
+    CellKey Out;
+    Out.m_Side = Which;
+    Out.m_Target = Target;
+    Out.m_Route = 1;
+    return Out;
+  }
+
+public:
+  void testNothingWithoutAPermit() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    for (int I = 0; I < 100; ++I) {
+      CPPUNIT_ASSERT(!Own.isSampleDue(1, m_Now));
+      Own.sent(1, false, m_Now);
+    }
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::Old);
+  }
+
+  void testPermitLapsesFromItsReport() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    Report Told = Own.report(0, m_Now);
+    m_Now += milliseconds(1000);
+    Own.take(permit(Told, Traffic::New), m_Now);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::New);
+    m_Now += milliseconds(499);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::New);
+    m_Now += milliseconds(1);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::Old);
+  }
+
+  void testLateAndForeignPermitsAreNone() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    Report First = Own.report(0, m_Now);
+    Report Second = Own.report(0, m_Now);
+    Own.take(permit(Second, Traffic::Old), m_Now);
+    Own.take(permit(First, Traffic::New), m_Now);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::Old);
+    Permit Foreign = permit(Second, Traffic::New);
+    Foreign.m_Order = OrderId(8);
+    Own.take(Foreign, m_Now);
+    Permit Unasked = permit(Second, Traffic::New);
+    Unasked.m_Report = 99;
+    Own.take(Unasked, m_Now);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::Old);
+    m_Now += seconds(3);
+    Own.report(0, m_Now);
+    Own.take(permit(Second, Traffic::New), m_Now);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::Old);
+  }
+
+  void testShareIsNeverExceeded() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    int New = 0;
+    for (int I = 0; I < 2000; ++I) {
+      if (I % 20 == 0)
+        give(Own, Traffic::Sample, 0.06);
+      bool IsNew = Own.isSampleDue(static_cast<std::uint32_t>(I % 3), m_Now);
+      New += IsNew ? 1 : 0;
+      Own.sent(static_cast<std::uint32_t>(I % 3), IsNew, m_Now);
+      CPPUNIT_ASSERT(New <= 0.06 * (I + 1));
+      m_Now += milliseconds(7);
+    }
+    CPPUNIT_ASSERT(New >= 110);
+  }
+
+  void testRareRoutesAreTriedToo() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    std::map<std::uint32_t, int> Tries;
+    for (int I = 0; I < 4000; ++I) {
+      if (I % 20 == 0)
+        give(Own, Traffic::Sample);
+      std::uint32_t Route = I % 25 == 0 ? 2 : 1;
+      bool IsNew = Own.isSampleDue(Route, m_Now);
+      Tries[Route] += IsNew ? 1 : 0;
+      Own.sent(Route, IsNew, m_Now);
+      m_Now += milliseconds(7);
+    }
+    // One of 25 requests; a tenth of all tries would be 16 by their share.
+    CPPUNIT_ASSERT(Tries[2] >= 80);
+    CPPUNIT_ASSERT(Tries[1] >= 200);
+  }
+
+  void testStopsByItself() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    give(Own, Traffic::New);
+    for (std::uint32_t I = 0; I < 8; ++I)
+      Own.answered(key(Side::New, I),
+                   I % 2 == 0 ? AnswerQuality::Failed : AnswerQuality::Whole,
+                   milliseconds(50), m_Now);
+    CPPUNIT_ASSERT(Own.traffic(m_Now) == Traffic::Old);
+  }
+
+  void testEvidenceToldTwiceCountsOnce() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    Coordinator Leads(order(), ExposureLimits(), m_Now);
+    for (std::uint32_t I = 0; I < 40; ++I) {
+      Own.answered(key(Side::Old, I % 4), AnswerQuality::Whole,
+                   milliseconds(50), m_Now);
+      Own.answered(key(Side::New, 10 + I % 4), AnswerQuality::Whole,
+                   milliseconds(50), m_Now);
+    }
+    Report Told = Own.report(0, m_Now);
+    for (int I = 0; I < 5; ++I)
+      Leads.take(core::IncarnationId(1), Told, m_Now);
+    m_Now += milliseconds(200);
+    Leads.decide({16, 16}, seconds(1), m_Now);
+    CPPUNIT_ASSERT_EQUAL(40U, Leads.judgement().m_NewAnswers);
+    CPPUNIT_ASSERT_EQUAL(40U, Leads.judgement().m_OldAnswers);
+  }
+
+  void testCompletesOnlyWhenDrained() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    Coordinator Leads(order(), ExposureLimits(), m_Now);
+    auto Tell = [&](std::uint32_t RunningOld) {
+      Own.take(Leads.take(core::IncarnationId(1), Own.report(RunningOld, m_Now),
+                          m_Now),
+               m_Now);
+    };
+    for (std::uint32_t I = 0; I < 100; ++I) {
+      Own.answered(key(Side::Old, I % 4), AnswerQuality::Whole,
+                   milliseconds(50), m_Now);
+      Own.answered(key(Side::New, 10 + I % 4), AnswerQuality::Whole,
+                   milliseconds(50), m_Now);
+    }
+    Tell(3);
+    m_Now += seconds(7);
+    Tell(3);
+    CPPUNIT_ASSERT(!Leads.decide({16, 16}, seconds(7), m_Now));
+    CPPUNIT_ASSERT(Leads.traffic() == Traffic::New);
+    m_Now += milliseconds(300);
+    Tell(2);
+    Tell(2);
+    CPPUNIT_ASSERT(!Leads.decide({16, 16}, milliseconds(7300), m_Now));
+    m_Now += milliseconds(300);
+    Tell(0);
+    auto End = Leads.decide({16, 16}, milliseconds(7600), m_Now);
+    CPPUNIT_ASSERT(End && End->m_State == State::Completed);
+    // Those that come late still hear where to send.
+    CPPUNIT_ASSERT(
+        Leads.take(core::IncarnationId(2), Own.report(0, m_Now), m_Now)
+            .m_Traffic == Traffic::New);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MemberTest);
