LibRollout: Tell what changed, and the rest in turn

Cause (reckoned, not measured): each of 74 instances told all of its some 60 cells three times a second, 1,600 datagrams a second at one coordinator. Change: a report holds the cells that changed and fills one datagram with others in turn, so that what was lost is told again.

--- a/Libraries/LibRollout/Comparison.cpp
+++ b/Libraries/LibRollout/Comparison.cpp
@@ -6,9 +6,9 @@
 
 namespace yardrill::rollout {
 
-/// A version is looked at for failing, or being slow, so much more often: of bad
-/// ones a part of the answers is meant, which users notice from about a tenth
-/// on. The larger ones find a plainly bad version with fewer answers.
+/// A version is looked at for failing, or being slow, so much more often: of
+/// bad ones a part of the answers is meant, which users notice from about a
+/// tenth on. The larger ones find a plainly bad version with fewer answers.
 static constexpr double Worse[] = {0.12, 0.25, 0.5};
 /// Share that is taken for usual where the old side has shown nothing yet.
 static constexpr double LeastUsual = 0.015;
@@ -29,8 +29,7 @@
 void Comparison::countFailures(const Cells &Sum) {
   for (const auto &[Key, Counts] : Sum) {
     Sides &Of = m_Failures[Key.m_Route];
-    Count &Into =
-        (Key.m_Side == Side::New ? Of.m_New : Of.m_Old)[Key.m_Target];
+    Count &Into = (Key.m_Side == Side::New ? Of.m_New : Of.m_Old)[Key.m_Target];
     Into.m_All += Counts.answers();
     Into.m_Bad += Counts.m_Failures;
   }
@@ -93,8 +92,7 @@
     if (From == SlowFrom.end() || From->second == NeverSlow)
       continue;
     Sides &Of = m_Slow[Key.m_Route];
-    Count &Into =
-        (Key.m_Side == Side::New ? Of.m_New : Of.m_Old)[Key.m_Target];
+    Count &Into = (Key.m_Side == Side::New ? Of.m_New : Of.m_Old)[Key.m_Target];
     Into.m_All += Counts.successes();
     for (std::size_t I = 0; I < TimeBins; ++I)
       if (static_cast<int>(I) - Middle[Key.m_Route] >= From->second)
@@ -119,10 +117,9 @@
   double Best = -std::numeric_limits<double>::max();
   for (double More : Worse) {
     double Share = std::min(Usual + More, 0.97);
-    Best = std::max(
-        Best, New.m_Bad * std::log(Share / Usual) +
-                  (New.m_All - New.m_Bad) *
-                      std::log((1 - Share) / (1 - Usual)));
+    Best = std::max(Best, New.m_Bad * std::log(Share / Usual) +
+                              (New.m_All - New.m_Bad) *
+                                  std::log((1 - Share) / (1 - Usual)));
   }
   // The best of several is a little high by chance.
   return Best > 0 ? std::max(0.0, Best - std::log(std::size(Worse))) : Best;
@@ -136,9 +133,8 @@
   std::vector<Count> Sorted;
   for (const auto &[Target, Each] : What.m_New)
     Sorted.push_back(Each);
-  std::sort(Sorted.begin(), Sorted.end(), [](const Count &A, const Count &B) {
-    return A.m_Bad > B.m_Bad;
-  });
+  std::sort(Sorted.begin(), Sorted.end(),
+            [](const Count &A, const Count &B) { return A.m_Bad > B.m_Bad; });
   auto Aside = static_cast<std::size_t>(
       std::ceil(static_cast<double>(Sorted.size()) * SetAside));
   Count Rest;
@@ -180,7 +176,8 @@
       Chance += Term;
     Term *= (m_NewTargets.m_All - K) / (K + 1) * Usual / (1 - Usual);
   }
-  // Looked at anew only when another target has answered: one in 10,000 will do.
+  // Looked at anew only when another target has answered: one in 10,000 will
+  // do.
   double Score = -std::log(std::max(Chance, 1e-12)) * 1.25;
   if (Score > Into.m_Worst.m_Score)
     Into.m_Worst = {Score, 0, "slow-targets"};
--- a/Libraries/LibRollout/Coordinator.cpp
+++ b/Libraries/LibRollout/Coordinator.cpp
@@ -18,8 +18,8 @@
 /// Against the version on any route, at that time.
 static constexpr double MostAgainst = 1.5;
 /// Part of the requests that are allowed beyond the share, which samples take
-/// where there are few requests. With 40 a second for 12 s the share alone is 20
-/// answers: 4 of 25 versions that failed two in five were not found by them.
+/// where there are few requests. With 40 a second for 12 s the share alone is
+/// 20 answers: 4 of 25 versions that failed two in five were not found by them.
 static constexpr double SlackShare = 0.4;
 static constexpr double MostSampled = 0.25;
 /// The end is written so long before the deadline: a call to a slow store.
--- a/Libraries/LibRollout/Judge.cpp
+++ b/Libraries/LibRollout/Judge.cpp
@@ -25,8 +25,8 @@
   return Out;
 }
 
-/// With fewer answers of the old version in a span, all of its answers are taken
-/// for what is usual: once all goes to the new one there are none.
+/// With fewer answers of the old version in a span, all of its answers are
+/// taken for what is usual: once all goes to the new one there are none.
 static constexpr std::uint32_t LeastOldAnswers = 100;
 
 static Cells withOldSide(Cells Span, const Cells &Sum) {
--- a/Libraries/LibRollout/Member.cpp
+++ b/Libraries/LibRollout/Member.cpp
@@ -4,6 +4,8 @@
 
 namespace yardrill::rollout {
 
+/// Cells of a report, where fewer changed: they fit one datagram.
+static constexpr std::size_t UsualCells = 9;
 /// Weight of the newest answer of the old version.
 static constexpr double FailureWeight = 0.05;
 /// By how much the new version's share of failures must exceed the old one's
@@ -51,6 +53,7 @@
 void Member::answered(const CellKey &Where, AnswerQuality How,
                       core::Duration Time, core::TimePoint Now) {
   m_Evidence.note(Where, How, Time);
+  m_Changed.insert(Where);
   lookAtOwn(Where, How, Now);
 }
 
@@ -58,7 +61,8 @@
                        core::TimePoint Now) {
   bool IsFailure = How == AnswerQuality::Failed;
   if (Where.m_Side == Side::Old) {
-    m_OldFailureShare += FailureWeight * ((IsFailure ? 1 : 0) - m_OldFailureShare);
+    m_OldFailureShare +=
+        FailureWeight * ((IsFailure ? 1 : 0) - m_OldFailureShare);
     return;
   }
   m_OwnFailures.push_back(IsFailure);
@@ -72,6 +76,22 @@
     m_StoppedUntil = Now + Permit::Length;
 }
 
+Cells Member::cellsToTell() {
+  const Cells &All = m_Evidence.cells();
+  Cells Out;
+  for (const CellKey &Each : m_Changed)
+    Out.emplace(Each, All.at(Each));
+  m_Changed.clear();
+  for (std::size_t I = 0; I < All.size() && Out.size() < UsualCells; ++I) {
+    auto Next = All.upper_bound(m_LastTold);
+    if (Next == All.end())
+      Next = All.begin();
+    m_LastTold = Next->first;
+    Out.insert(*Next);
+  }
+  return Out;
+}
+
 Report Member::report(std::uint32_t RunningOld, core::TimePoint Now) {
   Report Out;
   Out.m_Order = m_Order.m_Id;
@@ -81,7 +101,7 @@
   Out.m_RunningOld = RunningOld;
   Out.m_Sent = m_Sent;
   Out.m_SentNew = m_SentNew;
-  Out.m_Cells = m_Evidence.cells();
+  Out.m_Cells = cellsToTell();
   m_Asked.push_back({Out.m_Number, Now});
   while (Now - m_Asked.front().m_At > Permit::Length)
     m_Asked.pop_front();
--- a/Libraries/LibRollout/Member.h
+++ b/Libraries/LibRollout/Member.h
@@ -10,6 +10,7 @@
 #include "LibRollout/Permit.h"
 
 #include <deque>
+#include <set>
 
 namespace yardrill::rollout {
 
@@ -39,6 +40,11 @@
   /// Answers of the new version that an instance looks at by itself.
   static constexpr std::size_t OwnLook = 8;
 
+  /// Cells that changed since the last report, and some of the others in turn:
+  /// what was lost is told again within some reports. 74 instances that each
+  /// told all of 60 cells took a coordinator of 0.12 cores half of its time
+  /// (reckoned from 1,600 datagrams a second of 40 us).
+  Cells cellsToTell();
   bool isStopped(core::TimePoint Now) const { return Now < m_StoppedUntil; }
   /// Stops by itself where all goes to the new version and it plainly fails:
   /// sooner than the coordinator can.
@@ -57,6 +63,8 @@
   std::deque<Asked> m_Asked; ///< Reports that a permit may still answer.
   Exposure m_Exposure;
   Evidence m_Evidence;
+  std::set<CellKey> m_Changed;    ///< Since the last report.
+  CellKey m_LastTold;             ///< In turn.
   std::deque<bool> m_OwnFailures; ///< Of the last answers of the new version.
   double m_OldFailureShare = 0;   ///< Decaying.
   std::uint64_t m_NextReport = 1;
--- a/Tests/LibRollout/MemberTest.cpp
+++ b/Tests/LibRollout/MemberTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testRareRoutesAreTriedToo);
   CPPUNIT_TEST(testStopsByItself);
   CPPUNIT_TEST(testEvidenceToldTwiceCountsOnce);
+  CPPUNIT_TEST(testLostReportsAreToldAgain);
   CPPUNIT_TEST(testCompletesOnlyWhenDrained);
   CPPUNIT_TEST_SUITE_END();
 
@@ -145,6 +146,22 @@
     CPPUNIT_ASSERT_EQUAL(40U, Leads.judgement().m_OldAnswers);
   }
 
+  void testLostReportsAreToldAgain() {
+    Member Own(order(), core::Duration::zero(), m_Now);
+    Coordinator Leads(order(), ExposureLimits(), m_Now);
+    for (std::uint32_t I = 0; I < 60; ++I)
+      Own.answered(key(Side::Old, I), AnswerQuality::Whole, milliseconds(50),
+                   m_Now);
+    Own.report(0, m_Now); // Lost.
+    for (int I = 0; I < 8; ++I) {
+      Report Told = Own.report(0, m_Now);
+      CPPUNIT_ASSERT(Told.m_Cells.size() <= 9);
+      Leads.take(core::IncarnationId(1), Told, m_Now);
+    }
+    Leads.decide({16, 16}, seconds(1), m_Now);
+    CPPUNIT_ASSERT_EQUAL(60U, Leads.judgement().m_OldAnswers);
+  }
+
   void testCompletesOnlyWhenDrained() {
     Member Own(order(), core::Duration::zero(), m_Now);
     Coordinator Leads(order(), ExposureLimits(), m_Now);
--- a/Tests/LibRollout/RolloutModelTest.cpp
+++ b/Tests/LibRollout/RolloutModelTest.cpp
@@ -34,7 +34,8 @@
     for (int Seed = 1; Seed <= Seeds; ++Seed) {
       RolloutResult Got = playRollout(What, static_cast<std::uint64_t>(Seed));
       ++Out.m_Played;
-      bool IsInTime = Got.m_End && Got.m_EndedAfter <= core::toSeconds(What.m_Bake);
+      bool IsInTime =
+          Got.m_End && Got.m_EndedAfter <= core::toSeconds(What.m_Bake);
       Out.m_InTime += IsInTime ? 1 : 0;
       Out.m_Completed +=
           Got.m_End && Got.m_End->m_State == State::Completed ? 1 : 0;
@@ -45,8 +46,8 @@
       Out.m_Longest = std::max(Out.m_Longest, Got.m_LastAfterFiftieth);
     }
     std::cout << "\nrollouts case=" << Name << " played=" << Out.m_Played
-              << " completed=" << Out.m_Completed
-              << " in_time=" << Out.m_InTime << " last_end_s=" << Out.m_LastEnd
+              << " completed=" << Out.m_Completed << " in_time=" << Out.m_InTime
+              << " last_end_s=" << Out.m_LastEnd
               << " most_beyond_share=" << Out.m_MostBeyond
               << " longest_after_fiftieth_s=" << Out.m_Longest << std::flush;
     return Out;
