--- a/Libraries/LibRouting/Target.h
+++ b/Libraries/LibRouting/Target.h
@@ -49,9 +49,9 @@
   TargetRun run() const { return {m_Name, m_Birth}; }
   bool operator==(const Target &Other) const {
     return run() == Other.run() && m_Pool == Other.m_Pool &&
-           m_Version == Other.m_Version &&
-           m_Address == Other.m_Address && m_DataHall == Other.m_DataHall &&
-           m_Places == Other.m_Places && m_IsLeaving == Other.m_IsLeaving;
+           m_Version == Other.m_Version && m_Address == Other.m_Address &&
+           m_DataHall == Other.m_DataHall && m_Places == Other.m_Places &&
+           m_IsLeaving == Other.m_IsLeaving;
   }
 };
 
--- a/Tests/Platform/ForeignEntryTest.cpp
+++ b/Tests/Platform/ForeignEntryTest.cpp
@@ -32,14 +32,10 @@
 
   /// As deployments wrote them before runs told their birth.
   static json::object oldForm() {
-    return {{"service", "huvo11a"},
-            {"address", "10.128.0.9:8080"},
-            {"zone", "bandung"},
-            {"version", "v1"},
-            {"slots", 6},
-            {"state", "ready"},
-            {"coldLeftMs", 0},
-            {"seq", 4}};
+    return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"},
+            {"zone", "bandung"},    {"version", "v1"},
+            {"slots", 6},           {"state", "ready"},
+            {"coldLeftMs", 0},      {"seq", 4}};
   }
   static json::object newForm() {
     json::object Out = oldForm();
@@ -88,7 +84,7 @@
   }
 
   void testOtherTypesNameNoTarget() {
-    const json::value Values[] = {nullptr,       true,           json::array{4},
+    const json::value Values[] = {nullptr,        true,          json::array{4},
                                   json::object{}, json::array{}, 1.5};
     for (const auto &Field : newForm())
       for (const json::value &Value : Values) {
@@ -103,7 +99,8 @@
       Other[Name] = "4";
       CPPUNIT_ASSERT_MESSAGE(Name, !isTarget(entry(Other)));
     }
-    for (const char *Name : {"service", "address", "zone", "version", "state"}) {
+    for (const char *Name :
+         {"service", "address", "zone", "version", "state"}) {
       json::object Other = newForm();
       Other[Name] = 4;
       CPPUNIT_ASSERT_MESSAGE(Name, !isTarget(entry(Other)));
@@ -171,7 +168,8 @@
     }
     CPPUNIT_ASSERT(Readable > 100 && Readable < 19900);
     for (int I = 0; I < 4; ++I) {
-      auto *Sound = Targets.find(core::TargetName("sound-" + std::to_string(I)));
+      auto *Sound =
+          Targets.find(core::TargetName("sound-" + std::to_string(I)));
       CPPUNIT_ASSERT(Sound && !Sound->m_LapsedAt);
       CPPUNIT_ASSERT_EQUAL(std::size_t(6), Sound->m_Target.m_Places);
     }
@@ -182,9 +180,9 @@
     return std::uniform_int_distribution<std::size_t>(0, Limit - 1)(Random);
   }
   static std::string mutated(std::mt19937_64 &Random) {
-    static const json::value Values[] = {nullptr, false, 0,       -7,
-                                         1e18,    0.25,  "ready", "draining",
-                                         "v2",    "",    json::array{}};
+    static const json::value Values[] = {
+        nullptr, false,      0,    -7, 1e18,         0.25,
+        "ready", "draining", "v2", "", json::array{}};
     json::object Content = below(Random, 2) == 0 ? oldForm() : newForm();
     for (std::size_t Changes = below(Random, 3); Changes > 0; --Changes) {
       auto Field = Content.begin() + below(Random, Content.size());
@@ -198,7 +196,8 @@
       Text.resize(below(Random, Text.size()));
     for (std::size_t Bytes = below(Random, 8) / 6; Bytes > 0; --Bytes)
       if (!Text.empty())
-        Text[below(Random, Text.size())] = static_cast<char>(below(Random, 256));
+        Text[below(Random, Text.size())] =
+            static_cast<char>(below(Random, 256));
     return Text;
   }
 };
--- a/Tests/Support/RolloutFleet.cpp
+++ b/Tests/Support/RolloutFleet.cpp
@@ -52,8 +52,7 @@
       start(I, core::Duration::zero());
     for (Instance &Each : m_Instances)
       Each.m_ReportsAt = m_Now + drawDuration(period());
-    m_Coordinator =
-        std::make_unique<Coordinator>(
+    m_Coordinator = std::make_unique<Coordinator>(
         m_Order, ExposureLimits{Case.m_MostShare, 50}, m_Now);
   }
 
@@ -75,13 +74,13 @@
   }
 
 private:
-  double draw() { return std::uniform_real_distribution<double>(0, 1)(m_Random); }
+  double draw() {
+    return std::uniform_real_distribution<double>(0, 1)(m_Random);
+  }
   core::Duration drawDuration(core::Duration Most) {
     return core::fromSeconds(draw() * core::toSeconds(Most));
   }
-  core::Duration period() const {
-    return reportPeriod(m_Case.m_Instances);
-  }
+  core::Duration period() const { return reportPeriod(m_Case.m_Instances); }
   double age() const { return core::toSeconds(m_Now - Begin); }
   bool hasEnded() const { return m_Result.m_End.has_value(); }
 
@@ -171,8 +170,8 @@
     std::size_t Route = drawRoute();
     auto RouteHash = static_cast<std::uint32_t>(Route + 1);
     Traffic How = By.m_Member->traffic(m_Now);
-    bool IsNew = How == Traffic::New ||
-                 By.m_Member->isSampleDue(RouteHash, m_Now);
+    bool IsNew =
+        How == Traffic::New || By.m_Member->isSampleDue(RouteHash, m_Now);
     // Its end has been heard of everywhere but where nothing is heard.
     bool IsHeard = hasEnded() && m_Now > m_EndHeardAt && By.m_CutUntil < m_Now;
     if (IsHeard)
@@ -187,7 +186,8 @@
     Next.m_Key = {IsNew ? Side::New : Side::Old,
                   static_cast<std::uint32_t>(Target + (IsNew ? 100000 : 0)),
                   RouteHash};
-    double Ms = UsualMs * std::exp(std::normal_distribution<double>(0, 0.35)(m_Random));
+    double Ms =
+        UsualMs * std::exp(std::normal_distribution<double>(0, 0.35)(m_Random));
     if (Target % 3 == 0)
       Ms *= m_Case.m_SlowHardware;
     bool IsFailure = draw() < m_Case.m_UsualFailures[Route] ||
--- a/Tests/Support/RolloutFleet.h
+++ b/Tests/Support/RolloutFleet.h
@@ -18,18 +18,18 @@
 /// How a version is.
 enum class VersionShape {
   Good,
-  Fails,            ///< A part of its answers.
-  FailsLate,        ///< From the middle of its time on.
-  FailsUnderLoad,   ///< Where a target gets what it must bear in the end.
-  FailsOnOneRoute,  ///< That is used least.
-  Slow,             ///< A part of its answers takes several times as long.
+  Fails,           ///< A part of its answers.
+  FailsLate,       ///< From the middle of its time on.
+  FailsUnderLoad,  ///< Where a target gets what it must bear in the end.
+  FailsOnOneRoute, ///< That is used least.
+  Slow,            ///< A part of its answers takes several times as long.
   SlowOnOneRoute,
 };
 
 struct RolloutCase {
   std::size_t m_Instances = 24;
-  double m_RequestsPerSecond = 300; ///< Of the pool.
-  std::size_t m_Targets = 30;       ///< Of each version.
+  double m_RequestsPerSecond = 300;            ///< Of the pool.
+  std::size_t m_Targets = 30;                  ///< Of each version.
   std::vector<double> m_Routes{0.5, 0.3, 0.2}; ///< Shares of the requests.
   std::vector<double> m_UsualFailures{0.004, 0.02, 0.14};
   /// Every third target takes so many times as long.
@@ -40,15 +40,15 @@
   core::Duration m_Bake = std::chrono::seconds(12);
   double m_MostShare = 0.1;
   // Faults beside it.
-  bool m_HasKills = false;  ///< Instances die and start again.
-  bool m_HasCuts = false;   ///< Instances hear nobody for some seconds.
-  bool m_HasGrey = false;   ///< A seventh of all targets fails for a time.
+  bool m_HasKills = false; ///< Instances die and start again.
+  bool m_HasCuts = false;  ///< Instances hear nobody for some seconds.
+  bool m_HasGrey = false;  ///< A seventh of all targets fails for a time.
 };
 
 struct RolloutResult {
   std::optional<rollout::Decision> m_End;
-  double m_EndedAfter = 0;  ///< Seconds.
-  double m_Exposure = 0;    ///< Part of the requests up to the deadline.
+  double m_EndedAfter = 0;    ///< Seconds.
+  double m_Exposure = 0;      ///< Part of the requests up to the deadline.
   double m_ExposedBeyond = 0; ///< Requests beyond the allowed share.
   /// From the 50th bad answer to the last request that was sent to the new
   /// version; 0: there were fewer.
