Tests/StandIns: Count a call to the store when it arrives

Seen: Platform.StoreClientTest failed once in a run of all tests (the first read under a rate of one call a second got 429), and in 1 of 25 runs alone; 0 of 25 beside eight busy loops. Cause: the call that met the stand-in's silence, given up by its client, looks every 50 ms whether the silence is over, goes on then and takes the one call of that second. Change: the stand-in counts a call on arrival; the test waits over that look, which makes the order certain. No assertion changed.

--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -185,6 +185,9 @@
       controlWithin(R"({"silent":false,"down":true})", Yield);
       CPPUNIT_ASSERT(failureOf(Read) == ErrorKind::OutcomeUnknown);
       controlWithin(R"({"down":false,"calls_per_second":1})", Yield);
+      // The call that met the silence goes on at the stand-in meanwhile.
+      asio::steady_timer Pause(m_Context, std::chrono::milliseconds(100));
+      Pause.async_wait(Yield);
       Read();
       CPPUNIT_ASSERT(failureOf(Read) == ErrorKind::Unavailable);
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), m_Client->counters().m_Calls);
--- a/Tests/StandIns/Platform.cpp
+++ b/Tests/StandIns/Platform.cpp
@@ -88,9 +88,12 @@
     sleep(std::chrono::milliseconds(m_SlowMilliseconds), Yield);
   if (m_IsDown)
     return Call.abort();
+  // Calls count when they arrive: one that met silence and goes on long after
+  // its caller has left must not take the place of a later one.
+  bool IsOver = isOverRate();
   while (m_IsSilent)
     sleep(LeaseCheckPeriod, Yield);
-  if (isOverRate())
+  if (IsOver)
     return sendJson(Call, json::object{{"error", "rate limit"}}, Yield, 429);
   const http::RequestMessage Request = Call.request();
   if (startsWith(Request.m_Target, "/kv-watch"))
