LibGateway, LibRollout: One look-up of an open order; what nobody called goes

Read again, behaviour as it was. RolloutDesk asked four times over whether a pool has an open order: findActive() does. Its census and its list of old versions walked over the targets of all pools where TargetDirectory::allOf() gives the pool's, and the census was taken a second time for the log line of the same look.

--- a/Libraries/LibGateway/PoolRollout.h
+++ b/Libraries/LibGateway/PoolRollout.h
@@ -42,7 +42,6 @@
 
   const core::PoolName &pool() const { return m_Pool; }
   const std::optional<rollout::Order> &order() const { return m_Order; }
-  const std::optional<rollout::Status> &status() const { return m_Status; }
   platform::Revision statusRevision() const { return m_StatusRevision; }
   /// \pre isActive().
   rollout::Member &member() { return *m_Member; }
--- a/Libraries/LibGateway/RolloutDesk.cpp
+++ b/Libraries/LibGateway/RolloutDesk.cpp
@@ -99,20 +99,26 @@
   return IsOpen ? &Found->second.m_State : nullptr;
 }
 
+RolloutDesk::Pool *RolloutDesk::findActive(const core::PoolName &Name) {
+  auto Found = m_Pools.find(Name);
+  bool IsActive = Found != m_Pools.end() && Found->second.m_State.isActive();
+  return IsActive ? &Found->second : nullptr;
+}
+
 void RolloutDesk::sent(std::uint32_t Route, const routing::Target &Where) {
-  auto Found = m_Pools.find(Where.m_Pool);
-  if (Found == m_Pools.end() || !Found->second.m_State.isActive())
+  Pool *Which = findActive(Where.m_Pool);
+  if (!Which)
     return;
-  PoolRollout &State = Found->second.m_State;
+  PoolRollout &State = Which->m_State;
   State.member().sent(Route, State.isOnTrial(Where), core::steadyNow());
 }
 
 void RolloutDesk::answered(std::uint32_t Route, const routing::Target &Where,
                            rollout::AnswerQuality How, core::Duration Time) {
-  auto Found = m_Pools.find(Where.m_Pool);
-  if (Found == m_Pools.end() || !Found->second.m_State.isActive())
+  Pool *Which = findActive(Where.m_Pool);
+  if (!Which)
     return;
-  PoolRollout &State = Found->second.m_State;
+  PoolRollout &State = Which->m_State;
   rollout::CellKey Key;
   Key.m_Side = State.isOnTrial(Where) ? rollout::Side::New : rollout::Side::Old;
   Key.m_Target = Where.run().hash();
@@ -140,12 +146,11 @@
 void RolloutDesk::take(const peer::PeerMessage &Message) {
   core::TimePoint Now = core::steadyNow();
   if (const auto *Told = std::get_if<peer::RolloutReport>(&Message.m_Body)) {
-    auto Found = m_Pools.find(Told->m_Pool);
-    if (Found == m_Pools.end() || !Found->second.m_State.isActive() ||
-        Told->m_Order != Found->second.m_State.order()->m_Id.value() ||
+    Pool *Active = findActive(Told->m_Pool);
+    if (!Active || Told->m_Order != Active->m_State.order()->m_Id.value() ||
         !isCoordinator())
       return;
-    Pool &Which = Found->second;
+    Pool &Which = *Active;
     rollout::Report Report = peer::toReport(*Told);
     Which.m_State.member().learnAge(Report.m_Age, Now);
     rollout::Permit Given =
@@ -157,9 +162,8 @@
     return;
   }
   if (const auto *Given = std::get_if<peer::RolloutPermit>(&Message.m_Body)) {
-    auto Found = m_Pools.find(Given->m_Pool);
-    if (Found != m_Pools.end() && Found->second.m_State.isActive())
-      Found->second.m_State.member().take(peer::toPermit(*Given), Now);
+    if (Pool *Which = findActive(Given->m_Pool))
+      Which->m_State.member().take(peer::toPermit(*Given), Now);
   }
 }
 
@@ -221,9 +225,10 @@
   if (!State.isActive() || Now - Which.m_LookedAt < rollout::LookPeriod)
     return;
   Which.m_LookedAt = Now;
+  rollout::Census Targets = census(Which);
   auto End = coordinatorOf(Which, Now)
-                 .decide(census(Which), Which.m_State.member().age(Now), Now);
-  logJudgement(Which, Now);
+                 .decide(Targets, Which.m_State.member().age(Now), Now);
+  logJudgement(Which, Targets, Now);
   if (!End)
     return;
   core::LogLine("rollout-decided")
@@ -240,12 +245,12 @@
         Now);
 }
 
-void RolloutDesk::logJudgement(Pool &Which, core::TimePoint Now) const {
+void RolloutDesk::logJudgement(Pool &Which, const rollout::Census &Targets,
+                               core::TimePoint Now) const {
   if (Now - Which.m_LoggedAt < LogPeriod)
     return;
   Which.m_LoggedAt = Now;
   const rollout::Judgement &Says = Which.m_Coordinator->judgement();
-  rollout::Census Targets = census(Which);
   core::LogLine("rollout-judged")
       .add("pool", Which.m_State.pool())
       .add("version", Which.m_State.order()->m_Version)
@@ -267,11 +272,11 @@
 
 rollout::Census RolloutDesk::census(const Pool &Which) const {
   rollout::Census Out;
-  for (const auto &[Name, Known] : m_Targets.all()) {
-    const routing::Target &Each = Known.m_Target;
-    if (Each.m_Pool != Which.m_State.pool() || !Known.isOpen() ||
-        Known.m_LapsedAt)
+  for (const routing::KnownTarget *Known :
+       m_Targets.allOf(Which.m_State.pool())) {
+    if (!Known->isOpen() || Known->m_LapsedAt)
       continue;
+    const routing::Target &Each = Known->m_Target;
     if (Which.m_State.isOnTrial(Each))
       Out.m_NewPlaces += Each.m_Places;
     else
@@ -283,10 +288,9 @@
 std::set<core::TargetVersion>
 RolloutDesk::oldVersions(const Pool &Which) const {
   std::set<core::TargetVersion> Out;
-  for (const auto &[Name, Known] : m_Targets.all())
-    if (Known.m_Target.m_Pool == Which.m_State.pool() &&
-        !Which.m_State.isOnTrial(Known.m_Target))
-      Out.insert(Known.m_Target.m_Version);
+  for (const routing::KnownTarget *Each : m_Targets.allOf(Which.m_State.pool()))
+    if (!Which.m_State.isOnTrial(Each->m_Target))
+      Out.insert(Each->m_Target.m_Version);
   return Out;
 }
 
--- a/Libraries/LibGateway/RolloutDesk.h
+++ b/Libraries/LibGateway/RolloutDesk.h
@@ -74,10 +74,13 @@
   };
 
   Pool &poolOf(const core::PoolName &Name);
+  /// \returns null where no order is open.
+  Pool *findActive(const core::PoolName &Name);
   void report(Pool &Which, core::TimePoint Now);
   void coordinate(Pool &Which, core::TimePoint Now);
   void write(Pool &Which, const RolloutWrite &What, core::TimePoint Now);
-  void logJudgement(Pool &Which, core::TimePoint Now) const;
+  void logJudgement(Pool &Which, const rollout::Census &Targets,
+                    core::TimePoint Now) const;
   rollout::Coordinator &coordinatorOf(Pool &Which, core::TimePoint Now);
   rollout::Census census(const Pool &Which) const;
   std::set<core::TargetVersion> oldVersions(const Pool &Which) const;
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -34,11 +34,6 @@
   m_Idle.erase(Address);
 }
 
-std::size_t ConnectionPool::idle(const tcp::endpoint &Address) const {
-  auto Found = m_Idle.find(Address);
-  return Found == m_Idle.end() ? 0 : Found->second.size();
-}
-
 void ConnectionPool::closeExpired() {
   core::TimePoint Now = core::steadyNow();
   auto IsOld = [Now](const Idle &Each) { return Each.m_UsableUntil <= Now; };
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -45,8 +45,6 @@
   void closeExpired();
 
   std::uint64_t opened() const { return m_Opened; }
-  /// Kept for the address now.
-  std::size_t idle(const boost::asio::ip::tcp::endpoint &Address) const;
 
 private:
   struct Idle {
--- a/Libraries/LibRollout/Coordinator.h
+++ b/Libraries/LibRollout/Coordinator.h
@@ -42,7 +42,6 @@
 public:
   Coordinator(Order What, const ExposureLimits &Limits, core::TimePoint Now);
 
-  const Order &order() const { return m_Order; }
   /// \returns the answer to it.
   Permit take(core::IncarnationId From, const Report &Told,
               core::TimePoint Now);
--- a/Libraries/LibRollout/Member.h
+++ b/Libraries/LibRollout/Member.h
@@ -19,7 +19,6 @@
   /// \param Age of the order already, as a start after it finds it.
   Member(Order What, core::Duration Age, core::TimePoint Now);
 
-  const Order &order() const { return m_Order; }
   core::Duration age(core::TimePoint Now) const { return Now - m_Since; }
   /// Another instance knows of it for longer.
   void learnAge(core::Duration Age, core::TimePoint Now);
--- a/Tests/Support/RolloutFleet.cpp
+++ b/Tests/Support/RolloutFleet.cpp
@@ -67,7 +67,6 @@
       decide();
     }
     double Deadline = core::toSeconds(m_Order.m_Bake);
-    m_Result.m_Exposure = m_SentNew / std::max(1.0, m_Sent);
     m_Result.m_ExposedBeyond =
         m_SentNew - m_Case.m_MostShare * m_Case.m_RequestsPerSecond * Deadline;
     return m_Result;
@@ -207,10 +206,8 @@
   }
 
   void countSent(bool IsNew) {
-    if (age() <= core::toSeconds(m_Order.m_Bake)) {
-      ++m_Sent;
-      m_SentNew += IsNew ? 1 : 0;
-    }
+    if (IsNew && age() <= core::toSeconds(m_Order.m_Bake))
+      ++m_SentNew;
     if (IsNew && m_BadAnswers >= BadAnswersThatCount)
       m_Result.m_LastAfterFiftieth = core::toSeconds(m_Now - m_FiftiethAt);
   }
@@ -272,7 +269,6 @@
   std::size_t m_GreyOffset = 0;
   std::size_t m_BadAnswers = 0;
   core::TimePoint m_FiftiethAt{};
-  double m_Sent = 0;
   double m_SentNew = 0;
   RolloutResult m_Result;
 };
--- a/Tests/Support/RolloutFleet.h
+++ b/Tests/Support/RolloutFleet.h
@@ -48,7 +48,6 @@
 struct RolloutResult {
   std::optional<rollout::Decision> m_End;
   double m_EndedAfter = 0;    ///< Seconds.
-  double m_Exposure = 0;      ///< Part of the requests up to the deadline.
   double m_ExposedBeyond = 0; ///< Requests beyond the allowed share.
   /// From the 50th bad answer to the last request that was sent to the new
   /// version; 0: there were fewer.
