LibGateway, LibRouting, Meta: Tell whose tokens a request used, and who granted them

Cause: logs could not tell the hypotheses of the exceeded quota apart: neither account nor tokens, grantor or limit. Ruled out: a metric alone, since a window can only be summed from single requests. request-sent has account, tokens and quota_from, quota-refused the limit; Meta/quota sums the fullest windows. No decision changed.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -123,7 +123,7 @@
   bool IsGranted = m_Owner.m_Quotas.draw(m_Draw, Yield);
   if (!IsGranted)
     logQuota("quota-refused");
-  else if (m_Draw.m_IsAlone)
+  else if (m_Draw.m_Source == routing::QuotaSource::Alone)
     logQuota("quota-alone");
   return IsGranted;
 }
--- a/Libraries/LibGateway/RequestFacts.cpp
+++ b/Libraries/LibGateway/RequestFacts.cpp
@@ -13,7 +13,9 @@
   Line.add("request", m_Said.m_Id)
       .add("account", m_Account->m_Name)
       .add("tokens", m_Draw.m_Tokens)
-      .add("is_alone", m_Draw.m_IsAlone)
+      .add("limit_per_second", m_Account->m_TokensPerSecond)
+      .add("limit_burst", m_Account->m_Burst)
+      .add("quota_from", toString(m_Draw.m_Source))
       .add("took_us", core::steadyNow() - m_Times.arrivedAt());
   if (m_Draw.m_RetryAfter)
     Line.add("retry_after_us", *m_Draw.m_RetryAfter);
@@ -31,6 +33,10 @@
       .add("waited_us", core::steadyNow() - m_Times.arrivedAt())
       .add("configuration", m_Table->version())
       .add("store_revision", StoreRevision);
+  if (m_Account)
+    Line.add("account", m_Account->m_Name)
+        .add("tokens", m_Draw.m_Tokens)
+        .add("quota_from", toString(m_Draw.m_Source));
   if (Known)
     Line.add("running_own", Known->m_Own.m_Running)
         .add("running_others", Known->m_Others.m_Running)
--- a/Libraries/LibRouting/QuotaBook.cpp
+++ b/Libraries/LibRouting/QuotaBook.cpp
@@ -16,6 +16,20 @@
 /// When to come back after a refusal that no owner gave a time for.
 static constexpr std::chrono::milliseconds UnknownRetry{250};
 
+std::string toString(QuotaSource Source) {
+  switch (Source) {
+  case QuotaSource::None:
+    return "none";
+  case QuotaSource::Advance:
+    return "advance";
+  case QuotaSource::Owner:
+    return "owner";
+  case QuotaSource::Alone:
+    return "alone";
+  }
+  return "?";
+}
+
 void QuotaBook::setAccounts(std::vector<Account> Accounts,
                             core::TimePoint Now) {
   m_Accounts = std::move(Accounts);
@@ -55,6 +69,7 @@
       continue;
     Each.m_Tokens -= Draw.m_Tokens;
     Draw.m_Owner = Each.m_Owner;
+    Draw.m_Source = QuotaSource::Advance;
     return true;
   }
   return false;
@@ -121,6 +136,7 @@
   case QuotaVerdict::Granted:
     m_HasReachedOwner = true;
     Draw.m_Owner = Owner;
+    Draw.m_Source = QuotaSource::Owner;
     if (Answer.m_Tokens > Draw.m_Tokens)
       keep(Owner, Draw.m_Account, Answer.m_Tokens - Draw.m_Tokens, Now);
     return QuotaStep::Granted;
@@ -143,7 +159,7 @@
 
 QuotaStep QuotaBook::drawAlone(Limited &Of, QuotaDraw &Draw,
                                core::TimePoint Now) {
-  Draw.m_IsAlone = true;
+  Draw.m_Source = QuotaSource::Alone;
   double Level = Of.m_Alone.level(Now);
   double Tokens = Draw.m_Tokens;
   bool IsLetIn = m_HasReachedOwner && Level > 0;
--- a/Libraries/LibRouting/QuotaBook.h
+++ b/Libraries/LibRouting/QuotaBook.h
@@ -17,11 +17,22 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace yardrill::routing {
 
+/// Where the tokens of a request came from.
+enum class QuotaSource {
+  None,    ///< Its account has no limit, or it was refused.
+  Advance, ///< An owner had granted them earlier.
+  Owner,
+  Alone, ///< No owner was reached: from this instance's own part.
+};
+
+std::string toString(QuotaSource Source);
+
 /// One request on its way to the tokens it needs.
 struct QuotaDraw {
   AccountHash m_Account = 0;
@@ -30,7 +41,7 @@
   std::optional<config::Endpoint> m_Owner;
   /// Owners that may still be asked, the next one last.
   std::vector<config::Endpoint> m_Left;
-  bool m_IsAlone = false; ///< No owner was reached.
+  QuotaSource m_Source = QuotaSource::None;
   /// The shortest of the refusals.
   std::optional<core::Duration> m_RetryAfter;
 };
--- a/Tests/Meta/AccountsTest.py
+++ b/Tests/Meta/AccountsTest.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Tests of Meta/losses and Meta/bound on days that are worked out by hand."""
+"""Tests of Meta/losses, Meta/bound and Meta/quota, worked out by hand."""
 import importlib.machinery
 import importlib.util
 import os
@@ -20,6 +20,7 @@
 
 LOSSES = script("losses")
 BOUND = script("bound")
+QUOTA = script("quota")
 
 LOG = """
    0.1000 edge-1 time=x level=info event=instance-started instance=edge-1
