Tests: Show a quota that is exceeded where some instances reach no owner

Cause: an instance that reaches no owner lets in its part of the limit, and one request of any size, beside all that the owners grant to the others. No decision changed.

--- /dev/null
+++ b/Tests/LibRouting/QuotaDeploymentsTest.cpp
@@ -0,0 +1,130 @@
+//===-- QuotaDeploymentsTest.cpp - A quota on all deployments, under faults
+//===//
+//
+// What users saw: one client account's requests ran for more tokens within 8 s
+// than its limit and the tolerance allow, on 78 instances.
+//
+// The order of events, as it was brought about: an account asks for several
+// times its limit. A third of the instances is cut off for some seconds, and
+// none of the account's owners is among them. The owners grant the whole limit
+// to the others; each instance that is cut off lets in its part of the same
+// limit, and one more request of any size. Together they let in up to 5.6 times
+// what may be exceeded.
+//
+// The cause: what an instance lets in without an owner was a part of the limit,
+// as if the owners knew of it and granted that much less. Nobody tells them.
+// The same holds for debts: each owner of three let one request in on credit,
+// and forgot it with its process.
+//
+// The evidence: the logs of such a day, in which every request says who granted
+// its tokens: 3.83 million by owners and 1.34 million by nobody, of 4.84
+// million allowed. The days below come from a search on the code with that
+// fault.
+//
+//===----------------------------------------------------------------------===//
+#include "QuotaDay.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <iostream>
+
+using namespace yardrill;
+using namespace yardrill::tests;
+using std::chrono::milliseconds;
+
+class QuotaDeploymentsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuotaDeploymentsTest);
+  CPPUNIT_TEST(testCutOffWhileOthersGrantAll);
+  CPPUNIT_TEST(testBredDays);
+  CPPUNIT_TEST(testRandomDays);
+  CPPUNIT_TEST(testSmallestLimitsUnderKillsInSeries);
+  CPPUNIT_TEST_SUITE_END();
+
+  static const QuotaDeployment &deployment(const std::string &Name) {
+    for (const QuotaDeployment &Each : QuotaDeployment::all())
+      if (Each.m_Name == Name)
+        return Each;
+    throw std::logic_error("no deployment " + Name);
+  }
+
+  static QuotaDay day(const std::string &Name, double Limit, double Load,
+                      std::uint64_t Seed, std::vector<QuotaEvent> Events) {
+    return {&deployment(Name), Limit, Load, std::move(Events), Seed};
+  }
+  static QuotaEvent cut(int At, double Share, int Time) {
+    return {milliseconds(At), QuotaFault::Cut, Share, milliseconds(Time)};
+  }
+  static QuotaEvent split(int At, double Share, int Time) {
+    return {milliseconds(At), QuotaFault::Split, Share, milliseconds(Time)};
+  }
+  static QuotaEvent kill(int At, double Share, int Time) {
+    return {milliseconds(At), QuotaFault::Kill, Share, milliseconds(Time)};
+  }
+
+  /// \returns the part of the tolerance that was used.
+  static double check(const QuotaDay &Day) {
+    QuotaDayResult Result = play(Day);
+    if (!Result.isKept())
+      std::cerr << "\nof_tolerance=" << Result.usedTolerance() << " "
+                << Day.describe();
+    CPPUNIT_ASSERT_MESSAGE(Day.describe(), Result.isKept());
+    return Result.usedTolerance();
+  }
+
+public:
+  void testCutOffWhileOthersGrantAll() {
+    for (const QuotaDeployment &Each : QuotaDeployment::all())
+      for (std::uint64_t Seed = 1; Seed <= 3; ++Seed)
+        check(day(Each.m_Name, Each.m_LargestLimit, 5, Seed,
+                  {cut(9000, 0.35, 8000)}));
+  }
+
+  void testBredDays() {
+    check(day("simulations-grown", 961975, 5.36134, 1000061,
+              {split(6318, 0.426183, 5794),
+               split(9734, 0.252555, 7549),
+               cut(16420, 0.229914, 3488),
+               cut(10308, 0.349382, 4716),
+               {milliseconds(13494), QuotaFault::Add, 0.256099, {}},
+               cut(17550, 0.0615314, 4699)}));
+    check(day("games", 92659.6, 5.36134, 2516265689700432462,
+              {split(6318, 0.426183, 5794), split(9734, 0.252555, 7549),
+               cut(10308, 0.349382, 4716), split(13036, 0.307435, 7129)}));
+    check(day("tickets", 137670, 5.41783, 6472927700900931384,
+              {kill(18832, 0.425072, 684), split(17493, 0.352812, 5256),
+               cut(11737, 0.277992, 7914), kill(12120, 0.671708, 678),
+               kill(10435, 1, 1325)}));
+    check(day("target", 1.47532e+06, 4.88225, 2516265689700432462,
+              {cut(11784, 0.324482, 8673),
+               split(14429, 0.092412, 3606),
+               split(7071, 0.0834915, 5834),
+               split(7238, 0.287662, 7726),
+               {milliseconds(7829), QuotaFault::Freeze, 0.144767,
+                milliseconds(3884)}}));
+  }
+
+  /// Limits from the largest down to half of the smallest, all kinds of faults,
+  /// singly and together.
+  void testRandomDays() {
+    constexpr std::uint64_t Days = 12;
+    for (const QuotaDeployment &Each : QuotaDeployment::all()) {
+      double Most = 0;
+      for (std::uint64_t Seed = 1; Seed <= Days; ++Seed)
+        Most = std::max(Most, check(QuotaDay::draw(Each, 0, Seed)));
+      std::cerr << "\n" << Each.m_Name << " most_of_tolerance=" << Most;
+    }
+  }
+
+  /// Each start forgets what was granted.
+  void testSmallestLimitsUnderKillsInSeries() {
+    for (const QuotaDeployment &Each : QuotaDeployment::all())
+      for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+        std::vector<QuotaEvent> Kills;
+        for (int At = 8000; At <= 15000; At += 1800)
+          Kills.push_back(kill(At, Seed % 2 == 0 ? 1 : 0.55, 600));
+        check(day(Each.m_Name, Each.m_SmallestLimit, 5, Seed, Kills));
+      }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuotaDeploymentsTest);
--- a/Tests/LibRouting/QuotaModelTest.cpp
+++ b/Tests/LibRouting/QuotaModelTest.cpp
@@ -42,7 +42,7 @@
 public:
   Schedule(std::size_t Size, Faults What, std::uint64_t Seed)
       : m_Faults(What), m_Random(Seed), m_Size(Size),
-        m_Fleet(Size, accounts(), Seed) {}
+        m_Fleet({Size, accounts(), {0.1, 190000, Window}, Seed}) {}
 
   void play() {
     core::TimePoint End = m_Fleet.now() + Length;
--- /dev/null
+++ b/Tests/Support/QuotaDay.cpp
@@ -0,0 +1,282 @@
+#include "QuotaDay.h"
+
+#include "QuotaFleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace yardrill::tests {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr milliseconds Length{24000};
+/// Faults begin once the buckets of a fleet that has just started are used up.
+static constexpr milliseconds FirstFault{6000};
+static constexpr milliseconds LastFault{19000};
+static constexpr std::size_t MostEvents = 6;
+/// Several times the largest limit of a deployment may be lowered to less than
+/// the smallest one that accounts have at first.
+static constexpr double LoweredShare = 0.5;
+
+static routing::QuotaTolerance tolerance(double Tokens) {
+  return {0.1, Tokens, seconds(8)};
+}
+
+const std::vector<QuotaDeployment> &QuotaDeployment::all() {
+  static const std::vector<QuotaRequestKind> Simulations = {
+      {0.185, 6670, 1.4, 54800, 382, 3840},
+      {0.221, 688, 1.0, 3510, 291, 2940},
+      {0.334, 1860, 1.3, 7070, 23, 228},
+      {0.26, 200, 0, 200, 0, 0}};
+  static const std::vector<QuotaRequestKind> Games = {
+      {0.287, 3780, 1.1, 53400, 120, 1200},
+      {0.222, 2950, 1.0, 39800, 52, 520},
+      {0.232, 1170, 1.0, 3990, 172, 1740},
+      {0.259, 200, 0, 200, 0, 0}};
+  static const std::vector<QuotaRequestKind> Tickets = {
+      {0.206, 3780, 1.1, 53400, 120, 1200},
+      {0.161, 2950, 1.0, 39800, 52, 522},
+      {0.373, 1170, 1.0, 3990, 172, 1740},
+      {0.26, 200, 0, 200, 0, 0}};
+  static const std::vector<QuotaDeployment> All = {
+      {"tickets", 6, 3, 47000, 150000, tolerance(190000), Tickets},
+      {"games", 7, 3, 47000, 100000, tolerance(190000), Games},
+      {"simulations", 6, 3, 36000, 300000, tolerance(140000), Simulations},
+      {"tickets-shifted", 74, 14, 47000, 1200000, tolerance(190000), Tickets},
+      {"simulations-grown", 78, 15, 36000, 1200000, tolerance(140000),
+       Simulations},
+      {"games-grown", 88, 16, 47000, 1000000, tolerance(190000), Games},
+      {"tickets-grown", 89, 16, 47000, 1000000, tolerance(190000), Tickets},
+      {"tickets-large", 295, 57, 47000, 1800000, tolerance(190000), Tickets},
+      {"target", 440, 80, 36000, 1800000, tolerance(140000), Simulations}};
+  return All;
+}
+
+double QuotaDeployment::largestRequest() const {
+  double Out = 0;
+  for (const QuotaRequestKind &Each : m_Kinds)
+    Out = std::max(Out, Each.m_LongestPrompt + Each.m_LongestAnswer);
+  return Out;
+}
+
+std::string toString(const QuotaEvent &Event) {
+  static const char *const Names[] = {"kill", "cut", "split", "freeze", "add"};
+  std::ostringstream Out;
+  Out << Names[static_cast<int>(Event.m_Fault)]
+      << " at=" << core::toSeconds(Event.m_At) << " share=" << Event.m_Share
+      << " for=" << core::toSeconds(Event.m_Time);
+  return Out.str();
+}
+
+static QuotaEvent drawEvent(std::mt19937_64 &Random) {
+  auto Between = [&Random](milliseconds Least, milliseconds Most) {
+    std::uniform_int_distribution<std::int64_t> Draw(Least.count(),
+                                                     Most.count());
+    return milliseconds(Draw(Random));
+  };
+  auto Share = [&Random](double Least, double Most) {
+    return std::uniform_real_distribution<double>(Least, Most)(Random);
+  };
+  QuotaEvent Out;
+  Out.m_At = Between(FirstFault, LastFault);
+  Out.m_Fault =
+      static_cast<QuotaFault>(std::uniform_int_distribution<int>(0, 4)(Random));
+  switch (Out.m_Fault) {
+  case QuotaFault::Kill:
+    // Mass kills are the most frequent of those that matter.
+    Out.m_Share = std::bernoulli_distribution(0.4)(Random) ? 1 : Share(0.1, 1);
+    Out.m_Time = Between(milliseconds(500), milliseconds(2500));
+    break;
+  case QuotaFault::Cut:
+    Out.m_Share = Share(0.05, 0.35);
+    Out.m_Time = Between(milliseconds(3000), milliseconds(9000));
+    break;
+  case QuotaFault::Split:
+    Out.m_Share = Share(0.05, 0.5);
+    Out.m_Time = Between(milliseconds(3000), milliseconds(9000));
+    break;
+  case QuotaFault::Freeze:
+    Out.m_Share = Share(0.05, 0.25);
+    Out.m_Time = Between(milliseconds(500), milliseconds(4000));
+    break;
+  case QuotaFault::Add:
+    Out.m_Share = Share(0.25, 0.5);
+    break;
+  }
+  return Out;
+}
+
+QuotaDay QuotaDay::draw(const QuotaDeployment &Deployment, double Limit,
+                        std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  QuotaDay Out;
+  Out.m_Deployment = &Deployment;
+  Out.m_Seed = Seed;
+  std::uniform_real_distribution<double> Logarithm(
+      std::log(Deployment.m_SmallestLimit * LoweredShare),
+      std::log(Deployment.m_LargestLimit));
+  Out.m_Limit = Limit > 0 ? Limit : std::exp(Logarithm(Random));
+  Out.m_Load = std::uniform_real_distribution<double>(1.2, 6)(Random);
+  std::uniform_int_distribution<std::size_t> Count(1, MostEvents);
+  for (std::size_t Left = Count(Random); Left > 0; --Left)
+    Out.m_Events.push_back(drawEvent(Random));
+  return Out;
+}
+
+QuotaDay QuotaDay::bred(std::mt19937_64 &Random) const {
+  QuotaDay Out = *this;
+  switch (std::uniform_int_distribution<int>(0, 3)(Random)) {
+  case 0:
+    Out.m_Seed = Random();
+    break;
+  case 1:
+    if (Out.m_Events.size() < MostEvents)
+      Out.m_Events.push_back(drawEvent(Random));
+    break;
+  default:
+    std::uniform_int_distribution<std::size_t> Which(0,
+                                                     Out.m_Events.size() - 1);
+    Out.m_Events[Which(Random)] = drawEvent(Random);
+    break;
+  }
+  return Out;
+}
+
+std::string QuotaDay::describe() const {
+  std::ostringstream Out;
+  Out << m_Deployment->m_Name << " limit=" << m_Limit << " load=" << m_Load
+      << " seed=" << m_Seed;
+  for (const QuotaEvent &Each : m_Events)
+    Out << "; " << toString(Each);
+  return Out.str();
+}
+
+namespace {
+
+class Player {
+public:
+  explicit Player(const QuotaDay &Day)
+      : m_Day(Day), m_Random(Day.m_Seed),
+        m_Fleet({Day.m_Deployment->m_Size,
+                 {account(Day.m_Limit)},
+                 Day.m_Deployment->m_Tolerance,
+                 Day.m_Seed}) {}
+
+  QuotaDayResult play() {
+    std::vector<QuotaEvent> Left = m_Day.m_Events;
+    core::TimePoint Begin = m_Fleet.now();
+    while (m_Fleet.now() < Begin + Length) {
+      m_Fleet.advance(QuotaFleet::StepTime);
+      for (const QuotaEvent &Each : Left)
+        if (Begin + Each.m_At <= m_Fleet.now())
+          strike(Each);
+      Left.erase(std::remove_if(Left.begin(), Left.end(),
+                                [this, Begin](const QuotaEvent &Each) {
+                                  return Begin + Each.m_At <= m_Fleet.now();
+                                }),
+                 Left.end());
+      demand();
+    }
+    return result();
+  }
+
+private:
+  static routing::Account account(double Limit) {
+    routing::Account Out;
+    Out.m_Name = core::AccountName("account");
+    Out.m_TokensPerSecond = Limit;
+    Out.m_Burst = Limit;
+    return Out;
+  }
+
+  static double meanTokens(const QuotaRequestKind &Kind) {
+    return Kind.m_MeanPrompt + Kind.m_MeanAnswer;
+  }
+
+  double drawTokens(double Mean, double Spread, double Most) {
+    if (Spread <= 0 || Mean <= 0)
+      return Mean;
+    std::lognormal_distribution<double> Tokens(
+        std::log(Mean) - Spread * Spread / 2, Spread);
+    return std::min(Most, Tokens(m_Random));
+  }
+
+  void demand() {
+    // Answers vary as their sheets say.
+    static constexpr double AnswerSpread = 1.5;
+    double Mean = 0;
+    for (const QuotaRequestKind &Each : m_Day.m_Deployment->m_Kinds)
+      Mean += Each.m_Share * meanTokens(Each);
+    double Rate = m_Day.m_Limit * m_Day.m_Load / Mean *
+                  core::toSeconds(QuotaFleet::StepTime);
+    std::uniform_int_distribution<std::size_t> Where(0, m_Fleet.size() - 1);
+    for (const QuotaRequestKind &Each : m_Day.m_Deployment->m_Kinds) {
+      std::poisson_distribution<int> Count(Rate * Each.m_Share);
+      for (int Left = Count(m_Random); Left > 0; --Left) {
+        double Tokens =
+            drawTokens(Each.m_MeanPrompt, Each.m_Spread, Each.m_LongestPrompt) +
+            drawTokens(Each.m_MeanAnswer, AnswerSpread, Each.m_LongestAnswer);
+        m_Fleet.request(Where(m_Random), 0, static_cast<std::uint32_t>(Tokens));
+      }
+    }
+  }
+
+  void strike(const QuotaEvent &Event) {
+    if (Event.m_Fault == QuotaFault::Add) {
+      auto Count = static_cast<std::size_t>(
+          Event.m_Share * static_cast<double>(m_Day.m_Deployment->m_Spare));
+      for (; Count > 0; --Count)
+        m_Fleet.add();
+      return;
+    }
+    std::bernoulli_distribution IsStruck(Event.m_Share);
+    std::vector<std::size_t> Struck;
+    for (std::size_t I = 0; I < m_Fleet.size(); ++I)
+      if (IsStruck(m_Random))
+        Struck.push_back(I);
+    if (Event.m_Fault == QuotaFault::Split)
+      return m_Fleet.split(Struck, Event.m_Time);
+    for (std::size_t Each : Struck) {
+      if (Event.m_Fault == QuotaFault::Kill)
+        m_Fleet.kill(Each, Event.m_Time);
+      if (Event.m_Fault == QuotaFault::Cut)
+        m_Fleet.cut(Each, Event.m_Time);
+      if (Event.m_Fault == QuotaFault::Freeze)
+        m_Fleet.freeze(Each, Event.m_Time);
+    }
+  }
+
+  QuotaDayResult result() const {
+    const routing::QuotaTolerance &Tolerance = m_Day.m_Deployment->m_Tolerance;
+    QuotaDayResult Out;
+    Out.m_Bound =
+        m_Day.m_Limit * core::toSeconds(Tolerance.m_Window) + m_Day.m_Limit;
+    Out.m_Allowed =
+        Out.m_Bound + Tolerance.tokens({m_Day.m_Limit, m_Day.m_Limit});
+    const std::vector<AllowedDraw> &Draws = m_Fleet.allowed(0);
+    double Sum = 0;
+    std::size_t First = 0;
+    for (const AllowedDraw &Last : Draws) {
+      Sum += Last.m_Tokens;
+      while (Last.m_At - Draws[First].m_At > Tolerance.m_Window)
+        Sum -= Draws[First++].m_Tokens;
+      Out.m_Most = std::max(Out.m_Most, Sum);
+    }
+    auto Refused = static_cast<double>(m_Fleet.refused(0));
+    Out.m_RefusedShare =
+        Refused / std::max(1.0, Refused + static_cast<double>(Draws.size()));
+    return Out;
+  }
+
+  const QuotaDay &m_Day;
+  std::mt19937_64 m_Random;
+  QuotaFleet m_Fleet;
+};
+
+} // namespace
+
+QuotaDayResult play(const QuotaDay &Day) { return Player(Day).play(); }
+
+} // namespace yardrill::tests
--- /dev/null
+++ b/Tests/Support/QuotaDay.h
@@ -0,0 +1,89 @@
+//===-- QuotaDay.h - A day of one client account under faults -------------===//
+//
+// One account asks for several times its limit, of a fleet that is killed, cut,
+// split, frozen and grown at set times. How far its fullest window stays below
+// what is allowed is the day's margin; a search breeds days towards its end.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_TESTS_QUOTADAY_H
+#define YARDRILL_TESTS_QUOTADAY_H
+
+#include "LibCore/Time.h"
+#include "LibRouting/QuotaOwner.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace yardrill::tests {
+
+/// One kind of request of a deployment.
+struct QuotaRequestKind {
+  double m_Share = 0;      ///< Of all requests.
+  double m_MeanPrompt = 0; ///< Tokens.
+  double m_Spread = 0;     ///< Of the logarithm.
+  double m_LongestPrompt = 0;
+  double m_MeanAnswer = 0;
+  double m_LongestAnswer = 0;
+};
+
+/// What a deployment's sheet says about quotas.
+struct QuotaDeployment {
+  std::string m_Name;
+  std::size_t m_Size = 6;
+  std::size_t m_Spare = 0;    ///< Instances that may be added.
+  double m_SmallestLimit = 0; ///< Tokens a second; the burst is one second.
+  double m_LargestLimit = 0;
+  routing::QuotaTolerance m_Tolerance;
+  std::vector<QuotaRequestKind> m_Kinds;
+
+  static const std::vector<QuotaDeployment> &all();
+  /// The prompt and answer of the largest request.
+  double largestRequest() const;
+};
+
+enum class QuotaFault { Kill, Cut, Split, Freeze, Add };
+
+struct QuotaEvent {
+  core::Duration m_At{}; ///< From the day's begin.
+  QuotaFault m_Fault = QuotaFault::Kill;
+  double m_Share = 1; ///< Of the instances; Add: of the spare ones.
+  core::Duration m_Time{};
+};
+
+std::string toString(const QuotaEvent &Event);
+
+struct QuotaDay {
+  const QuotaDeployment *m_Deployment = nullptr;
+  double m_Limit = 0; ///< Tokens a second, and of the burst.
+  double m_Load = 4;  ///< Of the limit.
+  std::vector<QuotaEvent> m_Events;
+  std::uint64_t m_Seed = 1;
+
+  /// \param Limit tokens a second; a random one of the deployment's if 0.
+  static QuotaDay draw(const QuotaDeployment &Deployment, double Limit,
+                       std::uint64_t Seed);
+  /// A day that differs from this one in an event or in its luck.
+  QuotaDay bred(std::mt19937_64 &Random) const;
+  std::string describe() const;
+};
+
+struct QuotaDayResult {
+  double m_Allowed = 0; ///< Tokens of any window.
+  double m_Most = 0;    ///< Tokens of the fullest one.
+  double m_Bound = 0;   ///< Rate x window + burst.
+  double m_RefusedShare = 0;
+
+  bool isKept() const { return m_Most <= m_Allowed; }
+  /// Part of what is allowed above the bound that was used; above 1: broken.
+  double usedTolerance() const {
+    return (m_Most - m_Bound) / (m_Allowed - m_Bound);
+  }
+};
+
+QuotaDayResult play(const QuotaDay &Day);
+
+} // namespace yardrill::tests
+
+#endif
--- a/Tests/Support/QuotaFleet.cpp
+++ b/Tests/Support/QuotaFleet.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <utility>
 
 namespace yardrill::tests {
 
@@ -14,9 +15,11 @@
 
 /// Of datagrams, each on its way for one step.
 static constexpr double LossShare = 0.01;
-/// As the users' platform allows.
-static constexpr double ToleratedShare = 0.1;
-static constexpr double ToleratedTokens = 190000;
+/// From a process' start until it has read what the store holds.
+static constexpr std::chrono::milliseconds LeastReadTime{50};
+static constexpr std::chrono::milliseconds LongestReadTime{300};
+/// Until an instance hears of one that was added.
+static constexpr std::chrono::milliseconds LongestSpread{500};
 
 namespace {
 
@@ -29,6 +32,11 @@
   routing::QuotaAnswer m_Answer;
 };
 
+struct CallerRequest {
+  std::size_t m_Account = 0;
+  std::uint32_t m_Tokens = 0;
+};
+
 struct OpenDraw {
   std::size_t m_Instance = 0;
   std::size_t m_Account = 0;
@@ -39,40 +47,93 @@
 } // namespace
 
 struct QuotaFleet::Model {
+  /// One instance.
+  struct Member {
+    config::Endpoint m_Address;
+    std::unique_ptr<QuotaBook> m_Book; ///< Null: down.
+    core::TimePoint m_DownUntil{};
+    core::TimePoint m_ReadsAt{}; ///< When it hears of the list and accounts.
+    bool m_HasRead = false;
+    core::TimePoint m_FrozenUntil{};
+    core::TimePoint m_CutUntil{};
+    core::TimePoint m_SplitUntil{}; ///< From those that are not split off.
+    std::deque<Datagram> m_Inbox;
+    std::vector<CallerRequest> m_Held; ///< Came while it stood still.
+  };
+
+  QuotaFleetSettings m_Settings;
   core::TimePoint m_Now{std::chrono::hours(1)};
   std::mt19937_64 m_Random;
-  std::vector<routing::Account> m_Accounts;
-  std::vector<config::Endpoint> m_Addresses;
+  std::vector<config::Endpoint> m_Recorded; ///< What the store holds.
+  std::vector<Member> m_Members;
   std::map<config::Endpoint, std::size_t> m_Indexes; ///< By address.
-  std::vector<std::unique_ptr<QuotaBook>> m_Books;   ///< Null: down.
-  std::vector<core::TimePoint> m_DownUntil;
-  std::vector<core::TimePoint> m_CutUntil;
-  std::vector<std::deque<Datagram>> m_Inboxes;
   std::map<std::uint64_t, OpenDraw> m_Open;
   std::uint64_t m_NextDraw = 1;
   std::vector<std::vector<AllowedDraw>> m_Allowed;
   std::vector<std::size_t> m_Refused;
 
-  std::size_t size() const { return m_Books.size(); }
-  bool isCut(std::size_t Instance) const {
-    return m_CutUntil[Instance] > m_Now;
+  bool isReached(const Member &From, const Member &To) const {
+    bool IsSplit = (From.m_SplitUntil > m_Now) != (To.m_SplitUntil > m_Now);
+    return !IsSplit && From.m_CutUntil <= m_Now && To.m_CutUntil <= m_Now;
+  }
+
+  core::Duration between(core::Duration Least, core::Duration Most) {
+    std::uniform_int_distribution<std::int64_t> Draw(Least.count(),
+                                                     Most.count());
+    return core::Duration(Draw(m_Random));
   }
 
-  void start(std::size_t Instance, bool IsFirst) {
-    routing::QuotaTolerance Tolerance{ToleratedShare, ToleratedTokens,
-                                      std::chrono::seconds(8)};
-    m_Books[Instance] = std::make_unique<QuotaBook>(
-        m_Addresses[Instance], Tolerance, IsFirst, m_Random());
-    // The list of instances and the accounts come from the store.
-    m_Books[Instance]->setRing(routing::OwnerRing(m_Addresses), m_Now);
-    m_Books[Instance]->setAccounts(m_Accounts, m_Now);
+  void add(bool IsFirst) {
+    std::size_t Index = m_Members.size();
+    Member New;
+    New.m_Address = {"10.1." + std::to_string(Index / 200) + "." +
+                         std::to_string(Index % 200 + 10),
+                     7600};
+    m_Indexes.emplace(New.m_Address, Index);
+    m_Recorded.push_back(New.m_Address);
+    m_Members.push_back(std::move(New));
+    start(m_Members.back(), IsFirst);
+  }
+
+  void start(Member &Of, bool IsFirst) {
+    Of.m_Book = std::make_unique<QuotaBook>(
+        Of.m_Address, m_Settings.m_Tolerance, IsFirst, m_Random());
+    Of.m_HasRead = false;
+    Of.m_ReadsAt = m_Now;
+    if (!IsFirst)
+      Of.m_ReadsAt += between(LeastReadTime, LongestReadTime);
+  }
+
+  /// Tells it the list of instances, and the accounts.
+  void read(Member &Of) {
+    Of.m_Book->setRing(routing::OwnerRing(m_Recorded), m_Now);
+    if (!Of.m_HasRead)
+      Of.m_Book->setAccounts(m_Settings.m_Accounts, m_Now);
+    Of.m_HasRead = true;
+    Of.m_ReadsAt = core::TimePoint::max();
   }
 
   void send(std::size_t To, const Datagram &What) {
     std::uniform_real_distribution<double> Chance(0, 1);
-    if (m_Books[To] && !isCut(What.m_From) && !isCut(To) &&
+    Member &Receiver = m_Members[To];
+    if (Receiver.m_Book && isReached(m_Members[What.m_From], Receiver) &&
         Chance(m_Random) >= LossShare)
-      m_Inboxes[To].push_back(What);
+      Receiver.m_Inbox.push_back(What);
+  }
+
+  void begin(std::size_t Instance, const CallerRequest &Request) {
+    Member &At = m_Members[Instance];
+    if (!At.m_Book || !At.m_HasRead)
+      return;
+    OpenDraw Open;
+    Open.m_Instance = Instance;
+    Open.m_Account = Request.m_Account;
+    Open.m_Draw.m_Account =
+        routing::hashOf(m_Settings.m_Accounts[Request.m_Account].m_Name);
+    Open.m_Draw.m_Tokens = Request.m_Tokens;
+    std::uint64_t Id = m_NextDraw++;
+    OpenDraw &Placed = m_Open.emplace(Id, std::move(Open)).first->second;
+    settle(Id, At.m_Book->begin(Placed.m_Draw, m_Now));
   }
 
   void settle(std::uint64_t Id, QuotaStep Step) {
@@ -93,7 +154,7 @@
   }
 
   void take(std::size_t Instance, const Datagram &What) {
-    QuotaBook &Book = *m_Books[Instance];
+    QuotaBook &Book = *m_Members[Instance].m_Book;
     if (!What.m_IsAnswer) {
       Datagram Answer;
       Answer.m_From = Instance;
@@ -104,30 +165,31 @@
       return send(What.m_From, Answer);
     }
     auto Open = m_Open.find(What.m_Draw);
+    const config::Endpoint &Owner = m_Members[What.m_From].m_Address;
     bool IsWaitedFor =
-        Open != m_Open.end() &&
-        Open->second.m_Draw.m_Left.back() == m_Addresses[What.m_From];
+        Open != m_Open.end() && Open->second.m_Draw.m_Left.back() == Owner;
     if (IsWaitedFor)
       return settle(What.m_Draw,
                     Book.answered(Open->second.m_Draw, What.m_Answer, m_Now));
-    Book.keep(m_Addresses[What.m_From], What.m_Ask.m_Account,
-              What.m_Answer.m_Tokens, m_Now);
+    Book.keep(Owner, What.m_Ask.m_Account, What.m_Answer.m_Tokens, m_Now);
   }
 
   void giveUpWaiting() {
     std::vector<std::uint64_t> Late;
     for (const auto &[Id, Open] : m_Open)
-      if (m_Now - Open.m_AskedAt > QuotaBook::Patience)
+      if (m_Now - Open.m_AskedAt > QuotaBook::Patience &&
+          m_Members[Open.m_Instance].m_FrozenUntil <= m_Now)
         Late.push_back(Id);
     for (std::uint64_t Id : Late) {
       OpenDraw &Open = m_Open.at(Id);
-      settle(Id, m_Books[Open.m_Instance]->unanswered(Open.m_Draw, m_Now));
+      QuotaBook &Book = *m_Members[Open.m_Instance].m_Book;
+      settle(Id, Book.unanswered(Open.m_Draw, m_Now));
     }
   }
 
   void returnUnused(std::size_t Instance) {
     for (const routing::QuotaReturn &Each :
-         m_Books[Instance]->takeUnused(m_Now)) {
+         m_Members[Instance].m_Book->takeUnused(m_Now)) {
       Datagram Return;
       Return.m_From = Instance;
       Return.m_Ask = {Each.m_Account, 0, Each.m_Tokens};
@@ -137,47 +199,51 @@
 
   void step() {
     m_Now += StepTime;
-    std::vector<std::deque<Datagram>> Inboxes(size());
-    Inboxes.swap(m_Inboxes);
-    for (std::size_t I = 0; I < size(); ++I) {
-      if (!m_Books[I] && m_DownUntil[I] <= m_Now)
-        start(I, false);
-      for (const Datagram &Each : Inboxes[I])
-        if (m_Books[I])
-          take(I, Each);
-      if (m_Books[I])
-        returnUnused(I);
+    std::vector<std::deque<Datagram>> Inboxes(m_Members.size());
+    for (std::size_t I = 0; I < m_Members.size(); ++I)
+      if (m_Members[I].m_FrozenUntil <= m_Now)
+        Inboxes[I].swap(m_Members[I].m_Inbox);
+    for (std::size_t I = 0; I < m_Members.size(); ++I) {
+      Member &Each = m_Members[I];
+      if (Each.m_FrozenUntil > m_Now)
+        continue;
+      if (!Each.m_Book && Each.m_DownUntil <= m_Now)
+        start(Each, false);
+      if (!Each.m_Book)
+        continue;
+      // It hears of added ones from the others, and reads the store at a start.
+      bool IsTold = !Each.m_HasRead || Each.m_CutUntil <= m_Now;
+      if (Each.m_ReadsAt <= m_Now && IsTold)
+        read(Each);
+      for (const CallerRequest &Late : std::exchange(Each.m_Held, {}))
+        begin(I, Late);
+      for (const Datagram &What : Inboxes[I])
+        take(I, What);
+      returnUnused(I);
     }
     giveUpWaiting();
   }
 };
 
-QuotaFleet::QuotaFleet(std::size_t Size, std::vector<routing::Account> Accounts,
-                       std::uint64_t Seed)
+QuotaFleet::QuotaFleet(const QuotaFleetSettings &Settings)
     : m_Model(std::make_unique<Model>()) {
   Model &M = *m_Model;
-  M.m_Random.seed(Seed);
-  M.m_Allowed.resize(Accounts.size());
-  M.m_Refused.resize(Accounts.size());
-  M.m_Accounts = std::move(Accounts);
-  M.m_Books.resize(Size);
-  M.m_DownUntil.resize(Size);
-  M.m_CutUntil.resize(Size);
-  M.m_Inboxes.resize(Size);
-  for (std::size_t I = 0; I < Size; ++I) {
-    M.m_Addresses.push_back(
-        {"10.1." + std::to_string(I / 200) + "." + std::to_string(I % 200 + 10),
-         7600});
-    M.m_Indexes.emplace(M.m_Addresses.back(), I);
-  }
-  for (std::size_t I = 0; I < Size; ++I)
-    M.start(I, true);
+  M.m_Settings = Settings;
+  M.m_Random.seed(Settings.m_Seed);
+  M.m_Allowed.resize(Settings.m_Accounts.size());
+  M.m_Refused.resize(Settings.m_Accounts.size());
+  for (std::size_t I = 0; I < Settings.m_Size; ++I)
+    M.add(true);
+  for (Model::Member &Each : M.m_Members)
+    M.read(Each);
 }
 
 QuotaFleet::~QuotaFleet() = default;
 
 core::TimePoint QuotaFleet::now() const { return m_Model->m_Now; }
 
+std::size_t QuotaFleet::size() const { return m_Model->m_Members.size(); }
+
 void QuotaFleet::advance(core::Duration Time) {
   core::TimePoint Until = m_Model->m_Now + Time;
   while (m_Model->m_Now < Until)
@@ -187,21 +253,19 @@
 void QuotaFleet::request(std::size_t Instance, std::size_t Account,
                          std::uint32_t Tokens) {
   Model &M = *m_Model;
-  if (!M.m_Books[Instance])
-    return;
-  OpenDraw Open;
-  Open.m_Instance = Instance;
-  Open.m_Account = Account;
-  Open.m_Draw.m_Account = routing::hashOf(M.m_Accounts[Account].m_Name);
-  Open.m_Draw.m_Tokens = Tokens;
-  std::uint64_t Id = M.m_NextDraw++;
-  OpenDraw &Placed = M.m_Open.emplace(Id, std::move(Open)).first->second;
-  M.settle(Id, M.m_Books[Instance]->begin(Placed.m_Draw, now()));
+  Model::Member &At = M.m_Members[Instance];
+  if (At.m_FrozenUntil > now())
+    return At.m_Held.push_back({Account, Tokens});
+  M.begin(Instance, {Account, Tokens});
 }
 
 void QuotaFleet::kill(std::size_t Instance, core::Duration Down) {
-  m_Model->m_Books[Instance].reset();
-  m_Model->m_DownUntil[Instance] = now() + Down;
+  Model::Member &Killed = m_Model->m_Members[Instance];
+  Killed.m_Book.reset();
+  Killed.m_Inbox.clear();
+  Killed.m_Held.clear();
+  Killed.m_FrozenUntil = core::TimePoint();
+  Killed.m_DownUntil = now() + Down;
   auto &Open = m_Model->m_Open;
   for (auto Each = Open.begin(); Each != Open.end();)
     Each = Each->second.m_Instance == Instance ? Open.erase(Each)
@@ -209,7 +273,25 @@
 }
 
 void QuotaFleet::cut(std::size_t Instance, core::Duration Time) {
-  m_Model->m_CutUntil[Instance] = now() + Time;
+  m_Model->m_Members[Instance].m_CutUntil = now() + Time;
+}
+
+void QuotaFleet::split(const std::vector<std::size_t> &Instances,
+                       core::Duration Time) {
+  for (std::size_t Each : Instances)
+    m_Model->m_Members[Each].m_SplitUntil = now() + Time;
+}
+
+void QuotaFleet::freeze(std::size_t Instance, core::Duration Time) {
+  m_Model->m_Members[Instance].m_FrozenUntil = now() + Time;
+}
+
+void QuotaFleet::add() {
+  Model &M = *m_Model;
+  M.add(false);
+  for (Model::Member &Each : M.m_Members)
+    Each.m_ReadsAt = std::min(
+        Each.m_ReadsAt, now() + M.between(core::Duration(0), LongestSpread));
 }
 
 const std::vector<AllowedDraw> &QuotaFleet::allowed(std::size_t Account) const {
