Tests: Show a quota that two lists of owners keep at once

Cause: an owner that is cut off from the others and from the store keeps its third by the list that it has; who owns that third by a newer list grants it as well. No change of logic.

--- a/Tests/LibRouting/QuotaDeploymentsTest.cpp
+++ b/Tests/LibRouting/QuotaDeploymentsTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST_SUITE(QuotaDeploymentsTest);
   CPPUNIT_TEST(testCutOffWhileOthersGrantAll);
   CPPUNIT_TEST(testBredDays);
+  CPPUNIT_TEST(testListThatOthersHaveReplaced);
   CPPUNIT_TEST(testRandomDays);
   CPPUNIT_TEST(testSmallestLimitsUnderKillsInSeries);
   CPPUNIT_TEST_SUITE_END();
@@ -57,6 +58,9 @@
   static QuotaEvent split(int At, double Share, int Time) {
     return {milliseconds(At), QuotaFault::Split, Share, milliseconds(Time)};
   }
+  static QuotaEvent add(int At, double Share) {
+    return {milliseconds(At), QuotaFault::Add, Share, {}};
+  }
   static QuotaEvent kill(int At, double Share, int Time) {
     return {milliseconds(At), QuotaFault::Kill, Share, milliseconds(Time)};
   }
@@ -81,12 +85,9 @@
 
   void testBredDays() {
     check(day("simulations-grown", 961975, 5.36134, 1000061,
-              {split(6318, 0.426183, 5794),
-               split(9734, 0.252555, 7549),
-               cut(16420, 0.229914, 3488),
-               cut(10308, 0.349382, 4716),
-               {milliseconds(13494), QuotaFault::Add, 0.256099, {}},
-               cut(17550, 0.0615314, 4699)}));
+              {split(6318, 0.426183, 5794), split(9734, 0.252555, 7549),
+               cut(16420, 0.229914, 3488), cut(10308, 0.349382, 4716),
+               add(13494, 0.256099), cut(17550, 0.0615314, 4699)}));
     check(day("games", 92659.6, 5.36134, 2516265689700432462,
               {split(6318, 0.426183, 5794), split(9734, 0.252555, 7549),
                cut(10308, 0.349382, 4716), split(13036, 0.307435, 7129)}));
@@ -103,6 +104,27 @@
                 milliseconds(3884)}}));
   }
 
+  /// Instances are added while an owner is cut off from the others and from the
+  /// store. It goes on granting its third of the limit to its own callers, and
+  /// so does the one that owns that third by the new list. In a small fleet
+  /// each has callers enough: up to 1.83 times what may be exceeded.
+  void testListThatOthersHaveReplaced() {
+    check(day("simulations", 263380, 5.41783, 4261951405298700608,
+              {cut(11956, 0.146528, 3679), cut(16273, 0.208981, 5390),
+               cut(11737, 0.277992, 7914), add(12306, 0.40965),
+               add(13961, 0.439236), kill(10435, 1, 1325)}));
+    check(day(
+        "tickets", 107844, 4.33328, 4261951405298700608,
+        {add(12065, 0.444747),
+         add(15926, 0.39114),
+         {milliseconds(8107), QuotaFault::Freeze, 0.148862, milliseconds(2428)},
+         cut(10680, 0.325583, 6791),
+         split(10830, 0.152118, 4696)}));
+    for (std::uint64_t Seed = 1; Seed <= 10; ++Seed)
+      check(
+          day("games", 300000, 6, Seed, {cut(9000, 0.4, 9000), add(9500, 1)}));
+  }
+
   /// Limits from the largest down to half of the smallest, all kinds of faults,
   /// singly and together.
   void testRandomDays() {
