Tests: Show a quota that is exceeded by the debts of three owners

Cause: each owner lets one request in on credit, whatever its size, and forgets the debt when it restarts. No change of logic.

--- a/Bench/QuotaSearchProgram.cpp
+++ b/Bench/QuotaSearchProgram.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// One day in so many has nothing but the largest requests.
+constexpr int LargestEvery = 4;
+
 struct Played {
   QuotaDay m_Day;
   QuotaDayResult m_Result;
@@ -33,8 +36,10 @@
   int Broken = 0;
   double Sum = 0;
   for (int I = 0; I < Days; ++I) {
-    Played One = tryOne(QuotaDay::draw(
-        Deployment, 0, Seed * 1000003 + static_cast<std::uint64_t>(I)));
+    QuotaDay Day = QuotaDay::draw(
+        Deployment, 0, Seed * 1000003 + static_cast<std::uint64_t>(I));
+    Day.m_AreLargest = I % LargestEvery == 0;
+    Played One = tryOne(std::move(Day));
     Broken += One.m_Result.isKept() ? 0 : 1;
     Sum += One.m_Result.usedTolerance();
     if (I == 0 ||
--- a/Tests/LibRouting/QuotaDeploymentsTest.cpp
+++ b/Tests/LibRouting/QuotaDeploymentsTest.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testCutOffWhileOthersGrantAll);
   CPPUNIT_TEST(testBredDays);
   CPPUNIT_TEST(testListThatOthersHaveReplaced);
+  CPPUNIT_TEST(testOnlyTheLargestRequests);
   CPPUNIT_TEST(testRandomDays);
   CPPUNIT_TEST(testSmallestLimitsUnderKillsInSeries);
   CPPUNIT_TEST_SUITE_END();
@@ -50,7 +51,7 @@
 
   static QuotaDay day(const std::string &Name, double Limit, double Load,
                       std::uint64_t Seed, std::vector<QuotaEvent> Events) {
-    return {&deployment(Name), Limit, Load, std::move(Events), Seed};
+    return {&deployment(Name), Limit, Load, false, std::move(Events), Seed};
   }
   static QuotaEvent cut(int At, double Share, int Time) {
     return {milliseconds(At), QuotaFault::Cut, Share, milliseconds(Time)};
@@ -125,6 +126,29 @@
           day("games", 300000, 6, Seed, {cut(9000, 0.4, 9000), add(9500, 1)}));
   }
 
+  /// Each of three owners lets one request in on credit, and forgets the debt
+  /// with its process. Of requests that are a third of what may be exceeded,
+  /// three and as many again after a kill are more than all of it: up to 1.77
+  /// times.
+  void testOnlyTheLargestRequests() {
+    QuotaDay Bred = day("simulations", 26381, 4.40108, 3000088,
+                        {kill(7599, 0.727954, 1854),
+                         {milliseconds(17558), QuotaFault::Freeze, 0.0684945,
+                          milliseconds(3645)},
+                         kill(16227, 0.633581, 1082),
+                         add(14209, 0.376227),
+                         add(12301, 0.447633)});
+    Bred.m_AreLargest = true;
+    check(Bred);
+    for (const QuotaDeployment &Each : QuotaDeployment::all())
+      for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+        QuotaDay Day = day(Each.m_Name, Each.m_SmallestLimit, 5, Seed,
+                           {kill(9000, 0.7, 900), kill(12500, 0.7, 900)});
+        Day.m_AreLargest = true;
+        check(Day);
+      }
+  }
+
   /// Limits from the largest down to half of the smallest, all kinds of faults,
   /// singly and together.
   void testRandomDays() {
--- a/Tests/Support/QuotaDay.cpp
+++ b/Tests/Support/QuotaDay.cpp
@@ -147,7 +147,7 @@
 std::string QuotaDay::describe() const {
   std::ostringstream Out;
   Out << m_Deployment->m_Name << " limit=" << m_Limit << " load=" << m_Load
-      << " seed=" << m_Seed;
+      << " seed=" << m_Seed << " largest=" << m_AreLargest;
   for (const QuotaEvent &Each : m_Events)
     Out << "; " << toString(Each);
   return Out.str();
@@ -203,7 +203,18 @@
     return std::min(Most, Tokens(m_Random));
   }
 
+  void demandLargest() {
+    double Tokens = m_Day.m_Deployment->largestRequest();
+    std::uniform_int_distribution<std::size_t> Where(0, m_Fleet.size() - 1);
+    std::poisson_distribution<int> Count(m_Day.m_Limit * m_Day.m_Load / Tokens *
+                                         core::toSeconds(QuotaFleet::StepTime));
+    for (int Left = Count(m_Random); Left > 0; --Left)
+      m_Fleet.request(Where(m_Random), 0, static_cast<std::uint32_t>(Tokens));
+  }
+
   void demand() {
+    if (m_Day.m_AreLargest)
+      return demandLargest();
     // Answers vary as their sheets say.
     static constexpr double AnswerSpread = 1.5;
     double Mean = 0;
--- a/Tests/Support/QuotaDay.h
+++ b/Tests/Support/QuotaDay.h
@@ -58,6 +58,8 @@
   const QuotaDeployment *m_Deployment = nullptr;
   double m_Limit = 0; ///< Tokens a second, and of the burst.
   double m_Load = 4;  ///< Of the limit.
+  /// All requests are as large as any of the deployment's.
+  bool m_AreLargest = false;
   std::vector<QuotaEvent> m_Events;
   std::uint64_t m_Seed = 1;
 
