LibRouting, LibGateway, LibPeer: Share the debts of a quota between its owners

Cause: each owner let one request in on credit and kept the debt for itself, so that three debts stood in a window, and as many again after each restart. Change: an owner in debt asks the others to take a third over, and counts all of it until they have. The number of the peers' protocol goes up. QuotaTest, model, gateway, peer, platform tests and Soak.Short pass.

--- a/Libraries/LibGateway/QuotaDesk.cpp
+++ b/Libraries/LibGateway/QuotaDesk.cpp
@@ -7,19 +7,52 @@
 /// An answer that has not come by then never comes.
 static constexpr std::chrono::seconds LongestWay{2};
 
+std::uint64_t QuotaDesk::expect(const config::Endpoint &Owner,
+                                routing::AccountHash Account, Receiver Answered,
+                                core::TimePoint Now) {
+  std::uint64_t Number = m_Next++;
+  m_Pending[Number] = {Owner, Account, Now, std::move(Answered)};
+  return Number;
+}
+
+void QuotaDesk::sendCharges(core::TimePoint Now) {
+  for (const routing::QuotaCharge &Each : m_Book.takeCharges()) {
+    auto Taken = [this, Each](const routing::QuotaAnswer &Answer) {
+      if (Answer.m_Verdict == QuotaVerdict::Granted)
+        m_Book.relieve(Each.m_Account, Each.m_Tokens, core::steadyNow());
+      return true;
+    };
+    std::uint64_t Number = expect(Each.m_Owner, Each.m_Account, Taken, Now);
+    m_Metrics.count("yardrill_quota_charges_total");
+    m_Send(Each.m_Owner,
+           peer::QuotaAsk{Number, Each.m_Account, Each.m_Tokens, 0, true});
+  }
+}
+
 void QuotaDesk::ask(const routing::QuotaDraw &Draw, Receiver Answered,
                     core::TimePoint Now) {
-  std::uint64_t Number = m_Next++;
   const config::Endpoint &Owner = Draw.m_Left.back();
-  m_Pending[Number] = {Owner, Draw.m_Account, Now, std::move(Answered)};
+  std::uint64_t Number =
+      expect(Owner, Draw.m_Account, std::move(Answered), Now);
   m_Metrics.count("yardrill_quota_asks_total");
-  m_Send(Owner, peer::QuotaAsk{Number, Draw.m_Account, Draw.m_Tokens, 0});
+  m_Send(Owner,
+         peer::QuotaAsk{Number, Draw.m_Account, Draw.m_Tokens, 0, false});
+}
+
+routing::QuotaAnswer QuotaDesk::answerTo(const peer::QuotaAsk &Ask,
+                                         core::TimePoint Now) {
+  if (!Ask.m_IsCharge)
+    return m_Book.answer({Ask.m_Account, Ask.m_Tokens, Ask.m_Returned}, Now);
+  routing::QuotaAnswer Out;
+  if (m_Book.charge(Ask.m_Account, Ask.m_Tokens, Now))
+    Out.m_Verdict = QuotaVerdict::Granted;
+  return Out;
 }
 
 void QuotaDesk::take(const config::Endpoint &From, const peer::QuotaAsk &Ask,
                      core::TimePoint Now) {
-  routing::QuotaAnswer Says =
-      m_Book.answer({Ask.m_Account, Ask.m_Tokens, Ask.m_Returned}, Now);
+  routing::QuotaAnswer Says = answerTo(Ask, Now);
+  sendCharges(Now);
   if (Ask.m_Tokens == 0)
     return;
   if (Says.m_Verdict == QuotaVerdict::Refused)
@@ -52,7 +85,8 @@
 
 void QuotaDesk::upkeep(core::TimePoint Now) {
   for (const routing::QuotaReturn &Each : m_Book.takeUnused(Now))
-    m_Send(Each.m_Owner, peer::QuotaAsk{0, Each.m_Account, 0, Each.m_Tokens});
+    m_Send(Each.m_Owner,
+           peer::QuotaAsk{0, Each.m_Account, 0, Each.m_Tokens, false});
   for (auto Each = m_Pending.begin(); Each != m_Pending.end();) {
     if (Now - Each->second.m_AskedAt <= LongestWay) {
       ++Each;
--- a/Libraries/LibGateway/QuotaDesk.h
+++ b/Libraries/LibGateway/QuotaDesk.h
@@ -33,10 +33,19 @@
             core::TimePoint Now);
   void take(const config::Endpoint &From, const peer::QuotaAnswer &Answer,
             core::TimePoint Now);
+  /// Asks other owners to take over their parts of debts made here. To be
+  /// called after each decision of the book.
+  void sendCharges(core::TimePoint Now);
   /// Gives back what was not used. To be called a few times a second.
   void upkeep(core::TimePoint Now);
 
 private:
+  routing::QuotaAnswer answerTo(const peer::QuotaAsk &Ask, core::TimePoint Now);
+  /// \returns its number.
+  std::uint64_t expect(const config::Endpoint &Owner,
+                       routing::AccountHash Account, Receiver Answered,
+                       core::TimePoint Now);
+
   struct Pending {
     config::Endpoint m_Owner;
     routing::AccountHash m_Account = 0;
--- a/Libraries/LibGateway/QuotaService.cpp
+++ b/Libraries/LibGateway/QuotaService.cpp
@@ -59,6 +59,7 @@
   QuotaStep Step = m_Book.begin(Draw, core::steadyNow());
   while (Step == QuotaStep::Ask)
     Step = ask(Draw, Yield);
+  m_Desk.sendCharges(core::steadyNow());
   return Step == QuotaStep::Granted;
 }
 
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -21,7 +21,7 @@
 
 /// Of everything that peers send each other; instances of other versions are
 /// not heard.
-inline constexpr char ProtocolVersion = 4;
+inline constexpr char ProtocolVersion = 5;
 
 /// Why a datagram was dropped; each reason is counted.
 enum class DropReason {
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -81,9 +81,11 @@
   std::uint32_t m_Account = 0; ///< Low half of stableHash() of its name.
   std::uint32_t m_Tokens = 0;  ///< 0: no answer is wanted.
   std::uint32_t m_Returned = 0;
+  /// The tokens are a part of the asker's debt, to be taken over.
+  bool m_IsCharge = false;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Ask, m_Account, m_Tokens, m_Returned);
+    Ar(m_Ask, m_Account, m_Tokens, m_Returned, m_IsCharge);
   }
 };
 
--- a/Libraries/LibRouting/QuotaBook.h
+++ b/Libraries/LibRouting/QuotaBook.h
@@ -93,6 +93,15 @@
   /// \returns what was kept for long without use, to be sent to its owners.
   std::vector<QuotaReturn> takeUnused(core::TimePoint Now);
 
+  /// See QuotaOwner.
+  std::vector<QuotaCharge> takeCharges() { return m_Own.takeCharges(); }
+  bool charge(AccountHash Account, std::uint32_t Tokens, core::TimePoint Now) {
+    return m_Own.charge(Account, Tokens, Now);
+  }
+  void relieve(AccountHash Account, std::uint32_t Tokens, core::TimePoint Now) {
+    m_Own.relieve(Account, Tokens, Now);
+  }
+
   /// Answers another instance.
   QuotaAnswer answer(const QuotaAsk &Ask, core::TimePoint Now) {
     return m_Own.answer(Ask, Now);
--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -16,6 +16,10 @@
 /// count its list as confirmed any more: mostly half a second, and as long as a
 /// watch of the store takes to fail, about three, where it is cut off.
 static constexpr std::chrono::seconds HandoverTime{3};
+/// Smaller parts of a debt, in tokens, are not worth the messages: a third of
+/// the median request. Kept by each owner for itself, the debts of the largest
+/// requests used up to 1.77 times the tolerance (QuotaDeploymentsTest).
+static constexpr std::uint32_t LeastCharge = 1000;
 /// Part of the burst that may be granted in advance within AdvanceTime, the
 /// time after which the instances give back what they did not use.
 static constexpr double AdvanceShare = 0.125;
@@ -68,12 +72,14 @@
     if (Known == m_Buckets.end()) {
       TokenQuota Tokens(Limits, startLevel(All, Part), Now);
       TokenQuota Advance(advanceLimits(Limits), 0, Now);
-      Next.emplace(Hash, Bucket{Tokens, Advance});
-      continue;
+      Known = Next.emplace(Hash, Bucket{Tokens, Advance, {}}).first;
+    } else {
+      Known->second.m_Tokens.setLimits(Limits, Now);
+      Known->second.m_Advance.setLimits(advanceLimits(Limits), Now);
+      Known = Next.emplace(Hash, Known->second).first;
     }
-    Known->second.m_Tokens.setLimits(Limits, Now);
-    Known->second.m_Advance.setLimits(advanceLimits(Limits), Now);
-    Next.emplace(Hash, Known->second);
+    Owners.erase(std::find(Owners.begin(), Owners.end(), m_Self));
+    Known->second.m_Others = std::move(Owners);
   }
   m_Buckets = std::move(Next);
   m_HasStarted = m_HasStarted || (!Accounts.empty() && Ring.size() > 0);
@@ -94,6 +100,7 @@
     Out.m_RetryAfter = Tokens.untilAvailable();
     return Out;
   }
+  shareDebt(Ask.m_Account, Found->second, Now);
   Out.m_Tokens = Ask.m_Tokens;
   if (Tokens.level(Now) < Tokens.limits().m_Burst * PlentyShare)
     return Out;
@@ -104,4 +111,31 @@
   return Out;
 }
 
+void QuotaOwner::shareDebt(AccountHash Account, Bucket &Of,
+                           core::TimePoint Now) {
+  double Debt = -Of.m_Tokens.level(Now);
+  double All = static_cast<double>(1 + Of.m_Others.size());
+  auto Part = static_cast<std::uint32_t>(std::max(0.0, Debt) / All);
+  if (Part < LeastCharge)
+    return;
+  for (const config::Endpoint &Each : Of.m_Others)
+    m_Charges.push_back({Each, Account, Part});
+}
+
+bool QuotaOwner::charge(AccountHash Account, std::uint32_t Tokens,
+                        core::TimePoint Now) {
+  auto Found = m_Buckets.find(Account);
+  if (Found == m_Buckets.end() || !m_IsListConfirmed)
+    return false;
+  Found->second.m_Tokens.charge(Tokens, Now);
+  return true;
+}
+
+void QuotaOwner::relieve(AccountHash Account, std::uint32_t Tokens,
+                         core::TimePoint Now) {
+  auto Found = m_Buckets.find(Account);
+  if (Found != m_Buckets.end())
+    Found->second.m_Tokens.giveBack(Tokens, Now);
+}
+
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/QuotaOwner.h
+++ b/Libraries/LibRouting/QuotaOwner.h
@@ -4,11 +4,14 @@
 // instances is the same; each keeps its part of the account's rate and burst,
 // and every instance asks one of them before it lets a request in.
 //
-// So what all instances let in, in any time t, stays below
+// An owner lets a request in while it holds anything, and shares the debt with
+// the other owners: each that takes its part relieves it. So what all instances
+// let in, in any time t, stays below
 //   rate x t + burst                  whatever was refilled and held
-//   + owners x one request            each may go into debt by one
+//   + one request                     the debt that all owners are in; one more
+//                                     for each that grants before it is told
 //   + burst / 8                       tokens granted in advance
-//   + a start credit an owner's start (QuotaTolerance)
+//   + for each start of an owner, its part of the debt and a start credit
 // and nothing depends on who else lives, is cut off, or is known to whom. What
 // instances do that reach no owner is bounded by QuotaBook.
 //
@@ -22,6 +25,8 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace yardrill::routing {
 
@@ -47,6 +52,13 @@
   std::uint32_t m_Returned = 0; ///< Granted earlier and not used.
 };
 
+/// Part of a debt that another owner of the account should take over.
+struct QuotaCharge {
+  config::Endpoint m_Owner;
+  AccountHash m_Account = 0;
+  std::uint32_t m_Tokens = 0;
+};
+
 enum class QuotaVerdict : std::uint8_t {
   Granted,
   Refused,
@@ -75,12 +87,24 @@
   void setListConfirmed(bool IsConfirmed) { m_IsListConfirmed = IsConfirmed; }
   QuotaAnswer answer(const QuotaAsk &Ask, core::TimePoint Now);
 
+  /// \returns parts of debts made since the last call, to be sent to the other
+  /// owners. Until one has taken its part, it counts here.
+  std::vector<QuotaCharge> takeCharges() {
+    return std::exchange(m_Charges, {});
+  }
+  /// Takes over a part of another owner's debt. \returns whether it did.
+  bool charge(AccountHash Account, std::uint32_t Tokens, core::TimePoint Now);
+  /// Another owner has taken over \p Tokens.
+  void relieve(AccountHash Account, std::uint32_t Tokens, core::TimePoint Now);
+
 private:
   struct Bucket {
     TokenQuota m_Tokens;
     TokenQuota m_Advance; ///< What may still be granted in advance.
+    std::vector<config::Endpoint> m_Others; ///< Owners.
   };
 
+  void shareDebt(AccountHash Account, Bucket &Of, core::TimePoint Now);
   /// Of a bucket that was not here before.
   double startLevel(const QuotaLimits &Limits, double Part) const;
 
@@ -90,6 +114,7 @@
   bool m_IsListConfirmed = true;
   bool m_HasStarted = false; ///< It was configured with others on the ring.
   std::unordered_map<AccountHash, Bucket> m_Buckets;
+  std::vector<QuotaCharge> m_Charges;
 };
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TokenQuota.cpp
+++ b/Libraries/LibRouting/TokenQuota.cpp
@@ -34,6 +34,11 @@
   return true;
 }
 
+void TokenQuota::charge(double Tokens, core::TimePoint Now) {
+  refill(Now);
+  m_Level -= Tokens;
+}
+
 void TokenQuota::giveBack(double Tokens, core::TimePoint Now) {
   refill(Now);
   m_Level = std::min(m_Limits.m_Burst, m_Level + Tokens);
--- a/Libraries/LibRouting/TokenQuota.h
+++ b/Libraries/LibRouting/TokenQuota.h
@@ -26,6 +26,8 @@
   /// is let in while the level is above zero, and the debt is paid before the
   /// next.
   bool tryTake(double Tokens, core::TimePoint Now);
+  /// Takes tokens whether it holds them or not.
+  void charge(double Tokens, core::TimePoint Now);
   /// Gives back what was taken and not used.
   void giveBack(double Tokens, core::TimePoint Now);
   /// How long until the bucket holds something again for one who comes back:
--- a/Tests/LibRouting/QuotaTest.cpp
+++ b/Tests/LibRouting/QuotaTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(testRestartedOwnersStartWithLittle);
   CPPUNIT_TEST(testNewOwnerStartsWithNothing);
   CPPUNIT_TEST(testUnconfirmedListOwnsNothing);
+  CPPUNIT_TEST(testDebtIsSharedByTheOwners);
   CPPUNIT_TEST(testLowerLimitBindsAtOnce);
   CPPUNIT_TEST(testUnusedTokensAreGivenBackOnce);
   CPPUNIT_TEST(testAdvanceIsBounded);
@@ -210,6 +211,48 @@
                    QuotaVerdict::Granted);
   }
 
+  void testDebtIsSharedByTheOwners() {
+    // Each has a third of 9,000 tokens; one lets in 12,000.
+    auto Owners = OwnerRing(members(6)).ownersOf(m_Account);
+    std::map<config::Endpoint, QuotaOwner> All;
+    for (const config::Endpoint &Each : Owners) {
+      QuotaOwner &New =
+          All.emplace(Each, QuotaOwner(Each, QuotaTolerance(), true))
+              .first->second;
+      New.configure(accounts(9000, 9000), OwnerRing(members(6)), m_Now);
+    }
+    QuotaOwner &First = All.at(Owners[0]);
+    CPPUNIT_ASSERT(First.answer({m_Account, 12000, 0}, m_Now).m_Verdict ==
+                   QuotaVerdict::Granted);
+    auto Charges = First.takeCharges();
+    CPPUNIT_ASSERT(First.takeCharges().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Charges.size());
+    for (const QuotaCharge &Each : Charges) {
+      CPPUNIT_ASSERT(!(Each.m_Owner == Owners[0]));
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t(3000), Each.m_Tokens);
+    }
+    // Until another has taken its part, all of the debt is here: 9,000 tokens
+    // at 3,000 a second. With one part taken, 6,000.
+    m_Now += milliseconds(10);
+    QuotaAnswer Refused = First.answer({m_Account, 1, 0}, m_Now);
+    CPPUNIT_ASSERT(Refused.m_RetryAfter > milliseconds(2980));
+    CPPUNIT_ASSERT(All.at(Owners[1]).charge(m_Account, 3000, m_Now));
+    First.relieve(m_Account, 3000, m_Now);
+    Refused = First.answer({m_Account, 1, 0}, m_Now);
+    CPPUNIT_ASSERT(Refused.m_RetryAfter > milliseconds(1980));
+    CPPUNIT_ASSERT(Refused.m_RetryAfter < milliseconds(2000));
+    CPPUNIT_ASSERT(
+        All.at(Owners[1]).answer({m_Account, 1, 0}, m_Now).m_Verdict ==
+        QuotaVerdict::Refused);
+    CPPUNIT_ASSERT(
+        All.at(Owners[2]).answer({m_Account, 1, 0}, m_Now).m_Verdict ==
+        QuotaVerdict::Granted);
+    // Who does not own the account takes nothing over.
+    QuotaOwner Stranger(stranger(6), QuotaTolerance(), true);
+    Stranger.configure(accounts(9000, 9000), OwnerRing(members(6)), m_Now);
+    CPPUNIT_ASSERT(!Stranger.charge(m_Account, 3000, m_Now));
+  }
+
   void testLowerLimitBindsAtOnce() {
     QuotaOwner Owner(owner(1), QuotaTolerance(), true);
     Owner.configure(accounts(1000, 5000), OwnerRing(members(1)), m_Now);
--- a/Tests/Support/QuotaFleet.cpp
+++ b/Tests/Support/QuotaFleet.cpp
@@ -33,6 +33,7 @@
   std::size_t m_From = 0;
   std::uint64_t m_Draw = 0;
   bool m_IsAnswer = false;
+  bool m_IsCharge = false;
   routing::QuotaAsk m_Ask;
   routing::QuotaAnswer m_Answer;
 };
@@ -171,6 +172,24 @@
     m_Open.erase(Id);
   }
 
+  routing::QuotaAnswer charge(QuotaBook &Book, const routing::QuotaAsk &Ask) {
+    routing::QuotaAnswer Out;
+    if (Book.charge(Ask.m_Account, Ask.m_Tokens, m_Now))
+      Out.m_Verdict = routing::QuotaVerdict::Granted;
+    return Out;
+  }
+
+  void sendCharges(std::size_t Instance) {
+    for (const routing::QuotaCharge &Each :
+         m_Members[Instance].m_Book->takeCharges()) {
+      Datagram Charge;
+      Charge.m_From = Instance;
+      Charge.m_IsCharge = true;
+      Charge.m_Ask = {Each.m_Account, Each.m_Tokens, 0};
+      send(m_Indexes.at(Each.m_Owner), Charge);
+    }
+  }
+
   void take(std::size_t Instance, const Datagram &What) {
     QuotaBook &Book = *m_Members[Instance].m_Book;
     if (!What.m_IsAnswer) {
@@ -179,9 +198,16 @@
       Answer.m_Draw = What.m_Draw;
       Answer.m_IsAnswer = true;
       Answer.m_Ask = What.m_Ask;
-      Answer.m_Answer = Book.answer(What.m_Ask, m_Now);
+      Answer.m_IsCharge = What.m_IsCharge;
+      Answer.m_Answer = What.m_IsCharge ? charge(Book, What.m_Ask)
+                                        : Book.answer(What.m_Ask, m_Now);
       return send(What.m_From, Answer);
     }
+    if (What.m_IsCharge) {
+      if (What.m_Answer.m_Verdict == routing::QuotaVerdict::Granted)
+        Book.relieve(What.m_Ask.m_Account, What.m_Ask.m_Tokens, m_Now);
+      return;
+    }
     auto Open = m_Open.find(What.m_Draw);
     const config::Endpoint &Owner = m_Members[What.m_From].m_Address;
     bool IsWaitedFor =
@@ -240,6 +266,7 @@
       for (const Datagram &What : Inboxes[I])
         take(I, What);
       returnUnused(I);
+      sendCharges(I);
     }
     giveUpWaiting();
   }
