Tests: Show retries that come again with each restart

Cause: the same as of the exceeded quota: what a process may spend without asking is there again after each start. Looked at and sound: the retry ratio (requests and retries are forgotten together), exposure of a version (counted behind what was sent, saves nothing over a start), cuts (the recorded list still names all sharers).

--- /dev/null
+++ b/Tests/LibRouting/RetryRestartTest.cpp
@@ -0,0 +1,46 @@
+//===-- RetryRestartTest.cpp - Retries of a fleet that restarts in series -===//
+//
+// Retries beyond the ratio are shared by all instances: each may spend its part
+// within a window, and half of what is allowed is held back, since one that
+// restarts forgets what it spent. A fleet that is killed again and again spends
+// its parts with each life. The same cause as in a quota's exceeded window:
+// what a process may spend without asking comes again with each start.
+//
+//===----------------------------------------------------------------------===//
+#include "LibRouting/RetryBudget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RetryRestartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RetryRestartTest);
+  CPPUNIT_TEST(testRestartsInSeriesKeepTheAllowance);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testRestartsInSeriesKeepTheAllowance() {
+    // As the gateway sets it: half of 196 retries in 10 s, among 78 instances.
+    constexpr double Allowance = 196;
+    constexpr std::size_t Instances = 78;
+    RetryLimits Limits{0.2, seconds(10), Allowance / 2};
+    core::TimePoint Now{std::chrono::hours(1)};
+    double Taken = 0;
+    for (int Life = 0; Life < 4; ++Life) {
+      std::vector<RetryBudget> Budgets(Instances, RetryBudget(Limits));
+      for (int I = 0; I < 20; ++I) {
+        Now += milliseconds(100);
+        for (RetryBudget &Each : Budgets)
+          Taken += Each.tryTake(Now, Instances) ? 1 : 0;
+      }
+      Now += milliseconds(400); // Until all run again.
+    }
+    // All within one window, in which nobody asked for anything new.
+    CPPUNIT_ASSERT(Taken <= Allowance);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryRestartTest);
