--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -7,9 +7,9 @@
 
 namespace yardrill::routing {
 
-/// Until an owner by an earlier list has heard of the next one, or does not
-/// count its list as confirmed any more: mostly half a second, and as long as a
-/// watch of the store takes to fail, about three, where it is cut off.
+/// Until an owner by an earlier list has heard of the next one, or knows that
+/// it would not: mostly half a second, and as long as a watch of the store
+/// takes to fail, about three, where it is cut off.
 static constexpr std::chrono::seconds HandoverTime{3};
 /// Smaller parts of a debt, in tokens, are not worth the messages: a third of
 /// the median request. Kept by each owner for itself, the debts of the largest
--- a/Libraries/LibRouting/QuotaOwner.h
+++ b/Libraries/LibRouting/QuotaOwner.h
@@ -81,8 +81,8 @@
   /// Takes over what is new, forgets what is no longer this instance's.
   void configure(const std::vector<Account> &Accounts, const OwnerRing &Ring,
                  core::TimePoint Now);
-  /// Whether the list of owners would be known to have changed. While it would
-  /// not, this instance owns nothing: another may own it by a newer list.
+  /// Whether this instance would hear of a change of the list of owners. While
+  /// it would not, it owns nothing: another may own the same by a newer list.
   void setListConfirmed(bool IsConfirmed) { m_IsListConfirmed = IsConfirmed; }
   QuotaAnswer answer(const QuotaAsk &Ask, core::TimePoint Now);
 
--- a/Tests/Support/QuotaDay.cpp
+++ b/Tests/Support/QuotaDay.cpp
@@ -16,8 +16,8 @@
 static constexpr milliseconds FirstFault{6000};
 static constexpr milliseconds LastFault{19000};
 static constexpr std::size_t MostEvents = 6;
-/// Several times the largest limit of a deployment may be lowered to less than
-/// the smallest one that accounts have at first.
+/// Operators lower limits: down to this part of the smallest one that accounts
+/// have at first.
 static constexpr double LoweredShare = 0.5;
 
 static routing::QuotaTolerance tolerance(double Tokens) {
