--- a/Bench/QuotaSearchProgram.cpp
+++ b/Bench/QuotaSearchProgram.cpp
@@ -37,7 +37,7 @@
   double Sum = 0;
   for (int I = 0; I < Days; ++I) {
     QuotaDay Day = QuotaDay::draw(
-        Deployment, 0, Seed * 1000003 + static_cast<std::uint64_t>(I));
+        Deployment, Seed * 1000003 + static_cast<std::uint64_t>(I));
     Day.m_AreLargest = I % LargestEvery == 0;
     Played One = tryOne(std::move(Day));
     Broken += One.m_Result.isKept() ? 0 : 1;
--- a/Tests/LibRouting/QuotaDeploymentsTest.cpp
+++ b/Tests/LibRouting/QuotaDeploymentsTest.cpp
@@ -1,5 +1,4 @@
-//===-- QuotaDeploymentsTest.cpp - A quota on all deployments, under faults
-//===//
+//===-- QuotaDeploymentsTest.cpp - Quotas of all deployments, under faults ===//
 //
 // What users saw: one client account's requests ran for more tokens within 8 s
 // than its limit and the tolerance allow, on 78 instances.
@@ -156,7 +155,7 @@
     for (const QuotaDeployment &Each : QuotaDeployment::all()) {
       double Most = 0;
       for (std::uint64_t Seed = 1; Seed <= Days; ++Seed)
-        Most = std::max(Most, check(QuotaDay::draw(Each, 0, Seed)));
+        Most = std::max(Most, check(QuotaDay::draw(Each, Seed)));
       std::cerr << "\n" << Each.m_Name << " most_of_tolerance=" << Most;
     }
   }
--- a/Tests/LibRouting/QuotaModelTest.cpp
+++ b/Tests/LibRouting/QuotaModelTest.cpp
@@ -64,17 +64,7 @@
 
   /// The most tokens of any window.
   double mostInWindow(std::size_t Account) const {
-    const auto &Draws = m_Fleet.allowed(Account);
-    double Most = 0;
-    double Sum = 0;
-    std::size_t First = 0;
-    for (const tests::AllowedDraw &Last : Draws) {
-      Sum += Last.m_Tokens;
-      while (Last.m_At - Draws[First].m_At > Window)
-        Sum -= Draws[First++].m_Tokens;
-      Most = std::max(Most, Sum);
-    }
-    return Most;
+    return tests::mostInWindow(m_Fleet.allowed(Account), Window);
   }
   /// Part of the account's requests that were refused, at instances that were
   /// cut off or at all others.
--- a/Tests/Support/QuotaDay.cpp
+++ b/Tests/Support/QuotaDay.cpp
@@ -108,8 +108,7 @@
   return Out;
 }
 
-QuotaDay QuotaDay::draw(const QuotaDeployment &Deployment, double Limit,
-                        std::uint64_t Seed) {
+QuotaDay QuotaDay::draw(const QuotaDeployment &Deployment, std::uint64_t Seed) {
   std::mt19937_64 Random(Seed);
   QuotaDay Out;
   Out.m_Deployment = &Deployment;
@@ -117,7 +116,7 @@
   std::uniform_real_distribution<double> Logarithm(
       std::log(Deployment.m_SmallestLimit * LoweredShare),
       std::log(Deployment.m_LargestLimit));
-  Out.m_Limit = Limit > 0 ? Limit : std::exp(Logarithm(Random));
+  Out.m_Limit = std::exp(Logarithm(Random));
   Out.m_Load = std::uniform_real_distribution<double>(1.2, 6)(Random);
   std::uniform_int_distribution<std::size_t> Count(1, MostEvents);
   for (std::size_t Left = Count(Random); Left > 0; --Left)
@@ -169,14 +168,14 @@
     core::TimePoint Begin = m_Fleet.now();
     while (m_Fleet.now() < Begin + Length) {
       m_Fleet.advance(QuotaFleet::StepTime);
-      for (const QuotaEvent &Each : Left)
-        if (Begin + Each.m_At <= m_Fleet.now())
-          strike(Each);
-      Left.erase(std::remove_if(Left.begin(), Left.end(),
-                                [this, Begin](const QuotaEvent &Each) {
-                                  return Begin + Each.m_At <= m_Fleet.now();
-                                }),
-                 Left.end());
+      for (auto Each = Left.begin(); Each != Left.end();) {
+        if (Begin + Each->m_At > m_Fleet.now()) {
+          ++Each;
+          continue;
+        }
+        strike(*Each);
+        Each = Left.erase(Each);
+      }
       demand();
     }
     return result();
@@ -267,14 +266,7 @@
     Out.m_Allowed =
         Out.m_Bound + Tolerance.tokens({m_Day.m_Limit, m_Day.m_Limit});
     const std::vector<AllowedDraw> &Draws = m_Fleet.allowed(0);
-    double Sum = 0;
-    std::size_t First = 0;
-    for (const AllowedDraw &Last : Draws) {
-      Sum += Last.m_Tokens;
-      while (Last.m_At - Draws[First].m_At > Tolerance.m_Window)
-        Sum -= Draws[First++].m_Tokens;
-      Out.m_Most = std::max(Out.m_Most, Sum);
-    }
+    Out.m_Most = mostInWindow(Draws, Tolerance.m_Window);
     auto Refused = static_cast<double>(m_Fleet.refused(0));
     Out.m_RefusedShare =
         Refused / std::max(1.0, Refused + static_cast<double>(Draws.size()));
--- a/Tests/Support/QuotaDay.h
+++ b/Tests/Support/QuotaDay.h
@@ -63,9 +63,8 @@
   std::vector<QuotaEvent> m_Events;
   std::uint64_t m_Seed = 1;
 
-  /// \param Limit tokens a second; a random one of the deployment's if 0.
-  static QuotaDay draw(const QuotaDeployment &Deployment, double Limit,
-                       std::uint64_t Seed);
+  /// With a random limit of the deployment's, and random faults.
+  static QuotaDay draw(const QuotaDeployment &Deployment, std::uint64_t Seed);
   /// A day that differs from this one in an event or in its luck.
   QuotaDay bred(std::mt19937_64 &Random) const;
   std::string describe() const;
--- a/Tests/Support/QuotaFleet.cpp
+++ b/Tests/Support/QuotaFleet.cpp
@@ -52,6 +52,20 @@
 
 } // namespace
 
+double mostInWindow(const std::vector<AllowedDraw> &Draws,
+                    core::Duration Window) {
+  double Most = 0;
+  double Sum = 0;
+  std::size_t First = 0;
+  for (const AllowedDraw &Last : Draws) {
+    Sum += Last.m_Tokens;
+    while (Last.m_At - Draws[First].m_At > Window)
+      Sum -= Draws[First++].m_Tokens;
+    Most = std::max(Most, Sum);
+  }
+  return Most;
+}
+
 struct QuotaFleet::Model {
   /// One instance.
   struct Member {
--- a/Tests/Support/QuotaFleet.h
+++ b/Tests/Support/QuotaFleet.h
@@ -26,6 +26,10 @@
   bool m_IsAlone = false;  ///< No owner granted it.
 };
 
+/// \returns the tokens of the fullest window. \param Draws in order of time.
+double mostInWindow(const std::vector<AllowedDraw> &Draws,
+                    core::Duration Window);
+
 struct QuotaFleetSettings {
   std::size_t m_Size = 6;
   std::vector<routing::Account> m_Accounts; ///< Each with a limit.
