LibQuarantine, LibGateway: Tell what a request asked, and whether a target ended under it

Cause: the incident's hypotheses could not be told apart: a line named one attempt's id, never its content, and a broken answer may be a target's end, a reset connection or one answer given up. An answer that breaks off is followed by one new connection for all that break off there: refused, the target has ended. ErrorKind gains Refused for that. A target that leaves ends as it was told to and is not asked. Conclusion: logs now tell whether one content was under way at each end.

--- a/Libraries/LibCore/Digest.cpp
+++ b/Libraries/LibCore/Digest.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Error.h"
 
 #include <cstring>
+#include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -24,6 +25,28 @@
 
 std::string sha256Hex(std::string_view Text) { return toHex(sha256(Text)); }
 
+static void add(EVP_MD_CTX &Hash, std::string_view Part) {
+  unsigned char Size[sizeof(std::uint64_t)];
+  for (std::size_t I = 0; I < sizeof Size; ++I)
+    Size[I] = static_cast<unsigned char>(std::uint64_t(Part.size()) >> (8 * I));
+  EVP_DigestUpdate(&Hash, Size, sizeof Size);
+  EVP_DigestUpdate(&Hash, Part.data(), Part.size());
+}
+
+std::string sha256OfParts(std::initializer_list<std::string_view> Parts) {
+  // Looked up once: that costs as much as hashing a kilobyte.
+  static EVP_MD *const Kind = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> Hash(EVP_MD_CTX_new(),
+                                                               EVP_MD_CTX_free);
+  std::string Out(SHA256_DIGEST_LENGTH, '\0');
+  EVP_DigestInit_ex2(Hash.get(), Kind, nullptr);
+  for (std::string_view Part : Parts)
+    add(*Hash, Part);
+  EVP_DigestFinal_ex(Hash.get(), reinterpret_cast<unsigned char *>(Out.data()),
+                     nullptr);
+  return Out;
+}
+
 std::string hmacSha256(std::string_view Key, std::string_view Text) {
   std::string Out(SHA256_DIGEST_LENGTH, '\0');
   unsigned Size = 0;
--- a/Libraries/LibCore/Digest.h
+++ b/Libraries/LibCore/Digest.h
@@ -3,6 +3,7 @@
 #define YARDRILL_LIBCORE_DIGEST_H
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,10 @@
 /// SHA-256 (FIPS 180-4) as 64 lower-case hex digits.
 std::string sha256Hex(std::string_view Text);
 
+/// SHA-256 over several texts, 32 raw bytes. Each follows its length as eight
+/// bytes, the lowest first, so that no two lists give the same.
+std::string sha256OfParts(std::initializer_list<std::string_view> Parts);
+
 /// HMAC-SHA-256 (RFC 2104), 32 raw bytes.
 std::string hmacSha256(std::string_view Key, std::string_view Text);
 
--- a/Libraries/LibCore/Error.cpp
+++ b/Libraries/LibCore/Error.cpp
@@ -14,6 +14,8 @@
     return "conflict";
   case ErrorKind::Unavailable:
     return "unavailable";
+  case ErrorKind::Refused:
+    return "refused";
   case ErrorKind::OutcomeUnknown:
     return "outcome-unknown";
   case ErrorKind::Protocol:
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -14,6 +14,7 @@
   Configuration,  ///< A fleet configuration is wrong.
   Conflict,       ///< Somebody else changed the value first.
   Unavailable,    ///< The other side could not be reached; nothing was done.
+  Refused,        ///< Nobody listens at the address; nothing was done.
   OutcomeUnknown, ///< The other side may or may not have done it.
   Protocol,       ///< The other side broke the protocol.
   BudgetSpent,    ///< A limit of our own was reached; nothing was done.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -74,6 +74,7 @@
              return m_Rollouts.gateOf(Pool);
            }}),
       m_Connections(Context, {ConnectTimeout, MostIdleConnections}),
+      m_Ends(Context, targetEndsHooks()),
       m_Quotas(Context, m_Settings, m_Metrics,
                [this](const config::Endpoint &To, const peer::PeerBody &Body) {
                  m_Peers->send(To, Body);
@@ -157,6 +158,7 @@
     m_Targets.forgetLapsed(Now);
     m_Follower.setNeeded(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
+    m_Ends.upkeep(Now);
     m_Quotas.upkeep(m_Peers->isListConfirmed(), Now);
     // A process that has found the others does without a record.
     if (m_Roster.recorded().empty())
@@ -247,6 +249,8 @@
     core::LogLine("target-gone")
         .add("target", Gone->m_Target)
         .add("revision", Change.m_Modified);
+    if (routing::KnownTarget *Known = m_Targets.find(Gone->m_Target))
+      m_Ends.noteEnded(Known->m_Target.run());
     m_Targets.withdraw(Gone->m_Target, core::steadyNow());
     return;
   }
@@ -330,6 +334,39 @@
     m_Record.write(*List, Now);
 }
 
+//===----------------------------------------------------------------------===//
+// Targets that end
+//===----------------------------------------------------------------------===//
+
+TargetEndsHooks Gateway::targetEndsHooks() {
+  TargetEndsHooks Out;
+  Out.m_Probe = [this](const routing::Target &Which,
+                       asio::yield_context Yield) {
+    return probe(Which, Yield);
+  };
+  Out.m_EndedUnder = [](const routing::Target &Which,
+                        const quarantine::ContentDigest &Content) {
+    core::LogLine("target-ended", core::LogLevel::Warning)
+        .add("target", Which.m_Name)
+        .add("birth", Which.m_Birth)
+        .add("pool", Which.m_Pool)
+        .add("content", Content);
+  };
+  return Out;
+}
+
+Presence Gateway::probe(const routing::Target &Which,
+                        asio::yield_context Yield) {
+  auto Address = Which.m_Address.toTcp();
+  try {
+    m_Connections.giveBack(Address, m_Connections.open(Address, true, Yield));
+  } catch (const Error &Failure) {
+    return Failure.kind() == core::ErrorKind::Refused ? Presence::Gone
+                                                      : Presence::Unknown;
+  }
+  return Presence::Listens;
+}
+
 //===----------------------------------------------------------------------===//
 // Roll-outs
 //===----------------------------------------------------------------------===//
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -17,6 +17,7 @@
 #include "LibGateway/QuotaService.h"
 #include "LibGateway/RolloutDesk.h"
 #include "LibGateway/StateFollower.h"
+#include "LibGateway/TargetEnds.h"
 #include "LibHTTP/ConnectionPool.h"
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
@@ -91,6 +92,10 @@
   bool isReady() const;
   /// Whether the configuration may still be on its way.
   bool isJustStarted() const;
+  TargetEndsHooks targetEndsHooks();
+  /// Whether somebody listens at a target's address.
+  Presence probe(const routing::Target &Which,
+                 boost::asio::yield_context Yield);
   routing::RetryBudget &retriesOf(const core::PoolName &Pool);
   routing::RetryLimits retryLimits() const;
   /// Counts the retry, if one more is within the budget.
@@ -113,6 +118,7 @@
   routing::Dispatcher m_Dispatcher;
   std::unordered_map<core::PoolName, routing::RetryBudget> m_Retries;
   http::ConnectionPool m_Connections;
+  TargetEnds m_Ends;
   std::unique_ptr<PeerLink> m_Peers;
   QuotaService m_Quotas;
   RolloutDesk m_Rollouts;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -108,12 +108,25 @@
   m_Pool = Admitted.m_Pool;
   m_Tier = Admitted.m_Tier;
   m_EndsAt = Admitted.m_EndsAt;
+  m_Content = contentDigest();
   if (Admitted.m_Status != 0 || drawQuota(Admitted.m_Charge, Yield))
     return Admitted.m_Status;
   m_Reason = "over-quota";
   return 429;
 }
 
+quarantine::ContentDigest GatewayRequest::contentDigest() const {
+  const http::RequestMessage &Asked = m_Caller.request();
+  quarantine::Content What;
+  if (m_Account)
+    What.m_Account = m_Account->m_Name.value();
+  What.m_Host = m_Said.m_Host;
+  What.m_Method = Asked.m_Method;
+  What.m_Target = Asked.m_Target;
+  What.m_Body = Asked.m_Body;
+  return quarantine::ContentDigest::of(What);
+}
+
 bool GatewayRequest::drawQuota(std::uint32_t Tokens,
                                asio::yield_context Yield) {
   if (!m_Account)
@@ -240,6 +253,8 @@
     Connection = m_Owner.m_Connections.open(Address, false, Yield);
   } catch (const Error &Failure) {
     m_Reason = "connect-failed";
+    if (Failure.kind() == core::ErrorKind::Refused)
+      m_Owner.m_Ends.noteEnded(m_Target->run());
     core::LogLine("connect-failed", core::LogLevel::Warning)
         .add("request", m_Said.m_Id)
         .add("target", m_Target->m_Name)
@@ -250,14 +265,17 @@
     return TryOutcome::CallerGone;
   m_Connection = Connection.get();
   TryOutcome Result = TryOutcome::Failed;
+  bool IsBroken = false;
   try {
     Result = exchange(*Connection, Yield);
   } catch (const Error &Failure) {
+    IsBroken = timeLeft() > core::Duration::zero();
     m_Reason =
         timeLeft() <= core::Duration::zero() ? "time-over" : "target-broke";
     core::LogLine("target-broke", core::LogLevel::Warning)
         .add("request", m_Said.m_Id)
         .add("target", m_Target->m_Name)
+        .add("content", m_Content)
         .add("reason", Failure.what());
   }
   m_Connection = nullptr;
@@ -265,9 +283,17 @@
     m_Owner.m_Connections.giveBack(Address, std::move(Connection), m_KeepFor);
   if (m_IsCallerGone && Result != TryOutcome::Complete)
     return TryOutcome::CallerGone;
+  if (IsBroken)
+    noteBroken(Yield);
   return Result;
 }
 
+void GatewayRequest::noteBroken(asio::yield_context Yield) {
+  // One that leaves ends as it was told to, whatever runs there.
+  if (!m_Owner.m_Targets.isLeaving(m_Target->run()))
+    m_Owner.m_Ends.noteBroken(*m_Target, m_Content, Yield);
+}
+
 http::ResponseHead
 GatewayRequest::readOwnHead(http::ClientConnection &Connection,
                             asio::yield_context Yield) {
@@ -314,8 +340,10 @@
   if (Says.m_IsNotRun) {
     m_Reason = Says.m_IsMisdirected ? "target-replaced" : "target-refused";
     logTargetRefusal(Head.m_Status);
-    if (Says.m_IsMisdirected)
+    if (Says.m_IsMisdirected) {
       m_Owner.m_Targets.replaced(m_Target->run());
+      m_Owner.m_Ends.noteEnded(m_Target->run());
+    }
     while (!Connection.readPiece(timeLeft() + AnswerSlack, Yield).empty()) {
       // Its reason is for us alone.
     }
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -44,6 +44,7 @@
   unsigned admit(boost::asio::yield_context Yield);
   /// \returns whether the request is within its account's quota.
   bool drawQuota(std::uint32_t Tokens, boost::asio::yield_context Yield);
+  quarantine::ContentDigest contentDigest() const;
   /// How long the caller waits for an event of a stream.
   core::Duration callersPatience() const;
   /// Callers that waited for this instance to start come before the store's
@@ -70,6 +71,8 @@
   core::Duration retryAfter() const;
   void callerHungUp();
   void noteTry(TryOutcome Last);
+  /// Finds out whether the target ended under the request.
+  void noteBroken(boost::asio::yield_context Yield);
   /// Tells roll-outs how the try turned out.
   void noteEvidence(TryOutcome Last, core::TimePoint Now);
   core::Duration sizedTime(core::Duration Took) const;
--- a/Libraries/LibGateway/RequestFacts.cpp
+++ b/Libraries/LibGateway/RequestFacts.cpp
@@ -25,6 +25,7 @@
                            platform::Revision StoreRevision) const {
   core::LogLine Line("request-sent");
   Line.add("request", m_Said.m_Id)
+      .add("content", m_Content)
       .add("route", m_Route->m_Name)
       .add("account_tier", m_Tier)
       .add("route_tier", m_Route->m_Tier)
--- a/Libraries/LibGateway/RequestFacts.h
+++ b/Libraries/LibGateway/RequestFacts.h
@@ -10,6 +10,7 @@
 #include "LibGateway/Dialect.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPlatform/KeyValueService.h"
+#include "LibQuarantine/ContentDigest.h"
 #include "LibRouting/QuotaBook.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
@@ -25,7 +26,8 @@
   const routing::Account *m_Account = nullptr;
   core::PoolName m_Pool;
   core::TierNumber m_Tier{1};
-  routing::QuotaDraw m_Draw; ///< From the account's quota.
+  routing::QuotaDraw m_Draw;           ///< From the account's quota.
+  quarantine::ContentDigest m_Content; ///< Since it was admitted.
   AnswerTimes m_Times{core::steadyNow()};
   std::optional<routing::Target> m_Target; ///< Chosen for the current try.
   unsigned m_Status = 0;                   ///< Of an answer of our own.
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -67,7 +67,10 @@
   error_code Failure;
   Impl->m_Stream.expires_after(Timeout);
   Impl->m_Stream.async_connect(Address, Yield[Failure]);
-  check(Failure, ErrorKind::Unavailable, "connect");
+  check(Failure,
+        Failure == asio::error::connection_refused ? ErrorKind::Refused
+                                                   : ErrorKind::Unavailable,
+        "connect");
   Impl->m_Stream.socket().set_option(tcp::no_delay(true));
   noticeSilentPeers(Impl->m_Stream.socket());
   return std::unique_ptr<ClientConnection>(
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -16,7 +16,7 @@
 /// kind Unavailable, later ones OutcomeUnknown.
 class ClientConnection {
 public:
-  /// \throws core::Error of kind Unavailable.
+  /// \throws core::Error of kind Refused or Unavailable.
   static std::unique_ptr<ClientConnection>
   connect(boost::asio::io_context &Context,
           const boost::asio::ip::tcp::endpoint &Address, core::Duration Timeout,
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -29,7 +29,7 @@
 
   /// \param IsFresh never reuse one: a reused connection may break under the
   /// first byte, and then nobody knows whether the request arrived.
-  /// \throws core::Error of kind Unavailable; no byte was sent.
+  /// \throws core::Error of kind Refused or Unavailable; no byte was sent.
   std::unique_ptr<ClientConnection>
   open(const boost::asio::ip::tcp::endpoint &Address, bool IsFresh,
        boost::asio::yield_context Yield);
--- a/Libraries/LibPlatform/KeyValueService.h
+++ b/Libraries/LibPlatform/KeyValueService.h
@@ -52,8 +52,8 @@
 enum class CallClass { Control, Claim };
 
 /// Calls wait in the calling coroutine. Every call throws core::Error:
-/// BudgetSpent and Unavailable mean that nothing was done; OutcomeUnknown, for
-/// a write, that it may take effect, even later.
+/// BudgetSpent, Refused and Unavailable mean that nothing was done;
+/// OutcomeUnknown, for a write, that it may take effect, even later.
 class KeyValueService {
 public:
   virtual ~KeyValueService() = default;
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -217,6 +217,14 @@
 // Which are this instance's
 //===----------------------------------------------------------------------===//
 
+bool TargetDirectory::isLeaving(const TargetRun &Run) const {
+  auto Found = m_Targets.find(Run.m_Name);
+  if (Found == m_Targets.end() || Found->second.m_Target.m_Birth != Run.m_Birth)
+    return true;
+  const KnownTarget &Known = Found->second;
+  return Known.m_Target.m_IsLeaving || (Known.m_LapsedAt && !areMostLapsed());
+}
+
 KnownTarget *TargetDirectory::find(const core::TargetName &Name) {
   auto Found = m_Targets.find(Name);
   return Found == m_Targets.end() ? nullptr : &Found->second;
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -72,6 +72,9 @@
   /// The part of the targets that this instance works with.
   void setShare(const FleetShare &Share);
 
+  /// Whether the run may end any time, and not for what it runs: it has said
+  /// that it leaves, or its announcement is gone while others are there.
+  bool isLeaving(const TargetRun &Run) const;
   KnownTarget *find(const core::TargetName &Name);
   /// \returns null when the run has ended, as far as is known.
   KnownTarget *findRun(const TargetRun &Run);
