Tests: Show a request that ends target after target

Symptom: one request ends each target that runs it, is sent on to a second one, and comes again, by a new attempt at any instance: targets end for as long as it comes. Three gateways, six targets that close their port, reset what runs there and come back under other names; three cases fail on the code as it is (comes again everywhere; again after all instances restarted; a stream ended midway), a popular request beside targets that end by themselves is served throughout.

--- /dev/null
+++ b/Tests/LibGateway/QuarantineTest.cpp
@@ -0,0 +1,116 @@
+//===-- QuarantineTest.cpp - A request that ends the targets that run it --===//
+//
+// What users saw: target after target of one pool ended, two a second, and the
+// requests that ran there were broken off, late or refused.
+//
+// Order of events: one request ends each target that begins to run it, within
+// tenths of a second. Its instance sends it on to a second target, which ends
+// as well, and answers 502. Its caller returns, to whichever instance the
+// balancer gives it; so do others with the same request.
+//
+//===----------------------------------------------------------------------===//
+#include "GatewayFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::tests;
+using std::chrono::milliseconds;
+
+class QuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuarantineTest);
+  CPPUNIT_TEST(testEndsFewTargetsWhereverItComes);
+  CPPUNIT_TEST(testPopularRequestIsServedThroughout);
+  CPPUNIT_TEST(testIsKnownAgainAfterAllRestarted);
+  CPPUNIT_TEST(testStreamThatEndsItsTargetMidwayIsTheSame);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Sent on after three targets ended, in all.
+  static constexpr std::size_t MostAfterThird = 3;
+  static constexpr std::size_t Gateways = 3;
+  static constexpr std::size_t Targets = 6;
+
+  /// Comes again \p Times, each time at the next gateway.
+  static void sendAgainAndAgain(GatewayFleet &Fleet, const std::string &Path,
+                                const std::string &Body, std::size_t Times) {
+    for (std::size_t I = 0; I < Times; ++I) {
+      Fleet.send(I % Fleet.size(), Path, Body);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+  }
+
+public:
+  void testEndsFewTargetsWhereverItComes() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    sendAgainAndAgain(Fleet, "/again/x", EndingBody, 20);
+    CPPUNIT_ASSERT(Fleet.ends() >= 3);
+    CPPUNIT_ASSERT(Fleet.arrivalsAfterThirdEnd(
+                       EndingBody, core::Duration::zero()) <= MostAfterThird);
+    // It was not sent, and is told so.
+    CPPUNIT_ASSERT_EQUAL(503U, Fleet.send(0, "/again/x", EndingBody).m_Status);
+    // One with another body is another request.
+    CPPUNIT_ASSERT_EQUAL(200U, Fleet.send(0, "/again/x", "other").m_Status);
+  }
+
+  void testPopularRequestIsServedThroughout() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    std::atomic<bool> IsCalling{true};
+    std::atomic<int> Served{0};
+    std::atomic<int> Refused{0};
+    std::vector<std::thread> Callers;
+    for (std::size_t I = 0; I < Gateways; ++I)
+      Callers.emplace_back([&, I] {
+        while (IsCalling) {
+          unsigned Status = Fleet.send(I, "/again/popular", "").m_Status;
+          ++(Status == 200 ? Served : Refused);
+        }
+      });
+    // Targets end under it, for reasons of their own.
+    for (std::size_t I = 0; I < 12; ++I) {
+      std::this_thread::sleep_for(milliseconds(150));
+      Fleet.withTargets([&] { Fleet.target(I % Targets).end(); });
+    }
+    std::this_thread::sleep_for(milliseconds(1000));
+    Refused = 0;
+    Served = 0;
+    std::this_thread::sleep_for(milliseconds(500));
+    IsCalling = false;
+    for (std::thread &Each : Callers)
+      Each.join();
+    CPPUNIT_ASSERT_EQUAL(0, Refused.load());
+    CPPUNIT_ASSERT(Served > 10);
+  }
+
+  void testIsKnownAgainAfterAllRestarted() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    // Until then a process is not sure that it has found the others.
+    std::this_thread::sleep_for(milliseconds(3200));
+    sendAgainAndAgain(Fleet, "/again/x", EndingBody, 4);
+    std::this_thread::sleep_for(milliseconds(1500));
+    Fleet.killAll();
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    sendAgainAndAgain(Fleet, "/again/x", EndingBody, 6);
+    CPPUNIT_ASSERT(Fleet.arrivalsAfterThirdEnd(
+                       EndingBody, core::Duration::zero()) <= MostAfterThird);
+  }
+
+  void testStreamThatEndsItsTargetMidwayIsTheSame() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    sendAgainAndAgain(Fleet, "/stream/x", EndingMidwayBody, 12);
+    CPPUNIT_ASSERT(Fleet.ends() >= 3);
+    CPPUNIT_ASSERT(
+        Fleet.arrivalsAfterThirdEnd(EndingMidwayBody, core::Duration::zero()) <=
+        MostAfterThird);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
--- /dev/null
+++ b/Tests/Support/EndingTarget.h
@@ -0,0 +1,173 @@
+//===-- EndingTarget.h - A target that a request can end ------------------===//
+#ifndef YARDRILL_TESTS_SUPPORT_ENDINGTARGET_H
+#define YARDRILL_TESTS_SUPPORT_ENDINGTARGET_H
+
+#include "ScriptedTarget.h"
+#include "SharedStore.h"
+
+#include "LibCore/Time.h"
+
+#include <list>
+
+namespace yardrill::tests {
+
+/// The body of a request that ends whichever target begins to run it.
+inline const char EndingBody[] = "ends its target";
+/// The same after the first event of a stream.
+inline const char EndingMidwayBody[] = "ends its target midway";
+
+/// One arrival at a target.
+struct Arrival {
+  core::TimePoint m_At;
+  std::string m_Body;
+};
+
+/// What all targets of a test saw.
+struct ArrivalBook {
+  std::mutex m_Mutex;
+  std::vector<Arrival> m_Arrivals;
+  std::vector<core::TimePoint> m_Ends; ///< Of targets, under EndingBody.
+};
+
+/// Answers after some work. One that ends resets all its connections, listens
+/// no longer, and is back under another name; its announcement changes later.
+class EndingTarget {
+public:
+  EndingTarget(asio::io_context &Context, SharedStore &Store, ArrivalBook &Book,
+               std::size_t Number)
+      : m_Context(Context), m_Store(Store), m_Book(Book), m_Number(Number),
+        m_Acceptor(Context), m_Port(0) {
+    listen();
+    announce();
+  }
+
+  /// Ends for a reason of its own.
+  void end() {
+    std::string Gone = key();
+    m_Acceptor.close();
+    for (const auto &Each : m_Sockets)
+      if (auto Socket = Each.lock())
+        reset(*Socket);
+    m_Sockets.clear();
+    ++m_Life;
+    auto Back = std::make_shared<asio::steady_timer>(m_Context, DownTime);
+    Back->async_wait([this, Back, Gone](boost::system::error_code Failure) {
+      if (Failure)
+        return;
+      m_Store.remove(Gone);
+      listen();
+      announce();
+    });
+  }
+  /// Resets what runs here, and goes on.
+  void resetConnections() {
+    for (const auto &Each : m_Sockets)
+      if (auto Socket = Each.lock())
+        reset(*Socket);
+  }
+
+  static constexpr std::chrono::milliseconds DownTime{400};
+  static constexpr std::chrono::milliseconds WorkTime{30};
+
+private:
+  using SocketHandle = std::shared_ptr<tcp::socket>;
+
+  std::string name() const {
+    return "i-" + std::to_string(m_Number) + "-" + std::to_string(m_Life);
+  }
+  std::string key() const { return "servers/" + name(); }
+  void announce() {
+    m_Store.put(key(),
+                R"({"service":"app","address":"127.0.0.1:)" +
+                    std::to_string(m_Port) +
+                    R"(","zone":"hall","version":"v1","slots":4,)"
+                    R"("state":"ready","coldLeftMs":0,"seq":1,"born":0})");
+  }
+  void listen() {
+    m_Acceptor =
+        tcp::acceptor(m_Context, {asio::ip::make_address("127.0.0.1"),
+                                  static_cast<asio::ip::port_type>(m_Port)});
+    m_Port = m_Acceptor.local_endpoint().port();
+    asio::spawn(
+        m_Context, [this](asio::yield_context Yield) { accept(Yield); },
+        asio::detached);
+  }
+  static void reset(tcp::socket &Socket) {
+    boost::system::error_code Ignored;
+    Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    Socket.close(Ignored);
+  }
+  void accept(asio::yield_context Yield) {
+    while (true) {
+      auto Socket = std::make_shared<tcp::socket>(m_Context);
+      boost::system::error_code Failure;
+      m_Acceptor.async_accept(*Socket, Yield[Failure]);
+      if (Failure)
+        return;
+      m_Sockets.remove_if([](const auto &Each) { return Each.expired(); });
+      m_Sockets.push_back(Socket);
+      asio::spawn(
+          m_Context,
+          [this, Socket](asio::yield_context Inner) { serve(Socket, Inner); },
+          asio::detached);
+    }
+  }
+  void work(asio::yield_context Yield) {
+    asio::steady_timer Timer(m_Context, WorkTime);
+    boost::system::error_code Ignored;
+    Timer.async_wait(Yield[Ignored]);
+  }
+  void endUnderRequest() {
+    {
+      std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
+      m_Book.m_Ends.push_back(core::steadyNow());
+    }
+    end();
+  }
+  void serve(const SocketHandle &Socket, asio::yield_context Yield) {
+    beast::flat_buffer Buffer;
+    boost::system::error_code Failure;
+    while (true) {
+      Request Read;
+      beast::http::async_read(*Socket, Buffer, Read, Yield[Failure]);
+      if (Failure)
+        return;
+      {
+        std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
+        m_Book.m_Arrivals.push_back({core::steadyNow(), Read.body()});
+      }
+      std::string Answer = whole(Read, "answer");
+      if (Read["Expect-Replica"] != name())
+        Answer = whole(Read, "", "421 Misdirected Request", "");
+      else if (Read.target().starts_with("/stream/")) {
+        std::string First = streamHead(Read) + chunk("id: 1\ndata: a\n\n");
+        if (Read["Last-Event-Id"].empty())
+          asio::async_write(*Socket, asio::buffer(First), Yield[Failure]);
+        Answer = chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+        if (!Read["Last-Event-Id"].empty())
+          Answer = streamHead(Read) + Answer;
+      }
+      work(Yield);
+      if (!Socket->is_open())
+        return;
+      if (Read.body() == EndingBody || Read.body() == EndingMidwayBody)
+        return endUnderRequest();
+      asio::async_write(*Socket, asio::buffer(Answer), Yield[Failure]);
+      if (Failure)
+        return;
+    }
+  }
+
+  asio::io_context &m_Context;
+  SharedStore &m_Store;
+  ArrivalBook &m_Book;
+  std::size_t m_Number;
+  std::size_t m_Life = 1;
+  tcp::acceptor m_Acceptor;
+  int m_Port;
+  std::list<std::weak_ptr<tcp::socket>> m_Sockets;
+};
+
+} // namespace yardrill::tests
+
+#endif
--- /dev/null
+++ b/Tests/Support/GatewayFleet.cpp
@@ -0,0 +1,163 @@
+#include "GatewayFleet.h"
+
+#include <atomic>
+
+namespace yardrill::tests {
+
+static const char Configuration[] = R"({"version":7,"routes":[
+  {"host":"h","pathPrefix":"/once/","routeKind":"non_idempotent",
+   "timeoutMs":3000,"sloMs":300,"service":"app","maxAttempts":1},
+  {"host":"h","pathPrefix":"/again/","routeKind":"idempotent",
+   "timeoutMs":3000,"sloMs":300,"service":"app","maxAttempts":2},
+  {"host":"h","pathPrefix":"/stream/","routeKind":"streaming",
+   "timeoutMs":3000,"sloMs":300,"service":"app","maxAttempts":2,
+   "resumable":true}],
+  "services":[{"name":"app"}],
+  "tenants":[{"name":"owner","apiKeys":["key"]}]})";
+
+static config::Endpoint local(int Port) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
+}
+
+GatewayFleet::GatewayFleet(std::size_t Gateways, std::size_t Targets)
+    : m_Places(Gateways) {
+  m_Store.put("op/config", Configuration);
+  for (std::size_t I = 0; I < Targets; ++I)
+    m_Targets.push_back(
+        std::make_unique<EndingTarget>(m_Context, m_Store, m_Book, I));
+  m_Thread = std::thread([this] { m_Context.run(); });
+}
+
+GatewayFleet::~GatewayFleet() {
+  killAll();
+  m_Context.stop();
+  m_Thread.join();
+}
+
+void GatewayFleet::withTargets(const std::function<void()> &What) {
+  std::promise<void> Done;
+  asio::post(m_Context, [&] {
+    What();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+void GatewayFleet::start(std::size_t Index) {
+  Place &Where = m_Places[Index];
+  gateway::GatewaySettings Settings;
+  Settings.m_Name = core::InstanceName("gateway-" + std::to_string(Index));
+  Settings.m_DataHall = core::DataHallName("hall");
+  Settings.m_CallerAddress = local(Where.m_CallerPort);
+  Settings.m_ReadinessAddress = local(Where.m_ReadinessPort);
+  Settings.m_PeerAddress = local(Where.m_PeerPort);
+  Settings.m_MetricsAddress = local(Where.m_MetricsPort);
+  Settings.m_PeerKey = "test";
+  for (const Place &Each : m_Places)
+    Settings.m_Seeds.push_back(local(Each.m_PeerPort));
+  Settings.m_IsFirstStart = !Where.m_HasRun;
+  Settings.m_Retries = {0.2, std::chrono::seconds(10), 200};
+  Where.m_HasRun = true;
+  Where.m_Context = std::make_unique<asio::io_context>(1);
+  Where.m_Gateway = gateway::Gateway::Builder()
+                        .settings(Settings)
+                        .dialect(m_Dialect)
+                        .store(m_Store)
+                        .build(*Where.m_Context);
+  Where.m_Gateway->start();
+  Where.m_Thread = std::thread([&Where] { Where.m_Context->run(); });
+}
+
+void GatewayFleet::startAll() {
+  for (std::size_t I = 0; I < m_Places.size(); ++I)
+    start(I);
+}
+
+void GatewayFleet::kill(std::size_t Index) {
+  Place &Which = m_Places[Index];
+  if (!Which.m_Gateway)
+    return;
+  Which.m_Context->stop();
+  Which.m_Thread.join();
+  // The coroutines of its requests end with the loop.
+  Which.m_Gateway.reset();
+  Which.m_Context.reset();
+}
+
+void GatewayFleet::killAll() {
+  for (std::size_t I = 0; I < m_Places.size(); ++I)
+    kill(I);
+}
+
+bool GatewayFleet::areAllReady() {
+  http::RequestMessage Ask;
+  Ask.m_Method = "GET";
+  Ask.m_Target = "/readyz";
+  return eventually([&] {
+    for (std::size_t I = 0; I < m_Places.size(); ++I)
+      if (call(m_Places[I].m_ReadinessPort, Ask).m_Status != 200 ||
+          metric(I, "yardrill_peers") + 1 !=
+              static_cast<double>(m_Places.size()) ||
+          metric(I, "yardrill_targets") !=
+              static_cast<double>(m_Targets.size()))
+        return false;
+    return true;
+  });
+}
+
+http::RequestMessage GatewayFleet::request(const std::string &Path,
+                                           const std::string &Body) {
+  static std::atomic<int> Next{1};
+  http::RequestMessage Out;
+  Out.m_Method = "POST";
+  Out.m_Target = Path;
+  Out.m_Headers = {{"Host", "h"},
+                   {"Attempt-Id", "f" + std::to_string(Next++)},
+                   {"Deadline-Ms", "2000"},
+                   {"Api-Key", "key"}};
+  Out.m_Body = Body;
+  return Out;
+}
+
+Reply GatewayFleet::send(std::size_t Gateway, const std::string &Path,
+                         const std::string &Body) {
+  return call(m_Places[Gateway].m_CallerPort, request(Path, Body));
+}
+
+double GatewayFleet::metric(std::size_t Gateway, const std::string &Name) {
+  http::RequestMessage Ask;
+  Ask.m_Method = "GET";
+  Ask.m_Target = "/metrics";
+  Reply Got = call(m_Places[Gateway].m_MetricsPort, Ask);
+  std::string Line = "\n" + Name + " ";
+  std::size_t At = ("\n" + Got.m_Body).find(Line);
+  return At == std::string::npos
+             ? 0
+             : std::strtod(Got.m_Body.c_str() + At + Line.size() - 1, nullptr);
+}
+
+std::size_t GatewayFleet::arrivalsOf(const std::string &Body) {
+  return arrivalsAfterThirdEnd(Body, core::Duration::min());
+}
+
+std::size_t GatewayFleet::ends() {
+  std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
+  return m_Book.m_Ends.size();
+}
+
+std::size_t GatewayFleet::arrivalsAfterThirdEnd(const std::string &Body,
+                                                core::Duration After) {
+  static constexpr std::size_t Third = 3;
+  std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
+  bool CountsAll = After == core::Duration::min();
+  if (!CountsAll && m_Book.m_Ends.size() < Third)
+    return 0;
+  std::size_t Out = 0;
+  for (const Arrival &Each : m_Book.m_Arrivals)
+    if (Each.m_Body == Body &&
+        (CountsAll || Each.m_At > m_Book.m_Ends[Third - 1] + After))
+      ++Out;
+  return Out;
+}
+
+} // namespace yardrill::tests
--- /dev/null
+++ b/Tests/Support/SharedStore.h
@@ -0,0 +1,136 @@
+//===-- SharedStore.h - A store that several gateways follow --------------===//
+#ifndef YARDRILL_TESTS_SUPPORT_SHAREDSTORE_H
+#define YARDRILL_TESTS_SUPPORT_SHAREDSTORE_H
+
+#include "EmptyStore.h"
+
+#include "LibCore/Error.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <mutex>
+
+namespace yardrill::tests {
+
+/// Keeps all that it was ever told, in the order of revisions. May be used from
+/// any thread; calls of the gateways wait on their own loops.
+class SharedStore final : public EmptyStore {
+public:
+  std::vector<platform::Entry> readPrefix(const std::string &,
+                                          platform::CallClass,
+                                          boost::asio::yield_context) override {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    failIfDown();
+    std::vector<platform::Entry> Out;
+    for (const auto &[Key, Each] : m_Entries)
+      if (!Each.m_IsDeleted)
+        Out.push_back(Each);
+    return Out;
+  }
+  std::optional<platform::Entry> read(const std::string &Key,
+                                      platform::CallClass,
+                                      boost::asio::yield_context) override {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    failIfDown();
+    auto Found = m_Entries.find(Key);
+    if (Found == m_Entries.end() || Found->second.m_IsDeleted)
+      return std::nullopt;
+    return Found->second;
+  }
+  void
+  watch(const std::string &, platform::Revision After,
+        const std::function<bool(const std::vector<platform::Entry> &)> &Notify,
+        boost::asio::yield_context Yield) override {
+    boost::asio::steady_timer Pause(Yield.get_executor());
+    while (true) {
+      Pause.expires_after(std::chrono::milliseconds(5));
+      boost::system::error_code Ignored;
+      Pause.async_wait(Yield[Ignored]);
+      std::vector<platform::Entry> News = changesAfter(After);
+      if (News.empty())
+        continue;
+      After = News.back().m_Modified;
+      if (!Notify(News))
+        return;
+    }
+  }
+  platform::Revision lastRevision() const override {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    return m_Last;
+  }
+  platform::SwapResult compareAndSwap(const platform::CompareAndSwap &Swap,
+                                      platform::CallClass,
+                                      boost::asio::yield_context) override {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    failIfDown();
+    platform::SwapResult Out;
+    const platform::Entry &Current = m_Entries[Swap.m_Key];
+    platform::Revision Stands =
+        Current.m_IsDeleted ? platform::Revision() : Current.m_Modified;
+    if (Stands != Swap.m_Expected) {
+      Out.m_Current = Current;
+      return Out;
+    }
+    ++m_Swaps;
+    for (const platform::Put &Each : Swap.m_Puts)
+      take(Each.m_Key, Each.m_Value, false);
+    Out.m_IsSwapped = true;
+    Out.m_Revision = m_Last;
+    return Out;
+  }
+
+  void put(const std::string &Key, const std::string &Value) {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    take(Key, Value, false);
+  }
+  void remove(const std::string &Key) {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    take(Key, "", true);
+  }
+  std::string valueOf(const std::string &Key) const {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    auto Found = m_Entries.find(Key);
+    return Found == m_Entries.end() ? "" : Found->second.m_Value;
+  }
+  /// Writes of the gateways that went through.
+  int swaps() const {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    return m_Swaps;
+  }
+  /// From now on (or no longer) every call fails.
+  void setDown(bool IsDown) {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_IsDown = IsDown;
+  }
+
+private:
+  void failIfDown() const {
+    if (m_IsDown)
+      throw core::Error(core::ErrorKind::Unavailable, "down");
+  }
+  std::vector<platform::Entry> changesAfter(platform::Revision After) const {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    failIfDown();
+    std::vector<platform::Entry> Out;
+    for (const platform::Entry &Each : m_Changes)
+      if (After < Each.m_Modified)
+        Out.push_back(Each);
+    return Out;
+  }
+  void take(const std::string &Key, const std::string &Value, bool IsDeleted) {
+    m_Last = platform::Revision(m_Last.value() + 1);
+    m_Entries[Key] = {Key, Value, m_Last, IsDeleted};
+    m_Changes.push_back(m_Entries[Key]);
+  }
+
+  mutable std::mutex m_Mutex;
+  std::map<std::string, platform::Entry> m_Entries;
+  std::vector<platform::Entry> m_Changes;
+  platform::Revision m_Last;
+  int m_Swaps = 0;
+  bool m_IsDown = false;
+};
+
+} // namespace yardrill::tests
+
+#endif
