LibGateway: Keep an entry of the store in one place, StoreRecord

Taken out of FleetRecord, which keeps its format: a least time between writes, a compare-and-swap against what was read, a log line for each. A second record is to come, and would have been its twin. The log events are now record-written and record-not-written with record=instances. No behaviour changes; FleetRosterTest passes unchanged but for a member function that was static.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -214,7 +214,7 @@
 //===----------------------------------------------------------------------===//
 
 void Gateway::take(const platform::Entry &Change) {
-  if (FleetRecord::isItsKey(Change.m_Key)) {
+  if (m_Record.isItsKey(Change.m_Key)) {
     m_Roster.setRecorded(m_Record.read(Change));
     m_Peers->setRecorded(m_Roster.recorded());
     return updateQuotaOwners();
--- /dev/null
+++ b/Libraries/LibGateway/StoreRecord.cpp
@@ -0,0 +1,53 @@
+#include "LibGateway/StoreRecord.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+
+std::string StoreRecord::read(const platform::Entry &Change) {
+  m_Revision = Change.m_IsDeleted ? platform::Revision() : Change.m_Modified;
+  m_Text = Change.m_IsDeleted ? std::string() : Change.m_Value;
+  return m_Text;
+}
+
+void StoreRecord::logUnreadable(const platform::Entry &Change) const {
+  core::LogLine("store-entry-unreadable", core::LogLevel::Error)
+      .add("key", Change.m_Key)
+      .add("revision", Change.m_Modified);
+}
+
+void StoreRecord::write(const std::string &Text, core::TimePoint Now) {
+  if (Now - m_TriedAt <= m_WritePeriod)
+    return;
+  m_TriedAt = Now;
+  asio::spawn(
+      m_Context,
+      [this, Text](asio::yield_context Yield) { writeNow(Text, Yield); },
+      asio::detached);
+}
+
+void StoreRecord::writeNow(const std::string &Text, asio::yield_context Yield) {
+  std::string Key = keyOf(m_Name);
+  platform::CompareAndSwap Swap{Key, m_Revision, {{Key, Text, std::nullopt}}};
+  try {
+    bool IsWritten =
+        m_Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
+            .m_IsSwapped;
+    core::LogLine("record-written")
+        .add("record", m_Name)
+        .add("bytes", Text.size())
+        .add("is_written", IsWritten);
+  } catch (const core::Error &Failure) {
+    core::LogLine("record-not-written", core::LogLevel::Warning)
+        .add("record", m_Name)
+        .add("reason", Failure.what());
+  }
+}
+
+} // namespace yardrill::gateway
--- a/Tests/LibGateway/FleetRosterTest.cpp
+++ b/Tests/LibGateway/FleetRosterTest.cpp
@@ -91,7 +91,7 @@
     Record.write({m_A, m_B, m_C}, m_Now + seconds(1));
     Context.run();
     CPPUNIT_ASSERT(Store.m_Written);
-    CPPUNIT_ASSERT(FleetRecord::isItsKey(Store.m_Written->m_Key));
+    CPPUNIT_ASSERT(Record.isItsKey(Store.m_Written->m_Key));
     platform::Entry Change;
     Change.m_Key = Store.m_Written->m_Key;
     Change.m_Value = Store.m_Written->m_Puts.at(0).m_Value;
