LibCore: Read time from a clock that goes on while the machine is suspended

What callers would see: an instance that slept for seconds goes on with targets, peers, quotas and permits that it heard of before, as if they were fresh. Cause: steadyNow() and all timers read CLOCK_MONOTONIC, which stands still meanwhile. Everything by which an instance judges how old its knowledge is rests on them, so the same cause held everywhere at once. Change: BootClock (CLOCK_BOOTTIME) under TimePoint, and Timer in place of asio's steady_timer. What is overdue fires with the loop's next event, within 40 ms, since reports are sent as often. Ruled out: asking at each place whether the machine slept. What is done in those 40 ms is done by old knowledge, as after a freeze; the bounds allow for that. Left: Beast's own time limits (FIXME in ClientConnection).

--- a/Libraries/LibCore/TimerService.cpp
+++ b/Libraries/LibCore/TimerService.cpp
@@ -7,7 +7,7 @@
                Subscriber Notify)
       : m_Timer(Context), m_Period(Period), m_Notify(std::move(Notify)) {}
 
-  boost::asio::steady_timer m_Timer;
+  core::Timer m_Timer;
   Duration m_Period;
   Subscriber m_Notify;
 };
@@ -30,7 +30,7 @@
 }
 
 void SteadyTimerService::callAfter(Duration Delay, Subscriber Notify) {
-  auto Timer = std::make_shared<boost::asio::steady_timer>(m_Context, Delay);
+  auto Timer = std::make_shared<core::Timer>(m_Context, Delay);
   m_Calls.insert(Timer);
   Timer->async_wait([this, Timer, Notify = std::move(Notify)](
                         boost::system::error_code Failure) {
--- a/Libraries/LibCore/TimerService.h
+++ b/Libraries/LibCore/TimerService.h
@@ -3,9 +3,9 @@
 #define YARDRILL_LIBCORE_TIMERSERVICE_H
 
 #include "LibCore/Time.h"
+#include "LibCore/Timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <set>
@@ -43,7 +43,7 @@
   boost::asio::io_context &m_Context;
   std::vector<std::shared_ptr<Subscription>> m_Subscriptions;
   /// Of calls that are to come; each removes itself.
-  std::set<std::shared_ptr<boost::asio::steady_timer>> m_Calls;
+  std::set<std::shared_ptr<core::Timer>> m_Calls;
 };
 
 } // namespace yardrill::core
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -2,6 +2,7 @@
 #ifndef YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
 #define YARDRILL_LIBGATEWAY_GATEWAYREQUEST_H
 
+#include "LibCore/Timer.h"
 #include "LibGateway/AnswerRelay.h"
 #include "LibGateway/Gateway.h"
 #include "LibGateway/RequestAdmission.h"
@@ -9,7 +10,6 @@
 #include "LibHTTP/ClientConnection.h"
 
 #include <boost/asio/spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <set>
@@ -85,7 +85,7 @@
   AnswerRelay m_Relay;
   core::RequestId m_Id;
   core::TimePoint m_EndsAt;
-  boost::asio::steady_timer m_Wake;
+  core::Timer m_Wake;
   bool m_IsRefused = false;
   bool m_IsCallerGone = false;
   bool m_IsOwnerGone = false;
--- a/Libraries/LibGateway/QuotaService.cpp
+++ b/Libraries/LibGateway/QuotaService.cpp
@@ -2,8 +2,8 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
+#include "LibCore/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 
 namespace yardrill::gateway {
@@ -71,7 +71,7 @@
   explicit Wait(asio::io_context &Context)
       : m_Timer(Context, routing::QuotaBook::Patience) {}
 
-  asio::steady_timer m_Timer;
+  core::Timer m_Timer;
   bool m_IsOver = false;
   std::optional<routing::QuotaAnswer> m_Answer;
 };
--- a/Libraries/LibGateway/StateFollower.cpp
+++ b/Libraries/LibGateway/StateFollower.cpp
@@ -3,10 +3,10 @@
 #include "LibCore/Digest.h"
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
+#include "LibCore/Timer.h"
 #include "LibPlatform/Backoff.h"
 
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace yardrill::gateway {
 
@@ -38,7 +38,7 @@
 }
 
 void StateFollower::pause(core::Duration Length, asio::yield_context Yield) {
-  asio::steady_timer Timer(m_Context, Length);
+  core::Timer Timer(m_Context, Length);
   boost::system::error_code Ignored;
   Timer.async_wait(Yield[Ignored]);
 }
--- a/Libraries/LibGateway/TargetEnds.cpp
+++ b/Libraries/LibGateway/TargetEnds.cpp
@@ -28,7 +28,7 @@
 
 void TargetEnds::probe(const BrokenHandle &Which, asio::yield_context Yield) {
   Which->m_IsProbing = true;
-  Which->m_Probed.expires_at(asio::steady_timer::time_point::max());
+  Which->m_Probed.expires_at(core::Timer::time_point::max());
   Presence Seen = m_Hooks.m_Probe(Which->m_Which, Yield);
   Which->m_IsProbing = false;
   if (Seen == Presence::Gone)
--- a/Libraries/LibGateway/TargetEnds.h
+++ b/Libraries/LibGateway/TargetEnds.h
@@ -10,12 +10,12 @@
 #define YARDRILL_LIBGATEWAY_TARGETENDS_H
 
 #include "LibCore/Time.h"
+#include "LibCore/Timer.h"
 #include "LibQuarantine/ContentDigest.h"
 #include "LibRouting/Target.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,7 +68,7 @@
     bool m_IsProbing = false;
     bool m_HasEnded = false;
     core::TimePoint m_LastAt{};
-    boost::asio::steady_timer m_Probed; ///< Cancelled when it is known.
+    core::Timer m_Probed; ///< Cancelled when it is known.
   };
   using BrokenHandle = std::shared_ptr<Broken>;
 
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -26,6 +26,8 @@
 
   using Parser = beast::http::response_parser<beast::http::buffer_body>;
 
+  /// FIXME: Beast's time limits stand still while the machine is suspended; a
+  /// call that nobody answers then lasts longer by that time.
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -52,7 +52,7 @@
   ServerLimits m_Limits;
   Handler m_Handle;
   Rejection m_Reject;
-  asio::steady_timer m_RoomTimer; ///< Cancelled when a connection closes.
+  core::Timer m_RoomTimer; ///< Cancelled when a connection closes.
   std::list<std::shared_ptr<ServerConnection>> m_Open;
   bool m_IsClosing = false; ///< Each connection after its answer.
   bool m_IsStopping = false;
@@ -82,7 +82,7 @@
   while (!m_IsStopping) {
     error_code Failure;
     if (m_Open.size() >= m_Limits.m_OpenConnections) {
-      m_RoomTimer.expires_at(asio::steady_timer::time_point::max());
+      m_RoomTimer.expires_at(core::Timer::time_point::max());
       m_RoomTimer.async_wait(Yield[Failure]);
       continue;
     }
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -6,9 +6,9 @@
 #ifndef YARDRILL_LIBHTTP_SERVERCONNECTION_H
 #define YARDRILL_LIBHTTP_SERVERCONNECTION_H
 
+#include "LibCore/Timer.h"
 #include "LibHTTP/Server.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
@@ -63,7 +63,7 @@
   void stopReadTimer();
 
   boost::beast::tcp_stream m_Stream;
-  boost::asio::steady_timer m_ReadTimer;
+  core::Timer m_ReadTimer;
   bool m_HasTimedOut = false;
   const ServerLimits &m_Limits;
   const Server::Handler &m_Handle;
--- a/Libraries/LibInstance/ClaimKeeper.cpp
+++ b/Libraries/LibInstance/ClaimKeeper.cpp
@@ -2,9 +2,9 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Error.h"
+#include "LibCore/Timer.h"
 #include "LibInstance/HomeJson.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 namespace yardrill::instance {
@@ -44,7 +44,7 @@
 
 platform::LeaseId ClaimKeeper::lease(boost::asio::yield_context Yield) {
   // One grant for all claims that come while it is under way.
-  boost::asio::steady_timer Pause(Yield.get_executor());
+  core::Timer Pause(Yield.get_executor());
   while (m_IsGranting) {
     boost::system::error_code Ignored;
     Pause.expires_after(GrantPollPeriod);
@@ -91,7 +91,7 @@
                                     const std::string &Key,
                                     const std::string &Value,
                                     boost::asio::yield_context Yield) {
-  boost::asio::steady_timer Pause(Yield.get_executor());
+  core::Timer Pause(Yield.get_executor());
   for (int Try = 0; Try < ReadBackTries; ++Try) {
     try {
       auto Standing = m_Service.read(Key, platform::CallClass::Control, Yield);
--- a/Libraries/LibInstance/OpenRequest.cpp
+++ b/Libraries/LibInstance/OpenRequest.cpp
@@ -50,7 +50,7 @@
   while (!IsDone) {
     while (m_Actions.empty()) {
       boost::system::error_code Ignored;
-      m_Wake.expires_at(asio::steady_timer::time_point::max());
+      m_Wake.expires_at(core::Timer::time_point::max());
       m_Wake.async_wait(Yield[Ignored]);
     }
     decision::Action Next = std::move(m_Actions.front());
--- a/Libraries/LibInstance/OpenRequest.h
+++ b/Libraries/LibInstance/OpenRequest.h
@@ -2,9 +2,9 @@
 #ifndef YARDRILL_LIBINSTANCE_OPENREQUEST_H
 #define YARDRILL_LIBINSTANCE_OPENREQUEST_H
 
+#include "LibCore/Timer.h"
 #include "LibInstance/TrafficDuty.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <optional>
 #include <string>
@@ -54,7 +54,7 @@
   core::RequestId m_Id;
   std::string m_PrintableId;
   metrics::RequestLabels m_Labels;
-  boost::asio::steady_timer m_Wake;
+  core::Timer m_Wake;
   std::deque<decision::Action> m_Actions;
   core::TimePoint m_ArrivedAt;
   core::TimePoint m_LastPieceAt{};
--- a/Libraries/LibInstance/PlatformDuty.cpp
+++ b/Libraries/LibInstance/PlatformDuty.cpp
@@ -86,7 +86,7 @@
 }
 
 void PlatformDuty::pause(core::Duration Length, asio::yield_context Yield) {
-  asio::steady_timer Timer(m_Thread.context(), Length);
+  core::Timer Timer(m_Thread.context(), Length);
   boost::system::error_code Ignored;
   Timer.async_wait(Yield[Ignored]);
 }
