yardrill: Let operators list and lift what is quarantined

Cause: a verdict holds until it is excused; operators could see it in a log line and a gauge alone, and not end it. Change: quarantine list and quarantine lift read and write the store's entry by compare-and-swap; lifting excuses the runs that stand there, which all instances merge, also those that miss the moment. explain prints every end of a target under the request's content, whenever and wherever it was seen. Conclusion: nothing that decides has changed.

--- a/Libraries/LibGateway/RequestFacts.cpp
+++ b/Libraries/LibGateway/RequestFacts.cpp
@@ -76,6 +76,9 @@
     Line.add("configuration", m_Table->version());
   if (m_Target)
     Line.add("target", m_Target->m_Name);
+  // In request-sent otherwise.
+  if (m_Route && m_Times.tries() == 0)
+    Line.add("content", m_Content);
 }
 
 void RequestFacts::countEnd(metrics::MetricsRegistry &Metrics) const {
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -76,6 +76,19 @@
        {"logs"},
        1,
        runExplain},
+      {"quarantine list",
+       "[--config=FILE]",
+       "print the requests that the store holds as ending their targets; the "
+       "settings file is the one of the gateway",
+       {"config"},
+       0,
+       runQuarantineList},
+      {"quarantine lift",
+       "CONTENT [--config=FILE]",
+       "let all instances send a request again that was quarantined",
+       {"config"},
+       1,
+       runQuarantineLift},
       {"version", "", "print the version", {}, 0, runVersion},
   };
   return All;
--- a/Programs/yardrill/CommandLine.h
+++ b/Programs/yardrill/CommandLine.h
@@ -37,6 +37,8 @@
 int runConfigStatus(const std::vector<std::string> &);
 int runPolicyCheck(const std::vector<std::string> &Positionals);
 int runExplain(const std::vector<std::string> &Positionals);
+int runQuarantineList(const std::vector<std::string> &);
+int runQuarantineLift(const std::vector<std::string> &Positionals);
 int runReplay(const std::vector<std::string> &Positionals);
 
 } // namespace yardrill::program
--- /dev/null
+++ b/Programs/yardrill/QuarantineVerbs.cpp
@@ -0,0 +1,121 @@
+#include "CommandLine.h"
+#include "DeploymentSettings.h"
+#include "StoreClient.h"
+
+#include "LibConfig/InstanceSettings.h"
+#include "LibCore/Error.h"
+#include "LibGateway/QuarantineService.h"
+#include "LibQuarantine/QuarantineText.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+
+DECLARE_string(config);
+
+namespace yardrill::program {
+
+namespace asio = boost::asio;
+using quarantine::ContentDigest;
+using quarantine::Observation;
+using quarantine::QuarantineBook;
+
+/// Instances write to the same entry; each time one was first it is read again.
+static constexpr int MostSwaps = 5;
+
+static std::string recordKey() {
+  return gateway::StoreRecord::keyOf(gateway::QuarantineService::RecordName);
+}
+
+/// Runs \p What with a client of the store that the settings file names.
+static void withStore(const std::function<void(platform::StoreClient &,
+                                               asio::yield_context)> &What) {
+  std::string File = FLAGS_config.empty()
+                         ? platform::DeploymentSettings::fileName()
+                         : FLAGS_config;
+  auto Settings =
+      platform::DeploymentSettings::parse(config::readFile(File), File);
+  asio::io_context Context(1);
+  platform::StoreClient Store(Context, Settings.m_Store);
+  std::exception_ptr Failure;
+  asio::spawn(
+      Context,
+      [&](asio::yield_context Yield) {
+        try {
+          What(Store, Yield);
+        } catch (const core::Error &) {
+          Failure = std::current_exception();
+        }
+        Context.stop();
+      },
+      asio::detached);
+  Context.run();
+  if (Failure)
+    std::rethrow_exception(Failure);
+}
+
+static platform::Entry readRecord(platform::StoreClient &Store,
+                                  asio::yield_context Yield) {
+  return Store.read(recordKey(), platform::CallClass::Control, Yield)
+      .value_or(platform::Entry());
+}
+
+static void printRecord(const std::string &Text) {
+  auto Seen = quarantine::readText(Text);
+  if (!Seen)
+    throw core::Error(core::ErrorKind::Protocol,
+                      recordKey() + " can't be read");
+  std::map<ContentDigest, std::pair<std::size_t, std::size_t>> Runs;
+  for (const Observation &Each : *Seen)
+    ++(Each.m_IsExcused ? Runs[Each.m_Content].second
+                        : Runs[Each.m_Content].first);
+  std::cout << "content                           ended  excused  state\n";
+  for (const auto &[Content, Count] : Runs) {
+    const char *State = "released";
+    if (Count.first >= QuarantineBook::RunsToQuarantine)
+      State = "quarantined";
+    else if (Count.first >= QuarantineBook::RunsToSuspect)
+      State = "suspect";
+    std::printf("%s  %5zu  %7zu  %s\n", Content.toString().c_str(), Count.first,
+                Count.second, State);
+    std::fflush(stdout);
+  }
+}
+
+int runQuarantineList(const std::vector<std::string> &) {
+  withStore([](platform::StoreClient &Store, asio::yield_context Yield) {
+    printRecord(readRecord(Store, Yield).m_Value);
+  });
+  return ExitDone;
+}
+
+int runQuarantineLift(const std::vector<std::string> &Positionals) {
+  auto Content = ContentDigest::parse(Positionals.at(0));
+  if (!Content)
+    throw core::Error(core::ErrorKind::Usage,
+                      "a content is 32 hex digits, as in the logs and in "
+                      "quarantine list");
+  withStore([&](platform::StoreClient &Store, asio::yield_context Yield) {
+    for (int I = 0; I < MostSwaps; ++I) {
+      platform::Entry Stands = readRecord(Store, Yield);
+      auto Text = quarantine::lifted(Stands.m_Value, *Content);
+      if (!Text)
+        throw core::Error(core::ErrorKind::Usage,
+                          "the store holds nothing of that content");
+      platform::CompareAndSwap Swap{
+          recordKey(), Stands.m_Modified, {{recordKey(), *Text, std::nullopt}}};
+      if (Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
+              .m_IsSwapped) {
+        std::cout << "lifted; instances hear of it from the store\n";
+        return;
+      }
+    }
+    throw core::Error(core::ErrorKind::Conflict,
+                      "instances keep writing the record; try again");
+  });
+  return ExitDone;
+}
+
+} // namespace yardrill::program
--- a/Programs/yardrill/RequestStory.cpp
+++ b/Programs/yardrill/RequestStory.cpp
@@ -13,10 +13,11 @@
 /// Events that may explain a failure without naming the request.
 static const std::set<std::string> &surroundingEvents() {
   static const std::set<std::string> All = {
-      "store-lost",        "store-connected",  "peer-lost",
-      "target-gone",       "target-replaced",  "target-refused",
-      "target-broke",      "connect-failed",   "instance-started",
-      "instance-stopping", "instance-stopped", "log-lines-dropped"};
+      "store-lost",        "store-connected",     "peer-lost",
+      "target-gone",       "target-replaced",     "target-refused",
+      "target-broke",      "connect-failed",      "instance-started",
+      "target-ended",      "content-quarantined", "content-released",
+      "instance-stopping", "instance-stopped",    "log-lines-dropped"};
   return All;
 }
 
@@ -51,6 +52,9 @@
      "the answer bore no signature, so it was not passed on"},
     {"resume-refused", "no other target took the stream up"},
     {"time-over", "its time was over; it ran if it was sent"},
+    {"quarantined",
+     "not run: three targets ended under a request of that content; see "
+     "target-ended lines of it, and yardrill quarantine list"},
     {"over-quota", "not run: its client account is beyond its quota"},
     {"unknown-key", "not run: no account of the configuration in force has "
                     "that key"},
@@ -152,7 +156,10 @@
 void RequestStory::printSurroundings(std::ostream &Out) const {
   std::set<std::string> Targets;
   std::set<std::string> Sources;
+  std::string Content;
   for (const Step &Each : m_Own) {
+    if (Content.empty())
+      Content = Each.m_Entry.field("content");
     Targets.insert(Each.m_Entry.field("target"));
     Sources.insert(Each.m_Source);
   }
@@ -163,6 +170,14 @@
     std::string Target = Each.m_Entry.field("target");
     bool Concerns = Target.empty() ? Sources.count(Each.m_Source) != 0
                                    : Targets.count(Target) != 0;
+    // What was seen of its content counts whenever and wherever it was.
+    std::string Seen = Each.m_Entry.field("content");
+    if (!Seen.empty() && Seen == Content &&
+        Each.m_Entry.m_Event != "target-broke") {
+      Out << Each.m_Entry.m_Event << " under its content, at " << Each.m_Source
+          << (Target.empty() ? "" : ": " + Target) << '\n';
+      continue;
+    }
     if (Before < 0 || Before > SurroundingSeconds || !Concerns)
       continue;
     std::string What = Each.m_Entry.m_Event;
--- a/Tests/LibGateway/QuarantineTest.cpp
+++ b/Tests/LibGateway/QuarantineTest.cpp
@@ -11,6 +11,8 @@
 //===----------------------------------------------------------------------===//
 #include "GatewayFleet.h"
 
+#include "LibQuarantine/QuarantineText.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace yardrill;
@@ -23,12 +25,19 @@
   CPPUNIT_TEST(testPopularRequestIsServedThroughout);
   CPPUNIT_TEST(testIsKnownAgainAfterAllRestarted);
   CPPUNIT_TEST(testStreamThatEndsItsTargetMidwayIsTheSame);
+  CPPUNIT_TEST(testLiftedIsSentAgainEverywhere);
+  CPPUNIT_TEST(testResetConnectionsAreNoEnds);
+  CPPUNIT_TEST(testRestartedInstanceIsToldWhileTheStoreIsAway);
   CPPUNIT_TEST_SUITE_END();
 
   /// Sent on after three targets ended, in all.
   static constexpr std::size_t MostAfterThird = 3;
   static constexpr std::size_t Gateways = 3;
   static constexpr std::size_t Targets = 6;
+  /// Until then a process is not sure that it has found the others.
+  static constexpr milliseconds SettleTime{3200};
+  const std::string RecordKey =
+      gateway::StoreRecord::keyOf(gateway::QuarantineService::RecordName);
 
   /// Comes again \p Times, each time at the next gateway.
   static void sendAgainAndAgain(GatewayFleet &Fleet, const std::string &Path,
@@ -89,8 +98,7 @@
     GatewayFleet Fleet(Gateways, Targets);
     Fleet.startAll();
     CPPUNIT_ASSERT(Fleet.areAllReady());
-    // Until then a process is not sure that it has found the others.
-    std::this_thread::sleep_for(milliseconds(3200));
+    std::this_thread::sleep_for(SettleTime);
     sendAgainAndAgain(Fleet, "/again/x", EndingBody, 4);
     std::this_thread::sleep_for(milliseconds(1500));
     Fleet.killAll();
@@ -111,6 +119,68 @@
         Fleet.arrivalsAfterThirdEnd(EndingMidwayBody, core::Duration::zero()) <=
         MostAfterThird);
   }
+
+  void testLiftedIsSentAgainEverywhere() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    std::this_thread::sleep_for(SettleTime);
+    sendAgainAndAgain(Fleet, "/again/x", EndingBody, 6);
+    std::string Record;
+    CPPUNIT_ASSERT(eventually([&] {
+      Record = Fleet.store().valueOf(RecordKey);
+      return Fleet.metric(0, "yardrill_quarantined_contents") == 1 &&
+             std::count(Record.begin(), Record.end(), ' ') >= 3;
+    }));
+    auto Seen = quarantine::readText(Record);
+    CPPUNIT_ASSERT(Seen && !Seen->empty());
+    auto Lifted = quarantine::lifted(Record, Seen->front().m_Content);
+    CPPUNIT_ASSERT(Lifted);
+    Fleet.store().put(RecordKey, *Lifted);
+    for (std::size_t I = 0; I < Fleet.size(); ++I)
+      CPPUNIT_ASSERT(eventually([&] {
+        return Fleet.metric(I, "yardrill_quarantined_contents") == 0;
+      }));
+    std::size_t Before = Fleet.arrivalsOf(EndingBody);
+    Fleet.send(1, "/again/x", EndingBody);
+    CPPUNIT_ASSERT(Fleet.arrivalsOf(EndingBody) > Before);
+  }
+
+  /// A target that still listens has not ended, whatever broke off.
+  void testResetConnectionsAreNoEnds() {
+    GatewayFleet Fleet(1, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    for (int I = 0; I < 6; ++I) {
+      auto Later = std::async(std::launch::async, [&] {
+        return Fleet.send(0, "/once/x", "long").m_Status;
+      });
+      std::this_thread::sleep_for(milliseconds(15));
+      Fleet.withTargets([&] {
+        for (std::size_t Each = 0; Each < Targets; ++Each)
+          Fleet.target(Each).resetConnections();
+      });
+      CPPUNIT_ASSERT_EQUAL(502U, Later.get());
+    }
+    CPPUNIT_ASSERT_EQUAL(0.0, Fleet.metric(0, "yardrill_suspected_contents"));
+    CPPUNIT_ASSERT_EQUAL(200U, Fleet.send(0, "/once/x", "long").m_Status);
+  }
+
+  void testRestartedInstanceIsToldWhileTheStoreIsAway() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    Fleet.store().setDown(true);
+    sendAgainAndAgain(Fleet, "/again/x", EndingBody, 4);
+    Fleet.kill(0);
+    Fleet.start(0);
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Fleet.metric(0, "yardrill_quarantined_contents") == 1; }));
+    CPPUNIT_ASSERT_EQUAL(503U, Fleet.send(0, "/again/x", EndingBody).m_Status);
+    CPPUNIT_ASSERT(Fleet.arrivalsAfterThirdEnd(
+                       EndingBody, core::Duration::zero()) <= MostAfterThird);
+    CPPUNIT_ASSERT(Fleet.store().valueOf(RecordKey).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
