Tests/Soak: Callers whose requests end their targets; a crash closes its port

Two callers send one request each, again and again and through any gateway, that ends the target which runs it; another one every 12 s. The ledger counts them by content, over attempts and gateways: more than three sends by gateways in touch, later than the contact time after three targets ended under it, break the soak. A target that crashes now refuses connections, as a process that is gone does, where its proxy had taken and reset them.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -21,6 +21,9 @@
 static constexpr int MissesUntilOut = 2;
 static constexpr std::uint64_t RequestsOfConnection = 40;
 static constexpr std::size_t AnswerBytes = 65536;
+/// For so long a bad caller repeats one request.
+static constexpr std::chrono::seconds BadSeries{12};
+static constexpr std::uint64_t MostBadPauseMs = 600;
 
 Callers::Callers(asio::io_context &Context, Ledger &Book, Deployment &Under,
                  std::mt19937_64 &Random)
@@ -68,13 +71,14 @@
                                       const std::string &Path) {
   http::RequestMessage Out;
   Out.m_Method = "POST";
-  Out.m_Target = Path + "x?" + What.m_Id;
+  Out.m_Target =
+      Path + (What.m_Content.empty() ? "x?" + What.m_Id : What.m_Content);
   Out.m_Headers = {{"Host", "h"},
                    {"Attempt-Id", What.m_Id},
                    {"Api-Key", What.m_Account + "-key"},
                    {"Tenant", "forged"},
                    {"Deadline-Ms", std::to_string(TimeLimit.count())}};
-  Out.m_Body = bodyOf(What.m_Id);
+  Out.m_Body = bodyOf(What.m_Content.empty() ? What.m_Id : What.m_Content);
   return Out;
 }
 
@@ -165,6 +169,31 @@
   }
 }
 
+void Callers::startBadCallers(std::size_t Count) {
+  for (std::size_t I = 0; I < Count; ++I)
+    spawn([this, I](asio::yield_context Yield) { callBadly(I, Yield); });
+}
+
+void Callers::callBadly(std::size_t Number, asio::yield_context Yield) {
+  TimePoint Start = Clock::now();
+  while (!m_IsStopped && !m_AreBadStopped) {
+    auto Series = (Clock::now() - Start) / BadSeries;
+    std::size_t Gateway = chooseGateway();
+    try {
+      auto Connection = http::ClientConnection::connect(
+          m_Context, m_Under.callerAddress(Gateway), ConnectTime, Yield);
+      Attempt What = makeAttempt(Gateway, RequestKind::Repeatable, false);
+      What.m_Content =
+          BadPrefix + std::to_string(Number) + "-" + std::to_string(Series);
+      exchange(*Connection, What, "/again/", Yield);
+    } catch (const core::Error &) {
+      // Down, or just starting.
+    }
+    tests::sleepFor(m_Context, std::chrono::milliseconds(draw(MostBadPauseMs)),
+                    Yield);
+  }
+}
+
 std::size_t Callers::chooseGateway() {
   std::vector<std::size_t> In;
   for (std::size_t I = 0; I < m_Misses.size(); ++I)
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -20,6 +20,9 @@
 
   /// Starts \p Count callers, one prober and one balancer for each gateway.
   void start(std::size_t Count);
+  /// Requests that end their targets, until no faults are to come any more.
+  void startBadCallers(std::size_t Count);
+  void stopBadCallers() { m_AreBadStopped = true; }
   /// Each ends after what it is doing now.
   void stop() { m_IsStopped = true; }
   bool isIdle() const { return m_Busy == 0; }
@@ -31,6 +34,9 @@
   void call(boost::asio::yield_context Yield);
   /// Requests over one connection, until it ends.
   void useConnection(std::size_t Gateway, boost::asio::yield_context Yield);
+  /// One request that ends its targets, again and again, another one every some
+  /// seconds.
+  void callBadly(std::size_t Number, boost::asio::yield_context Yield);
   void probe(std::size_t Gateway, boost::asio::yield_context Yield);
   /// Takes a gateway out after two misses, as the platform's balancer does.
   void balance(std::size_t Gateway, boost::asio::yield_context Yield);
@@ -59,6 +65,7 @@
   std::uint64_t m_NextId = 1;
   std::size_t m_Busy = 0;
   bool m_IsStopped = false;
+  bool m_AreBadStopped = false;
 };
 
 } // namespace yardrill::soak
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -22,6 +22,8 @@
 static constexpr std::uint16_t PeerPort = 7600;
 static constexpr std::chrono::seconds StopGrace{8};
 static constexpr std::chrono::milliseconds RestartDelay{300};
+/// A target that a request has ended is back after this time.
+static constexpr std::chrono::milliseconds EndedTime{800};
 /// A leaving target serves on for so long after the store has taken its word.
 static constexpr std::chrono::milliseconds LeavingTime{2600};
 static constexpr std::chrono::milliseconds AfterLeaving{600};
@@ -57,10 +59,23 @@
     for (std::size_t I = 0; I < Shape.m_TargetsOfPool; ++I)
       m_Targets.push_back(std::make_unique<SoakTarget>(Context, Book, Random,
                                                        nextTargetName(), Pool));
+  for (std::size_t I = 0; I < m_Targets.size(); ++I)
+    armEnd(I);
 }
 
 Deployment::~Deployment() = default;
 
+void Deployment::armEnd(std::size_t Index) {
+  m_Targets[Index]->setEndHook([this, Index] {
+    asio::spawn(
+        m_Context,
+        [this, Index](asio::yield_context Yield) {
+          crashTarget(Index, EndedTime, Yield);
+        },
+        asio::detached);
+  });
+}
+
 std::string Deployment::nextTargetName() {
   return "i-" + std::to_string(m_NextTarget++);
 }
@@ -303,7 +318,7 @@
     return;
   std::string Old = Which.key();
   Which.setDisturbed(true);
-  Which.proxy().setPassage(tests::Passage::Down);
+  Which.proxy().setPassage(tests::Passage::Closed);
   Which.proxy().resetAll();
   tests::sleepFor(m_Context, DownFor, Yield);
   if (Which.isRetired())
@@ -342,6 +357,8 @@
     Each = std::move(m_NewVersion.back());
     m_NewVersion.pop_back();
   }
+  for (std::size_t I = 0; I < m_Targets.size(); ++I)
+    armEnd(I);
   tests::sleepFor(m_Context, LapseTime, Yield);
   for (const std::string &Key : Gone)
     remove(Key, Yield);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -86,6 +86,9 @@
   void supervise();
 
 private:
+  /// Lets requests end the target at that place.
+  void armEnd(std::size_t Index);
+
   struct Gateway {
     std::string m_Address;
     std::unique_ptr<tests::LoopbackProxy> m_StoreProxy;
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -67,6 +67,8 @@
     return broken("unasked", "nobody sent " + Id);
   if (++What->m_Arrivals > 1)
     m_Repeats.push_back({m_Now()});
+  if (!What->m_Content.empty() && isInTouchSince(What->m_Gateway, m_Now()))
+    m_BadContents[What->m_Content].m_Arrivals.push_back(m_Now());
   if (!LeavingSince || m_Now() <= *LeavingSince + bounds::NoNewWork)
     return;
   if (isInTouchSince(What->m_Gateway, *LeavingSince))
@@ -89,6 +91,10 @@
     What->m_HasTargetTrouble = true;
 }
 
+void Ledger::endedUnder(const std::string &Content) {
+  m_BadContents[Content].m_Ends.push_back(m_Now());
+}
+
 void Ledger::arrivedAt(const std::string &Id, const std::string &Pool,
                        const std::string &Version) {
   const Attempt *What = find(Id);
@@ -226,7 +232,8 @@
   std::size_t Served = 0;
   for (const auto &[Id, What] : m_Attempts) {
     bool IsLimited = m_Quotas.count(What.m_Account) != 0;
-    if (What.m_SentAt < CalmSince + bounds::Contact || IsLimited)
+    if (What.m_SentAt < CalmSince + bounds::Contact || IsLimited ||
+        !What.m_Content.empty())
       continue;
     ++Asked;
     Served += What.m_Status && isSuccess(*What.m_Status) ? 1 : 0;
@@ -239,7 +246,24 @@
   broken("recovery", Text.str());
 }
 
+void Ledger::checkContents() {
+  for (const auto &[Content, Seen] : m_BadContents) {
+    if (Seen.m_Ends.size() < bounds::EndsOfContent)
+      continue;
+    TimePoint Last = Seen.m_Ends[bounds::EndsOfContent - 1] + bounds::Contact;
+    auto Late = std::count_if(Seen.m_Arrivals.begin(), Seen.m_Arrivals.end(),
+                              [Last](TimePoint At) { return At > Last; });
+    if (static_cast<std::size_t>(Late) <= bounds::SendsAfterEnds)
+      continue;
+    std::ostringstream Text;
+    Text << Content << " was sent " << Late << " times more, "
+         << Seen.m_Ends.size() << " targets ended";
+    broken("quarantine", Text.str());
+  }
+}
+
 void Ledger::finish(TimePoint CalmSince) {
+  checkContents();
   checkQuotas();
   checkRetries();
   checkRecovery(CalmSince);
@@ -256,6 +280,7 @@
   Out << "requests=" << m_Attempts.size() << " served=" << Served
       << " refused=" << Refused << " unanswered=" << m_Unanswered
       << " repeats=" << m_Repeats.size()
+      << " bad_contents=" << m_BadContents.size()
       << " violations=" << m_Violations.size();
   return Out.str();
 }
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -43,6 +43,10 @@
 inline constexpr double ExposureSlack = 50;
 inline constexpr std::chrono::milliseconds Rollback{5000};
 inline constexpr std::size_t BadAnswersThatCount = 50;
+/// Ends of targets under one content, after which it is to go to none.
+inline constexpr std::size_t EndsOfContent = 3;
+/// Sends of it later than the contact time after that.
+inline constexpr std::size_t SendsAfterEnds = 3;
 /// Part of the requests that must be served once all trouble is over.
 inline constexpr double ServedAfterRecovery = 0.9;
 } // namespace bounds
@@ -60,6 +64,9 @@
   RequestKind m_Kind = RequestKind::RunOnce;
   std::size_t m_Gateway = 0;
   std::string m_Account;
+  /// Of a request that ends its targets: all attempts alike. Empty: no other
+  /// attempt has its content.
+  std::string m_Content;
   double m_Tokens = 0;
   TimePoint m_SentAt;
   std::chrono::milliseconds m_TimeLimit{};
@@ -122,6 +129,8 @@
                std::optional<TimePoint> LeavingSince);
   void ran(const std::string &Id);
   void targetTrouble(const std::string &Id);
+  /// A target ends under a request of that content.
+  void endedUnder(const std::string &Content);
   /// A request came to a target of that version.
   void arrivedAt(const std::string &Id, const std::string &Pool,
                  const std::string &Version);
@@ -156,6 +165,7 @@
   void checkQuotas();
   void checkRetries();
   void checkRecovery(TimePoint CalmSince);
+  void checkContents();
   Attempt *find(const std::string &Id);
 
   /// A request that came to a target of some version.
@@ -171,6 +181,12 @@
     std::string m_Version;
   };
 
+  /// What targets saw of a content that ends them.
+  struct BadContent {
+    std::vector<TimePoint> m_Ends;
+    std::vector<TimePoint> m_Arrivals; ///< From gateways in touch.
+  };
+
   struct Gateway {
     Trouble m_Process;
     Trouble m_Path;
@@ -187,6 +203,7 @@
   Marks m_Repeats;
   std::vector<VersionMark> m_AtVersions;
   std::vector<BadMark> m_BadAnswers;
+  std::map<std::string, BadContent> m_BadContents;
   std::vector<std::string> m_Violations;
   std::size_t m_Unanswered = 0;
 };
--- a/Tests/Soak/LedgerTest.cpp
+++ b/Tests/Soak/LedgerTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(testQuota);
   CPPUNIT_TEST(testRetries);
   CPPUNIT_TEST(testRecovery);
+  CPPUNIT_TEST(testContentThatEndsTargets);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint m_Now{std::chrono::hours(1)};
@@ -205,6 +206,37 @@
     m_Book.finish(CalmSince);
     expect("recovery");
   }
+
+  void testContentThatEndsTargets() {
+    auto Come = [this](std::size_t Gateway) {
+      Attempt What;
+      What.m_Id = "a" + std::to_string(++m_Next);
+      What.m_Kind = RequestKind::Repeatable;
+      What.m_Gateway = Gateway;
+      What.m_Content = "bad";
+      What.m_SentAt = m_Now;
+      m_Book.sent(What);
+      m_Book.arrived(What.m_Id, "i-1", std::nullopt);
+    };
+    for (int I = 0; I < 3; ++I) {
+      Come(0);
+      m_Book.endedUnder("bad");
+    }
+    // Within the contact time, and by a gateway out of touch, it may.
+    for (int I = 0; I < 9; ++I)
+      Come(0);
+    m_Now += bounds::Contact + milliseconds(1);
+    m_Book.processTrouble(1, true);
+    for (int I = 0; I < 9; ++I)
+      Come(1);
+    for (int I = 0; I < 3; ++I)
+      Come(0);
+    m_Book.finish(m_Now);
+    expectNothing();
+    Come(0);
+    m_Book.finish(m_Now);
+    expect("quarantine");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LedgerTest);
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -20,6 +20,8 @@
 /// Longer than any caller waits.
 static constexpr std::chrono::seconds MuteTime{6};
 
+const char BadPrefix[] = "ends-its-target-";
+
 static std::uint64_t hashOf(const std::string &Id) {
   return core::stableHash(Id);
 }
@@ -87,6 +89,21 @@
   ++m_Birth;
   m_LeavingSince.reset();
   m_How = Misbehaviour();
+  m_IsEnding = false;
+}
+
+std::string SoakTarget::badContentOf(const http::RequestMessage &Request) {
+  std::size_t At = Request.m_Target.find(BadPrefix);
+  return At == std::string::npos ? "" : Request.m_Target.substr(At);
+}
+
+void SoakTarget::end(const std::string &Content) {
+  // Targets of a version under trial are not ended.
+  if (m_IsEnding || m_IsRetired || !m_End)
+    return;
+  m_IsEnding = true;
+  m_Book.endedUnder(Content);
+  m_End();
 }
 
 void SoakTarget::retire() {
@@ -126,12 +143,15 @@
     m_Book.targetTrouble(Id);
     return Call.sendWhole(refusal(503, Id), Yield);
   }
-  if (Request.m_Body != bodyOf(Id))
+  std::string Bad = badContentOf(Request);
+  if (Request.m_Body != bodyOf(Bad.empty() ? Id : Bad))
     m_Book.broken("unasked", Id + " came with another body");
   if (headerOf(Request, "Tenant").empty())
     m_Book.broken("unasked", Id + " came without its account");
   auto Place = m_Running.insert(Id);
   try {
+    if (!Bad.empty())
+      m_Book.targetTrouble(Id);
     serve(Call, Id, Yield);
   } catch (const core::Error &) {
     // Its caller left; what ran, ran.
@@ -152,6 +172,11 @@
   tests::sleepFor(m_Context,
                   IsMute ? std::chrono::milliseconds(MuteTime) : WorkTime,
                   Yield);
+  std::string Bad = badContentOf(Call.request());
+  if (!Bad.empty()) {
+    end(Bad);
+    return Call.abort();
+  }
   http::ResponseMessage Out;
   Out.m_Head.m_Status = MustFail ? 500 : 200;
   Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Replica-Seal", "s-" + m_Name}};
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -26,6 +26,8 @@
 std::size_t eventCountOf(const std::string &Id);
 std::string eventOf(const std::string &Id, std::size_t Number);
 std::string bodyOf(const std::string &Id);
+/// Begins the contents of requests that end their targets.
+extern const char BadPrefix[];
 
 /// Runs in the soak's own process, behind a proxy whose port is announced.
 class SoakTarget {
@@ -40,6 +42,8 @@
   tests::LoopbackProxy &proxy() { return *m_Proxy; }
 
   void setMisbehaviour(const Misbehaviour &How) { m_How = How; }
+  /// \p Hook ends its process and starts it anew; called once for each life.
+  void setEndHook(std::function<void()> Hook) { m_End = std::move(Hook); }
   /// Its connections are disturbed from now on (or not any more).
   void setDisturbed(bool IsDisturbed);
   /// The store has taken its word that it leaves.
@@ -59,6 +63,9 @@
   void stream(http::Exchange &Call, const std::string &Id, bool MustBreak,
               boost::asio::yield_context Yield);
   bool happens(double Share);
+  /// \returns the content, if the request ends its target; else nothing.
+  static std::string badContentOf(const http::RequestMessage &Request);
+  void end(const std::string &Content);
 
   boost::asio::io_context &m_Context;
   Ledger &m_Book;
@@ -72,6 +79,8 @@
   std::unique_ptr<tests::LoopbackProxy> m_Proxy;
   Misbehaviour m_How;
   bool m_IsDisturbed = false;
+  std::function<void()> m_End;
+  bool m_IsEnding = false;
   std::optional<TimePoint> m_LeavingSince;
   std::multiset<std::string> m_Running; ///< Ids of requests under way.
 };
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -30,6 +30,7 @@
 DEFINE_uint64(gateways, 4, "gateway processes");
 DEFINE_uint64(targets, 4, "targets of each of the two pools");
 DEFINE_uint64(callers, 24, "callers");
+DEFINE_uint64(bad_callers, 2, "callers whose requests end their targets");
 DEFINE_bool(rollouts, true, "whether new versions are rolled out");
 DEFINE_bool(faults, true, "whether there are other faults");
 
@@ -84,6 +85,7 @@
           m_Context,
           [this](asio::yield_context Inner) { m_Operator.run(Inner); },
           asio::detached);
+    m_Callers.startBadCallers(FLAGS_bad_callers);
     TimePoint Start = Clock::now();
     if (!FLAGS_faults)
       yardrill::tests::sleepFor(m_Context, std::chrono::seconds(FLAGS_seconds),
@@ -99,6 +101,7 @@
           Yield);
       begin(What);
     }
+    m_Callers.stopBadCallers();
     m_Operator.stop();
     while (m_Open > 0 || !m_Operator.isIdle())
       yardrill::tests::sleepFor(m_Context, SupervisePeriod, Yield);
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fcntl.h>
 
 namespace yardrill::tests {
 
@@ -27,13 +28,27 @@
 }
 
 LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, int ToPort)
-    : m_Context(Context), m_Port(Port), m_ToPort(ToPort),
-      m_Acceptor(Context, loopback(Port)) {
+    : m_Context(Context), m_Port(Port), m_ToPort(ToPort), m_Acceptor(Context) {
+  listen();
+}
+
+void LoopbackProxy::listen() {
+  m_Acceptor = tcp::acceptor(m_Context, loopback(m_Port));
+  // A program that is started meanwhile would go on listening.
+  fcntl(m_Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
   asio::spawn(
-      Context, [this](asio::yield_context Yield) { accept(Yield); },
+      m_Context, [this](asio::yield_context Yield) { accept(Yield); },
       asio::detached);
 }
 
+void LoopbackProxy::setPassage(Passage How) {
+  m_Passage = How;
+  if (How == Passage::Closed)
+    m_Acceptor.close();
+  else if (!m_Acceptor.is_open())
+    listen();
+}
+
 void LoopbackProxy::Link::reset() {
   for (tcp::socket *Each : {&m_Near, &m_Far}) {
     error_code Ignored;
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -19,7 +19,8 @@
   CutForward,
   CutBackward,
   CutBoth,
-  Down, ///< New connections are reset.
+  Down,   ///< New connections are reset.
+  Closed, ///< Nobody listens: new connections are refused, as after a crash.
 };
 
 /// Forwards connections on a loopback port to another one.
@@ -28,7 +29,7 @@
   LoopbackProxy(boost::asio::io_context &Context, int Port, int ToPort);
 
   int port() const { return m_Port; }
-  void setPassage(Passage How) { m_Passage = How; }
+  void setPassage(Passage How);
   /// All answers together pass at this rate, each connection in its turn, as
   /// over the link of a small machine. 0: as fast as they come.
   void limitAnswers(double BytesPerSecond) { m_AnswerRate = BytesPerSecond; }
@@ -48,6 +49,7 @@
   };
   using LinkHandle = std::shared_ptr<Link>;
 
+  void listen();
   void accept(boost::asio::yield_context Yield);
   void connect(const LinkHandle &Which, boost::asio::yield_context Yield);
   void pump(const LinkHandle &Which, bool IsForward,
