LibRouting: Let the allowance of retries grow with the time at work

What callers would see: a fleet that is killed four times within 10 s repeats 312 requests where 196 are allowed, while its targets are short already. Cause: each life of a process spent its whole part of the allowance, since what an earlier life spent is not known. Change: the part grows from nothing to the whole within a window of work, so that lives within one window spend no more together than one does; a deployment's first start has it whole, since nothing was spent. The ratio is as before. Ruled out: part of it at once (0.125 with four fifths of the share): below one retry at 7 instances, and less for all others. Before and after: RetryRestartTest 312 of 196, now 0; it tells when each life began, its bound is as it was. GatewayTest's fixture has a process that starts again, which has no allowance yet: its ratio is now 3, and its checks are as they were.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -53,7 +53,7 @@
 static constexpr std::size_t MostIdleConnections = 64;
 static constexpr std::size_t MostChangesKept = 4096;
 /// Part of the retry allowance that is used: twice as many instances as are
-/// seen may be at work, and one that restarts forgets what it used.
+/// seen may be at work, and one that restarts may have used its part before.
 static constexpr double SlackShare = 0.5;
 
 Gateway::Gateway(asio::io_context &Context, GatewaySettings Settings,
@@ -548,7 +548,10 @@
   auto Found = m_Retries.find(Pool);
   if (Found != m_Retries.end())
     return Found->second;
-  return m_Retries.emplace(Pool, routing::RetryBudget(retryLimits()))
+  // Nothing was spent before a deployment's first start.
+  core::TimePoint Since =
+      m_Settings.m_IsFirstStart ? core::TimePoint() : m_StartedAt;
+  return m_Retries.emplace(Pool, routing::RetryBudget(retryLimits(), Since))
       .first->second;
 }
 
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -1,5 +1,6 @@
 #include "LibRouting/RetryBudget.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace yardrill::routing {
@@ -20,11 +21,23 @@
   m_Requests.push_back(Now);
 }
 
+double RetryBudget::ownAllowance(core::TimePoint Now,
+                                 std::size_t Instances) const {
+  double Part = m_Limits.m_Allowance / static_cast<double>(Instances);
+  // What an earlier life of the process spent is not known. If each life began
+  // with the whole part, a fleet that restarts in series would spend it with
+  // each; so it grows with the time at work, and lives within one window spend
+  // no more together than one.
+  double Lived =
+      core::toSeconds(Now - m_Since) / core::toSeconds(m_Limits.m_Window);
+  return Part * std::min(1.0, Lived);
+}
+
 bool RetryBudget::tryTake(core::TimePoint Now, std::size_t Instances) {
   assert(Instances > 0);
   forgetOld(Now);
   double Allowed = m_Limits.m_Ratio * static_cast<double>(m_Requests.size()) +
-                   m_Limits.m_Allowance / static_cast<double>(Instances);
+                   ownAllowance(Now, Instances);
   if (static_cast<double>(m_Retries.size()) + 1 > Allowed)
     return false;
   m_Retries.push_back(Now);
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -21,7 +21,9 @@
 /// without a message between them.
 class RetryBudget {
 public:
-  explicit RetryBudget(const RetryLimits &Limits) : m_Limits(Limits) {}
+  /// \param Since this process has been at work; by default for long.
+  explicit RetryBudget(const RetryLimits &Limits, core::TimePoint Since = {})
+      : m_Limits(Limits), m_Since(Since) {}
 
   void noteRequest(core::TimePoint Now);
   /// What was counted so far stays counted.
@@ -34,7 +36,11 @@
 private:
   void forgetOld(core::TimePoint Now);
 
+  /// The part of the allowance that this instance may spend now.
+  double ownAllowance(core::TimePoint Now, std::size_t Instances) const;
+
   RetryLimits m_Limits;
+  core::TimePoint m_Since;
   std::deque<core::TimePoint> m_Requests;
   std::deque<core::TimePoint> m_Retries;
 };
--- a/Tests/LibRouting/RetryRestartTest.cpp
+++ b/Tests/LibRouting/RetryRestartTest.cpp
@@ -30,7 +30,7 @@
     core::TimePoint Now{std::chrono::hours(1)};
     double Taken = 0;
     for (int Life = 0; Life < 4; ++Life) {
-      std::vector<RetryBudget> Budgets(Instances, RetryBudget(Limits));
+      std::vector<RetryBudget> Budgets(Instances, RetryBudget(Limits, Now));
       for (int I = 0; I < 20; ++I) {
         Now += milliseconds(100);
         for (RetryBudget &Each : Budgets)
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -96,7 +96,8 @@
     Settings.m_ReadinessAddress = local(m_ReadinessPort);
     Settings.m_PeerAddress = local(freePort());
     Settings.m_IsFirstStart = false;
-    Settings.m_Retries = {0.2, std::chrono::seconds(10), 20};
+    // By the ratio alone: a process that starts again has no allowance yet.
+    Settings.m_Retries = {3, std::chrono::seconds(10), 20};
     m_Gateway = gateway::Gateway::Builder()
                     .settings(Settings)
                     .dialect(m_Dialect)
