--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -40,6 +40,10 @@
   void ownerIsGone() { m_IsOwnerGone = true; }
 
 private:
+  /// A target stops at the deadline it was given and says so; its own word is
+  /// waited for this long beyond.
+  static constexpr std::chrono::milliseconds AnswerSlack{200};
+
   /// \returns the status that ends the request here, or 0 to go on.
   unsigned admit(boost::asio::yield_context Yield);
   /// \returns whether the request is within its account's quota.
--- /dev/null
+++ b/Libraries/LibGateway/GatewayRequestAtTarget.cpp
@@ -0,0 +1,262 @@
+//===-- GatewayRequestAtTarget.cpp - One try at one target ----------------===//
+#include "LibGateway/GatewayRequest.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+using core::Error;
+
+/// Answers up to this size are read whole before they are passed on, so that
+/// a broken one can still be replaced.
+static constexpr std::uint64_t MostBytesReadWhole = 262144;
+/// A kept connection is used until this long before its target closes it.
+static constexpr std::chrono::milliseconds KeepAliveMargin{500};
+static constexpr std::chrono::seconds DefaultKeepAlive{4};
+/// Times of streams are compared between targets as if all had this length. The
+/// unit does not matter, nor what is the same for all; how a prompt's length
+/// weighs against an answer's matters a little.
+static constexpr double SizedMs = 100;
+static constexpr double PromptTokensPerMs = 50;
+static constexpr double EventMs = 25;
+static constexpr double FirstMs = 10;
+/// An error of the target's own; it may not have begun to run the request.
+static constexpr unsigned LeastFailureStatus = 500;
+/// A caller that leaves sooner says nothing about its target.
+static constexpr std::chrono::seconds LeastTelling{1};
+static const char EventStreamType[] = "text/event-stream";
+
+TryOutcome GatewayRequest::tryTarget(asio::yield_context Yield) {
+  logSent(m_Owner.m_Targets.findRun(m_Target->run()),
+          m_Owner.m_Mirror.revision());
+  if (timeLeft() <= core::Duration::zero()) {
+    m_Reason = "time-over";
+    return TryOutcome::NotSent;
+  }
+  auto Address = m_Target->m_Address.toTcp();
+  std::unique_ptr<http::ClientConnection> Connection;
+  try {
+    Connection = m_Owner.m_Connections.open(Address, false, Yield);
+  } catch (const Error &Failure) {
+    m_Reason = "connect-failed";
+    if (Failure.kind() == core::ErrorKind::Refused)
+      m_Owner.m_Ends.noteEnded(m_Target->run());
+    core::LogLine("connect-failed", core::LogLevel::Warning)
+        .add("request", m_Said.m_Id)
+        .add("target", m_Target->m_Name)
+        .add("reason", Failure.what());
+    return TryOutcome::NotSent;
+  }
+  if (m_IsCallerGone)
+    return TryOutcome::CallerGone;
+  m_Connection = Connection.get();
+  TryOutcome Result = TryOutcome::Failed;
+  bool IsBroken = false;
+  try {
+    Result = exchange(*Connection, Yield);
+  } catch (const Error &Failure) {
+    IsBroken = timeLeft() > core::Duration::zero();
+    m_Reason =
+        timeLeft() <= core::Duration::zero() ? "time-over" : "target-broke";
+    core::LogLine("target-broke", core::LogLevel::Warning)
+        .add("request", m_Said.m_Id)
+        .add("target", m_Target->m_Name)
+        .add("content", m_Content)
+        .add("reason", Failure.what());
+  }
+  m_Connection = nullptr;
+  if (Result == TryOutcome::Complete || Result == TryOutcome::NotRun)
+    m_Owner.m_Connections.giveBack(Address, std::move(Connection), m_KeepFor);
+  if (m_IsCallerGone && Result != TryOutcome::Complete)
+    return TryOutcome::CallerGone;
+  if (IsBroken)
+    noteBroken(Yield);
+  return Result;
+}
+
+bool GatewayRequest::isQuarantined() {
+  if (!m_Owner.m_Quarantine.isQuarantined(m_Content))
+    return false;
+  m_Reason = "quarantined";
+  return true;
+}
+
+void GatewayRequest::noteBroken(asio::yield_context Yield) {
+  // One that leaves ends as it was told to, whatever runs there.
+  if (!m_Owner.m_Targets.isLeaving(m_Target->run()))
+    m_Owner.m_Ends.noteBroken(*m_Target, m_Content, Yield);
+}
+
+http::ResponseHead
+GatewayRequest::readOwnHead(http::ClientConnection &Connection,
+                            asio::yield_context Yield) {
+  while (true) {
+    core::Duration Limit = timeLeft() + AnswerSlack;
+    http::ResponseHead Head = Connection.readHead(Limit, Yield);
+    if (m_Owner.m_Wire.describe(Head).m_Id == m_Said.m_Id)
+      return Head;
+    core::LogLine("surplus-answer", core::LogLevel::Warning)
+        .add("request", m_Said.m_Id)
+        .add("target", m_Target->m_Name)
+        .add("status", Head.m_Status);
+    while (!Connection.readPiece(Limit, Yield).empty()) {
+      // Belongs to no request.
+    }
+  }
+}
+
+static bool isEventStream(const http::ResponseHead &Head) {
+  const std::string *Type = Head.m_Headers.find("Content-Type");
+  return Type &&
+         Type->compare(0, sizeof EventStreamType - 1, EventStreamType) == 0;
+}
+
+TryOutcome GatewayRequest::exchange(http::ClientConnection &Connection,
+                                    asio::yield_context Yield) {
+  Connection.allowBodyUntilClose();
+  ForwardDescription What;
+  What.m_Target = m_Target->m_Name;
+  What.m_TimeLeft = timeLeft();
+  if (m_Account)
+    What.m_Account = m_Account->m_Name;
+  What.m_LastEvent = m_Said.m_LastEvent;
+  if (!m_Relay.lastEventId().empty())
+    What.m_LastEvent = m_Relay.lastEventId();
+  m_Owner.m_Wire.prepare(m_Caller.request(), What);
+  m_HasAnswerBegun = false;
+  Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
+  http::ResponseHead Head = readOwnHead(Connection, Yield);
+  m_HasAnswerBegun = true;
+  AnswerDescription Says = m_Owner.m_Wire.describe(Head);
+  TryOutcome Result = TryOutcome::Failed;
+  bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
+  if (Says.m_IsNotRun) {
+    m_Reason = Says.m_IsMisdirected ? "target-replaced" : "target-refused";
+    logTargetRefusal(Head.m_Status);
+    if (Says.m_IsMisdirected) {
+      m_Owner.m_Targets.replaced(m_Target->run());
+      m_Owner.m_Ends.noteEnded(m_Target->run());
+    }
+    while (!Connection.readPiece(timeLeft() + AnswerSlack, Yield).empty()) {
+      // Its reason is for us alone.
+    }
+    Result = TryOutcome::NotRun;
+  } else if (IsSuccess && (!Says.m_IsSigned || Says.m_IsEncoded)) {
+    m_Reason = "unsigned-answer";
+    return TryOutcome::Failed;
+  } else if (IsSuccess && isEventStream(Head)) {
+    Result = m_Relay.relayEvents(Connection, Head, Yield);
+    if (Result == TryOutcome::Failed)
+      m_Reason = "stream-cut";
+  } else if (m_Relay.isStarted()) {
+    // A stream that goes on elsewhere can only go on as a stream.
+    m_Reason = "resume-refused";
+    return TryOutcome::Failed;
+  } else if (Head.m_ContentLength &&
+             *Head.m_ContentLength <= MostBytesReadWhole) {
+    Result = passWhole(m_Relay.readWhole(Connection, Head, Yield), Yield);
+  } else {
+    Result = m_Relay.relayPieces(Connection, Head, Yield);
+  }
+  m_KeepFor = Says.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
+  return Result;
+}
+
+TryOutcome GatewayRequest::passWhole(http::ResponseMessage Answer,
+                                     asio::yield_context Yield) {
+  if (Answer.m_Head.m_Status >= 500 && m_Route->mayRunAgain()) {
+    m_Reason = "target-failed";
+    m_FailureAnswer = std::move(Answer);
+    return TryOutcome::Failed;
+  }
+  return m_Relay.sendWhole(std::move(Answer), Yield);
+}
+
+void GatewayRequest::noteEvents(std::size_t Count) {
+  core::TimePoint Now = core::steadyNow();
+  metrics::RequestLabels Labels = labels();
+  bool IsFirst = !m_Times.hasFirstEvent();
+  std::optional<core::Duration> Pause = m_Times.noteEvents(Count, Now);
+  if (m_PendingPrompt > 0) {
+    m_Owner.m_Targets.began(m_Target->run(), m_PendingPrompt);
+    m_PendingPrompt = 0;
+  }
+  if (IsFirst) {
+    m_Owner.m_Targets.noteBegin(m_Pool, Now - m_Times.tryStartedAt());
+    m_Owner.m_Metrics.observe(metrics::RequestTime::FirstToken, Labels,
+                              m_Times.toFirstEvent());
+  }
+  if (Pause) {
+    m_Owner.m_Metrics.observe(metrics::RequestTime::BetweenTokens, Labels,
+                              *Pause);
+    m_Owner.m_Targets.notePace(m_Target->run(), *Pause);
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// What the try says
+//===----------------------------------------------------------------------===//
+
+void GatewayRequest::noteTry(TryOutcome Last) {
+  core::TimePoint Now = core::steadyNow();
+  routing::TargetRun Run = m_Target->run();
+  noteEvidence(Last, Now);
+  m_Owner.m_Targets.ended(Run, m_PendingPrompt);
+  m_Tried.insert(Run);
+  bool IsShort = !m_Times.hasEventOfTry();
+  switch (Last) {
+  case TryOutcome::Complete:
+    m_Owner.m_Targets.succeeded(Run);
+    if (m_Relay.status() < LeastFailureStatus)
+      m_Owner.m_Quarantine.noteWhole(m_Content);
+    if (IsShort)
+      m_Owner.m_Targets.notePace(Run, Now - m_Times.tryStartedAt());
+    break;
+  case TryOutcome::NotSent:
+    m_Owner.m_Targets.failed(Run, routing::TargetFailure::Unreachable, Now);
+    break;
+  case TryOutcome::NotRun:
+    m_Owner.m_Targets.failed(Run, routing::TargetFailure::Refused, Now);
+    break;
+  case TryOutcome::Failed:
+    ++m_Runs;
+    m_Owner.m_Targets.failed(Run,
+                             m_HasAnswerBegun
+                                 ? routing::TargetFailure::Failed
+                                 : routing::TargetFailure::Unreachable,
+                             Now);
+    break;
+  case TryOutcome::CallerGone:
+    break;
+  }
+  m_Owner.placeBecameFree();
+}
+
+void GatewayRequest::noteEvidence(TryOutcome Last, core::TimePoint Now) {
+  bool IsFailure = Last == TryOutcome::Failed;
+  bool IsWhole = Last == TryOutcome::Complete;
+  core::Duration Took = Now - m_Times.tryStartedAt();
+  // Callers leave what is slow: that they did says as much.
+  bool IsLeft = Last == TryOutcome::CallerGone && Took >= LeastTelling;
+  if (!IsFailure && !IsWhole && !IsLeft)
+    return;
+  if (IsWhole && m_Relay.status() >= 500)
+    IsFailure = true;
+  m_Owner.m_Rollouts.answered(routeHash(), *m_Target,
+                              IsFailure ? rollout::AnswerQuality::Failed
+                                        : rollout::AnswerQuality::Whole,
+                              sizedTime(Took));
+}
+
+core::Duration GatewayRequest::sizedTime(core::Duration Took) const {
+  if (!m_Times.hasEventOfTry())
+    return Took;
+  double Expected = m_Said.m_PromptTokens / PromptTokensPerMs +
+                    static_cast<double>(m_Times.eventsOfTry()) * EventMs +
+                    FirstMs;
+  return core::fromSeconds(core::toSeconds(Took) * SizedMs / Expected);
+}
+
+} // namespace yardrill::gateway
