LibGateway: Let a target that listens have outlived what broke off there

Cause: after a new connection had shown that a target lives, its answers that had broken off were still held against their requests if its announcement went, or another run answered, within 6 s: a reset followed by an outage of the store would have counted. And the connection was kept for an hour, where its target may close it any time, and a request sent on it would be lost. Change: they are dropped; only where the connection said nothing does another's word count. The connection is kept for 1 s. Found by reading; TargetEndsTest, which fails without the change, and QuarantineTest (7) pass.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -51,6 +51,9 @@
 /// connections drops the opening packet for seconds.
 static constexpr std::chrono::milliseconds ConnectTimeout{350};
 static constexpr std::size_t MostIdleConnections = 64;
+/// A connection on which nothing was asked is kept for so long: its target has
+/// not said when it closes it.
+static constexpr std::chrono::seconds ProbedConnectionTime{1};
 static constexpr std::size_t MostChangesKept = 4096;
 /// Part of the retry allowance that is used: twice as many instances as are
 /// seen may be at work, and one that restarts may have used its part before.
@@ -372,7 +375,8 @@
                         asio::yield_context Yield) {
   auto Address = Which.m_Address.toTcp();
   try {
-    m_Connections.giveBack(Address, m_Connections.open(Address, true, Yield));
+    m_Connections.giveBack(Address, m_Connections.open(Address, true, Yield),
+                           ProbedConnectionTime);
   } catch (const Error &Failure) {
     return Failure.kind() == core::ErrorKind::Refused ? Presence::Gone
                                                       : Presence::Unknown;
--- a/Libraries/LibGateway/TargetEnds.cpp
+++ b/Libraries/LibGateway/TargetEnds.cpp
@@ -33,6 +33,9 @@
   Which->m_IsProbing = false;
   if (Seen == Presence::Gone)
     Which->m_HasEnded = true;
+  // It outlived them: what becomes of it later says nothing of them.
+  if (Seen == Presence::Listens)
+    Which->m_Contents.clear();
   if (Which->m_HasEnded)
     tell(*Which);
   Which->m_Probed.cancel();
--- a/Libraries/LibGateway/TargetEnds.h
+++ b/Libraries/LibGateway/TargetEnds.h
@@ -51,7 +51,8 @@
                   const quarantine::ContentDigest &Content,
                   boost::asio::yield_context Yield);
   /// Others say that the run has ended: nobody listens at its address, another
-  /// run answers there, or its announcement is gone.
+  /// run answers there, or its announcement is gone. Counts for answers after
+  /// which a new connection said nothing.
   void noteEnded(const routing::TargetRun &Run);
   /// Forgets what nothing was heard of for a while. To be called a few times a
   /// second.
