--- a/Tests/LibGateway/QuarantineTest.cpp
+++ b/Tests/LibGateway/QuarantineTest.cpp
@@ -104,7 +104,10 @@
     Fleet.killAll();
     Fleet.startAll();
     CPPUNIT_ASSERT(Fleet.areAllReady());
+    // Learned anew, it would end three more.
+    std::size_t Before = Fleet.arrivalsOf(EndingBody);
     sendAgainAndAgain(Fleet, "/again/x", EndingBody, 6);
+    CPPUNIT_ASSERT_EQUAL(Before, Fleet.arrivalsOf(EndingBody));
     CPPUNIT_ASSERT(Fleet.arrivalsAfterThirdEnd(
                        EndingBody, core::Duration::zero()) <= MostAfterThird);
   }
