--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -18,6 +18,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The name is the standard's (Cpp17Clock).
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   static time_point now() noexcept {
--- a/Programs/yardrill/QuarantineVerbs.cpp
+++ b/Programs/yardrill/QuarantineVerbs.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
+#include <cstdio>
+#include <functional>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <map>
