yardrill: Tell in explain that a quarantined request may have run

An attempt under which a target ended, and which is quarantined for it, gets 502: its explanation said that it had not run. With 503 it had not.

--- a/Programs/yardrill/RequestStory.cpp
+++ b/Programs/yardrill/RequestStory.cpp
@@ -53,8 +53,8 @@
     {"resume-refused", "no other target took the stream up"},
     {"time-over", "its time was over; it ran if it was sent"},
     {"quarantined",
-     "not run: three targets ended under a request of that content; see "
-     "target-ended lines of it, and yardrill quarantine list"},
+     "three targets ended under requests of that content (503: this one did "
+     "not run; 502: it did); see yardrill quarantine list"},
     {"over-quota", "not run: its client account is beyond its quota"},
     {"unknown-key", "not run: no account of the configuration in force has "
                     "that key"},
