--- a/Tests/LibGateway/QuarantineTest.cpp
+++ b/Tests/LibGateway/QuarantineTest.cpp
@@ -36,7 +36,7 @@
   static constexpr std::size_t Targets = 6;
   /// Until then a process is not sure that it has found the others.
   static constexpr milliseconds SettleTime{3200};
-  const std::string RecordKey =
+  const std::string m_RecordKey =
       gateway::StoreRecord::keyOf(gateway::QuarantineService::RecordName);
 
   /// Comes again \p Times, each time at the next gateway.
@@ -131,7 +131,7 @@
     sendAgainAndAgain(Fleet, "/again/x", EndingBody, 6);
     std::string Record;
     CPPUNIT_ASSERT(eventually([&] {
-      Record = Fleet.store().valueOf(RecordKey);
+      Record = Fleet.store().valueOf(m_RecordKey);
       return Fleet.metric(0, "yardrill_quarantined_contents") == 1 &&
              std::count(Record.begin(), Record.end(), ' ') >= 3;
     }));
@@ -139,7 +139,7 @@
     CPPUNIT_ASSERT(Seen && !Seen->empty());
     auto Lifted = quarantine::lifted(Record, Seen->front().m_Content);
     CPPUNIT_ASSERT(Lifted);
-    Fleet.store().put(RecordKey, *Lifted);
+    Fleet.store().put(m_RecordKey, *Lifted);
     for (std::size_t I = 0; I < Fleet.size(); ++I)
       CPPUNIT_ASSERT(eventually([&] {
         return Fleet.metric(I, "yardrill_quarantined_contents") == 0;
@@ -182,7 +182,7 @@
     CPPUNIT_ASSERT_EQUAL(503U, Fleet.send(0, "/again/x", EndingBody).m_Status);
     CPPUNIT_ASSERT(Fleet.arrivalsAfterThirdEnd(
                        EndingBody, core::Duration::zero()) <= MostAfterThird);
-    CPPUNIT_ASSERT(Fleet.store().valueOf(RecordKey).empty());
+    CPPUNIT_ASSERT(Fleet.store().valueOf(m_RecordKey).empty());
   }
 };
 
