platform, LibGateway: Read and log what a target says of itself

The logs could not say whether an instance had been told of a limit, of a rest or of a target that leaves when it sent there. Each answer that says one of the three is now a line, target-said. Nothing is decided by it yet.

A limit is a decimal without sign and exponent, named once; anything else is unreadable and says so. A rest of over an hour is taken for an hour.

--- a/Libraries/LibGateway/GatewayRequestAtTarget.cpp
+++ b/Libraries/LibGateway/GatewayRequestAtTarget.cpp
@@ -130,6 +130,8 @@
   http::ResponseHead Head = readOwnHead(Connection, Yield);
   m_HasAnswerBegun = true;
   AnswerDescription Says = m_Owner.m_Wire.describe(Head);
+  if (!Says.m_Terms.isEmpty())
+    logTerms(Says.m_Terms);
   TryOutcome Result = TryOutcome::Failed;
   bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
   if (Says.m_IsNotRun) {
--- a/Libraries/LibHTTP/Message.cpp
+++ b/Libraries/LibHTTP/Message.cpp
@@ -17,6 +17,13 @@
   return nullptr;
 }
 
+bool HeaderList::isRepeated(std::string_view Name) const {
+  return std::count_if(m_Headers.begin(), m_Headers.end(),
+                       [Name](const Header &H) {
+                         return isSameName(H.m_Name, Name);
+                       }) > 1;
+}
+
 void HeaderList::add(std::string Name, std::string Value) {
   m_Headers.push_back({std::move(Name), std::move(Value)});
 }
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -24,6 +24,8 @@
 
   /// \returns the first value of that name, or null.
   const std::string *find(std::string_view Name) const;
+  /// Whether there is more than one header of that name.
+  bool isRepeated(std::string_view Name) const;
   void add(std::string Name, std::string Value);
   /// Replaces every header of that name by one.
   void set(std::string Name, std::string Value);
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(testWrongNumbersCountAsMissing);
   CPPUNIT_TEST(testSetsWhatOnlyTheSystemMaySay);
   CPPUNIT_TEST(testReadsAnAnswer);
+  CPPUNIT_TEST(testReadsTheTermsOfATarget);
+  CPPUNIT_TEST(testUnreadableTerms);
   CPPUNIT_TEST(testReadsAConfiguration);
   CPPUNIT_TEST(testReadsTargets);
   CPPUNIT_TEST(testUnreadableEntriesAreTypedErrors);
@@ -111,6 +113,49 @@
     CPPUNIT_ASSERT(m_Dialect.describe(Head).m_IsNotRun);
   }
 
+  void testReadsTheTermsOfATarget() {
+    http::ResponseHead Head;
+    Head.m_Status = 200;
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.isEmpty());
+    Head.m_Headers = {{"server-limit", " 1.4 "},
+                      {"Server-Leaving", "1"},
+                      {"Retry-After", "3"}};
+    routing::TargetTerms Terms = m_Dialect.describe(Head).m_Terms;
+    CPPUNIT_ASSERT_EQUAL(1.4, Terms.m_RequestsPerSecond.value());
+    CPPUNIT_ASSERT(Terms.m_IsLeaving);
+    // Only one that turns a request away asks for rest.
+    CPPUNIT_ASSERT(!Terms.m_Rest);
+    Head.m_Status = 503;
+    Head.m_Headers = {{"Retry-After", "2.5"}, {"Server-Limit", "0"}};
+    Terms = m_Dialect.describe(Head).m_Terms;
+    CPPUNIT_ASSERT(Terms.m_Rest == std::chrono::milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(0.0, Terms.m_RequestsPerSecond.value());
+    // Another target has the address.
+    Head.m_Status = 421;
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.isEmpty());
+  }
+
+  void testUnreadableTerms() {
+    http::ResponseHead Head;
+    Head.m_Status = 503;
+    for (const char *Text : {"", "-1", "-0.0", "nan", "inf", "1e300", "many",
+                             "1,4", "0x10", "1.4 a second"}) {
+      Head.m_Headers = {{"Server-Limit", Text}, {"Retry-After", Text}};
+      routing::TargetTerms Terms = m_Dialect.describe(Head).m_Terms;
+      CPPUNIT_ASSERT(!Terms.m_RequestsPerSecond && Terms.m_IsLimitUnreadable);
+      CPPUNIT_ASSERT(!Terms.m_Rest);
+    }
+    Head.m_Headers = {{"Server-Limit", "2"}, {"server-limit", "3"}};
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.m_IsLimitUnreadable);
+    // A date, as HTTP allows, says nothing here.
+    Head.m_Headers = {{"Retry-After", "Wed, 21 Oct 2015 07:28:00 GMT"},
+                      {"Server-Leaving", "0"}};
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.isEmpty());
+    Head.m_Headers = {{"Retry-After", std::string(300, '9')}};
+    auto Rest = m_Dialect.describe(Head).m_Terms.m_Rest;
+    CPPUNIT_ASSERT(!Rest || *Rest <= std::chrono::hours(1));
+  }
+
   void testReadsAConfiguration() {
     auto Table = readConfiguration(R"({"version":7,"routes":[
       {"name":"r1","host":"Ficu95.example","pathPrefix":"/pufi791/",
