--- /dev/null
+++ b/Tests/LibGateway/TargetRestTest.cpp
@@ -0,0 +1,142 @@
+//===-- TargetRestTest.cpp - A target that asks for rest, or leaves -------===//
+//
+// What users saw: a target turned an instance away and said for how long it
+// wanted nothing from it; that instance sent it request after request in that
+// time.
+//
+// Order of events: several targets of a pool turn requests away at the same
+// time. An instance rests from each for tenths of a second, by its own guess;
+// and while all of them rest, it uses all of them again.
+//
+//===----------------------------------------------------------------------===//
+#include "GatewayFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::tests;
+using std::chrono::milliseconds;
+
+class TargetRestTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetRestTest);
+  CPPUNIT_TEST(testRestIsKeptWhileAllRest);
+  CPPUNIT_TEST(testRestIsKeptThroughANewAnnouncement);
+  CPPUNIT_TEST(testIsUsedAgainAfterItsRest);
+  CPPUNIT_TEST(testTargetThatSaysItLeavesIsLeftAlone);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::size_t Targets = 3;
+  static constexpr milliseconds Rest{2000};
+  /// Requests that are on their way when the answer comes.
+  static constexpr milliseconds UnderWay{500};
+  static constexpr std::size_t MostInRest = 2;
+
+  static void turnAway(GatewayFleet &Fleet, std::size_t Target) {
+    Fleet.withTargets([&] {
+      Fleet.target(Target).state({"Retry-After: 2\r\n", true});
+    });
+  }
+  /// Sends for so long, 25 requests a second, one after the other.
+  static void sendFor(GatewayFleet &Fleet, milliseconds Time,
+                      std::vector<Reply> *Got = nullptr) {
+    core::TimePoint End = core::steadyNow() + Time;
+    std::vector<std::future<Reply>> Calls;
+    while (core::steadyNow() < End) {
+      Calls.push_back(std::async(
+          std::launch::async, [&] { return Fleet.send(0, "/again/x", ""); }));
+      std::this_thread::sleep_for(milliseconds(40));
+    }
+    for (auto &Each : Calls) {
+      Reply Answer = Each.get();
+      if (Got)
+        Got->push_back(Answer);
+    }
+  }
+  /// Arrivals in each rest of a target that turns everything away.
+  static std::size_t mostInRest(const std::vector<core::TimePoint> &Arrivals) {
+    std::size_t Most = 0;
+    for (const core::TimePoint &Asked : Arrivals)
+      Most = std::max(Most, static_cast<std::size_t>(std::count_if(
+                                Arrivals.begin(), Arrivals.end(),
+                                [&](const core::TimePoint &Each) {
+                                  return Each > Asked + UnderWay &&
+                                         Each < Asked + Rest;
+                                })));
+    return Most;
+  }
+
+public:
+  void testRestIsKeptWhileAllRest() {
+    GatewayFleet Fleet(1, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    for (std::size_t I = 0; I < Targets; ++I)
+      turnAway(Fleet, I);
+    std::vector<Reply> Got;
+    sendFor(Fleet, milliseconds(4500), &Got);
+    for (std::size_t I = 0; I < Targets; ++I)
+      CPPUNIT_ASSERT(mostInRest(Fleet.arrivalsAt(I)) <= MostInRest);
+    // Those who are refused come back when the first rest is over, and not all
+    // at once.
+    std::set<std::string> Times;
+    for (const Reply &Each : Got) {
+      CPPUNIT_ASSERT_EQUAL(503U, Each.m_Status);
+      Times.insert(Each.header("Retry-After"));
+      CPPUNIT_ASSERT(std::stod(Each.header("Retry-After")) <= 2.6);
+    }
+    CPPUNIT_ASSERT(Times.size() > Got.size() / 2);
+  }
+
+  void testRestIsKeptThroughANewAnnouncement() {
+    GatewayFleet Fleet(1, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    for (std::size_t I = 0; I < Targets; ++I)
+      turnAway(Fleet, I);
+    for (std::size_t I = 0; I < Targets; ++I)
+      Fleet.send(0, "/again/x", "");
+    // Long enough to be forgotten.
+    Fleet.withTargets([&] { Fleet.target(0).withdrawAnnouncement(); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    Fleet.withTargets([&] { Fleet.target(0).announceAgain(); });
+    std::this_thread::sleep_for(milliseconds(100));
+    // 1.6 s of the 2 s have passed.
+    sendFor(Fleet, milliseconds(200));
+    CPPUNIT_ASSERT(mostInRest(Fleet.arrivalsAt(0)) <= MostInRest);
+  }
+
+  void testIsUsedAgainAfterItsRest() {
+    GatewayFleet Fleet(1, 1);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    turnAway(Fleet, 0);
+    CPPUNIT_ASSERT_EQUAL(503U, Fleet.send(0, "/again/x", "").m_Status);
+    Fleet.withTargets([&] { Fleet.target(0).state({}); });
+    CPPUNIT_ASSERT_EQUAL(503U, Fleet.send(0, "/again/x", "").m_Status);
+    std::this_thread::sleep_for(Rest);
+    CPPUNIT_ASSERT_EQUAL(200U, Fleet.send(0, "/again/x", "").m_Status);
+  }
+
+  /// Before the store says so, and whatever the store says later.
+  void testTargetThatSaysItLeavesIsLeftAlone() {
+    GatewayFleet Fleet(2, 2);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.areAllReady());
+    Fleet.withTargets(
+        [&] { Fleet.target(0).state({"Server-Leaving: 1\r\n"}); });
+    sendFor(Fleet, milliseconds(1000));
+    core::TimePoint Since = core::steadyNow();
+    Fleet.withTargets([&] { Fleet.target(0).withdrawAnnouncement(); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    Fleet.withTargets([&] { Fleet.target(0).announceAgain(); });
+    std::this_thread::sleep_for(milliseconds(100));
+    sendFor(Fleet, milliseconds(500));
+    // The other instance was told.
+    for (int I = 0; I < 10; ++I)
+      CPPUNIT_ASSERT_EQUAL(200U, Fleet.send(1, "/again/x", "").m_Status);
+    for (const core::TimePoint &Each : Fleet.arrivalsAt(0))
+      CPPUNIT_ASSERT(Each < Since);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetRestTest);
--- a/Tests/Support/EndingTarget.h
+++ b/Tests/Support/EndingTarget.h
@@ -1,4 +1,8 @@
 //===-- EndingTarget.h - A target that a request can end ------------------===//
+//
+// It may also state terms: a limit, a rest, that it leaves.
+//
+//===----------------------------------------------------------------------===//
 #ifndef YARDRILL_TESTS_SUPPORT_ENDINGTARGET_H
 #define YARDRILL_TESTS_SUPPORT_ENDINGTARGET_H
 
@@ -20,6 +24,14 @@
 struct Arrival {
   core::TimePoint m_At;
   std::string m_Body;
+  std::size_t m_Target = 0; ///< Its number, over all its lives.
+};
+
+/// What a target says in its answers beside the usual.
+struct StatedTerms {
+  std::string m_Headers; ///< Whole lines, in each answer.
+  /// Answers 503 and does not run what comes.
+  bool m_TurnsAway = false;
 };
 
 /// What all targets of a test saw.
@@ -41,6 +53,12 @@
     announce();
   }
 
+  /// From now on, in answers that begin then.
+  void state(StatedTerms Terms) { m_Terms = std::move(Terms); }
+  /// Announces itself once more, under the same name.
+  void announceAgain() { announce(); }
+  void withdrawAnnouncement() { m_Store.remove(key()); }
+
   /// Ends for a reason of its own.
   void end() {
     std::string Gone = key();
@@ -134,11 +152,15 @@
         return;
       {
         std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
-        m_Book.m_Arrivals.push_back({core::steadyNow(), Read.body()});
+        m_Book.m_Arrivals.push_back({core::steadyNow(), Read.body(), m_Number});
       }
-      std::string Answer = whole(Read, "answer");
+      std::string Answer = whole(Read, "answer", "200 OK",
+                                 "Replica-Seal: s\r\n" + m_Terms.m_Headers);
       if (Read["Expect-Replica"] != name())
         Answer = whole(Read, "", "421 Misdirected Request", "");
+      else if (m_Terms.m_TurnsAway)
+        Answer = whole(Read, "", "503 Service Unavailable",
+                       "Not-Executed: 1\r\n" + m_Terms.m_Headers);
       else if (Read.target().starts_with("/stream/")) {
         std::string First = streamHead(Read) + chunk("id: 1\ndata: a\n\n");
         if (Read["Last-Event-Id"].empty())
@@ -147,7 +169,8 @@
         if (!Read["Last-Event-Id"].empty())
           Answer = streamHead(Read) + Answer;
       }
-      work(Yield);
+      if (!m_Terms.m_TurnsAway)
+        work(Yield);
       if (!Socket->is_open())
         return;
       if (Read.body() == EndingBody || Read.body() == EndingMidwayBody)
@@ -163,6 +186,7 @@
   ArrivalBook &m_Book;
   std::size_t m_Number;
   std::size_t m_Life = 1;
+  StatedTerms m_Terms;
   tcp::acceptor m_Acceptor;
   int m_Port;
   std::list<std::weak_ptr<tcp::socket>> m_Sockets;
--- a/Tests/Support/GatewayFleet.cpp
+++ b/Tests/Support/GatewayFleet.cpp
@@ -140,6 +140,15 @@
   return arrivalsAfterThirdEnd(Body, core::Duration::min());
 }
 
+std::vector<core::TimePoint> GatewayFleet::arrivalsAt(std::size_t Target) {
+  std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
+  std::vector<core::TimePoint> Out;
+  for (const Arrival &Each : m_Book.m_Arrivals)
+    if (Each.m_Target == Target)
+      Out.push_back(Each.m_At);
+  return Out;
+}
+
 std::size_t GatewayFleet::ends() {
   std::lock_guard<std::mutex> Lock(m_Book.m_Mutex);
   return m_Book.m_Ends.size();
--- a/Tests/Support/GatewayFleet.h
+++ b/Tests/Support/GatewayFleet.h
@@ -44,6 +44,8 @@
   /// A gauge or counter of one gateway; 0: it has none of that name.
   double metric(std::size_t Gateway, const std::string &Name);
   std::size_t arrivalsOf(const std::string &Body);
+  /// All arrivals at one target so far, in their order.
+  std::vector<core::TimePoint> arrivalsAt(std::size_t Target);
   /// Targets that ended under a request so far.
   std::size_t ends();
   /// Arrivals of \p Body later than \p After the end of the third target.
