Tests/Soak: Targets that name limits, ask for rest and say that they leave

Drawn apart from the faults, so that a seed's faults stay what they were. The ledger holds each against what arrives: the sum over told gateways in every 4 s, two requests in a rest, none 2 s after a gateway was told that its target leaves.

--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -193,6 +193,7 @@
       if (Which.m_StartsAt > Clock::now())
         continue;
       ++Which.m_Lives;
+      m_Book.restarted(I);
       startGateway(I, false);
       m_Book.processTrouble(I, false);
       continue;
@@ -298,6 +299,7 @@
   if (Which.isRetired())
     return;
   std::string Key = Which.key();
+  Which.sayLeaving();
   Which.setLeaving();
   // Counted from the store's answer.
   put(Key, Which.announcement(), Yield);
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -19,6 +19,13 @@
 static constexpr double MuteShare = 0.1;
 static constexpr milliseconds StoreDelay{400};
 static constexpr milliseconds IdleTime{100};
+static constexpr double TiringShare = 0.5;
+static constexpr std::uint64_t TermsGapMs = 1500;
+/// Long enough for a whole window after the time in which all must know.
+static constexpr std::uint64_t LeastTermsMs = 4000;
+static constexpr std::uint64_t TermsSpreadMs = 8000;
+/// Limits are tenths of a request a second.
+static constexpr std::uint64_t MostLimitTenths = 60;
 
 const char *toString(FaultKind Kind) {
   static const char *Names[] = {
@@ -30,8 +37,9 @@
       "target-link-delayed", "target-link-reset", "target-link-silent",
       "target-link-one-way", "target-idle-reset", "target-crashes",
       "target-leaves",       "target-fails",      "target-refuses",
-      "target-breaks-off",   "target-is-mute",    "publish"};
-  static_assert(std::size(Names) == FaultKinds);
+      "target-breaks-off",   "target-is-mute",    "publish",
+      "target-limits",       "target-tires",      "target-says-it-leaves"};
+  static_assert(std::size(Names) == AllFaultKinds);
   return Names[static_cast<int>(Kind)];
 }
 
@@ -54,6 +62,23 @@
   return Out;
 }
 
+std::vector<Fault> drawTerms(std::uint64_t Seed, milliseconds Length) {
+  std::mt19937_64 Random(~Seed);
+  std::vector<Fault> Out;
+  for (milliseconds At(Random() % TermsGapMs); At < Length;
+       At += milliseconds(TermsGapMs / 2 + Random() % TermsGapMs)) {
+    Fault Next;
+    Next.m_At = At;
+    Next.m_Length = std::min(
+        milliseconds(LeastTermsMs + Random() % TermsSpreadMs), Length - At);
+    Next.m_Kind = static_cast<FaultKind>(
+        FaultKinds + Random() % (AllFaultKinds - FaultKinds));
+    Next.m_Which = Random();
+    Out.push_back(Next);
+  }
+  return Out;
+}
+
 namespace {
 
 /// One fault under way.
@@ -125,6 +150,13 @@
     m_On.target(m_Index).setMisbehaviour({});
   }
 
+  void limit() {
+    SoakTarget &Which = m_On.target(m_Index);
+    Which.setLimit(static_cast<double>(m_What.m_Which % MostLimitTenths) / 10);
+    pause();
+    Which.setLimit(std::nullopt);
+  }
+
   const Fault &m_What;
   Deployment &m_On;
   Ledger &m_Book;
@@ -194,6 +226,14 @@
     return misbehave({0, 0, 0, MuteShare});
   case FaultKind::Publish:
     return m_On.publish(m_Yield);
+  case FaultKind::TargetLimits:
+    return limit();
+  case FaultKind::TargetTires:
+    return misbehave({0, 0, 0, 0, TiringShare});
+  case FaultKind::TargetSaysItLeaves:
+    m_On.target(m_Index).sayLeaving();
+    pause();
+    return m_On.crashTarget(m_Index, m_What.m_Length / 8, m_Yield);
   }
 }
 
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -38,9 +38,15 @@
   TargetBreaksOff,
   TargetIsMute,
   Publish,
+  // Drawn apart from those above.
+  TargetLimits,
+  TargetTires,
+  TargetSaysItLeaves,
 };
 inline constexpr std::uint64_t FaultKinds =
     static_cast<std::uint64_t>(FaultKind::Publish) + 1;
+inline constexpr std::uint64_t AllFaultKinds =
+    static_cast<std::uint64_t>(FaultKind::TargetSaysItLeaves) + 1;
 
 const char *toString(FaultKind Kind);
 
@@ -56,6 +62,11 @@
 std::vector<Fault> drawFaults(std::uint64_t Seed,
                               std::chrono::milliseconds Length);
 
+/// Terms that targets state beside them, drawn apart, so that a seed's faults
+/// stay what they were. In the order of their beginnings.
+std::vector<Fault> drawTerms(std::uint64_t Seed,
+                             std::chrono::milliseconds Length);
+
 /// Brings about one fault, waits, and ends it.
 void runFault(const Fault &What, Deployment &On, Ledger &Book,
               boost::asio::io_context &Context,
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -75,6 +75,21 @@
     broken("leaving", Id + " came to " + Target + " after it left");
 }
 
+void Ledger::arrivedAtRun(const std::string &Id, const std::string &Run) {
+  const Attempt *What = find(Id);
+  if (!What)
+    return;
+  const Gateway &At = m_Gateways[What->m_Gateway];
+  m_Terms.arrived(Run, What->m_Gateway, What->m_SentAt, m_Now(),
+                  !At.m_Process.isOverSince(m_Now()));
+}
+
+void Ledger::stated(const std::string &Id, const std::string &Run,
+                    const TargetStatement &What) {
+  if (const Attempt *Of = find(Id))
+    m_Terms.stated(Run, Of->m_Gateway, What, m_Now());
+}
+
 void Ledger::ran(const std::string &Id) {
   Attempt *What = find(Id);
   if (!What)
@@ -263,6 +278,7 @@
 }
 
 void Ledger::finish(TimePoint CalmSince) {
+  m_Terms.finish();
   checkContents();
   checkQuotas();
   checkRetries();
@@ -281,6 +297,7 @@
       << " refused=" << Refused << " unanswered=" << m_Unanswered
       << " repeats=" << m_Repeats.size()
       << " bad_contents=" << m_BadContents.size()
+      << " limits=" << m_Terms.limits() << " rests=" << m_Terms.rests()
       << " violations=" << m_Violations.size();
   return Out.str();
 }
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -8,6 +8,8 @@
 #ifndef YARDRILL_TESTS_SOAK_LEDGER_H
 #define YARDRILL_TESTS_SOAK_LEDGER_H
 
+#include "TermsLedger.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -47,6 +49,14 @@
 inline constexpr std::size_t EndsOfContent = 3;
 /// Sends of it later than the contact time after that.
 inline constexpr std::size_t SendsAfterEnds = 3;
+/// What a target gets in this time, of the limit that it names for all.
+inline constexpr std::chrono::seconds LimitWindow{4};
+inline constexpr double LimitShare = 1.5;
+inline constexpr double LimitSlack = 5;
+/// What is on its way when a target states its terms.
+inline constexpr std::chrono::milliseconds RestSlack{500};
+/// To a target that asked a gateway for rest, within that.
+inline constexpr std::size_t RequestsInRest = 2;
 /// Part of the requests that must be served once all trouble is over.
 inline constexpr double ServedAfterRecovery = 0.9;
 } // namespace bounds
@@ -108,6 +118,8 @@
   // Trouble, which may overlap: of a gateway's process, of its way to the
   // store, and of the store itself.
   void processTrouble(std::size_t Gateway, bool Begins);
+  /// A new process runs there.
+  void restarted(std::size_t Gateway) { m_Terms.forget(Gateway); }
   void pathTrouble(std::size_t Gateway, bool Begins);
   void storeTrouble(bool Begins);
   /// A planned stop has begun (or its process is gone, with false).
@@ -127,6 +139,15 @@
   // What targets see.
   void arrived(const std::string &Id, const std::string &Target,
                std::optional<TimePoint> LeavingSince);
+  /// \param Run of the target.
+  void arrivedAtRun(const std::string &Id, const std::string &Run);
+  /// The answer to it said so.
+  void stated(const std::string &Id, const std::string &Run,
+              const TargetStatement &What);
+  /// The target's run names that limit in all answers from now on.
+  void limited(const std::string &Run, std::optional<double> PerSecond) {
+    m_Terms.limited(Run, PerSecond, m_Now());
+  }
   void ran(const std::string &Id);
   void targetTrouble(const std::string &Id);
   /// A target ends under a request of that content.
@@ -204,6 +225,8 @@
   std::vector<VersionMark> m_AtVersions;
   std::vector<BadMark> m_BadAnswers;
   std::map<std::string, BadContent> m_BadContents;
+  TermsLedger m_Terms{
+      [this](const std::string &What) { m_Violations.push_back(What); }};
   std::vector<std::string> m_Violations;
   std::size_t m_Unanswered = 0;
 };
--- a/Tests/Soak/LedgerTest.cpp
+++ b/Tests/Soak/LedgerTest.cpp
@@ -24,6 +24,10 @@
   CPPUNIT_TEST(testRetries);
   CPPUNIT_TEST(testRecovery);
   CPPUNIT_TEST(testContentThatEndsTargets);
+  CPPUNIT_TEST(testLimitOfATarget);
+  CPPUNIT_TEST(testLimitCountsThoseWhoWereTold);
+  CPPUNIT_TEST(testRestOfATarget);
+  CPPUNIT_TEST(testTargetThatSaysItLeaves);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint m_Now{std::chrono::hours(1)};
@@ -53,7 +57,79 @@
   }
   void expectNothing() { CPPUNIT_ASSERT(m_Book.violations().empty()); }
 
+  void arriveAtRun(const std::string &Run) {
+    std::string Id = send();
+    m_Book.arrivedAtRun(Id, Run);
+  }
+  void state(const std::string &Run, const TargetStatement &What) {
+    m_Book.stated(send(), Run, What);
+  }
+
 public:
+  void testLimitOfATarget() {
+    m_Book.limited("r", 2);
+    state("r", {2.0, std::nullopt, false});
+    m_Now += seconds(4);
+    // 1.5 x 2 x 4 + 5 in 4 s.
+    for (int I = 0; I < 17; ++I) {
+      m_Now += milliseconds(200);
+      arriveAtRun("r");
+    }
+    m_Book.finish(m_Now);
+    expectNothing();
+    m_Now += milliseconds(200);
+    arriveAtRun("r");
+    m_Book.finish(m_Now);
+    expect("limit");
+  }
+
+  void testLimitCountsThoseWhoWereTold() {
+    m_Book.limited("r", 2);
+    m_Now += seconds(4);
+    for (int I = 0; I < 50; ++I)
+      arriveAtRun("r");
+    state("r", {2.0, std::nullopt, false});
+    m_Now += seconds(1);
+    // It ended before they came.
+    m_Book.limited("r", std::nullopt);
+    for (int I = 0; I < 50; ++I)
+      arriveAtRun("r");
+    m_Book.finish(m_Now);
+    expectNothing();
+  }
+
+  void testRestOfATarget() {
+    m_Now += seconds(10);
+    state("r", {std::nullopt, seconds(3), false});
+    for (int I = 0; I < 5; ++I)
+      arriveAtRun("r");
+    m_Now += milliseconds(600);
+    arriveAtRun("r");
+    arriveAtRun("r");
+    expectNothing();
+    // A shorter one does not end it.
+    state("r", {std::nullopt, milliseconds(100), false});
+    arriveAtRun("r");
+    expect("rest");
+    m_Now += seconds(3);
+    arriveAtRun("r");
+    expect("rest");
+  }
+
+  void testTargetThatSaysItLeaves() {
+    m_Now += seconds(10);
+    state("r", {std::nullopt, std::nullopt, true});
+    m_Now += seconds(2);
+    arriveAtRun("r");
+    expectNothing();
+    m_Now += milliseconds(1);
+    arriveAtRun("r");
+    expect("leaving");
+    m_Book.restarted(0);
+    arriveAtRun("r");
+    expect("leaving");
+  }
+
   void testQuietRunBreaksNothing() {
     for (int I = 0; I < 100; ++I) {
       m_Now += milliseconds(100);
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -19,6 +19,8 @@
 static constexpr std::chrono::milliseconds EventPause{15};
 /// Longer than any caller waits.
 static constexpr std::chrono::seconds MuteTime{6};
+static constexpr std::chrono::milliseconds LeastRest{300};
+static constexpr int RestSpreadMs = 3000;
 
 const char BadPrefix[] = "ends-its-target-";
 
@@ -85,6 +87,8 @@
 }
 
 void SoakTarget::restart(std::string Name) {
+  setLimit(std::nullopt);
+  m_IsSayingLeaving = false;
   m_Name = std::move(Name);
   ++m_Birth;
   m_LeavingSince.reset();
@@ -130,18 +134,52 @@
   return Out;
 }
 
+void SoakTarget::setLimit(std::optional<double> PerSecond) {
+  if (m_Limit == PerSecond)
+    return;
+  m_Limit = PerSecond;
+  m_Book.limited(run(), PerSecond);
+}
+
+void SoakTarget::state(http::ResponseHead &Head, const std::string &Id,
+                       std::optional<std::chrono::milliseconds> Rest) {
+  TargetStatement What;
+  What.m_PerSecond = m_Limit;
+  What.m_IsLeaving = m_IsSayingLeaving;
+  What.m_Rest = Rest;
+  if (m_Limit)
+    Head.m_Headers.add("Server-Limit", std::to_string(*m_Limit));
+  if (m_IsSayingLeaving)
+    Head.m_Headers.add("Server-Leaving", "1");
+  if (Rest)
+    Head.m_Headers.add("Retry-After", std::to_string(core::toSeconds(*Rest)));
+  m_Book.stated(Id, run(), What);
+}
+
 void SoakTarget::handle(http::Exchange &Call, asio::yield_context Yield) {
   const http::RequestMessage &Request = Call.request();
   std::string Id = headerOf(Request, "Attempt-Id");
   m_Book.arrived(Id, m_Name, m_LeavingSince);
   m_Book.arrivedAt(Id, m_Pool, m_Version);
+  m_Book.arrivedAtRun(Id, run());
   if (m_IsDisturbed)
     m_Book.targetTrouble(Id);
   if (headerOf(Request, "Expect-Replica") != m_Name)
     return Call.sendWhole(refusal(421, Id), Yield);
   if (m_Running.size() >= Places + QueueLimit || happens(m_How.m_Refuses)) {
     m_Book.targetTrouble(Id);
-    return Call.sendWhole(refusal(503, Id), Yield);
+    http::ResponseMessage Out = refusal(503, Id);
+    state(Out.m_Head, Id, std::nullopt);
+    return Call.sendWhole(std::move(Out), Yield);
+  }
+  if (happens(m_How.m_Tires)) {
+    m_Book.targetTrouble(Id);
+    http::ResponseMessage Out = refusal(503, Id);
+    state(Out.m_Head, Id,
+          LeastRest +
+              std::chrono::milliseconds(std::uniform_int_distribution<int>(
+                  0, RestSpreadMs)(m_Random)));
+    return Call.sendWhole(std::move(Out), Yield);
   }
   std::string Bad = badContentOf(Request);
   if (Request.m_Body != bodyOf(Bad.empty() ? Id : Bad))
@@ -180,6 +218,7 @@
   http::ResponseMessage Out;
   Out.m_Head.m_Status = MustFail ? 500 : 200;
   Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Replica-Seal", "s-" + m_Name}};
+  state(Out.m_Head, Id, std::nullopt);
   Out.m_Body = answerTo(Id);
   if (MustFail)
     return Call.sendWhole(std::move(Out), Yield);
@@ -202,6 +241,7 @@
   Head.m_Headers = {{"Attempt-Id", Id},
                     {"Replica-Seal", "s-" + m_Name},
                     {"Content-Type", "text/event-stream"}};
+  state(Head, Id, std::nullopt);
   Call.startStream(Head, Yield);
   for (; Next <= eventCountOf(Id); ++Next) {
     std::string Event = eventOf(Id, Next);
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -19,6 +19,7 @@
   double m_Refuses = 0; ///< Does not run, and says so.
   double m_Breaks = 0;  ///< Runs, then breaks off within the answer.
   double m_IsMute = 0;  ///< Runs and never answers.
+  double m_Tires = 0;   ///< Does not run, and asks for rest.
 };
 
 /// What every answer of a target to the request holds; the caller compares.
@@ -46,6 +47,10 @@
   void setEndHook(std::function<void()> Hook) { m_End = std::move(Hook); }
   /// Its connections are disturbed from now on (or not any more).
   void setDisturbed(bool IsDisturbed);
+  /// Names a limit in all answers, or none any more.
+  void setLimit(std::optional<double> PerSecond);
+  /// Says in all answers that it leaves.
+  void sayLeaving() { m_IsSayingLeaving = true; }
   /// The store has taken its word that it leaves.
   void setLeaving() { m_LeavingSince = Clock::now(); }
   /// Starts anew at the same address, under another name or the one it had.
@@ -57,6 +62,11 @@
   bool isRetired() const { return m_IsRetired; }
 
 private:
+  /// Of the store's entry and of one life.
+  std::string run() const { return m_Name + "@" + std::to_string(m_Birth); }
+  /// Adds what the target says of itself, and tells the ledger.
+  void state(http::ResponseHead &Head, const std::string &Id,
+             std::optional<std::chrono::milliseconds> Rest);
   void handle(http::Exchange &Call, boost::asio::yield_context Yield);
   void serve(http::Exchange &Call, const std::string &Id,
              boost::asio::yield_context Yield);
@@ -82,6 +92,8 @@
   std::function<void()> m_End;
   bool m_IsEnding = false;
   std::optional<TimePoint> m_LeavingSince;
+  bool m_IsSayingLeaving = false;
+  std::optional<double> m_Limit;        ///< Requests a second.
   std::multiset<std::string> m_Running; ///< Ids of requests under way.
 };
 
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -18,6 +18,7 @@
 
 #include "LibCore/Log.h"
 
+#include <algorithm>
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -90,10 +91,7 @@
     if (!FLAGS_faults)
       yardrill::tests::sleepFor(m_Context, std::chrono::seconds(FLAGS_seconds),
                                 Yield);
-    for (const Fault &What :
-         FLAGS_faults
-             ? drawFaults(FLAGS_seed, std::chrono::seconds(FLAGS_seconds))
-             : std::vector<Fault>()) {
+    for (const Fault &What : plan()) {
       yardrill::tests::sleepFor(
           m_Context,
           std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -113,6 +111,19 @@
     m_Context.stop();
   }
 
+  static std::vector<Fault> plan() {
+    if (!FLAGS_faults)
+      return {};
+    std::chrono::seconds Length(FLAGS_seconds);
+    std::vector<Fault> Out = drawFaults(FLAGS_seed, Length);
+    std::vector<Fault> Terms = drawTerms(FLAGS_seed, Length);
+    Out.insert(Out.end(), Terms.begin(), Terms.end());
+    std::stable_sort(
+        Out.begin(), Out.end(),
+        [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
+    return Out;
+  }
+
   void begin(const Fault &What) {
     std::cout << "fault at_ms=" << What.m_At.count()
               << " length_ms=" << What.m_Length.count()
