--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -28,16 +28,13 @@
 /// A stopping instance ends this long before it would be killed.
 static constexpr std::chrono::milliseconds StopMargin{300};
 /// A fleet that starts for the first time has time before its first request:
-/// the seeds ask the store, and the others ask them. 295 that each asked within
-/// 2 s made 590 calls.
+/// the seeds ask the store, and the others ask them.
 static constexpr core::Duration LeastStartDelay =
     std::chrono::milliseconds(1500);
 static constexpr core::Duration LongestStartDelay = std::chrono::seconds(4);
 /// A process that starts again asks its peers first, which answer within some
-/// tens of milliseconds if any is there; otherwise it asks the store, and does
-/// not wait: at 74 instances that all lost power a wait of 0.15 to 0.35 s cost
-/// 0.06 of the worth of the worst 2 s. The announcements of 3,000 targets are
-/// 1.4 MB from the store and 0.1 MB from a peer.
+/// tens of milliseconds if any is there, and with a tenth of the store's bytes;
+/// otherwise it asks the store without a longer wait, since callers wait too.
 static constexpr core::Duration LeastRestartDelay =
     std::chrono::milliseconds(40);
 static constexpr core::Duration LongestRestartDelay =
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -18,8 +18,7 @@
 /// one in so many seek periods, so that all find all.
 static constexpr std::size_t FindTurns = 10;
 /// Those that follow the store tell all others in so many seek periods that
-/// they do, and how far they are: once a second. 295 instances that each told
-/// all others every 2.5 s heard 118 far reports a second.
+/// they do, and how far they are: once a second.
 static constexpr std::size_t FollowerTurns = 4;
 /// The others tell the one that keeps the list that they live, every so many
 /// seek periods: it leaves out who is silent for 12 s.
--- a/Libraries/LibGateway/ValuePatch.cpp
+++ b/Libraries/LibGateway/ValuePatch.cpp
@@ -12,10 +12,8 @@
 using core::Error;
 using core::ErrorKind;
 
-/// The fastest. A change of one of 2,840 routes (0.63 MB) is told by 88 bytes
-/// after 1.0 ms on a whole core with 0.7 MB of memory, 1,400 routes more by 23
-/// KB after 1.1 ms; level 9 makes 88 bytes and 22 KB with 13 MB, after 3.3 and
-/// 4.5 ms.
+/// The fastest: a patch is about as small at level 9, in three times the time
+/// and eighteen times the memory.
 static constexpr int Level = 1;
 /// The window reaches over base and value: from 64 KB, the library's usual, to
 /// 32 MB, two of the largest values that are taken.
--- a/Libraries/LibRollout/Coordinator.cpp
+++ b/Libraries/LibRollout/Coordinator.cpp
@@ -5,9 +5,8 @@
 namespace yardrill::rollout {
 
 /// Part of the allowed share that samples take. The rest is for the time in
-/// which all goes to the new version, before the deadline: at 0.06 of 0.1 until
-/// seven tenths of the time, 0.058 of it is left, 0.7 s of 12 s, in which a
-/// version that fails only then is found.
+/// which all goes to the new version, before the deadline, and one that fails
+/// only then is found.
 static constexpr double SampleShare = 0.6;
 /// Part of the time in which the version is only sampled, however good: those
 /// that turn bad late are found in it.
--- a/Libraries/LibRollout/Member.h
+++ b/Libraries/LibRollout/Member.h
@@ -40,9 +40,8 @@
   static constexpr std::size_t OwnLook = 8;
 
   /// Cells that changed since the last report, and some of the others in turn:
-  /// what was lost is told again within some reports. 74 instances that each
-  /// told all of 60 cells took a coordinator of 0.12 cores half of its time
-  /// (reckoned from 1,600 datagrams a second of 40 us).
+  /// what was lost is told again within some reports. All cells in each report
+  /// would take a small coordinator half of its time.
   Cells cellsToTell();
   bool isStopped(core::TimePoint Now) const { return Now < m_StoppedUntil; }
   /// Stops by itself where all goes to the new version and it plainly fails:
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -97,9 +97,7 @@
 core::TimePoint Dispatcher::waitsUntil(const PlacementRequest &What) const {
   if (m_Policy == PlacementPolicy::LeastOutstanding)
     return What.m_ArrivedAt;
-  // A stream that is sent late displaces one that could still begin in time:
-  // refusing it then, and not shortly before its caller leaves, raised the mean
-  // worth of five days with faults from 0.499 to 0.530 (four seeds each).
+  // A stream that is sent late displaces one that could still begin in time.
   if (What.m_IsModel)
     return std::min(What.m_LateAt, What.m_BeginsBy) -
            m_Targets.timeToBegin(What.m_Pool);
@@ -122,9 +120,7 @@
   if (!What.m_IsModel || readTimeMs(At, What.m_PromptTokens) < ShortReadMs)
     return At.m_Target.m_Places;
   // A long prompt holds up the streams beside it, a slow target's the more. A
-  // limit for short prompts as well left four fifths of the slow targets empty:
-  // a mean worth of 0.530 against 0.540 (five days with faults, four seeds
-  // each, a third of the targets 4.4 times slower).
+  // limit for short prompts as well would leave slow targets mostly empty.
   Places = std::max(1.0, std::round(Places / std::max(1.0, At.m_Slowness)));
   return static_cast<std::size_t>(Places);
 }
--- a/Libraries/LibRouting/FleetShare.h
+++ b/Libraries/LibRouting/FleetShare.h
@@ -41,10 +41,8 @@
   static constexpr std::size_t DefaultMostMembers = 8;
 
   /// Members that the groups of a fleet should have, by the targets of its
-  /// largest pool: so many that each group has a part of it to itself. Where
-  /// two groups shared most parts (295 instances in groups of 8, 160 targets),
-  /// 0.69 of the worth of a heavy day's first 16 s was earned, and 0.80 in
-  /// groups of 12, 0.80 of 16 and 0.81 of 24 (the same requests).
+  /// largest pool: so many that each group has a part of it to itself, since
+  /// groups that share one do not know of each other's work.
   static std::size_t membersFor(std::size_t Instances, std::size_t Targets);
 
   /// Data hall of each instance, by its peer address.
--- a/Libraries/LibRouting/PoolOrder.h
+++ b/Libraries/LibRouting/PoolOrder.h
@@ -13,8 +13,7 @@
 /// Keeps the order of mixedOrder() without sorting anew: each data hall's
 /// targets lie evenly over it, so a rank follows from the rank within the hall
 /// and the halls' sizes. One target more or less costs a search and a move of
-/// pointers within its hall, and a run of neighbours a search in each hall:
-/// 3,000 targets that came one by one were sorted 3,000 times before.
+/// pointers within its hall, and a run of neighbours a search in each hall.
 class PoolOrder {
 public:
   /// \p What stays where it is until it is erased; its data hall, its hash and
--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -12,8 +12,8 @@
 /// takes to fail, about three, where it is cut off.
 static constexpr std::chrono::seconds HandoverTime{3};
 /// Smaller parts of a debt, in tokens, are not worth the messages: a third of
-/// the median request. Kept by each owner for itself, the debts of the largest
-/// requests used up to 1.77 times the tolerance (QuotaDeploymentsTest).
+/// the median request. Larger ones are shared, since debts of the largest
+/// requests that each owner kept for itself would exceed the tolerance.
 static constexpr std::uint32_t LeastCharge = 1000;
 /// Part of the burst that may be granted in advance within AdvanceTime, the
 /// time after which the instances give back what they did not use.
@@ -40,10 +40,8 @@
   // until they hear of the new list.
   if (m_HasStarted)
     return -core::toSeconds(HandoverTime) * Limits.m_TokensPerSecond * Part;
-  // After a restart: what was granted before is not known. With a credit of a
-  // quarter of the tolerance to three owners, two restarts of all within a
-  // window used up to 1.15 of it (bred), without 0.97; callers below their
-  // limit were refused 1.4 in 100 in place of 0.2 on days of such kills.
+  // After a restart: what was granted before is not known. Two restarts of all
+  // owners within a window leave no room for a credit.
   return m_IsFull ? Limits.m_Burst * Part : 0;
 }
 
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -97,7 +97,7 @@
 
 void TargetDirectory::forgetLapsed(core::TimePoint Now) {
   // Of all pools together: two of a pool of three may well leave within a
-  // second, and were still sent requests 2.2 s later (2 s are allowed).
+  // second.
   core::Duration Grace = areMostLapsed() ? ManyLapsedGrace : OneLapsedGrace;
   for (auto Each = m_Lapsed.begin(); Each != m_Lapsed.end();) {
     auto Known = m_Targets.find(*Each);
