LibRouting, platform: Take a limit back only by a signed answer of a run

A refusal, or an answer without a signature, names no limit for other reasons than that there is none. Ending the limit by it would let all instances in at once. A refused request says targets-closed where targets of its pool would take it later, and explain tells what that means.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -285,7 +285,9 @@
     return answer(IsOver ? 504 : 502, m_Reason, core::Duration::zero(), Yield);
   m_Owner.m_Quotas.giveBack(m_Draw);
   if (m_IsRefused)
-    m_Reason = "no-target";
+    m_Reason = m_Owner.m_Targets.opensAt(m_Pool, core::steadyNow())
+                   ? "targets-closed"
+                   : "no-target";
   answer(503, IsOver ? "time-over" : m_Reason, retryAfter(), Yield);
 }
 
--- a/Libraries/LibRouting/TargetAdmission.cpp
+++ b/Libraries/LibRouting/TargetAdmission.cpp
@@ -10,8 +10,8 @@
   if (Terms.m_Rest)
     m_RestsUntil = std::max(m_RestsUntil, Now + *Terms.m_Rest);
   bool IsNews = Terms.m_IsLeaving && noteLeaving();
-  // What can't be read says nothing; what was named before still holds.
-  if (!Terms.m_IsLimitUnreadable)
+  // What says nothing of a limit leaves the one that was named.
+  if (!Terms.m_IsLimitUnreadable && !Terms.m_IsLimitUnsaid)
     IsNews = m_Limit.hear({Terms.m_RequestsPerSecond, Now}) || IsNews;
   return IsNews;
 }
--- a/Libraries/LibRouting/TargetTerms.h
+++ b/Libraries/LibRouting/TargetTerms.h
@@ -14,6 +14,9 @@
   std::optional<double> m_RequestsPerSecond;
   /// The limit could not be read: what it named before still holds.
   bool m_IsLimitUnreadable = false;
+  /// Nor does an answer lift a limit that is not of a run, or whose signature
+  /// is missing: it may come from elsewhere than the target's work.
+  bool m_IsLimitUnsaid = false;
   /// How long it wants nothing from the instance that it answered.
   std::optional<core::Duration> m_Rest;
   bool m_IsLeaving = false; ///< It ends soon; for all instances.
--- a/Programs/yardrill/RequestStory.cpp
+++ b/Programs/yardrill/RequestStory.cpp
@@ -40,6 +40,10 @@
      "not run: until its time to wait was over every target of the "
      "pool was full, tried or failing; compare places and "
      "running_* in the sent lines of that instant"},
+    {"targets-closed",
+     "not run: the targets of the pool that were left took nothing from this "
+     "instance at that time, by a limit or a rest that they asked for; see the "
+     "target-terms lines before"},
     {"target-refused", "not run: the target said that it is full or leaving, "
                        "and the retry budget or the targets were used up"},
     {"target-replaced", "not run: another target has that address now"},
--- a/Tests/LibRouting/SharedLimitTest.cpp
+++ b/Tests/LibRouting/SharedLimitTest.cpp
@@ -133,6 +133,10 @@
     m_Book.take(m_Run, limited(1), m_Now);
     CPPUNIT_ASSERT(!m_Book.take(m_Run, Unreadable, m_Now + seconds(5)));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Book.limited());
+    TargetTerms Refusal;
+    Refusal.m_IsLimitUnsaid = true;
+    CPPUNIT_ASSERT(!m_Book.take(m_Run, Refusal, m_Now + seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Book.limited());
   }
 
   void testNothingIsKeptOfTargetsThatNameNothing() {
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -130,9 +130,20 @@
     Terms = m_Dialect.describe(Head).m_Terms;
     CPPUNIT_ASSERT(Terms.m_Rest == std::chrono::milliseconds(2500));
     CPPUNIT_ASSERT_EQUAL(0.0, Terms.m_RequestsPerSecond.value());
+    CPPUNIT_ASSERT(!Terms.m_IsLimitUnsaid);
     // Another target has the address.
     Head.m_Status = 421;
     CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.isEmpty());
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.m_IsLimitUnsaid);
+    // A signed answer of a run that names no limit says that there is none.
+    Head.m_Status = 200;
+    Head.m_Headers = {{"Replica-Seal", "s"}};
+    CPPUNIT_ASSERT(!m_Dialect.describe(Head).m_Terms.m_IsLimitUnsaid);
+    Head.m_Headers = {};
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.m_IsLimitUnsaid);
+    Head.m_Status = 503;
+    Head.m_Headers = {{"Replica-Seal", "s"}, {"Not-Executed", "1"}};
+    CPPUNIT_ASSERT(m_Dialect.describe(Head).m_Terms.m_IsLimitUnsaid);
   }
 
   void testUnreadableTerms() {
