--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -52,9 +52,6 @@
 /// not said when it closes it.
 static constexpr std::chrono::seconds ProbedConnectionTime{1};
 static constexpr std::size_t MostChangesKept = 4096;
-/// Part of the retry allowance that is used: twice as many instances as are
-/// seen may be at work, and one that restarts may have used its part before.
-static constexpr double SlackShare = 0.5;
 
 Gateway::Gateway(asio::io_context &Context, GatewaySettings Settings,
                  const Dialect &Wire, platform::KeyValueService &Store)
@@ -74,6 +71,9 @@
              return m_Rollouts.gateOf(Pool);
            }}),
       m_Connections(Context, {ConnectTimeout, MostIdleConnections}),
+      m_Retries(m_Settings.m_Retries,
+                // Nothing was spent before a deployment's first start.
+                m_Settings.m_IsFirstStart ? core::TimePoint() : m_StartedAt),
       m_Ends(Context, targetEndsHooks()),
       m_Terms(m_Settings.m_PeerAddress, m_Targets,
               [this](const config::Endpoint &To, const peer::PeerBody &Body) {
@@ -84,6 +84,7 @@
                [this](const config::Endpoint &To, const peer::PeerBody &Body) {
                  m_Peers->send(To, Body);
                }),
+      m_RolloutWriter(Context, Store, Wire),
       m_Rollouts(m_Settings.m_PeerAddress,
                  core::IncarnationId(core::randomBits()), m_Settings.m_Exposure,
                  m_Targets, rolloutHooks()),
@@ -213,8 +214,7 @@
   m_Settings.m_Retries = Settings.m_Retries;
   m_Settings.m_StopGrace = Settings.m_StopGrace;
   m_Settings.m_Seeds = Settings.m_Seeds;
-  for (auto &[Pool, Budget] : m_Retries)
-    Budget.setLimits(retryLimits());
+  m_Retries.setLimits(m_Settings.m_Retries);
   core::LogLine("instance-reloaded").add("instance", m_Settings.m_Name);
 }
 
@@ -222,75 +222,6 @@
 // What the store and the peers say
 //===----------------------------------------------------------------------===//
 
-void Gateway::take(const platform::Entry &Change) {
-  if (m_Record.isItsKey(Change.m_Key)) {
-    m_Roster.setRecorded(m_Record.read(Change));
-    m_Peers->setRecorded(m_Roster.recorded());
-    return updateQuotaOwners();
-  }
-  if (m_Quarantine.isItsKey(Change.m_Key))
-    return m_Quarantine.take(Change);
-  if (m_Rollouts.takeRecord(Change))
-    return armRollouts();
-  core::TimePoint Begin = core::steadyNow();
-  StoreNews News;
-  try {
-    News = m_Wire.read(Change);
-  } catch (const Error &Failure) {
-    core::LogLine("store-entry-unreadable", core::LogLevel::Error)
-        .add("key", Change.m_Key)
-        .add("revision", Change.m_Modified)
-        .add("reason", Failure.what());
-    // What stood there before does not hold any more.
-    if (auto Name = m_Wire.targetOf(Change))
-      m_Targets.withdraw(*Name, core::steadyNow());
-    return;
-  }
-  if (auto *Seen = std::get_if<ConfigurationSeen>(&News)) {
-    core::LogLine("configuration-read")
-        .add("version", Seen->m_Table->version())
-        .add("revision", Change.m_Modified)
-        .add("bytes", Change.m_Value.size())
-        .add("took_us", core::steadyNow() - Begin);
-    return adopt(std::move(Seen->m_Table));
-  }
-  if (const auto *Seen = std::get_if<TargetSeen>(&News))
-    return take(Seen->m_Target, Change.m_Modified);
-  if (const auto *Gone = std::get_if<TargetGone>(&News)) {
-    core::LogLine("target-gone")
-        .add("target", Gone->m_Target)
-        .add("revision", Change.m_Modified);
-    if (routing::KnownTarget *Known = m_Targets.find(Gone->m_Target))
-      m_Ends.noteEnded(Known->m_Target.run());
-    m_Targets.withdraw(Gone->m_Target, core::steadyNow());
-    return;
-  }
-  if (const auto *Seen = std::get_if<RolloutOrderSeen>(&News))
-    m_Rollouts.setOrder(Seen->m_Order.m_Pool, Seen->m_Order);
-  if (const auto *Gone = std::get_if<RolloutOrderGone>(&News))
-    m_Rollouts.setOrder(Gone->m_Pool, std::nullopt);
-  if (const auto *Seen = std::get_if<RolloutStatusSeen>(&News))
-    m_Rollouts.setStatus(Seen->m_Pool, Seen->m_Status,
-                         Change.m_IsDeleted ? platform::Revision()
-                                            : Change.m_Modified);
-  armRollouts();
-}
-
-void Gateway::take(const routing::Target &Seen, platform::Revision At) {
-  routing::Announced Effect = m_Targets.announce(Seen);
-  if (Effect == routing::Announced::Nothing)
-    return;
-  core::LogLine("target-seen")
-      .add("target", Seen.m_Name)
-      .add("birth", Seen.m_Birth)
-      .add("pool", Seen.m_Pool)
-      .add("address", Seen.m_Address.toString())
-      .add("is_leaving", Seen.m_IsLeaving)
-      .add("revision", At);
-  if (Effect == routing::Announced::NewRun)
-    m_Connections.forget(Seen.m_Address.toTcp());
-}
-
 void Gateway::adopt(routing::RoutingTableHandle Next) {
   if (m_Table && !(m_Table->version() < Next->version()))
     return;
@@ -404,36 +335,12 @@
     return m_Peers->peers().firstFollower();
   };
   Out.m_FleetSize = [this] { return m_Peers->sharers(); };
-  Out.m_Write = [this](const RolloutWrite &What) { write(What); };
+  Out.m_Write = [this](const RolloutWrite &What) {
+    m_RolloutWriter.write(What);
+  };
   return Out;
 }
 
-void Gateway::write(const RolloutWrite &What) {
-  asio::spawn(
-      m_Context,
-      [this, What](asio::yield_context Yield) {
-        platform::Put Status = m_Wire.write(What.m_Pool, What.m_Status);
-        platform::Put Record{RolloutDesk::recordKey(What.m_Pool),
-                             What.m_Record.toText(), std::nullopt};
-        platform::CompareAndSwap Swap{
-            Status.m_Key, What.m_Expected, {Status, Record}};
-        try {
-          bool IsWritten =
-              m_Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
-                  .m_IsSwapped;
-          core::LogLine("rollout-written")
-              .add("pool", What.m_Pool)
-              .add("version", What.m_Status.m_Version)
-              .add("is_written", IsWritten);
-        } catch (const Error &Failure) {
-          core::LogLine("rollout-not-written", core::LogLevel::Warning)
-              .add("pool", What.m_Pool)
-              .add("reason", Failure.what());
-        }
-      },
-      asio::detached);
-}
-
 void Gateway::armRollouts() {
   if (m_AreRolloutsArmed || !m_Rollouts.isBusy())
     return;
@@ -548,28 +455,11 @@
 }
 
 //===----------------------------------------------------------------------===//
-// Budgets and figures
+// Figures
 //===----------------------------------------------------------------------===//
 
-routing::RetryBudget &Gateway::retriesOf(const core::PoolName &Pool) {
-  auto Found = m_Retries.find(Pool);
-  if (Found != m_Retries.end())
-    return Found->second;
-  // Nothing was spent before a deployment's first start.
-  core::TimePoint Since =
-      m_Settings.m_IsFirstStart ? core::TimePoint() : m_StartedAt;
-  return m_Retries.emplace(Pool, routing::RetryBudget(retryLimits(), Since))
-      .first->second;
-}
-
-routing::RetryLimits Gateway::retryLimits() const {
-  routing::RetryLimits Limits = m_Settings.m_Retries;
-  Limits.m_Allowance *= SlackShare;
-  return Limits;
-}
-
 bool Gateway::mayRetry(const core::PoolName &Pool) {
-  return retriesOf(Pool).tryTake(core::steadyNow(), m_Peers->sharers());
+  return m_Retries.of(Pool).tryTake(core::steadyNow(), m_Peers->sharers());
 }
 
 void Gateway::updateGauges() {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -16,7 +16,9 @@
 #include "LibGateway/PeerLink.h"
 #include "LibGateway/QuarantineService.h"
 #include "LibGateway/QuotaService.h"
+#include "LibGateway/RetryBudgets.h"
 #include "LibGateway/RolloutDesk.h"
+#include "LibGateway/RolloutWriter.h"
 #include "LibGateway/StateFollower.h"
 #include "LibGateway/TargetEnds.h"
 #include "LibGateway/TargetTermsService.h"
@@ -24,7 +26,6 @@
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibRouting/Dispatcher.h"
-#include "LibRouting/RetryBudget.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
 
@@ -75,8 +76,6 @@
   void updateQuotaOwners();
   void keepRecord(core::TimePoint Now);
   RolloutHooks rolloutHooks();
-  /// Puts what became of a roll-out, in a coroutine of its own.
-  void write(const RolloutWrite &What);
   /// Looks after roll-outs while there are any.
   void armRollouts();
   /// Both decide by what the peers said up to now.
@@ -99,8 +98,6 @@
   /// Whether somebody listens at a target's address.
   Presence probe(const routing::Target &Which,
                  boost::asio::yield_context Yield);
-  routing::RetryBudget &retriesOf(const core::PoolName &Pool);
-  routing::RetryLimits retryLimits() const;
   /// Counts the retry, if one more is within the budget.
   bool mayRetry(const core::PoolName &Pool);
   http::ResponseMessage answerReadiness() const;
@@ -108,6 +105,7 @@
 
   boost::asio::io_context &m_Context;
   GatewaySettings m_Settings;
+  core::TimePoint m_StartedAt = core::steadyNow();
   const Dialect &m_Wire;
   platform::KeyValueService &m_Store;
   core::SteadyTimerService m_Timers;
@@ -119,13 +117,14 @@
   routing::RoutingTableHandle m_Table;
   routing::TargetDirectory m_Targets;
   routing::Dispatcher m_Dispatcher;
-  std::unordered_map<core::PoolName, routing::RetryBudget> m_Retries;
   http::ConnectionPool m_Connections;
+  RetryBudgets m_Retries;
   TargetEnds m_Ends;
   TargetTermsService m_Terms;
   QuarantineService m_Quarantine;
   std::unique_ptr<PeerLink> m_Peers;
   QuotaService m_Quotas;
+  RolloutWriter m_RolloutWriter;
   RolloutDesk m_Rollouts;
   std::unique_ptr<http::Server> m_CallerServer;
   std::unique_ptr<http::Server> m_ReadinessServer;
@@ -136,7 +135,6 @@
   bool m_AreRolloutsArmed = false;
   std::uint64_t m_NextRequest = 1;
   std::mt19937_64 m_Random;
-  core::TimePoint m_StartedAt = core::steadyNow();
   core::Duration m_StartDelay{};
   core::TimePoint m_StoppingSince{};
   std::function<void()> m_Finished;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -213,7 +213,7 @@
       Wait = isQuarantined() ? QuarantinedRetryAfter : retryAfter();
     return answer(Status, m_Reason, Wait, Yield);
   }
-  m_Owner.retriesOf(m_Pool).noteRequest(m_Times.arrivedAt());
+  m_Owner.m_Retries.of(m_Pool).noteRequest(m_Times.arrivedAt());
   TryOutcome Last = TryOutcome::NotSent;
   while (true) {
     if (!waitForTarget(Yield)) {
--- /dev/null
+++ b/Libraries/LibGateway/RolloutWriter.cpp
@@ -0,0 +1,40 @@
+#include "LibGateway/RolloutWriter.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+using core::Error;
+
+void RolloutWriter::write(const RolloutWrite &What) {
+  asio::spawn(
+      m_Context,
+      [this, What](asio::yield_context Yield) {
+        platform::Put Status = m_Wire.write(What.m_Pool, What.m_Status);
+        platform::Put Record{RolloutDesk::recordKey(What.m_Pool),
+                             What.m_Record.toText(), std::nullopt};
+        platform::CompareAndSwap Swap{
+            Status.m_Key, What.m_Expected, {Status, Record}};
+        try {
+          bool IsWritten =
+              m_Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
+                  .m_IsSwapped;
+          core::LogLine("rollout-written")
+              .add("pool", What.m_Pool)
+              .add("version", What.m_Status.m_Version)
+              .add("is_written", IsWritten);
+        } catch (const Error &Failure) {
+          core::LogLine("rollout-not-written", core::LogLevel::Warning)
+              .add("pool", What.m_Pool)
+              .add("reason", Failure.what());
+        }
+      },
+      asio::detached);
+}
+
+} // namespace yardrill::gateway
