--- a/Tests/Support/LimitFleet.cpp
+++ b/Tests/Support/LimitFleet.cpp
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
-#include <set>
 
 namespace yardrill::tests {
 
@@ -27,6 +27,7 @@
 static constexpr seconds TellPeriod{1};
 static constexpr double LostShare = 0.03;
 static constexpr milliseconds LongestDelay{300};
+static constexpr double LateShare = 0.02;
 /// Until all instances know of one more or less.
 static constexpr milliseconds LongestNewsTime{2000};
 static constexpr double FaultsPerSecond = 0.7;
@@ -140,6 +141,7 @@
   std::size_t m_Members = 0;
   std::size_t m_Limited = 0; ///< The first targets.
   std::vector<ModelInstance> m_Instances;
+  std::map<config::Endpoint, std::size_t> m_Indexes;
   FleetShare::Fleet m_Fleet; ///< As it is.
   /// Changes of the fleet on their way to one instance.
   std::vector<std::pair<TimePoint, std::size_t>> m_News;
@@ -232,15 +234,14 @@
   if (Terms.empty() || isCut(Own))
     return;
   for (const config::Endpoint &To : Own.m_Share.sharersOf(m_Day.m_Targets)) {
-    for (std::size_t Index = 0; Index < m_Instances.size(); ++Index) {
-      if (!(addressOf(Index) == To) || Index == From || chance(LostShare))
-        continue;
-      for (const routing::StatedTerms &Each : Terms)
-        m_Datagrams.push_back(
-            {m_Now + Step + upTo(LongestDelay) / 10 +
-                 (chance(0.02) ? upTo(LongestDelay) : core::Duration::zero()),
-             Index, Each, m_Now});
-    }
+    std::size_t Index = m_Indexes.at(To);
+    if (Index == From || chance(LostShare))
+      continue;
+    for (const routing::StatedTerms &Each : Terms)
+      m_Datagrams.push_back({m_Now + Step + upTo(LongestDelay) / 10 +
+                                 (chance(LateShare) ? upTo(LongestDelay)
+                                                    : core::Duration::zero()),
+                             Index, Each, m_Now});
   }
 }
 
@@ -346,8 +347,10 @@
   m_Instances.resize(m_Day.m_Instances);
   m_Arrivals.resize(m_Limited);
   m_All.resize(m_Limited);
-  for (std::size_t I = 0; I < m_Instances.size(); ++I)
+  for (std::size_t I = 0; I < m_Instances.size(); ++I) {
     m_Fleet[addressOf(I)] = hallOf(I);
+    m_Indexes[addressOf(I)] = I;
+  }
   for (std::size_t I = 0; I < m_Instances.size(); ++I) {
     start(I, m_Fleet);
     m_Instances[I].m_ToldOthersAt = m_Now + upTo(TellPeriod);
