LibRouting: Let requests wait only for what limited targets still take

Where all targets of a pool are limited or rest, a request waited until its time was over behind others that would take all there is. It is now refused at once, with a Retry-After that counts those who wait, so that its caller can try another instance. Costs nothing while no target states terms (one comparison).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -442,6 +442,11 @@
   m_Dispatcher.dispatchWaiting(Now);
 }
 
+std::optional<core::TimePoint> Gateway::opensAt(const core::PoolName &Pool,
+                                                core::TimePoint Now) {
+  return m_Targets.opensAt(Pool, m_Dispatcher.waitingFor(Pool), Now);
+}
+
 void Gateway::placeBecameFree() {
   dispatchWaiting(core::steadyNow());
   if (m_DoPeersWait)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -81,6 +81,9 @@
   /// Both decide by what the peers said up to now.
   void place(const routing::PlacementRequest &What);
   void dispatchWaiting(core::TimePoint Now);
+  /// From when a pool that takes nothing now takes one more request.
+  std::optional<core::TimePoint> opensAt(const core::PoolName &Pool,
+                                         core::TimePoint Now);
   /// Gives the place to a request that waits here, or lets the peers know.
   void placeBecameFree();
   /// Looks at what waits soon, if anything does: an instance at rest is not
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -75,7 +75,7 @@
 core::Duration GatewayRequest::retryAfter() const {
   core::TimePoint Now = core::steadyNow();
   double Closed = 0;
-  if (auto OpensAt = m_Owner.m_Targets.opensAt(m_Pool, Now))
+  if (auto OpensAt = m_Owner.opensAt(m_Pool, Now))
     Closed = std::min(core::toSeconds(*OpensAt - Now), LongestClosedSeconds);
   std::uniform_real_distribution<double> Spread(
       0, RetryAfterSpreadSeconds + Closed * ClosedSpreadShare);
@@ -285,9 +285,8 @@
     return answer(IsOver ? 504 : 502, m_Reason, core::Duration::zero(), Yield);
   m_Owner.m_Quotas.giveBack(m_Draw);
   if (m_IsRefused)
-    m_Reason = m_Owner.m_Targets.opensAt(m_Pool, core::steadyNow())
-                   ? "targets-closed"
-                   : "no-target";
+    m_Reason = m_Owner.opensAt(m_Pool, core::steadyNow()) ? "targets-closed"
+                                                          : "no-target";
   answer(503, IsOver ? "time-over" : m_Reason, retryAfter(), Yield);
 }
 
--- a/Libraries/LibRouting/AdmissionBook.cpp
+++ b/Libraries/LibRouting/AdmissionBook.cpp
@@ -76,10 +76,10 @@
   return !Known || Known->m_Admission.isOpen(Now);
 }
 
-std::optional<core::TimePoint> AdmissionBook::opensAt(const TargetRun &Run,
-                                                      core::TimePoint Now) {
+std::optional<Opening> AdmissionBook::opening(const TargetRun &Run,
+                                              core::TimePoint Now) {
   Entry *Known = find(Run, Now);
-  return Known ? Known->m_Admission.opensAt() : core::TimePoint();
+  return Known ? Known->m_Admission.opening() : Opening();
 }
 
 void AdmissionBook::noteSent(const TargetRun &Run, core::TimePoint Now) {
--- a/Libraries/LibRouting/AdmissionBook.h
+++ b/Libraries/LibRouting/AdmissionBook.h
@@ -45,8 +45,7 @@
   /// Whether a request may be sent to the run now.
   bool isOpen(const TargetRun &Run, core::TimePoint Now);
   /// From when one may be sent; none: not by this instance.
-  std::optional<core::TimePoint> opensAt(const TargetRun &Run,
-                                         core::TimePoint Now);
+  std::optional<Opening> opening(const TargetRun &Run, core::TimePoint Now);
   /// Takes note of a request that is sent now.
   void noteSent(const TargetRun &Run, core::TimePoint Now);
 
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -231,10 +231,17 @@
   return Best;
 }
 
-bool Dispatcher::opensInTime(const PlacementRequest &What,
-                             core::TimePoint Now) const {
-  auto At = m_Targets.opensAt(What.m_Pool, Now, What.m_Tried);
-  return At && *At <= waitsUntil(What);
+std::optional<core::TimePoint>
+Dispatcher::opensFor(const PlacementRequest &What, core::TimePoint Now) const {
+  if (m_Targets.admissions().isEmpty())
+    return std::nullopt;
+  auto Ahead =
+      std::count_if(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
+        return Each.second.m_Pool == What.m_Pool &&
+               goesBefore(Each.second, What, Now);
+      });
+  return m_Targets.opensAt(What.m_Pool, static_cast<std::size_t>(Ahead), Now,
+                           What.m_Tried);
 }
 
 bool Dispatcher::trySend(const PlacementRequest &What, core::TimePoint Now) {
@@ -248,8 +255,11 @@
   // Before its caller leaves it may have a place that is kept and still free.
   if (Best && !IsTimeUp && !leavesKeptPlaces(What, Now))
     return false;
-  if (!HasAny && !IsTimeUp && opensInTime(What, Now))
-    return false;
+  if (!HasAny && !IsTimeUp) {
+    auto OpensAt = opensFor(What, Now);
+    if (OpensAt && *OpensAt <= waitsUntil(What))
+      return false;
+  }
   if (!HasAny || (IsTimeUp && !Best)) {
     m_Hooks.m_Refuse(What.m_Request);
     return true;
@@ -272,9 +282,20 @@
       });
   if (!IsBehindOthers && trySend(What, Now))
     return;
+  // Those ahead get what limited targets take until it would be too late.
+  auto OpensAt = opensFor(What, Now);
+  if (OpensAt && *OpensAt > waitsUntil(What))
+    return m_Hooks.m_Refuse(What.m_Request);
   m_Waiting.emplace(What.m_Request, What);
 }
 
+std::size_t Dispatcher::waitingFor(const core::PoolName &Pool) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
+        return Each.second.m_Pool == Pool;
+      }));
+}
+
 bool Dispatcher::withdraw(core::RequestId Request) {
   return m_Waiting.erase(Request) != 0;
 }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -68,6 +69,7 @@
   /// Sends what has a place now and what has waited long enough.
   void dispatchWaiting(core::TimePoint Now);
   std::size_t waiting() const { return m_Waiting.size(); }
+  std::size_t waitingFor(const core::PoolName &Pool) const;
 
 private:
   /// Who is served first when places are short. The lowest of several ranks
@@ -82,8 +84,10 @@
   bool goesBefore(const PlacementRequest &A, const PlacementRequest &B,
                   core::TimePoint Now) const;
   bool trySend(const PlacementRequest &What, core::TimePoint Now);
-  /// Whether a target that takes nothing now will, before it is too late.
-  bool opensInTime(const PlacementRequest &What, core::TimePoint Now) const;
+  /// From when targets that all take nothing now take this request, after those
+  /// that go first; none: one is open, or none will be.
+  std::optional<core::TimePoint> opensFor(const PlacementRequest &What,
+                                          core::TimePoint Now) const;
   /// Targets that may be tried: those that failed just now only where there is
   /// no other.
   std::vector<KnownTarget *> candidates(const PlacementRequest &What,
--- a/Libraries/LibRouting/SharedLimit.h
+++ b/Libraries/LibRouting/SharedLimit.h
@@ -54,6 +54,8 @@
 
   /// From when this instance may send one more; none: it may not send.
   std::optional<core::TimePoint> opensAt() const;
+  /// What this instance may send in a second; only if it is a sender.
+  double ownPerSecond() const { return 1 / paceSeconds(); }
   /// Takes note of a request that is sent now.
   void noteSent(core::TimePoint Now);
 
--- a/Libraries/LibRouting/TargetAdmission.cpp
+++ b/Libraries/LibRouting/TargetAdmission.cpp
@@ -20,11 +20,15 @@
   return !std::exchange(m_IsLeaving, true);
 }
 
-std::optional<core::TimePoint> TargetAdmission::opensAt() const {
+std::optional<Opening> TargetAdmission::opening() const {
   auto At = m_Limit.opensAt();
   if (m_IsLeaving || !At)
     return std::nullopt;
-  return std::max(*At, m_RestsUntil);
+  Opening Out;
+  Out.m_At = std::max(*At, m_RestsUntil);
+  if (m_Limit.isNamed())
+    Out.m_PerSecond = m_Limit.ownPerSecond();
+  return Out;
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetAdmission.h
+++ b/Libraries/LibRouting/TargetAdmission.h
@@ -15,6 +15,12 @@
 
 namespace yardrill::routing {
 
+/// From when a target takes requests of this instance, and how many.
+struct Opening {
+  core::TimePoint m_At{};
+  std::optional<double> m_PerSecond; ///< Not set: as many as it has places.
+};
+
 /// What one run of a target has said of itself, to this instance or to others.
 class TargetAdmission {
 public:
@@ -28,10 +34,10 @@
   bool isResting(core::TimePoint Now) const { return Now < m_RestsUntil; }
 
   /// From when a request may be sent there; none: not by this instance.
-  std::optional<core::TimePoint> opensAt() const;
+  std::optional<Opening> opening() const;
   bool isOpen(core::TimePoint Now) const {
-    auto At = opensAt();
-    return At && *At <= Now;
+    auto Next = opening();
+    return Next && Next->m_At <= Now;
   }
   /// Takes note of a request that is sent now.
   void noteSent(core::TimePoint Now) { m_Limit.noteSent(Now); }
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -304,20 +304,35 @@
 }
 
 std::optional<core::TimePoint>
-TargetDirectory::opensAt(const core::PoolName &Pool, core::TimePoint Now,
+TargetDirectory::opensAt(const core::PoolName &Pool, std::size_t Ahead,
+                         core::TimePoint Now,
                          const std::set<TargetRun> &Except) {
   if (m_Admissions.isEmpty())
     return std::nullopt;
   std::optional<core::TimePoint> First;
+  auto TakeEarlier = [&First](core::TimePoint At) {
+    First = First ? std::min(*First, At) : At;
+  };
+  std::optional<core::TimePoint> FirstLimited;
+  double PerSecond = 0;
   for (const KnownTarget *Each : of(Pool)) {
-    if (!Each->isOpen() || Except.count(Each->m_Target.run()) != 0)
+    TargetRun Run = Each->m_Target.run();
+    if (!Each->isOpen() || Except.count(Run) != 0)
       continue;
-    auto At = m_Admissions.opensAt(Each->m_Target.run(), Now);
-    if (At && *At <= Now)
+    auto Next = m_Admissions.opening(Run, Now);
+    if (Next && Next->m_At <= Now)
       return std::nullopt;
-    if (At && (!First || *At < *First))
-      First = At;
+    if (Next && !Next->m_PerSecond)
+      TakeEarlier(Next->m_At);
+    if (!Next || !Next->m_PerSecond)
+      continue;
+    FirstLimited =
+        FirstLimited ? std::min(*FirstLimited, Next->m_At) : Next->m_At;
+    PerSecond += *Next->m_PerSecond;
   }
+  if (FirstLimited)
+    TakeEarlier(*FirstLimited +
+                core::fromSeconds(static_cast<double>(Ahead) / PerSecond));
   return First;
 }
 
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -83,9 +83,10 @@
   bool isOpen(const KnownTarget &Which, core::TimePoint Now);
   /// From when a target of the pool takes a request again that takes none now;
   /// none: one takes them now, or none will.
+  /// \param Ahead requests that go before, where targets are limited.
   /// \param Except targets that do not count.
   std::optional<core::TimePoint>
-  opensAt(const core::PoolName &Pool, core::TimePoint Now,
+  opensAt(const core::PoolName &Pool, std::size_t Ahead, core::TimePoint Now,
           const std::set<TargetRun> &Except = {});
   /// All instances that work with the same targets of the pool as this one.
   std::vector<config::Endpoint> sharersOf(const core::PoolName &Pool) const {
--- a/Tests/LibRouting/SharedLimitTest.cpp
+++ b/Tests/LibRouting/SharedLimitTest.cpp
@@ -194,7 +194,7 @@
     CPPUNIT_ASSERT(!m_Book.isOpen(m_Run, m_Now + milliseconds(2999)));
     CPPUNIT_ASSERT(m_Book.isOpen(m_Run, m_Now + seconds(3)));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Book.resting(m_Now));
-    CPPUNIT_ASSERT(m_Book.opensAt(m_Run, m_Now) == m_Now + seconds(3));
+    CPPUNIT_ASSERT(m_Book.opening(m_Run, m_Now)->m_At == m_Now + seconds(3));
     // A new run has none.
     CPPUNIT_ASSERT(m_Book.isOpen({m_Run.m_Name, core::TargetBirth(8)}, m_Now));
   }
@@ -220,7 +220,7 @@
     CPPUNIT_ASSERT(!m_Book.take(m_Run, {}, m_Now + seconds(2)));
     m_Book.forgetOld(m_Now + seconds(100));
     CPPUNIT_ASSERT(!m_Book.isOpen(m_Run, m_Now + seconds(100)));
-    CPPUNIT_ASSERT(!m_Book.opensAt(m_Run, m_Now));
+    CPPUNIT_ASSERT(!m_Book.opening(m_Run, m_Now));
     CPPUNIT_ASSERT(m_Book.isLeaving(m_Run));
     // Told by another instance: not told on.
     TargetRun Other{core::TargetName("b")};
