--- a/Libraries/LibGateway/TargetTermsService.cpp
+++ b/Libraries/LibGateway/TargetTermsService.cpp
@@ -37,6 +37,8 @@
 void TargetTermsService::said(const routing::Target &Which,
                               const routing::TargetTerms &Terms,
                               core::TimePoint Now) {
+  if (Terms.isEmpty() && m_Targets.admissions().isEmpty())
+    return;
   routing::TargetRun Run = Which.run();
   bool IsNews = m_Targets.admissions().take(Run, Terms, Now);
   if (IsNews || Terms.m_Rest || Terms.m_IsLimitUnreadable)
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -300,7 +300,9 @@
 }
 
 bool TargetDirectory::isOpen(const KnownTarget &Which, core::TimePoint Now) {
-  return Which.isOpen() && m_Admissions.isOpen(Which.m_Target.run(), Now);
+  if (!Which.isOpen() || m_Admissions.isEmpty())
+    return Which.isOpen();
+  return m_Admissions.isOpen(Which.m_Target.run(), Now);
 }
 
 std::optional<core::TimePoint>
