LibRouting, LibGateway: Forget terms that have ended; take no garbage from peers

The entry of an ended limit stayed as long as its target was answered by, so that each question cost a look-up for ever. News with a limit that is no number, or with an age beyond the machine's, is left out.

--- a/Libraries/LibGateway/TargetTermsService.cpp
+++ b/Libraries/LibGateway/TargetTermsService.cpp
@@ -3,6 +3,8 @@
 #include "LibCore/Log.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 
 namespace yardrill::gateway {
 
@@ -22,14 +24,19 @@
   return Out;
 }
 
-static StatedTerms fromMessage(const peer::ToldTerms &Told,
-                               core::TimePoint Now) {
+/// \returns none for what no instance says.
+static std::optional<StatedTerms> fromMessage(const peer::ToldTerms &Told,
+                                              core::TimePoint Now) {
+  if (!std::isfinite(Told.m_PerSecond) || Told.m_PerSecond < 0)
+    return std::nullopt;
   StatedTerms Out;
   Out.m_Run = {core::TargetName(Told.m_Target),
                core::TargetBirth(Told.m_Birth)};
   if (Told.m_IsLimited)
     Out.m_Limit.m_PerSecond = Told.m_PerSecond;
-  Out.m_Limit.m_At = Now - core::Duration(Told.m_LimitAgeUs);
+  // Longer ago than this machine runs: before all that it heard itself.
+  auto Longest = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+  Out.m_Limit.m_At = Now - core::Duration(std::min(Told.m_LimitAgeUs, Longest));
   Out.m_IsLeaving = Told.m_IsLeaving;
   return Out;
 }
@@ -57,9 +64,9 @@
   if (!News)
     return;
   for (const peer::ToldTerms &Each : News->m_Terms) {
-    StatedTerms Told = fromMessage(Each, Now);
-    if (m_Targets.admissions().take(Told, Now))
-      logChange(Told.m_Run, {});
+    std::optional<StatedTerms> Told = fromMessage(Each, Now);
+    if (Told && m_Targets.admissions().take(*Told, Now))
+      logChange(Told->m_Run, {});
   }
 }
 
--- a/Libraries/LibRouting/AdmissionBook.cpp
+++ b/Libraries/LibRouting/AdmissionBook.cpp
@@ -113,22 +113,23 @@
   return Out;
 }
 
-bool AdmissionBook::isNeeded(const TargetAdmission &Which,
-                             core::TimePoint Now) {
-  return Which.isResting(Now) ||
-         (Which.limit().isNamed() && Which.limit().isSender());
+bool AdmissionBook::isOld(const Entry &Of, core::TimePoint Now) {
+  const TargetAdmission &Known = Of.m_Admission;
+  core::Duration Unheard = Now - Of.m_HeardAt;
+  if (Known.isResting(Now))
+    return false;
+  if (Known.isLeaving())
+    return Unheard >= LeavingTime;
+  if (Known.limit().isNamed())
+    return !Known.limit().isSender() && Unheard >= UntoldTime;
+  // Older words may still come in that name the limit which has ended.
+  return Now - Of.m_ChangedAt >= UntoldTime;
 }
 
 void AdmissionBook::forgetOld(core::TimePoint Now) {
-  for (auto Each = m_Admissions.begin(); Each != m_Admissions.end();) {
-    const TargetAdmission &Known = Each->second.m_Admission;
-    core::Duration Memory = UntoldTime;
-    if (Known.isLeaving())
-      Memory = LeavingTime;
-    bool IsOld = Now - Each->second.m_HeardAt >= Memory;
-    Each = IsOld && !isNeeded(Known, Now) ? m_Admissions.erase(Each)
-                                          : std::next(Each);
-  }
+  for (auto Each = m_Admissions.begin(); Each != m_Admissions.end();)
+    Each =
+        isOld(Each->second, Now) ? m_Admissions.erase(Each) : std::next(Each);
 }
 
 bool AdmissionBook::isLeaving(const TargetRun &Run) const {
--- a/Libraries/LibRouting/AdmissionBook.h
+++ b/Libraries/LibRouting/AdmissionBook.h
@@ -79,11 +79,11 @@
   Entry &entryOf(const TargetRun &Run, core::TimePoint Now);
   void updateSenders(const TargetRun &Run, Entry &Of, core::TimePoint Now);
   void noteChange(const TargetRun &Run, Entry &Of, core::TimePoint Now);
-  static bool isNeeded(const TargetAdmission &Which, core::TimePoint Now);
+  static bool isOld(const Entry &Of, core::TimePoint Now);
 
   SendersOf m_SendersOf;
   std::map<TargetRun, Entry> m_Admissions;
-  std::size_t m_Generation = 1;
+  std::size_t m_Generation = 1; ///< Of all senders; see invalidateSenders().
 };
 
 } // namespace yardrill::routing
--- /dev/null
+++ b/Tests/LibGateway/TargetTermsServiceTest.cpp
@@ -0,0 +1,122 @@
+#include "LibGateway/TargetTermsService.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <limits>
+
+using namespace yardrill;
+using namespace yardrill::gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class TargetTermsServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetTermsServiceTest);
+  CPPUNIT_TEST(testTellsAllThatWorkWithTheTarget);
+  CPPUNIT_TEST(testTellsAgainEverySecond);
+  CPPUNIT_TEST(testSaysNothingWhereNothingIsStated);
+  CPPUNIT_TEST(testManyTermsGoInSeveralDatagrams);
+  CPPUNIT_TEST(testUnreadableNewsIsNoNews);
+  CPPUNIT_TEST_SUITE_END();
+
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  config::Endpoint m_Self{"10.1.0.1", 7600};
+  config::Endpoint m_Other{"10.1.0.2", 7600};
+  routing::TargetDirectory m_Targets;
+  std::vector<std::pair<config::Endpoint, peer::TargetNews>> m_Sent;
+  TargetTermsService m_Service{
+      m_Self, m_Targets,
+      [this](const config::Endpoint &To, const peer::PeerBody &Body) {
+        m_Sent.emplace_back(To, std::get<peer::TargetNews>(Body));
+      }};
+
+  routing::Target announce(const std::string &Name) {
+    routing::Target Out;
+    Out.m_Name = core::TargetName(Name);
+    Out.m_Pool = core::PoolName("pool");
+    m_Targets.announce(Out);
+    return Out;
+  }
+  static routing::TargetTerms limited(double PerSecond) {
+    routing::TargetTerms Out;
+    Out.m_RequestsPerSecond = PerSecond;
+    return Out;
+  }
+  void hear(double PerSecond, std::uint64_t AgeUs) {
+    peer::ToldTerms Told{"a", 0, true, PerSecond, AgeUs, false};
+    peer::PeerMessage Message;
+    Message.m_Body = peer::TargetNews{{Told}};
+    m_Service.take(Message, m_Now);
+  }
+
+public:
+  void setUp() override {
+    core::DataHallName Hall("hall");
+    m_Targets.setShare(
+        routing::FleetShare(m_Self, {{m_Self, Hall}, {m_Other, Hall}}));
+  }
+
+  void testTellsAllThatWorkWithTheTarget() {
+    m_Service.said(announce("a"), limited(2), m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Sent.size());
+    CPPUNIT_ASSERT(m_Sent[0].first == m_Other);
+    const peer::ToldTerms &Told = m_Sent[0].second.m_Terms.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Told.m_Target);
+    CPPUNIT_ASSERT(Told.m_IsLimited && Told.m_PerSecond == 2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Told.m_LimitAgeUs);
+    // The same again is no news.
+    m_Service.said(announce("a"), limited(2), m_Now + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Sent.size());
+  }
+
+  void testTellsAgainEverySecond() {
+    m_Service.said(announce("a"), limited(2), m_Now);
+    for (int I = 0; I < 40; ++I) {
+      m_Now += milliseconds(250);
+      m_Service.upkeep(m_Now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(11), m_Sent.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9250000),
+                         m_Sent.back().second.m_Terms.at(0).m_LimitAgeUs);
+  }
+
+  void testSaysNothingWhereNothingIsStated() {
+    routing::Target Which = announce("a");
+    for (int I = 0; I < 100; ++I) {
+      m_Now += milliseconds(250);
+      m_Service.said(Which, {}, m_Now);
+      m_Service.upkeep(m_Now);
+    }
+    // A rest is for this instance alone.
+    routing::TargetTerms Tired;
+    Tired.m_Rest = seconds(3);
+    m_Service.said(Which, Tired, m_Now);
+    m_Service.upkeep(m_Now);
+    CPPUNIT_ASSERT(m_Sent.empty());
+  }
+
+  void testManyTermsGoInSeveralDatagrams() {
+    for (std::size_t I = 0; I < 2 * peer::TargetNews::Most + 1; ++I)
+      m_Service.said(announce("t" + std::to_string(I)), limited(2), m_Now);
+    m_Sent.clear();
+    m_Service.upkeep(m_Now + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_Sent.size());
+    for (const auto &[To, News] : m_Sent)
+      CPPUNIT_ASSERT(News.m_Terms.size() <= peer::TargetNews::Most);
+  }
+
+  void testUnreadableNewsIsNoNews() {
+    announce("a");
+    for (double Bad : {std::numeric_limits<double>::quiet_NaN(),
+                       std::numeric_limits<double>::infinity(), -1.0})
+      hear(Bad, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Targets.admissions().limited());
+    // Heard before all else, whatever the age.
+    hear(3, std::numeric_limits<std::uint64_t>::max());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Targets.admissions().limited());
+    hear(2, 5000);
+    auto Terms = m_Targets.admissions().termsOf(core::TargetName("a"));
+    CPPUNIT_ASSERT_EQUAL(2.0, Terms.m_Limit.m_PerSecond.value_or(0));
+    CPPUNIT_ASSERT(Terms.m_Limit.m_At == m_Now - milliseconds(5));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetTermsServiceTest);
--- a/Tests/LibRouting/SharedLimitTest.cpp
+++ b/Tests/LibRouting/SharedLimitTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(testRunsAreApart);
   CPPUNIT_TEST(testOthersAreToldWhileItHoldsAndWhenItEnds);
   CPPUNIT_TEST(testUntoldLimitIsForgotten);
+  CPPUNIT_TEST(testWhatHasEndedIsForgottenUnderTraffic);
   CPPUNIT_TEST(testRestIsOfThisInstanceAlone);
   CPPUNIT_TEST(testLongerRestIsNotShortened);
   CPPUNIT_TEST(testLeavingIsNeverUnsaid);
@@ -186,6 +187,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Book.limited());
   }
 
+  void testWhatHasEndedIsForgottenUnderTraffic() {
+    m_Book.take(m_Run, limited(1), m_Now);
+    m_Now += seconds(5);
+    m_Book.take(m_Run, {}, m_Now);
+    for (int I = 0; I < 30; ++I) {
+      CPPUNIT_ASSERT(!m_Book.isEmpty());
+      m_Now += seconds(1);
+      m_Book.take(m_Run, {}, m_Now);
+      m_Book.forgetOld(m_Now);
+    }
+    CPPUNIT_ASSERT(m_Book.isEmpty());
+    // A rest that is over as well.
+    TargetTerms Tired;
+    Tired.m_Rest = seconds(3);
+    m_Book.take(m_Run, Tired, m_Now);
+    m_Book.forgetOld(m_Now);
+    CPPUNIT_ASSERT(!m_Book.isEmpty());
+    m_Book.forgetOld(m_Now + seconds(3));
+    CPPUNIT_ASSERT(m_Book.isEmpty());
+  }
+
   void testRestIsOfThisInstanceAlone() {
     TargetTerms Tired;
     Tired.m_Rest = seconds(3);
