--- a/Tests/LibGateway/TargetLimitTest.cpp
+++ b/Tests/LibGateway/TargetLimitTest.cpp
@@ -89,6 +89,14 @@
         Arrivals.end() -
         std::lower_bound(Arrivals.begin(), Arrivals.end(), Since));
   }
+  /// All gateways are ready and have found each other.
+  static std::unique_ptr<GatewayFleet> settledFleet() {
+    auto Out = std::make_unique<GatewayFleet>(Gateways, Targets);
+    Out->startAll();
+    CPPUNIT_ASSERT(Out->areAllReady());
+    std::this_thread::sleep_for(SettleTime);
+    return Out;
+  }
   static void nameLimit(GatewayFleet &Fleet, std::size_t Target) {
     Fleet.withTargets([&] {
       Fleet.target(Target).state(
@@ -98,10 +106,8 @@
 
 public:
   void testLimitHoldsOverAllInstances() {
-    GatewayFleet Fleet(Gateways, Targets);
-    Fleet.startAll();
-    CPPUNIT_ASSERT(Fleet.areAllReady());
-    std::this_thread::sleep_for(SettleTime);
+    auto Settled = settledFleet();
+    GatewayFleet &Fleet = *Settled;
     SteadyCallers Callers(Fleet, Pause);
     std::this_thread::sleep_for(milliseconds(500));
     nameLimit(Fleet, 0);
@@ -117,10 +123,8 @@
   }
 
   void testLimitOfAWholePoolHolds() {
-    GatewayFleet Fleet(Gateways, Targets);
-    Fleet.startAll();
-    CPPUNIT_ASSERT(Fleet.areAllReady());
-    std::this_thread::sleep_for(SettleTime);
+    auto Settled = settledFleet();
+    GatewayFleet &Fleet = *Settled;
     SteadyCallers Callers(Fleet, Pause);
     for (std::size_t I = 0; I < Targets; ++I)
       nameLimit(Fleet, I);
@@ -135,10 +139,8 @@
   }
 
   void testLimitHoldsWhileInstancesRestart() {
-    GatewayFleet Fleet(Gateways, Targets);
-    Fleet.startAll();
-    CPPUNIT_ASSERT(Fleet.areAllReady());
-    std::this_thread::sleep_for(SettleTime);
+    auto Settled = settledFleet();
+    GatewayFleet &Fleet = *Settled;
     nameLimit(Fleet, 0);
     SteadyCallers Callers(Fleet, Pause);
     std::this_thread::sleep_for(ContactTime);
@@ -156,10 +158,8 @@
   }
 
   void testLimitEndsWhenItIsNotNamedAnyMore() {
-    GatewayFleet Fleet(Gateways, Targets);
-    Fleet.startAll();
-    CPPUNIT_ASSERT(Fleet.areAllReady());
-    std::this_thread::sleep_for(SettleTime);
+    auto Settled = settledFleet();
+    GatewayFleet &Fleet = *Settled;
     SteadyCallers Callers(Fleet, Pause);
     nameLimit(Fleet, 0);
     std::this_thread::sleep_for(Window);
@@ -172,10 +172,8 @@
   }
 
   void testNewRunStartsWithoutALimit() {
-    GatewayFleet Fleet(Gateways, Targets);
-    Fleet.startAll();
-    CPPUNIT_ASSERT(Fleet.areAllReady());
-    std::this_thread::sleep_for(SettleTime);
+    auto Settled = settledFleet();
+    GatewayFleet &Fleet = *Settled;
     SteadyCallers Callers(Fleet, Pause);
     nameLimit(Fleet, 0);
     std::this_thread::sleep_for(Window);
@@ -191,10 +189,8 @@
 
   /// The store forgets a target for a while; the run is the same.
   void testLapsedAnnouncementDoesNotLiftALimit() {
-    GatewayFleet Fleet(Gateways, Targets);
-    Fleet.startAll();
-    CPPUNIT_ASSERT(Fleet.areAllReady());
-    std::this_thread::sleep_for(SettleTime);
+    auto Settled = settledFleet();
+    GatewayFleet &Fleet = *Settled;
     SteadyCallers Callers(Fleet, Pause);
     nameLimit(Fleet, 0);
     std::this_thread::sleep_for(ContactTime);
