--- /dev/null
+++ b/Tests/LibRouting/DispatcherTermsTest.cpp
@@ -0,0 +1,110 @@
+//===-- DispatcherTermsTest.cpp - Waiting for targets that state terms ----===//
+#include "LibRouting/Dispatcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::routing;
+using std::chrono::milliseconds;
+
+class DispatcherTermsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatcherTermsTest);
+  CPPUNIT_TEST(testRestThatATargetAskedForBindsAlone);
+  CPPUNIT_TEST(testWaitsForWhatALimitedTargetTakes);
+  CPPUNIT_TEST_SUITE_END();
+
+  core::TimePoint m_Now{std::chrono::hours(1)};
+  core::PoolName m_Pool{"pool"};
+  TargetDirectory m_Targets;
+  std::map<core::RequestId, core::TargetName> m_Sent;
+  std::set<core::RequestId> m_Refused;
+  Dispatcher m_Dispatcher{
+      m_Targets,
+      core::DataHallName("hall"),
+      PlacementPolicy::LeastPredictedWait,
+      {[this](core::RequestId Request, const Target &Where) {
+         m_Sent[Request] = Where.m_Name;
+       },
+       [this](core::RequestId Request) { m_Refused.insert(Request); }}};
+
+  /// The only target, under the name "a".
+  void announce(std::size_t Places) {
+    Target Out;
+    Out.m_Name = core::TargetName("a");
+    Out.m_Pool = m_Pool;
+    Out.m_DataHall = core::DataHallName("hall");
+    Out.m_Places = Places;
+    m_Targets.announce(Out);
+  }
+  /// Waits 350 ms for a place.
+  PlacementRequest request(std::uint64_t Id, std::uint32_t Tier = 1) const {
+    PlacementRequest Out;
+    Out.m_Request = core::RequestId(Id);
+    Out.m_Pool = m_Pool;
+    Out.m_Rank.m_Route = core::TierNumber(Tier);
+    Out.m_ArrivedAt = m_Now;
+    Out.m_LateAt = m_Now + milliseconds(100);
+    Out.m_BeginsBy = m_Now + milliseconds(1000);
+    Out.m_EndsAt = m_Now + milliseconds(1000);
+    return Out;
+  }
+  void place(std::uint64_t Id, std::uint32_t Tier = 1) {
+    m_Dispatcher.place(request(Id, Tier), m_Now);
+  }
+  std::string sentTo(std::uint64_t Id) {
+    auto Found = m_Sent.find(core::RequestId(Id));
+    return Found == m_Sent.end() ? "" : Found->second.value();
+  }
+
+public:
+  /// Unlike a rest that was guessed, also where there is no other target and
+  /// the time to wait is over.
+  void testRestThatATargetAskedForBindsAlone() {
+    announce(2);
+    TargetTerms Tired;
+    Tired.m_Rest = milliseconds(300);
+    m_Targets.admissions().take(core::TargetName("a"), Tired, m_Now);
+    // Waits for the end of the rest.
+    place(1);
+    CPPUNIT_ASSERT(m_Refused.empty());
+    // Its time is over before.
+    PlacementRequest Short = request(2);
+    Short.m_EndsAt = m_Now + milliseconds(500);
+    m_Dispatcher.place(Short, m_Now);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(2)) == 1);
+    m_Now += milliseconds(299);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(1));
+    m_Now += milliseconds(1);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(1));
+  }
+
+  void testWaitsForWhatALimitedTargetTakes() {
+    FleetShare::Fleet Alone{{{"10.1.0.1", 7600}, core::DataHallName("hall")}};
+    m_Targets.setShare(FleetShare({"10.1.0.1", 7600}, Alone));
+    announce(6);
+    TargetTerms Limited;
+    Limited.m_RequestsPerSecond = 5;
+    m_Targets.admissions().take(core::TargetName("a"), Limited, m_Now);
+    // It takes one after 200 ms and one more after 400; these wait 350 ms.
+    place(1);
+    CPPUNIT_ASSERT(m_Refused.empty());
+    place(2);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(2)) == 1);
+    // One of a higher tier goes first; the other can't be served in time then.
+    m_Refused.clear();
+    place(3, 2);
+    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(3)) == 1);
+    m_Now += milliseconds(200);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Dispatcher.waiting());
+    CPPUNIT_ASSERT(m_Targets.opensAt(m_Pool, 0, m_Now) ==
+                   m_Now + milliseconds(200));
+    CPPUNIT_ASSERT(m_Targets.opensAt(m_Pool, 2, m_Now) ==
+                   m_Now + milliseconds(600));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTermsTest);
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -34,8 +34,6 @@
   CPPUNIT_TEST(testTriedRunThatStartedAgainIsAnother);
   CPPUNIT_TEST(testLapsedTargetsServeUntilTheyAreForgotten);
   CPPUNIT_TEST(testReturnedTargetIsAsBefore);
-  CPPUNIT_TEST(testRestThatATargetAskedForBindsAlone);
-  CPPUNIT_TEST(testWaitsForWhatALimitedTargetTakes);
   CPPUNIT_TEST_SUITE_END();
 
   core::TimePoint m_Now{std::chrono::hours(1)};
@@ -464,55 +462,6 @@
     CPPUNIT_ASSERT(Known && !Known->m_LapsedAt);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Known->m_Own.m_Running);
   }
-
-  /// Unlike a rest that was guessed, also where there is no other target and
-  /// the time to wait is over.
-  void testRestThatATargetAskedForBindsAlone() {
-    announce("a");
-    TargetTerms Tired;
-    Tired.m_Rest = milliseconds(300);
-    m_Targets.admissions().take(core::TargetName("a"), Tired, m_Now);
-    // Waits for the end of the rest.
-    place(1);
-    CPPUNIT_ASSERT(m_Refused.empty());
-    // Its time is over before.
-    PlacementRequest Short = request(2);
-    Short.m_EndsAt = m_Now + milliseconds(500);
-    m_Dispatcher.place(Short, m_Now);
-    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(2)) == 1);
-    m_Now += milliseconds(299);
-    m_Dispatcher.dispatchWaiting(m_Now);
-    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(1));
-    m_Now += milliseconds(1);
-    m_Dispatcher.dispatchWaiting(m_Now);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(1));
-  }
-
-  void testWaitsForWhatALimitedTargetTakes() {
-    FleetShare::Fleet Alone{{{"10.1.0.1", 7600}, core::DataHallName("hall")}};
-    m_Targets.setShare(FleetShare({"10.1.0.1", 7600}, Alone));
-    announce("a", 6);
-    TargetTerms Limited;
-    Limited.m_RequestsPerSecond = 5;
-    m_Targets.admissions().take(core::TargetName("a"), Limited, m_Now);
-    // It takes one after 200 ms and one more after 400; these wait 350 ms.
-    place(1);
-    CPPUNIT_ASSERT(m_Refused.empty());
-    place(2);
-    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(2)) == 1);
-    // One of a higher tier goes first; the other can't be served in time then.
-    m_Refused.clear();
-    place(3, 2);
-    CPPUNIT_ASSERT(m_Refused.count(core::RequestId(3)) == 1);
-    m_Now += milliseconds(200);
-    m_Dispatcher.dispatchWaiting(m_Now);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(1));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Dispatcher.waiting());
-    CPPUNIT_ASSERT(m_Targets.opensAt(m_Pool, 0, m_Now) ==
-                   m_Now + milliseconds(200));
-    CPPUNIT_ASSERT(m_Targets.opensAt(m_Pool, 2, m_Now) ==
-                   m_Now + milliseconds(600));
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
