LibGateway: Count no waiting requests for terms that nobody states

Each refusal counted the requests that wait for its pool, twice, to learn when a pool opens whose targets state no terms: work that grows with the queue, just when the queue is long. The book of terms is asked first, one comparison. What is answered stays the same. Found by reading the change once more; GatewayTest, TargetRestTest, TargetTermsServiceTest, QuarantineTest and the dispatcher's tests pass.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -444,6 +444,8 @@
 
 std::optional<core::TimePoint> Gateway::opensAt(const core::PoolName &Pool,
                                                 core::TimePoint Now) {
+  if (m_Targets.admissions().isEmpty())
+    return std::nullopt;
   return m_Targets.opensAt(Pool, m_Dispatcher.waitingFor(Pool), Now);
 }
 
