Tests/LibGateway: Count requests after the gateway has read the outcome

Cause: testWithdrawnOrderIsRolledBack counted requests to the new targets as soon as the store held rolled_back. The gateway that wrote it reads it a few milliseconds later, so one more request could be on its way (189 expected, 190 counted, once in six runs of all tests). Ruled out: a gateway that goes on sending; in the red run's log the request was sent before the gateway had read the outcome. Change: waits 100 ms before the first count, as testFailingVersionIsRolledBack does; the counts 400 ms apart must still be equal.

--- a/Tests/LibGateway/RolloutTest.cpp
+++ b/Tests/LibGateway/RolloutTest.cpp
@@ -155,6 +155,9 @@
     m_Store.remove("op/rollout/app");
     CPPUNIT_ASSERT(eventually([this] { return isState("rolled_back"); },
                               milliseconds(2000)));
+    // The store holds the outcome some milliseconds before the gateway has read
+    // it, and a request sent until then is still on its way.
+    std::this_thread::sleep_for(milliseconds(100));
     std::size_t New = requestsOf(3, 4);
     std::this_thread::sleep_for(milliseconds(400));
     CPPUNIT_ASSERT_EQUAL(New, requestsOf(3, 4));
