LibRouting: Limit targets that warm up, and drain data halls

Cause: a deployment may drain a data hall, and its targets bear only some requests a second while they are cold; neither was read. Ruled out: a second mechanism beside limits. The three senders of SharedRateLimit already keep a rate over all instances, whoever hears of it when; a warm-up is one more reason for a limit. A cost instead of a gate: a preference ends where all targets are cold. Change: a warm-up from the announcement, or assumed for a new incarnation, a restored data hall and a restarted process, limits a target to its pool's rate. TargetDirectory, which nothing that is sent goes round, admits nothing to a drained data hall. A target that falls cold while it serves is limited only once its announcement says so.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -64,11 +64,18 @@
 /// A target was announced, or its announcement was changed.
 struct TargetUpdate {
   routing::Target m_Target;
+  /// Time until the target has warmed up, from the announcement on.
+  core::Duration m_WarmUpLeft{};
 };
 /// A target's announcement was removed.
 struct TargetRemoval {
   core::TargetName m_Target;
 };
+/// An order to drain a data hall was published or removed.
+struct DataHallUpdate {
+  core::DataHallName m_DataHall;
+  bool m_IsDrained = false;
+};
 /// A rollout order was published for a pool.
 struct RolloutOrderUpdate {
   rollout::Order m_Order;
@@ -85,8 +92,8 @@
 /// One decoded change of the store; std::monostate for a change to ignore.
 using StoreUpdate =
     std::variant<std::monostate, ConfigurationUpdate, TargetUpdate,
-                 TargetRemoval, RolloutOrderUpdate, RolloutOrderRemoval,
-                 RolloutStatusUpdate>;
+                 TargetRemoval, DataHallUpdate, RolloutOrderUpdate,
+                 RolloutOrderRemoval, RolloutStatusUpdate>;
 
 /// Translates between the gateway's descriptions and the platform's headers and
 /// store entries. Gateway and RolloutWriter call it; platform::PlatformDialect
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -236,6 +236,7 @@
     return;
   m_Table = std::move(Next);
   m_Quotas.setAccounts(m_Table->accounts());
+  m_Targets.setPools(m_Table->pools(), core::steadyNow());
   m_CallerServer->setLimits(
       toServerLimits(m_Table->limits(), m_Settings.m_MaxConnections));
   core::LogLine("configuration-in-force")
@@ -499,6 +500,8 @@
   Set("yardrill_target_connections_opened", m_Connections.opened());
   Set("yardrill_quarantined_contents", m_Quarantine.table().quarantined());
   Set("yardrill_limited_targets", m_Targets.throttles().limited());
+  Set("yardrill_warming_targets", m_Targets.throttles().warmingUp());
+  Set("yardrill_drained_data_halls", m_Targets.drainedHalls().size());
   Set("yardrill_resting_targets",
       m_Targets.throttles().backedOff(core::steadyNow()));
   Set("yardrill_suspected_contents", m_Quarantine.table().size());
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -75,8 +75,13 @@
   /// Passes a changed store entry to the component that it concerns.
   void applyEntry(const platform::Entry &Change);
   /// \param ModRevision revision of the announcement.
-  void applyTarget(const routing::Target &Update,
+  void applyTarget(const TargetUpdate &Announced,
                    platform::Revision ModRevision);
+  /// Limits a target that warms up by its announcement, or may do so.
+  void updateWarmUp(const TargetUpdate &Update,
+                    routing::AnnouncementEffect Effect);
+  void applyDataHall(const DataHallUpdate &Update,
+                     platform::Revision ModRevision);
   /// Puts a configuration in force if it is newer than the current one.
   void applyConfiguration(routing::RoutingTableHandle Next);
   /// Returns the number of targets of the largest configured pool.
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -41,7 +41,9 @@
     return applyConfiguration(std::move(Update->m_Table));
   }
   if (const auto *Update = std::get_if<TargetUpdate>(&Decoded))
-    return applyTarget(Update->m_Target, Change.m_ModRevision);
+    return applyTarget(*Update, Change.m_ModRevision);
+  if (const auto *Update = std::get_if<DataHallUpdate>(&Decoded))
+    return applyDataHall(*Update, Change.m_ModRevision);
   if (const auto *Removal = std::get_if<TargetRemoval>(&Decoded)) {
     core::LogLine("target-gone")
         .add("target", Removal->m_Target)
@@ -62,9 +64,36 @@
   scheduleRolloutUpkeep();
 }
 
-void Gateway::applyTarget(const routing::Target &Update,
+void Gateway::applyDataHall(const DataHallUpdate &Update,
+                            platform::Revision ModRevision) {
+  if (!m_Targets.setDrained(Update.m_DataHall, Update.m_IsDrained,
+                            core::steadyNow()))
+    return;
+  core::LogLine(Update.m_IsDrained ? "data-hall-drained" : "data-hall-restored",
+                core::LogLevel::Warning)
+      .add("data_hall", Update.m_DataHall)
+      .add("revision", ModRevision);
+}
+
+void Gateway::updateWarmUp(const TargetUpdate &Update,
+                           routing::AnnouncementEffect Effect) {
+  core::TimePoint Now = core::steadyNow();
+  const core::TargetName &Name = Update.m_Target.m_Name;
+  m_Targets.setStatedWarmUp(Name, Now + Update.m_WarmUpLeft, Now);
+  // A target that this instance sees start, or that it doesn't know because it
+  // has itself been restarted, may be colder than its announcement states. All
+  // targets are warm before a deployment serves its first request.
+  bool IsInFirstSnapshot = m_Mirror.revision() == platform::Revision();
+  if (Effect == routing::AnnouncementEffect::NewIncarnation &&
+      !(IsInFirstSnapshot && m_Settings.m_IsFirstStart))
+    m_Targets.assumeWarmUp(Name, Now);
+}
+
+void Gateway::applyTarget(const TargetUpdate &Announced,
                           platform::Revision ModRevision) {
+  const routing::Target &Update = Announced.m_Target;
   routing::AnnouncementEffect Effect = m_Targets.announce(Update);
+  updateWarmUp(Announced, Effect);
   if (Effect == routing::AnnouncementEffect::Nothing)
     return;
   core::LogLine("target-seen")
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -165,7 +165,8 @@
     return {};
   std::vector<KnownTarget *> Canaries;
   for (KnownTarget *Each : m_Targets.subsetOf(Request.m_Pool))
-    if (m_Targets.acceptsRequests(*Each, Now) && Gate.isCanary(Each->m_Target))
+    if (m_Targets.acceptsRequests(*Each, Now) && mayUse(*Each, Request) &&
+        Gate.isCanary(Each->m_Target))
       Canaries.push_back(Each);
   if (Canaries.empty())
     return {};
@@ -182,6 +183,11 @@
   return Out;
 }
 
+bool Dispatcher::mayUse(const KnownTarget &Known,
+                        const PlacementRequest &Request) const {
+  return Request.m_TriedTargets.count(Known.m_Target.incarnation()) == 0;
+}
+
 std::vector<KnownTarget *>
 Dispatcher::candidates(const PlacementRequest &Request,
                        core::TimePoint Now) const {
@@ -194,15 +200,15 @@
   std::vector<KnownTarget *> Out;
   auto AddCandidates = [&](const std::vector<KnownTarget *> &From) {
     for (KnownTarget *Each : From)
-      if (m_Targets.acceptsRequests(*Each, Now) &&
-          Request.m_TriedTargets.count(Each->m_Target.incarnation()) == 0 &&
+      if (m_Targets.acceptsRequests(*Each, Now) && mayUse(*Each, Request) &&
           (!Gate || Gate->mayServe(Each->m_Target, Now)))
         Out.push_back(Each);
   };
   AddCandidates(m_Targets.subsetOf(Request.m_Pool));
-  // During a rollout, this instance's subset may contain no target of a version
-  // that takes requests.
-  if (Gate && Out.empty())
+  // The subset may contain no target of a version that takes requests during a
+  // rollout, or only drained data halls.
+  bool IsRestricted = Gate || !m_Targets.drainedHalls().empty();
+  if (IsRestricted && Out.empty())
     AddCandidates(m_Targets.allTargetsOf(Request.m_Pool));
   // A failing target always has free slots. Without this it would receive the
   // whole queue whenever the others are full.
@@ -252,8 +258,9 @@
         return Each.second.m_Pool == Request.m_Pool &&
                precedes(Each.second, Request, Now);
       });
-  return m_Targets.availableAt(Request.m_Pool, static_cast<std::size_t>(Ahead),
-                               Now, Request.m_TriedTargets);
+  return m_Targets.availableAt(
+      Request.m_Pool, static_cast<std::size_t>(Ahead), Now,
+      [&](const KnownTarget &Each) { return mayUse(Each, Request); });
 }
 
 bool Dispatcher::trySend(const PlacementRequest &Request, core::TimePoint Now) {
--- a/Libraries/LibRouting/KnownTarget.h
+++ b/Libraries/LibRouting/KnownTarget.h
@@ -39,6 +39,11 @@
   core::TimePoint m_CooldownUntil{};
   /// Another incarnation responds at its address; this one will not return.
   bool m_IsReplaced = false;
+  /// End of the warm-up that its announcement states.
+  core::TimePoint m_StatedWarmUpUntil{};
+  /// Start of a warm-up that is assumed, since an announcement that states it
+  /// can be late.
+  std::optional<core::TimePoint> m_AssumedWarmUpSince;
   /// Time since which its announcement is missing.
   std::optional<core::TimePoint> m_ExpiredAt;
 
--- a/Libraries/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/RoutingTable.h
@@ -78,6 +78,10 @@
   std::size_t m_MaxConnections = 0; ///< To one target, from all instances.
   bool m_IsInference = false;       ///< Targets are batching inference engines.
   double m_TokensPerEvent = 1;      ///< Tokens per event of a stream.
+  /// Requests a second that a target bears, from all instances together, while
+  /// it warms up; 0: it needs no warm-up.
+  double m_WarmUpPerSecond = 0;
+  core::Duration m_WarmUpTime{}; ///< After the start of a target.
 };
 
 /// A client account with its keys, tier and quota.
--- a/Libraries/LibRouting/SharedRateLimit.cpp
+++ b/Libraries/LibRouting/SharedRateLimit.cpp
@@ -11,7 +11,7 @@
 bool SharedRateLimit::apply(const RateLimitUpdate &Update) {
   if (Update.m_At < m_Update.m_At)
     return false;
-  if (!Update.m_PerSecond && isLimited() &&
+  if (!Update.m_PerSecond && isStated() &&
       Update.m_At - m_Update.m_At < ReorderTime)
     return false;
   bool IsChanged = m_Update.m_PerSecond != Update.m_PerSecond;
@@ -27,9 +27,20 @@
   m_Senders = Senders;
 }
 
+void SharedRateLimit::expireWarmUp(core::TimePoint Now) {
+  if (m_WarmUp && m_WarmUp->m_Until <= Now)
+    m_WarmUp.reset();
+}
+
+double SharedRateLimit::perSecond() const {
+  if (!isStated())
+    return m_WarmUp->m_PerSecond;
+  double Stated = std::max(*m_Update.m_PerSecond, MinPerSecond);
+  return m_WarmUp ? std::min(Stated, m_WarmUp->m_PerSecond) : Stated;
+}
+
 double SharedRateLimit::intervalSeconds() const {
-  return static_cast<double>(m_Senders) /
-         std::max(*m_Update.m_PerSecond, MinPerSecond);
+  return static_cast<double>(m_Senders) / perSecond();
 }
 
 void SharedRateLimit::recordSent(core::TimePoint Now) {
--- a/Libraries/LibRouting/SharedRateLimit.h
+++ b/Libraries/LibRouting/SharedRateLimit.h
@@ -1,10 +1,11 @@
 //===-- SharedRateLimit.h - Rate limit shared by all instances ------------===//
 //
 // A target states how many requests a second it accepts from all instances
-// together. A few instances that use the target are its senders; all instances
-// with the same membership select the same ones. Each sender sends its share of
-// the limit, spaced by the generic cell rate algorithm (ITU-T I.371), and the
-// others send nothing. Idle time earns limited credit, so in any time t
+// together, or accepts only so many while it warms up. A few instances that use
+// the target are its senders; all instances with the same membership select the
+// same ones. Each sender sends its share of the limit, spaced by the generic
+// cell rate algorithm (ITU-T I.371), and the others send nothing. Idle time
+// earns limited credit, so in any time t
 //   n senders send at most  n x (limit / MaxSenders x t + 1 + Tolerance)
 // and MaxSenders of them  limit x t + MaxSenders x (1 + Tolerance).
 // An instance that is a sender only by a different membership adds the share of
@@ -27,7 +28,14 @@
   core::TimePoint m_At{};            ///< Time of the response.
 };
 
-/// Enforces this instance's share of the limit of one target incarnation.
+/// Rate that a target bears from all instances together until it is warm.
+struct WarmUp {
+  double m_PerSecond = 0;
+  core::TimePoint m_Until{};
+};
+
+/// Enforces this instance's share of the limit of one target incarnation: the
+/// lower one of its stated limit and its rate while it warms up.
 class SharedRateLimit {
 public:
   /// Maximum number of senders of a target. More senders lose a smaller share
@@ -43,7 +51,15 @@
   /// updates older than the latest, and one without a limit shortly after one
   /// with a limit. \returns whether the limit has changed.
   bool apply(const RateLimitUpdate &Update);
-  bool isLimited() const { return m_Update.m_PerSecond.has_value(); }
+  /// Whether the target has stated a limit that is in force.
+  bool isStated() const { return m_Update.m_PerSecond.has_value(); }
+  /// Replaces the warm-up; none: the target is warm.
+  void setWarmUp(std::optional<WarmUp> Limit) { m_WarmUp = Limit; }
+  /// Ends a warm-up whose time has passed.
+  void expireWarmUp(core::TimePoint Now);
+  bool isWarmingUp() const { return m_WarmUp.has_value(); }
+  /// Whether any limit is in force.
+  bool isLimited() const { return isStated() || isWarmingUp(); }
   /// Returns the latest applied update.
   const RateLimitUpdate &latestUpdate() const { return m_Update; }
 
@@ -65,8 +81,12 @@
   /// Returns the average time between two requests of this instance. Requires
   /// isLimited() and isSender().
   double intervalSeconds() const;
+  /// Returns the limit in force, in requests a second over all instances.
+  /// Requires isLimited().
+  double perSecond() const;
 
   RateLimitUpdate m_Update;
+  std::optional<WarmUp> m_WarmUp;
   std::size_t m_Senders = 0;
   /// Time of the last request, or when this instance became a sender.
   core::TimePoint m_LastAt{};
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -115,6 +115,70 @@
   }
 }
 
+//===----------------------------------------------------------------------===//
+// Warm-up and data halls
+//===----------------------------------------------------------------------===//
+
+void TargetDirectory::setPools(
+    const std::unordered_map<core::PoolName, Pool> &Pools,
+    core::TimePoint Now) {
+  m_WarmUpPools.clear();
+  for (const auto &[Name, Each] : Pools)
+    if (Each.m_WarmUpPerSecond > 0)
+      m_WarmUpPools.emplace(Name, Each);
+  // Targets may have been announced before the configuration.
+  for (const auto &[Name, Known] : m_Targets)
+    applyWarmUp(Known, Now);
+}
+
+void TargetDirectory::applyWarmUp(const KnownTarget &Known,
+                                  core::TimePoint Now) {
+  auto Policy = m_WarmUpPools.find(Known.m_Target.m_Pool);
+  std::optional<WarmUp> Limit;
+  if (Policy != m_WarmUpPools.end()) {
+    core::TimePoint Until = Known.m_StatedWarmUpUntil;
+    if (Known.m_AssumedWarmUpSince)
+      Until = std::max(Until, *Known.m_AssumedWarmUpSince +
+                                  Policy->second.m_WarmUpTime);
+    if (Now < Until)
+      Limit = WarmUp{Policy->second.m_WarmUpPerSecond, Until};
+  }
+  m_Throttles.setWarmUp(Known.m_Target.incarnation(), Limit, Now);
+}
+
+void TargetDirectory::setStatedWarmUp(const core::TargetName &Name,
+                                      core::TimePoint Until,
+                                      core::TimePoint Now) {
+  KnownTarget *Known = find(Name);
+  if (!Known || (Until <= Now && Known->m_StatedWarmUpUntil <= Now))
+    return;
+  Known->m_StatedWarmUpUntil = Until;
+  applyWarmUp(*Known, Now);
+}
+
+void TargetDirectory::assumeWarmUp(const core::TargetName &Name,
+                                   core::TimePoint Now) {
+  if (KnownTarget *Known = find(Name))
+    assumeWarmUp(*Known, Now);
+}
+
+void TargetDirectory::assumeWarmUp(KnownTarget &Known, core::TimePoint Now) {
+  Known.m_AssumedWarmUpSince = Now;
+  applyWarmUp(Known, Now);
+}
+
+bool TargetDirectory::setDrained(const core::DataHallName &Hall, bool IsDrained,
+                                 core::TimePoint Now) {
+  if (IsDrained)
+    return m_DrainedHalls.insert(Hall).second;
+  if (m_DrainedHalls.erase(Hall) == 0)
+    return false;
+  for (auto &[Name, Known] : m_Targets)
+    if (Known.m_Target.m_DataHall == Hall)
+      assumeWarmUp(Known, Now);
+  return true;
+}
+
 //===----------------------------------------------------------------------===//
 // Outcomes of requests
 //===----------------------------------------------------------------------===//
@@ -319,15 +383,14 @@
 
 bool TargetDirectory::acceptsRequests(const KnownTarget &Known,
                                       core::TimePoint Now) {
-  if (!Known.acceptsRequests() || m_Throttles.isEmpty())
-    return Known.acceptsRequests();
+  if (!isOpen(Known) || m_Throttles.isEmpty())
+    return isOpen(Known);
   return m_Throttles.acceptsRequests(Known.m_Target.incarnation(), Now);
 }
 
-std::optional<core::TimePoint>
-TargetDirectory::availableAt(const core::PoolName &Pool, std::size_t Ahead,
-                             core::TimePoint Now,
-                             const std::set<TargetIncarnation> &Except) {
+std::optional<core::TimePoint> TargetDirectory::availableAt(
+    const core::PoolName &Pool, std::size_t Ahead, core::TimePoint Now,
+    const std::function<bool(const KnownTarget &)> &MayUse) {
   if (m_Throttles.isEmpty())
     return std::nullopt;
   std::optional<core::TimePoint> First;
@@ -338,7 +401,7 @@
   double PerSecond = 0;
   for (const KnownTarget *Each : subsetOf(Pool)) {
     TargetIncarnation Incarnation = Each->m_Target.incarnation();
-    if (!Each->acceptsRequests() || Except.count(Incarnation) != 0)
+    if (!isOpen(*Each) || (MayUse && !MayUse(*Each)))
       continue;
     auto Next = m_Throttles.availability(Incarnation, Now);
     if (Next && Next->m_At <= Now)
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -14,8 +14,10 @@
 #include "LibRouting/FleetSubset.h"
 #include "LibRouting/InterleavedTargets.h"
 #include "LibRouting/KnownTarget.h"
+#include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetThrottleTable.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -54,6 +56,29 @@
   /// Removes targets whose grace period has passed.
   void removeExpired(core::TimePoint Now);
 
+  // Warm-up: a target that has just started, or that has idled while its data
+  // hall was drained, fails under more than its pool's warm-up rate.
+  /// Sets the pools' warm-up rates and times.
+  void setPools(const std::unordered_map<core::PoolName, Pool> &Pools,
+                core::TimePoint Now);
+  /// Sets the end of the warm-up that a target's announcement states; a time in
+  /// the past: it is warm.
+  void setStatedWarmUp(const core::TargetName &Name, core::TimePoint Until,
+                       core::TimePoint Now);
+  /// Assumes that a target begins to warm up now, whatever its announcement
+  /// states.
+  void assumeWarmUp(const core::TargetName &Name, core::TimePoint Now);
+
+  // Data halls.
+  /// Sets whether a data hall is drained, that is, its targets get no new
+  /// requests. Afterwards they are assumed to warm up. \returns whether that
+  /// changed.
+  bool setDrained(const core::DataHallName &Hall, bool IsDrained,
+                  core::TimePoint Now);
+  const std::set<core::DataHallName> &drainedHalls() const {
+    return m_DrainedHalls;
+  }
+
   // Outcomes of requests. Those of an incarnation that has ended are ignored,
   // because requests may outlast their target.
   /// Counts a request that is about to be sent, if the target accepts it. Must
@@ -97,11 +122,11 @@
   /// Returns when the first throttled target of the subset accepts a request;
   /// none if a target accepts one now or no target will.
   /// \param Ahead number of requests to be served first by limited targets.
-  /// \param Except incarnations to leave out.
+  /// \param MayUse whether to consider a target; empty: all of the subset.
   std::optional<core::TimePoint>
   availableAt(const core::PoolName &Pool, std::size_t Ahead,
               core::TimePoint Now,
-              const std::set<TargetIncarnation> &Except = {});
+              const std::function<bool(const KnownTarget &)> &MayUse = nullptr);
   /// Returns all instances that share this instance's subset of the pool,
   /// including itself.
   std::vector<config::Endpoint>
@@ -148,6 +173,15 @@
     FirstEventEstimate m_FirstEventEstimate;
   };
 
+  /// Whether a target may receive requests now or later, by its announcement
+  /// and by the state of its data hall.
+  bool isOpen(const KnownTarget &Known) const {
+    return Known.acceptsRequests() &&
+           m_DrainedHalls.count(Known.m_Target.m_DataHall) == 0;
+  }
+  /// Sets the target's limit by the later one of its warm-ups.
+  void applyWarmUp(const KnownTarget &Known, core::TimePoint Now);
+  void assumeWarmUp(KnownTarget &Known, core::TimePoint Now);
   /// Whether most targets of all pools are missing, which indicates a store
   /// outage.
   bool areMostExpired() const;
@@ -169,6 +203,9 @@
   std::set<const KnownTarget *, KnownTarget::ByHash> m_Busy;
   std::vector<KnownTarget *> m_RemotelyBusy; ///< Targets with remote load.
   std::set<core::TargetName> m_Expired;
+  /// Pools whose targets need a warm-up.
+  std::map<core::PoolName, Pool> m_WarmUpPools;
+  std::set<core::DataHallName> m_DrainedHalls;
   FleetSubset m_FleetSubset;
   TargetThrottleTable m_Throttles;
 };
--- a/Libraries/LibRouting/TargetThrottleTable.cpp
+++ b/Libraries/LibRouting/TargetThrottleTable.cpp
@@ -41,6 +41,17 @@
   return IsChanged;
 }
 
+void TargetThrottleTable::setWarmUp(const TargetIncarnation &Incarnation,
+                                    std::optional<WarmUp> Limit,
+                                    core::TimePoint Now) {
+  Entry *Known = find(Incarnation, Now);
+  if (!Known && !Limit)
+    return;
+  Entry &State = Known ? *Known : findOrCreate(Incarnation, Now);
+  State.m_Throttle.limit().setWarmUp(Limit);
+  updateSenders(Incarnation, State, Now);
+}
+
 void TargetThrottleTable::recordChange(const TargetIncarnation &Incarnation,
                                        Entry &State, core::TimePoint Now) {
   State.m_ChangedAt = Now;
@@ -63,6 +74,7 @@
   auto Found = m_Throttles.find(Incarnation);
   if (Found == m_Throttles.end())
     return nullptr;
+  Found->second.m_Throttle.limit().expireWarmUp(Now);
   updateSenders(Incarnation, Found->second, Now);
   return &Found->second;
 }
@@ -116,7 +128,7 @@
   for (const auto &[Incarnation, Each] : m_Throttles) {
     const SharedRateLimit &Limit = Each.m_Throttle.limit();
     bool IsNew = Now - Each.m_ChangedAt < ChangeReportTime;
-    bool IsDue = Limit.isSender() && (Limit.isLimited() || IsNew);
+    bool IsDue = Limit.isSender() && (Limit.isStated() || IsNew);
     if (IsDue || Now < Each.m_ReportUntil)
       Out.push_back(reportOf(Incarnation));
   }
@@ -126,20 +138,22 @@
 bool TargetThrottleTable::isStale(const Entry &State, core::TimePoint Now) {
   const TargetThrottle &Known = State.m_Throttle;
   core::Duration Silence = Now - State.m_UpdatedAt;
-  if (Known.isBackedOff(Now))
+  if (Known.isBackedOff(Now) || Known.limit().isWarmingUp())
     return false;
   if (Known.isLeaving())
     return Silence >= LeavingStateLifetime;
-  if (Known.limit().isLimited())
+  if (Known.limit().isStated())
     return !Known.limit().isSender() && Silence >= ReportTimeout;
   // Delayed reports may still carry the limit that was cleared.
   return Now - State.m_ChangedAt >= ReportTimeout;
 }
 
 void TargetThrottleTable::removeStale(core::TimePoint Now) {
-  for (auto Each = m_Throttles.begin(); Each != m_Throttles.end();)
+  for (auto Each = m_Throttles.begin(); Each != m_Throttles.end();) {
+    Each->second.m_Throttle.limit().expireWarmUp(Now);
     Each =
         isStale(Each->second, Now) ? m_Throttles.erase(Each) : std::next(Each);
+  }
 }
 
 bool TargetThrottleTable::isLeaving(
@@ -158,7 +172,14 @@
 std::size_t TargetThrottleTable::limited() const {
   return static_cast<std::size_t>(std::count_if(
       m_Throttles.begin(), m_Throttles.end(), [](const auto &Each) {
-        return Each.second.m_Throttle.limit().isLimited();
+        return Each.second.m_Throttle.limit().isStated();
+      }));
+}
+
+std::size_t TargetThrottleTable::warmingUp() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Throttles.begin(), m_Throttles.end(), [](const auto &Each) {
+        return Each.second.m_Throttle.limit().isWarmingUp();
       }));
 }
 
--- a/Libraries/LibRouting/TargetThrottleTable.h
+++ b/Libraries/LibRouting/TargetThrottleTable.h
@@ -44,6 +44,10 @@
   /// Applies a report of another instance. \returns whether it changed
   /// anything.
   bool update(const BackpressureReport &Report, core::TimePoint Now);
+  /// Limits an incarnation while it warms up; none: it is warm. Every instance
+  /// learns of a warm-up from the announcements, so it is not reported.
+  void setWarmUp(const TargetIncarnation &Incarnation,
+                 std::optional<WarmUp> Limit, core::TimePoint Now);
   /// Causes all senders to be counted again on the next access.
   void invalidateSenders() { ++m_Generation; }
 
@@ -69,8 +73,10 @@
   bool isSender(const TargetIncarnation &Incarnation) const;
   /// Removes entries that have not been updated for long.
   void removeStale(core::TimePoint Now);
-  /// Returns the number of targets with a limit.
+  /// Returns the number of targets with a stated limit.
   std::size_t limited() const;
+  /// Returns the number of targets that warm up.
+  std::size_t warmingUp() const;
   /// Returns the number of targets that have asked this instance to back off.
   std::size_t backedOff(core::TimePoint Now) const;
   bool isEmpty() const { return m_Throttles.empty(); }
--- a/Programs/yardrill/RequestTimeline.cpp
+++ b/Programs/yardrill/RequestTimeline.cpp
@@ -17,7 +17,8 @@
       "target-gone",       "target-replaced",     "target-refused",
       "target-broke",      "connect-failed",      "instance-started",
       "target-ended",      "content-quarantined", "content-released",
-      "instance-stopping", "instance-stopped",    "log-lines-dropped"};
+      "instance-stopping", "instance-stopped",    "log-lines-dropped",
+      "data-hall-drained", "data-hall-restored"};
   return All;
 }
 
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(testInvalidBackpressureIsIgnored);
   CPPUNIT_TEST(testParsesConfiguration);
   CPPUNIT_TEST(testParsesTargets);
+  CPPUNIT_TEST(testParsesWarmUps);
+  CPPUNIT_TEST(testParsesDrainedDataHalls);
   CPPUNIT_TEST(testMalformedEntriesThrowTypedErrors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -234,6 +236,43 @@
     CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(Update));
   }
 
+  void testParsesWarmUps() {
+    Entry Change{"servers/i-7f",
+                 R"({"service":"huvo11a","address":"10.128.0.9:8080",
+                     "zone":"bandung","version":"v1","slots":6,"state":"ready",
+                     "coldLeftMs":1500,"seq":4})",
+                 Revision(1)};
+    CPPUNIT_ASSERT(
+        std::get<gateway::TargetUpdate>(m_Dialect.read(Change)).m_WarmUpLeft ==
+        std::chrono::milliseconds(1500));
+    Change.m_Value.replace(Change.m_Value.find("1500"), 4, "-1e9");
+    CPPUNIT_ASSERT(
+        std::get<gateway::TargetUpdate>(m_Dialect.read(Change)).m_WarmUpLeft ==
+        core::Duration::zero());
+    auto Table = parseConfiguration(
+        R"({"version":1,"routes":[],"services":[{"name":"a","coldPerS":27.0,
+            "coldStartS":2.5},{"name":"b"}]})");
+    const auto *Pool = Table->findPool(core::PoolName("a"));
+    CPPUNIT_ASSERT_EQUAL(27.0, Pool->m_WarmUpPerSecond);
+    CPPUNIT_ASSERT(Pool->m_WarmUpTime == std::chrono::milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(
+        0.0, Table->findPool(core::PoolName("b"))->m_WarmUpPerSecond);
+  }
+
+  void testParsesDrainedDataHalls() {
+    for (const char *Value : {"{}", "", "[", "null"}) {
+      Entry Change{"op/evacuate/fi-south-a", Value, Revision(1)};
+      auto Update = std::get<gateway::DataHallUpdate>(m_Dialect.read(Change));
+      CPPUNIT_ASSERT(Update.m_DataHall == core::DataHallName("fi-south-a"));
+      CPPUNIT_ASSERT(Update.m_IsDrained);
+      Change.m_IsDeleted = true;
+      CPPUNIT_ASSERT(!std::get<gateway::DataHallUpdate>(m_Dialect.read(Change))
+                          .m_IsDrained);
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(
+        m_Dialect.read({"op/evacuate/", "{}", Revision(1)})));
+  }
+
   void testMalformedEntriesThrowTypedErrors() {
     for (const char *Value :
          {"", "[]", "{", R"({"service":1})", R"({"service":"a"})",
--- a/Tests/Support/ScriptedTarget.h
+++ b/Tests/Support/ScriptedTarget.h
@@ -43,6 +43,8 @@
   }
   std::atomic<int> m_ClosedWhileWaiting{0};
   std::atomic<int> m_Accepted{0}; ///< Accepted connections.
+  /// Time before each response, in milliseconds.
+  std::atomic<int> m_DelayMs{0};
 
 private:
   void accept(asio::yield_context Yield) {
@@ -71,6 +73,11 @@
         std::lock_guard<std::mutex> Lock(m_Mutex);
         m_Requests.push_back(Received);
       }
+      if (m_DelayMs != 0) {
+        asio::steady_timer Delay(Socket.get_executor(),
+                                 std::chrono::milliseconds(m_DelayMs));
+        Delay.async_wait(Yield[Failure]);
+      }
       std::string Bytes = m_Respond(Received);
       if (Bytes.empty()) {
         Socket.set_option(asio::socket_base::linger(true, 0));
