LibRouting: Keep requests in the regions of their route and account

Cause: routes and accounts may name the regions in which their requests may run; this was not read, so any target of the pool could get them. Ruled out: a filter in the dispatcher's cost; a request must be refused rather than run elsewhere. Change: the regions that both allow are fixed on admission, and every choice of a target (queue, retry, resumed stream, canary) excludes targets elsewhere, and those in a data hall without a known region. If this instance's subset has no such target, it uses all of the pool. Tests: DataHallTest (route, account, both, unknown region, retry, new configuration), DialectTest (an element that is no string makes the configuration unreadable rather than wider). Conclusion: a request without a target in its regions is refused with 503 and a Retry-After, before anything was sent.

--- a/Libraries/LibCore/StrongType.h
+++ b/Libraries/LibCore/StrongType.h
@@ -62,6 +62,8 @@
 using TargetStartTime = StrongType<struct TargetStartTimeTag, std::int64_t>;
 using InstanceName = StrongType<struct InstanceNameTag, std::string>;
 using DataHallName = StrongType<struct DataHallNameTag, std::string>;
+/// Area with one or more data halls.
+using RegionName = StrongType<struct RegionNameTag, std::string>;
 
 } // namespace yardrill::core
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -98,6 +98,7 @@
       m_Random(core::randomBits()) {
   m_Mirror.subscribe(
       [this](const platform::Entry &Change) { applyEntry(Change); });
+  m_Targets.setRegions(m_Settings.m_Regions);
   listen();
 }
 
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -101,6 +101,7 @@
   m_Account = Admitted.m_Account;
   m_Pool = Admitted.m_Pool;
   m_Tier = Admitted.m_Tier;
+  m_Regions = Admitted.m_Regions;
   m_EndsAt = Admitted.m_EndsAt;
   if (Admitted.m_Status != 0)
     return Admitted.m_Status;
@@ -159,6 +160,7 @@
   Placement.m_IsInference = Pool && Pool->m_IsInference;
   Placement.m_PromptTokens = m_Description.m_PromptTokens;
   Placement.m_TriedTargets = m_TriedTargets;
+  Placement.m_Regions = m_Regions;
   if (Placement.m_IsInference) {
     // The caller's estimate is a median. Without it, expect half of the bound.
     double Tokens = m_Description.m_ExpectedTokens != 0
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -10,6 +10,7 @@
 #include "LibRouting/QuotaOwner.h"
 #include "LibRouting/RetryBudget.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
 struct GatewaySettings {
   core::InstanceName m_Name;
   core::DataHallName m_DataHall;
+  /// Region of each data hall.
+  std::map<core::DataHallName, core::RegionName> m_Regions;
   config::Endpoint m_CallerAddress;
   config::Endpoint m_ReadinessAddress;
   config::Endpoint m_PeerAddress; ///< Bound for UDP and TCP.
--- a/Libraries/LibGateway/RequestAdmission.cpp
+++ b/Libraries/LibGateway/RequestAdmission.cpp
@@ -33,6 +33,10 @@
     Limit = std::min(Limit, *Request.m_Deadline);
   Out.m_EndsAt = m_Now + Limit;
   Out.m_Pool = Out.m_Route->choosePool(Point);
+  Out.m_Regions = Out.m_Route->m_Regions;
+  if (Out.m_Account)
+    Out.m_Regions =
+        routing::intersection(Out.m_Regions, Out.m_Account->m_Regions);
   if (Out.m_Account)
     Out.m_Charge = Request.m_HasTokenCounts
                        ? Request.m_PromptTokens + Request.m_OutputTokens
--- a/Libraries/LibGateway/RequestAdmission.h
+++ b/Libraries/LibGateway/RequestAdmission.h
@@ -19,6 +19,8 @@
   core::TierNumber m_Tier{1};
   std::uint32_t m_Charge = 0; ///< Tokens to take from the account's quota.
   core::TimePoint m_EndsAt{}; ///< Deadline of the response.
+  /// Regions that the route and the account both allow.
+  routing::AllowedRegions m_Regions;
 };
 
 /// Checks a request's route and API key against the routing table, and
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -24,6 +24,7 @@
   const routing::Account *m_Account = nullptr;
   core::PoolName m_Pool;
   core::TierNumber m_Tier{1};
+  routing::AllowedRegions m_Regions;       ///< Of the route and the account.
   routing::QuotaAcquisition m_Acquisition; ///< Tokens taken from the quota.
   quarantine::ContentDigest m_Content;     ///< Set on admission.
   ResponseTiming m_Timing{core::steadyNow()};
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -185,7 +185,8 @@
 
 bool Dispatcher::mayUse(const KnownTarget &Known,
                         const PlacementRequest &Request) const {
-  return Request.m_TriedTargets.count(Known.m_Target.incarnation()) == 0;
+  return Request.m_TriedTargets.count(Known.m_Target.incarnation()) == 0 &&
+         m_Targets.isInRegions(Known, Request.m_Regions);
 }
 
 std::vector<KnownTarget *>
@@ -206,8 +207,9 @@
   };
   AddCandidates(m_Targets.subsetOf(Request.m_Pool));
   // The subset may contain no target of a version that takes requests during a
-  // rollout, or only drained data halls.
-  bool IsRestricted = Gate || !m_Targets.drainedHalls().empty();
+  // rollout, none in the request's regions, or only drained data halls.
+  bool IsRestricted =
+      Gate || Request.m_Regions || !m_Targets.drainedHalls().empty();
   if (IsRestricted && Out.empty())
     AddCandidates(m_Targets.allTargetsOf(Request.m_Pool));
   // A failing target always has free slots. Without this it would receive the
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -40,6 +40,7 @@
   /// Time by which the response must be complete.
   core::TimePoint m_EndsAt{};
   std::set<TargetIncarnation> m_TriedTargets; ///< Excluded from assignment.
+  AllowedRegions m_Regions; ///< Targets elsewhere must not receive it.
 };
 
 /// Reports the decisions of a Dispatcher and supplies version gates.
--- a/Libraries/LibRouting/RoutingTable.cpp
+++ b/Libraries/LibRouting/RoutingTable.cpp
@@ -4,9 +4,19 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 
 namespace yardrill::routing {
 
+AllowedRegions intersection(const AllowedRegions &A, const AllowedRegions &B) {
+  if (!A || !B)
+    return A ? A : B;
+  std::set<core::RegionName> Out;
+  std::set_intersection(A->begin(), A->end(), B->begin(), B->end(),
+                        std::inserter(Out, Out.end()));
+  return Out;
+}
+
 const core::PoolName &Route::choosePool(std::uint64_t Point) const {
   assert(!m_Pools.empty());
   std::uint64_t Total = 0;
--- a/Libraries/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/RoutingTable.h
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,6 +38,12 @@
   Stream,        ///< The response is an event stream (text/event-stream).
 };
 
+/// Regions in which a request may run; none: in all.
+using AllowedRegions = std::optional<std::set<core::RegionName>>;
+
+/// Returns the regions that both allow.
+AllowedRegions intersection(const AllowedRegions &A, const AllowedRegions &B);
+
 /// Pool of a route, with its share of the route's requests.
 struct WeightedPool {
   core::PoolName m_Pool;
@@ -61,6 +69,7 @@
   unsigned m_MaxAttempts = 1;
   bool m_IsPublic = false;    ///< Requests need no key.
   bool m_IsResumable = false; ///< Streams can resume at another target.
+  AllowedRegions m_Regions;
 
   /// Whether a request that may have run can be sent to another target.
   bool isRetryable() const {
@@ -92,6 +101,7 @@
   double m_TokensPerSecond = 0; ///< For all instances together; 0: no limit.
   double m_Burst = 0;           ///< Tokens, for all instances together.
   std::uint32_t m_DefaultTokens = 1; ///< Charge for a request without a size.
+  AllowedRegions m_Regions;
 };
 
 /// Limits on what a caller may send.
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -116,7 +116,7 @@
 }
 
 //===----------------------------------------------------------------------===//
-// Warm-up and data halls
+// Warm-up, data halls and regions
 //===----------------------------------------------------------------------===//
 
 void TargetDirectory::setPools(
@@ -179,6 +179,14 @@
   return true;
 }
 
+bool TargetDirectory::isInRegions(const KnownTarget &Known,
+                                  const AllowedRegions &Allowed) const {
+  if (!Allowed)
+    return true;
+  auto Region = m_Regions.find(Known.m_Target.m_DataHall);
+  return Region != m_Regions.end() && Allowed->count(Region->second) != 0;
+}
+
 //===----------------------------------------------------------------------===//
 // Outcomes of requests
 //===----------------------------------------------------------------------===//
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -78,6 +78,14 @@
   const std::set<core::DataHallName> &drainedHalls() const {
     return m_DrainedHalls;
   }
+  /// Sets the region of each data hall.
+  void setRegions(std::map<core::DataHallName, core::RegionName> Regions) {
+    m_Regions = std::move(Regions);
+  }
+  /// Whether a target is in one of the regions. A target whose region is
+  /// unknown is in none.
+  bool isInRegions(const KnownTarget &Known,
+                   const AllowedRegions &Allowed) const;
 
   // Outcomes of requests. Those of an incarnation that has ended are ignored,
   // because requests may outlast their target.
@@ -206,6 +214,7 @@
   /// Pools whose targets need a warm-up.
   std::map<core::PoolName, Pool> m_WarmUpPools;
   std::set<core::DataHallName> m_DrainedHalls;
+  std::map<core::DataHallName, core::RegionName> m_Regions;
   FleetSubset m_FleetSubset;
   TargetThrottleTable m_Throttles;
 };
--- a/Tests/LibGateway/DataHallTest.cpp
+++ b/Tests/LibGateway/DataHallTest.cpp
@@ -20,6 +20,11 @@
   CPPUNIT_TEST(testDrainBeforeTheStart);
   CPPUNIT_TEST(testUnknownDataHallChangesNothing);
   CPPUNIT_TEST(testQuickChangesEndInTheLastState);
+  CPPUNIT_TEST(testRouteRegionsBind);
+  CPPUNIT_TEST(testAccountAndRouteRegionsBothBind);
+  CPPUNIT_TEST(testUnknownRegionIsRefused);
+  CPPUNIT_TEST(testRegionHoldsForARetry);
+  CPPUNIT_TEST(testNewRegionsApplyToNewRequests);
   CPPUNIT_TEST_SUITE_END();
 
   std::atomic<bool> m_IsFailing{false};
@@ -48,6 +53,10 @@
                const std::string &OfAccount = "") {
     addTargetIn("north");
     addTargetIn("south");
+    m_Regions = {
+        {core::DataHallName("north"), core::RegionName("up")},
+        {core::DataHallName("south"), core::RegionName("down")},
+    };
     m_Store.m_Content.push_back({"op/config",
                                  configuration(7, OfRoute, OfAccount),
                                  platform::Revision(1)});
@@ -153,6 +162,49 @@
     CPPUNIT_ASSERT_EQUAL(20, sendMany());
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsAt(1));
   }
+
+  void testRouteRegionsBind() {
+    startIn(R"(,"homeRegions":["down"])");
+    CPPUNIT_ASSERT_EQUAL(120, sendTogether());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsAt(1));
+  }
+
+  void testAccountAndRouteRegionsBothBind() {
+    startIn(R"(,"homeRegions":["up","down"])", R"(,"homeRegions":["up"])");
+    CPPUNIT_ASSERT_EQUAL(120, sendTogether());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsAt(2));
+    // The region's only data hall is drained: no other may serve.
+    m_Store.change("op/evacuate/north", "{}");
+    settle();
+    CPPUNIT_ASSERT_EQUAL(503U, sendOne());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsAt(2));
+  }
+
+  void testUnknownRegionIsRefused() {
+    startIn(R"(,"homeRegions":["nowhere"])");
+    Reply Refused = send(request("/again/x"));
+    CPPUNIT_ASSERT_EQUAL(503U, Refused.m_Status);
+    CPPUNIT_ASSERT(Refused.m_Headers.find("Retry-After"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestCount());
+  }
+
+  void testRegionHoldsForARetry() {
+    m_IsFailing = true;
+    startIn(R"(,"homeRegions":["up"])");
+    CPPUNIT_ASSERT_EQUAL(500U, sendOne());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsAt(2));
+  }
+
+  void testNewRegionsApplyToNewRequests() {
+    startIn();
+    CPPUNIT_ASSERT_EQUAL(20, sendMany());
+    m_Store.change("op/config",
+                   configuration(8, R"(,"homeRegions":["down"])", ""));
+    settle();
+    std::size_t Before = requestsAt(1);
+    CPPUNIT_ASSERT_EQUAL(120, sendTogether());
+    CPPUNIT_ASSERT_EQUAL(Before, requestsAt(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DataHallTest);
--- a/Tests/Platform/DeploymentSettingsTest.cpp
+++ b/Tests/Platform/DeploymentSettingsTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(DeploymentSettingsTest);
   CPPUNIT_TEST(testReadsTheExample);
   CPPUNIT_TEST(testLinkRateIsValidated);
+  CPPUNIT_TEST(testReadsRegions);
   CPPUNIT_TEST(testNamesEveryFault);
   CPPUNIT_TEST(testInvalidTomlReportsLine);
   CPPUNIT_TEST_SUITE_END();
@@ -55,6 +56,17 @@
     CPPUNIT_ASSERT_EQUAL(1.25e6, Gateway.m_LinkBytesPerSecond);
   }
 
+  void testReadsRegions() {
+    std::string Text = Example;
+    auto Read = DeploymentSettings::parse(
+        Text + "[zones]\nedin-hall-a = \"scot-central\"\n", "local.toml");
+    CPPUNIT_ASSERT(Read.m_Gateway.m_Regions.at(core::DataHallName(
+                       "edin-hall-a")) == core::RegionName("scot-central"));
+    CPPUNIT_ASSERT_THROW(DeploymentSettings::parse(
+                             Text + "[zones]\nedin-hall-a = 1\n", "local.toml"),
+                         config::DocumentError);
+  }
+
   void testLinkRateIsValidated() {
     auto ParseWith = [](const std::string &Line) {
       std::string Text = Example;
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testParsesConfiguration);
   CPPUNIT_TEST(testParsesTargets);
   CPPUNIT_TEST(testParsesWarmUps);
+  CPPUNIT_TEST(testParsesRegions);
   CPPUNIT_TEST(testParsesDrainedDataHalls);
   CPPUNIT_TEST(testMalformedEntriesThrowTypedErrors);
   CPPUNIT_TEST_SUITE_END();
@@ -259,6 +260,33 @@
         0.0, Table->findPool(core::PoolName("b"))->m_WarmUpPerSecond);
   }
 
+  void testParsesRegions() {
+    auto Parse = [](const std::string &Regions) {
+      return parseConfiguration(
+          R"({"version":1,"routes":[{"host":"h","pathPrefix":"/a/",
+              "routeKind":"idempotent","timeoutMs":1000,"service":"a",
+              "homeRegions":)" +
+          Regions + R"(}],"services":[{"name":"a"}],"tenants":[{"name":"owner",
+              "apiKeys":["key"],"homeRegions":)" +
+          Regions + "}]}");
+    };
+    auto Table = Parse(R"(["fyn","jylland"])");
+    std::set<core::RegionName> Both{core::RegionName("fyn"),
+                                    core::RegionName("jylland")};
+    CPPUNIT_ASSERT(Table->findRoute("h", "/a/x")->m_Regions == Both);
+    CPPUNIT_ASSERT(Table->findAccountByKey("key")->m_Regions == Both);
+    CPPUNIT_ASSERT(!Parse("[]")->findRoute("h", "/a/x")->m_Regions);
+    CPPUNIT_ASSERT(!Parse("null")->findRoute("h", "/a/x")->m_Regions);
+    // A region that is dropped would widen the restriction.
+    for (const char *Malformed : {"[1]", "\"fyn\"", "{}"})
+      try {
+        Parse(Malformed);
+        CPPUNIT_FAIL(Malformed);
+      } catch (const core::Error &Failure) {
+        CPPUNIT_ASSERT(Failure.kind() == core::ErrorKind::Protocol);
+      }
+  }
+
   void testParsesDrainedDataHalls() {
     for (const char *Value : {"{}", "", "[", "null"}) {
       Entry Change{"op/evacuate/fi-south-a", Value, Revision(1)};
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -62,6 +62,8 @@
   std::thread m_Thread;
   int m_CallerPort = 0;
   int m_ReadinessPort = 0;
+  /// Region of each data hall in the gateway's settings.
+  std::map<core::DataHallName, core::RegionName> m_Regions;
 
   void addTarget(ScriptedTarget::Script Respond) {
     m_Targets.push_back(
@@ -92,6 +94,7 @@
     gateway::GatewaySettings Settings;
     Settings.m_Name = core::InstanceName("test");
     Settings.m_DataHall = core::DataHallName("hall");
+    Settings.m_Regions = m_Regions;
     Settings.m_CallerAddress = local(m_CallerPort);
     Settings.m_ReadinessAddress = local(m_ReadinessPort);
     Settings.m_PeerAddress = local(freePort());
