LibRouting: Use the turns of limited targets

Cause: among idle targets the cost is decided by small differences of learned speed, so one target gets all requests and a limited one hardly any. Its limit was not used, and its end not heard, since only a response shows it. Ruled out: ties in a fixed order. The costs differ (by the learned slowness), and instances start at different targets anyway. Change: a limited target whose turn is due may cost up to 25 ms more than another, about the difference between idle targets of a pool; up to 250 ms more if it has been left alone for longer than MinPerSecond allows, though not for a request that has failed before. The bound of the senders stays as it was. Open: fleets with few requests for each instance, where the three senders have none to send.

--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -21,6 +21,11 @@
 static constexpr double FailureCostMs = 2000;
 /// Weight of each millisecond by which a response would miss its deadline.
 static constexpr double OverrunWeight = 3;
+/// Additional wait accepted to use the turn of a limited target, about the
+/// difference between idle targets of different speeds.
+static constexpr double TurnCreditMs = 25;
+/// The same if the target must be probed: less than most objectives.
+static constexpr double ProbeCreditMs = 250;
 /// Share of the remaining time that a response may be expected to take. The
 /// margin covers errors in its expected length and in the service time.
 static constexpr double UsableTimeShare = 0.8;
@@ -64,6 +69,26 @@
          Overrun * OverrunWeight;
 }
 
+double Dispatcher::turnCredit(const KnownTarget &Known,
+                              const PlacementRequest &Request,
+                              core::TimePoint Now) const {
+  if (m_Targets.throttles().isEmpty() || Known.isOnProbation())
+    return 0;
+  // Idle targets differ slightly in learned speed, so that without the credit
+  // one of them gets all requests. An unused turn is lost, and only a response
+  // can raise or end the limit.
+  switch (m_Targets.throttles().turnOf(Known.m_Target.incarnation(), Now)) {
+  case LimitedTurn::None:
+    return 0;
+  case LimitedTurn::Due:
+    return TurnCreditMs;
+  case LimitedTurn::Overdue:
+    // A request that has failed before is not delayed for a probe.
+    return Request.m_TriedTargets.empty() ? ProbeCreditMs : TurnCreditMs;
+  }
+  return 0;
+}
+
 //===----------------------------------------------------------------------===//
 // Order of requests
 //===----------------------------------------------------------------------===//
@@ -240,7 +265,7 @@
       continue;
     // Targets with an expired announcement are used when the others are full.
     bool IsExpired = Each->m_ExpiredAt.has_value();
-    double Cost = cost(*Each, Request, Now);
+    double Cost = cost(*Each, Request, Now) - turnCredit(*Each, Request, Now);
     if (Best && std::tie(IsExpired, Cost) >= std::tie(IsBestExpired, BestCost))
       continue;
     Best = Each;
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -127,6 +127,10 @@
   /// plus a small penalty for another data hall.
   double cost(const KnownTarget &Known, const PlacementRequest &Request,
               core::TimePoint Now) const;
+  /// Returns how much more the wait at a limited target may cost than
+  /// elsewhere, in milliseconds, to use its limit; 0 for other targets.
+  double turnCredit(const KnownTarget &Known, const PlacementRequest &Request,
+                    core::TimePoint Now) const;
   /// Returns the expected time to process a prompt on an idle target.
   static double prefillTimeMs(const KnownTarget &Known, std::uint32_t Tokens);
   /// Returns how many slots of a target a request may use: fewer than all if
--- a/Libraries/LibRouting/SharedRateLimit.cpp
+++ b/Libraries/LibRouting/SharedRateLimit.cpp
@@ -43,6 +43,12 @@
   return static_cast<double>(m_Senders) / perSecond();
 }
 
+bool SharedRateLimit::isProbeDue(core::TimePoint Now) const {
+  return isStated() && isSender() &&
+         core::toSeconds(Now - m_LastAt) * MinPerSecond >=
+             static_cast<double>(m_Senders);
+}
+
 void SharedRateLimit::recordSent(core::TimePoint Now) {
   if (!isLimited() || !isSender())
     return;
--- a/Libraries/LibRouting/SharedRateLimit.h
+++ b/Libraries/LibRouting/SharedRateLimit.h
@@ -74,6 +74,9 @@
   /// Returns this instance's share in requests a second. Requires isLimited()
   /// and isSender().
   double localPerSecond() const { return 1 / intervalSeconds(); }
+  /// Whether this instance has left its share unused for so long that the
+  /// target may not be probed at MinPerSecond.
+  bool isProbeDue(core::TimePoint Now) const;
   /// Counts a request that is sent now.
   void recordSent(core::TimePoint Now);
 
--- a/Libraries/LibRouting/TargetThrottleTable.cpp
+++ b/Libraries/LibRouting/TargetThrottleTable.cpp
@@ -101,6 +101,16 @@
   return Known ? Known->m_Throttle.availability() : Availability();
 }
 
+LimitedTurn TargetThrottleTable::turnOf(const TargetIncarnation &Incarnation,
+                                        core::TimePoint Now) {
+  Entry *Known = find(Incarnation, Now);
+  if (!Known || !Known->m_Throttle.limit().isStated() ||
+      !Known->m_Throttle.acceptsRequests(Now))
+    return LimitedTurn::None;
+  return Known->m_Throttle.limit().isProbeDue(Now) ? LimitedTurn::Overdue
+                                                   : LimitedTurn::Due;
+}
+
 void TargetThrottleTable::recordSent(const TargetIncarnation &Incarnation,
                                      core::TimePoint Now) {
   if (Entry *Known = find(Incarnation, Now))
--- a/Libraries/LibRouting/TargetThrottleTable.h
+++ b/Libraries/LibRouting/TargetThrottleTable.h
@@ -19,6 +19,13 @@
 
 namespace yardrill::routing {
 
+/// Whether a target's stated limit lets this instance send a request now.
+enum class LimitedTurn {
+  None,    ///< The target has stated no limit, or the turn is another's.
+  Due,     ///< The limit allows a request now.
+  Overdue, ///< It has allowed one for so long that the target must be probed.
+};
+
 /// Backpressure of one incarnation, as reported between instances.
 struct BackpressureReport {
   TargetIncarnation m_Incarnation;
@@ -58,6 +65,7 @@
   /// send any.
   std::optional<Availability> availability(const TargetIncarnation &Incarnation,
                                            core::TimePoint Now);
+  LimitedTurn turnOf(const TargetIncarnation &Incarnation, core::TimePoint Now);
   /// Counts a request that is sent now against the limit.
   void recordSent(const TargetIncarnation &Incarnation, core::TimePoint Now);
 
--- a/Tests/LibRouting/DispatchModelTest.cpp
+++ b/Tests/LibRouting/DispatchModelTest.cpp
@@ -1,8 +1,8 @@
 //===-- DispatchModelTest.cpp - Dispatch in whole fleets ------------------===//
 //
-// Guards against requests to a drained data hall, and against a spike at its
-// cold targets when it comes back: each instance learns of that at its own
-// time.
+// Guards against limited targets that the fleet leaves idle, against requests
+// to a drained data hall, and against a spike at its cold targets when it
+// comes back: each instance learns of that at its own time.
 //
 //===----------------------------------------------------------------------===//
 #include "DispatchSimulation.h"
@@ -17,6 +17,8 @@
 
 class DispatchModelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DispatchModelTest);
+  CPPUNIT_TEST(testLimitIsUsedBesideIdleTargets);
+  CPPUNIT_TEST(testEndOfALimitIsKnownSoon);
   CPPUNIT_TEST(testDrainedDataHallGetsNothing);
   CPPUNIT_TEST(testColdTargetsGetNoSpike);
   CPPUNIT_TEST(testColdTargetsGetNoSpikeFromRestartedInstances);
@@ -29,6 +31,21 @@
   static constexpr seconds DrainedFrom{3};
   static constexpr seconds DrainedUntil{9};
 
+  /// Returns a fleet of five gateways or more before few targets, of which the
+  /// first states a limit.
+  static DispatchScenario limited(std::size_t Instances, std::size_t Targets) {
+    DispatchScenario Out;
+    Out.m_Instances = Instances;
+    Out.m_Targets = Targets;
+    // A tenth of the targets' slots are busy.
+    Out.m_RequestsPerSecond = 10 * static_cast<double>(Targets);
+    Out.m_LimitPerSecond = 1.2;
+    Out.m_LimitedTargets = 1;
+    Out.m_LimitUntil = seconds(60);
+    Out.m_Length = seconds(60);
+    return Out;
+  }
+
   /// Returns a fleet at four fifths of its capacity, of which one data hall in
   /// four is drained for a while, so that requests wait when it comes back.
   static DispatchScenario drained(std::size_t Instances, std::size_t Targets) {
@@ -65,6 +82,38 @@
   }
 
 public:
+  void testLimitIsUsedBesideIdleTargets() {
+    for (auto [Instances, Targets] :
+         {std::pair<std::size_t, std::size_t>{5, 3}, {24, 12}, {74, 90}})
+      for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+        DispatchScenario Scenario = limited(Instances, Targets);
+        Scenario.m_Seed = Seed;
+        DispatchResult Result = simulateDispatch(Scenario);
+        double Used = static_cast<double>(
+                          Result.arrivalsIn(0, seconds(5), Scenario.m_Length)) /
+                      (Scenario.m_LimitPerSecond * 55);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(Instances) + " instances use " +
+                                   std::to_string(Used),
+                               Used >= 0.8);
+        CPPUNIT_ASSERT(
+            Result.maxArrivalsWithin(0, seconds(4), seconds(2),
+                                     Scenario.m_Length) <=
+            static_cast<std::size_t>(1.5 * Scenario.m_LimitPerSecond * 4 + 5));
+      }
+  }
+
+  void testEndOfALimitIsKnownSoon() {
+    for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      DispatchScenario Scenario = limited(5, 3);
+      Scenario.m_Seed = Seed;
+      Scenario.m_LimitUntil = seconds(10);
+      Scenario.m_Length = seconds(16);
+      DispatchResult Result = simulateDispatch(Scenario);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(Result.m_LimitEndDelay.count()),
+                             Result.m_LimitEndDelay <= seconds(2));
+    }
+  }
+
   void testDrainedDataHallGetsNothing() {
     DispatchScenario Scenario = drained(24, 24);
     Scenario.m_RequestsPerSecond /= 2;
