LibRouting: Use targets of equal cost in turn

Ruled out: that the end is not heard; DispatchModelTest shows that it is known within 2 s. Change: costs that differ by less than 3 ms count as equal, and these targets are used in turn. The penalty for another data hall is 5 ms in place of 2 ms, so that it still decides among idle targets.

--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -16,11 +16,15 @@
 /// Wait behind each request that exceeds the target's slots.
 static constexpr double QueuedCostMs = 150;
 /// Penalty for a target in another data hall: round trip and traffic cost.
-static constexpr double OtherHallCostMs = 2;
+static constexpr double OtherHallCostMs = 5;
 /// Penalty for a target with a failure rate of 1.
 static constexpr double FailureCostMs = 2000;
 /// Weight of each millisecond by which a response would miss its deadline.
 static constexpr double OverrunWeight = 3;
+/// Difference below which costs count as equal; such targets are used in turn.
+/// Otherwise one that is fastest by a hair gets all requests while the load is
+/// low, and the learned speeds of the others grow stale.
+static constexpr double EqualCostMs = 3;
 /// Additional wait accepted to use the turn of a limited target, about the
 /// difference between idle targets of different speeds.
 static constexpr double TurnCreditMs = 25;
@@ -256,8 +260,12 @@
 
 KnownTarget *Dispatcher::choose(const PlacementRequest &Request, bool MustSend,
                                 core::TimePoint Now, bool &HasCandidate) {
-  KnownTarget *Best = nullptr;
-  bool IsBestExpired = false;
+  struct Choice {
+    KnownTarget *m_Known;
+    double m_Cost;
+  };
+  std::vector<Choice> Choices;
+  bool AreExpired = true;
   double BestCost = 0;
   for (KnownTarget *Each : candidates(Request, Now)) {
     HasCandidate = true;
@@ -265,14 +273,23 @@
       continue;
     // Targets with an expired announcement are used when the others are full.
     bool IsExpired = Each->m_ExpiredAt.has_value();
-    double Cost = cost(*Each, Request, Now) - turnCredit(*Each, Request, Now);
-    if (Best && std::tie(IsExpired, Cost) >= std::tie(IsBestExpired, BestCost))
+    if (IsExpired && !AreExpired)
       continue;
-    Best = Each;
-    IsBestExpired = IsExpired;
-    BestCost = Cost;
+    if (!IsExpired && AreExpired)
+      Choices.clear();
+    AreExpired = IsExpired;
+    double Cost = cost(*Each, Request, Now) - turnCredit(*Each, Request, Now);
+    BestCost = Choices.empty() ? Cost : std::min(BestCost, Cost);
+    Choices.push_back({Each, Cost});
   }
-  return Best;
+  Choices.erase(std::remove_if(Choices.begin(), Choices.end(),
+                               [BestCost](const Choice &Each) {
+                                 return Each.m_Cost > BestCost + EqualCostMs;
+                               }),
+                Choices.end());
+  if (Choices.empty())
+    return nullptr;
+  return Choices[m_NextChoice++ % Choices.size()].m_Known;
 }
 
 std::optional<core::TimePoint>
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -117,7 +117,8 @@
   const VersionGate *gateOf(const core::PoolName &Pool) const;
   bool hasFreeSlot(const KnownTarget &Known,
                    const PlacementRequest &Request) const;
-  /// Returns the cheapest candidate, or null if none has a free slot.
+  /// Returns the cheapest candidate, or one of several equal ones in turn; null
+  /// if none has a free slot.
   /// \param MustSend whether to ignore free slots.
   /// \param HasCandidate set to true if there is any candidate.
   KnownTarget *choose(const PlacementRequest &Request, bool MustSend,
@@ -147,6 +148,7 @@
   core::DataHallName m_LocalDataHall;
   PlacementPolicy m_Policy;
   DispatcherHooks m_Hooks;
+  std::size_t m_NextChoice = 0; ///< Turn among equal candidates.
   std::unordered_map<core::RequestId, PlacementRequest> m_Waiting;
   /// Time of the last request of each priority, by pool.
   std::map<core::PoolName, std::map<Priority, core::TimePoint>>
