LibHTTP: Bound the bodies that are held at a time

Cause: callers may send slowly, and each open request may hold a body of up to 4 MB (and a response of 256 KB that another target could replace), with 3,200 connections on an instance of 88 MB; an idle connection kept its last body. Change: a budget for all bodies, a quarter of the instance's memory. A request beyond it is refused with 503 and a Retry-After before its body is read, or when a body of unknown length has grown too large; a response beyond it is passed on as it arrives. yardrill_held_body_bytes and its peak show it. Conclusion: what an instance holds for callers is bounded whatever they do.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -48,6 +48,9 @@
 /// Connecting takes about a millisecond, or seconds if a full accept queue
 /// drops the SYN.
 static constexpr std::chrono::milliseconds ConnectTimeout{350};
+/// Retry-After, in seconds, of a request whose body exceeds the budget for all
+/// bodies: some of those being read are complete by then.
+static const char BodyBudgetRetryAfter[] = "0.5";
 /// Idle connections kept for each target.
 static constexpr std::size_t MaxIdleConnections = 64;
 /// Time for which a probe's connection is kept. Its target has not yet stated
@@ -108,11 +111,12 @@
 }
 
 static http::ServerLimits toServerLimits(const routing::CallerLimits &Limits,
-                                         std::size_t MaxConnections) {
+                                         const GatewaySettings &Settings) {
   http::ServerLimits Out;
   Out.m_HeaderBytes = Limits.m_HeaderBytes;
   Out.m_BodyBytes = Limits.m_BodyBytes;
-  Out.m_OpenConnections = MaxConnections;
+  Out.m_OpenConnections = Settings.m_MaxConnections;
+  Out.m_AllBodyBytes = Settings.m_MaxBodyBytes;
   Out.m_ReadTimeout = Limits.m_HeaderTimeout;
   Out.m_IdleTimeout = Limits.m_IdleTimeout;
   return Out;
@@ -121,15 +125,20 @@
 void Gateway::listen() {
   m_CallerServer = http::Server::create(
       m_Context, m_Settings.m_CallerAddress.toTcp(),
-      toServerLimits({}, m_Settings.m_MaxConnections),
+      toServerLimits({}, m_Settings),
       [this](http::Exchange &Caller, asio::yield_context Yield) {
         GatewayRequest Request(*this, Caller);
         Request.run(Yield);
       },
       [this](unsigned Status) {
         m_Metrics.count("yardrill_unreadable_requests_total");
-        core::LogLine("request-unreadable").add("status", Status);
-        return http::emptyResponse(Status);
+        core::LogLine("request-unreadable")
+            .add("status", Status)
+            .add("held_bytes", m_CallerServer->bodyBudget().used());
+        http::ResponseMessage Response = http::emptyResponse(Status);
+        if (Status == 503)
+          Response.m_Head.m_Headers.set("Retry-After", BodyBudgetRetryAfter);
+        return Response;
       });
   m_ReadinessServer = http::Server::create(
       m_Context, m_Settings.m_ReadinessAddress.toTcp(), http::ServerLimits(),
@@ -238,8 +247,7 @@
   m_Table = std::move(Next);
   m_Quotas.setAccounts(m_Table->accounts());
   m_Targets.setPools(m_Table->pools(), core::steadyNow());
-  m_CallerServer->setLimits(
-      toServerLimits(m_Table->limits(), m_Settings.m_MaxConnections));
+  m_CallerServer->setLimits(toServerLimits(m_Table->limits(), m_Settings));
   core::LogLine("configuration-in-force")
       .add("version", m_Table->version())
       .add("accounts", m_Table->accounts().size());
@@ -494,6 +502,8 @@
   };
   Set("yardrill_open_connections", m_CallerServer->openConnections());
   Set("yardrill_open_requests", m_OpenRequests.size());
+  Set("yardrill_held_body_bytes", m_CallerServer->bodyBudget().used());
+  Set("yardrill_held_body_bytes_peak", m_CallerServer->bodyBudget().peak());
   Set("yardrill_waiting_requests", m_Dispatcher.waiting());
   Set("yardrill_targets", m_Targets.all().size());
   Set("yardrill_peers", m_Peers->peers().all().size());
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -136,6 +136,8 @@
   m_Owner.m_Backpressure.noteStated(*m_Target, Info.m_Backpressure,
                                     core::steadyNow());
   AttemptOutcome Result = AttemptOutcome::Failed;
+  // A response that exceeds the budget is passed on as it arrives.
+  http::ByteBudget::Reservation Held(m_Owner.m_CallerServer->bodyBudget());
   bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
   if (Info.m_IsNotRun) {
     m_Reason = Info.m_IsMisdirected ? "target-replaced" : "target-refused";
@@ -161,7 +163,8 @@
     m_Reason = "resume-refused";
     return AttemptOutcome::Failed;
   } else if (Head.m_ContentLength &&
-             *Head.m_ContentLength <= MaxBufferedBytes) {
+             *Head.m_ContentLength <= MaxBufferedBytes &&
+             Held.tryExtend(*Head.m_ContentLength)) {
     Result =
         relayBuffered(m_Relay.readResponse(Connection, Head, Yield), Yield);
   } else {
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -46,6 +46,8 @@
   /// Limits of the requests that a bad version may get during a rollout.
   rollout::ExposureLimits m_Exposure;
   std::size_t m_MaxConnections = 1024; ///< From callers.
+  /// Bytes of the bodies of all requests that are held at a time.
+  std::size_t m_MaxBodyBytes = 64UL * 1024 * 1024;
   /// Maximum number of instances in a group of a large fleet, which share a
   /// subset of the targets; 0: derived from the numbers of instances and
   /// targets.
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -24,7 +24,7 @@
               const ServerLimits &Limits, Handler Handle,
               ErrorResponseFactory MakeErrorResponse)
       : m_Context(Context), m_Acceptor(Context), m_Limits(Limits),
-        m_Handle(std::move(Handle)),
+        m_BodyBudget(Limits.m_AllBodyBytes), m_Handle(std::move(Handle)),
         m_MakeErrorResponse(std::move(MakeErrorResponse)),
         m_AcceptTimer(Context) {
     listen(Address);
@@ -35,6 +35,7 @@
 
   std::uint16_t port() const override { return m_Port; }
   std::size_t openConnections() const override { return m_Connections.size(); }
+  ByteBudget &bodyBudget() override { return m_BodyBudget; }
   std::size_t openRequests() const override {
     return static_cast<std::size_t>(
         std::count_if(m_Connections.begin(), m_Connections.end(),
@@ -52,6 +53,7 @@
   asio::io_context &m_Context;
   tcp::acceptor m_Acceptor;
   ServerLimits m_Limits;
+  ByteBudget m_BodyBudget;
   Handler m_Handle;
   ErrorResponseFactory m_MakeErrorResponse;
   /// Delays the next accept; cancelled when a connection closes.
@@ -108,9 +110,10 @@
 
 void BeastServer::serve(tcp::socket Socket) {
   auto Position = m_Connections.insert(
-      m_Connections.end(), std::make_shared<ServerConnection>(
-                               std::move(Socket), m_Limits, m_Handle,
-                               m_MakeErrorResponse, m_IsKeepAliveDisabled));
+      m_Connections.end(),
+      std::make_shared<ServerConnection>(
+          std::move(Socket), m_Limits, m_BodyBudget, m_Handle,
+          m_MakeErrorResponse, m_IsKeepAliveDisabled));
   asio::spawn(
       m_Context,
       [this, Position](asio::yield_context Yield) {
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -8,12 +8,14 @@
 #define YARDRILL_LIBHTTP_SERVER_H
 
 #include "LibCore/Time.h"
+#include "LibHTTP/ByteBudget.h"
 #include "LibHTTP/Message.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace yardrill::http {
@@ -29,6 +31,11 @@
   core::Duration m_WriteTimeout = std::chrono::seconds(30); ///< For one write.
   /// Time that a connection may wait for its next request.
   core::Duration m_IdleTimeout = std::chrono::seconds(60);
+  /// Maximum for the bodies of all requests that are read or handled at a time.
+  /// A request that exceeds it is refused with 503 before its body is read, or
+  /// once a body without a stated length has grown too large. Set when the
+  /// server is created.
+  std::size_t m_AllBodyBytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// One request and its response, passed to a Server's handler and used on the
@@ -62,8 +69,8 @@
 class Server {
 public:
   using Handler = std::function<void(Exchange &, boost::asio::yield_context)>;
-  /// Makes the response to a request that could not be read; the status is one
-  /// of 400, 408, 413, 431, 501 and 505.
+  /// Makes the response to a request that was not read; the status is one of
+  /// 400, 408, 413, 431, 501, 503 and 505.
   using ErrorResponseFactory = std::function<ResponseMessage(unsigned Status)>;
 
   virtual ~Server() = default;
@@ -77,6 +84,8 @@
 
   virtual std::uint16_t port() const = 0;
   virtual std::size_t openConnections() const = 0;
+  /// Returns the budget of ServerLimits::m_AllBodyBytes.
+  virtual ByteBudget &bodyBudget() = 0;
   /// Returns the number of requests of which at least one byte has arrived and
   /// whose responses are not complete.
   virtual std::size_t openRequests() const = 0;
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -47,6 +47,9 @@
     watchForDisconnect();
     m_Handle(*this, Yield);
     m_DisconnectCallback.reset();
+    // An idle connection holds no body.
+    m_Request = RequestMessage();
+    m_HeldBody.release();
     if (m_IsAborted || !m_IsResponseComplete || mustCloseAfterResponse())
       break;
   }
@@ -87,7 +90,7 @@
     // From now on a shutdown waits for this request.
     m_IsIdle = false;
   }
-  beast::http::request_parser<beast::http::string_body> Parser;
+  RequestParser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
   Parser.body_limit(m_Limits.m_BodyBytes);
   startReadTimer();
@@ -110,9 +113,10 @@
         beast::http::status::continue_, 11);
     beast::http::async_write(m_Stream, Continue, Yield[Failure]);
   }
-  if (!Failure)
-    beast::http::async_read(m_Stream, m_Buffer, Parser, Yield[Failure]);
+  bool IsWithinBudget = Failure || readBody(Parser, Failure, Yield);
   stopReadTimer();
+  if (!IsWithinBudget)
+    return 503;
   if (Failure)
     return m_HasTimedOut ? 408 : statusForReadError(Failure, IsHeaderRead);
   m_KeepAlive = Parser.get().keep_alive();
@@ -126,6 +130,21 @@
   return 0;
 }
 
+bool ServerConnection::readBody(RequestParser &Parser, error_code &Failure,
+                                asio::yield_context Yield) {
+  // A body whose length is known is refused before it is read.
+  auto Length = Parser.content_length();
+  if (Length && *Length <= m_Limits.m_BodyBytes &&
+      !m_HeldBody.tryExtend(static_cast<std::size_t>(*Length)))
+    return false;
+  while (!Failure && !Parser.is_done()) {
+    beast::http::async_read_some(m_Stream, m_Buffer, Parser, Yield[Failure]);
+    if (!m_HeldBody.tryExtend(Parser.get().body().size()))
+      return false;
+  }
+  return true;
+}
+
 unsigned ServerConnection::statusForReadError(error_code Failure,
                                               bool IsHeaderRead) const {
   if (Failure == beast::http::error::header_limit)
@@ -145,6 +164,7 @@
 void ServerConnection::sendErrorResponse(unsigned Status,
                                          asio::yield_context Yield) {
   m_Request = RequestMessage();
+  m_HeldBody.release();
   m_KeepAlive = false;
   try {
     sendResponse(m_MakeErrorResponse(Status), Yield);
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -11,6 +11,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <memory>
 
 namespace yardrill::http {
@@ -23,11 +25,12 @@
       public std::enable_shared_from_this<ServerConnection> {
 public:
   ServerConnection(boost::asio::ip::tcp::socket Socket,
-                   const ServerLimits &Limits, const Server::Handler &Handle,
+                   const ServerLimits &Limits, ByteBudget &BodyBudget,
+                   const Server::Handler &Handle,
                    const Server::ErrorResponseFactory &MakeErrorResponse,
                    const bool &IsKeepAliveDisabled)
       : m_Stream(std::move(Socket)), m_ReadTimer(m_Stream.get_executor()),
-        m_Limits(Limits), m_Handle(Handle),
+        m_Limits(Limits), m_HeldBody(BodyBudget), m_Handle(Handle),
         m_MakeErrorResponse(MakeErrorResponse),
         m_IsKeepAliveDisabled(IsKeepAliveDisabled) {}
 
@@ -54,6 +57,12 @@
   /// it was not, or NoResponse when the caller has disconnected or has sent
   /// nothing within the idle timeout.
   unsigned readRequest(boost::asio::yield_context Yield);
+  using RequestParser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  /// Reads the body as far as the budget of all bodies allows. \returns whether
+  /// it did.
+  bool readBody(RequestParser &Parser, boost::system::error_code &Failure,
+                boost::asio::yield_context Yield);
   unsigned statusForReadError(boost::system::error_code Failure,
                               bool IsHeaderRead) const;
   void sendErrorResponse(unsigned Status, boost::asio::yield_context Yield);
@@ -78,6 +87,7 @@
   core::Timer m_ReadTimer;
   bool m_HasTimedOut = false;
   const ServerLimits &m_Limits;
+  ByteBudget::Reservation m_HeldBody; ///< For the body of m_Request.
   const Server::Handler &m_Handle;
   const Server::ErrorResponseFactory &m_MakeErrorResponse;
   const bool &m_IsKeepAliveDisabled;
--- a/Tests/Platform/DeploymentSettingsTest.cpp
+++ b/Tests/Platform/DeploymentSettingsTest.cpp
@@ -19,6 +19,7 @@
 readiness = "10.1.0.25:8224"
 [limits]
 maxFds = 4100
+memoryMb = 88
 [bounds]
 retryRatio = 0.2
 retryWindowS = 10
@@ -54,6 +55,7 @@
     CPPUNIT_ASSERT_EQUAL(0.2, Gateway.m_Retries.m_Ratio);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Read.m_Store.m_Addresses.size());
     CPPUNIT_ASSERT_EQUAL(1.25e6, Gateway.m_LinkBytesPerSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(22000000), Gateway.m_MaxBodyBytes);
   }
 
   void testReadsRegions() {
