LibGateway: End events also after lines with CRLF

Cause: the splitter knew only LF LF as the end of an event. A target that ends its lines with CRLF, as the standard allows, had its whole stream held back until its end, in memory without a bound, and its caller gave up. Change: a blank line ends an event, with LF or CRLF; an event of more than 256 KB ends the attempt as broken. Test: EventSplitterTest, every split of such a stream (red before: no event was passed on).

--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -2,7 +2,6 @@
 
 namespace yardrill::gateway {
 
-static const std::string_view EventEnd = "\n\n";
 static const std::string_view IdField = "id:";
 
 void EventSplitter::noteId(std::string_view Event) {
@@ -21,17 +20,33 @@
   }
 }
 
+/// Returns the end of the first event in \p Text from \p Begin on: a blank line,
+/// with lines that end with LF or CRLF.
+/// FIXME: The format also allows lines that end with CR alone, which no known
+/// target sends.
+static std::size_t endOfEvent(std::string_view Text, std::size_t Begin) {
+  for (std::size_t LineEnd = Text.find('\n', Begin);
+       LineEnd != std::string_view::npos;
+       LineEnd = Text.find('\n', LineEnd + 1)) {
+    std::string_view Next = Text.substr(LineEnd + 1, 2);
+    if (Next.substr(0, 1) == "\n")
+      return LineEnd + 2;
+    if (Next == "\r\n")
+      return LineEnd + 3;
+  }
+  return std::string_view::npos;
+}
+
 EventSplitter::Events EventSplitter::push(std::string_view Data) {
   Events Out;
   m_Partial += Data;
   std::size_t Begin = 0;
-  std::size_t End = m_Partial.find(EventEnd);
+  std::size_t End = endOfEvent(m_Partial, Begin);
   while (End != std::string::npos) {
-    End += EventEnd.size();
     noteId(std::string_view(m_Partial).substr(Begin, End - Begin));
     ++Out.m_Count;
     Begin = End;
-    End = m_Partial.find(EventEnd, Begin);
+    End = endOfEvent(m_Partial, Begin);
   }
   Out.m_Bytes = m_Partial.substr(0, Begin);
   m_Partial.erase(0, Begin);
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -10,8 +10,7 @@
 
 /// Splits a stream of server-sent events (WHATWG HTML, section 9.2) after each
 /// event. A target may stop within an event, so ResponseRelay sends complete
-/// events only. An event ends with two line feeds; CR and CRLF, which the
-/// standard allows too, are not recognized there.
+/// events only. An event ends with a blank line; lines end with LF or CRLF.
 class EventSplitter {
 public:
   struct Events {
@@ -23,6 +22,8 @@
   Events push(std::string_view Data);
   /// Whether the bytes so far end within an event.
   bool hasPartial() const { return !m_Partial.empty(); }
+  /// Returns the number of bytes held of a partial event.
+  std::size_t partialBytes() const { return m_Partial.size(); }
   /// Drops a partial event that will not be completed.
   void dropPartial() { m_Partial.clear(); }
   /// Id of the last complete event that has one; empty if none has.
--- a/Libraries/LibGateway/ResponseRelay.cpp
+++ b/Libraries/LibGateway/ResponseRelay.cpp
@@ -6,6 +6,10 @@
 
 namespace asio = boost::asio;
 
+/// Largest event. A stream with a larger one is broken: holding back all that
+/// follows would exhaust the memory.
+static constexpr std::size_t MaxEventBytes = 262144;
+
 http::ResponseMessage
 ResponseRelay::readResponse(http::ClientConnection &From,
                             const http::ResponseHead &Head,
@@ -84,6 +88,8 @@
     if (IsEnd && m_Events.hasPartial())
       return AttemptOutcome::Failed;
     EventSplitter::Events CompleteEvents = m_Events.push(Data);
+    if (m_Events.partialBytes() > MaxEventBytes)
+      return AttemptOutcome::Failed;
     if (CompleteEvents.m_Count > 0)
       m_Hooks.m_OnEvents(CompleteEvents.m_Count);
     else if (!IsEnd)
--- a/Tests/LibGateway/EventSplitterTest.cpp
+++ b/Tests/LibGateway/EventSplitterTest.cpp
@@ -12,6 +12,7 @@
 class EventSplitterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EventSplitterTest);
   CPPUNIT_TEST(testEventsDoNotDependOnHowBytesAreSplit);
+  CPPUNIT_TEST(testLinesMayEndWithCRLF);
   CPPUNIT_TEST(testPartialEventIsHeldBack);
   CPPUNIT_TEST(testMirrorUpdateRoundTrip);
   CPPUNIT_TEST_SUITE_END();
@@ -31,6 +32,21 @@
     }
   }
 
+  /// A target that ends its lines so would be held back until its end.
+  void testLinesMayEndWithCRLF() {
+    const std::string Text = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\r\n"
+                             "id: 3\r\ndata: c\r\n\r\n";
+    for (std::size_t Cut = 0; Cut <= Text.size(); ++Cut) {
+      EventSplitter Splitter;
+      auto First = Splitter.push(Text.substr(0, Cut));
+      auto Second = Splitter.push(Text.substr(Cut));
+      CPPUNIT_ASSERT_EQUAL(Text, First.m_Bytes + Second.m_Bytes);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), First.m_Count + Second.m_Count);
+      CPPUNIT_ASSERT_EQUAL(std::string("3"), Splitter.lastId());
+      CPPUNIT_ASSERT(!Splitter.hasPartial());
+    }
+  }
+
   void testPartialEventIsHeldBack() {
     EventSplitter Splitter;
     auto Events = Splitter.push("id: 1\ndata: a\n\nid: 2\ndata: ");
