LibCore: Keep timers going after a call that fails

Callers saw nothing, but an instance whose heartbeat failed once never sent another. Cause: the timer was armed only after the call returned, so an exception in a subscriber ended it, and left the event loop.

--- a/Libraries/LibCore/TimerService.cpp
+++ b/Libraries/LibCore/TimerService.cpp
@@ -1,7 +1,19 @@
 #include "LibCore/TimerService.h"
 
+#include "LibCore/Log.h"
+
 namespace yardrill::core {
 
+/// Calls a subscriber. One that fails must not end the calls of others, nor its
+/// own: heartbeats depend on them.
+static void callSafely(const TimerService::Subscriber &Notify) {
+  try {
+    Notify(steadyNow());
+  } catch (const std::exception &Failure) {
+    LogLine("timer-call-failed", LogLevel::Error).add("reason", Failure.what());
+  }
+}
+
 struct SteadyTimerService::Subscription {
   Subscription(boost::asio::io_context &Context, Duration Period,
                Subscriber Notify)
@@ -38,7 +50,7 @@
     if (Failure)
       return;
     m_Calls.erase(Timer);
-    Notify(steadyNow());
+    callSafely(Notify);
   });
 }
 
@@ -47,7 +59,7 @@
   Sub->m_Timer.async_wait([Sub](boost::system::error_code Failure) {
     if (Failure)
       return;
-    Sub->m_Notify(steadyNow());
+    callSafely(Sub->m_Notify);
     arm(Sub);
   });
 }
--- a/Libraries/LibCore/TimerService.h
+++ b/Libraries/LibCore/TimerService.h
@@ -13,7 +13,8 @@
 
 namespace yardrill::core {
 
-/// Clock with periodic and delayed calls; tests may implement their own.
+/// Clock with periodic and delayed calls; tests may implement their own. A call
+/// that throws an exception is logged, and affects no other call.
 class TimerService {
 public:
   using Subscriber = std::function<void(TimePoint)>;
