LibInstance: List no scheduler without a usable address

Cause: an address that does not parse was left empty, and sending to it threw. An entry with such an address is now malformed: it is logged and not listed, and replaces the older one. Test: InstanceListTest.

--- a/Libraries/LibInstance/InstanceList.cpp
+++ b/Libraries/LibInstance/InstanceList.cpp
@@ -1,5 +1,6 @@
 #include "LibInstance/InstanceList.h"
 
+#include "LibCore/Error.h"
 #include "LibCore/Log.h"
 
 #include <boost/json.hpp>
@@ -11,6 +12,7 @@
 }
 
 void InstanceList::put(const platform::Entry &Item) {
+  m_Instances.erase(Item.m_Key);
   try {
     boost::json::value Parsed = boost::json::parse(Item.m_Value);
     const boost::json::object &Object = Parsed.as_object();
@@ -19,8 +21,12 @@
                                                       : ListedKind::Target;
     Out.m_Name = field(Object, "name");
     Out.m_IsLeaving = field(Object, "state") == "leaving";
-    if (auto Address = config::Endpoint::parse(field(Object, "address")))
-      Out.m_Address = *Address;
+    std::string Text = field(Object, "address");
+    auto Address = config::Endpoint::parse(Text);
+    if (!Address)
+      throw core::Error(core::ErrorKind::Protocol,
+                        "address \"" + Text + "\" is not IP:PORT");
+    Out.m_Address = *Address;
     m_Instances[Item.m_Key] = Out;
   } catch (const std::exception &Failure) {
     core::LogLine("instance-list-unreadable", core::LogLevel::Warning)
--- a/Libraries/LibInstance/InstanceList.h
+++ b/Libraries/LibInstance/InstanceList.h
@@ -46,8 +46,8 @@
   std::vector<config::Endpoint> schedulerAddresses() const;
 
 private:
-  /// Adds or replaces an entry. Logs a malformed value and ignores it; a
-  /// malformed address alone is left empty.
+  /// Adds or replaces an entry. Removes one whose new value is malformed, which
+  /// is logged.
   void put(const platform::Entry &Item);
 
   std::map<std::string, ListedInstance> m_Instances; ///< By key.
