platform: Read an IPv6 host without a port

Callers got 404: the host of `[::1]` was cut at its last colon. A colon within brackets precedes no port. Test: testHostIsReadWithoutItsPort.

--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -12,6 +12,7 @@
 class DialectTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DialectTest);
   CPPUNIT_TEST(testParsesRequest);
+  CPPUNIT_TEST(testHostIsReadWithoutItsPort);
   CPPUNIT_TEST(testInvalidNumbersCountAsMissing);
   CPPUNIT_TEST(testSetsReservedHeaders);
   CPPUNIT_TEST(testParsesResponse);
@@ -59,6 +60,19 @@
     CPPUNIT_ASSERT(!Description.m_LastEvent);
   }
 
+  /// The colons of an IPv6 address are not those before a port.
+  void testHostIsReadWithoutItsPort() {
+    for (auto [Text, Host] : {std::pair<const char *, const char *>{"h", "h"},
+                              {"H:80", "h"},
+                              {"[::1]", "[::1]"},
+                              {"[::1]:80", "[::1]"}}) {
+      http::RequestMessage Message = request();
+      Message.m_Headers.set("Host", Text);
+      CPPUNIT_ASSERT_EQUAL(std::string(Host),
+                           m_Dialect.describe(Message).m_Host);
+    }
+  }
+
   void testInvalidNumbersCountAsMissing() {
     http::RequestMessage Bad = request();
     for (const char *Text : {"", "-1", "1e3", "99999999999999999999", "1 2"}) {
