--- a/Libraries/LibHTTP/Message.cpp
+++ b/Libraries/LibHTTP/Message.cpp
@@ -40,18 +40,20 @@
 }
 
 void HeaderList::removeHopByHop() {
-  // Connection lists further hop-by-hop fields (RFC 9110, section 7.6.1).
-  if (const std::string *Listed = find("Connection")) {
-    std::string Remaining = *Listed;
-    while (!Remaining.empty()) {
-      auto Comma = Remaining.find(',');
-      std::string Name = Remaining.substr(0, Comma);
-      Remaining = Comma == std::string::npos ? "" : Remaining.substr(Comma + 1);
-      auto First = Name.find_first_not_of(" \t");
-      auto Last = Name.find_last_not_of(" \t");
-      if (First != std::string::npos)
-        remove(Name.substr(First, Last - First + 1));
-    }
+  // Each Connection field lists further hop-by-hop fields (RFC 9110, section
+  // 7.6.1).
+  std::string Remaining;
+  for (const Header &H : m_Headers)
+    if (isSameName(H.m_Name, "Connection"))
+      Remaining += H.m_Value + ",";
+  while (!Remaining.empty()) {
+    auto Comma = Remaining.find(',');
+    std::string Name = Remaining.substr(0, Comma);
+    Remaining = Remaining.substr(Comma + 1);
+    auto First = Name.find_first_not_of(" \t");
+    auto Last = Name.find_last_not_of(" \t");
+    if (First != std::string::npos)
+      remove(Name.substr(First, Last - First + 1));
   }
   for (const char *Name :
        {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
