LibConfig: Accept key digests with upper-case digits

Callers got 401: a digest with upper-case digits passed the check of the configuration and never matched. It is kept in lower case. Test: testKeyDigestMayHaveUpperCaseDigits.

--- a/Libraries/LibConfig/FleetConfiguration.cpp
+++ b/Libraries/LibConfig/FleetConfiguration.cpp
@@ -76,8 +76,12 @@
   ClientAccount Out;
   Out.m_Name = core::AccountName(readName(Reader));
   Out.m_KeySha256 = Reader.readString("key_sha256");
-  bool IsHex = core::fromHex(Out.m_KeySha256).size() * 2 == Sha256HexDigits;
-  if (!IsHex)
+  std::string Digest = core::fromHex(Out.m_KeySha256);
+  bool IsHex = Digest.size() * 2 == Sha256HexDigits;
+  // Keys are looked up by lower-case digits.
+  if (IsHex)
+    Out.m_KeySha256 = core::toHex(Digest);
+  else
     Reader.reportError("key_sha256", "is not a SHA-256 digest",
                        "64 hex digits");
   Out.m_DefaultTier = Reader.readString("default_tier");
--- a/Tests/LibConfig/SettingsTest.cpp
+++ b/Tests/LibConfig/SettingsTest.cpp
@@ -3,6 +3,7 @@
 #include "LibConfig/InstanceSettings.h"
 #include "LibConfig/YamlReader.h"
 
+#include <cctype>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace yardrill;
@@ -14,6 +15,7 @@
   CPPUNIT_TEST(testExampleMatchesDefaults);
   CPPUNIT_TEST(testEveryErrorIsReported);
   CPPUNIT_TEST(testFleetConfigurationErrors);
+  CPPUNIT_TEST(testKeyDigestMayHaveUpperCaseDigits);
   CPPUNIT_TEST(testInvalidYaml);
   CPPUNIT_TEST(testDuplicateKeys);
   CPPUNIT_TEST(testUnreadableFiles);
@@ -119,6 +121,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(6), Diagnostics.size());
   }
 
+  /// Its callers would be refused, although the configuration was accepted.
+  void testKeyDigestMayHaveUpperCaseDigits() {
+    const std::string Digest =
+        "7d1a5cfd5ff1bb78b02b0b0ea6ad5e5ed3f2b5d2cf5dbd7a3c6b0f3b3ff2ab11";
+    std::string Upper = Digest;
+    for (char &Each : Upper)
+      Each = static_cast<char>(std::toupper(Each));
+    auto Fleet = FleetConfiguration::parse(
+        replaced(FleetConfiguration::example(), Digest, Upper), "f",
+        core::ConfigurationVersion(1));
+    CPPUNIT_ASSERT(Fleet->findAccountByKey(Digest));
+  }
+
   void testInvalidYaml() {
     for (const char *Text : {"a: [", "\t", "- a\n- b", "plain"})
       CPPUNIT_ASSERT_THROW(InstanceSettings::parse(Text, "x"), DocumentError);
