LibGateway: Split PeerService into I/O and PeerExchange

Change: PeerExchange decides and does no I/O; PeerService keeps the socket, the codec and the fetcher. Time, randomness and sending are handed in. The order of fetching and reporting within one tick is the only difference in behaviour.

--- a/Libraries/LibGateway/PeerService.h
+++ b/Libraries/LibGateway/PeerService.h
@@ -9,43 +9,29 @@
 #define YARDRILL_LIBGATEWAY_PEERSERVICE_H
 
 #include "LibCore/TimerService.h"
-#include "LibGateway/FollowerSelection.h"
-#include "LibGateway/GatewaySettings.h"
-#include "LibGateway/MembershipRecord.h"
 #include "LibGateway/MirrorFetcher.h"
-#include "LibGateway/MissingPeers.h"
-#include "LibGateway/PeerTable.h"
-#include "LibGateway/Rotation.h"
+#include "LibGateway/PeerExchange.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPeer/PeerSocket.h"
-#include "LibPlatform/StoreMirror.h"
-#include "LibRouting/FleetSubset.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
-#include <random>
-#include <set>
 
 namespace yardrill::gateway {
 
-/// Callbacks through which PeerService queries and notifies the gateway.
+/// Callbacks through which PeerService queries and notifies the gateway; see
+/// PeerExchangeHooks.
 struct PeerServiceHooks {
-  /// Fills in the load at targets, waiting requests and the store connection.
   std::function<void(peer::LoadReport &)> m_FillReport;
-  /// Called after reports were received or peers were lost.
   std::function<void()> m_Changed;
-  /// Returns the number of targets in the largest pool.
   std::function<std::size_t()> m_LargestPoolSize;
-  /// Called after the fleet was divided into groups anew.
   std::function<void(const routing::FleetSubset &)> m_Repartitioned;
-  /// Called with each valid message that is not a load report.
   std::function<void(const peer::PeerMessage &)> m_MessageReceived;
 };
 
-/// Finds the other instances, exchanges load reports with them, and forwards
-/// their other messages; owned by Gateway.
+/// Sends and receives the messages of a PeerExchange, and fetches the state of
+/// the store from peers; owned by Gateway.
 class PeerService {
 public:
   /// Binds the peer address. \throws core::Error of kind AddressInUse.
@@ -56,120 +42,48 @@
 
   /// Starts to receive messages and to send reports; greets the seeds.
   void start(core::TimerService &Timers);
-  /// Marks this instance as stopping and reports that to its group and to all
-  /// other live peers.
-  void setStopping();
-
-  /// Reports to group peers after the current handler has returned. Until they
-  /// know of a new request, they would choose the same target.
-  void scheduleReport();
-  /// Calls PeerServiceHooks::m_Changed if anything changed since the last call.
-  void notifyIfChanged();
   /// Sends a message that is not a load report; it can be lost.
   void send(const config::Endpoint &To, const peer::PeerBody &Body);
 
-  /// Whether this instance has to follow the store.
-  bool mustFollowStore() const;
-  const PeerTable &peers() const { return m_Peers; }
-  /// Returns the number of group peers that are silent without having stopped.
-  std::size_t missingCount() const;
-  /// Sets the membership that the store holds; empty if it holds none.
-  void setRecorded(FleetMembers Instances);
-  /// Whether a live peer that is not stopping has state of the store.
-  bool hasPeerWithState() const;
-  /// Whether this process has had enough time to find its peers.
+  // See PeerExchange.
+  void setStopping() { m_Exchange.setStopping(); }
+  void scheduleReport() { m_Exchange.scheduleReport(); }
+  void notifyIfChanged() { m_Exchange.notifyIfChanged(); }
+  void setRecorded(FleetMembers Instances) {
+    m_Exchange.setRecorded(std::move(Instances));
+  }
+  const PeerTable &peers() const { return m_Exchange.peers(); }
+  bool mustFollowStore() const { return m_Exchange.mustFollowStore(); }
+  std::size_t missingCount() const { return m_Exchange.missingCount(); }
+  bool hasPeerWithState() const { return m_Exchange.hasPeerWithState(); }
   bool isDiscoveryDone() const;
-  /// Whether this instance writes the records that all instances share, such as
-  /// the membership record. Callers also have to check that it is connected to
-  /// the store.
-  bool isRecordWriter() const {
-    return isDiscoveryDone() && m_Peers.followersBefore() == 0;
+  bool isRecordWriter() const;
+  bool isListConfirmed() const { return m_Exchange.isListConfirmed(); }
+  FleetMembers liveInstances() const { return m_Exchange.liveInstances(); }
+  std::vector<config::Endpoint> otherInstances() const {
+    return m_Exchange.otherInstances();
+  }
+  std::size_t activeInstanceCount() const {
+    return m_Exchange.activeInstanceCount();
   }
-  /// Whether this instance would learn of a change of the membership: from the
-  /// store, or, if no known instance reaches it, from at least half of the
-  /// group peers.
-  bool isListConfirmed() const;
-  /// Returns this instance and the peers in the table, silent ones included.
-  FleetMembers liveInstances() const;
-  /// Returns the peer addresses of all other instances that are live or
-  /// recorded.
-  std::vector<config::Endpoint> otherInstances() const;
-  /// Returns an upper estimate of the instances in service, this one included:
-  /// the larger of the fleet, live or recorded, and this one with the missing
-  /// peers.
-  std::size_t activeInstanceCount() const;
 
 private:
-  void handle(const peer::PeerMessage &Message);
-  void handleOther(const peer::PeerMessage &Message);
-  /// Adds the peers that \p Report names, unless a membership is recorded.
-  void addHintedPeers(const peer::LoadReport &Report);
-  /// Logs a new peer and sends it a full report. If a membership is recorded,
-  /// only group peers and peers without state are greeted.
-  void greetPeer(const config::Endpoint &Peer, const peer::LoadReport &Report);
-  /// Whether the sender of \p Report has no state of the store and this
-  /// instance has.
-  bool canSupplyState(const peer::LoadReport &Report) const;
-  std::string encode(peer::PeerBody Body);
+  PeerExchangeHooks exchangeHooks(PeerServiceHooks Hooks);
+  void send(const std::vector<config::Endpoint> &To,
+            const peer::PeerBody &Body);
+  void receive(const peer::PeerMessage &Message);
   void drop(peer::DropReason Reason);
   void tick(core::TimePoint Now);
-  /// Sends the load report, if anything changed since the last one.
-  /// \param IsFull send it in any case, in full and with hints of other peers.
-  void sendReport(const std::vector<config::Endpoint> &To, bool IsFull);
-  /// Adds up to \p MaxCount peers of other groups to \p To, in rotation.
-  void addOtherGroupPeers(std::size_t MaxCount,
-                          std::vector<config::Endpoint> &To);
-  /// Adds the peers of other groups that the next full report is sent to.
-  void addOtherGroupReceivers(std::vector<config::Endpoint> &To);
-  /// Divides the fleet into groups anew, if its members or the group size
-  /// changed.
-  void repartition();
-  /// Returns the maximum number of members that a group should have.
-  std::size_t desiredGroupSize() const;
-  /// Recomputes all that depends on the fleet's members and groups.
-  void rebuildPeerLists();
-  /// Whether this instance or a live peer is connected to the store.
-  bool isStoreReachable() const;
-  /// Whether the mirror is newer than the last report states.
-  bool hasUnreportedRevision() const;
-  void expire(core::TimePoint Now);
-  void handleSilentPeer(const LivePeer &LostPeer, core::TimePoint Now);
   void fetchIfBehind(core::TimePoint Now);
-  std::vector<FetchCandidate> peersAhead() const;
-  void addHints(peer::LoadReport &Report);
 
   boost::asio::io_context &m_Context;
-  const GatewaySettings &m_Settings;
-  platform::StoreMirror &m_Mirror;
   metrics::MetricsRegistry &m_Metrics;
-  PeerServiceHooks m_Hooks;
   decision::InstanceRef m_Self;
   peer::PeerCodec m_Codec;
   peer::PeerSocket m_Socket;
   MirrorFetcher m_Fetcher;
-  PeerTable m_Peers;
-  /// Seeds and addresses named by peers, without a report from them so far.
-  std::set<config::Endpoint> m_HintedPeers;
-  MissingPeers m_Missing;
-  routing::FleetSubset m_Subset;
-  routing::FleetSubset::Fleet m_Fleet; ///< Basis of m_Subset
-  std::size_t m_MaxGroupMembers = 0;   ///< Group size used for m_Subset
-  Rotation m_OtherGroupRotation;       ///< Index into m_OtherGroupAddresses
-  std::size_t m_FullReports = 0;       ///< Counter for WriterRounds
-  peer::LoadReport m_LastReport;       ///< Last report sent, in full
+  PeerExchange m_Exchange;
   std::uint64_t m_Sequence = 0;
-  core::TimePoint m_LastReportAt{};
-  core::TimePoint m_FullReportAt{};
-  bool m_IsStopping = false;
-  bool m_IsChanged = false; ///< Since m_Changed was last called
-  bool m_IsReportDue = false;
-  core::TimePoint m_StartedAt = core::steadyNow();
-  FleetMembers m_Recorded;
-  bool m_IsMembershipChanged = false; ///< Since the last repartition()
-  std::vector<config::Endpoint> m_GroupAddresses; ///< Peers of the own group
-  std::vector<config::Endpoint> m_OtherGroupAddresses; ///< All other peers
-  FollowerSelection m_FollowerSelection;
-  std::mt19937_64 m_Random;
 };
 
 } // namespace yardrill::gateway
