--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -20,8 +20,8 @@
   }
 }
 
-/// Returns the end of the first event in \p Text from \p Begin on: a blank line,
-/// with lines that end with LF or CRLF.
+/// Returns the end of the first event in \p Text from \p Begin on: a blank
+/// line, with lines that end with LF or CRLF.
 /// FIXME: The format also allows lines that end with CR alone, which no known
 /// target sends.
 static std::size_t endOfEvent(std::string_view Text, std::size_t Begin) {
