Revert "LibGateway: Spread store changes along a tree"

Suspected, not shown: an instance without the record depends on full reports of instances that have it, and those now go to its group alone; the record of 985 instances is a large value, which is sent apart. The model begins with a record and can't show it.

--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -1,17 +1,37 @@
 //===-- PeerExchange.cpp - What instances report to each other ------------===//
 #include "LibGateway/PeerExchange.h"
 
-#include "LibCore/Error.h"
 #include "LibCore/Log.h"
 
 #include <algorithm>
 
 namespace yardrill::gateway {
 
-static constexpr std::chrono::seconds ReportedLiveTimeout{10};
+/// Period of full reports, which are also sent to addresses that have not
+/// responded.
+static constexpr std::chrono::milliseconds FullReportPeriod{250};
+/// Without a recorded membership, every peer of another group gets a full
+/// report within this number of periods, so that all instances find each other.
+static constexpr std::size_t DiscoveryRounds = 10;
+/// A follower sends every peer of another group a full report, with its
+/// revision of the store, within this number of periods: once a second.
+static constexpr std::size_t FollowerRounds = 4;
+/// Every other instance sends the record writer a full report once in this
+/// number of periods: every 2 s. The writer counts an instance as live for 10 s
+/// after its last report.
+static constexpr std::size_t WriterRounds = 8;
+/// Average number of peers per group to which a follower reports a new revision
+/// at once; these fetch it and report it within their groups.
+static constexpr std::size_t ReceiversPerGroup = 2;
+/// Period of reports in a fleet of several groups; longer, since each report
+/// costs processor time at every receiver.
+static constexpr std::chrono::milliseconds LargeFleetPeriod{100};
 /// Time after the start in which a process finds its peers.
 static constexpr std::chrono::seconds DiscoveryTime{3};
 static constexpr std::size_t MaxHintedPeers = 64;
+static constexpr std::size_t MaxHintsInReport = 3;
+/// Keeps a report within one datagram.
+static constexpr std::size_t MaxTargetsInReport = 60;
 
 PeerExchange::PeerExchange(decision::InstanceRef Self,
                            const GatewaySettings &Settings,
@@ -20,15 +40,7 @@
                            std::uint64_t Seed)
     : m_Self(std::move(Self)), m_Settings(Settings), m_Mirror(Mirror),
       m_Hooks(std::move(Hooks)), m_Peers(Settings.m_PeerAddress),
-      m_News(
-          Mirror,
-          [this](const std::vector<config::Endpoint> &To,
-                 const peer::PeerBody &Body) {
-            if (!To.empty())
-              m_Hooks.m_Send(To, Body);
-          },
-          Seed),
-      m_StartedAt(Now), m_Now(Now), m_Random(Seed) {}
+      m_StartedAt(Now), m_Random(Seed) {}
 
 void PeerExchange::start() {
   for (const config::Endpoint &Seed : m_Settings.m_Seeds)
@@ -54,21 +66,36 @@
          m_Mirror.revision() != platform::Revision();
 }
 
+void PeerExchange::setStopping() {
+  m_IsStopping = true;
+  std::vector<config::Endpoint> To = m_GroupAddresses;
+  for (const auto &[Incarnation, Each] : m_Peers.all())
+    if (!Each.m_IsGroupPeer)
+      To.push_back(Each.m_Instance.m_Peer);
+  sendReport(To, true);
+}
+
+//===----------------------------------------------------------------------===//
+// Reports
+//===----------------------------------------------------------------------===//
+
 std::optional<peer::DropReason>
 PeerExchange::handle(const peer::PeerMessage &Message, core::TimePoint Now,
                      std::int64_t NowWallSeconds) {
-  m_Now = Now;
   if (Message.m_From == m_Self)
     return std::nullopt;
   const auto *Report = std::get_if<peer::LoadReport>(&Message.m_Body);
-  if (!Report)
-    return handleOther(Message, Now, NowWallSeconds);
+  if (!Report) {
+    auto Dropped = m_Peers.check(Message, Now, NowWallSeconds);
+    if (!Dropped)
+      m_Hooks.m_MessageReceived(Message);
+    return Dropped;
+  }
   PeerTable::ReportResult Result =
       m_Peers.handle(Message, *Report, Now, NowWallSeconds);
   if (Result.m_Dropped)
     return Result.m_Dropped;
   addHintedPeers(*Report);
-  noteFollowers(Report->m_Followers);
   if (Result.m_IsNew) {
     m_HintedPeers.erase(Message.m_From.m_Peer);
     m_Missing.remove(Message.m_From.m_Peer);
@@ -82,58 +109,6 @@
   return std::nullopt;
 }
 
-std::optional<peer::DropReason>
-PeerExchange::handleOther(const peer::PeerMessage &Message, core::TimePoint Now,
-                          std::int64_t NowWallSeconds) {
-  auto Dropped = m_Peers.check(Message, Now, NowWallSeconds);
-  if (Dropped)
-    return Dropped;
-  if (const auto *News = std::get_if<peer::StoreNews>(&Message.m_Body))
-    handle(Message.m_From.m_Peer, *News, Now);
-  else if (const auto *Heartbeat =
-               std::get_if<peer::FollowerHeartbeat>(&Message.m_Body))
-    handle(Message.m_From.m_Peer, *Heartbeat, Now);
-  else if (const auto *Status = std::get_if<peer::GroupStatus>(&Message.m_Body))
-    for (const config::Endpoint &Each : Status->m_LiveMembers)
-      m_ReportedLive[Each] = Now;
-  else
-    m_Hooks.m_MessageReceived(Message);
-  return std::nullopt;
-}
-
-void PeerExchange::handle(const config::Endpoint &From,
-                          const peer::StoreNews &News, core::TimePoint Now) {
-  m_Peers.noteRevision(News.m_StoreRevision, News.m_CompleteRevision);
-  try {
-    m_News.handle(From, News, Now);
-  } catch (const core::Error &Failure) {
-    core::LogLine("store-news-unreadable", core::LogLevel::Warning)
-        .add("peer", From.toString())
-        .add("revision", News.m_StoreRevision)
-        .add("reason", Failure.what());
-  }
-}
-
-void PeerExchange::handle(const config::Endpoint &From,
-                          const peer::FollowerHeartbeat &Heartbeat,
-                          core::TimePoint Now) {
-  noteFollowers(Heartbeat.m_Followers);
-  m_Peers.noteRevision(Heartbeat.m_StoreRevision, Heartbeat.m_CompleteRevision);
-  m_News.noteSource(From, platform::Revision(Heartbeat.m_StoreRevision),
-                    platform::Revision(Heartbeat.m_CompleteRevision), Now);
-  m_News.passHeartbeat(Heartbeat.m_Scope, followerSightings());
-}
-
-void PeerExchange::noteFollowers(
-    const std::vector<peer::FollowerSighting> &Followers) {
-  for (const peer::FollowerSighting &Each : Followers) {
-    auto Known = m_ByOrder.find(Each.m_Order);
-    if (Known != m_ByOrder.end())
-      m_Peers.noteFollower(Known->second,
-                           m_Now - std::chrono::milliseconds(Each.m_AgeMs));
-  }
-}
-
 void PeerExchange::addHintedPeers(const peer::LoadReport &Report) {
   // The record names all instances.
   if (!m_Recorded.empty())
@@ -144,6 +119,28 @@
       m_HintedPeers.insert(Other.m_Peer);
 }
 
+void PeerExchange::greetPeer(const config::Endpoint &Peer,
+                             const peer::LoadReport &Report) {
+  if (!m_Recorded.empty() && !m_Subset.isGroupPeer(Peer) &&
+      !canSupplyState(Report))
+    return;
+  core::LogLine("peer-found")
+      .add("peer", Report.m_Name)
+      .add("address", Peer.toString());
+  // The peer may not know this instance yet.
+  sendReport({Peer}, true);
+}
+
+void PeerExchange::scheduleReport() {
+  if (m_IsReportDue)
+    return;
+  m_IsReportDue = true;
+  m_Hooks.m_Defer([this] {
+    m_IsReportDue = false;
+    sendReport(m_GroupAddresses, false);
+  });
+}
+
 void PeerExchange::notifyIfChanged() {
   if (!m_IsChanged)
     return;
@@ -151,6 +148,28 @@
   m_Hooks.m_Changed();
 }
 
+void PeerExchange::addOtherGroupPeers(std::size_t MaxCount,
+                                      std::vector<config::Endpoint> &To) {
+  for (std::size_t I = 0; I < std::min(MaxCount, m_OtherGroupAddresses.size());
+       ++I)
+    To.push_back(m_OtherGroupAddresses[m_OtherGroupRotation.next()]);
+}
+
+void PeerExchange::addOtherGroupReceivers(std::vector<config::Endpoint> &To) {
+  if (m_Recorded.empty())
+    return addOtherGroupPeers(
+        (m_OtherGroupAddresses.size() + DiscoveryRounds - 1) / DiscoveryRounds,
+        To);
+  if (m_LastReport.m_IsStoreConnected)
+    return addOtherGroupPeers(
+        (m_OtherGroupAddresses.size() + FollowerRounds - 1) / FollowerRounds,
+        To);
+  auto Writer = m_Peers.firstFollower();
+  if (Writer && ++m_FullReports % WriterRounds == 0 &&
+      !m_Subset.isGroupPeer(*Writer))
+    To.push_back(*Writer);
+}
+
 void PeerExchange::setRecorded(FleetMembers Instances) {
   m_Recorded = std::move(Instances);
   m_IsMembershipChanged = true;
@@ -196,17 +215,13 @@
   m_GroupAddresses.assign(m_Subset.groupMembers().begin(),
                           m_Subset.groupMembers().end());
   m_OtherGroupAddresses.clear();
-  m_ByOrder.clear();
   for (const auto &[Address, Hall] : m_Fleet) {
-    std::uint64_t Order = PeerTable::followerOrder(Address);
-    m_ByOrder.emplace(Order, Address);
-    Rank += Order < Own ? 1 : 0;
+    Rank += PeerTable::followerOrder(Address) < Own ? 1 : 0;
     if (!(Address == m_Settings.m_PeerAddress) &&
         !m_Subset.isGroupPeer(Address))
       m_OtherGroupAddresses.push_back(Address);
   }
   m_OtherGroupRotation.setSize(m_OtherGroupAddresses.size());
-  m_News.setSubset(m_Subset);
   m_FollowerSelection.setRank(Rank);
 }
 
@@ -239,12 +254,6 @@
   FleetMembers Out{{m_Settings.m_PeerAddress, m_Settings.m_DataHall}};
   for (const auto &[Incarnation, Each] : m_Peers.all())
     Out[Each.m_Instance.m_Peer] = Each.m_Report.m_DataHall;
-  // Other groups name recorded instances only.
-  for (const auto &[Address, ReportedAt] : m_ReportedLive) {
-    auto Known = m_Recorded.find(Address);
-    if (Known != m_Recorded.end())
-      Out.insert(*Known);
-  }
   return Out;
 }
 
@@ -262,15 +271,43 @@
   return std::max(m_Fleet.size(), 1 + m_Missing.all().size());
 }
 
+void PeerExchange::tick(core::TimePoint Now) {
+  expire(Now);
+  m_FollowerSelection.update(m_Peers.followersBefore(), Now);
+  notifyIfChanged();
+  bool IsLarge = m_Subset.groupCount() > 1;
+  if (IsLarge && Now - m_LastReportAt < LargeFleetPeriod)
+    return;
+  m_LastReportAt = Now;
+  if (Now - m_FullReportAt < FullReportPeriod) {
+    std::vector<config::Endpoint> To = m_GroupAddresses;
+    // Every group has to learn of a new revision without delay.
+    if (IsLarge && m_LastReport.m_IsStoreConnected && hasUnreportedRevision())
+      addOtherGroupPeers(m_Subset.groupCount() * ReceiversPerGroup, To);
+    return sendReport(To, false);
+  }
+  m_FullReportAt = Now;
+  repartition();
+  std::vector<config::Endpoint> To = m_GroupAddresses;
+  addOtherGroupReceivers(To);
+  To.insert(To.end(), m_HintedPeers.begin(), m_HintedPeers.end());
+  for (const auto &[Address, Since] : m_Missing.all())
+    if (!m_Subset.isGroupPeer(Address))
+      To.push_back(Address);
+  sendReport(To, true);
+}
+
+bool PeerExchange::hasUnreportedRevision() const {
+  return m_LastReport.m_StoreRevision < m_Mirror.revision().value() ||
+         m_LastReport.m_CompleteRevision < m_Mirror.completeRevision().value();
+}
+
 void PeerExchange::expire(core::TimePoint Now) {
   std::vector<LivePeer> SilentPeers = m_Peers.expire(Now);
   for (const LivePeer &LostPeer : SilentPeers)
     handleSilentPeer(LostPeer, Now);
   if (isStoreReachable())
     m_Missing.forgetOld(Now);
-  for (auto Each = m_ReportedLive.begin(); Each != m_ReportedLive.end();)
-    Each = Now - Each->second > ReportedLiveTimeout ? m_ReportedLive.erase(Each)
-                                                    : std::next(Each);
   m_IsChanged = m_IsChanged || !SilentPeers.empty();
 }
 
@@ -289,16 +326,50 @@
       .add("has_stopped", HasStopped);
 }
 
+void PeerExchange::sendReport(const std::vector<config::Endpoint> &To,
+                              bool IsFull) {
+  if (To.empty())
+    return;
+  peer::LoadReport Report;
+  Report.m_Name = m_Settings.m_Name;
+  Report.m_DataHall = m_Settings.m_DataHall;
+  Report.m_StoreRevision = m_Mirror.revision().value();
+  Report.m_CompleteRevision = m_Mirror.completeRevision().value();
+  Report.m_IsStopping = m_IsStopping;
+  m_Hooks.m_FillReport(Report);
+  if (Report.m_Targets.size() > MaxTargetsInReport)
+    Report.m_Targets.resize(MaxTargetsInReport);
+  bool HasChanges =
+      Report.m_Targets != m_LastReport.m_Targets ||
+      Report.m_HasWaitingRequests != m_LastReport.m_HasWaitingRequests ||
+      Report.m_IsStoreConnected != m_LastReport.m_IsStoreConnected ||
+      Report.m_StoreRevision != m_LastReport.m_StoreRevision ||
+      Report.m_CompleteRevision != m_LastReport.m_CompleteRevision;
+  if (!IsFull && !HasChanges)
+    return;
+  std::swap(m_LastReport, Report);
+  Report = IsFull ? m_LastReport : peer::shortened(m_LastReport);
+  // A random sample, so that all peers become known within a few reports.
+  if (IsFull)
+    addHints(Report);
+  m_Hooks.m_Send(To, std::move(Report));
+}
+
+void PeerExchange::addHints(peer::LoadReport &Report) {
+  std::vector<PeerTable::Peers::value_type> Sample;
+  std::sample(m_Peers.all().begin(), m_Peers.all().end(),
+              std::back_inserter(Sample), MaxHintsInReport, m_Random);
+  for (const auto &[Incarnation, Each] : Sample)
+    Report.m_RecentPeers.push_back(Each.m_Instance);
+}
+
 bool PeerExchange::isBehind() const {
   return m_Mirror.revision().value() < m_Peers.newestRevision() ||
          m_Mirror.completeRevision().value() < m_Peers.newestCompleteRevision();
 }
 
-std::vector<FetchCandidate>
-PeerExchange::peersAhead(core::TimePoint Now) const {
+std::vector<FetchCandidate> PeerExchange::peersAhead() const {
   std::vector<FetchCandidate> Out;
-  if (auto Source = m_News.source(Now))
-    Out.push_back(*Source);
   for (const auto &[Incarnation, Each] : m_Peers.all()) {
     platform::Revision Known(Each.m_Report.m_StoreRevision);
     platform::Revision Complete(Each.m_Report.m_CompleteRevision);
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -15,7 +15,6 @@
 #include "LibGateway/MissingPeers.h"
 #include "LibGateway/PeerTable.h"
 #include "LibGateway/Rotation.h"
-#include "LibGateway/StoreNewsSpreader.h"
 #include "LibPlatform/StoreMirror.h"
 #include "LibRouting/FleetSubset.h"
 
@@ -106,34 +105,13 @@
   /// Whether a peer has reported a state of the store that this instance lacks.
   bool isBehind() const;
   /// Returns the live peers with a state of the store that this instance lacks.
-  std::vector<FetchCandidate> peersAhead(core::TimePoint Now) const;
+  std::vector<FetchCandidate> peersAhead() const;
 
   /// Period of tick(), and of reports in a fleet of one group. Limits both
   /// their cost and the time in which two instances can assign the same slot.
   static constexpr std::chrono::milliseconds TickPeriod{40};
 
 private:
-  /// Handles a message that is not a load report. \returns why it was dropped,
-  /// if it was.
-  std::optional<peer::DropReason> handleOther(const peer::PeerMessage &Message,
-                                              core::TimePoint Now,
-                                              std::int64_t NowWallSeconds);
-  void handle(const config::Endpoint &From, const peer::StoreNews &News,
-              core::TimePoint Now);
-  void handle(const config::Endpoint &From,
-              const peer::FollowerHeartbeat &Heartbeat, core::TimePoint Now);
-  /// Records the followers that a peer knows of.
-  void noteFollowers(const std::vector<peer::FollowerSighting> &Followers);
-  /// Whether the recorded membership has several groups, so that news spreads
-  /// along the tree and full reports are rare.
-  bool isTreeUsed() const {
-    return !m_Recorded.empty() && m_Subset.groupCount() > 1;
-  }
-  core::Duration fullReportPeriod() const;
-  /// Whether this instance is the one of its group that reports the group's
-  /// live members to the record writer.
-  bool isGroupReporter() const;
-  void sendGroupStatus();
   /// Adds the peers that \p Report names, unless a membership is recorded.
   void addHintedPeers(const peer::LoadReport &Report);
   /// Logs a new peer and sends it a full report. If a membership is recorded,
@@ -159,18 +137,11 @@
   void rebuildPeerLists();
   /// Whether this instance or a live peer is connected to the store.
   bool isStoreReachable() const;
-  /// Spreads what this instance knows of the store along the tree.
-  void spreadState(core::TimePoint Now);
   /// Whether the mirror is newer than the last report states.
   bool hasUnreportedRevision() const;
   void expire(core::TimePoint Now);
   void handleSilentPeer(const LivePeer &LostPeer, core::TimePoint Now);
   void addHints(peer::LoadReport &Report);
-  /// Returns the first followers in the order of followerOrder(), this instance
-  /// included if it is one.
-  std::vector<peer::FollowerSighting> followerSightings() const;
-  /// Whether a changed revision has to be reported at once.
-  bool isRevisionReportDue(const peer::LoadReport &Next) const;
 
   decision::InstanceRef m_Self;
   const GatewaySettings &m_Settings;
@@ -185,20 +156,13 @@
   std::size_t m_MaxGroupMembers = 0;   ///< Group size used for m_Subset
   Rotation m_OtherGroupRotation;       ///< Index into m_OtherGroupAddresses
   std::size_t m_FullReports = 0;       ///< Counter for WriterRounds
-  StoreNewsSpreader m_News;
-  /// Addresses in m_Fleet by PeerTable::followerOrder().
-  std::unordered_map<std::uint64_t, config::Endpoint> m_ByOrder;
-  /// Times at which other groups reported their members to this instance.
-  std::map<config::Endpoint, core::TimePoint> m_ReportedLive;
-  peer::LoadReport m_LastReport; ///< Last report sent, in full
+  peer::LoadReport m_LastReport;       ///< Last report sent, in full
   core::TimePoint m_LastReportAt{};
   core::TimePoint m_FullReportAt{};
-  core::TimePoint m_FollowerHeartbeatAt{};
   bool m_IsStopping = false;
   bool m_IsChanged = false; ///< Since m_Changed was last called
   bool m_IsReportDue = false;
   core::TimePoint m_StartedAt;
-  core::TimePoint m_Now; ///< Of the last message or tick.
   FleetMembers m_Recorded;
   bool m_IsMembershipChanged = false; ///< Since the last repartition()
   std::vector<config::Endpoint> m_GroupAddresses; ///< Peers of the own group
--- a/Libraries/LibGateway/PeerService.cpp
+++ b/Libraries/LibGateway/PeerService.cpp
@@ -2,16 +2,11 @@
 #include "LibGateway/PeerService.h"
 
 #include "LibCore/Digest.h"
-#include "LibCore/Error.h"
-#include "LibCore/Log.h"
 
 namespace yardrill::gateway {
 
 namespace asio = boost::asio;
 
-/// Period of the log lines about what was sent.
-static constexpr std::chrono::seconds TrafficLogPeriod{10};
-
 PeerService::PeerService(asio::io_context &Context,
                          const GatewaySettings &Settings,
                          platform::StoreMirror &Mirror,
@@ -67,13 +62,12 @@
 void PeerService::tick(core::TimePoint Now) {
   m_Exchange.tick(Now);
   fetchIfBehind(Now);
-  logTraffic(Now);
 }
 
 void PeerService::fetchIfBehind(core::TimePoint Now) {
   std::vector<FetchCandidate> PeersAhead;
   if (m_Exchange.isBehind())
-    PeersAhead = m_Exchange.peersAhead(Now);
+    PeersAhead = m_Exchange.peersAhead();
   // Only a follower can expect the same from the store.
   bool MayWaitForStore = !PeersAhead.empty() && mustFollowStore();
   m_Fetcher.fetchIfDue(PeersAhead, MayWaitForStore, Now);
@@ -86,42 +80,11 @@
   Message.m_Sequence = ++m_Sequence;
   Message.m_WallSeconds = core::wallSeconds().count();
   Message.m_Body = Body;
-  std::string Datagram;
-  try {
-    Datagram = m_Codec.encode(Message);
-  } catch (const core::Error &Failure) {
-    // Its sender must split it. Other messages must go on.
-    core::LogLine("peer-message-unsent", core::LogLevel::Error)
-        .add("purpose", peer::purposeOf(Body))
-        .add("reason", Failure.what());
-    return;
-  }
-  countSent(Body, To.size(), Datagram.size());
+  std::string Datagram = m_Codec.encode(Message);
   for (const config::Endpoint &Address : To)
     m_Socket.send(Datagram, Address);
 }
 
-void PeerService::countSent(const peer::PeerBody &Body, std::size_t Receivers,
-                            std::size_t Bytes) {
-  std::string Purpose = peer::purposeOf(Body);
-  Traffic &Sent = m_Sent[Purpose];
-  Sent.m_Datagrams += Receivers;
-  Sent.m_Bytes += Receivers * Bytes;
-  m_Metrics.count("yardrill_peer_sent_bytes_" + Purpose + "_total",
-                  Receivers * Bytes);
-}
-
-void PeerService::logTraffic(core::TimePoint Now) {
-  if (Now - m_TrafficLoggedAt < TrafficLogPeriod)
-    return;
-  m_TrafficLoggedAt = Now;
-  core::LogLine Line("peer-traffic");
-  for (const auto &[Purpose, Sent] : m_Sent)
-    Line.add((Purpose + "_datagrams").c_str(), Sent.m_Datagrams)
-        .add((Purpose + "_bytes").c_str(), Sent.m_Bytes);
-  m_Sent.clear();
-}
-
 void PeerService::send(const config::Endpoint &To, const peer::PeerBody &Body) {
   send(std::vector<config::Endpoint>{To}, Body);
 }
--- a/Libraries/LibGateway/PeerService.h
+++ b/Libraries/LibGateway/PeerService.h
@@ -17,8 +17,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
-#include <string>
 
 namespace yardrill::gateway {
 
@@ -77,9 +75,6 @@
   void drop(peer::DropReason Reason);
   void tick(core::TimePoint Now);
   void fetchIfBehind(core::TimePoint Now);
-  void countSent(const peer::PeerBody &Body, std::size_t Receivers,
-                 std::size_t Bytes);
-  void logTraffic(core::TimePoint Now);
 
   boost::asio::io_context &m_Context;
   metrics::MetricsRegistry &m_Metrics;
@@ -89,13 +84,6 @@
   MirrorFetcher m_Fetcher;
   PeerExchange m_Exchange;
   std::uint64_t m_Sequence = 0;
-  /// Datagrams and their bytes sent since the last log line, by purpose.
-  struct Traffic {
-    std::uint64_t m_Datagrams = 0;
-    std::uint64_t m_Bytes = 0;
-  };
-  std::map<std::string, Traffic> m_Sent;
-  core::TimePoint m_TrafficLoggedAt{};
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -8,23 +8,20 @@
 
 namespace yardrill::gateway {
 
-/// Time without a report after which a group peer is silent: two lost reports.
+/// Time without a report after which a group peer is silent: several lost
+/// reports.
 static constexpr std::chrono::milliseconds GroupPeerTimeout{700};
-/// The same in a fleet of several groups, whose full reports are rarer.
-static constexpr std::chrono::milliseconds LargeFleetPeerTimeout{2500};
 /// Time without a message after which any peer is removed. Peers of other
 /// groups report rarely, and several reports can be lost.
 static constexpr std::chrono::seconds PeerTimeout{10};
 static constexpr std::chrono::seconds ScanPeriod{1};
-/// Time after which a peer that was last known as a follower does not count as
-/// one: followers report to each group once a second, and its members tell each
-/// other within another second.
-static constexpr std::chrono::milliseconds FollowerTimeout{3500};
+/// Time without a report after which a peer does not count as a follower:
+/// followers report to other groups once a second.
+static constexpr std::chrono::milliseconds FollowerTimeout{2500};
 static constexpr std::size_t MaxPeers = 1024;
 
 PeerTable::PeerTable(const config::Endpoint &Self)
-    : m_SelfHash(followerOrder(Self)), m_Directory(MaxPeers, PeerTimeout),
-      m_GroupPeerTimeout(GroupPeerTimeout) {}
+    : m_SelfHash(followerOrder(Self)), m_Directory(MaxPeers, PeerTimeout) {}
 
 std::uint64_t PeerTable::followerOrder(const config::Endpoint &Address) {
   return core::stableHash(Address.toString());
@@ -33,24 +30,7 @@
 std::optional<config::Endpoint> PeerTable::firstFollower() const {
   if (m_Followers.empty())
     return std::nullopt;
-  return m_Followers.begin()->second.m_Address;
-}
-
-void PeerTable::noteFollower(const config::Endpoint &Address,
-                             core::TimePoint SeenAt) {
-  std::uint64_t Order = followerOrder(Address);
-  if (Order == m_SelfHash)
-    return;
-  Follower &Known = m_Followers[Order];
-  Known.m_Address = Address;
-  Known.m_SeenAt = std::max(Known.m_SeenAt, SeenAt);
-}
-
-void PeerTable::noteRevision(std::int64_t Revision,
-                             std::int64_t CompleteRevision) {
-  m_NewestRevision = std::max(m_NewestRevision, Revision);
-  m_NewestCompleteRevision =
-      std::max(m_NewestCompleteRevision, CompleteRevision);
+  return m_Peers.at(m_Followers.begin()->second).m_Instance.m_Peer;
 }
 
 const LivePeer *PeerTable::find(core::IncarnationId Peer) const {
@@ -90,6 +70,8 @@
 }
 
 void PeerTable::applyReport(LivePeer &Entry, const peer::LoadReport &Report) {
+  std::pair<std::uint64_t, core::IncarnationId> FollowerKey(
+      Entry.m_AddressHash, Entry.m_Instance.m_Incarnation);
   if (Report.m_IsFull) {
     m_IsFleetChanged =
         m_IsFleetChanged || Entry.m_Report.m_DataHall != Report.m_DataHall;
@@ -98,10 +80,12 @@
     Entry.m_Report = peer::completed(Report, Entry.m_Report);
   }
   if (Report.m_IsStoreConnected)
-    noteFollower(Entry.m_Instance.m_Peer, Entry.m_LastSeenAt);
+    m_Followers.insert(FollowerKey);
   else
-    m_Followers.erase(Entry.m_AddressHash);
-  noteRevision(Report.m_StoreRevision, Report.m_CompleteRevision);
+    m_Followers.erase(FollowerKey);
+  m_NewestRevision = std::max(m_NewestRevision, Report.m_StoreRevision);
+  m_NewestCompleteRevision =
+      std::max(m_NewestCompleteRevision, Report.m_CompleteRevision);
 }
 
 std::optional<peer::DropReason>
@@ -116,7 +100,7 @@
   auto Found = m_Peers.find(Peer);
   if (Found == m_Peers.end())
     return;
-  m_Followers.erase(Found->second.m_AddressHash);
+  m_Followers.erase({Found->second.m_AddressHash, Peer});
   auto ByAddress = m_ByAddress.find(Found->second.m_Instance.m_Peer);
   if (ByAddress != m_ByAddress.end() && ByAddress->second == Peer)
     m_ByAddress.erase(ByAddress);
@@ -128,14 +112,15 @@
   std::vector<LivePeer> SilentPeers;
   for (core::IncarnationId PeerId : m_GroupPeers) {
     LivePeer &Each = m_Peers.at(PeerId);
-    if (Each.m_IsSilent || Now - Each.m_LastSeenAt <= m_GroupPeerTimeout)
+    if (Each.m_IsSilent || Now - Each.m_LastSeenAt <= GroupPeerTimeout)
       continue;
     SilentPeers.push_back(Each);
     Each.m_IsSilent = true;
-    m_Followers.erase(Each.m_AddressHash);
+    m_Followers.erase({Each.m_AddressHash, PeerId});
   }
   for (auto Each = m_Followers.begin(); Each != m_Followers.end();) {
-    bool IsRecent = Now - Each->second.m_SeenAt <= FollowerTimeout;
+    bool IsRecent =
+        Now - m_Peers.at(Each->second).m_LastSeenAt <= FollowerTimeout;
     Each = IsRecent ? std::next(Each) : m_Followers.erase(Each);
   }
   if (Now - m_LastScanAt <= ScanPeriod)
@@ -155,9 +140,6 @@
 
 void PeerTable::setSubset(const routing::FleetSubset &Subset) {
   m_Subset = Subset;
-  m_GroupPeerTimeout = Subset.groupCount() > 1
-                           ? core::Duration(LargeFleetPeerTimeout)
-                           : core::Duration(GroupPeerTimeout);
   rebuildGroupPeers();
 }
 
@@ -187,7 +169,7 @@
 }
 
 std::size_t PeerTable::followersBefore() const {
-  auto End = m_Followers.lower_bound(m_SelfHash);
+  auto End = m_Followers.lower_bound({m_SelfHash, core::IncarnationId()});
   return static_cast<std::size_t>(std::distance(m_Followers.begin(), End));
 }
 
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -71,11 +72,6 @@
   bool isKnown(const config::Endpoint &Address) const {
     return m_ByAddress.count(Address) != 0;
   }
-  /// Records that an instance follows the store, as the sender of a message
-  /// knew at \p SeenAt.
-  void noteFollower(const config::Endpoint &Address, core::TimePoint SeenAt);
-  /// Records a revision of the store that a peer has reported.
-  void noteRevision(std::int64_t Revision, std::int64_t CompleteRevision);
   /// Returns the hash by which instances are ordered to select followers of the
   /// store; hashing spreads these over the data halls.
   static std::uint64_t followerOrder(const config::Endpoint &Address);
@@ -88,15 +84,6 @@
   /// last call.
   bool consumeFleetChange();
 
-  /// An instance that follows the store.
-  struct Follower {
-    config::Endpoint m_Address;
-    core::TimePoint m_SeenAt{}; ///< Time at which it was known to do so.
-  };
-  /// Followers by followerOrder(), without this instance.
-  using Followers = std::map<std::uint64_t, Follower>;
-
-  const Followers &followers() const { return m_Followers; }
   /// Returns the number of live peers that follow the store.
   std::size_t followerCount() const { return m_Followers.size(); }
   /// Returns the number of those that precede this instance in the order of
@@ -120,8 +107,7 @@
   std::map<config::Endpoint, core::IncarnationId> m_ByAddress;
   std::vector<core::IncarnationId> m_GroupPeers;
   routing::FleetSubset m_Subset;
-  core::Duration m_GroupPeerTimeout;
-  Followers m_Followers;
+  std::set<std::pair<std::uint64_t, core::IncarnationId>> m_Followers;
   std::int64_t m_NewestRevision = 0;
   std::int64_t m_NewestCompleteRevision = 0;
   bool m_IsFleetChanged = true;
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -7,7 +7,6 @@
 #include "LibDecision/ThresholdMessages.h"
 #include "LibPeer/QuarantineMessages.h"
 #include "LibPeer/RolloutMessages.h"
-#include "LibPeer/StoreMessages.h"
 #include "LibPeer/TargetMessages.h"
 
 #include <cereal/types/string.hpp>
@@ -68,14 +67,11 @@
   std::vector<TargetLoadEntry> m_Targets; ///< Only targets with requests
   /// Some of the peers that the sender received messages from recently.
   std::vector<decision::InstanceRef> m_RecentPeers;
-  /// Followers of the store that the sender knows of; only in full reports of
-  /// fleets with several groups.
-  std::vector<FollowerSighting> m_Followers;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(m_IsFull, m_Name, m_DataHall, m_StoreRevision, m_CompleteRevision,
        m_IsStoreConnected, m_IsStopping, m_HasWaitingRequests, m_Targets,
-       m_RecentPeers, m_Followers);
+       m_RecentPeers);
   }
 };
 
@@ -116,10 +112,7 @@
     std::variant<Heartbeat, decision::ThresholdCommand,
                  decision::ThresholdReport, LoadReport, QuotaRequest,
                  QuotaResponse, RolloutReport, RolloutPermit, QuarantineUpdate,
-                 BackpressureUpdate, StoreNews, FollowerHeartbeat, GroupStatus>;
-
-/// Returns what a message is for, as part of the name of a metric.
-const char *purposeOf(const PeerBody &Body);
+                 BackpressureUpdate>;
 
 /// Envelope of each datagram between peers.
 struct PeerMessage {
--- a/Libraries/LibRouting/FleetSubset.cpp
+++ b/Libraries/LibRouting/FleetSubset.cpp
@@ -73,16 +73,6 @@
       m_GroupMembers.insert(m_Order[Rank]);
 }
 
-std::vector<config::Endpoint> FleetSubset::membersOf(std::size_t Group) const {
-  std::vector<config::Endpoint> Out;
-  // The first rank of a group is the lowest that groupOfRank() maps to it.
-  std::size_t First = (Group * m_Size + m_GroupCount - 1) / m_GroupCount;
-  for (std::size_t Rank = First;
-       Rank < m_Order.size() && groupOfRank(Rank) == Group; ++Rank)
-    Out.push_back(m_Order[Rank]);
-  return Out;
-}
-
 std::size_t FleetSubset::partitionCount(std::size_t Count) const {
   return std::clamp<std::size_t>(Count / MinPartitionTargets, 1, m_GroupCount);
 }
--- a/Libraries/LibRouting/FleetSubset.h
+++ b/Libraries/LibRouting/FleetSubset.h
@@ -68,11 +68,6 @@
     return m_GroupMembers.count(Peer) != 0;
   }
   std::size_t groupCount() const { return m_GroupCount; }
-  /// Returns the index of this instance's group.
-  std::size_t group() const { return m_Group; }
-  /// Returns the members of a group, this instance included if it is its own.
-  /// Empty for a default-constructed subset.
-  std::vector<config::Endpoint> membersOf(std::size_t Group) const;
 
   /// Whether the target at \p Rank of \p Count in the interleaved order of its
   /// pool belongs to the group's subset. A small pool has fewer partitions than
--- a/Tests/LibGateway/PeerTableTest.cpp
+++ b/Tests/LibGateway/PeerTableTest.cpp
@@ -122,7 +122,7 @@
   void testSilentFollowerIsNotCounted() {
     handle(1, 0, true, true);
     CPPUNIT_ASSERT(*m_Table.firstFollower() == address(0));
-    m_Now += seconds(3);
+    m_Now += seconds(2);
     m_Table.expire(m_Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Table.followerCount());
     m_Now += seconds(1);
--- a/Tests/Support/PeerSimulation.cpp
+++ b/Tests/Support/PeerSimulation.cpp
@@ -77,9 +77,7 @@
                 std::to_string(Index / 5 % 200 + 1),
             7400};
   }
-  double draw() {
-    return std::uniform_real_distribution<double>(0, 1)(m_Random);
-  }
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(m_Random); }
   bool isMeasured() const { return m_Now >= m_Start + SettleTime; }
 
   void addInstance(std::size_t Index);
@@ -152,7 +150,7 @@
 const char *PeerSimulation::purposeOf(std::size_t From, std::size_t To,
                                       const peer::PeerBody &Body) const {
   if (!std::holds_alternative<peer::LoadReport>(Body))
-    return peer::purposeOf(Body);
+    return "other";
   bool IsGroup = false;
   for (const gateway::LivePeer *Each :
        m_Instances[From].m_Exchange->peers().groupPeers())
@@ -234,7 +232,7 @@
   SimulatedInstance &Own = m_Instances[Index];
   if (Own.m_IsFetching || !Own.m_Exchange->isBehind())
     return;
-  auto Ahead = Own.m_Exchange->peersAhead(m_Now);
+  auto Ahead = Own.m_Exchange->peersAhead();
   if (Ahead.empty())
     return;
   const auto &From = Ahead[m_Random() % Ahead.size()];
@@ -317,8 +315,8 @@
   changeStore();
   for (std::size_t I = 0; I < m_Instances.size(); ++I)
     addInstance(I);
-  std::poisson_distribution<int> Changes(m_Scenario.m_ChangesPerSecond *
-                                         core::toSeconds(core::Duration(Step)));
+  std::poisson_distribution<int> Changes(
+      m_Scenario.m_ChangesPerSecond * core::toSeconds(core::Duration(Step)));
   bool IsKillDue = m_Scenario.m_KillAt.has_value();
   for (; m_Now < m_Start + SettleTime + m_Scenario.m_Length; m_Now += Step) {
     // Changes end early enough to reach all.
