--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -80,9 +80,9 @@
   core::TimePoint Now = core::steadyNow();
   const core::TargetName &Name = Update.m_Target.m_Name;
   m_Targets.setStatedWarmUp(Name, Now + Update.m_WarmUpLeft, Now);
-  // A target that this instance sees start, or that it doesn't know because it
-  // has itself been restarted, may be colder than its announcement states. All
-  // targets are warm before a deployment serves its first request.
+  // The announcement of a target that has just started, or that this process
+  // finds at its own restart, may be older than the warm-up. At the first start
+  // of a deployment, targets warm up before the first request.
   bool IsInFirstSnapshot = m_Mirror.revision() == platform::Revision();
   if (Effect == routing::AnnouncementEffect::NewIncarnation &&
       !(IsInFirstSnapshot && m_Settings.m_IsFirstStart))
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -22,8 +22,8 @@
 /// Weight of each millisecond by which a response would miss its deadline.
 static constexpr double OverrunWeight = 3;
 /// Difference below which costs count as equal; such targets are used in turn.
-/// Otherwise one that is fastest by a hair gets all requests while the load is
-/// low, and the learned speeds of the others grow stale.
+/// Otherwise one that is slightly faster gets all requests while the load is
+/// low, and the learned speeds of the others become outdated.
 static constexpr double EqualCostMs = 3;
 /// Additional wait accepted to use the turn of a limited target, about the
 /// difference between idle targets of different speeds.
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -102,7 +102,8 @@
   /// precede it; none if a target accepts one now or no target will.
   std::optional<core::TimePoint>
   nextAvailability(const PlacementRequest &Request, core::TimePoint Now) const;
-  /// Whether the request itself excludes no use of the target.
+  /// Whether the request may be sent to the target, by its regions and its
+  /// earlier attempts.
   bool mayUse(const KnownTarget &Known, const PlacementRequest &Request) const;
   /// Returns the targets that may receive a request. Targets in cooldown are
   /// included only if all targets are.
--- a/Libraries/LibRouting/SharedRateLimit.h
+++ b/Libraries/LibRouting/SharedRateLimit.h
@@ -28,7 +28,7 @@
   core::TimePoint m_At{};            ///< Time of the response.
 };
 
-/// Rate that a target bears from all instances together until it is warm.
+/// Rate that a target accepts from all instances together until it is warm.
 struct WarmUp {
   double m_PerSecond = 0;
   core::TimePoint m_Until{};
--- a/Libraries/LibRouting/TargetThrottleTable.h
+++ b/Libraries/LibRouting/TargetThrottleTable.h
@@ -21,7 +21,7 @@
 
 /// Whether a target's stated limit lets this instance send a request now.
 enum class LimitedTurn {
-  None,    ///< The target has stated no limit, or the turn is another's.
+  None,    ///< The target has stated no limit, or it allows no request now.
   Due,     ///< The limit allows a request now.
   Overdue, ///< It has allowed one for so long that the target must be probed.
 };
--- a/Tests/LibGateway/EventSplitterTest.cpp
+++ b/Tests/LibGateway/EventSplitterTest.cpp
@@ -17,10 +17,9 @@
   CPPUNIT_TEST(testMirrorUpdateRoundTrip);
   CPPUNIT_TEST_SUITE_END();
 
-public:
-  void testEventsDoNotDependOnHowBytesAreSplit() {
-    const std::string Text = "id: 1\ndata: a\n\nweight-versions: 2\nid:2\n"
-                             "data: b\n\nid: 3\r\ndata: c\n\n";
+  /// Checks that three events, the last one with id 3, are found wherever the
+  /// bytes are split.
+  static void assertSplitsAnywhere(const std::string &Text) {
     for (std::size_t Cut = 0; Cut <= Text.size(); ++Cut) {
       EventSplitter Splitter;
       auto First = Splitter.push(Text.substr(0, Cut));
@@ -32,19 +31,18 @@
     }
   }
 
+public:
+  void testEventsDoNotDependOnHowBytesAreSplit() {
+    const std::string Text = "id: 1\ndata: a\n\nweight-versions: 2\nid:2\n"
+                             "data: b\n\nid: 3\r\ndata: c\n\n";
+    assertSplitsAnywhere(Text);
+  }
+
   /// A target that ends its lines so would be held back until its end.
   void testLinesMayEndWithCRLF() {
     const std::string Text = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\r\n"
                              "id: 3\r\ndata: c\r\n\r\n";
-    for (std::size_t Cut = 0; Cut <= Text.size(); ++Cut) {
-      EventSplitter Splitter;
-      auto First = Splitter.push(Text.substr(0, Cut));
-      auto Second = Splitter.push(Text.substr(Cut));
-      CPPUNIT_ASSERT_EQUAL(Text, First.m_Bytes + Second.m_Bytes);
-      CPPUNIT_ASSERT_EQUAL(std::size_t(3), First.m_Count + Second.m_Count);
-      CPPUNIT_ASSERT_EQUAL(std::string("3"), Splitter.lastId());
-      CPPUNIT_ASSERT(!Splitter.hasPartial());
-    }
+    assertSplitsAnywhere(Text);
   }
 
   void testPartialEventIsHeldBack() {
--- a/Tests/Support/PeerSimulation.cpp
+++ b/Tests/Support/PeerSimulation.cpp
@@ -77,7 +77,9 @@
                 std::to_string(Index / 5 % 200 + 1),
             7400};
   }
-  double draw() { return std::uniform_real_distribution<double>(0, 1)(m_Random); }
+  double draw() {
+    return std::uniform_real_distribution<double>(0, 1)(m_Random);
+  }
   bool isMeasured() const { return m_Now >= m_Start + SettleTime; }
 
   void addInstance(std::size_t Index);
@@ -315,8 +317,8 @@
   changeStore();
   for (std::size_t I = 0; I < m_Instances.size(); ++I)
     addInstance(I);
-  std::poisson_distribution<int> Changes(
-      m_Scenario.m_ChangesPerSecond * core::toSeconds(core::Duration(Step)));
+  std::poisson_distribution<int> Changes(m_Scenario.m_ChangesPerSecond *
+                                         core::toSeconds(core::Duration(Step)));
   bool IsKillDue = m_Scenario.m_KillAt.has_value();
   for (; m_Now < m_Start + SettleTime + m_Scenario.m_Length; m_Now += Step) {
     // Changes end early enough to reach all.
--- a/Tests/Support/PeerSimulation.h
+++ b/Tests/Support/PeerSimulation.h
@@ -1,10 +1,10 @@
 //===-- PeerSimulation.h - Whole fleets that report to each other ---------===//
 //
-// Simulates the control messages of instances: the real PeerExchange, PeerTable,
-// FollowerSelection, FleetSubset and StoreMirror in simulated time, over a
-// network that delays and loses datagrams. Bytes are those of the encoded
-// messages with IP and UDP headers; a transfer of changes by TCP counts with
-// its packets. Used by PeerModelTest and the fleet_messages program.
+// Simulates the control messages of instances: the real PeerExchange,
+// PeerTable, FollowerSelection, FleetSubset and StoreMirror in simulated time,
+// over a network that delays and loses datagrams. Bytes are those of the
+// encoded messages with IP and UDP headers; a transfer of changes by TCP counts
+// with its packets. Used by PeerModelTest and the fleet_messages program.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_TESTS_SUPPORT_PEERSIMULATION_H
