LibGateway: Use one hooks type for the peer exchange and its service

PeerServiceHooks repeated PeerExchangeHooks less the two hooks that the service itself sets. The gateway passes PeerExchangeHooks, the service puts in the sender and the deferral. No change in behaviour.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -160,7 +160,7 @@
         http::emptyResponse);
   m_Peers = std::make_unique<PeerService>(
       m_Context, m_Settings, m_Mirror, m_Metrics,
-      PeerServiceHooks{
+      PeerExchangeHooks{
           [this](peer::LoadReport &Report) { describeLoad(Report); },
           [this] { updatePeerLoads(); }, [this] { return largestPoolSize(); },
           [this](const routing::FleetSubset &Subset) {
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -26,14 +26,9 @@
 
 namespace yardrill::gateway {
 
-/// Callbacks through which PeerExchange sends, queries and notifies.
+/// Callbacks through which PeerExchange queries and notifies the gateway, and
+/// sends.
 struct PeerExchangeHooks {
-  /// Sends one message to several peers; it can be lost.
-  std::function<void(const std::vector<config::Endpoint> &To,
-                     const peer::PeerBody &Body)>
-      m_Send;
-  /// Calls a function after the current handler has returned.
-  std::function<void(std::function<void()>)> m_Defer;
   /// Fills in the load at targets, waiting requests and the store connection.
   std::function<void(peer::LoadReport &)> m_FillReport;
   /// Called after reports were received or peers were lost.
@@ -44,6 +39,14 @@
   std::function<void(const routing::FleetSubset &)> m_Repartitioned;
   /// Called with each valid message that is not a load report.
   std::function<void(const peer::PeerMessage &)> m_MessageReceived;
+
+  // Set by PeerService.
+  /// Sends one message to several peers; it can be lost.
+  std::function<void(const std::vector<config::Endpoint> &To,
+                     const peer::PeerBody &Body)>
+      m_Send;
+  /// Calls a function after the current handler has returned.
+  std::function<void(std::function<void()>)> m_Defer;
 };
 
 /// Finds the other instances and exchanges load reports with them; owned by
--- a/Libraries/LibGateway/PeerService.cpp
+++ b/Libraries/LibGateway/PeerService.cpp
@@ -11,7 +11,7 @@
                          const GatewaySettings &Settings,
                          platform::StoreMirror &Mirror,
                          metrics::MetricsRegistry &Metrics,
-                         PeerServiceHooks Hooks)
+                         PeerExchangeHooks Hooks)
     : m_Context(Context),
       m_Metrics(Metrics), m_Self{core::IncarnationId(core::randomBits()),
                                  Settings.m_PeerAddress},
@@ -19,24 +19,18 @@
       m_Socket(Context, Settings.m_PeerAddress, m_Codec),
       m_Fetcher(Context, Settings.m_PeerAddress, m_Codec, Mirror, Metrics,
                 Settings.m_LinkBytesPerSecond),
-      m_Exchange(m_Self, Settings, Mirror, exchangeHooks(std::move(Hooks)),
+      m_Exchange(m_Self, Settings, Mirror, withTransport(std::move(Hooks)),
                  core::steadyNow(), core::randomBits()) {}
 
 PeerService::~PeerService() = default;
 
-PeerExchangeHooks PeerService::exchangeHooks(PeerServiceHooks Hooks) {
-  PeerExchangeHooks Out;
-  Out.m_Send = [this](const std::vector<config::Endpoint> &To,
-                      const peer::PeerBody &Body) { send(To, Body); };
-  Out.m_Defer = [this](std::function<void()> Call) {
+PeerExchangeHooks PeerService::withTransport(PeerExchangeHooks Hooks) {
+  Hooks.m_Send = [this](const std::vector<config::Endpoint> &To,
+                        const peer::PeerBody &Body) { send(To, Body); };
+  Hooks.m_Defer = [this](std::function<void()> Call) {
     asio::post(m_Context, std::move(Call));
   };
-  Out.m_FillReport = std::move(Hooks.m_FillReport);
-  Out.m_Changed = std::move(Hooks.m_Changed);
-  Out.m_LargestPoolSize = std::move(Hooks.m_LargestPoolSize);
-  Out.m_Repartitioned = std::move(Hooks.m_Repartitioned);
-  Out.m_MessageReceived = std::move(Hooks.m_MessageReceived);
-  return Out;
+  return Hooks;
 }
 
 void PeerService::start(core::TimerService &Timers) {
--- a/Libraries/LibGateway/PeerService.h
+++ b/Libraries/LibGateway/PeerService.h
@@ -16,28 +16,18 @@
 #include "LibPeer/PeerSocket.h"
 
 #include <boost/asio/io_context.hpp>
-#include <functional>
 
 namespace yardrill::gateway {
 
-/// Callbacks through which PeerService queries and notifies the gateway; see
-/// PeerExchangeHooks.
-struct PeerServiceHooks {
-  std::function<void(peer::LoadReport &)> m_FillReport;
-  std::function<void()> m_Changed;
-  std::function<std::size_t()> m_LargestPoolSize;
-  std::function<void(const routing::FleetSubset &)> m_Repartitioned;
-  std::function<void(const peer::PeerMessage &)> m_MessageReceived;
-};
-
 /// Sends and receives the messages of a PeerExchange, and fetches the state of
 /// the store from peers; owned by Gateway.
 class PeerService {
 public:
   /// Binds the peer address. \throws core::Error of kind AddressInUse.
+  /// \param Hooks those through which to send are set here.
   PeerService(boost::asio::io_context &Context, const GatewaySettings &Settings,
               platform::StoreMirror &Mirror, metrics::MetricsRegistry &Metrics,
-              PeerServiceHooks Hooks);
+              PeerExchangeHooks Hooks);
   ~PeerService();
 
   /// Starts to receive messages and to send reports; greets the seeds.
@@ -68,7 +58,8 @@
   }
 
 private:
-  PeerExchangeHooks exchangeHooks(PeerServiceHooks Hooks);
+  /// Adds the hooks through which the exchange sends.
+  PeerExchangeHooks withTransport(PeerExchangeHooks Hooks);
   void send(const std::vector<config::Endpoint> &To,
             const peer::PeerBody &Body);
   void receive(const peer::PeerMessage &Message);
