LibRouting: Leave out work that changes nothing in the target directory

acceptsRequests asked isOpen twice for each target of a choice. setPools visited every target on each configuration, also where no pool has, or had, a warm-up. No change in behaviour.

--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -122,10 +122,13 @@
 void TargetDirectory::setPools(
     const std::unordered_map<core::PoolName, Pool> &Pools,
     core::TimePoint Now) {
+  bool HadWarmUps = !m_WarmUpPools.empty();
   m_WarmUpPools.clear();
   for (const auto &[Name, Each] : Pools)
     if (Each.m_WarmUpPerSecond > 0)
       m_WarmUpPools.emplace(Name, Each);
+  if (!HadWarmUps && m_WarmUpPools.empty())
+    return;
   // Targets may have been announced before the configuration.
   for (const auto &[Name, Known] : m_Targets)
     applyWarmUp(Known, Now);
@@ -391,9 +394,9 @@
 
 bool TargetDirectory::acceptsRequests(const KnownTarget &Known,
                                       core::TimePoint Now) {
-  if (!isOpen(Known) || m_Throttles.isEmpty())
-    return isOpen(Known);
-  return m_Throttles.acceptsRequests(Known.m_Target.incarnation(), Now);
+  return isOpen(Known) &&
+         (m_Throttles.isEmpty() ||
+          m_Throttles.acceptsRequests(Known.m_Target.incarnation(), Now));
 }
 
 std::optional<core::TimePoint> TargetDirectory::availableAt(
