--- a/Tests/LibGateway/PeerModelTest.cpp
+++ b/Tests/LibGateway/PeerModelTest.cpp
@@ -30,8 +30,10 @@
     Out.m_Targets = 3 * Instances;
     return Out;
   }
-  static std::string toText(core::Duration Time) {
-    return std::to_string(core::toSeconds(Time)) + " s";
+  static void assertKnownWithin(core::Duration Max, const PeerResult &Result) {
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(core::toSeconds(Result.m_LastDelay)) +
+                               " s",
+                           Result.m_LastDelay <= Max);
   }
 
 public:
@@ -56,8 +58,7 @@
     Scenario.m_ChangesPerSecond = 5;
     Scenario.m_LossShare = 0;
     PeerResult Result = simulatePeers(Scenario);
-    CPPUNIT_ASSERT_MESSAGE(toText(Result.m_LastDelay),
-                           Result.m_LastDelay <= seconds(1));
+    assertKnownWithin(seconds(1), Result);
   }
 
   /// Lost datagrams are noticed by the next heartbeat, and then fetched.
@@ -66,8 +67,7 @@
     Scenario.m_ChangesPerSecond = 2;
     Scenario.m_LossShare = 0.02;
     PeerResult Result = simulatePeers(Scenario);
-    CPPUNIT_ASSERT_MESSAGE(toText(Result.m_LastDelay),
-                           Result.m_LastDelay <= seconds(3));
+    assertKnownWithin(seconds(3), Result);
   }
 
   /// A change must be in force within 5 s.
@@ -78,8 +78,7 @@
     Scenario.m_KillAt = seconds(3);
     Scenario.m_AreFollowersKilled = true;
     PeerResult Result = simulatePeers(Scenario);
-    CPPUNIT_ASSERT_MESSAGE(toText(Result.m_LastDelay),
-                           Result.m_LastDelay <= seconds(5));
+    assertKnownWithin(seconds(5), Result);
     CPPUNIT_ASSERT(Result.m_MaxFollowers <= 48);
   }
 
@@ -91,8 +90,7 @@
     Scenario.m_KilledShare = 0.35;
     for (Scenario.m_Seed = 1; Scenario.m_Seed <= 4; ++Scenario.m_Seed) {
       PeerResult Result = simulatePeers(Scenario);
-      CPPUNIT_ASSERT_MESSAGE(toText(Result.m_LastDelay),
-                             Result.m_LastDelay <= seconds(5));
+      assertKnownWithin(seconds(5), Result);
       CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Scenario.m_Seed),
                              Result.m_IsWriterListRight);
     }
--- a/Tests/Support/DispatchSimulation.cpp
+++ b/Tests/Support/DispatchSimulation.cpp
@@ -185,18 +185,15 @@
 void DispatchSimulation::scheduleDrains() {
   for (const DrainPeriod &Each : m_Scenario.m_Drains)
     for (std::size_t I = 0; I < m_Instances.size(); ++I) {
-      core::DataHallName Hall = dataHallOf(Each.m_DataHall);
-      TimePoint Restored = m_Start + Each.m_Until;
-      if (m_Instances[I].m_IsRestarted) {
-        m_StoreChanges.push_back({m_Start + Each.m_From, I, Hall, true});
-        m_StoreChanges.push_back({Restored, I, Hall, false});
-        continue;
-      }
-      m_StoreChanges.push_back(
-          {m_Start + Each.m_From + drawDelay(m_Scenario.m_MaxUpdateDelay), I,
-           Hall, true});
-      m_StoreChanges.push_back(
-          {Restored + drawDelay(m_Scenario.m_MaxUpdateDelay), I, Hall, false});
+      auto Schedule = [&](core::Duration At, bool IsDrained) {
+        core::Duration Delay = m_Instances[I].m_IsRestarted
+                                   ? core::Duration::zero()
+                                   : drawDelay(m_Scenario.m_MaxUpdateDelay);
+        m_StoreChanges.push_back(
+            {m_Start + At + Delay, I, dataHallOf(Each.m_DataHall), IsDrained});
+      };
+      Schedule(Each.m_From, true);
+      Schedule(Each.m_Until, false);
     }
 }
 
--- a/Tests/Support/PeerSimulation.cpp
+++ b/Tests/Support/PeerSimulation.cpp
@@ -77,6 +77,10 @@
                 std::to_string(Index / 5 % 200 + 1),
             7400};
   }
+  core::DataHallName dataHallOf(std::size_t Index) const {
+    return core::DataHallName("edin-hall-" +
+                              std::to_string(Index % m_Scenario.m_DataHalls));
+  }
   double draw() {
     return std::uniform_real_distribution<double>(0, 1)(m_Random);
   }
@@ -89,7 +93,6 @@
   const char *purposeOf(std::size_t From, std::size_t To,
                         const peer::PeerBody &Body) const;
   void deliver();
-  void tick(std::size_t Index);
   void changeStore();
   void watchStore(std::size_t Index);
   void startFetch(std::size_t Index);
@@ -120,11 +123,9 @@
 void PeerSimulation::addInstance(std::size_t Index) {
   SimulatedInstance &Own = m_Instances[Index];
   Own.m_Settings.m_PeerAddress = addressOf(Index);
-  std::string Hall =
-      "edin-hall-" + std::to_string(Index % m_Scenario.m_DataHalls);
-  Own.m_Settings.m_Name =
-      core::InstanceName("edge-" + Hall + "-" + std::to_string(Index));
-  Own.m_Settings.m_DataHall = core::DataHallName(Hall);
+  Own.m_Settings.m_DataHall = dataHallOf(Index);
+  Own.m_Settings.m_Name = core::InstanceName(
+      "edge-" + dataHallOf(Index).value() + "-" + std::to_string(Index));
   Own.m_Reference = {core::IncarnationId(Index + 1), addressOf(Index)};
   Own.m_Mirror = std::make_unique<platform::StoreMirror>(4096);
   Own.m_Mirror->replaceAll(m_Store.revision(), m_Store.content());
@@ -310,8 +311,7 @@
 PeerResult PeerSimulation::run() {
   m_Instances.resize(m_Scenario.m_Instances);
   for (std::size_t I = 0; I < m_Instances.size(); ++I) {
-    m_Members[addressOf(I)] = core::DataHallName(
-        "edin-hall-" + std::to_string(I % m_Scenario.m_DataHalls));
+    m_Members[addressOf(I)] = dataHallOf(I);
     m_Indexes[addressOf(I)] = I;
   }
   changeStore();
