LibRouting: Measure the demand of tiers and report it to group peers

Cause: an instance knows how many requests run at a target, but not what others wait for, of which tier, or how long slots are held, so nothing can be decided for the group while slots are scarce. Nothing is decided by it yet.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -102,6 +102,7 @@
   m_Mirror.subscribe(
       [this](const platform::Entry &Change) { applyEntry(Change); });
   m_Targets.setRegions(m_Settings.m_Regions);
+  m_Dispatcher.setOverload(m_Settings.m_Overload);
   listen();
 }
 
@@ -261,6 +262,29 @@
   return Out;
 }
 
+static peer::TierDemandEntry toEntry(const core::PoolName &Pool,
+                                     const routing::Priority &Tier,
+                                     const routing::TierDemand &Demand) {
+  peer::TierDemandEntry Out;
+  Out.m_Pool = routing::hashOf(Pool);
+  Out.m_AccountTier = Tier.m_Account.value();
+  Out.m_RouteTier = Tier.m_Route.value();
+  Out.m_Waiting = static_cast<std::uint16_t>(Demand.m_Waiting);
+  Out.m_Running = static_cast<std::uint16_t>(Demand.m_Running);
+  Out.m_ArrivalsPerSecond = static_cast<float>(Demand.m_ArrivalsPerSecond);
+  Out.m_OfferedSlots = static_cast<float>(Demand.m_OfferedSlots);
+  return Out;
+}
+
+static routing::TierDemand toDemand(const peer::TierDemandEntry &Entry) {
+  routing::TierDemand Out;
+  Out.m_Waiting = Entry.m_Waiting;
+  Out.m_Running = Entry.m_Running;
+  Out.m_ArrivalsPerSecond = Entry.m_ArrivalsPerSecond;
+  Out.m_OfferedSlots = Entry.m_OfferedSlots;
+  return Out;
+}
+
 void Gateway::describeLoad(peer::LoadReport &Report) const {
   for (const routing::KnownTarget *Known : m_Targets.busyTargets()) {
     const routing::TargetLoad &LocalLoad = Known->m_LocalLoad;
@@ -273,6 +297,10 @@
   }
   Report.m_IsStoreConnected = m_Follower.isConnected();
   Report.m_HasWaitingRequests = m_Dispatcher.waiting() > 0;
+  for (const auto &[Pool, Demand] :
+       m_Dispatcher.scarceDemand(core::steadyNow()))
+    for (const auto &[Tier, Each] : Demand)
+      Report.m_Demand.push_back(toEntry(Pool, Tier, Each));
 }
 
 void Gateway::updateQuotaOwners() {
@@ -376,6 +404,7 @@
 
 void Gateway::updatePeerLoads() {
   std::unordered_map<std::uint32_t, routing::TargetLoad> Sums;
+  std::map<config::Endpoint, routing::ReportedDemand> Demands;
   m_HasWaitingPeers = false;
   for (const LivePeer *Peer : m_Peers->peers().groupPeers()) {
     const peer::LoadReport &Report = Peer->m_Report;
@@ -385,8 +414,14 @@
       Sum.m_Running += LoadEntry.m_Running;
       Sum.m_PendingPromptTokens += LoadEntry.m_PendingPromptTokens;
     }
+    for (const peer::TierDemandEntry &Entry : Report.m_Demand) {
+      routing::Priority Tier{core::TierNumber(Entry.m_AccountTier),
+                             core::TierNumber(Entry.m_RouteTier)};
+      Demands[Peer->m_Instance.m_Peer][Entry.m_Pool][Tier] += toDemand(Entry);
+    }
   }
   m_Targets.setRemoteLoad(Sums);
+  m_Dispatcher.demand().setPeers(std::move(Demands));
 }
 
 //===----------------------------------------------------------------------===//
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -48,6 +48,7 @@
   if (m_IsOwnerDestroyed)
     return;
   m_Owner.m_Dispatcher.withdraw(m_Id);
+  m_Owner.m_Dispatcher.recordEnd(m_Id, core::steadyNow());
   m_Owner.m_OpenRequests.erase(m_Id);
   m_Caller.setDisconnectCallback(nullptr);
 }
@@ -155,6 +156,8 @@
   routing::PlacementRequest Placement;
   Placement.m_Request = m_Id;
   Placement.m_Pool = m_Pool;
+  if (m_Account)
+    Placement.m_Account = m_Account->m_Name;
   Placement.m_Route = routeHash();
   Placement.m_Priority = {m_Tier, m_Route->m_Tier};
   Placement.m_IsInference = Pool && Pool->m_IsInference;
@@ -229,6 +232,7 @@
     if (isQuarantined()) {
       m_Owner.m_Targets.recordEnd(m_Target->incarnation(),
                                   m_PendingPromptTokens);
+      m_Owner.m_Dispatcher.recordEnd(m_Id, core::steadyNow());
       m_Owner.handleFreedSlot();
       break;
     }
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -217,6 +217,7 @@
   routing::TargetIncarnation Incarnation = m_Target->incarnation();
   reportRolloutOutcome(Outcome, Now);
   m_Owner.m_Targets.recordEnd(Incarnation, m_PendingPromptTokens);
+  m_Owner.m_Dispatcher.recordEnd(m_Id, Now);
   m_TriedTargets.insert(Incarnation);
   bool HasNoEvents = !m_Timing.hasEventInAttempt();
   switch (Outcome) {
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include "LibCore/Time.h"
 #include "LibRollout/Coordinator.h"
 #include "LibRouting/Dispatcher.h"
+#include "LibRouting/OverloadSettings.h"
 #include "LibRouting/QuotaOwner.h"
 #include "LibRouting/RetryBudget.h"
 
@@ -54,6 +55,7 @@
   std::size_t m_GroupSize = 0;
   routing::PlacementPolicy m_Placement =
       routing::PlacementPolicy::LeastPredictedWait;
+  routing::OverloadSettings m_Overload;
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -32,6 +32,7 @@
 static constexpr std::size_t MaxHintsInReport = 3;
 /// Keeps a report within one datagram.
 static constexpr std::size_t MaxTargetsInReport = 60;
+static constexpr std::size_t MaxDemandsInReport = 16;
 
 PeerExchange::PeerExchange(decision::InstanceRef Self,
                            const GatewaySettings &Settings,
@@ -339,6 +340,8 @@
   m_Hooks.m_FillReport(Report);
   if (Report.m_Targets.size() > MaxTargetsInReport)
     Report.m_Targets.resize(MaxTargetsInReport);
+  if (Report.m_Demand.size() > MaxDemandsInReport)
+    Report.m_Demand.resize(MaxDemandsInReport);
   bool HasChanges =
       Report.m_Targets != m_LastReport.m_Targets ||
       Report.m_HasWaitingRequests != m_LastReport.m_HasWaitingRequests ||
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -7,6 +7,7 @@
 #include "LibDecision/ThresholdMessages.h"
 #include "LibPeer/QuarantineMessages.h"
 #include "LibPeer/RolloutMessages.h"
+#include "LibPeer/SlotMessages.h"
 #include "LibPeer/TargetMessages.h"
 
 #include <cereal/types/string.hpp>
@@ -65,13 +66,15 @@
   /// Whether requests wait at the sender for a free slot.
   bool m_HasWaitingRequests = false;
   std::vector<TargetLoadEntry> m_Targets; ///< Only targets with requests
+  /// Demand for pools whose slots are scarce as the sender sees it.
+  std::vector<TierDemandEntry> m_Demand;
   /// Some of the peers that the sender received messages from recently.
   std::vector<decision::InstanceRef> m_RecentPeers;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(m_IsFull, m_Name, m_DataHall, m_StoreRevision, m_CompleteRevision,
        m_IsStoreConnected, m_IsStopping, m_HasWaitingRequests, m_Targets,
-       m_RecentPeers);
+       m_Demand, m_RecentPeers);
   }
 };
 
@@ -112,7 +115,7 @@
     std::variant<Heartbeat, decision::ThresholdCommand,
                  decision::ThresholdReport, LoadReport, QuotaRequest,
                  QuotaResponse, RolloutReport, RolloutPermit, QuarantineUpdate,
-                 BackpressureUpdate>;
+                 BackpressureUpdate, SlotRequest, SlotGrant, SlotReturn>;
 
 /// Envelope of each datagram between peers.
 struct PeerMessage {
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -41,6 +41,9 @@
 /// Share of a pool's slots that the lowest priority leaves free. About as many
 /// requests of other priorities arrive before all instances know of a dispatch.
 static constexpr double ReservedSlotShare = 0.05;
+/// Share of a pool's slots, as this instance sees them, below which free slots
+/// are scarce. Peers learn of the demand before the last slot is taken.
+static constexpr double ScarceFreeShare = 0.25;
 /// Time for which a priority counts as present after its last request.
 static constexpr std::chrono::seconds PriorityMemory{10};
 
@@ -333,12 +336,29 @@
   if (!m_Targets.tryStartRequest(Chosen.incarnation(), Request.m_PromptTokens,
                                  Now))
     return false;
-  m_Hooks.m_Send(Request.m_Request, Chosen);
+  send(Request, Chosen, Now);
   return true;
 }
 
+void Dispatcher::send(const PlacementRequest &Request, const Target &Chosen,
+                      core::TimePoint Now) {
+  m_Running[Request.m_Request] = {Request.m_Pool, Request.m_Priority, Now};
+  m_Demand.recordStart(Request.m_Pool, Request.m_Priority);
+  m_Hooks.m_Send(Request.m_Request, Chosen);
+}
+
+void Dispatcher::recordEnd(core::RequestId Id, core::TimePoint Now) {
+  auto Found = m_Running.find(Id);
+  if (Found == m_Running.end())
+    return;
+  const RunningRequest &Ended = Found->second;
+  m_Demand.recordEnd(Ended.m_Pool, Ended.m_Priority, Now - Ended.m_SentAt);
+  m_Running.erase(Found);
+}
+
 void Dispatcher::place(const PlacementRequest &Request, core::TimePoint Now) {
   recordPriority(Request, Now);
+  m_Demand.recordArrival(Request.m_Pool, Request.m_Priority, Now);
   bool IsBehindOthers =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
         return Each.second.m_Pool == Request.m_Pool &&
@@ -350,7 +370,12 @@
   auto AvailableAt = nextAvailability(Request, Now);
   if (AvailableAt && *AvailableAt > queueDeadline(Request))
     return m_Hooks.m_Refuse(Request.m_Request);
-  m_Waiting.emplace(Request.m_Request, Request);
+  enqueue(Request);
+}
+
+void Dispatcher::enqueue(const PlacementRequest &Request) {
+  if (m_Waiting.emplace(Request.m_Request, Request).second)
+    m_Demand.recordWaiting(Request.m_Pool, Request.m_Priority);
 }
 
 std::size_t Dispatcher::waitingFor(const core::PoolName &Pool) const {
@@ -361,7 +386,37 @@
 }
 
 bool Dispatcher::withdraw(core::RequestId Id) {
-  return m_Waiting.erase(Id) != 0;
+  auto Found = m_Waiting.find(Id);
+  if (Found == m_Waiting.end())
+    return false;
+  m_Demand.recordWaitEnd(Found->second.m_Pool, Found->second.m_Priority);
+  m_Waiting.erase(Found);
+  return true;
+}
+
+bool Dispatcher::isScarce(const core::PoolName &Pool,
+                          core::TimePoint Now) const {
+  if (waitingFor(Pool) > 0)
+    return true;
+  double Total = 0;
+  double Free = 0;
+  for (const KnownTarget *Each : m_Targets.subsetOf(Pool)) {
+    if (!m_Targets.acceptsRequests(*Each, Now))
+      continue;
+    Total += static_cast<double>(Each->m_Target.m_Slots);
+    if (Each->running() < Each->m_Target.m_Slots)
+      Free += static_cast<double>(Each->m_Target.m_Slots - Each->running());
+  }
+  return Free < Total * ScarceFreeShare;
+}
+
+std::map<core::PoolName, PoolDemand>
+Dispatcher::scarceDemand(core::TimePoint Now) const {
+  std::map<core::PoolName, PoolDemand> Out;
+  for (const auto &[Pool, LastSeen] : m_PriorityLastSeen)
+    if (isScarce(Pool, Now))
+      Out.emplace(Pool, m_Demand.own(Pool, Now));
+  return Out;
 }
 
 void Dispatcher::dispatchWaiting(core::TimePoint Now) {
@@ -380,8 +435,8 @@
     if (Full.count(Request->m_Pool) != 0 && Now < queueDeadline(*Request))
       continue;
     if (trySend(*Request, Now))
-      // Copies the key, because erase() destroys the request.
-      m_Waiting.erase(core::RequestId(Request->m_Request));
+      // Copies the key, because withdraw() destroys the request.
+      withdraw(core::RequestId(Request->m_Request));
     else
       Full.insert(Request->m_Pool);
   }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -8,6 +8,8 @@
 #ifndef YARDRILL_LIBROUTING_DISPATCHER_H
 #define YARDRILL_LIBROUTING_DISPATCHER_H
 
+#include "LibRouting/DemandTable.h"
+#include "LibRouting/OverloadSettings.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
 #include "LibRouting/VersionGate.h"
@@ -24,7 +26,8 @@
 struct PlacementRequest {
   core::RequestId m_Request;
   core::PoolName m_Pool;
-  std::uint32_t m_Route = 0; ///< Route::m_Hash.
+  core::AccountName m_Account; ///< Empty: no client account.
+  std::uint32_t m_Route = 0;   ///< Route::m_Hash.
   Priority m_Priority;
   bool m_IsInference = false;
   std::uint32_t m_PromptTokens = 0;
@@ -78,8 +81,18 @@
   /// whose queue deadline has passed, and refuses those that no target can
   /// serve any more.
   void dispatchWaiting(core::TimePoint Now);
+  /// Records that a request that was sent no longer holds its slot.
+  void recordEnd(core::RequestId Id, core::TimePoint Now);
   std::size_t waiting() const { return m_Waiting.size(); }
   std::size_t waitingFor(const core::PoolName &Pool) const;
+  /// Switches the decisions under overload on or off; all are off by default.
+  void setOverload(const OverloadSettings &Settings) { m_Overload = Settings; }
+  /// Demand of this instance and its group peers.
+  DemandTable &demand() { return m_Demand; }
+  const DemandTable &demand() const { return m_Demand; }
+  /// Returns the demand of this instance for pools whose slots are scarce: few
+  /// of the subset's are free, or requests wait here.
+  std::map<core::PoolName, PoolDemand> scarceDemand(core::TimePoint Now) const;
 
 private:
   /// Order of service while slots are scarce. Requests of the lowest of several
@@ -144,6 +157,12 @@
   bool leavesReservedSlots(const PlacementRequest &Request,
                            core::TimePoint Now) const;
   void recordPriority(const PlacementRequest &Request, core::TimePoint Now);
+  bool isScarce(const core::PoolName &Pool, core::TimePoint Now) const;
+  /// Adds a request to the queue.
+  void enqueue(const PlacementRequest &Request);
+  /// Sends a request to a target that has accepted it.
+  void send(const PlacementRequest &Request, const Target &Chosen,
+            core::TimePoint Now);
 
   TargetDirectory &m_Targets;
   core::DataHallName m_LocalDataHall;
@@ -151,6 +170,15 @@
   DispatcherHooks m_Hooks;
   std::size_t m_NextChoice = 0; ///< Turn among equal candidates.
   std::unordered_map<core::RequestId, PlacementRequest> m_Waiting;
+  /// A request that holds a slot.
+  struct RunningRequest {
+    core::PoolName m_Pool;
+    Priority m_Priority;
+    core::TimePoint m_SentAt;
+  };
+  std::unordered_map<core::RequestId, RunningRequest> m_Running;
+  OverloadSettings m_Overload{false, false, false, false, false, false};
+  DemandTable m_Demand;
   /// Time of the last request of each priority, by pool.
   std::map<core::PoolName, std::map<Priority, core::TimePoint>>
       m_PriorityLastSeen;
