Tests: Simulate callers, demand reports and faults under overload

The decisions of design 0019 need a model of a fleet in a shortage. It extends DispatchSimulation; nothing of an existing scenario changes.

SimulatedCallers sends requests of several kinds (tier, bursts, deadlines, time in a slot, accounts, clumps, uneven instances) and returns once after a refusal. DispatchFleet holds the instances: with a report period they report load and demand to their group peers by delayed messages, at the moments at which the gateway does (each dispatch, an end while peers wait, and periodically). Faults: silent instances, targets that leave, restarts, lost messages. longShortage() is the shared scenario, the overload_model program prints its outcomes, and OverloadModelTest checks that each request ends exactly once and that sums agree; all decisions are off there.

--- /dev/null
+++ b/Tests/Support/CallerResult.cpp
@@ -0,0 +1,60 @@
+#include "CallerResult.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace yardrill::tests {
+
+static double ratio(std::size_t Count, std::size_t All) {
+  return All == 0 ? 0 : static_cast<double>(Count) / static_cast<double>(All);
+}
+
+double CallerOutcomes::share(std::size_t Count) const {
+  return ratio(Count, m_Sent);
+}
+
+double CallerOutcomes::returnersServedShare() const {
+  return ratio(m_ReturnersServed, m_Returned);
+}
+
+double CallerOutcomes::refusalTime(double Quantile) const {
+  if (m_RefusalTimes.empty())
+    return 0;
+  std::vector<double> Sorted = m_RefusalTimes;
+  std::sort(Sorted.begin(), Sorted.end());
+  auto Rank =
+      static_cast<std::size_t>(Quantile * static_cast<double>(Sorted.size()));
+  return Sorted[std::min(Rank, Sorted.size() - 1)];
+}
+
+CallerOutcomes &CallerOutcomes::operator+=(const CallerOutcomes &Other) {
+  m_Sent += Other.m_Sent;
+  m_InTime += Other.m_InTime;
+  m_Late += Other.m_Late;
+  m_Expired += Other.m_Expired;
+  m_Refused += Other.m_Refused;
+  m_Lost += Other.m_Lost;
+  m_Unfinished += Other.m_Unfinished;
+  m_Returned += Other.m_Returned;
+  m_ReturnersServed += Other.m_ReturnersServed;
+  m_RefusedTwice += Other.m_RefusedTwice;
+  m_RefusalTimes.insert(m_RefusalTimes.end(), Other.m_RefusalTimes.begin(),
+                        Other.m_RefusalTimes.end());
+  return *this;
+}
+
+const KindResult &CallerResult::kind(const std::string &Name) const {
+  for (const KindResult &Each : m_Kinds)
+    if (Each.m_Kind == Name)
+      return Each;
+  throw std::out_of_range("no requests of kind " + Name);
+}
+
+CallerOutcomes CallerResult::sum() const {
+  CallerOutcomes Out;
+  for (const KindResult &Each : m_Kinds)
+    Out += Each.m_All;
+  return Out;
+}
+
+} // namespace yardrill::tests
--- a/Tests/Support/DispatchSimulation.h
+++ b/Tests/Support/DispatchSimulation.h
@@ -2,17 +2,23 @@
 //
 // Simulates instances with the real Dispatcher, TargetDirectory and FleetSubset
 // in simulated time, before targets of different speeds. Instances learn of
-// changes in the store, and of each other's load, with a delay. Used by
-// DispatchModelTest.
+// changes in the store, and of each other's load, with a delay. Requests are
+// all alike, or come from SimulatedCallers. Used by DispatchModelTest,
+// OverloadModelTest and the overload_model program.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_TESTS_SUPPORT_DISPATCHSIMULATION_H
 #define YARDRILL_TESTS_SUPPORT_DISPATCHSIMULATION_H
 
+#include "SimulatedCallers.h"
+#include "SimulatedNetwork.h"
+
 #include "LibCore/Time.h"
+#include "LibRouting/OverloadSettings.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -25,6 +31,18 @@
   core::Duration m_Until{};
 };
 
+/// Time in which a fault affects a random share of instances or targets.
+struct FaultPeriod {
+  double m_Share = 0;
+  core::Duration m_From{}; ///< Since the start of the simulation.
+  core::Duration m_Until{};
+};
+
+/// Returns the Retry-After of a refusal; none: the gateway's default.
+using RetryAfterHook = std::function<std::optional<core::Duration>(
+    routing::Dispatcher &, const routing::PlacementRequest &,
+    core::TimePoint Now)>;
+
 /// Input of one simulated run. Targets are spread over the data halls in turn.
 struct DispatchScenario {
   std::size_t m_Instances = 6;
@@ -51,6 +69,27 @@
   /// Maximum time until an instance learns of a change in the store.
   core::Duration m_MaxUpdateDelay = std::chrono::milliseconds(400);
   core::Duration m_Length = std::chrono::seconds(20);
+
+  /// Requests of callers that return after a refusal. If there are any, they
+  /// replace m_RequestsPerSecond, and the simulation continues after m_Length,
+  /// without new requests, until all have ended.
+  std::vector<RequestKind> m_Kinds;
+  CallerSettings m_Callers;
+  RetryAfterHook m_RetryAfter; ///< Empty: the gateway's default.
+  routing::OverloadSettings m_Overload{false, false, false,
+                                       false, false, false};
+  /// Service times of targets relative to the average, in turn; empty: random.
+  std::vector<double> m_Speeds;
+  /// Period in which instances report their load and demand to their group
+  /// peers, by m_Network; none: each knows the load every 20 ms.
+  std::optional<core::Duration> m_ReportPeriod;
+  NetworkSettings m_Network;
+  std::vector<FaultPeriod> m_SilentInstances;
+  /// Targets that get no new requests for a time.
+  std::vector<FaultPeriod> m_LeavingTargets;
+  /// Time at which some instances are restarted and lose their requests.
+  std::optional<core::Duration> m_RestartAt;
+  double m_RestartShare = 0.5;
   std::uint64_t m_Seed = 1;
 };
 
@@ -63,6 +102,12 @@
   /// Time from the end of all stated limits until no instance applies one.
   core::Duration m_LimitEndDelay{};
 
+  CallerResult m_Callers;
+  /// Time in which some instance refuses, and the integral of the free slots of
+  /// all targets over it, in slots times seconds.
+  core::Duration m_RefusingTime{};
+  double m_FreeSlotSeconds = 0;
+
   /// Returns the number of requests that a target received in a half-open
   /// interval.
   std::size_t arrivalsIn(std::size_t Target, core::Duration From,
