platform, yardrill: Turn the decisions under overload on and off

Operators had no way to turn one of the six decisions off, and measurements none to compare with and without it.

- Optional table `overload` in the gateway's settings file, a boolean for each switch.
Unknown keys and other values are named with their line; a reload with one keeps the earlier switches.
An unknown name is a usage error.
The names are in OverloadSettings alone.
- A reload (SIGHUP or a changed file) hands the switches to the dispatcher. instance-started and instance-reloaded say which are off there (`overload_off`), as the dispatcher has them.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -201,7 +201,8 @@
       .add("peer_address", m_Settings.m_PeerAddress.toString())
       .add("store_address", m_Settings.m_StoreAddress.toString())
       .add("seeds", m_Settings.m_Seeds.size())
-      .add("is_first_start", m_Settings.m_IsFirstStart);
+      .add("is_first_start", m_Settings.m_IsFirstStart)
+      .add("overload_off", m_Dispatcher.overload().switchesOff());
 }
 
 core::Duration Gateway::startDelay() {
@@ -234,8 +235,12 @@
   m_Settings.m_Retries = Settings.m_Retries;
   m_Settings.m_StopGrace = Settings.m_StopGrace;
   m_Settings.m_Seeds = Settings.m_Seeds;
+  m_Settings.m_Overload = Settings.m_Overload;
   m_Retries.setLimits(m_Settings.m_Retries);
-  core::LogLine("instance-reloaded").add("instance", m_Settings.m_Name);
+  m_Dispatcher.setOverload(m_Settings.m_Overload);
+  core::LogLine("instance-reloaded")
+      .add("instance", m_Settings.m_Name)
+      .add("overload_off", m_Dispatcher.overload().switchesOff());
 }
 
 //===----------------------------------------------------------------------===//
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -54,8 +54,8 @@
   /// Reports not ready, and accepts requests for a while longer. Calls
   /// \p OnStopped once no request is open or the stop grace is nearly over.
   void stop(std::function<void()> OnStopped);
-  /// Applies new retry limits and a new stop grace, and stores new seeds, which
-  /// only start() uses; other settings stay.
+  /// Applies new retry limits, overload switches and a new stop grace, and
+  /// stores new seeds, which only start() uses; other settings stay.
   void reload(const GatewaySettings &Settings);
 
 private:
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -87,6 +87,7 @@
   std::size_t waitingFor(const core::PoolName &Pool) const;
   /// Switches the decisions under overload on or off; all are off by default.
   void setOverload(const OverloadSettings &Settings) { m_Overload = Settings; }
+  const OverloadSettings &overload() const { return m_Overload; }
   /// Demand of this instance and its group peers.
   DemandTable &demand() { return m_Demand; }
   const DemandTable &demand() const { return m_Demand; }
--- a/Libraries/LibRouting/OverloadSettings.h
+++ b/Libraries/LibRouting/OverloadSettings.h
@@ -2,6 +2,9 @@
 #ifndef YARDRILL_LIBROUTING_OVERLOADSETTINGS_H
 #define YARDRILL_LIBROUTING_OVERLOADSETTINGS_H
 
+#include <string>
+#include <vector>
+
 namespace yardrill::routing {
 
 /// Switches for the decisions that apply while a pool has fewer free slots than
@@ -24,6 +27,15 @@
   bool m_AccountFairness = true;
   /// Lends free slots to instances of other groups (SlotLending).
   bool m_SlotLending = true;
+
+  /// Returns the switches' names in settings, for instance `slot_handover`.
+  static std::vector<std::string> switchNames();
+  /// Returns these names as a list for messages to operators.
+  static std::string switchList();
+  /// Turns the switch \p Name on or off. \returns false if there is none.
+  bool setSwitch(const std::string &Name, bool IsOn);
+  /// Returns the names of the switches that are off, separated by commas.
+  std::string switchesOff() const;
 };
 
 } // namespace yardrill::routing
--- a/Programs/yardrill/CheckVerb.cpp
+++ b/Programs/yardrill/CheckVerb.cpp
@@ -14,6 +14,8 @@
 DEFINE_string(deployment, "", "settings file that the platform provides");
 DEFINE_bool(example, false, "print a commented settings file");
 DEFINE_bool(fleet_example, false, "print a commented fleet configuration");
+DEFINE_bool(gateway_example, false,
+            "print the optional settings of a gateway, commented");
 
 namespace yardrill::program {
 
@@ -33,6 +35,10 @@
     std::cout << config::FleetConfiguration::example();
     return ExitSuccess;
   }
+  if (FLAGS_gateway_example) {
+    std::cout << platform::DeploymentSettings::optionalExample();
+    return ExitSuccess;
+  }
   if (FLAGS_config.empty() && FLAGS_fleet.empty() && FLAGS_deployment.empty())
     throw core::Error(
         core::ErrorKind::Usage,
--- a/Programs/yardrill/CommandLine.cpp
+++ b/Programs/yardrill/CommandLine.cpp
@@ -25,18 +25,20 @@
        0,
        runServe},
       {"gateway",
-       "[--config=FILE] [--least_outstanding] [--group_size=N]",
+       "[--config=FILE] [--least_outstanding] [--group_size=N] "
+       "[--overload_off=NAME,NAME,...]",
        "run one instance on the platform until SIGTERM; without --config, the "
        "environment names the settings file",
-       {"config", "least_outstanding", "group_size"},
+       {"config", "least_outstanding", "group_size", "overload_off"},
        0,
        runGateway},
       {"check",
        "--config=FILE | --fleet=FILE | --deployment=FILE | --example | "
-       "--fleet_example",
+       "--fleet_example | --gateway_example",
        "check a settings file or a fleet configuration, or print a commented "
        "example",
-       {"config", "fleet", "deployment", "example", "fleet_example"},
+       {"config", "fleet", "deployment", "example", "fleet_example",
+        "gateway_example"},
        0,
        runCheck},
       {"config get",
--- a/Programs/yardrill/GatewayVerb.cpp
+++ b/Programs/yardrill/GatewayVerb.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <gflags/gflags.h>
+#include <sstream>
 #include <unistd.h>
 
 DECLARE_string(config);
@@ -23,17 +24,40 @@
               "maximum number of instances in a group, which share a subset "
               "of the targets; 0: derived from the numbers of instances and "
               "targets");
+DEFINE_string(overload_off, "",
+              "comma-separated decisions under overload to turn off, for "
+              "measurements, or all; named as in the settings' table overload");
 
 namespace yardrill::program {
 
 namespace {
 
+/// Returns the switches that --overload_off names.
+/// \throws core::Error of kind Usage for an unknown name.
+std::vector<std::string> switchesTurnedOff() {
+  if (FLAGS_overload_off == "all")
+    return routing::OverloadSettings::switchNames();
+  std::vector<std::string> Out;
+  std::istringstream Names(FLAGS_overload_off);
+  std::string Name;
+  while (std::getline(Names, Name, ',')) {
+    if (!routing::OverloadSettings().setSwitch(Name, false))
+      throw core::Error(core::ErrorKind::Usage,
+                        "--overload_off: unknown switch \"" + Name +
+                            "\"; allowed: all, " +
+                            routing::OverloadSettings::switchList());
+    Out.push_back(Name);
+  }
+  return Out;
+}
+
 /// Process that runs a gateway::Gateway until SIGTERM or SIGINT; a second one
 /// stops it at once. SIGHUP reloads the settings file.
 class GatewayProgram {
 public:
-  explicit GatewayProgram(std::string File)
-      : m_File(std::move(File)), m_Log(STDOUT_FILENO, core::LogWriterLimits()),
+  GatewayProgram(std::string File, std::vector<std::string> SwitchesOff)
+      : m_File(std::move(File)), m_SwitchesOff(std::move(SwitchesOff)),
+        m_Log(STDOUT_FILENO, core::LogWriterLimits()),
         m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP), m_Timers(m_Context) {
     core::setLogSink([this](const std::string &Line) {
       m_Log.add(Line, core::steadyNow());
@@ -79,6 +103,8 @@
           routing::PlacementPolicy::LeastOutstanding;
     if (FLAGS_group_size > 0)
       Settings.m_Gateway.m_GroupSize = FLAGS_group_size;
+    for (const std::string &Name : m_SwitchesOff)
+      Settings.m_Gateway.m_Overload.setSwitch(Name, false);
     return Settings;
   }
 
@@ -125,6 +151,7 @@
   }
 
   std::string m_File;
+  std::vector<std::string> m_SwitchesOff; ///< Also if the file has them on.
   core::NonBlockingLogWriter m_Log;
   std::string m_SettingsText; ///< As last read.
   boost::asio::io_context m_Context{1};
@@ -139,10 +166,11 @@
 
 int runGateway(const std::vector<std::string> &) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::vector<std::string> SwitchesOff = switchesTurnedOff();
   std::string File = FLAGS_config.empty()
                          ? platform::DeploymentSettings::pathFromEnvironment()
                          : FLAGS_config;
-  return GatewayProgram(File).run();
+  return GatewayProgram(File, std::move(SwitchesOff)).run();
 }
 
 } // namespace yardrill::program
--- a/Tests/Platform/DeploymentSettingsTest.cpp
+++ b/Tests/Platform/DeploymentSettingsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "LibConfig/Diagnostic.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace yardrill;
@@ -37,8 +38,16 @@
   CPPUNIT_TEST(testReadsRegions);
   CPPUNIT_TEST(testNamesEveryFault);
   CPPUNIT_TEST(testInvalidTomlReportsLine);
+  CPPUNIT_TEST(testOverloadSwitches);
+  CPPUNIT_TEST(testInvalidOverloadSwitches);
+  CPPUNIT_TEST(testOptionalExample);
   CPPUNIT_TEST_SUITE_END();
 
+  static std::string switchesOff(const std::string &Text) {
+    return DeploymentSettings::parse(Text, "local.toml")
+        .m_Gateway.m_Overload.switchesOff();
+  }
+
 public:
   void testReadsTheExample() {
     auto Read = DeploymentSettings::parse(Example, "local.toml");
@@ -84,6 +93,78 @@
       CPPUNIT_ASSERT_THROW(ParseWith(Wrong), config::DocumentError);
   }
 
+  // An operator turns one decision off: the others must stay on, and without
+  // the table all are on.
+  void testOverloadSwitches() {
+    std::string Text = Example;
+    CPPUNIT_ASSERT_EQUAL(std::string(), switchesOff(Text));
+    CPPUNIT_ASSERT_EQUAL(std::string(), switchesOff(Text + "[overload]\n"));
+    auto Names = routing::OverloadSettings::switchNames();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), Names.size());
+    for (const std::string &Name : Names)
+      CPPUNIT_ASSERT_EQUAL(
+          Name, switchesOff(Text + "[overload]\n" + Name + " = false\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("slot_lending"),
+                         switchesOff(Text + "[overload]\nslot_lending = false\n"
+                                            "slot_handover = true\n"));
+  }
+
+  // A misspelled switch or a value like "off" must not leave the decision on
+  // unnoticed.
+  void testInvalidOverloadSwitches() {
+    std::string Text = Example;
+    try {
+      DeploymentSettings::parse(Text + "[overload]\nslot_handovers = false\n"
+                                       "slot_lending = \"off\"\n"
+                                       "wait_prediction = 0\n",
+                                "local.toml");
+      CPPUNIT_FAIL("invalid switches were accepted");
+    } catch (const config::DocumentError &Failure) {
+      const auto &Found = Failure.diagnostics();
+      auto Lines = std::count(Text.begin(), Text.end(), '\n');
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), Found.size());
+      CPPUNIT_ASSERT_EQUAL(
+          "local.toml:" + std::to_string(Lines + 2) +
+              ": overload.slot_handovers: is an unknown key; "
+              "allowed: tier_concurrency, slot_handover, "
+              "wait_prediction, return_schedule, account_fairness, "
+              "slot_lending",
+          Found[0].toString("local.toml"));
+      CPPUNIT_ASSERT_EQUAL("local.toml:" + std::to_string(Lines + 3) +
+                               ": overload.slot_lending: is not a boolean; "
+                               "allowed: true or false",
+                           Found[1].toString("local.toml"));
+      CPPUNIT_ASSERT_EQUAL(std::string("overload.wait_prediction"),
+                           Found[2].m_Key);
+    }
+    CPPUNIT_ASSERT_THROW(switchesOff("overload = false\n" + Text),
+                         config::DocumentError);
+  }
+
+  // What operators copy from the example must be accepted, and name every
+  // switch with its default.
+  void testOptionalExample() {
+    std::string Optional = DeploymentSettings::optionalExample();
+    std::size_t TableStart = Optional.find("[overload]");
+    CPPUNIT_ASSERT(TableStart != std::string::npos);
+    std::string Text =
+        Optional.substr(0, TableStart) + Example + Optional.substr(TableStart);
+    auto Read = DeploymentSettings::parse(Text, "local.toml");
+    CPPUNIT_ASSERT(
+        Read.m_Gateway.m_PeerKey !=
+        DeploymentSettings::parse(Example, "local.toml").m_Gateway.m_PeerKey);
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         Read.m_Gateway.m_Overload.switchesOff());
+    std::string AllOff;
+    for (const std::string &Name : routing::OverloadSettings::switchNames()) {
+      std::size_t Value = Text.find("\n" + Name + " = true");
+      CPPUNIT_ASSERT_MESSAGE(Name, Value != std::string::npos);
+      Text.replace(Value + Name.size() + 4, 4, "false");
+      AllOff += (AllOff.empty() ? "" : ",") + Name;
+    }
+    CPPUNIT_ASSERT_EQUAL(AllOff, switchesOff(Text));
+  }
+
   void testNamesEveryFault() {
     std::string Text = Example;
     Text.replace(Text.find("10.1.0.25:8221"), 14, "nowhere");
--- a/Tests/Program/CommandLineTest.cpp
+++ b/Tests/Program/CommandLineTest.cpp
@@ -1,5 +1,6 @@
 //===-- CommandLineTest.cpp - Verbs, usage errors and exit codes ----------===//
 #include "Process.h"
+#include "TestClient.h"
 
 #include "LibConfig/InstanceSettings.h"
 
@@ -18,17 +19,22 @@
   CPPUNIT_TEST(testPortInUse);
   CPPUNIT_TEST(testCallerPortInUse);
   CPPUNIT_TEST(testExplainRequest);
+  CPPUNIT_TEST(testGatewayReloadsOverloadSwitches);
   CPPUNIT_TEST_SUITE_END();
 
   std::filesystem::path m_Folder;
 
+  static std::string program() {
+    auto Build = std::filesystem::read_symlink("/proc/self/exe")
+                     .parent_path()
+                     .parent_path();
+    return Build / "yardrill";
+  }
+
   int run(const std::vector<std::string> &Arguments, std::string &Output) {
-    static const auto Build = std::filesystem::read_symlink("/proc/self/exe")
-                                  .parent_path()
-                                  .parent_path();
     std::string Log = m_Folder / "output";
     std::filesystem::remove(Log);
-    std::vector<std::string> Command = {Build / "yardrill"};
+    std::vector<std::string> Command = {program()};
     Command.insert(Command.end(), Arguments.begin(), Arguments.end());
     int Code = Process(Command, Log).wait();
     Output = config::readFile(Log);
@@ -72,6 +78,16 @@
         {{"gateway", "--config=" + file("e.toml", "ip = 7\n")},
          2,
          "nodeName: missing or not a text"},
+        {{"gateway", "--overload_off=slot_lending,slots", "--config=/none"},
+         2,
+         "--overload_off: unknown switch \"slots\"; allowed: all, "},
+        {{"gateway", "--overload_off=all", "--config=/none"},
+         2,
+         "settings: cannot read file"},
+        {{"gateway", "--overload_off=slot_lending,account_fairness",
+          "--config=/none"},
+         2,
+         "settings: cannot read file"},
         {{"replay"}, 2, "takes 1 arguments"},
         {{"replay", "/none"}, 2, "trace: cannot read /none"},
         {{"replay", file("t", "{\"at\":1,\"event\":{}}\n")}, 2, "trace: "},
@@ -100,6 +116,8 @@
     CPPUNIT_ASSERT_EQUAL(0, run({"check", "--example"}, Output));
     std::string Example = file("example.yaml", Output);
     CPPUNIT_ASSERT_EQUAL(0, run({"check", "--config=" + Example}, Output));
+    CPPUNIT_ASSERT_EQUAL(0, run({"check", "--gateway_example"}, Output));
+    CPPUNIT_ASSERT(Output.find("\n[overload]\n") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(0, run({"check", "--fleet_example"}, Output));
     std::string Fleet = file("fleet.yaml", Output);
     CPPUNIT_ASSERT_EQUAL(0, run({"check", "--fleet=" + Fleet}, Output));
@@ -138,6 +156,58 @@
     expectInUse(settingsWith(Port, freePort()), Port);
   }
 
+  std::string gatewaySettings(const std::string &Overload) {
+    auto Address = [] { return "127.0.0.1:" + std::to_string(freePort()); };
+    std::string PeerPort = std::to_string(freePort());
+    return file("gateway.toml",
+                "nodeName = \"edge-1\"\nip = \"127.0.0.1\"\nzone = \"hall\"\n"
+                "portRange = [" +
+                    PeerPort + "," + PeerPort +
+                    "]\nseeds = []\nbootstrap = true\n[listen]\n"
+                    "frontend = \"" +
+                    Address() + "\"\nreadiness = \"" + Address() +
+                    "\"\n[limits]\nmaxFds = 4100\n[bounds]\n"
+                    "retryRatio = 0.2\nretryWindowS = 10\nretrySlack = 52\n"
+                    "graceS = 4\n[platform]\naddress = \"" +
+                    Address() + "\"\nreadsPerS = 2000\n" + Overload);
+  }
+
+  // Operators who turn a decision off while the pool is short of slots can't
+  // restart instances: the running process must take the switch over, and keep
+  // the command line's.
+  void testGatewayReloadsOverloadSwitches() {
+    std::string Settings = gatewaySettings("");
+    std::string Log = m_Folder / "gateway.log";
+    Process Gateway({program(), "gateway", "--config=" + Settings,
+                     "--overload_off=account_fairness"},
+                    Log);
+    auto HasLogged = [&Log](const std::string &Event, const std::string &Text) {
+      std::istringstream Lines(config::readFile(Log));
+      std::string Line;
+      while (std::getline(Lines, Line))
+        if (Line.find("event=" + Event) != std::string::npos &&
+            Line.find(Text) != std::string::npos)
+          return true;
+      return false;
+    };
+    CPPUNIT_ASSERT(eventually([&] {
+      return HasLogged("instance-started", "overload_off=account_fairness");
+    }));
+    std::ofstream(Settings, std::ios::app)
+        << "[overload]\nslot_handover = false\n";
+    Gateway.signal(SIGHUP);
+    CPPUNIT_ASSERT(eventually([&] {
+      return HasLogged("instance-reloaded",
+                       "overload_off=slot_handover,account_fairness");
+    }));
+    std::ofstream(Settings, std::ios::app) << "slot_handovers = false\n";
+    Gateway.signal(SIGHUP);
+    CPPUNIT_ASSERT(
+        eventually([&] { return HasLogged("reload-failed", "gateway.toml"); }));
+    Gateway.signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, Gateway.wait());
+  }
+
   void testExplainRequest() {
     // Logs of two instances that sent requests to the same target.
     std::string One = file("one.log", R"(garbage
