LibRouting: Bound the slots of lower tiers by what higher ones need

Cause: in a shortage of all slots the lowest tier (long streams) holds slots that short requests of higher tiers need. Each instance serves its own queue, the 5 % reserve covers only what arrives between load reports, and at its queue deadline a stream of the lowest tier took any free slot.

Change: TierConcurrency. All requests of a tier and of lower ones hold at most the usable slots less the higher tiers' offered load less 0.75 standard deviations of it (square root law, clumps of three). Half of the wait that higher tiers permit is counted as time in which slots of lower tiers come free for them. Above its floor a tier also leaves the free slots to higher tiers that wait anywhere in the group. Floors: a quarter of an equal service for every lower tier, and at least a tenth of the slots for the lowest. A stream that the bound denies is refused at its deadline, unless it has run before; a short request is sent as before. Where the offered load of a higher tier is unknown, or the switch is off, the reserve decides as before.

Not covered: a pool that several groups share counts all of its slots as usable.

--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -165,22 +165,45 @@
   return static_cast<std::size_t>(Slots);
 }
 
-bool Dispatcher::leavesReservedSlots(const PlacementRequest &Request,
-                                     core::TimePoint Now) const {
-  if (!isLowestPriority(Request))
-    return true;
+Dispatcher::SlotCount Dispatcher::countSlots(const PlacementRequest &Request,
+                                             core::TimePoint Now) const {
   const VersionGate *Gate = gateOf(Request.m_Pool);
-  double TotalSlots = 0;
-  double FreeSlots = 0;
+  SlotCount Out;
   for (const KnownTarget *Each : m_Targets.subsetOf(Request.m_Pool)) {
     if (!m_Targets.acceptsRequests(*Each, Now) ||
         (Gate && !Gate->mayServe(Each->m_Target, Now)))
       continue;
     double Slots = static_cast<double>(slotsFor(*Each, Request));
-    TotalSlots += Slots;
-    FreeSlots += std::max(0.0, Slots - static_cast<double>(Each->running()));
+    Out.m_Total += Slots;
+    Out.m_Free += std::max(0.0, Slots - static_cast<double>(Each->running()));
+    if (Each->m_CooldownUntil <= Now)
+      Out.m_Usable += static_cast<double>(Each->m_Target.m_Slots);
   }
-  return FreeSlots - 1 >= TotalSlots * ReservedSlotShare;
+  return Out;
+}
+
+bool Dispatcher::leavesReservedSlots(const PlacementRequest &Request,
+                                     core::TimePoint Now) const {
+  if (!isLowestPriority(Request))
+    return true;
+  SlotCount Slots = countSlots(Request, Now);
+  return Slots.m_Free - 1 >= Slots.m_Total * ReservedSlotShare;
+}
+
+bool Dispatcher::mayTakeSlot(const PlacementRequest &Request, bool IsTimeUp,
+                             core::TimePoint Now) {
+  // A request that has run before is not refused because of the bound.
+  if (m_Overload.m_TierConcurrency &&
+      (!IsTimeUp || Request.m_TriedTargets.empty())) {
+    SlotCount Slots = countSlots(Request, Now);
+    auto MayStart =
+        m_TierBounds.mayStart(Request.m_Pool, Request.m_Priority, m_Demand,
+                              Slots.m_Usable, Slots.m_Free, Now);
+    if (MayStart)
+      return *MayStart;
+  }
+  // The lowest priority uses a reserved slot only after its queue deadline.
+  return IsTimeUp || leavesReservedSlots(Request, Now);
 }
 
 const VersionGate *Dispatcher::gateOf(const core::PoolName &Pool) const {
@@ -318,9 +341,11 @@
   bool MustSend = IsTimeUp && (!Request.m_IsInference ||
                                m_Policy == PlacementPolicy::LeastOutstanding);
   KnownTarget *Best = choose(Request, MustSend, Now, HasCandidate);
-  // The lowest priority uses a reserved slot only after its queue deadline.
-  if (Best && !IsTimeUp && !leavesReservedSlots(Request, Now))
-    return false;
+  if (Best && !MustSend && !mayTakeSlot(Request, IsTimeUp, Now)) {
+    if (!IsTimeUp)
+      return false;
+    Best = nullptr;
+  }
   if (!HasCandidate && !IsTimeUp) {
     auto AvailableAt = nextAvailability(Request, Now);
     if (AvailableAt && *AvailableAt <= queueDeadline(Request))
@@ -344,6 +369,7 @@
                       core::TimePoint Now) {
   m_Running[Request.m_Request] = {Request.m_Pool, Request.m_Priority, Now};
   m_Demand.recordStart(Request.m_Pool, Request.m_Priority);
+  m_TierBounds.recordStart(Request.m_Pool, Request.m_Priority);
   m_Hooks.m_Send(Request.m_Request, Chosen);
 }
 
@@ -353,12 +379,15 @@
     return;
   const RunningRequest &Ended = Found->second;
   m_Demand.recordEnd(Ended.m_Pool, Ended.m_Priority, Now - Ended.m_SentAt);
+  m_TierBounds.recordEnd(Ended.m_Pool, Ended.m_Priority);
   m_Running.erase(Found);
 }
 
 void Dispatcher::place(const PlacementRequest &Request, core::TimePoint Now) {
   recordPriority(Request, Now);
   m_Demand.recordArrival(Request.m_Pool, Request.m_Priority, Now);
+  m_TierBounds.recordArrival(Request.m_Pool, Request.m_Priority,
+                             queueDeadline(Request) - Now);
   bool IsBehindOthers =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
         return Each.second.m_Pool == Request.m_Pool &&
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -12,6 +12,7 @@
 #include "LibRouting/OverloadSettings.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
+#include "LibRouting/TierConcurrencyTable.h"
 #include "LibRouting/VersionGate.h"
 
 #include <functional>
@@ -152,6 +153,17 @@
   /// the target is slow and the prompt is long.
   static std::size_t slotsFor(const KnownTarget &Known,
                               const PlacementRequest &Request);
+  /// Slots of a pool's subset that a request may count on.
+  struct SlotCount {
+    double m_Usable = 0; ///< All slots of targets that are not in cooldown.
+    double m_Total = 0;  ///< As slotsFor() limits them for the request.
+    double m_Free = 0;   ///< Of m_Total.
+  };
+  SlotCount countSlots(const PlacementRequest &Request,
+                       core::TimePoint Now) const;
+  /// Whether the request may take a free slot that others may need more.
+  bool mayTakeSlot(const PlacementRequest &Request, bool IsTimeUp,
+                   core::TimePoint Now);
   /// Whether the reserved slots stay free if this request takes one more slot.
   /// True for all requests that do not have the lowest priority.
   bool leavesReservedSlots(const PlacementRequest &Request,
@@ -179,6 +191,7 @@
   std::unordered_map<core::RequestId, RunningRequest> m_Running;
   OverloadSettings m_Overload{false, false, false, false, false, false};
   DemandTable m_Demand;
+  TierConcurrencyTable m_TierBounds;
   /// Time of the last request of each priority, by pool.
   std::map<core::PoolName, std::map<Priority, core::TimePoint>>
       m_PriorityLastSeen;
