Tests: Count backpressure of the soak's targets once it is delivered

The soak reported a back-off to its checker before the target sent the response that states it.

The target's proxy now tells the target which bytes it delivered to an open connection, and the target reports the statement then. A back-off thus binds the instance that received it, from when it received it; the same holds for rate limits and for targets that leave. The checker's rules and bounds are as before.

--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -22,6 +22,9 @@
 static constexpr std::chrono::milliseconds MinBackoffTime{300};
 static constexpr int BackoffSpreadMs = 3000;
 
+/// Start of the response header that repeats the request's id.
+static constexpr std::string_view IdHeader = "\r\nAttempt-Id: ";
+
 const char BadContentPrefix[] = "ends-its-target-";
 
 static std::uint64_t hashOf(const std::string &Id) {
@@ -65,6 +68,8 @@
       });
   m_Proxy =
       std::make_unique<tests::LoopbackProxy>(Context, tests::freePort(), Port);
+  m_Proxy->setDeliveryHook(
+      [this](std::string_view Bytes) { recordDelivery(Bytes); });
 }
 
 std::string SoakTarget::announcement() const {
@@ -156,12 +161,29 @@
   if (Backoff)
     Head.m_Headers.add("Retry-After",
                        std::to_string(core::toSeconds(*Backoff)));
-  m_Checker.backpressureStated(Id, incarnation(), Backpressure);
+  m_Undelivered[Id] = {incarnation(), Backpressure};
+}
+
+void SoakTarget::recordDelivery(std::string_view Bytes) {
+  // Sent at once, a head crosses the loopback interface in one piece.
+  std::size_t Begin = Bytes.find(IdHeader);
+  if (Begin == std::string_view::npos)
+    return;
+  Begin += IdHeader.size();
+  std::string Id(Bytes.substr(Begin, Bytes.find('\r', Begin) - Begin));
+  auto Found = m_Undelivered.find(Id);
+  if (Found == m_Undelivered.end())
+    return;
+  m_Checker.backpressureStated(Id, Found->second.m_Incarnation,
+                               Found->second.m_Backpressure);
+  m_Undelivered.erase(Found);
 }
 
 void SoakTarget::handle(http::Exchange &Call, asio::yield_context Yield) {
   const http::RequestMessage &Request = Call.request();
   std::string Id = headerOf(Request, "Attempt-Id");
+  // The response to an earlier attempt was lost.
+  m_Undelivered.erase(Id);
   m_Checker.requestArrived(Id, m_Name, m_LeavingSince);
   m_Checker.arrivedAtVersion(Id, m_Pool, m_Version);
   m_Checker.arrivedAtIncarnation(Id, incarnation());
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -7,9 +7,11 @@
 
 #include "LibHTTP/Server.h"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
+#include <string_view>
 
 namespace yardrill::soak {
 
@@ -73,10 +75,13 @@
   std::string incarnation() const {
     return m_Name + "@" + std::to_string(m_StartTime);
   }
-  /// Adds the target's backpressure to a response and reports it to the
-  /// checker.
+  /// Adds the target's backpressure to a response, and reports it to the
+  /// checker once the response has reached the gateway.
   void stateBackpressure(http::ResponseHead &Head, const std::string &Id,
                          std::optional<std::chrono::milliseconds> Backoff);
+  /// Reports the backpressure of a response whose head reached the gateway.
+  /// \param Bytes a piece of a response; it may contain no head.
+  void recordDelivery(std::string_view Bytes);
   void handle(http::Exchange &Call, boost::asio::yield_context Yield);
   void serve(http::Exchange &Call, const std::string &Id,
              boost::asio::yield_context Yield);
@@ -106,6 +111,13 @@
   bool m_IsLeavingInResponses = false;
   std::optional<double> m_Limit;        ///< Requests per second.
   std::multiset<std::string> m_Running; ///< Ids of running requests.
+  /// Backpressure that one response states, and the incarnation that states it.
+  struct StatedBackpressure {
+    std::string m_Incarnation;
+    ResponseBackpressure m_Backpressure;
+  };
+  /// Statements that haven't reached a gateway, by the id of the request.
+  std::map<std::string, StatedBackpressure> m_Undelivered;
 };
 
 } // namespace yardrill::soak
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -146,6 +146,8 @@
     error_code Failure;
     std::size_t Size =
         From.async_read_some(asio::buffer(Buffer), Yield[Failure]);
+    if (Failure && IsForward)
+      Connection->m_IsClosedByClient = true;
     // A cut holds back the end of the stream like bytes.
     holdBack(IsForward, Yield);
     if (!IsForward && m_ResponseRate > 0)
@@ -160,6 +162,8 @@
       asio::async_write(To, asio::buffer(Buffer, Size), Yield[Failure]);
     if (Failure)
       return Connection->reset();
+    if (!IsForward && !Connection->m_IsClosedByClient && m_DeliveryHook)
+      m_DeliveryHook({Buffer.data(), Size});
   }
 }
 
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -6,8 +6,10 @@
 #include <boost/asio/spawn.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <string_view>
 
 namespace yardrill::tests {
 
@@ -35,6 +37,11 @@
   void limitResponseRate(double BytesPerSecond) {
     m_ResponseRate = BytesPerSecond;
   }
+  /// \param Hook called with each piece of a response after it was sent to a
+  ///   client whose connection is open.
+  void setDeliveryHook(std::function<void(std::string_view)> Hook) {
+    m_DeliveryHook = std::move(Hook);
+  }
   /// Resets all open connections.
   void resetAll();
   /// Resets connections that have transferred nothing for \p Idle.
@@ -47,6 +54,7 @@
     boost::asio::ip::tcp::socket m_Downstream;
     boost::asio::ip::tcp::socket m_Upstream;
     std::chrono::steady_clock::time_point m_LastByte;
+    bool m_IsClosedByClient = false;
     void reset();
   };
   using ConnectionHandle = std::shared_ptr<ProxiedConnection>;
@@ -69,6 +77,7 @@
   std::list<std::weak_ptr<ProxiedConnection>> m_Connections;
   ProxyMode m_Mode = ProxyMode::PassThrough;
   double m_ResponseRate = 0;
+  std::function<void(std::string_view)> m_DeliveryHook;
   std::chrono::steady_clock::time_point m_LinkFreeAt;
 };
 
