LibRouting: Keep a table of the slots granted to other instances

Cause: the parts that hand a freed slot to a group peer and lend one to another group both need a slot to count as used here while another instance may use it. Change: SlotLeases with a time for each lease; TargetDirectory counts a leased slot as one running request (reserveSlot, releaseSlot), so that load reports show it. A lease of a target that has restarted, or was removed and announced again, frees nothing.

--- a/Libraries/LibRouting/KnownTarget.h
+++ b/Libraries/LibRouting/KnownTarget.h
@@ -30,6 +30,8 @@
   std::uint32_t m_Hash = 0; ///< TargetIncarnation::hash().
   TargetLoad m_LocalLoad;
   TargetLoad m_RemoteLoad;
+  /// Part of m_LocalLoad.m_Running that other instances may use.
+  std::size_t m_ReservedSlots = 0;
   /// Moving average of the time per stream event or short response, in
   /// milliseconds; 0 while unknown.
   double m_ServiceTimeMs = 0;
--- /dev/null
+++ b/Libraries/LibRouting/SlotLeases.cpp
@@ -0,0 +1,55 @@
+#include "LibRouting/SlotLeases.h"
+
+#include <algorithm>
+
+namespace yardrill::routing {
+
+std::optional<SlotLease> SlotLeases::grant(const TargetIncarnation &Target,
+                                           const config::Endpoint &Receiver,
+                                           core::Duration HeldTime,
+                                           core::TimePoint Now) {
+  const KnownTarget *Known = m_Targets.findByIncarnation(Target);
+  if (!Known)
+    return std::nullopt;
+  m_Targets.reserveSlot(Target);
+  if (m_NextId == 0)
+    ++m_NextId;
+  SlotLease Granted;
+  Granted.m_Id = m_NextId++;
+  Granted.m_Target = Target;
+  Granted.m_Pool = Known->m_Target.m_Pool;
+  Granted.m_Receiver = Receiver;
+  Granted.m_ExpiresAt = Now + HeldTime;
+  m_Leases.emplace(Granted.m_Id, Granted);
+  return Granted;
+}
+
+const SlotLease *SlotLeases::find(SlotLeaseId Id) const {
+  auto Found = m_Leases.find(Id);
+  return Found == m_Leases.end() ? nullptr : &Found->second;
+}
+
+std::optional<SlotLease> SlotLeases::release(SlotLeaseId Id) {
+  auto Found = m_Leases.find(Id);
+  if (Found == m_Leases.end())
+    return std::nullopt;
+  SlotLease Out = Found->second;
+  m_Leases.erase(Found);
+  m_Targets.releaseSlot(Out.m_Target);
+  return Out;
+}
+
+std::vector<SlotLease> SlotLeases::releaseExpired(core::TimePoint Now) {
+  std::vector<SlotLease> Out;
+  for (const auto &[Id, Each] : m_Leases)
+    if (Each.m_ExpiresAt <= Now)
+      Out.push_back(Each);
+  std::sort(Out.begin(), Out.end(), [](const SlotLease &A, const SlotLease &B) {
+    return A.m_Id < B.m_Id;
+  });
+  for (const SlotLease &Each : Out)
+    release(Each.m_Id);
+  return Out;
+}
+
+} // namespace yardrill::routing
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -231,6 +231,25 @@
   Known->m_LocalLoad.subtractPromptTokens(PendingPromptTokens);
 }
 
+bool TargetDirectory::reserveSlot(const TargetIncarnation &Incarnation) {
+  KnownTarget *Known = findByIncarnation(Incarnation);
+  if (!Known)
+    return false;
+  ++Known->m_ReservedSlots;
+  ++Known->m_LocalLoad.m_Running;
+  m_Busy.insert(Known);
+  return true;
+}
+
+void TargetDirectory::releaseSlot(const TargetIncarnation &Incarnation) {
+  KnownTarget *Known = findByIncarnation(Incarnation);
+  // A target that was removed and announced again holds no reservation.
+  if (!Known || Known->m_ReservedSlots == 0)
+    return;
+  --Known->m_ReservedSlots;
+  recordEnd(Incarnation, 0);
+}
+
 void TargetDirectory::recordFailure(const TargetIncarnation &Incarnation,
                                     TargetFailure Failure,
                                     core::TimePoint Now) {
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -100,6 +100,11 @@
   /// \param PendingPromptTokens prompt tokens still without a first event.
   void recordEnd(const TargetIncarnation &Incarnation,
                  std::uint32_t PendingPromptTokens);
+  /// Counts a slot that another instance may use as one that runs a request of
+  /// this instance. \returns false if the incarnation is unknown or has ended.
+  bool reserveSlot(const TargetIncarnation &Incarnation);
+  /// Undoes reserveSlot().
+  void releaseSlot(const TargetIncarnation &Incarnation);
   /// Raises the failure rate and starts a cooldown, unless the request ran
   /// (TargetFailure::Failed) and no other failure directly precedes it.
   void recordFailure(const TargetIncarnation &Incarnation,
