LibRouting: Hand freed slots over to group peers with a higher tier

Cause: a freed slot goes to the queue of the instance whose request ended, whoever waits at its peers. A slot is neither granted to a tier nor used by one that may not take it by TierConcurrency or the reserved slots.

--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -183,19 +183,21 @@
 }
 
 bool Dispatcher::leavesReservedSlots(const PlacementRequest &Request,
-                                     core::TimePoint Now) const {
-  if (!isLowestPriority(Request))
-    return true;
-  SlotCount Slots = countSlots(Request, Now);
-  return Slots.m_Free - 1 >= Slots.m_Total * ReservedSlotShare;
+                                     const SlotCount &Slots) const {
+  return !isLowestPriority(Request) ||
+         Slots.m_Free - 1 >= Slots.m_Total * ReservedSlotShare;
 }
 
 bool Dispatcher::mayTakeSlot(const PlacementRequest &Request, bool IsTimeUp,
-                             core::TimePoint Now) {
+                             std::size_t GrantedSlots, core::TimePoint Now) {
   // A request that has run before is not refused because of the bound.
-  if (m_Overload.m_TierConcurrency &&
-      (!IsTimeUp || Request.m_TriedTargets.empty())) {
-    SlotCount Slots = countSlots(Request, Now);
+  bool IsBounded = m_Overload.m_TierConcurrency &&
+                   (!IsTimeUp || Request.m_TriedTargets.empty());
+  if (!IsBounded && (IsTimeUp || !isLowestPriority(Request)))
+    return true;
+  SlotCount Slots = countSlots(Request, Now);
+  Slots.m_Free += static_cast<double>(GrantedSlots);
+  if (IsBounded) {
     auto MayStart =
         m_TierBounds.mayStart(Request.m_Pool, Request.m_Priority, m_Demand,
                               Slots.m_Usable, Slots.m_Free, Now);
@@ -203,7 +205,7 @@
       return *MayStart;
   }
   // The lowest priority uses a reserved slot only after its queue deadline.
-  return IsTimeUp || leavesReservedSlots(Request, Now);
+  return IsTimeUp || leavesReservedSlots(Request, Slots);
 }
 
 const VersionGate *Dispatcher::gateOf(const core::PoolName &Pool) const {
@@ -341,7 +343,7 @@
   bool MustSend = IsTimeUp && (!Request.m_IsInference ||
                                m_Policy == PlacementPolicy::LeastOutstanding);
   KnownTarget *Best = choose(Request, MustSend, Now, HasCandidate);
-  if (Best && !MustSend && !mayTakeSlot(Request, IsTimeUp, Now)) {
+  if (Best && !MustSend && !mayTakeSlot(Request, IsTimeUp, 0, Now)) {
     if (!IsTimeUp)
       return false;
     Best = nullptr;
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -89,6 +89,18 @@
   /// Switches the decisions under overload on or off; all are off by default.
   void setOverload(const OverloadSettings &Settings) { m_Overload = Settings; }
   const OverloadSettings &overload() const { return m_Overload; }
+  /// Returns the priority of the most urgent waiting request that may be sent
+  /// to the target, whatever its load; none if there is no such request.
+  std::optional<Priority> mostUrgentFor(const KnownTarget &Known,
+                                        core::TimePoint Now) const;
+  /// Sends the most urgent waiting request that may be sent to the target, in a
+  /// slot that another instance has granted. \returns false if there is none,
+  /// or the target takes no request.
+  bool sendWaitingTo(const TargetIncarnation &Incarnation, core::TimePoint Now);
+  /// Whether a request of this tier may take a free slot that others may need
+  /// more, as far as this instance knows the group.
+  bool mayTakeSlot(const core::PoolName &Pool, const Priority &Tier,
+                   core::TimePoint Now);
   /// Demand of this instance and its group peers.
   DemandTable &demand() { return m_Demand; }
   const DemandTable &demand() const { return m_Demand; }
@@ -138,6 +150,15 @@
   const VersionGate *gateOf(const core::PoolName &Pool) const;
   bool hasFreeSlot(const KnownTarget &Known,
                    const PlacementRequest &Request) const;
+  /// Returns the most urgent waiting request that may be sent to the target, or
+  /// null.
+  const PlacementRequest *mostUrgentRequestFor(const KnownTarget &Known,
+                                               core::TimePoint Now) const;
+  /// Whether a request may use a slot of the target that was granted for it.
+  /// The slot counts as used, and thereby once more than it is.
+  bool mayUseGrantedSlot(const KnownTarget &Known,
+                         const PlacementRequest &Request,
+                         core::TimePoint Now) const;
   /// Returns the cheapest candidate, or one of several equal ones in turn; null
   /// if none has a free slot.
   /// \param MustSend whether to ignore free slots.
@@ -168,12 +189,14 @@
   SlotCount countSlots(const PlacementRequest &Request,
                        core::TimePoint Now) const;
   /// Whether the request may take a free slot that others may need more.
+  /// \param GrantedSlots free slots that count as used, since others have
+  /// granted them to this instance.
   bool mayTakeSlot(const PlacementRequest &Request, bool IsTimeUp,
-                   core::TimePoint Now);
+                   std::size_t GrantedSlots, core::TimePoint Now);
   /// Whether the reserved slots stay free if this request takes one more slot.
   /// True for all requests that do not have the lowest priority.
   bool leavesReservedSlots(const PlacementRequest &Request,
-                           core::TimePoint Now) const;
+                           const SlotCount &Slots) const;
   void recordPriority(const PlacementRequest &Request, core::TimePoint Now);
   bool isScarce(const core::PoolName &Pool, core::TimePoint Now) const;
   /// Adds a request to the queue.
--- a/Libraries/LibRouting/SlotLeases.cpp
+++ b/Libraries/LibRouting/SlotLeases.cpp
@@ -19,6 +19,7 @@
   Granted.m_Target = Target;
   Granted.m_Pool = Known->m_Target.m_Pool;
   Granted.m_Receiver = Receiver;
+  Granted.m_GrantedAt = Now;
   Granted.m_ExpiresAt = Now + HeldTime;
   m_Leases.emplace(Granted.m_Id, Granted);
   return Granted;
@@ -39,10 +40,11 @@
   return Out;
 }
 
-std::vector<SlotLease> SlotLeases::releaseExpired(core::TimePoint Now) {
+template <class Condition>
+std::vector<SlotLease> SlotLeases::releaseIf(Condition IsOver) {
   std::vector<SlotLease> Out;
   for (const auto &[Id, Each] : m_Leases)
-    if (Each.m_ExpiresAt <= Now)
+    if (IsOver(Each))
       Out.push_back(Each);
   std::sort(Out.begin(), Out.end(), [](const SlotLease &A, const SlotLease &B) {
     return A.m_Id < B.m_Id;
@@ -52,4 +54,16 @@
   return Out;
 }
 
+void SlotLeases::releaseReported(const config::Endpoint &Receiver,
+                                 core::TimePoint GrantedBy) {
+  releaseIf([&](const SlotLease &Each) {
+    return Each.m_Receiver == Receiver && Each.m_GrantedAt <= GrantedBy;
+  });
+}
+
+std::vector<SlotLease> SlotLeases::releaseExpired(core::TimePoint Now) {
+  return releaseIf(
+      [Now](const SlotLease &Each) { return Each.m_ExpiresAt <= Now; });
+}
+
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/SlotLeases.h
+++ b/Libraries/LibRouting/SlotLeases.h
@@ -23,6 +23,7 @@
   TargetIncarnation m_Target;
   core::PoolName m_Pool;
   config::Endpoint m_Receiver;
+  core::TimePoint m_GrantedAt{};
   core::TimePoint m_ExpiresAt{};
 };
 
@@ -50,11 +51,19 @@
   const SlotLease *find(SlotLeaseId Id) const;
   /// Ends a lease and frees its slot. \returns none if it has ended before.
   std::optional<SlotLease> release(SlotLeaseId Id);
+  /// Ends the leases that the receiver got by then, whose use its own load
+  /// report shows.
+  void releaseReported(const config::Endpoint &Receiver,
+                       core::TimePoint GrantedBy);
   /// Ends the leases whose time is over, and returns them.
   std::vector<SlotLease> releaseExpired(core::TimePoint Now);
   std::size_t size() const { return m_Leases.size(); }
 
 private:
+  /// Ends the leases that meet a condition, and returns them in order of their
+  /// ids.
+  template <class Condition> std::vector<SlotLease> releaseIf(Condition IsOver);
+
   TargetDirectory &m_Targets;
   SlotLeaseId m_NextId;
   std::unordered_map<SlotLeaseId, SlotLease> m_Leases;
