LibGateway: Hand freed slots over to group peers

Peers learn of a change in the number of waiting requests within a report period. The simulation of overloaded fleets hands slots over as well. LibRoutingTests and LibGatewayTests as a whole are not run yet.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -89,6 +89,10 @@
           [this](const config::Endpoint &To, const peer::PeerBody &Body) {
             m_Peers->send(To, Body);
           }),
+      m_Slots(m_Dispatcher, m_Targets, m_Metrics,
+              [this](const config::Endpoint &To, const peer::PeerBody &Body) {
+                m_Peers->send(To, Body);
+              }),
       m_Quarantine(Context, Store, quarantineHooks()),
       m_Quotas(Context, m_Settings, m_Metrics,
                [this](const config::Endpoint &To, const peer::PeerBody &Body) {
@@ -173,6 +177,7 @@
             m_Rollouts.handle(Message);
             m_Quarantine.handle(Message);
             m_Backpressure.handle(Message, core::steadyNow());
+            m_Slots.handle(Message, core::steadyNow());
           }});
 }
 
@@ -187,6 +192,7 @@
     m_Connections.closeExpired();
     m_ExitDetector.upkeep(Now);
     m_Backpressure.upkeep(Now);
+    m_Slots.upkeep(Now);
     m_Quarantine.upkeep(Now);
     m_Quotas.upkeep(m_Peers->isListConfirmed(), Now);
     // Without a record, the quota owners are the discovered instances.
@@ -424,6 +430,7 @@
                              core::TierNumber(Entry.m_RouteTier)};
       Demands[Peer->m_Instance.m_Peer][Entry.m_Pool][Tier] += toDemand(Entry);
     }
+    m_Slots.handleReport(Peer->m_Instance.m_Peer, Peer->m_LastSeenAt);
   }
   m_Targets.setRemoteLoad(Sums);
   m_Dispatcher.demand().setPeers(std::move(Demands));
@@ -490,7 +497,8 @@
 }
 
 void Gateway::scheduleTick() {
-  bool IsNeeded = m_Dispatcher.waiting() > 0 || m_OnStopped;
+  bool IsNeeded =
+      m_Dispatcher.waiting() > 0 || m_Slots.hasLeases() || m_OnStopped;
   if (m_IsTickScheduled || !IsNeeded)
     return;
   m_IsTickScheduled = true;
@@ -515,13 +523,17 @@
   return m_Targets.availableAt(Pool, m_Dispatcher.waitingFor(Pool), Now);
 }
 
-void Gateway::handleFreedSlot() {
-  dispatchWaiting(core::steadyNow());
+void Gateway::handleFreedSlot(const routing::TargetIncarnation &Target) {
+  if (m_HasWaitingPeers || m_Dispatcher.waiting() > 0)
+    m_Peers->notifyIfChanged();
+  m_Slots.handleFreedSlot(Target, core::steadyNow());
   if (m_HasWaitingPeers)
     m_Peers->scheduleReport();
+  scheduleTick();
 }
 
 void Gateway::tick(core::TimePoint Now) {
+  m_Slots.upkeep(Now);
   dispatchWaiting(Now);
   if (m_StoppingSince != core::TimePoint())
     pollStop(Now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -20,6 +20,7 @@
 #include "LibGateway/RetryBudgets.h"
 #include "LibGateway/RolloutService.h"
 #include "LibGateway/RolloutWriter.h"
+#include "LibGateway/SlotService.h"
 #include "LibGateway/StoreFollower.h"
 #include "LibGateway/TargetExitDetector.h"
 #include "LibHTTP/ConnectionPool.h"
@@ -105,11 +106,11 @@
   /// if it takes one now or no such time is known.
   std::optional<core::TimePoint> availableAt(const core::PoolName &Pool,
                                              core::TimePoint Now);
-  /// Gives a freed slot to a request that waits here, and reports it soon if
-  /// requests wait at group peers.
-  void handleFreedSlot();
-  /// Schedules a tick only while requests wait or a stop is under way, so that
-  /// an idle instance is not woken.
+  /// Gives a freed slot to the most urgent request that waits in the group, and
+  /// reports it soon if requests wait at group peers.
+  void handleFreedSlot(const routing::TargetIncarnation &Target);
+  /// Schedules a tick only while requests wait, slots are granted or a stop is
+  /// under way, so that an idle instance is not woken.
   void scheduleTick();
   void tick(core::TimePoint Now);
   /// Completes a stop once no request is open or its time is up.
@@ -148,6 +149,7 @@
   RetryBudgets m_Retries;
   TargetExitDetector m_ExitDetector;
   BackpressureService m_Backpressure;
+  SlotService m_Slots;
   QuarantineService m_Quarantine;
   std::unique_ptr<PeerService> m_Peers;
   QuotaService m_Quotas;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -235,7 +235,7 @@
       m_Owner.m_Targets.recordEnd(m_Target->incarnation(),
                                   m_PendingPromptTokens);
       m_Owner.m_Dispatcher.recordEnd(m_Id, core::steadyNow());
-      m_Owner.handleFreedSlot();
+      m_Owner.handleFreedSlot(m_Target->incarnation());
       break;
     }
     m_Timing.noteAttempt(core::steadyNow());
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -248,7 +248,7 @@
   case AttemptOutcome::CallerGone:
     break;
   }
-  m_Owner.handleFreedSlot();
+  m_Owner.handleFreedSlot(Incarnation);
 }
 
 void GatewayRequest::reportRolloutOutcome(AttemptOutcome Outcome,
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -327,6 +327,18 @@
       .add("has_stopped", HasStopped);
 }
 
+/// Whether the same number of requests waits in each pool and tier. The other
+/// figures of the demand change with time alone.
+static bool isSameWaiting(const std::vector<peer::TierDemandEntry> &A,
+                          const std::vector<peer::TierDemandEntry> &B) {
+  return std::equal(
+      A.begin(), A.end(), B.begin(), B.end(),
+      [](const peer::TierDemandEntry &X, const peer::TierDemandEntry &Y) {
+        return X.m_Pool == Y.m_Pool && X.m_AccountTier == Y.m_AccountTier &&
+               X.m_RouteTier == Y.m_RouteTier && X.m_Waiting == Y.m_Waiting;
+      });
+}
+
 void PeerExchange::sendReport(const std::vector<config::Endpoint> &To,
                               bool IsFull) {
   if (To.empty())
@@ -345,6 +357,7 @@
   bool HasChanges =
       Report.m_Targets != m_LastReport.m_Targets ||
       Report.m_HasWaitingRequests != m_LastReport.m_HasWaitingRequests ||
+      !isSameWaiting(Report.m_Demand, m_LastReport.m_Demand) ||
       Report.m_IsStoreConnected != m_LastReport.m_IsStoreConnected ||
       Report.m_StoreRevision != m_LastReport.m_StoreRevision ||
       Report.m_CompleteRevision != m_LastReport.m_CompleteRevision;
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -24,7 +24,7 @@
 
 DispatchFleet::DispatchFleet(const DispatchScenario &Scenario)
     : m_Scenario(Scenario), m_Random(Scenario.m_Seed),
-      m_FaultRandom(Scenario.m_Seed + 1),
+      m_FaultRandom(Scenario.m_Seed + 1), m_SlotRandom(Scenario.m_Seed + 4),
       m_Network(Scenario.m_Network, Scenario.m_Seed + 2) {
   if (!m_Scenario.m_Kinds.empty())
     m_Callers = std::make_unique<SimulatedCallers>(
@@ -88,6 +88,7 @@
   SimulatedInstance &Own = m_Instances[Index];
   ++Own.m_Process;
   Own.m_PeerReports.clear();
+  Own.m_Slots.reset();
   Own.m_Dispatcher.reset();
   Own.m_Targets = std::make_unique<routing::TargetDirectory>();
   routing::Pool Pool;
@@ -116,6 +117,8 @@
       *Own.m_Targets, dataHallOf(Index),
       routing::PlacementPolicy::LeastPredictedWait, std::move(Hooks));
   Own.m_Dispatcher->setOverload(m_Scenario.m_Overload);
+  Own.m_Slots = std::make_unique<routing::SlotExchange>(
+      *Own.m_Dispatcher, *Own.m_Targets, m_SlotRandom(), slotHooks(Index));
 }
 
 //===----------------------------------------------------------------------===//
@@ -229,9 +232,17 @@
   if (Own.m_Targets->throttles().update(Incarnation, Stated, m_Now))
     reportBackpressure(Ended.m_Instance,
                        Own.m_Targets->throttles().reportOf(Incarnation));
-  dispatchWaiting(Own);
-  if (hasWaitingPeers(Own))
-    Own.m_IsReportDue = true;
+  handleFreedSlot(Own, Incarnation);
+}
+
+void DispatchFleet::handleFreedSlot(SimulatedInstance &Instance,
+                                    const TargetIncarnation &Target) {
+  bool IsPeerWaiting = hasWaitingPeers(Instance);
+  if (Instance.m_Dispatcher->waiting() > 0 || IsPeerWaiting)
+    applyReports(Instance);
+  Instance.m_Slots->handleFreedSlot(Target, m_Now);
+  if (IsPeerWaiting)
+    Instance.m_IsReportDue = true;
 }
 
 void DispatchFleet::dispatchWaiting(SimulatedInstance &Instance) {
@@ -276,6 +287,7 @@
     for (SimulatedInstance &Each : m_Instances) {
       if (!m_Scenario.m_ReportPeriod)
         exchangeLoads(Each);
+      Each.m_Slots->upkeep(m_Now);
       dispatchWaiting(Each);
     }
     if (m_Callers)
--- a/Tests/Support/DispatchFleet.h
+++ b/Tests/Support/DispatchFleet.h
@@ -11,7 +11,7 @@
 #include "SimulatedNetwork.h"
 #include "SimulatedTargets.h"
 
-#include "LibRouting/Dispatcher.h"
+#include "LibRouting/SlotExchange.h"
 
 #include <functional>
 #include <map>
@@ -39,6 +39,7 @@
 struct SimulatedInstance {
   std::unique_ptr<routing::TargetDirectory> m_Targets;
   std::unique_ptr<routing::Dispatcher> m_Dispatcher;
+  std::unique_ptr<routing::SlotExchange> m_Slots;
   routing::FleetSubset m_Subset;
   std::size_t m_Process = 0;
   bool m_IsRestarted = false; ///< See DispatchScenario::m_RestartedShare.
@@ -126,9 +127,12 @@
   void completeDue();
   void complete(const Completion &Ended);
   void dispatchWaiting(SimulatedInstance &Instance);
+  void handleFreedSlot(SimulatedInstance &Instance,
+                       const routing::TargetIncarnation &Target);
   void recordFreeSlots();
 
   // Messages between instances.
+  routing::SlotExchangeHooks slotHooks(std::size_t Index);
   void reportBackpressure(std::size_t From,
                           const routing::BackpressureReport &Update);
   void deliverBackpressure();
@@ -148,6 +152,7 @@
   DispatchScenario m_Scenario;
   std::mt19937_64 m_Random;
   std::mt19937_64 m_FaultRandom;
+  std::mt19937_64 m_SlotRandom;
   core::TimePoint m_Start{std::chrono::hours(1)};
   core::TimePoint m_Now = m_Start;
   core::TimePoint m_LoadsAt = m_Now;
--- a/Tests/Support/DispatchFleetMessages.cpp
+++ b/Tests/Support/DispatchFleetMessages.cpp
@@ -205,6 +205,7 @@
       Sum.m_Running += Load.m_Running;
       Sum.m_PendingPromptTokens += Load.m_PendingPromptTokens;
     }
+    To.m_Slots->handleReport(addressOf(From), Known.m_ReceivedAt);
     if (!Known.m_Report->m_Demand.empty())
       Demands[addressOf(From)] = Known.m_Report->m_Demand;
     ++Each;
@@ -213,6 +214,29 @@
   To.m_Dispatcher->demand().setPeers(std::move(Demands));
 }
 
+routing::SlotExchangeHooks DispatchFleet::slotHooks(std::size_t Index) {
+  routing::SlotExchangeHooks Out;
+  Out.m_Grant = [this, Index](const config::Endpoint &To,
+                              const routing::SlotGrant &Granted) {
+    std::size_t Receiver = m_Indexes.at(To);
+    m_Network.post(Index, Receiver, m_Now, [this, Index, Receiver, Granted] {
+      m_Instances[Receiver].m_Slots->handleGrant(addressOf(Index), Granted,
+                                                 m_Now);
+    });
+  };
+  Out.m_Return = [this, Index](const config::Endpoint &To,
+                               routing::SlotLeaseId Lease) {
+    std::size_t Giver = m_Indexes.at(To);
+    m_Network.post(Index, Giver, m_Now, [this, Index, Giver, Lease] {
+      m_Instances[Giver].m_Slots->handleReturn(addressOf(Index), Lease, m_Now);
+    });
+  };
+  Out.m_Random = [this] {
+    return std::uniform_real_distribution<double>(0, 1)(m_SlotRandom);
+  };
+  return Out;
+}
+
 bool DispatchFleet::hasWaitingPeers(const SimulatedInstance &Instance) const {
   return std::any_of(Instance.m_PeerReports.begin(),
                      Instance.m_PeerReports.end(), [](const auto &Each) {
