LibRouting: Serve accounts that wait by their shares of slot time

Cause: requests of a tier wait in the order of their due times, so that an account that sends seven times its usual takes seven times the slots, and all accounts become late with it.

Change: AccountFairness, start-time fair queueing (Goyal, Vin, Cheng 1996) with equal weights, per instance, pool and tier. The start tag comes before the due time in Dispatcher::precedes, also for requests that are due soon. A withdrawn or refused request costs its account nothing. A single account, or the switch off, leaves the order as it was.

Limits: shares are of each instance, not of the group. Requests without an account count as one account.

--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -125,10 +125,12 @@
 
 bool Dispatcher::precedes(const PlacementRequest &A, const PlacementRequest &B,
                           core::TimePoint Now) const {
-  return std::make_tuple(urgencyOf(A, Now), A.m_Priority, A.m_FirstByteDue,
-                         A.m_Request) <
-         std::make_tuple(urgencyOf(B, Now), B.m_Priority, B.m_FirstByteDue,
-                         B.m_Request);
+  auto Key = [&](const PlacementRequest &Request) {
+    return std::make_tuple(urgencyOf(Request, Now), Request.m_Priority,
+                           m_Fairness.startTag(Request.m_Request),
+                           Request.m_FirstByteDue, Request.m_Request);
+  };
+  return Key(A) < Key(B);
 }
 
 core::TimePoint
@@ -352,7 +354,7 @@
       return false;
   }
   if (!HasCandidate || (IsTimeUp && !Best)) {
-    m_Hooks.m_Refuse(Request.m_Request);
+    refuse(Request);
     return true;
   }
   if (!Best)
@@ -370,9 +372,15 @@
   m_Running[Request.m_Request] = {Request.m_Pool, Request.m_Priority, Now};
   m_Demand.recordStart(Request.m_Pool, Request.m_Priority);
   m_TierBounds.recordStart(Request.m_Pool, Request.m_Priority);
+  m_Fairness.recordSent(Request);
   m_Hooks.m_Send(Request.m_Request, Chosen);
 }
 
+void Dispatcher::refuse(const PlacementRequest &Request) {
+  m_Fairness.remove(Request);
+  m_Hooks.m_Refuse(Request.m_Request);
+}
+
 void Dispatcher::recordEnd(core::RequestId Id, core::TimePoint Now) {
   auto Found = m_Running.find(Id);
   if (Found == m_Running.end())
@@ -388,6 +396,8 @@
   m_Demand.recordArrival(Request.m_Pool, Request.m_Priority, Now);
   m_TierBounds.recordArrival(Request.m_Pool, Request.m_Priority,
                              queueDeadline(Request) - Now);
+  if (m_Overload.m_AccountFairness)
+    m_Fairness.add(Request);
   bool IsBehindOthers =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
         return Each.second.m_Pool == Request.m_Pool &&
@@ -398,7 +408,7 @@
   // Refuse now what throttled targets would accept only after the deadline.
   auto AvailableAt = nextAvailability(Request, Now);
   if (AvailableAt && *AvailableAt > queueDeadline(Request))
-    return m_Hooks.m_Refuse(Request.m_Request);
+    return refuse(Request);
   enqueue(Request);
 }
 
@@ -419,6 +429,7 @@
   if (Found == m_Waiting.end())
     return false;
   m_Demand.recordWaitEnd(Found->second.m_Pool, Found->second.m_Priority);
+  m_Fairness.remove(Found->second);
   m_Waiting.erase(Found);
   return true;
 }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -8,6 +8,7 @@
 #ifndef YARDRILL_LIBROUTING_DISPATCHER_H
 #define YARDRILL_LIBROUTING_DISPATCHER_H
 
+#include "LibRouting/AccountFairness.h"
 #include "LibRouting/DemandTable.h"
 #include "LibRouting/OverloadSettings.h"
 #include "LibRouting/RoutingTable.h"
@@ -176,6 +177,7 @@
                            core::TimePoint Now) const;
   void recordPriority(const PlacementRequest &Request, core::TimePoint Now);
   bool isScarce(const core::PoolName &Pool, core::TimePoint Now) const;
+  void refuse(const PlacementRequest &Request);
   /// Adds a request to the queue.
   void enqueue(const PlacementRequest &Request);
   /// Sends a request to a target that has accepted it.
@@ -198,6 +200,7 @@
   OverloadSettings m_Overload{false, false, false, false, false, false};
   DemandTable m_Demand;
   TierConcurrencyTable m_TierBounds;
+  AccountFairness m_Fairness;
   /// Time of the last request of each priority, by pool.
   std::map<core::PoolName, std::map<Priority, core::TimePoint>>
       m_PriorityLastSeen;
