Tests: Check the limits and the targets that granted slots keep to

A granted slot gives no right to pass a target's limit, nor to send a request to a target that it has tried or that is in no allowed region.

--- a/Tests/LibRouting/SlotExchangeTest.cpp
+++ b/Tests/LibRouting/SlotExchangeTest.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(testReportOfTheReceiverEndsTheLease);
   CPPUNIT_TEST(testTargetThatEndsMeanwhileGetsNothing);
   CPPUNIT_TEST(testClosedTargetGetsNothing);
+  CPPUNIT_TEST(testLimitOfTheTargetHolds);
+  CPPUNIT_TEST(testRequestsThatMayNotUseTheTargetAreSkipped);
   CPPUNIT_TEST(testGrantedRequestRunsOnce);
   CPPUNIT_TEST(testOnlyTheHolderReturnsALease);
   CPPUNIT_TEST(testSwitchedOffSlotsStayLocal);
@@ -151,8 +153,9 @@
       To->m_Dispatcher->demand().setPeers(std::move(Demands));
     }
   }
-  void place(std::size_t Index, std::uint64_t Id, std::uint32_t Tier) {
-    PlacementRequest Request;
+  void place(std::size_t Index, std::uint64_t Id, std::uint32_t Tier,
+             const PlacementRequest &Template = {}) {
+    PlacementRequest Request = Template;
     Request.m_Request = core::RequestId(Id);
     Request.m_Pool = m_Pool;
     Request.m_Priority.m_Route = core::TierNumber(Tier);
@@ -343,6 +346,46 @@
     CPPUNIT_ASSERT(wasSent(1, 1));
   }
 
+  void testLimitOfTheTargetHolds() {
+    addBusyInstances(2);
+    place(1, 1, 1);
+    place(1, 2, 1);
+    report();
+    Instance &Receiver = at(1);
+    TargetBackpressure Stated;
+    Stated.m_RequestsPerSecond = 0.1;
+    Receiver.m_Targets.throttles().update(name(0), Stated, m_Now);
+    SlotGrant Granted{77, name(0), SlotExchange::GroupHeldTime};
+    for (int I = 0; I < 5; ++I)
+      Receiver.m_Slots->handleGrant(at(0).m_Address, Granted, m_Now);
+    CPPUNIT_ASSERT(Receiver.m_Sent.size() <= 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), Receiver.m_Sent.size() + m_Returns);
+  }
+
+  void testRequestsThatMayNotUseTheTargetAreSkipped() {
+    addBusyInstances(2);
+    // The target with the slot is here, the other one elsewhere.
+    core::DataHallName Far("far");
+    at(1).m_Targets.setRegions({{m_Hall, core::RegionName("here")},
+                                {Far, core::RegionName("elsewhere")}});
+    Target Moved = at(1).m_Targets.find(name(1))->m_Target;
+    Moved.m_DataHall = Far;
+    at(1).m_Targets.announce(Moved);
+    PlacementRequest Tried;
+    Tried.m_TriedTargets = {name(0)};
+    PlacementRequest Elsewhere;
+    Elsewhere.m_Regions = {core::RegionName("elsewhere")};
+    place(1, 1, 1, Tried);
+    place(1, 2, 1, Elsewhere);
+    place(1, 3, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), at(1).m_Dispatcher->waiting());
+    report();
+    CPPUNIT_ASSERT(end(0));
+    deliver();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), at(1).m_SentTo.size());
+    CPPUNIT_ASSERT(wasSent(1, 3));
+  }
+
   void testGrantedRequestRunsOnce() {
     addBusyInstances(2);
     place(1, 1, 1);
