Tests: Check callers that do not read their responses

Targets cut off responses that stay unread for some seconds, and what a gateway holds for slow callers counts against its memory. Nothing tested either.

The stand-ins get the setting unread_limit_ms, the application also response_bytes.

While the gateway waits to write to a caller that reads nothing, it doesn't read from the target and doesn't notice that the target has cut off the response. It counts the slot as taken until the write times out. Not mended here: a shorter write timeout gives up callers that pause, and watching the target's connection changes the end of an attempt, which other work is changing.

Neither the soak's callers nor its targets have slow readers yet.

--- a/Tests/StandIns/Application.cpp
+++ b/Tests/StandIns/Application.cpp
@@ -6,6 +6,8 @@
 
 namespace json = boost::json;
 
+static constexpr std::size_t PieceBytes = 65536;
+
 void Application::handle(http::Exchange &Call,
                          boost::asio::yield_context Yield) {
   ++m_Calls;
@@ -19,7 +21,8 @@
   sleep(std::chrono::milliseconds(m_DelayMilliseconds), Yield);
   if (AbortPoint == "after-execution")
     return Call.abort();
-  std::string Body = Call.request().m_Body;
+  std::string Body = m_ResponseBytes > 0 ? std::string(m_ResponseBytes, 'x')
+                                         : Call.request().m_Body;
   http::ResponseHead Head;
   Head.m_Status = 200;
   Head.m_Headers.set("Content-Type", "application/octet-stream");
@@ -32,13 +35,16 @@
     Call.sendBodyData(Body.substr(0, Body.size() / 2), Yield);
     return Call.abort();
   }
-  Call.sendBodyData(Body, Yield);
+  // The limit for unread responses applies to each piece.
+  for (std::size_t Sent = 0; Sent < Body.size(); Sent += PieceBytes)
+    Call.sendBodyData(std::string_view(Body).substr(Sent, PieceBytes), Yield);
   Call.finishStream(Yield);
 }
 
 void Application::applySettings(const json::object &Settings) {
   readIfPresent(Settings, "delay_ms", m_DelayMilliseconds);
   readIfPresent(Settings, "break", m_AbortPoint);
+  readIfPresent(Settings, "response_bytes", m_ResponseBytes);
 }
 
 json::object Application::counters() const {
--- a/Tests/StandIns/Application.h
+++ b/Tests/StandIns/Application.h
@@ -10,7 +10,8 @@
 
 /// Echoes the body of a request and counts the executions of each identity
 /// (header `Test-Identity`). The setting "break" makes it close the connection
-/// at one point of a call.
+/// at one point of a call; "response_bytes" makes it respond with so many bytes
+/// instead of the echo.
 class Application final : public StandIn {
 public:
   using StandIn::StandIn;
@@ -26,6 +27,7 @@
   std::int64_t m_DelayMilliseconds = 0;
   /// "", "before-execution", "after-execution" or "within-answer".
   std::string m_AbortPoint;
+  std::uint64_t m_ResponseBytes = 0; ///< 0: echoes the body of the request.
   std::size_t m_Calls = 0;
 };
 
--- a/Tests/StandIns/StandIn.cpp
+++ b/Tests/StandIns/StandIn.cpp
@@ -7,11 +7,10 @@
 namespace asio = boost::asio;
 
 void StandIn::listen(std::uint16_t Port) {
-  http::ServerLimits Limits;
-  Limits.m_BodyBytes = 64UL * 1024 * 1024;
-  Limits.m_IdleTimeout = std::chrono::hours(1);
+  m_Limits.m_BodyBytes = 64UL * 1024 * 1024;
+  m_Limits.m_IdleTimeout = std::chrono::hours(1);
   m_Server = http::Server::create(
-      m_Context, {asio::ip::make_address("127.0.0.1"), Port}, Limits,
+      m_Context, {asio::ip::make_address("127.0.0.1"), Port}, m_Limits,
       [this](http::Exchange &Call, asio::yield_context Yield) {
         route(Call, Yield);
       },
@@ -25,11 +24,22 @@
 void StandIn::route(http::Exchange &Call, asio::yield_context Yield) {
   if (Call.request().m_Target != "/control")
     return handle(Call, Yield);
-  if (Call.request().m_Method == "POST")
-    applySettings(boost::json::parse(Call.request().m_Body).as_object());
+  if (Call.request().m_Method == "POST") {
+    boost::json::object Settings =
+        boost::json::parse(Call.request().m_Body).as_object();
+    if (const boost::json::value *Limit =
+            Settings.if_contains("unread_limit_ms"))
+      setUnreadLimit(std::chrono::milliseconds(Limit->to_number<int>()));
+    applySettings(Settings);
+  }
   sendJson(Call, counters(), Yield);
 }
 
+void StandIn::setUnreadLimit(std::chrono::milliseconds Limit) {
+  m_Limits.m_WriteTimeout = Limit;
+  m_Server->setLimits(m_Limits);
+}
+
 void StandIn::sleep(std::chrono::microseconds Duration,
                     asio::yield_context Yield) {
   asio::steady_timer Timer(m_Context, Duration);
--- a/Tests/StandIns/StandIn.h
+++ b/Tests/StandIns/StandIn.h
@@ -14,7 +14,8 @@
 
 /// An HTTP server that replaces an external system in tests. POST /control
 /// applies the settings of a JSON object; it and GET /control return the
-/// counters.
+/// counters. The setting "unread_limit_ms" makes it cut off responses of which
+/// its caller reads nothing for this time.
 class StandIn {
 public:
   explicit StandIn(boost::asio::io_context &Context) : m_Context(Context) {}
@@ -47,7 +48,9 @@
 
 private:
   void route(http::Exchange &Call, boost::asio::yield_context Yield);
+  void setUnreadLimit(std::chrono::milliseconds Limit);
 
+  http::ServerLimits m_Limits;
   std::unique_ptr<http::Server> m_Server;
 };
 
--- /dev/null
+++ b/Tests/Support/SlowCallerFixture.h
@@ -0,0 +1,63 @@
+//===-- SlowCallerFixture.h - A gateway whose callers don't read ----------===//
+#ifndef YARDRILL_TESTS_SUPPORT_SLOWCALLERFIXTURE_H
+#define YARDRILL_TESTS_SUPPORT_SLOWCALLERFIXTURE_H
+
+#include "GatewayFixture.h"
+#include "LargeResponseTarget.h"
+
+namespace yardrill::tests {
+
+/// Runs a gateway before a target of large responses, and sends requests whose
+/// responses nobody reads.
+class SlowCallerFixture : public GatewayFixture {
+protected:
+  static constexpr std::size_t Slots = 4; ///< As announced by the fixture.
+  /// Objective of the fixture's routes.
+  static constexpr std::chrono::milliseconds Objective{300};
+
+  std::unique_ptr<LargeResponseTarget> m_Target;
+  asio::io_context m_CallerContext;
+  std::vector<std::unique_ptr<tcp::socket>> m_SlowCallers;
+
+public:
+  void tearDown() override {
+    m_SlowCallers.clear();
+    GatewayFixture::tearDown();
+    m_Target.reset();
+  }
+
+protected:
+  void startGateway() {
+    m_Target = std::make_unique<LargeResponseTarget>(m_Context);
+    m_Store.m_Content.push_back(
+        {keyOf(1),
+         R"({"service":"app","address":"127.0.0.1:)" +
+             std::to_string(m_Target->port()) +
+             R"(","zone":"hall","version":"v1","slots":)" +
+             std::to_string(Slots) +
+             R"(,"state":"ready","coldLeftMs":0,"seq":1,"born":1})",
+         platform::Revision(2)});
+    start();
+  }
+  /// Sends a request and reads nothing.
+  tcp::socket &sendWithoutReading(const std::string &Path) {
+    http::RequestMessage Message = request(Path);
+    std::string Bytes = "POST " + Path + " HTTP/1.1\r\nContent-Length: " +
+                        std::to_string(Message.m_Body.size()) + "\r\n";
+    for (const http::Header &Each : Message.m_Headers)
+      Bytes += Each.m_Name + ": " + Each.m_Value + "\r\n";
+    Bytes += "\r\n" + Message.m_Body;
+    m_SlowCallers.push_back(std::make_unique<tcp::socket>(m_CallerContext));
+    tcp::socket &Out = *m_SlowCallers.back();
+    Out.open(tcp::v4());
+    Out.set_option(asio::socket_base::receive_buffer_size(16384));
+    Out.connect({asio::ip::make_address("127.0.0.1"),
+                 static_cast<std::uint16_t>(m_CallerPort)});
+    asio::write(Out, asio::buffer(Bytes));
+    return Out;
+  }
+};
+
+} // namespace yardrill::tests
+
+#endif
