LibRouting: Refuse hopeless requests early and say when to return

Cause: a stream waited until its objective could not be met any more, and was then refused with a blind Retry-After of 0.15 to 0.5 s, after which it met the same queue.

Change: WaitPrediction predicts a wait from the requests ahead (own queue, peers' higher tiers, and of the own tier in proportion) over the rate at which slots come free for the tier (SlotRate), corrected by how earlier predictions turned out. Who can't begin in time is refused on arrival, or while it waits if it needs twice the time that is left. Returned callers, requests that were tried before and pools with a quarter of their slots free are never refused early; without a known slot time nothing is. ReturnSchedule sends a refused caller back after 0.15 to 0.25 s if it can then still be in time, and otherwise as late as callers honour. Returned callers that are late go behind those of their tier in time, before lower tiers, and may wait one more objective (PlacementRequest::m_FirstArrivedAt; nothing sets it yet). request-sent and request-refused log predicted_wait_us.

Requests ahead that are refused are taken out of a prediction before it is compared with the actual wait.

--- a/Bench/OverloadModelProgram.cpp
+++ b/Bench/OverloadModelProgram.cpp
@@ -13,6 +13,8 @@
 
 #include <iomanip>
 #include <iostream>
+#include <memory>
+#include <random>
 #include <sstream>
 #include <string>
 
@@ -90,6 +92,17 @@
   return Out;
 }
 
+/// Returns the gateway's Retry-After with a ReturnSchedule.
+static RetryAfterHook returnSchedule(std::uint64_t Seed) {
+  auto Random = std::make_shared<std::mt19937_64>(Seed);
+  return
+      [Random](routing::Dispatcher &Dispatcher,
+               const routing::PlacementRequest &Refused, core::TimePoint Now) {
+        double Point = std::uniform_real_distribution<double>(0, 1)(*Random);
+        return Dispatcher.returnDelay(Refused, Point, Now);
+      };
+}
+
 static void printHeader() {
   std::cout << std::left << std::setw(12) << "kind" << std::right;
   for (const char *Each :
@@ -117,6 +130,8 @@
     std::cerr << "unknown part in --on=" << FLAGS_on << "\n";
     std::exit(1);
   }
+  if (Scenario.m_Overload.m_ReturnSchedule)
+    Scenario.m_RetryAfter = returnSchedule(Seed);
   DispatchResult Result = simulateDispatch(Scenario);
   std::cout << "instances=" << Scenario.m_Instances
             << " targets=" << Scenario.m_Targets << " seed=" << Seed
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -55,6 +55,7 @@
 
 void GatewayRequest::assignTarget(const routing::Target &Chosen) {
   m_Target = Chosen;
+  m_PredictedWait = m_Owner.m_Dispatcher.predictedWait(m_Id);
   m_WakeTimer.cancel();
 }
 
@@ -62,6 +63,7 @@
   m_DemandAtRefusal =
       m_Owner.m_Dispatcher.scarceGroupDemand(m_Pool, m_Id, core::steadyNow());
   m_IsRefused = true;
+  m_PredictedWait = m_Owner.m_Dispatcher.predictedWait(m_Id);
   m_WakeTimer.cancel();
 }
 
@@ -76,10 +78,28 @@
   return m_EndsAt - core::steadyNow();
 }
 
-core::Duration GatewayRequest::retryAfter() const {
+bool GatewayRequest::hasObjective() const {
+  return m_Route && m_Route->m_Kind == routing::RouteKind::Stream &&
+         m_Route->m_FirstByteObjective > core::Duration::zero();
+}
+
+core::Duration GatewayRequest::retryAfter() {
   core::TimePoint Now = core::steadyNow();
+  auto AvailableAt = m_Owner.availableAt(m_Pool, Now);
+  if (m_IsRefused && !AvailableAt && hasObjective()) {
+    double Random =
+        std::uniform_real_distribution<double>(0, 1)(m_Owner.m_Random);
+    routing::PlacementRequest Refused;
+    Refused.m_Pool = m_Pool;
+    Refused.m_Priority = priority();
+    Refused.m_FirstByteDue =
+        m_Timing.arrivedAt() + m_Route->m_FirstByteObjective;
+    Refused.m_EndsAt = m_EndsAt;
+    if (auto Delay = m_Owner.m_Dispatcher.returnDelay(Refused, Random, Now))
+      return *Delay;
+  }
   double Delay = 0;
-  if (auto AvailableAt = m_Owner.availableAt(m_Pool, Now))
+  if (AvailableAt)
     Delay = std::min(core::toSeconds(*AvailableAt - Now), MaxDelaySeconds);
   std::uniform_real_distribution<double> Spread(
       0, RetryAfterSpreadSeconds + Delay * DelaySpreadRatio);
@@ -161,7 +181,7 @@
   if (m_Account)
     Placement.m_Account = m_Account->m_Name;
   Placement.m_Route = routeHash();
-  Placement.m_Priority = {m_Tier, m_Route->m_Tier};
+  Placement.m_Priority = priority();
   Placement.m_IsInference = Pool && Pool->m_IsInference;
   Placement.m_PromptTokens = m_Description.m_PromptTokens;
   Placement.m_TriedTargets = m_TriedTargets;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -89,7 +89,9 @@
   core::Duration timeLeft() const;
   /// Returns the time after which a refused caller should try again, with a
   /// random part.
-  core::Duration retryAfter() const;
+  core::Duration retryAfter();
+  /// Whether the request is a stream that is to begin within an objective.
+  bool hasObjective() const;
   void handleCallerDisconnect();
   /// Records the outcome of an attempt and frees the target's slot.
   void noteAttempt(AttemptOutcome Outcome);
--- a/Libraries/LibGateway/RequestInfo.cpp
+++ b/Libraries/LibGateway/RequestInfo.cpp
@@ -37,6 +37,8 @@
       .add("waited_us", core::steadyNow() - m_Timing.arrivedAt())
       .add("configuration", m_Table->version())
       .add("store_revision", StoreRevision);
+  if (m_PredictedWait)
+    Line.add("predicted_wait_us", *m_PredictedWait);
   if (m_Account)
     Line.add("account", m_Account->m_Name)
         .add("tokens", m_Acquisition.m_Tokens)
@@ -76,6 +78,8 @@
     Line.add("first_event_us", m_Timing.timeToFirstEvent())
         .add("longest_pause_us", m_Timing.maxEventGap())
         .add("prompt_tokens", m_Description.m_PromptTokens);
+  if (m_Status == 503 && m_PredictedWait)
+    Line.add("predicted_wait_us", *m_PredictedWait);
   if (m_Table)
     Line.add("configuration", m_Table->version());
   if (m_Target)
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -30,6 +30,8 @@
   routing::QuotaAcquisition m_Acquisition; ///< Tokens taken from the quota.
   quarantine::ContentDigest m_Content;     ///< Set on admission.
   ResponseTiming m_Timing{core::steadyNow()};
+  /// Wait for a slot that was predicted when the request began to wait.
+  std::optional<core::Duration> m_PredictedWait;
   std::optional<routing::Target> m_Target; ///< Target of the current attempt.
   unsigned m_Status = 0;     ///< Status of a response by the gateway; 0: none.
   const char *m_Reason = ""; ///< Outcome, or reason of the last failure.
@@ -39,6 +41,7 @@
   routing::PoolDemand m_DemandAtRefusal;
 
   metrics::RequestLabels labels() const;
+  routing::Priority priority() const { return {m_Tier, m_Route->m_Tier}; }
 
   /// Logs the result of a quota acquisition. \pre m_Account is not null.
   void logQuota(const char *Event) const;
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -125,18 +125,30 @@
 
 bool Dispatcher::precedes(const PlacementRequest &A, const PlacementRequest &B,
                           core::TimePoint Now) const {
-  auto Key = [&](const PlacementRequest &Request) {
-    return std::make_tuple(urgencyOf(Request, Now), Request.m_Priority,
-                           m_Fairness.startTag(Request.m_Request),
-                           Request.m_FirstByteDue, Request.m_Request);
+  auto KeyOf = [&](const PlacementRequest &Each) {
+    core::TimePoint Due = firstAttemptDue(Each);
+    return std::make_tuple(urgencyOf(Each, Now), Each.m_Priority, Due <= Now,
+                           m_Fairness.startTag(Each.m_Request), Due,
+                           Each.m_Request);
   };
-  return Key(A) < Key(B);
+  return KeyOf(A) < KeyOf(B);
+}
+
+core::TimePoint Dispatcher::firstAttemptDue(const PlacementRequest &Request) {
+  return Request.m_FirstByteDue -
+         (Request.m_ArrivedAt -
+          Request.m_FirstArrivedAt.value_or(Request.m_ArrivedAt));
 }
 
 core::TimePoint
 Dispatcher::queueDeadline(const PlacementRequest &Request) const {
   if (m_Policy == PlacementPolicy::LeastOutstanding)
     return Request.m_ArrivedAt;
+  // A returned caller is refused for good, so that late is better than never.
+  if (Request.m_IsInference && Request.m_FirstArrivedAt)
+    return std::min(Request.m_FirstByteDue,
+                    Request.m_FirstEventDeadline -
+                        m_Targets.expectedFirstEventTime(Request.m_Pool));
   // A stream that is sent late takes the slot of one that could begin in time.
   if (Request.m_IsInference)
     return std::min(Request.m_FirstByteDue, Request.m_FirstEventDeadline) -
@@ -356,7 +368,7 @@
       return false;
   }
   if (!HasCandidate || (IsTimeUp && !Best)) {
-    refuse(Request);
+    refuse(Request, Now);
     return true;
   }
   if (!Best)
@@ -375,14 +387,13 @@
   m_Demand.recordStart(Request.m_Pool, Request.m_Priority);
   m_TierBounds.recordStart(Request.m_Pool, Request.m_Priority);
   m_Fairness.recordSent(Request);
+  auto Wait = m_PredictedWaits.find(Request.m_Request);
+  if (Wait != m_PredictedWaits.end())
+    m_WaitPrediction.recordWait(Request.m_Pool, Request.m_Priority,
+                                Wait->second, Now);
   m_Hooks.m_Send(Request.m_Request, Chosen);
 }
 
-void Dispatcher::refuse(const PlacementRequest &Request) {
-  m_Fairness.remove(Request);
-  m_Hooks.m_Refuse(Request.m_Request);
-}
-
 void Dispatcher::recordEnd(core::RequestId Id, core::TimePoint Now) {
   auto Found = m_Running.find(Id);
   if (Found == m_Running.end())
@@ -390,6 +401,7 @@
   const RunningRequest &Ended = Found->second;
   m_Demand.recordEnd(Ended.m_Pool, Ended.m_Priority, Now - Ended.m_SentAt);
   m_TierBounds.recordEnd(Ended.m_Pool, Ended.m_Priority);
+  m_SlotRate.recordEnd(Ended.m_Pool, Now);
   m_Running.erase(Found);
 }
 
@@ -410,8 +422,9 @@
   // Refuse now what throttled targets would accept only after the deadline.
   auto AvailableAt = nextAvailability(Request, Now);
   if (AvailableAt && *AvailableAt > queueDeadline(Request))
-    return refuse(Request);
-  enqueue(Request);
+    return refuse(Request, Now);
+  if (!tryRefuseOnArrival(Request, Now))
+    enqueue(Request);
 }
 
 void Dispatcher::enqueue(const PlacementRequest &Request) {
@@ -427,6 +440,7 @@
 }
 
 bool Dispatcher::withdraw(core::RequestId Id) {
+  m_PredictedWaits.erase(Id);
   auto Found = m_Waiting.find(Id);
   if (Found == m_Waiting.end())
     return false;
@@ -438,8 +452,11 @@
 
 bool Dispatcher::isScarce(const core::PoolName &Pool,
                           core::TimePoint Now) const {
-  if (waitingFor(Pool) > 0)
-    return true;
+  return waitingFor(Pool) > 0 || hasFewFreeSlots(Pool, Now);
+}
+
+bool Dispatcher::hasFewFreeSlots(const core::PoolName &Pool,
+                                 core::TimePoint Now) const {
   double Total = 0;
   double Free = 0;
   for (const KnownTarget *Each : m_Targets.subsetOf(Pool)) {
@@ -494,6 +511,7 @@
     else
       Full.insert(Request->m_Pool);
   }
+  refuseHopeless(Now);
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -12,9 +12,11 @@
 #include "LibRouting/DemandTable.h"
 #include "LibRouting/OverloadSettings.h"
 #include "LibRouting/RoutingTable.h"
+#include "LibRouting/SlotRate.h"
 #include "LibRouting/TargetDirectory.h"
 #include "LibRouting/TierConcurrencyTable.h"
 #include "LibRouting/VersionGate.h"
+#include "LibRouting/WaitPrediction.h"
 
 #include <functional>
 #include <map>
@@ -36,6 +38,9 @@
   /// Expected length of a stream in events; 0 if unknown or not a stream.
   double m_ExpectedEvents = 0;
   core::TimePoint m_ArrivedAt{};
+  /// Arrival of the first attempt of a caller that was refused and has
+  /// returned; none for other callers.
+  std::optional<core::TimePoint> m_FirstArrivedAt;
   /// Time after which a first byte is late. A stream that can no longer begin
   /// by then is refused unless a slot is free; a short request is still served.
   core::TimePoint m_FirstByteDue{};
@@ -113,6 +118,15 @@
   /// Returns the demand of this instance for pools whose slots are scarce: few
   /// of the subset's are free, or requests wait here.
   std::map<core::PoolName, PoolDemand> scarceDemand(core::TimePoint Now) const;
+  /// Returns the wait that was predicted for a request when it began to wait,
+  /// while it waits and while its decision is reported; none if unknown.
+  std::optional<core::Duration> predictedWait(core::RequestId Id) const;
+  /// Returns the time after which the caller of a stream that was refused for
+  /// want of a slot should return; none without a shortage.
+  /// \param Random uniformly distributed, 0 to 1.
+  std::optional<core::Duration> returnDelay(const PlacementRequest &Refused,
+                                            double Random,
+                                            core::TimePoint Now) const;
 
 private:
   /// Order of service while slots are scarce. Requests of the lowest of several
@@ -127,6 +141,10 @@
   /// then, a stream is refused, and a short request is sent without a slot.
   /// Under LeastOutstanding, no request waits.
   core::TimePoint queueDeadline(const PlacementRequest &Request) const;
+  /// Time until which a first byte is in time, counted from the first attempt
+  /// of a returned caller. One that is late goes behind those of its priority
+  /// that can still be in time, since a response is worth more to them.
+  static core::TimePoint firstAttemptDue(const PlacementRequest &Request);
   bool precedes(const PlacementRequest &A, const PlacementRequest &B,
                 core::TimePoint Now) const;
   /// Sends or refuses a request. \returns false if it has to wait.
@@ -200,7 +218,28 @@
                            const SlotCount &Slots) const;
   void recordPriority(const PlacementRequest &Request, core::TimePoint Now);
   bool isScarce(const core::PoolName &Pool, core::TimePoint Now) const;
-  void refuse(const PlacementRequest &Request);
+  /// Whether few of the subset's slots are free.
+  bool hasFewFreeSlots(const core::PoolName &Pool, core::TimePoint Now) const;
+  /// Returns the wait of a request behind \p Ahead others of this instance;
+  /// none if it is not known or not predicted for such requests.
+  /// \param TierAhead those of its priority.
+  /// \param TierWaiting requests of its priority that wait here, with itself.
+  std::optional<PredictedWait> predictWait(const PlacementRequest &Request,
+                                           std::size_t Ahead,
+                                           std::size_t TierAhead,
+                                           std::size_t TierWaiting,
+                                           core::TimePoint Now) const;
+  /// Refuses an arriving request that can't begin in time. \returns whether it
+  /// was refused.
+  bool tryRefuseOnArrival(const PlacementRequest &Request, core::TimePoint Now);
+  /// Refuses waiting requests that can't begin in time any more.
+  void refuseHopeless(core::TimePoint Now);
+  void refuseHopeless(const core::PoolName &Pool, core::TimePoint Now);
+  /// Whether a request may be refused before its queue deadline.
+  bool mayRefuseEarly(const PlacementRequest &Request,
+                      core::TimePoint Now) const;
+  /// Refuses a request and learns from its wait.
+  void refuse(const PlacementRequest &Request, core::TimePoint Now);
   /// Adds a request to the queue.
   void enqueue(const PlacementRequest &Request);
   /// Sends a request to a target that has accepted it.
@@ -224,6 +263,11 @@
   DemandTable m_Demand;
   TierConcurrencyTable m_TierBounds;
   AccountFairness m_Fairness;
+  SlotRate m_SlotRate;
+  WaitPrediction m_WaitPrediction;
+  /// Waits that are predicted, of m_Waiting.
+  std::unordered_map<core::RequestId, StartedWait> m_PredictedWaits;
+  core::TimePoint m_NextReviewAt{}; ///< Of waiting requests.
   /// Time of the last request of each priority, by pool.
   std::map<core::PoolName, std::map<Priority, core::TimePoint>>
       m_PriorityLastSeen;
--- a/Tests/Support/SimulatedCallers.cpp
+++ b/Tests/Support/SimulatedCallers.cpp
@@ -132,8 +132,9 @@
   routing::PlacementRequest &Placed = Sent.m_Request;
   Placed.m_Request = core::RequestId(m_NextRequest++);
   Sent.m_LastArrivalAt = Now;
-  Placed.m_ArrivedAt =
-      m_Settings.m_IsFirstArrivalStated ? Sent.m_FirstArrivalAt : Now;
+  Placed.m_ArrivedAt = Now;
+  if (m_Settings.m_IsFirstArrivalStated && Sent.m_IsReturn)
+    Placed.m_FirstArrivedAt = Sent.m_FirstArrivalAt;
   Placed.m_EndsAt = Sent.m_Deadline;
   Placed.m_FirstByteDue = Placed.m_ArrivedAt + Kind.m_Objective;
   Placed.m_FirstEventDeadline = Sent.m_Deadline;
