LibGateway: Recognize returned callers by their shorter deadline

Cause: a returned caller has a new request id, so that it counts as new: it may be refused early again, and then gets nothing.

Change: FirstAttemptEstimate learns by route the deadline that first attempts state, the longest one that a tenth of the requests state alike. A request with less counts as returned if a refusal explains the difference.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -27,6 +27,7 @@
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibRouting/Dispatcher.h"
+#include "LibRouting/FirstAttemptEstimate.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
 
@@ -145,6 +146,7 @@
   routing::RoutingTableHandle m_Table;
   routing::TargetDirectory m_Targets;
   routing::Dispatcher m_Dispatcher;
+  routing::FirstAttemptEstimate m_FirstAttempts;
   http::ConnectionPool m_Connections;
   RetryBudgets m_Retries;
   TargetExitDetector m_ExitDetector;
