--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -55,6 +55,7 @@
 
 void GatewayRequest::assignTarget(const routing::Target &Chosen) {
   m_Target = Chosen;
+  m_PredictedWait = m_Owner.m_Dispatcher.predictedWait(m_Id);
   m_WakeTimer.cancel();
 }
 
@@ -62,6 +63,7 @@
   m_DemandAtRefusal =
       m_Owner.m_Dispatcher.scarceGroupDemand(m_Pool, m_Id, core::steadyNow());
   m_IsRefused = true;
+  m_PredictedWait = m_Owner.m_Dispatcher.predictedWait(m_Id);
   m_WakeTimer.cancel();
 }
 
@@ -76,10 +78,28 @@
   return m_EndsAt - core::steadyNow();
 }
 
-core::Duration GatewayRequest::retryAfter() const {
+bool GatewayRequest::hasObjective() const {
+  return m_Route && m_Route->m_Kind == routing::RouteKind::Stream &&
+         m_Route->m_FirstByteObjective > core::Duration::zero();
+}
+
+core::Duration GatewayRequest::retryAfter() {
   core::TimePoint Now = core::steadyNow();
+  auto AvailableAt = m_Owner.availableAt(m_Pool, Now);
+  if (m_IsRefused && !AvailableAt && hasObjective()) {
+    double Random =
+        std::uniform_real_distribution<double>(0, 1)(m_Owner.m_Random);
+    routing::PlacementRequest Refused;
+    Refused.m_Pool = m_Pool;
+    Refused.m_Priority = priority();
+    Refused.m_FirstByteDue =
+        m_Timing.arrivedAt() + m_Route->m_FirstByteObjective;
+    Refused.m_EndsAt = m_EndsAt;
+    if (auto Delay = m_Owner.m_Dispatcher.returnDelay(Refused, Random, Now))
+      return *Delay;
+  }
   double Delay = 0;
-  if (auto AvailableAt = m_Owner.availableAt(m_Pool, Now))
+  if (AvailableAt)
     Delay = std::min(core::toSeconds(*AvailableAt - Now), MaxDelaySeconds);
   std::uniform_real_distribution<double> Spread(
       0, RetryAfterSpreadSeconds + Delay * DelaySpreadRatio);
@@ -151,6 +171,17 @@
                    m_Route->m_MaxEventGap * CallerTimeoutPerEventGap});
 }
 
+void GatewayRequest::noteArrival() {
+  if (!m_Owner.m_Settings.m_Overload.m_ReturnSchedule || !hasObjective() ||
+      !m_Description.m_Deadline)
+    return;
+  core::Duration Elapsed = m_Owner.m_FirstAttempts.recordArrival(
+      routeHash(), *m_Description.m_Deadline, m_Route->m_FirstByteObjective,
+      m_Timing.arrivedAt());
+  if (Elapsed > core::Duration::zero())
+    m_FirstArrivedAt = m_Timing.arrivedAt() - Elapsed;
+}
+
 bool GatewayRequest::waitForTarget(asio::yield_context Yield) {
   m_Target.reset();
   m_IsRefused = false;
@@ -161,7 +192,7 @@
   if (m_Account)
     Placement.m_Account = m_Account->m_Name;
   Placement.m_Route = routeHash();
-  Placement.m_Priority = {m_Tier, m_Route->m_Tier};
+  Placement.m_Priority = priority();
   Placement.m_IsInference = Pool && Pool->m_IsInference;
   Placement.m_PromptTokens = m_Description.m_PromptTokens;
   Placement.m_TriedTargets = m_TriedTargets;
@@ -174,6 +205,7 @@
     Placement.m_ExpectedEvents = Tokens / Pool->m_TokensPerEvent;
   }
   Placement.m_ArrivedAt = m_Timing.arrivedAt();
+  Placement.m_FirstArrivedAt = m_FirstArrivedAt;
   Placement.m_EndsAt = m_EndsAt;
   Placement.m_FirstByteDue = m_EndsAt;
   if (m_Route->m_FirstByteObjective > core::Duration::zero())
@@ -188,6 +220,7 @@
     Placement.m_FirstEventDeadline =
         std::min(m_EndsAt, core::steadyNow() + callerTimeout());
     Placement.m_FirstByteDue = Placement.m_FirstEventDeadline;
+    Placement.m_FirstArrivedAt.reset();
   }
   m_PendingPromptTokens = Placement.m_PromptTokens;
   m_Owner.place(Placement);
@@ -223,6 +256,7 @@
     return respond(Status, m_Reason, Wait, Yield);
   }
   m_Owner.m_Retries.budgetOf(m_Pool).recordRequest(m_Timing.arrivedAt());
+  noteArrival();
   AttemptOutcome Outcome = AttemptOutcome::NotSent;
   while (true) {
     if (!waitForTarget(Yield)) {
