LibGateway: Apply peers' reports as before where slots are not handed over

Cause: a freed slot made the gateway and the simulation apply new reports also with the switch off, if only peers waited; the simulation's outcomes then differed from those before while instances were silent.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -524,7 +524,8 @@
 }
 
 void Gateway::handleFreedSlot(const routing::TargetIncarnation &Target) {
-  if (m_HasWaitingPeers || m_Dispatcher.waiting() > 0)
+  bool IsShared = m_Settings.m_Overload.m_SlotHandover && m_HasWaitingPeers;
+  if (m_Dispatcher.waiting() > 0 || IsShared)
     m_Peers->notifyIfChanged();
   m_Slots.handleFreedSlot(Target, core::steadyNow());
   if (m_HasWaitingPeers)
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -237,11 +237,12 @@
 
 void DispatchFleet::handleFreedSlot(SimulatedInstance &Instance,
                                     const TargetIncarnation &Target) {
-  bool IsPeerWaiting = hasWaitingPeers(Instance);
-  if (Instance.m_Dispatcher->waiting() > 0 || IsPeerWaiting)
+  bool IsShared =
+      m_Scenario.m_Overload.m_SlotHandover && hasWaitingPeers(Instance);
+  if (Instance.m_Dispatcher->waiting() > 0 || IsShared)
     applyReports(Instance);
   Instance.m_Slots->handleFreedSlot(Target, m_Now);
-  if (IsPeerWaiting)
+  if (hasWaitingPeers(Instance))
     Instance.m_IsReportDue = true;
 }
 
