LibRouting: Count slots that come free in time into the tier bound

Cause: with freed slots handed over in the group, the bound took more from the middle tier than it gave to the highest: it counted slots of lower tiers that come free while higher ones may wait only up to the higher tiers' mean load, and kept free slots from short requests whose slots come free again before those that wait are late.

Change: the bound is (usable slots - offered load - margin) / (1 - wait / slot time), with half of the permitted wait, up to all usable slots.

--- a/Libraries/LibRouting/TierConcurrency.cpp
+++ b/Libraries/LibRouting/TierConcurrency.cpp
@@ -21,6 +21,10 @@
 /// Rate below which a tier without a measured slot time needs no slots.
 static constexpr double MinArrivalsPerSecond = 0.1;
 
+static double usableSeconds(core::Duration MaxWait) {
+  return UsableWaitShare * core::toSeconds(MaxWait);
+}
+
 void TierConcurrency::recordEnd(const Priority &Tier) {
   TierDemand &Known = m_Group[Tier];
   if (Known.m_Running > 0)
@@ -32,6 +36,8 @@
   for (const auto &[Each, Demand] : m_Group) {
     if (!(Each < Tier)) {
       Out.m_Others += Demand;
+      if (Each == Tier)
+        Out.m_Own = Demand;
       continue;
     }
     if (Demand.m_OfferedSlots <= 0 &&
@@ -66,14 +72,14 @@
 double TierConcurrency::maxHeld(const Priority &Tier,
                                 const Split &Demand) const {
   double Offered = Demand.m_Higher.m_OfferedSlots;
-  double Left = std::max(0.0, m_UsableSlots - Offered);
   double Margin = MarginDeviations * std::sqrt(ClumpFactor * Offered);
-  double Bound = std::max(0.0, Left - Margin);
+  double Bound = std::max(0.0, m_UsableSlots - Offered - Margin);
   double SlotSeconds = core::toSeconds(Demand.m_Others.meanSlotTime());
+  double Wait = usableSeconds(Demand.m_HigherWait);
   if (SlotSeconds > 0)
-    Bound += Bound * UsableWaitShare * core::toSeconds(Demand.m_HigherWait) /
-             SlotSeconds;
-  return std::max(std::min(Bound, Left), floorOf(Tier));
+    Bound =
+        Wait < SlotSeconds ? Bound / (1 - Wait / SlotSeconds) : m_UsableSlots;
+  return std::max(std::min(Bound, m_UsableSlots), floorOf(Tier));
 }
 
 std::optional<double> TierConcurrency::maxHeld(const Priority &Tier) const {
@@ -91,7 +97,11 @@
   double Held = Demand.m_Others.m_Running + 1.0;
   if (Held <= floorOf(Tier))
     return true;
-  if (Demand.m_Higher.m_Waiting > FreeSlots - 1)
+  // A short request frees its slot again before those that wait are late.
+  double SlotSeconds = core::toSeconds(Demand.m_Own.meanSlotTime());
+  bool IsShort =
+      SlotSeconds > 0 && SlotSeconds <= usableSeconds(Demand.m_HigherWait);
+  if (!IsShort && Demand.m_Higher.m_Waiting > FreeSlots - 1)
     return false;
   return Held <= std::round(maxHeld(Tier, Demand));
 }
--- a/Libraries/LibRouting/TierConcurrency.h
+++ b/Libraries/LibRouting/TierConcurrency.h
@@ -21,8 +21,8 @@
 /// The margin follows the square root law: the number of slots that requests
 /// want at a time varies by the root of their mean, times a factor for arrivals
 /// in clumps. Requests of higher tiers may wait for a part of their objective.
-/// Slots of lower tiers that come free meanwhile go to them, so that the margin
-/// is smaller by that number.
+/// The share of the lower tiers' slots that comes free meanwhile goes to them
+/// and need not be kept from lower tiers: none is kept if all come free.
 ///
 /// Each tier has a floor that the bound leaves it, because its callers wait for
 /// an answer as well: the lowest tier a tenth of the slots, and every lower
@@ -46,7 +46,8 @@
   std::optional<double> maxHeld(const Priority &Tier) const;
   /// Returns whether a request of this tier may take a free slot; none if there
   /// is no bound. A tier that holds its floor leaves the free slots to requests
-  /// of higher tiers that wait anywhere in the group.
+  /// of higher tiers that wait anywhere in the group, unless its own slots come
+  /// free while these may wait.
   std::optional<bool> mayStart(const Priority &Tier, double FreeSlots) const;
 
   // Changes at this instance since the demand was measured.
@@ -58,6 +59,7 @@
   struct Split {
     TierDemand m_Higher;
     TierDemand m_Others; ///< The tier itself and lower ones.
+    TierDemand m_Own;    ///< The tier itself.
     core::Duration m_HigherWait = core::Duration::max(); ///< The shortest one.
     bool m_IsKnown = false; ///< Whether higher tiers exist and are measured.
   };
