Tests: Check promises and over-dispatch in the overload model

OverloadModelTest now also runs a faulty fleet with all decisions on, and fails if a request is sent to a second target or refused after it was sent, which handed-over slots could cause. overload_model prints how many requests were sent to a target without a free slot.

--- a/Tests/LibRouting/OverloadModelTest.cpp
+++ b/Tests/LibRouting/OverloadModelTest.cpp
@@ -1,8 +1,8 @@
 //===-- OverloadModelTest.cpp - Requests of a fleet under overload --------===//
 //
-// Guards against requests that the model of an overloaded fleet loses or counts
-// twice, and against a model in which nothing is short. All decisions under
-// overload are off: the results are a baseline and state nothing about policy.
+// Guards against requests that an overloaded fleet loses, sends to two targets
+// or refuses although they run, and against a model in which nothing is short.
+// States nothing about policy.
 //
 //===----------------------------------------------------------------------===//
 #include "OverloadScenarios.h"
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testEachRequestEndsOnce);
   CPPUNIT_TEST(testEachRequestEndsOnceInAnUnevenFleet);
   CPPUNIT_TEST(testEachRequestEndsOnceDespiteFaults);
+  CPPUNIT_TEST(testEachRequestEndsOnceWithAllDecisionsOn);
   CPPUNIT_TEST(testShortageIsRefused);
   CPPUNIT_TEST(testNothingIsRefusedWithoutShortage);
   CPPUNIT_TEST(testOnlyRestartsLoseRequests);
@@ -35,6 +36,8 @@
       CPPUNIT_ASSERT(All.m_ReturnersServed + All.m_RefusedTwice <=
                      All.m_Returned);
       CPPUNIT_ASSERT(All.m_RefusedTwice <= All.m_Refused);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Kind.m_Kind, std::size_t{0},
+                                   All.m_BrokenPromises);
       CallerOutcomes Accounts;
       for (const auto &[Account, Outcomes] : Kind.m_Accounts) {
         CPPUNIT_ASSERT_EQUAL(Outcomes.m_Sent, Outcomes.ended());
@@ -79,6 +82,15 @@
     checkSums(simulateDispatch(faulty()).m_Callers);
   }
 
+  void testEachRequestEndsOnceWithAllDecisionsOn() {
+    DispatchScenario Scenario = faulty();
+    addAccounts(Scenario, 3);
+    Scenario.m_Overload = routing::OverloadSettings();
+    checkSums(simulateDispatch(Scenario).m_Callers);
+    Scenario.m_Kinds.back().m_IsStream = false;
+    checkSums(simulateDispatch(Scenario).m_Callers);
+  }
+
   void testShortageIsRefused() {
     DispatchResult Result = simulateDispatch(longShortage(67));
     CallerOutcomes All = Result.m_Callers.sum();
--- a/Tests/Support/CallerResult.cpp
+++ b/Tests/Support/CallerResult.cpp
@@ -38,6 +38,7 @@
   m_Returned += Other.m_Returned;
   m_ReturnersServed += Other.m_ReturnersServed;
   m_RefusedTwice += Other.m_RefusedTwice;
+  m_BrokenPromises += Other.m_BrokenPromises;
   m_RefusalTimes.insert(m_RefusalTimes.end(), Other.m_RefusalTimes.begin(),
                         Other.m_RefusalTimes.end());
   return *this;
--- a/Tests/Support/CallerResult.h
+++ b/Tests/Support/CallerResult.h
@@ -26,6 +26,9 @@
   std::size_t m_Returned = 0;
   std::size_t m_ReturnersServed = 0; ///< Returned, and in time or late.
   std::size_t m_RefusedTwice = 0;
+  /// Times that a request was sent to a further target, or refused after it
+  /// was sent.
+  std::size_t m_BrokenPromises = 0;
   /// Times from an arrival to its refusal, as shares of the objective.
   std::vector<double> m_RefusalTimes;
 
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -163,6 +163,8 @@
   };
   core::Duration Time = Scale(m_Callers->slotTimeOf(Id));
   TimePoint StartsAt = m_Targets.start(Target, m_Now, Time);
+  if (m_Now < StartsAt)
+    ++m_Result.m_SentToFullTarget;
   Completion Sent{
       StartsAt + Time,         Index, m_Instances[Index].m_Process, Target,
       StartsAt + Time - m_Now, Id};
--- a/Tests/Support/DispatchSimulation.h
+++ b/Tests/Support/DispatchSimulation.h
@@ -107,6 +107,8 @@
   /// all targets over it, in slots times seconds.
   core::Duration m_RefusingTime{};
   double m_FreeSlotSeconds = 0;
+  /// Requests of callers that were sent to a target without a free slot.
+  std::size_t m_SentToFullTarget = 0;
 
   /// Returns the number of requests that a target received in a half-open
   /// interval.
--- a/Tests/Support/SimulatedCallers.cpp
+++ b/Tests/Support/SimulatedCallers.cpp
@@ -166,6 +166,13 @@
   Change(Kind.m_Accounts[Request.m_Request.m_Account]);
 }
 
+void SimulatedCallers::recordSent(core::RequestId Id) {
+  OpenRequest &Sent = m_Open.at(Id);
+  if (Sent.m_IsSent)
+    count(Sent, [](CallerOutcomes &Each) { ++Each.m_BrokenPromises; });
+  Sent.m_IsSent = true;
+}
+
 std::vector<std::pair<core::RequestId, std::size_t>>
 SimulatedCallers::overdue(core::TimePoint Now) const {
   std::vector<std::pair<core::RequestId, std::size_t>> Out;
@@ -218,6 +225,8 @@
   bool IsLast = Refused.m_IsReturn || Refused.m_Deadline <= Now;
   count(Refused, [&](CallerOutcomes &Each) {
     Each.m_RefusalTimes.push_back(Share);
+    if (Refused.m_IsSent)
+      ++Each.m_BrokenPromises;
     if (Refused.m_IsReturn)
       ++Each.m_RefusedTwice;
     if (IsLast)
@@ -238,6 +247,7 @@
     Instance = (Instance + 1) % InstanceCount;
   Refused.m_Instance = Instance;
   Refused.m_IsReturn = true;
+  Refused.m_IsSent = false;
   m_Returns.emplace(Now + Wait, std::move(Refused));
 }
 
--- a/Tests/Support/SimulatedCallers.h
+++ b/Tests/Support/SimulatedCallers.h
@@ -107,7 +107,7 @@
   }
 
   /// Records that a target runs the request.
-  void recordSent(core::RequestId Id) { m_Open.at(Id).m_IsSent = true; }
+  void recordSent(core::RequestId Id);
   /// Returns the requests that no target runs although their deadline has
   /// passed, with their instances.
   std::vector<std::pair<core::RequestId, std::size_t>>
