LibGateway: Lend slots to instances of other groups

Cause: SlotLending and SlotBorrowing were not wired. Change: SlotLendingService translates SlotRequest and the SlotGrant that answers it; returns go through SlotService, whose leases it shares. A request's end is told by a hook of the Dispatcher. A slot of a target outside the subset is not handed over to a group peer when it comes free: it goes back to its lender. Lending runs in the dispatch simulation.

--- a/Bench/OverloadModelProgram.cpp
+++ b/Bench/OverloadModelProgram.cpp
@@ -140,7 +140,8 @@
             << " free_slots_while_refusing="
             << Result.m_FreeSlotSeconds /
                    std::max(1e-9, core::toSeconds(Result.m_RefusingTime))
-            << "\n";
+            << " borrow_questions=" << Result.m_SlotQuestions
+            << " slots_borrowed=" << Result.m_BorrowedSlots << "\n";
   printHeader();
   for (const KindResult &Kind : Result.m_Callers.m_Kinds) {
     print(Kind.m_Kind, Kind.m_All);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -78,7 +78,8 @@
            },
            [this](const core::PoolName &Pool) {
              return m_Rollouts.gateOf(Pool);
-           }}),
+           },
+           [this](core::RequestId Request) { m_Lending.recordEnd(Request); }}),
       m_Connections(Context, {ConnectTimeout, MaxIdleConnections}),
       m_Retries(m_Settings.m_Retries,
                 // No retry was sent before a deployment's first start.
@@ -93,6 +94,8 @@
               [this](const config::Endpoint &To, const peer::PeerBody &Body) {
                 m_Peers->send(To, Body);
               }),
+      m_Lending(m_Dispatcher, m_Targets, m_Slots.leases(),
+                m_Settings.m_DataHall, m_Metrics, lendingHooks()),
       m_Quarantine(Context, Store, quarantineHooks()),
       m_Quotas(Context, m_Settings, m_Metrics,
                [this](const config::Endpoint &To, const peer::PeerBody &Body) {
@@ -178,6 +181,8 @@
             m_Quarantine.handle(Message);
             m_Backpressure.handle(Message, core::steadyNow());
             m_Slots.handle(Message, core::steadyNow());
+            m_Lending.handle(Message, core::steadyNow());
+            scheduleTick();
           }});
 }
 
@@ -341,6 +346,15 @@
 // Target exits and quarantine
 //===----------------------------------------------------------------------===//
 
+SlotLendingServiceHooks Gateway::lendingHooks() {
+  SlotLendingServiceHooks Out;
+  Out.m_Send = [this](const config::Endpoint &To, const peer::PeerBody &Body) {
+    m_Peers->send(To, Body);
+  };
+  Out.m_ReportSoon = [this] { m_Peers->scheduleReport(); };
+  return Out;
+}
+
 TargetExitDetectorHooks Gateway::exitDetectorHooks() {
   TargetExitDetectorHooks Out;
   Out.m_Probe = [this](const routing::Target &Target,
@@ -461,6 +475,7 @@
   if (m_StoppingSince != core::TimePoint())
     return;
   m_StoppingSince = core::steadyNow();
+  m_Lending.setStopping();
   m_OnStopped = std::move(OnStopped);
   m_CallerServer->disableKeepAlive();
   m_Peers->setStopping();
@@ -493,6 +508,8 @@
 void Gateway::place(const routing::PlacementRequest &Request) {
   m_Peers->notifyIfChanged();
   m_Dispatcher.place(Request, core::steadyNow());
+  if (m_Dispatcher.waiting() > 0)
+    m_Lending.update(core::steadyNow());
   scheduleTick();
 }
 
@@ -535,6 +552,8 @@
 void Gateway::tick(core::TimePoint Now) {
   m_Slots.upkeep(Now);
   dispatchWaiting(Now);
+  if (m_Dispatcher.waiting() > 0)
+    m_Lending.update(Now);
   if (m_StoppingSince != core::TimePoint())
     pollStop(Now);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -20,6 +20,7 @@
 #include "LibGateway/RetryBudgets.h"
 #include "LibGateway/RolloutService.h"
 #include "LibGateway/RolloutWriter.h"
+#include "LibGateway/SlotLendingService.h"
 #include "LibGateway/SlotService.h"
 #include "LibGateway/StoreFollower.h"
 #include "LibGateway/TargetExitDetector.h"
@@ -122,6 +123,7 @@
   bool isReady() const;
   /// Whether the first configuration may still arrive.
   bool isJustStarted() const;
+  SlotLendingServiceHooks lendingHooks();
   TargetExitDetectorHooks exitDetectorHooks();
   QuarantineHooks quarantineHooks();
   /// Opens a connection to find out whether a target still listens.
@@ -152,6 +154,7 @@
   TargetExitDetector m_ExitDetector;
   BackpressureService m_Backpressure;
   SlotService m_Slots;
+  SlotLendingService m_Lending;
   QuarantineService m_Quarantine;
   std::unique_ptr<PeerService> m_Peers;
   QuotaService m_Quotas;
--- a/Libraries/LibGateway/SlotService.cpp
+++ b/Libraries/LibGateway/SlotService.cpp
@@ -79,7 +79,10 @@
     m_Exchange.handleGrant(From, fromMessage(*Grant), Now);
   } else if (const auto *Returned =
                  std::get_if<peer::SlotReturn>(&Message.m_Body)) {
-    if (m_Exchange.handleReturn(From, Returned->m_Lease, Now))
+    const routing::SlotLease *Lease =
+        m_Exchange.leases().find(Returned->m_Lease);
+    bool IsOfPeer = Lease && Lease->m_Scope == routing::LeaseScope::GroupPeer;
+    if (m_Exchange.handleReturn(From, Returned->m_Lease, Now) && IsOfPeer)
       m_Metrics.count("yardrill_slots_unused_total");
   }
 }
--- a/Libraries/LibGateway/SlotService.h
+++ b/Libraries/LibGateway/SlotService.h
@@ -37,6 +37,9 @@
   }
   /// Must be called many times a second while hasLeases(), else a few times.
   void upkeep(core::TimePoint Now) { m_Exchange.upkeep(Now); }
+  /// Returns the slots that this instance has granted, to other groups as well
+  /// (SlotLendingService).
+  routing::SlotLeases &leases() { return m_Exchange.leases(); }
   bool hasLeases() const { return m_Exchange.leases().size() > 0; }
 
 private:
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -412,6 +412,8 @@
   m_TierBounds.recordEnd(Ended.m_Pool, Ended.m_Priority);
   m_SlotRate.recordEnd(Ended.m_Pool, Now);
   m_Running.erase(Found);
+  if (m_Hooks.m_Ended)
+    m_Hooks.m_Ended(Id);
 }
 
 void Dispatcher::place(const PlacementRequest &Request, core::TimePoint Now) {
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -62,6 +62,9 @@
   /// Returns the version gate of a pool, or null if all versions take requests
   /// alike. May be empty, which means no pool has a gate.
   std::function<const VersionGate *(const core::PoolName &)> m_GateOf;
+  /// Called when a request that was sent no longer holds its slot. May be
+  /// empty.
+  std::function<void(core::RequestId)> m_Ended;
 };
 
 enum class PlacementPolicy {
--- a/Libraries/LibRouting/FleetSubset.cpp
+++ b/Libraries/LibRouting/FleetSubset.cpp
@@ -117,6 +117,14 @@
   return Out;
 }
 
+core::DataHallName
+FleetSubset::dataHallOf(const config::Endpoint &Instance) const {
+  auto Found = std::find(m_Order.begin(), m_Order.end(), Instance);
+  return Found == m_Order.end()
+             ? core::DataHallName()
+             : m_DataHalls[static_cast<std::size_t>(Found - m_Order.begin())];
+}
+
 std::size_t FleetSubset::rendezvousRank(std::uint64_t Key,
                                         std::size_t Count) const {
   auto WeightOf = [Key](const config::Endpoint &Instance) {
--- a/Libraries/LibRouting/FleetSubset.h
+++ b/Libraries/LibRouting/FleetSubset.h
@@ -86,6 +86,8 @@
   /// Returns the instances whose subset of a pool of \p Count targets is
   /// another one, with their data halls.
   Fleet instancesOutsideSubset(std::size_t Count) const;
+  /// Returns the data hall of an instance; empty if it is unknown.
+  core::DataHallName dataHallOf(const config::Endpoint &Instance) const;
   /// Returns this instance's rank among subsetInstances() by rendezvous hashing
   /// (Thaler and Ravishankar, 1998). The order differs for each \p Key, and all
   /// of these instances agree on it.
--- a/Libraries/LibRouting/SlotBorrowing.cpp
+++ b/Libraries/LibRouting/SlotBorrowing.cpp
@@ -42,10 +42,8 @@
 
 void SlotBorrowing::askFor(const PlacementRequest &Waiting,
                            core::TimePoint Now) {
-  if (!isDue(Waiting, Now))
-    return;
   const LenderList &Lenders = lendersOf(Waiting.m_Pool, Now);
-  if (Lenders.m_All.empty())
+  if (Lenders.m_All.empty() || !isDue(Waiting, Now))
     return;
   m_DecidedAt[Waiting.m_Request] = Now;
   if (!m_Rates[Waiting.m_Pool].tryAsk(m_Hooks.m_Draw(), Now))
--- a/Libraries/LibRouting/SlotExchange.cpp
+++ b/Libraries/LibRouting/SlotExchange.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/SlotExchange.h"
 
+#include <algorithm>
+
 namespace yardrill::routing {
 
 /// Time within which a grant reaches its receiver. A report that arrives sooner
@@ -11,6 +13,10 @@
   if (!m_Targets.acceptsRequests(Known, Now) || Known.m_ExpiredAt ||
       Known.m_CooldownUntil > Now || Known.isOnProbation())
     return false;
+  // A slot that another group lent goes back to it.
+  const auto &Subset = m_Targets.subsetOf(Known.m_Target.m_Pool);
+  if (std::find(Subset.begin(), Subset.end(), &Known) == Subset.end())
+    return false;
   // A slot in use that was granted to a group peer counts twice until its lease
   // ends: here and in the receiver's report.
   return Known.running() <
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -153,6 +153,10 @@
     return m_FleetSubset.instancesOutsideSubset(targetCount(Pool));
   }
 
+  /// Returns the data hall of an instance; empty if it is unknown.
+  core::DataHallName dataHallOf(const config::Endpoint &Instance) const {
+    return m_FleetSubset.dataHallOf(Instance);
+  }
   /// Returns the number of targets in the pool, of any subset.
   std::size_t targetCount(const core::PoolName &Pool) const;
   /// Sets the partitioning that determines this instance's subsets.
--- a/Tests/LibRouting/SlotLendingTest.cpp
+++ b/Tests/LibRouting/SlotLendingTest.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 #include "LibRouting/SlotLending.h"
 #include "LibRouting/SlotBorrowing.h"
+#include "LibRouting/SlotExchange.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -34,6 +35,8 @@
   CPPUNIT_TEST(testLostMessagesCostALeaseTime);
   CPPUNIT_TEST(testTargetLeavesMeanwhile);
   CPPUNIT_TEST(testRestartedLenderIgnoresReturn);
+  CPPUNIT_TEST(testBorrowedSlotIsNotHandedOver);
+  CPPUNIT_TEST(testReturnedWhenRequestEnds);
   CPPUNIT_TEST(testNothingHappensWhenOff);
   CPPUNIT_TEST_SUITE_END();
 
@@ -54,7 +57,10 @@
       m_OwnTargets,
       m_Hall,
       PlacementPolicy::LeastPredictedWait,
-      {[](core::RequestId, const Target &) {}, [](core::RequestId) {}, {}}};
+      {[](core::RequestId, const Target &) {},
+       [](core::RequestId) {},
+       {},
+       [this](core::RequestId Id) { m_Borrower.recordEnd(Id); }}};
   std::vector<std::pair<config::Endpoint, SlotQuestion>> m_Asked;
   std::vector<std::pair<config::Endpoint, SlotLeaseId>> m_Returned;
   SlotBorrowing m_Borrower{
@@ -82,7 +88,7 @@
       m_Targets,
       core::DataHallName("b"),
       PlacementPolicy::LeastPredictedWait,
-      {[](core::RequestId, const Target &) {}, [](core::RequestId) {}, {}}};
+      {[](core::RequestId, const Target &) {}, [](core::RequestId) {}, {}, {}}};
   SlotLeases m_Leases{m_Targets, 1000};
   SlotLending m_Lender{m_Targets, m_Dispatcher, m_Leases};
 
@@ -194,8 +200,10 @@
           std::any_of(m_Asked.begin(), m_Asked.end(), [&](const auto &Each) {
             return m_Fleet[Each.first] == m_Hall;
           }));
-      for (const auto &[To, Question] : m_Asked)
+      for (const auto &[To, Question] : m_Asked) {
         CPPUNIT_ASSERT(!Division.isGroupPeer(To));
+        CPPUNIT_ASSERT_EQUAL(m_Fleet[To], m_OwnTargets.dataHallOf(To));
+      }
       grantAll(1);
     }
   }
@@ -378,6 +386,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), freeSlots());
   }
 
+  /// A slot that comes free is offered to group peers, but this one is not the
+  /// group's.
+  void testBorrowedSlotIsNotHandedOver() {
+    SlotExchange Exchange(m_Requests, m_OwnTargets, 1,
+                          {[](const config::Endpoint &, const SlotGrant &) {},
+                           [](const config::Endpoint &, SlotLeaseId) {},
+                           [] { return 0.5; }});
+    TierDemand Waits;
+    Waits.m_Waiting = 1;
+    ReportedDemand Reported{{hashOf(m_Pool), {{Priority(), Waits}}}};
+    m_Requests.demand().setPeers({{address(2), Reported}});
+    CPPUNIT_ASSERT(!Exchange.handleFreedSlot(m_Borrowed, m_Now));
+    TargetIncarnation Own =
+        m_OwnTargets.subsetOf(m_Pool).front()->m_Target.incarnation();
+    m_OwnTargets.recordEnd(Own, 0);
+    CPPUNIT_ASSERT(Exchange.handleFreedSlot(Own, m_Now));
+  }
+
+  void testReturnedWhenRequestEnds() {
+    wait(1);
+    m_Asked.resize(1);
+    grantAll(50);
+    CPPUNIT_ASSERT(m_Returned.empty());
+    m_Requests.recordEnd(core::RequestId(1), m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Returned.size());
+  }
+
   void testNothingHappensWhenOff() {
     OverloadSettings Off;
     Off.m_SlotLending = false;
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -33,6 +33,7 @@
         [this](std::size_t Index, const routing::PlacementRequest &Request) {
           applyReports(m_Instances[Index]);
           m_Instances[Index].m_Dispatcher->place(Request, m_Now);
+          m_Instances[Index].m_Borrowing->update(m_Now);
         });
 }
 
@@ -88,6 +89,8 @@
   SimulatedInstance &Own = m_Instances[Index];
   ++Own.m_Process;
   Own.m_PeerReports.clear();
+  Own.m_Borrowing.reset();
+  Own.m_Lending.reset();
   Own.m_Slots.reset();
   Own.m_Dispatcher.reset();
   Own.m_Targets = std::make_unique<routing::TargetDirectory>();
@@ -113,12 +116,19 @@
     send(Index, Id, Chosen);
   };
   Hooks.m_Refuse = [this, Index](core::RequestId Id) { refuse(Index, Id); };
+  Hooks.m_Ended = [&Own](core::RequestId Id) {
+    Own.m_Borrowing->recordEnd(Id);
+  };
   Own.m_Dispatcher = std::make_unique<routing::Dispatcher>(
       *Own.m_Targets, dataHallOf(Index),
       routing::PlacementPolicy::LeastPredictedWait, std::move(Hooks));
   Own.m_Dispatcher->setOverload(m_Scenario.m_Overload);
   Own.m_Slots = std::make_unique<routing::SlotExchange>(
       *Own.m_Dispatcher, *Own.m_Targets, m_SlotRandom(), slotHooks(Index));
+  Own.m_Lending = std::make_unique<routing::SlotLending>(
+      *Own.m_Targets, *Own.m_Dispatcher, Own.m_Slots->leases());
+  Own.m_Borrowing = std::make_unique<routing::SlotBorrowing>(
+      *Own.m_Dispatcher, dataHallOf(Index), borrowingHooks(Index));
 }
 
 //===----------------------------------------------------------------------===//
@@ -289,6 +299,7 @@
         exchangeLoads(Each);
       Each.m_Slots->upkeep(m_Now);
       dispatchWaiting(Each);
+      Each.m_Borrowing->update(m_Now);
     }
     if (m_Callers)
       withdrawOverdue();
--- a/Tests/Support/DispatchFleet.h
+++ b/Tests/Support/DispatchFleet.h
@@ -11,7 +11,9 @@
 #include "SimulatedNetwork.h"
 #include "SimulatedTargets.h"
 
+#include "LibRouting/SlotBorrowing.h"
 #include "LibRouting/SlotExchange.h"
+#include "LibRouting/SlotLending.h"
 
 #include <functional>
 #include <map>
@@ -40,6 +42,8 @@
   std::unique_ptr<routing::TargetDirectory> m_Targets;
   std::unique_ptr<routing::Dispatcher> m_Dispatcher;
   std::unique_ptr<routing::SlotExchange> m_Slots;
+  std::unique_ptr<routing::SlotLending> m_Lending;
+  std::unique_ptr<routing::SlotBorrowing> m_Borrowing;
   routing::FleetSubset m_Subset;
   std::size_t m_Process = 0;
   bool m_IsRestarted = false; ///< See DispatchScenario::m_RestartedShare.
@@ -133,6 +137,11 @@
 
   // Messages between instances.
   routing::SlotExchangeHooks slotHooks(std::size_t Index);
+  routing::SlotBorrowingHooks borrowingHooks(std::size_t Index);
+  void answerQuestion(std::size_t Lender, std::size_t Borrower,
+                      const routing::SlotQuestion &Question);
+  void returnSlot(std::size_t From, const config::Endpoint &To,
+                  routing::SlotLeaseId Lease);
   void reportBackpressure(std::size_t From,
                           const routing::BackpressureReport &Update);
   void deliverBackpressure();
--- a/Tests/Support/DispatchFleetMessages.cpp
+++ b/Tests/Support/DispatchFleetMessages.cpp
@@ -226,10 +226,7 @@
   };
   Out.m_Return = [this, Index](const config::Endpoint &To,
                                routing::SlotLeaseId Lease) {
-    std::size_t Giver = m_Indexes.at(To);
-    m_Network.post(Index, Giver, m_Now, [this, Index, Giver, Lease] {
-      m_Instances[Giver].m_Slots->handleReturn(addressOf(Index), Lease, m_Now);
-    });
+    returnSlot(Index, To, Lease);
   };
   Out.m_Random = [this] {
     return std::uniform_real_distribution<double>(0, 1)(m_SlotRandom);
@@ -237,6 +234,62 @@
   return Out;
 }
 
+void DispatchFleet::returnSlot(std::size_t From, const config::Endpoint &To,
+                               routing::SlotLeaseId Lease) {
+  std::size_t Giver = m_Indexes.at(To);
+  m_Network.post(From, Giver, m_Now, [this, From, Giver, Lease] {
+    m_Instances[Giver].m_Slots->handleReturn(addressOf(From), Lease, m_Now);
+  });
+}
+
+routing::SlotBorrowingHooks DispatchFleet::borrowingHooks(std::size_t Index) {
+  SimulatedInstance &Own = m_Instances[Index];
+  routing::SlotBorrowingHooks Out;
+  Out.m_InstancesOf = [&Own](const core::PoolName &Pool) {
+    return Own.m_Targets->instancesOutsideSubset(Pool);
+  };
+  Out.m_Ask = [this, Index](const config::Endpoint &To,
+                            const routing::SlotQuestion &Question) {
+    ++m_Result.m_SlotQuestions;
+    std::size_t Lender = m_Indexes.at(To);
+    m_Network.post(Index, Lender, m_Now, [this, Lender, Index, Question] {
+      answerQuestion(Lender, Index, Question);
+    });
+  };
+  Out.m_Use = [this, &Own](const routing::TargetIncarnation &Target,
+                           core::TimePoint Now) {
+    auto User = Own.m_Dispatcher->sendWaitingToLent(Target, Now);
+    m_Result.m_BorrowedSlots += User ? 1 : 0;
+    return User;
+  };
+  Out.m_Return = [this, Index](const config::Endpoint &To,
+                               routing::SlotLeaseId Lease) {
+    returnSlot(Index, To, Lease);
+  };
+  Out.m_Draw = [this] {
+    return std::uniform_real_distribution<double>(0, 1)(m_SlotRandom);
+  };
+  return Out;
+}
+
+void DispatchFleet::answerQuestion(std::size_t Lender, std::size_t Borrower,
+                                   const routing::SlotQuestion &Question) {
+  SimulatedInstance &Own = m_Instances[Lender];
+  applyReports(Own);
+  auto Lease = Own.m_Lending->grant(
+      Question, {addressOf(Borrower), dataHallOf(Borrower)}, m_Now);
+  Own.m_IsReportDue = Own.m_IsReportDue || Lease.has_value();
+  m_Network.post(
+      Lender, Borrower, m_Now, [this, Lender, Borrower, Question, Lease] {
+        routing::SlotBorrowing &Receiver = *m_Instances[Borrower].m_Borrowing;
+        if (Lease)
+          Receiver.handleGrant(addressOf(Lender), Question.m_Id, Lease->m_Id,
+                               Lease->m_Target, m_Now);
+        else
+          Receiver.handleNoSlot(addressOf(Lender), Question.m_Id);
+      });
+}
+
 bool DispatchFleet::hasWaitingPeers(const SimulatedInstance &Instance) const {
   return std::any_of(Instance.m_PeerReports.begin(),
                      Instance.m_PeerReports.end(), [](const auto &Each) {
--- a/Tests/Support/DispatchSimulation.h
+++ b/Tests/Support/DispatchSimulation.h
@@ -107,6 +107,8 @@
   /// all targets over it, in slots times seconds.
   core::Duration m_RefusingTime{};
   double m_FreeSlotSeconds = 0;
+  std::size_t m_SlotQuestions = 0; ///< Datagrams that ask for a slot.
+  std::size_t m_BorrowedSlots = 0; ///< Requests sent in a borrowed slot.
 
   /// Returns the number of requests that a target received in a half-open
   /// interval.
