--- a/Tests/Support/DispatchSimulation.h
+++ b/Tests/Support/DispatchSimulation.h
@@ -109,6 +109,8 @@
   double m_FreeSlotSeconds = 0;
   /// Requests of callers that were sent to a target without a free slot.
   std::size_t m_SentToFullTarget = 0;
+  std::size_t m_SlotQuestions = 0; ///< Datagrams that ask for a slot.
+  std::size_t m_BorrowedSlots = 0; ///< Requests sent in a borrowed slot.
 
   /// Returns the number of requests that a target received in a half-open
   /// interval.
