Revert "LibGateway: Recognize returned callers by their shorter deadline"

Late returns take slots from streams that would have been in time, and hardly fewer callers are refused for good.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -28,7 +28,6 @@
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibRouting/Dispatcher.h"
-#include "LibRouting/FirstAttemptEstimate.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
 
@@ -148,7 +147,6 @@
   routing::RoutingTableHandle m_Table;
   routing::TargetDirectory m_Targets;
   routing::Dispatcher m_Dispatcher;
-  routing::FirstAttemptEstimate m_FirstAttempts;
   http::ConnectionPool m_Connections;
   RetryBudgets m_Retries;
   TargetExitDetector m_ExitDetector;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -171,17 +171,6 @@
                    m_Route->m_MaxEventGap * CallerTimeoutPerEventGap});
 }
 
-void GatewayRequest::noteArrival() {
-  if (!m_Owner.m_Settings.m_Overload.m_ReturnSchedule || !hasObjective() ||
-      !m_Description.m_Deadline)
-    return;
-  core::Duration Elapsed = m_Owner.m_FirstAttempts.recordArrival(
-      routeHash(), *m_Description.m_Deadline, m_Route->m_FirstByteObjective,
-      m_Timing.arrivedAt());
-  if (Elapsed > core::Duration::zero())
-    m_FirstArrivedAt = m_Timing.arrivedAt() - Elapsed;
-}
-
 bool GatewayRequest::waitForTarget(asio::yield_context Yield) {
   m_Target.reset();
   m_IsRefused = false;
@@ -205,7 +194,6 @@
     Placement.m_ExpectedEvents = Tokens / Pool->m_TokensPerEvent;
   }
   Placement.m_ArrivedAt = m_Timing.arrivedAt();
-  Placement.m_FirstArrivedAt = m_FirstArrivedAt;
   Placement.m_EndsAt = m_EndsAt;
   Placement.m_FirstByteDue = m_EndsAt;
   if (m_Route->m_FirstByteObjective > core::Duration::zero())
@@ -220,7 +208,6 @@
     Placement.m_FirstEventDeadline =
         std::min(m_EndsAt, core::steadyNow() + callerTimeout());
     Placement.m_FirstByteDue = Placement.m_FirstEventDeadline;
-    Placement.m_FirstArrivedAt.reset();
   }
   m_PendingPromptTokens = Placement.m_PromptTokens;
   m_Owner.place(Placement);
@@ -256,7 +243,6 @@
     return respond(Status, m_Reason, Wait, Yield);
   }
   m_Owner.m_Retries.budgetOf(m_Pool).recordRequest(m_Timing.arrivedAt());
-  noteArrival();
   AttemptOutcome Outcome = AttemptOutcome::NotSent;
   while (true) {
     if (!waitForTarget(Yield)) {
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -92,8 +92,6 @@
   core::Duration retryAfter();
   /// Whether the request is a stream that is to begin within an objective.
   bool hasObjective() const;
-  /// Finds out whether the caller was refused before and has returned.
-  void noteArrival();
   void handleCallerDisconnect();
   /// Records the outcome of an attempt and frees the target's slot.
   void noteAttempt(AttemptOutcome Outcome);
--- a/Libraries/LibGateway/RequestInfo.cpp
+++ b/Libraries/LibGateway/RequestInfo.cpp
@@ -39,8 +39,6 @@
       .add("store_revision", StoreRevision);
   if (m_PredictedWait)
     Line.add("predicted_wait_us", *m_PredictedWait);
-  if (m_FirstArrivedAt)
-    Line.add("returned_after_us", m_Timing.arrivedAt() - *m_FirstArrivedAt);
   if (m_Account)
     Line.add("account", m_Account->m_Name)
         .add("tokens", m_Acquisition.m_Tokens)
@@ -82,8 +80,6 @@
         .add("prompt_tokens", m_Description.m_PromptTokens);
   if (m_Status == 503 && m_PredictedWait)
     Line.add("predicted_wait_us", *m_PredictedWait);
-  if (m_Status == 503 && m_FirstArrivedAt)
-    Line.add("returned_after_us", m_Timing.arrivedAt() - *m_FirstArrivedAt);
   if (m_Table)
     Line.add("configuration", m_Table->version());
   if (m_Target)
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -30,9 +30,6 @@
   routing::QuotaAcquisition m_Acquisition; ///< Tokens taken from the quota.
   quarantine::ContentDigest m_Content;     ///< Set on admission.
   ResponseTiming m_Timing{core::steadyNow()};
-  /// Arrival of the first attempt of a caller that was refused and has
-  /// returned.
-  std::optional<core::TimePoint> m_FirstArrivedAt;
   /// Wait for a slot that was predicted when the request began to wait.
   std::optional<core::Duration> m_PredictedWait;
   std::optional<routing::Target> m_Target; ///< Target of the current attempt.
