LibRouting: Keep the order of first attempts within an account

Cause: with AccountFairness on, start tags follow the due time of the current attempt, so that a returned caller lost the place that its first attempt gives it, also where a single account waits.

Change: an account's requests are ordered by Dispatcher::firstAttemptDue, as the Dispatcher orders them. DispatcherFairnessTest::testReturnedCallerKeepsItsPlaceInItsAccount guards it.

--- a/Libraries/LibRouting/AccountFairness.cpp
+++ b/Libraries/LibRouting/AccountFairness.cpp
@@ -48,7 +48,7 @@
   remove(Request);
   Queue &Known = m_Queues[{Request.m_Pool, Request.m_Priority}];
   AccountState &Account = Known.m_Accounts[Request.m_Account];
-  QueuedRequest Added{Request.m_Request, Request.m_FirstByteDue,
+  QueuedRequest Added{Request.m_Request, Dispatcher::firstAttemptDue(Request),
                       costOf(Request), Known.m_VirtualTime};
   auto Place = std::upper_bound(
       Account.m_Queued.begin(), Account.m_Queued.end(), Added,
--- a/Libraries/LibRouting/AccountFairness.h
+++ b/Libraries/LibRouting/AccountFairness.h
@@ -31,10 +31,10 @@
 /// tokens and expected events, each relative to their average. Which of them
 /// determines the slot time depends on the target, so that they weigh alike.
 ///
-/// Within an account the order is by due time. Requests without an account
-/// count as one account. State exists only while requests wait, and an
-/// account's only until the virtual time has passed its finish tag. A request
-/// that is withdrawn costs its account nothing.
+/// Within an account the order is by the due time of the first attempt.
+/// Requests without an account count as one account. State exists only while
+/// requests wait, and an account's only until the virtual time has passed its
+/// finish tag. A request that is withdrawn costs its account nothing.
 class AccountFairness {
 public:
   /// Adds a request that is about to be sent or to wait.
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -128,6 +128,11 @@
                                             double Random,
                                             core::TimePoint Now) const;
 
+  /// Time until which a first byte is in time, counted from the first attempt
+  /// of a returned caller. One that is late goes behind those of its priority
+  /// that can still be in time, since a response is worth more to them.
+  static core::TimePoint firstAttemptDue(const PlacementRequest &Request);
+
 private:
   /// Order of service while slots are scarce. Requests of the lowest of several
   /// priorities wait for all others, even for those that are already late.
@@ -141,10 +146,6 @@
   /// then, a stream is refused, and a short request is sent without a slot.
   /// Under LeastOutstanding, no request waits.
   core::TimePoint queueDeadline(const PlacementRequest &Request) const;
-  /// Time until which a first byte is in time, counted from the first attempt
-  /// of a returned caller. One that is late goes behind those of its priority
-  /// that can still be in time, since a response is worth more to them.
-  static core::TimePoint firstAttemptDue(const PlacementRequest &Request);
   bool precedes(const PlacementRequest &A, const PlacementRequest &B,
                 core::TimePoint Now) const;
   /// Sends or refuses a request. \returns false if it has to wait.
--- a/Tests/LibRouting/DispatcherFairnessTest.cpp
+++ b/Tests/LibRouting/DispatcherFairnessTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testWithoutFairnessTheFloodWins);
   CPPUNIT_TEST(testAccountOfLargeRequestsIsServed);
   CPPUNIT_TEST(testTierPrecedesShare);
+  CPPUNIT_TEST(testReturnedCallerKeepsItsPlaceInItsAccount);
   CPPUNIT_TEST(testSwitchedOffServesByDueTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -175,6 +176,20 @@
     CPPUNIT_ASSERT(Expected == m_Sent);
   }
 
+  void testReturnedCallerKeepsItsPlaceInItsAccount() {
+    setFairness(true);
+    announce(1);
+    m_Dispatcher.place(stream("a"), m_Now);
+    m_Dispatcher.place(stream("a"), m_Now);
+    m_Now += milliseconds(10);
+    PlacementRequest Returned = stream("a");
+    Returned.m_FirstArrivedAt = m_Now - milliseconds(300);
+    m_Dispatcher.place(Returned, m_Now);
+    end(m_Sent.back());
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT(m_Sent.back() == Returned.m_Request);
+  }
+
   void testSwitchedOffServesByDueTime() {
     setFairness(false);
     announce(1);
