--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -137,6 +137,11 @@
                                             double Random,
                                             core::TimePoint Now) const;
 
+  /// Time until which a first byte is in time, counted from the first attempt
+  /// of a returned caller. One that is late goes behind those of its priority
+  /// that can still be in time, since a response is worth more to them.
+  static core::TimePoint firstAttemptDue(const PlacementRequest &Request);
+
   /// Returns the queued requests, the most urgent one first; valid until the
   /// queue changes.
   std::vector<const PlacementRequest *>
@@ -173,10 +178,6 @@
   /// then, a stream is refused, and a short request is sent without a slot.
   /// Under LeastOutstanding, no request waits.
   core::TimePoint queueDeadline(const PlacementRequest &Request) const;
-  /// Time until which a first byte is in time, counted from the first attempt
-  /// of a returned caller. One that is late goes behind those of its priority
-  /// that can still be in time, since a response is worth more to them.
-  static core::TimePoint firstAttemptDue(const PlacementRequest &Request);
   bool precedes(const PlacementRequest &A, const PlacementRequest &B,
                 core::TimePoint Now) const;
   /// Sends or refuses a request. \returns false if it has to wait.
