Tests/LibGateway: Wait for the log line of a refusal

GatewayRequest::respond() sends the response before finish() logs it, so that the caller can read the log first. The test now waits for the line; what it checks in it is as before.

--- a/Tests/LibGateway/RefusalLogTest.cpp
+++ b/Tests/LibGateway/RefusalLogTest.cpp
@@ -27,13 +27,19 @@
     return Out.replace(Out.find(Service), Service.size(),
                        R"({"name":"app","engine":{"stride":1}})");
   }
+  /// Returns the log line of a refused request; empty if there is none. The
+  /// gateway logs a refusal after it has sent it.
   std::string refusalOf(const http::RequestMessage &Request) {
     std::string Id = " request=" + *Request.m_Headers.find("Attempt-Id") + " ";
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    for (const std::string &Line : m_Lines)
-      if (Line.find(Id) != std::string::npos)
-        return Line;
-    return "";
+    std::string Out;
+    eventually([&] {
+      std::lock_guard<std::mutex> Lock(m_Mutex);
+      for (const std::string &Line : m_Lines)
+        if (has(Line, Id))
+          Out = Line;
+      return !Out.empty();
+    });
+    return Out;
   }
   static bool has(const std::string &Text, const std::string &Part) {
     return Text.find(Part) != std::string::npos;
