LibRouting: Share the order of the queue, granted sends and a predicate

Read again: refuseHopeless() copied and sorted the queue of each pool by itself, beside waitingInOrder(); sendWaitingTo() and sendWaitingToLent() ended in the same four steps; whether a request has an objective was asked in two places, once negated. Now one pass over waitingInOrder(), sendGranted() and PlacementRequest::hasObjective(). No decision changes.

--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -51,6 +51,10 @@
   core::TimePoint m_EndsAt{};
   std::set<TargetIncarnation> m_TriedTargets; ///< Excluded from assignment.
   AllowedRegions m_Regions; ///< Targets elsewhere must not receive it.
+
+  /// Whether the first byte has an objective. Without one, it is due when the
+  /// caller gives up.
+  bool hasObjective() const { return m_FirstByteDue < m_FirstEventDeadline; }
 };
 
 /// Reports the decisions of a Dispatcher and supplies version gates.
@@ -207,6 +211,11 @@
   bool mayUseGrantedSlot(const KnownTarget &Known,
                          const PlacementRequest &Request,
                          core::TimePoint Now) const;
+  /// Sends a waiting request in a slot that another instance has granted or
+  /// lent. \returns the request; none if the target takes no request.
+  std::optional<core::RequestId> sendGranted(const PlacementRequest &Waiting,
+                                             const KnownTarget &Known,
+                                             core::TimePoint Now);
   /// Returns the cheapest candidate, or one of several equal ones in turn; null
   /// if none has a free slot.
   /// \param MustSend whether to ignore free slots.
@@ -254,7 +263,6 @@
   bool tryRefuseOnArrival(const PlacementRequest &Request, core::TimePoint Now);
   /// Refuses waiting requests that can't begin in time any more.
   void refuseHopeless(core::TimePoint Now);
-  void refuseHopeless(const core::PoolName &Pool, core::TimePoint Now);
   /// Whether a request may be refused before its queue deadline.
   bool mayRefuseEarly(const PlacementRequest &Request,
                       core::TimePoint Now) const;
--- a/Libraries/LibRouting/DispatcherGrants.cpp
+++ b/Libraries/LibRouting/DispatcherGrants.cpp
@@ -41,6 +41,18 @@
   return mayTakeSlot(Any, false, 0, Now);
 }
 
+std::optional<core::RequestId>
+Dispatcher::sendGranted(const PlacementRequest &Waiting,
+                        const KnownTarget &Known, core::TimePoint Now) {
+  if (!m_Targets.tryStartRequest(Known.m_Target.incarnation(),
+                                 Waiting.m_PromptTokens, Now))
+    return std::nullopt;
+  PlacementRequest Sent = Waiting;
+  withdraw(Sent.m_Request);
+  send(Sent, Known.m_Target, Now);
+  return Sent.m_Request;
+}
+
 bool Dispatcher::sendWaitingTo(const TargetIncarnation &Incarnation,
                                core::TimePoint Now) {
   const KnownTarget *Known = m_Targets.findByIncarnation(Incarnation);
@@ -52,12 +64,7 @@
   const PlacementRequest *Best = mostUrgentRequestFor(*Known, Now);
   if (!Best || !mayTakeSlot(*Best, queueDeadline(*Best) <= Now, 1, Now))
     return false;
-  if (!m_Targets.tryStartRequest(Incarnation, Best->m_PromptTokens, Now))
-    return false;
-  PlacementRequest Sent = *Best;
-  withdraw(Sent.m_Request);
-  send(Sent, Known->m_Target, Now);
-  return true;
+  return sendGranted(*Best, *Known, Now).has_value();
 }
 
 std::optional<core::RequestId>
@@ -67,13 +74,7 @@
   if (!Known || Known->m_CooldownUntil > Now || Known->isOnProbation())
     return std::nullopt;
   const PlacementRequest *Best = mostUrgentRequestFor(*Known, Now);
-  if (!Best ||
-      !m_Targets.tryStartRequest(Incarnation, Best->m_PromptTokens, Now))
-    return std::nullopt;
-  PlacementRequest Sent = *Best;
-  withdraw(Sent.m_Request);
-  send(Sent, Known->m_Target, Now);
-  return Sent.m_Request;
+  return Best ? sendGranted(*Best, *Known, Now) : std::nullopt;
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/DispatcherWaiting.cpp
+++ b/Libraries/LibRouting/DispatcherWaiting.cpp
@@ -2,8 +2,7 @@
 #include "LibRouting/Dispatcher.h"
 #include "LibRouting/ReturnSchedule.h"
 
-#include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace yardrill::routing {
 
@@ -15,8 +14,7 @@
                         std::size_t TierAhead, std::size_t TierWaiting,
                         core::TimePoint Now) const {
   // Without an objective, a request waits as long as its caller does.
-  if (!Request.m_IsInference ||
-      Request.m_FirstEventDeadline <= Request.m_FirstByteDue)
+  if (!Request.m_IsInference || !Request.hasObjective())
     return std::nullopt;
   PoolDemand Own = m_Demand.own(Request.m_Pool, Now);
   PoolDemand Group = m_Demand.group(Request.m_Pool, Now);
@@ -82,43 +80,31 @@
   if (!m_Overload.m_WaitPrediction || m_Waiting.empty() || Now < m_NextReviewAt)
     return;
   m_NextReviewAt = Now + ReviewPeriod;
-  std::set<core::PoolName> Pools;
+  struct TierCount {
+    std::size_t m_Waiting = 0;
+    std::size_t m_Ahead = 0; ///< Of the request that is reviewed.
+  };
+  std::map<std::pair<core::PoolName, Priority>, TierCount> Tiers;
   for (const auto &[Id, Request] : m_Waiting)
-    Pools.insert(Request.m_Pool);
-  for (const core::PoolName &Pool : Pools)
-    refuseHopeless(Pool, Now);
-}
-
-void Dispatcher::refuseHopeless(const core::PoolName &Pool,
-                                core::TimePoint Now) {
-  std::vector<PlacementRequest> Order;
-  std::map<Priority, std::size_t> TierWaiting;
-  for (const auto &[Id, Request] : m_Waiting)
-    if (Request.m_Pool == Pool) {
-      Order.push_back(Request);
-      ++TierWaiting[Request.m_Priority];
-    }
-  std::sort(Order.begin(), Order.end(),
-            [&](const PlacementRequest &A, const PlacementRequest &B) {
-              return precedes(A, B, Now);
-            });
-  std::size_t Ahead = 0;
-  std::map<Priority, std::size_t> TierAhead;
-  for (const PlacementRequest &Request : Order) {
-    std::size_t &OfTier = TierAhead[Request.m_Priority];
-    auto Predicted = predictWait(Request, Ahead, OfTier,
-                                 TierWaiting[Request.m_Priority], Now);
+    ++Tiers[{Request.m_Pool, Request.m_Priority}].m_Waiting;
+  std::map<core::PoolName, std::size_t> PoolAhead;
+  for (const PlacementRequest *Request : waitingInOrder(Now)) {
+    TierCount &Tier = Tiers[{Request->m_Pool, Request->m_Priority}];
+    std::size_t &Ahead = PoolAhead[Request->m_Pool];
+    auto Predicted =
+        predictWait(*Request, Ahead, Tier.m_Ahead, Tier.m_Waiting, Now);
     if (Predicted &&
         WaitPrediction::refusesWaiting(*Predicted,
-                                       queueDeadline(Request) - Now) &&
-        mayRefuseEarly(Request, Now)) {
-      refuse(Request, Now);
-      withdraw(Request.m_Request);
-      --TierWaiting[Request.m_Priority];
+                                       queueDeadline(*Request) - Now) &&
+        mayRefuseEarly(*Request, Now)) {
+      refuse(*Request, Now);
+      // Copies the key, because withdraw() destroys the request.
+      withdraw(core::RequestId(Request->m_Request));
+      --Tier.m_Waiting;
       continue;
     }
     ++Ahead;
-    ++OfTier;
+    ++Tier.m_Ahead;
   }
 }
 
--- a/Libraries/LibRouting/SlotBorrowing.cpp
+++ b/Libraries/LibRouting/SlotBorrowing.cpp
@@ -8,15 +8,9 @@
 /// meanwhile don't answer.
 static constexpr std::chrono::seconds LenderListTime{1};
 
-/// Whether the route has an objective for the first byte. Without one, the
-/// first byte is due when the caller gives up.
-static bool hasObjective(const PlacementRequest &Request) {
-  return Request.m_FirstByteDue < Request.m_FirstEventDeadline;
-}
-
 bool SlotBorrowing::isDue(const PlacementRequest &Waiting,
                           core::TimePoint Now) const {
-  if (!hasObjective(Waiting))
+  if (!Waiting.hasObjective())
     return false;
   auto Decided = m_DecidedAt.find(Waiting.m_Request);
   if (Decided != m_DecidedAt.end() && Now - Decided->second < AnswerTimeout)
