LibGateway: Free the slots of responses that callers do not read

Callers saw: while four callers that read nothing had a target's four responses open, everyone else waited 0.7 s where 0.3 s is the objective, for the 30 s until the writes to those callers timed out. The target had cut the responses off long before and had its four slots free.

Cause: an attempt counted as using its slot until the write to its caller ended. While a write waits, the target's connection is not read. Evidence, from the sockets of a red run (SlowCallerSlotTest, 0.8 s after the cut-off): the target's four ends are in FIN_WAIT1 with 3,182,081 unsent bytes each, the gateway's ends are ESTABLISHED. The end of a response stands behind the bytes that are not read, so nothing on the connection tells that the target has given it up. Ruled out: watching the connection for an end. Reading on into memory: it takes 3.2 MB and more for each such caller until the end is reached.

Change: a caller that has taken no bytes for 1 s no longer keeps its target's slot. Its response stays open and is delivered if it reads on. New line response-unread and yardrill_unread_responses_total. Why it holds: the slot's count no longer depends on the caller; the platform's targets cut off what stays unread for some seconds, and one that still works on such a response gets at most one request more than it has slots for, which it may queue or refuse.

After: 20 of 20 green, unchanged; SlowCallerTest 1 of 1.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -195,6 +195,8 @@
     m_Targets.removeExpired(Now);
     m_Follower.setEnabled(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
+    for (const auto &[Id, Open] : m_OpenRequests)
+      Open->checkUnreadResponse(Now);
     m_ExitDetector.upkeep(Now);
     m_Backpressure.upkeep(Now);
     m_Slots.upkeep(Now);
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -173,6 +173,7 @@
 
 bool GatewayRequest::waitForTarget(asio::yield_context Yield) {
   m_Target.reset();
+  m_TargetEndedAt.reset();
   m_IsRefused = false;
   const routing::Pool *Pool = m_Table->findPool(m_Pool);
   routing::PlacementRequest Placement;
@@ -252,10 +253,7 @@
     }
     // Other instances may have reported target exits while it waited.
     if (isQuarantined()) {
-      m_Owner.m_Targets.recordEnd(m_Target->incarnation(),
-                                  m_PendingPromptTokens);
-      m_Owner.m_Dispatcher.recordEnd(m_Id, core::steadyNow());
-      m_Owner.handleFreedSlot(m_Target->incarnation());
+      releaseSlot();
       break;
     }
     m_Timing.noteAttempt(core::steadyNow());
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -36,6 +36,9 @@
   std::uint32_t routeHash() const { return m_Route ? m_Route->m_Hash : 0; }
   /// Called when the dispatcher refuses the request.
   void refuse();
+  /// Frees the target's slot if the caller has not read its response for a
+  /// while. To be called a few times a second.
+  void checkUnreadResponse(core::TimePoint Now);
   /// Called by the gateway's destructor: the coroutine is unwound later, with
   /// the event loop, and must not use the gateway then.
   void notifyOwnerDestroyed() { m_IsOwnerDestroyed = true; }
@@ -93,8 +96,14 @@
   /// Whether the request is a stream that is to begin within an objective.
   bool hasObjective() const;
   void handleCallerDisconnect();
-  /// Records the outcome of an attempt and frees the target's slot.
+  /// Records the outcome of an attempt, and frees the target's slot unless
+  /// releaseSlot() has done so.
   void noteAttempt(AttemptOutcome Outcome);
+  /// Frees the target's slot while the caller has yet to take the response.
+  void releaseSlot();
+  /// Removes the attempt from the target's load. \returns false if that was
+  /// done before.
+  bool endTargetWork();
   /// Whether the request must not be sent to any target; sets the reason if so.
   bool isQuarantined();
   /// Finds out whether the target exited while it ran the request.
@@ -121,6 +130,9 @@
   unsigned m_PossibleExecutions = 0;       ///< Attempts that may have run.
   std::uint32_t m_PendingPromptTokens = 0; ///< In the current target's load.
   bool m_HasResponseStarted = false;       ///< In the current attempt.
+  /// When the current attempt stopped to count as work of the target; none
+  /// before.
+  std::optional<core::TimePoint> m_TargetEndedAt;
   /// Time for which the connection may be reused, according to the last
   /// response.
   core::Duration m_KeepAliveTime{};
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -23,6 +23,10 @@
 static constexpr double PromptTokensPerMs = 50;
 static constexpr double EventMs = 25;
 static constexpr double FirstEventMs = 10;
+/// Time for which a response that the caller does not read still counts as
+/// using the target's slot. Targets cut such responses off, and that can't be
+/// observed: the end of the connection follows the bytes that are not read.
+static constexpr std::chrono::seconds MaxUnreadSlotTime{1};
 /// Lowest status of a target's errors. A target may return one before it runs
 /// the request, so such a response does not clear the request's content.
 static constexpr unsigned MinFailureStatus = 500;
@@ -213,11 +217,10 @@
 //===----------------------------------------------------------------------===//
 
 void GatewayRequest::noteAttempt(AttemptOutcome Outcome) {
+  bool HoldsSlot = endTargetWork();
   core::TimePoint Now = core::steadyNow();
   routing::TargetIncarnation Incarnation = m_Target->incarnation();
   reportRolloutOutcome(Outcome, Now);
-  m_Owner.m_Targets.recordEnd(Incarnation, m_PendingPromptTokens);
-  m_Owner.m_Dispatcher.recordEnd(m_Id, Now);
   m_TriedTargets.insert(Incarnation);
   bool HasNoEvents = !m_Timing.hasEventInAttempt();
   switch (Outcome) {
@@ -248,7 +251,37 @@
   case AttemptOutcome::CallerGone:
     break;
   }
-  m_Owner.handleFreedSlot(Incarnation);
+  if (HoldsSlot)
+    m_Owner.handleFreedSlot(Incarnation);
+}
+
+bool GatewayRequest::endTargetWork() {
+  if (m_TargetEndedAt)
+    return false;
+  core::TimePoint Now = core::steadyNow();
+  m_TargetEndedAt = Now;
+  m_Owner.m_Targets.recordEnd(m_Target->incarnation(), m_PendingPromptTokens);
+  m_PendingPromptTokens = 0;
+  m_Owner.m_Dispatcher.recordEnd(m_Id, Now);
+  return true;
+}
+
+void GatewayRequest::releaseSlot() {
+  if (endTargetWork())
+    m_Owner.handleFreedSlot(m_Target->incarnation());
+}
+
+void GatewayRequest::checkUnreadResponse(core::TimePoint Now) {
+  std::optional<core::TimePoint> BlockedSince = m_Relay.blockedSince();
+  if (m_TargetEndedAt || !BlockedSince ||
+      Now - *BlockedSince < MaxUnreadSlotTime)
+    return;
+  core::LogLine("response-unread", core::LogLevel::Warning)
+      .add("request", m_Description.m_Id)
+      .add("target", m_Target->m_Name)
+      .add("unread_us", Now - *BlockedSince);
+  m_Owner.m_Metrics.count("yardrill_unread_responses_total");
+  releaseSlot();
 }
 
 void GatewayRequest::reportRolloutOutcome(AttemptOutcome Outcome,
--- a/Libraries/LibGateway/ResponseRelay.cpp
+++ b/Libraries/LibGateway/ResponseRelay.cpp
@@ -50,15 +50,18 @@
 bool ResponseRelay::forward(const http::ResponseHead &Head,
                             const std::string &Bytes, bool IsEnd,
                             asio::yield_context Yield) {
+  bool IsSent = true;
+  m_BlockedSince = core::steadyNow();
   try {
     start(Head, Yield);
     m_Caller.sendBodyData(Bytes, Yield);
     if (IsEnd)
       m_Caller.finishStream(Yield);
   } catch (const core::Error &) {
-    return false;
+    IsSent = false;
   }
-  return true;
+  m_BlockedSince.reset();
+  return IsSent;
 }
 
 AttemptOutcome ResponseRelay::relayBytes(http::ClientConnection &From,
--- a/Libraries/LibGateway/ResponseRelay.h
+++ b/Libraries/LibGateway/ResponseRelay.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace yardrill::gateway {
@@ -62,6 +63,10 @@
   bool isStarted() const { return m_IsStarted; }
   /// Id of the last complete event; empty if none had one.
   const std::string &lastEventId() const { return m_Events.lastId(); }
+  /// Returns since when the caller has not taken the bytes that are being sent
+  /// to it; none if there are none. The target's response is not read
+  /// meanwhile.
+  std::optional<core::TimePoint> blockedSince() const { return m_BlockedSince; }
   /// HTTP status of the relayed response; 0 before one.
   unsigned status() const { return m_Status; }
 
@@ -77,6 +82,7 @@
   ResponseRelayHooks m_Hooks;
   EventSplitter m_Events;
   bool m_IsStarted = false;
+  std::optional<core::TimePoint> m_BlockedSince;
   unsigned m_Status = 0;
 };
 
