LibGateway: Free a slot once the target's response was read

Callers that send several requests on one connection and read nothing kept a target's slots for the 30 s until their writes timed out, though the gateway had the whole responses in memory and the target had nothing left to do. Others waited 0.7 s where 0.3 s is the objective.

The slot was freed after the response was sent to the caller, not after it was read from the target. The response's time counted to the target's service time and to its roll-out as well, so that slow callers made sound targets and versions look slow. Change: ResponseRelay notifies once a response was read completely, and the slot is freed then; the attempt's duration ends there too. A failure that is held back for a retry still ends with the attempt, so that the target's cooldown begins before its slot is given away.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -38,7 +38,8 @@
 GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller)
     : m_Owner(Owner), m_Caller(Caller),
       m_Relay(Caller, {[this] { return timeLeft() + ResponseGracePeriod; },
-                       [this](std::size_t Count) { noteEvents(Count); }}),
+                       [this](std::size_t Count) { noteEvents(Count); },
+                       [this] { releaseSlot(); }}),
       m_Id(Owner.m_NextRequest++), m_WakeTimer(Owner.m_Context) {
   m_Table = Owner.m_Table;
   m_Owner.m_OpenRequests.emplace(m_Id, this);
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -109,7 +109,7 @@
   /// Finds out whether the target exited while it ran the request.
   void noteBrokenResponse(boost::asio::yield_context Yield);
   /// Reports the outcome of an attempt to the pool's rollout.
-  void reportRolloutOutcome(AttemptOutcome Outcome, core::TimePoint Now);
+  void reportRolloutOutcome(AttemptOutcome Outcome);
   /// Scales the duration of a stream to that of a reference request, so that
   /// targets can be compared.
   core::Duration normalizedDuration(core::Duration Elapsed) const;
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -220,7 +220,7 @@
   bool HoldsSlot = endTargetWork();
   core::TimePoint Now = core::steadyNow();
   routing::TargetIncarnation Incarnation = m_Target->incarnation();
-  reportRolloutOutcome(Outcome, Now);
+  reportRolloutOutcome(Outcome);
   m_TriedTargets.insert(Incarnation);
   bool HasNoEvents = !m_Timing.hasEventInAttempt();
   switch (Outcome) {
@@ -229,8 +229,8 @@
     if (m_Relay.status() < MinFailureStatus)
       m_Owner.m_Quarantine.noteSuccess(m_Content);
     if (HasNoEvents)
-      m_Owner.m_Targets.recordServiceTime(Incarnation,
-                                          Now - m_Timing.attemptStartedAt());
+      m_Owner.m_Targets.recordServiceTime(
+          Incarnation, *m_TargetEndedAt - m_Timing.attemptStartedAt());
     break;
   case AttemptOutcome::NotSent:
     m_Owner.m_Targets.recordFailure(Incarnation,
@@ -256,7 +256,7 @@
 }
 
 bool GatewayRequest::endTargetWork() {
-  if (m_TargetEndedAt)
+  if (!m_Target || m_TargetEndedAt)
     return false;
   core::TimePoint Now = core::steadyNow();
   m_TargetEndedAt = Now;
@@ -284,11 +284,10 @@
   releaseSlot();
 }
 
-void GatewayRequest::reportRolloutOutcome(AttemptOutcome Outcome,
-                                          core::TimePoint Now) {
+void GatewayRequest::reportRolloutOutcome(AttemptOutcome Outcome) {
   bool IsFailure = Outcome == AttemptOutcome::Failed;
   bool IsComplete = Outcome == AttemptOutcome::Complete;
-  core::Duration Elapsed = Now - m_Timing.attemptStartedAt();
+  core::Duration Elapsed = *m_TargetEndedAt - m_Timing.attemptStartedAt();
   // Callers abandon slow responses, so one that leaves after a while counts as
   // a response of that duration.
   bool HasCallerLeft =
--- a/Libraries/LibGateway/ResponseRelay.cpp
+++ b/Libraries/LibGateway/ResponseRelay.cpp
@@ -28,6 +28,7 @@
 AttemptOutcome ResponseRelay::sendResponse(http::ResponseMessage Response,
                                            asio::yield_context Yield) {
   m_Status = Response.m_Head.m_Status;
+  m_Hooks.m_OnResponseRead();
   try {
     m_Caller.sendResponse(std::move(Response), Yield);
   } catch (const core::Error &) {
@@ -64,12 +65,18 @@
   return IsSent;
 }
 
+void ResponseRelay::notifyIfRead(const http::ClientConnection &From) const {
+  if (From.isResponseComplete())
+    m_Hooks.m_OnResponseRead();
+}
+
 AttemptOutcome ResponseRelay::relayBytes(http::ClientConnection &From,
                                          const http::ResponseHead &Head,
                                          asio::yield_context Yield) {
   while (true) {
     std::string Data = From.readBodyData(m_Hooks.m_TargetTimeout(), Yield);
     bool IsEnd = Data.empty();
+    notifyIfRead(From);
     if (!forward(Head, Data, IsEnd, Yield))
       return AttemptOutcome::CallerGone;
     if (IsEnd)
@@ -97,6 +104,7 @@
       m_Hooks.m_OnEvents(CompleteEvents.m_Count);
     else if (!IsEnd)
       continue;
+    notifyIfRead(From);
     if (!forward(StreamHead, CompleteEvents.m_Bytes, IsEnd, Yield))
       return AttemptOutcome::CallerGone;
     if (IsEnd)
--- a/Libraries/LibGateway/ResponseRelay.h
+++ b/Libraries/LibGateway/ResponseRelay.h
@@ -30,6 +30,9 @@
   /// Called with the number of complete events received, before they are sent
   /// to the caller.
   std::function<void(std::size_t)> m_OnEvents;
+  /// Called when a response was read completely, before its last bytes are sent
+  /// to the caller.
+  std::function<void()> m_OnResponseRead;
 };
 
 /// Relays responses of targets to one caller, on behalf of GatewayRequest.
@@ -77,6 +80,8 @@
   /// when the caller is gone.
   bool forward(const http::ResponseHead &Head, const std::string &Bytes,
                bool IsEnd, boost::asio::yield_context Yield);
+  /// Calls ResponseRelayHooks::m_OnResponseRead if nothing is left to read.
+  void notifyIfRead(const http::ClientConnection &From) const;
 
   http::Exchange &m_Caller;
   ResponseRelayHooks m_Hooks;
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -173,6 +173,10 @@
   }
 }
 
+bool ClientConnection::isResponseComplete() const {
+  return m_Impl->m_IsResponseComplete;
+}
+
 bool ClientConnection::isReusable() {
   if (!m_Impl->m_IsResponseComplete || !m_Impl->m_Parser->keep_alive() ||
       m_Impl->m_Buffer.size() != 0)
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -48,6 +48,8 @@
   ResponseMessage readResponse(core::Duration Timeout, std::size_t MaxBytes,
                                boost::asio::yield_context Yield);
 
+  /// Returns whether the last response was read completely.
+  bool isResponseComplete() const;
   /// Returns true when the last response was read completely and the server
   /// has since neither closed the connection nor sent anything.
   bool isReusable();
--- a/Tests/Support/LargeResponseTarget.h
+++ b/Tests/Support/LargeResponseTarget.h
@@ -8,12 +8,14 @@
 
 namespace yardrill::tests {
 
-/// Sends a large body, or a stream of many events, if the request's path
-/// contains "large" or "events", and otherwise a short response. Resets a
+/// Sends a large body, a stream of many events, or a body that a gateway
+/// buffers, if the request's path contains "large", "events" or "buffered", and
+/// otherwise a short response. Resets a
 /// connection of whose response nothing was read for a time.
 class LargeResponseTarget {
 public:
   static constexpr std::size_t LargeBytes = 256UL * 1024 * 1024;
+  static constexpr std::size_t BufferedBytes = 200000;
 
   explicit LargeResponseTarget(asio::io_context &Context)
       : m_Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
@@ -27,6 +29,7 @@
   std::atomic<int> m_UnreadLimitMs{3600000};
   std::atomic<std::size_t> m_SentBytes{0}; ///< Of all large responses.
   std::atomic<int> m_CutOff{0};            ///< Number of cut-off responses.
+  std::atomic<int> m_ShortResponses{0};    ///< Responses sent otherwise.
 
 private:
   using Stream = beast::basic_stream<tcp>;
@@ -64,11 +67,20 @@
                   chunk("data: " + std::string(65000, 'x') + "\n\n"), Failure,
                   Yield);
       else
-        asio::async_write(Connection,
-                          asio::buffer(completeResponse(Received, "short")),
-                          Yield[Failure]);
+        sendShort(Connection, Received, Failure, Yield);
     }
   }
+  void sendShort(Stream &Connection, const Request &Received,
+                 boost::system::error_code &Failure,
+                 asio::yield_context Yield) {
+    bool IsBuffered =
+        std::string(Received.target()).find("buffered") != std::string::npos;
+    std::string Body = IsBuffered ? std::string(BufferedBytes, 'x') : "short";
+    asio::async_write(Connection,
+                      asio::buffer(completeResponse(Received, Body)),
+                      Yield[Failure]);
+    ++m_ShortResponses;
+  }
   /// Sends \p Piece until the response has LargeBytes. Without an end, a stream
   /// is never complete.
   void sendLarge(Stream &Connection, const std::string &Head,
--- a/Tests/Support/SlowCallerFixture.h
+++ b/Tests/Support/SlowCallerFixture.h
@@ -39,14 +39,18 @@
          platform::Revision(2)});
     start();
   }
-  /// Sends a request and reads nothing.
-  tcp::socket &sendWithoutReading(const std::string &Path) {
-    http::RequestMessage Message = request(Path);
-    std::string Bytes = "POST " + Path + " HTTP/1.1\r\nContent-Length: " +
-                        std::to_string(Message.m_Body.size()) + "\r\n";
-    for (const http::Header &Each : Message.m_Headers)
-      Bytes += Each.m_Name + ": " + Each.m_Value + "\r\n";
-    Bytes += "\r\n" + Message.m_Body;
+  /// Sends requests one after the other on one connection and reads nothing.
+  tcp::socket &sendWithoutReading(const std::string &Path,
+                                  std::size_t Count = 1) {
+    std::string Bytes;
+    for (; Count > 0; --Count) {
+      http::RequestMessage Message = request(Path);
+      Bytes += "POST " + Path + " HTTP/1.1\r\nContent-Length: " +
+               std::to_string(Message.m_Body.size()) + "\r\n";
+      for (const http::Header &Each : Message.m_Headers)
+        Bytes += Each.m_Name + ": " + Each.m_Value + "\r\n";
+      Bytes += "\r\n" + Message.m_Body;
+    }
     m_SlowCallers.push_back(std::make_unique<tcp::socket>(m_CallerContext));
     tcp::socket &Out = *m_SlowCallers.back();
     Out.open(tcp::v4());
