LibGateway: Do not blame targets for responses that callers do not read

Callers saw: a target whose responses to slow callers had been cut off, as the platform says targets do, counted as failing: after two of them in a row it was in cooldown, and others waited for it or went to fewer targets. Cause: a response that breaks off counted against its target whoever held it up. Change: once a response counts as unread (1 s, response-unread), its end is no failure of the target, its duration neither a service time nor a sample of a roll-out, and its content isn't suspected of having ended the target. Why it holds: such a response says nothing of the target. One that fails does so for callers that read, too.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -175,6 +175,7 @@
 bool GatewayRequest::waitForTarget(asio::yield_context Yield) {
   m_Target.reset();
   m_TargetEndedAt.reset();
+  m_IsUnread = false;
   m_IsRefused = false;
   const routing::Pool *Pool = m_Table->findPool(m_Pool);
   routing::PlacementRequest Placement;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -133,6 +133,7 @@
   /// When the current attempt stopped to count as work of the target; none
   /// before.
   std::optional<core::TimePoint> m_TargetEndedAt;
+  bool m_IsUnread = false; ///< In the current attempt, by the caller.
   /// Time for which the connection may be reused, according to the last
   /// response.
   core::Duration m_KeepAliveTime{};
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -63,9 +63,9 @@
   try {
     Result = exchange(*Connection, Yield);
   } catch (const Error &Failure) {
-    IsBroken = timeLeft() > core::Duration::zero();
-    m_Reason =
-        timeLeft() <= core::Duration::zero() ? "time-over" : "target-broke";
+    bool IsTimeOver = timeLeft() <= core::Duration::zero();
+    IsBroken = !IsTimeOver && !m_IsUnread;
+    m_Reason = IsTimeOver ? "time-over" : "target-broke";
     core::LogLine("target-broke", core::LogLevel::Warning)
         .add("request", m_Description.m_Id)
         .add("target", m_Target->m_Name)
@@ -228,7 +228,7 @@
     m_Owner.m_Targets.recordSuccess(Incarnation);
     if (m_Relay.status() < MinFailureStatus)
       m_Owner.m_Quarantine.noteSuccess(m_Content);
-    if (HasNoEvents)
+    if (HasNoEvents && !m_IsUnread)
       m_Owner.m_Targets.recordServiceTime(
           Incarnation, *m_TargetEndedAt - m_Timing.attemptStartedAt());
     break;
@@ -242,6 +242,9 @@
     break;
   case AttemptOutcome::Failed:
     ++m_PossibleExecutions;
+    // Targets cut off what stays unread.
+    if (m_IsUnread)
+      break;
     m_Owner.m_Targets.recordFailure(Incarnation,
                                     m_HasResponseStarted
                                         ? routing::TargetFailure::Failed
@@ -281,10 +284,14 @@
       .add("target", m_Target->m_Name)
       .add("unread_us", Now - *BlockedSince);
   m_Owner.m_Metrics.count("yardrill_unread_responses_total");
+  m_IsUnread = true;
   releaseSlot();
 }
 
 void GatewayRequest::reportRolloutOutcome(AttemptOutcome Outcome) {
+  // Neither the duration nor the end of such a response is the target's doing.
+  if (m_IsUnread)
+    return;
   bool IsFailure = Outcome == AttemptOutcome::Failed;
   bool IsComplete = Outcome == AttemptOutcome::Complete;
   core::Duration Elapsed = *m_TargetEndedAt - m_Timing.attemptStartedAt();
