Tests: Name the requests of a violated back-off in the soak

A red run said only which target and gateway were concerned. Whether the gateway had read the response that states the back-off, and when, has to be looked up in its log, and for that the ids of that response and of the requests are needed, with their times.

--- a/Tests/Soak/BackpressureChecker.cpp
+++ b/Tests/Soak/BackpressureChecker.cpp
@@ -20,7 +20,7 @@
 }
 
 void BackpressureChecker::backpressureStated(
-    const std::string &Incarnation, std::size_t Gateway,
+    const std::string &Id, const std::string &Incarnation, std::size_t Gateway,
     const ResponseBackpressure &Backpressure, TimePoint Now) {
   NotifiedGateway &Notified = m_Notified[Incarnation][Gateway];
   if (Backpressure.m_RequestsPerSecond && !Notified.m_LimitSince)
@@ -33,10 +33,27 @@
   ++m_Backoffs;
   Notified.m_BackoffStatedAt = Now;
   Notified.m_BackoffEndsAt = Now + *Backpressure.m_Backoff;
-  Notified.m_RequestsInBackoff = 0;
+  Notified.m_BackoffStatedTo = Id;
+  Notified.m_RequestsInBackoff.clear();
 }
 
-void BackpressureChecker::requestArrived(const std::string &Incarnation,
+std::string BackpressureChecker::describe(const NotifiedGateway &Notified) {
+  auto MillisecondsAfter = [&Notified](TimePoint At) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               At - Notified.m_BackoffStatedAt)
+        .count();
+  };
+  std::ostringstream Out;
+  Out << "stated to " << Notified.m_BackoffStatedTo
+      << ", ends_ms=" << MillisecondsAfter(Notified.m_BackoffEndsAt);
+  for (const RequestInBackoff &Each : Notified.m_RequestsInBackoff)
+    Out << "; " << Each.m_Id << " sent_ms=" << MillisecondsAfter(Each.m_SentAt)
+        << " arrived_ms=" << MillisecondsAfter(Each.m_ArrivedAt);
+  return Out.str();
+}
+
+void BackpressureChecker::requestArrived(const std::string &Id,
+                                         const std::string &Incarnation,
                                          std::size_t Gateway, TimePoint SentAt,
                                          TimePoint Now,
                                          bool IsGatewayDisturbed) {
@@ -46,11 +63,13 @@
   bool IsInBackoff =
       Now > Notified.m_BackoffStatedAt + bounds::BackpressureSlack &&
       Now < Notified.m_BackoffEndsAt;
+  if (IsInBackoff)
+    Notified.m_RequestsInBackoff.push_back({Id, SentAt, Now});
   if (IsInBackoff &&
-      ++Notified.m_RequestsInBackoff == bounds::MaxRequestsInBackoff + 1)
+      Notified.m_RequestsInBackoff.size() == bounds::MaxRequestsInBackoff + 1)
     m_OnViolation("rest: " + Incarnation +
                   " got too many requests in a back-off from gateway " +
-                  std::to_string(Gateway));
+                  std::to_string(Gateway) + ": " + describe(Notified));
   if (Notified.m_LeavingSince &&
       SentAt > *Notified.m_LeavingSince + bounds::LeavingGracePeriod)
     m_OnViolation("leaving: " + Incarnation + " got a request from gateway " +
--- a/Tests/Soak/BackpressureChecker.h
+++ b/Tests/Soak/BackpressureChecker.h
@@ -39,15 +39,18 @@
   void rateLimitChanged(const std::string &Incarnation,
                         std::optional<double> PerSecond, TimePoint Now);
   /// Records that a gateway was sent a response with this backpressure.
-  void backpressureStated(const std::string &Incarnation, std::size_t Gateway,
+  /// \param Id of the request that the response belongs to.
+  void backpressureStated(const std::string &Id, const std::string &Incarnation,
+                          std::size_t Gateway,
                           const ResponseBackpressure &Backpressure,
                           TimePoint Now);
   /// Checks a request that arrived at the incarnation.
   /// \param SentAt when the caller sent it.
   /// \param IsGatewayDisturbed whether the gateway's process was disturbed
   ///   within SettleTime; such requests are not checked.
-  void requestArrived(const std::string &Incarnation, std::size_t Gateway,
-                      TimePoint SentAt, TimePoint Now, bool IsGatewayDisturbed);
+  void requestArrived(const std::string &Id, const std::string &Incarnation,
+                      std::size_t Gateway, TimePoint SentAt, TimePoint Now,
+                      bool IsGatewayDisturbed);
   /// Discards the backpressure stated to a gateway's previous process.
   void forget(std::size_t Gateway);
   /// Checks the rate limits, which need whole windows.
@@ -65,16 +68,26 @@
     /// From gateways that were notified at least BackpressureSlack before.
     std::vector<TimePoint> m_Arrivals;
   };
+  struct RequestInBackoff {
+    std::string m_Id;
+    TimePoint m_SentAt; ///< By its caller.
+    TimePoint m_ArrivedAt;
+  };
   /// Backpressure that one incarnation stated to one gateway.
   struct NotifiedGateway {
     std::optional<TimePoint> m_LimitSince;
     std::optional<TimePoint> m_LeavingSince;
     TimePoint m_BackoffStatedAt;
     TimePoint m_BackoffEndsAt;
-    std::size_t m_RequestsInBackoff = 0;
+    std::string m_BackoffStatedTo; ///< Id of the request.
+    std::vector<RequestInBackoff> m_RequestsInBackoff;
   };
 
   void check(const std::string &Incarnation, const LimitPeriod &Period) const;
+  /// Describes requests in a back-off, so that the gateway's log can be
+  /// searched for them and for the response that stated it. Times are relative
+  /// to when that response was delivered.
+  static std::string describe(const NotifiedGateway &Notified);
 
   ViolationHandler m_OnViolation;
   std::map<std::string, std::vector<LimitPeriod>> m_Periods;
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -93,7 +93,7 @@
   if (!Request)
     return;
   const Gateway &Sender = m_Gateways[Request->m_Gateway];
-  m_Backpressure.requestArrived(Incarnation, Request->m_Gateway,
+  m_Backpressure.requestArrived(Id, Incarnation, Request->m_Gateway,
                                 Request->m_SentAt, m_Now(),
                                 !Sender.m_Process.hasEndedBefore(m_Now()));
 }
@@ -102,7 +102,7 @@
     const std::string &Id, const std::string &Incarnation,
     const ResponseBackpressure &Backpressure) {
   if (const SentRequest *Request = findRequest(Id))
-    m_Backpressure.backpressureStated(Incarnation, Request->m_Gateway,
+    m_Backpressure.backpressureStated(Id, Incarnation, Request->m_Gateway,
                                       Backpressure, m_Now());
 }
 
