Tests: End a back-off in the soak by when the gateway could read it

The soak's was red now and then: "i-8@1 got too many requests in a back-off from gateway 1", with no request in a back-off that the gateway had logged. Callers saw nothing: the gateway was right.

The gateway's log has the response at 33:08.523272 (target-terms rest_us=2687000) and the three requests at 33:11.211970 and later: 2,688.7 ms after it had read the response, so 1.7 ms after the end of the back-off, for which they had waited together. The soak counted the back-off from when its proxy's handler ran after the write, some milliseconds after the gateway had the bytes, and ended it as much too late. Ruled out by the trace: a response that was delivered and not read, one that was read late, and requests that were under way when the back-off was stated; no fault touched i-8's link in this run.

Change: a back-off ends its length after the time before which the gateway cannot have read the response, taken just before the proxy writes it. The gateway is held to it from its delivery on, plus the slack, as before. The same elsewhere: the other statements that the checker keeps (rate limits, leaving) have no end that is counted from a delivery.

testBackoffOfResponseThatIsReadBeforeItIsReported: red with the old end, green with the new one; it also sees a violation 1 ms before the end.

--- a/Tests/Soak/BackpressureChecker.cpp
+++ b/Tests/Soak/BackpressureChecker.cpp
@@ -21,18 +21,18 @@
 
 void BackpressureChecker::backpressureStated(
     const std::string &Id, const std::string &Incarnation, std::size_t Gateway,
-    const ResponseBackpressure &Backpressure, TimePoint Now) {
+    const ResponseBackpressure &Backpressure, TimePoint SentAt, TimePoint Now) {
   NotifiedGateway &Notified = m_Notified[Incarnation][Gateway];
   if (Backpressure.m_RequestsPerSecond && !Notified.m_LimitSince)
     Notified.m_LimitSince = Now;
   if (Backpressure.m_IsLeaving && !Notified.m_LeavingSince)
     Notified.m_LeavingSince = Now;
   if (!Backpressure.m_Backoff ||
-      Now + *Backpressure.m_Backoff <= Notified.m_BackoffEndsAt)
+      SentAt + *Backpressure.m_Backoff <= Notified.m_BackoffEndsAt)
     return;
   ++m_Backoffs;
   Notified.m_BackoffStatedAt = Now;
-  Notified.m_BackoffEndsAt = Now + *Backpressure.m_Backoff;
+  Notified.m_BackoffEndsAt = SentAt + *Backpressure.m_Backoff;
   Notified.m_BackoffStatedTo = Id;
   Notified.m_RequestsInBackoff.clear();
 }
--- a/Tests/Soak/BackpressureChecker.h
+++ b/Tests/Soak/BackpressureChecker.h
@@ -40,10 +40,14 @@
                         std::optional<double> PerSecond, TimePoint Now);
   /// Records that a gateway was sent a response with this backpressure.
   /// \param Id of the request that the response belongs to.
+  /// \param SentAt time before which the gateway cannot have read it. A
+  ///   back-off ends by the gateway's clock, which starts when it is read.
+  /// \param Now time by which it was delivered; the gateway is held to it from
+  ///   then on.
   void backpressureStated(const std::string &Id, const std::string &Incarnation,
                           std::size_t Gateway,
                           const ResponseBackpressure &Backpressure,
-                          TimePoint Now);
+                          TimePoint SentAt, TimePoint Now);
   /// Checks a request that arrived at the incarnation.
   /// \param SentAt when the caller sent it.
   /// \param IsGatewayDisturbed whether the gateway's process was disturbed
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -100,10 +100,10 @@
 
 void InvariantChecker::backpressureStated(
     const std::string &Id, const std::string &Incarnation,
-    const ResponseBackpressure &Backpressure) {
+    const ResponseBackpressure &Backpressure, TimePoint SentAt) {
   if (const SentRequest *Request = findRequest(Id))
     m_Backpressure.backpressureStated(Id, Incarnation, Request->m_Gateway,
-                                      Backpressure, m_Now());
+                                      Backpressure, SentAt, m_Now());
 }
 
 void InvariantChecker::requestExecuted(const std::string &Id) {
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -164,9 +164,12 @@
                       std::optional<TimePoint> LeavingSince);
   void arrivedAtIncarnation(const std::string &Id,
                             const std::string &Incarnation);
-  /// Records the backpressure that the response to request \p Id stated.
+  /// Records the backpressure that the response to request \p Id stated, once
+  /// it was delivered. \param SentAt time before which the gateway cannot have
+  /// read it.
   void backpressureStated(const std::string &Id, const std::string &Incarnation,
-                          const ResponseBackpressure &Backpressure);
+                          const ResponseBackpressure &Backpressure,
+                          TimePoint SentAt);
   /// Records the rate limit, or none, that all further responses of the
   /// incarnation state.
   void rateLimitChanged(const std::string &Incarnation,
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(testRateLimit);
   CPPUNIT_TEST(testRateLimitOfNotifiedGateways);
   CPPUNIT_TEST(testBackoff);
+  CPPUNIT_TEST(testBackoffOfResponseThatIsReadBeforeItIsReported);
   CPPUNIT_TEST(testLeavingInResponses);
   CPPUNIT_TEST_SUITE_END();
 
@@ -68,7 +69,7 @@
   }
   void stateBackpressure(const std::string &Incarnation,
                          const ResponseBackpressure &Backpressure) {
-    m_Checker.backpressureStated(send(), Incarnation, Backpressure);
+    m_Checker.backpressureStated(send(), Incarnation, Backpressure, m_Now);
   }
 
 public:
@@ -122,6 +123,25 @@
     expectViolation("rest");
   }
 
+  /// Guards against a soak that holds a gateway to a back-off for longer than
+  /// it was asked for: a busy soak reports a response some time after the
+  /// gateway has read it.
+  void testBackoffOfResponseThatIsReadBeforeItIsReported() {
+    m_Now += seconds(10);
+    TimePoint SentAt = m_Now;
+    m_Now += milliseconds(5);
+    m_Checker.backpressureStated(send(), "r", {std::nullopt, seconds(3), false},
+                                 SentAt);
+    m_Now = SentAt + seconds(3);
+    for (int I = 0; I < 5; ++I)
+      arriveAtIncarnation("r");
+    expectNoViolation();
+    m_Now = SentAt + milliseconds(2999);
+    for (int I = 0; I < 3; ++I)
+      arriveAtIncarnation("r");
+    expectViolation("rest");
+  }
+
   void testLeavingInResponses() {
     m_Now += seconds(10);
     stateBackpressure("r", {std::nullopt, std::nullopt, true});
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -68,8 +68,9 @@
       });
   m_Proxy =
       std::make_unique<tests::LoopbackProxy>(Context, tests::freePort(), Port);
-  m_Proxy->setDeliveryHook(
-      [this](std::string_view Bytes) { recordDelivery(Bytes); });
+  m_Proxy->setDeliveryHook([this](std::string_view Bytes, TimePoint SentAt) {
+    recordDelivery(Bytes, SentAt);
+  });
 }
 
 std::string SoakTarget::announcement() const {
@@ -164,7 +165,7 @@
   m_Undelivered[Id] = {incarnation(), Backpressure};
 }
 
-void SoakTarget::recordDelivery(std::string_view Bytes) {
+void SoakTarget::recordDelivery(std::string_view Bytes, TimePoint SentAt) {
   // Sent at once, a head crosses the loopback interface in one piece.
   std::size_t Begin = Bytes.find(IdHeader);
   if (Begin == std::string_view::npos)
@@ -175,7 +176,7 @@
   if (Found == m_Undelivered.end())
     return;
   m_Checker.backpressureStated(Id, Found->second.m_Incarnation,
-                               Found->second.m_Backpressure);
+                               Found->second.m_Backpressure, SentAt);
   m_Undelivered.erase(Found);
 }
 
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -81,7 +81,8 @@
                          std::optional<std::chrono::milliseconds> Backoff);
   /// Reports the backpressure of a response whose head reached the gateway.
   /// \param Bytes a piece of a response; it may contain no head.
-  void recordDelivery(std::string_view Bytes);
+  /// \param SentAt see LoopbackProxy::DeliveryHook.
+  void recordDelivery(std::string_view Bytes, TimePoint SentAt);
   void handle(http::Exchange &Call, boost::asio::yield_context Yield);
   void serve(http::Exchange &Call, const std::string &Id,
              boost::asio::yield_context Yield);
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -158,12 +158,13 @@
       To.shutdown(tcp::socket::shutdown_send, Ignored);
       return;
     }
+    TimePoint SentAt = Clock::now();
     if (!Failure)
       asio::async_write(To, asio::buffer(Buffer, Size), Yield[Failure]);
     if (Failure)
       return Connection->reset();
     if (!IsForward && !Connection->m_IsClosedByClient && m_DeliveryHook)
-      m_DeliveryHook({Buffer.data(), Size});
+      m_DeliveryHook({Buffer.data(), Size}, SentAt);
   }
 }
 
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -37,11 +37,13 @@
   void limitResponseRate(double BytesPerSecond) {
     m_ResponseRate = BytesPerSecond;
   }
+  using TimePoint = std::chrono::steady_clock::time_point;
+  /// Receives a piece of a response, and the time before which the client
+  /// cannot have read it.
+  using DeliveryHook = std::function<void(std::string_view, TimePoint)>;
   /// \param Hook called with each piece of a response after it was sent to a
-  ///   client whose connection is open.
-  void setDeliveryHook(std::function<void(std::string_view)> Hook) {
-    m_DeliveryHook = std::move(Hook);
-  }
+  ///   client whose connection is open. The client may have read it by then.
+  void setDeliveryHook(DeliveryHook Hook) { m_DeliveryHook = std::move(Hook); }
   /// Resets all open connections.
   void resetAll();
   /// Resets connections that have transferred nothing for \p Idle.
@@ -53,7 +55,7 @@
         : m_Downstream(Context), m_Upstream(Context) {}
     boost::asio::ip::tcp::socket m_Downstream;
     boost::asio::ip::tcp::socket m_Upstream;
-    std::chrono::steady_clock::time_point m_LastByte;
+    TimePoint m_LastByte;
     bool m_IsClosedByClient = false;
     void reset();
   };
@@ -77,8 +79,8 @@
   std::list<std::weak_ptr<ProxiedConnection>> m_Connections;
   ProxyMode m_Mode = ProxyMode::PassThrough;
   double m_ResponseRate = 0;
-  std::function<void(std::string_view)> m_DeliveryHook;
-  std::chrono::steady_clock::time_point m_LinkFreeAt;
+  DeliveryHook m_DeliveryHook;
+  TimePoint m_LinkFreeAt;
 };
 
 } // namespace yardrill::tests
