Tests: Show who granted the fullest window of a quota scenario

quota_search said how far the bound was exceeded, not by whom. It now prints the tokens of the fullest window by instance, and of these the ones granted while isolated.

--- a/Bench/QuotaSearchProgram.cpp
+++ b/Bench/QuotaSearchProgram.cpp
@@ -59,7 +59,8 @@
             << " mean_of_tolerance=" << Sum / Days
             << " most_of_tolerance=" << Random
             << " bred=" << Worst.m_Result.usedTolerance() << "\n    "
-            << Worst.m_Scenario.describe() << std::endl;
+            << Worst.m_Scenario.describe() << "\n    "
+            << Worst.m_Result.describeFullestWindow() << std::endl;
 }
 
 } // namespace
--- a/Tests/Support/QuotaScenario.cpp
+++ b/Tests/Support/QuotaScenario.cpp
@@ -1,9 +1,8 @@
 #include "QuotaScenario.h"
 
-#include "QuotaSimulation.h"
-
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <sstream>
 
 namespace yardrill::tests {
@@ -151,6 +150,26 @@
   return Out.str();
 }
 
+std::string QuotaScenarioResult::describeFullestWindow() const {
+  struct Sums {
+    double m_Tokens = 0;
+    double m_IsolatedTokens = 0;
+  };
+  std::map<std::size_t, Sums> ByInstance;
+  for (const TokenGrant &Each : m_FullestWindow) {
+    Sums &Out = ByInstance[Each.m_Instance];
+    Out.m_Tokens += Each.m_Tokens;
+    Out.m_IsolatedTokens += Each.m_IsIsolated ? Each.m_Tokens : 0;
+  }
+  std::ostringstream Out;
+  Out << "allowed=" << m_AllowedTokens << " granted=" << m_MaxTokens
+      << " bound=" << m_BoundTokens << " by instance (isolated):";
+  for (const auto &[Instance, Each] : ByInstance)
+    Out << " " << Instance << "=" << Each.m_Tokens << " ("
+        << Each.m_IsolatedTokens << ")";
+  return Out.str();
+}
+
 namespace {
 
 class ScenarioRunner {
@@ -275,7 +294,9 @@
         Out.m_BoundTokens +
         Tolerance.tokens({m_Scenario.m_Limit, m_Scenario.m_Limit});
     const std::vector<TokenGrant> &Grants = m_Simulation.grants(0);
-    Out.m_MaxTokens = maxInWindow(Grants, Tolerance.m_Window);
+    Out.m_FullestWindow = fullestWindow(Grants, Tolerance.m_Window);
+    for (const TokenGrant &Each : Out.m_FullestWindow)
+      Out.m_MaxTokens += Each.m_Tokens;
     auto Refused = static_cast<double>(m_Simulation.refused(0));
     Out.m_RefusedShare =
         Refused / std::max(1.0, Refused + static_cast<double>(Grants.size()));
--- a/Tests/Support/QuotaScenario.h
+++ b/Tests/Support/QuotaScenario.h
@@ -12,6 +12,7 @@
 
 #include "LibCore/Time.h"
 #include "LibRouting/QuotaOwner.h"
+#include "QuotaSimulation.h"
 
 #include <cstdint>
 #include <random>
@@ -85,12 +86,16 @@
   double m_MaxTokens = 0;     ///< Tokens in the fullest window.
   double m_BoundTokens = 0;   ///< Rate x window + burst, without tolerance.
   double m_RefusedShare = 0;
+  std::vector<TokenGrant> m_FullestWindow;
 
   bool isWithinTolerance() const { return m_MaxTokens <= m_AllowedTokens; }
   /// Returns the used share of the tolerance; above 1 the quota is exceeded.
   double usedTolerance() const {
     return (m_MaxTokens - m_BoundTokens) / (m_AllowedTokens - m_BoundTokens);
   }
+  /// Returns the tokens of the fullest window by the instance that granted
+  /// them, and of these the tokens that it granted while isolated.
+  std::string describeFullestWindow() const;
 };
 
 QuotaScenarioResult simulate(const QuotaScenario &Scenario);
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -53,18 +53,33 @@
 
 } // namespace
 
-double maxInWindow(const std::vector<TokenGrant> &Grants,
-                   core::Duration Window) {
+std::vector<TokenGrant> fullestWindow(const std::vector<TokenGrant> &Grants,
+                                      core::Duration Window) {
   double Max = 0;
   double Sum = 0;
   std::size_t First = 0;
-  for (const TokenGrant &Last : Grants) {
-    Sum += Last.m_Tokens;
-    while (Last.m_At - Grants[First].m_At > Window)
+  std::size_t MaxFirst = 0;
+  std::size_t MaxEnd = 0;
+  for (std::size_t Last = 0; Last < Grants.size(); ++Last) {
+    Sum += Grants[Last].m_Tokens;
+    while (Grants[Last].m_At - Grants[First].m_At > Window)
       Sum -= Grants[First++].m_Tokens;
-    Max = std::max(Max, Sum);
+    if (Sum <= Max)
+      continue;
+    Max = Sum;
+    MaxFirst = First;
+    MaxEnd = Last + 1;
   }
-  return Max;
+  return {Grants.begin() + static_cast<std::ptrdiff_t>(MaxFirst),
+          Grants.begin() + static_cast<std::ptrdiff_t>(MaxEnd)};
+}
+
+double maxInWindow(const std::vector<TokenGrant> &Grants,
+                   core::Duration Window) {
+  double Sum = 0;
+  for (const TokenGrant &Each : fullestWindow(Grants, Window))
+    Sum += Each.m_Tokens;
+  return Sum;
 }
 
 struct QuotaSimulation::Model {
@@ -184,7 +199,7 @@
     bool IsCutOff = m_Instances[Pending.m_Instance].m_CutUntil > m_Now;
     if (Step == QuotaStep::Granted)
       m_Grants[Pending.m_Account].push_back(
-          {m_Now, Pending.m_Acquisition.m_Tokens, IsCutOff,
+          {m_Now, Pending.m_Acquisition.m_Tokens, Pending.m_Instance, IsCutOff,
            Pending.m_Acquisition.m_Source == routing::QuotaSource::Isolated});
     else
       ++m_Refused[Pending.m_Account][IsCutOff ? 1 : 0];
--- a/Tests/Support/QuotaSimulation.h
+++ b/Tests/Support/QuotaSimulation.h
@@ -23,12 +23,16 @@
 struct TokenGrant {
   core::TimePoint m_At{};
   std::uint32_t m_Tokens = 0;
+  std::size_t m_Instance = 0;
   bool m_IsCutOff = false;   ///< Granted by an instance that cut() had cut off.
   bool m_IsIsolated = false; ///< Granted without an owner.
 };
 
-/// Returns the tokens in the fullest window.
+/// Returns the grants in the fullest window.
 /// \param Grants grants in order of time.
+std::vector<TokenGrant> fullestWindow(const std::vector<TokenGrant> &Grants,
+                                      core::Duration Window);
+/// Returns the tokens in the fullest window; see fullestWindow().
 double maxInWindow(const std::vector<TokenGrant> &Grants,
                    core::Duration Window);
 
