LibRouting: Divide large requests among a majority of the quota's owners

What was promised: all instances together let in no more than an account's limit and its tolerance in any window.

(1) An owner above zero lets one request in whatever its size and shares the debt afterwards. Ruled out: the shares of restarted owners (they start with nothing), advances (an eighth of the burst).

Change: a request above an eighth of the tolerance needs equal parts from a majority of the owners, and is refused by an instance that reaches none. No message changes: the requester asks two owners for a half each; parts that don't suffice go back as unused grants do. Why it holds: two majorities share an owner, so owners that are kept apart can't all owe for such requests; undivided ones owe 3/8 of the tolerance at the most, twice that if all owners restart.

--- a/Bench/QuotaSearchProgram.cpp
+++ b/Bench/QuotaSearchProgram.cpp
@@ -35,6 +35,7 @@
   SimulatedScenario Worst;
   int Violations = 0;
   double Sum = 0;
+  double Refused = 0;
   for (int I = 0; I < Days; ++I) {
     QuotaScenario Scenario = QuotaScenario::random(
         Deployment, Seed * 1000003 + static_cast<std::uint64_t>(I));
@@ -42,6 +43,7 @@
     SimulatedScenario Candidate = simulateScenario(std::move(Scenario));
     Violations += Candidate.m_Result.isWithinTolerance() ? 0 : 1;
     Sum += Candidate.m_Result.usedTolerance();
+    Refused += Candidate.m_Result.m_RefusedShare;
     if (I == 0 ||
         Candidate.m_Result.usedTolerance() > Worst.m_Result.usedTolerance())
       Worst = std::move(Candidate);
@@ -57,6 +59,7 @@
   std::cout << Deployment.m_Name << " instances=" << Deployment.m_Size
             << " days=" << Days << " broken=" << Violations
             << " mean_of_tolerance=" << Sum / Days
+            << " mean_refused=" << Refused / Days
             << " most_of_tolerance=" << Random
             << " bred=" << Worst.m_Result.usedTolerance() << "\n    "
             << Worst.m_Scenario.describe() << "\n    "
--- a/Libraries/LibGateway/QuotaProtocol.cpp
+++ b/Libraries/LibGateway/QuotaProtocol.cpp
@@ -41,7 +41,7 @@
       addPending(Owner, Acquisition.m_Account, std::move(OnResponse), Now);
   m_Metrics.count("yardrill_quota_asks_total");
   m_Send(Owner, peer::QuotaRequest{RequestId, Acquisition.m_Account,
-                                   Acquisition.m_Tokens, 0, false});
+                                   Acquisition.partTokens(), 0, false});
 }
 
 routing::QuotaResponse
--- a/Libraries/LibRouting/DistributedQuota.cpp
+++ b/Libraries/LibRouting/DistributedQuota.cpp
@@ -20,6 +20,10 @@
 /// constant are tolerated. QuotaDeploymentsTest measured up to 4.6 times the
 /// tolerance with such a share.
 static constexpr double IsolatedShare = 0.25;
+/// Share of the tolerance above which a request is divided among owners, and is
+/// refused while isolated: up to three owners may owe for it at the same time,
+/// and again after each restart.
+static constexpr double MaxUndividedShare = 0.125;
 /// Time until a retry after a refusal for which no owner gave a time.
 static constexpr std::chrono::milliseconds DefaultRetryAfter{250};
 
@@ -64,13 +68,16 @@
   for (const Account &Each : m_Accounts) {
     if (Each.m_TokensPerSecond <= 0)
       continue;
-    QuotaLimits Limits = isolatedLimits({Each.m_TokensPerSecond, Each.m_Burst});
+    QuotaLimits AccountLimits{Each.m_TokensPerSecond, Each.m_Burst};
+    QuotaLimits Limits = isolatedLimits(AccountLimits);
+    double MaxUndivided = m_Tolerance.tokens(AccountLimits) * MaxUndividedShare;
     auto Known = m_AccountStates.find(hashOf(Each.m_Name));
     if (Known == m_AccountStates.end()) {
-      AccountState New{{}, TokenBucket(Limits, 0, Now), {}};
+      AccountState New{{}, MaxUndivided, TokenBucket(Limits, 0, Now), {}};
       Next.emplace(hashOf(Each.m_Name), std::move(New));
       continue;
     }
+    Known->second.m_MaxUndivided = MaxUndivided;
     Known->second.m_IsolatedBucket.setLimits(Limits, Now);
     Next.emplace(Known->first, std::move(Known->second));
   }
@@ -84,6 +91,8 @@
       continue;
     Each.m_Tokens -= Acquisition.m_Tokens;
     Acquisition.m_Owner = Each.m_Owner;
+    Acquisition.m_Parts = {
+        {Each.m_Owner, Acquisition.m_Account, Acquisition.m_Tokens}};
     Acquisition.m_Source = QuotaSource::Advance;
     return true;
   }
@@ -98,6 +107,11 @@
   if (takeCachedGrant(Found->second, Acquisition))
     return QuotaStep::Granted;
   Acquisition.m_RemainingOwners = m_Ring.ownersOf(Acquisition.m_Account);
+  auto OwnerCount =
+      static_cast<std::uint32_t>(Acquisition.m_RemainingOwners.size());
+  Acquisition.m_PartCount =
+      isLarge(Acquisition, Found->second) ? OwnerCount / 2 + 1 : 1;
+  Acquisition.m_Parts.clear();
   // Every owner has its own share, so requests are spread over all of them.
   std::shuffle(Acquisition.m_RemainingOwners.begin(),
                Acquisition.m_RemainingOwners.end(), m_Random);
@@ -123,7 +137,7 @@
       return handleResponse(
           Acquisition,
           m_LocalOwner.handleRequest(
-              {Acquisition.m_Account, Acquisition.m_Tokens, 0}, Now),
+              {Acquisition.m_Account, Acquisition.partTokens(), 0}, Now),
           Now);
     auto Unresponsive = m_UnresponsiveUntil.find(Owner);
     if (Unresponsive == m_UnresponsiveUntil.end() ||
@@ -131,11 +145,27 @@
       return QuotaStep::Ask;
     Acquisition.m_RemainingOwners.pop_back();
   }
+  releaseParts(Acquisition, Now);
   if (Acquisition.m_RetryAfter)
     return QuotaStep::Refused;
   return acquireIsolated(State, Acquisition, Now);
 }
 
+bool DistributedQuota::isLarge(const QuotaAcquisition &Acquisition,
+                               const AccountState &State) const {
+  // Zero if no tolerance is stated, and then there is none to keep to.
+  return State.m_MaxUndivided > 0 &&
+         Acquisition.m_Tokens > State.m_MaxUndivided;
+}
+
+void DistributedQuota::releaseParts(QuotaAcquisition &Acquisition,
+                                    core::TimePoint Now) {
+  for (const QuotaReturn &Each : Acquisition.m_Parts)
+    cacheGrant(Each.m_Owner, Each.m_Account, Each.m_Tokens, Now);
+  Acquisition.m_Parts.clear();
+  Acquisition.m_Owner.reset();
+}
+
 void DistributedQuota::recordRefusal(AccountState &State,
                                      const config::Endpoint &Owner,
                                      QuotaAcquisition &Acquisition,
@@ -159,13 +189,17 @@
     return QuotaStep::Granted;
   AccountState &State = Found->second;
   switch (Response.m_Verdict) {
-  case QuotaVerdict::Granted:
+  case QuotaVerdict::Granted: {
+    std::uint32_t Part = Acquisition.partTokens();
     Acquisition.m_Owner = Owner;
     Acquisition.m_Source = QuotaSource::Owner;
-    if (Response.m_Tokens > Acquisition.m_Tokens)
-      cacheGrant(Owner, Acquisition.m_Account,
-                 Response.m_Tokens - Acquisition.m_Tokens, Now);
-    return QuotaStep::Granted;
+    Acquisition.m_Parts.push_back({Owner, Acquisition.m_Account, Part});
+    if (Response.m_Tokens > Part)
+      cacheGrant(Owner, Acquisition.m_Account, Response.m_Tokens - Part, Now);
+    if (Acquisition.m_Parts.size() == Acquisition.m_PartCount)
+      return QuotaStep::Granted;
+    break;
+  }
   case QuotaVerdict::Refused:
     recordRefusal(State, Owner, Acquisition, Response.m_RetryAfter, Now);
     break;
@@ -189,16 +223,19 @@
                                             QuotaAcquisition &Acquisition,
                                             core::TimePoint Now) {
   Acquisition.m_Source = QuotaSource::Isolated;
+  Acquisition.m_RetryAfter = DefaultRetryAfter;
+  if (isLarge(Acquisition, State))
+    return QuotaStep::Refused;
   // Admits as many tokens on average as the bucket holds, for any request size.
   double Level = State.m_IsolatedBucket.level(Now);
   double Tokens = Acquisition.m_Tokens;
   std::uniform_real_distribution<double> Chance(0, 1);
   bool IsGranted = Chance(m_Random) * Tokens < Level;
   State.m_IsolatedBucket.take(std::min(Tokens, Level));
-  if (IsGranted)
-    return QuotaStep::Granted;
-  Acquisition.m_RetryAfter = DefaultRetryAfter;
-  return QuotaStep::Refused;
+  if (!IsGranted)
+    return QuotaStep::Refused;
+  Acquisition.m_RetryAfter.reset();
+  return QuotaStep::Granted;
 }
 
 void DistributedQuota::cacheGrant(const config::Endpoint &Owner,
@@ -219,9 +256,8 @@
 
 void DistributedQuota::giveBack(const QuotaAcquisition &Acquisition,
                                 core::TimePoint Now) {
-  if (Acquisition.m_Owner)
-    cacheGrant(*Acquisition.m_Owner, Acquisition.m_Account,
-               Acquisition.m_Tokens, Now);
+  for (const QuotaReturn &Each : Acquisition.m_Parts)
+    cacheGrant(Each.m_Owner, Each.m_Account, Each.m_Tokens, Now);
 }
 
 std::vector<QuotaReturn>
--- a/Libraries/LibRouting/DistributedQuota.h
+++ b/Libraries/LibRouting/DistributedQuota.h
@@ -37,17 +37,33 @@
 
 std::string toString(QuotaSource Source);
 
+/// Unused tokens to be returned to an owner.
+struct QuotaReturn {
+  config::Endpoint m_Owner;
+  AccountHash m_Account = 0;
+  std::uint32_t m_Tokens = 0;
+};
+
 /// State of acquiring the tokens for one request.
 struct QuotaAcquisition {
   AccountHash m_Account = 0;
   std::uint32_t m_Tokens = 0;
-  /// Owner that granted the tokens; not set if none did.
+  /// Number of owners that have to grant an equal part each.
+  std::uint32_t m_PartCount = 1;
+  /// Parts that were granted; complete if there are m_PartCount.
+  std::vector<QuotaReturn> m_Parts;
+  /// Owner that granted the tokens, or their last part; not set if none did.
   std::optional<config::Endpoint> m_Owner;
   /// Owners that may still be asked; the next one is last.
   std::vector<config::Endpoint> m_RemainingOwners;
   QuotaSource m_Source = QuotaSource::None;
   /// Shortest retry time of all refusals.
   std::optional<core::Duration> m_RetryAfter;
+
+  /// Returns the tokens to ask the next owner for.
+  std::uint32_t partTokens() const {
+    return (m_Tokens + m_PartCount - 1) / m_PartCount;
+  }
 };
 
 /// Next step of an acquisition.
@@ -57,18 +73,14 @@
   Ask,     ///< Ask the last of QuotaAcquisition::m_RemainingOwners.
 };
 
-/// Unused tokens to be returned to an owner.
-struct QuotaReturn {
-  config::Endpoint m_Owner;
-  AccountHash m_Account = 0;
-  std::uint32_t m_Tokens = 0;
-};
-
 /// Acquires quota from owner instances, and owns quotas for other instances.
 ///
 /// Every account has a few owners, each with its share of the limit. A request
 /// asks the local one first and the others in random order, until one grants
-/// its tokens or all refuse.
+/// its tokens or all refuse. An owner may grant more than it has and owes the
+/// rest. A request that could use up the tolerance in this way needs equal
+/// parts from a majority of the owners, so that owners that don't reach each
+/// other can't all owe for such requests.
 class DistributedQuota {
 public:
   /// Time to wait for an owner's response: twenty times the latency between two
@@ -131,6 +143,7 @@
   };
   struct AccountState {
     std::vector<CachedGrant> m_CachedGrants;
+    double m_MaxUndivided = 0; ///< Tokens; larger requests are divided.
     /// Share of the tolerance that is used while isolated.
     TokenBucket m_IsolatedBucket;
     /// Owners that refused, with the time until which they are not asked.
@@ -142,6 +155,11 @@
   /// given limits.
   QuotaLimits isolatedLimits(const QuotaLimits &Limits) const;
   bool takeCachedGrant(AccountState &State, QuotaAcquisition &Acquisition);
+  /// Whether a few requests of this size would exceed the account's tolerance.
+  bool isLarge(const QuotaAcquisition &Acquisition,
+               const AccountState &State) const;
+  /// Caches the parts of a request that did not get all of them.
+  void releaseParts(QuotaAcquisition &Acquisition, core::TimePoint Now);
   /// Asks the local owner or selects the next remote one.
   QuotaStep next(QuotaAcquisition &Acquisition, core::TimePoint Now);
   QuotaStep acquireIsolated(AccountState &State, QuotaAcquisition &Acquisition,
--- a/Tests/LibRouting/QuotaDeploymentsTest.cpp
+++ b/Tests/LibRouting/QuotaDeploymentsTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(testRegressionScenarios);
   CPPUNIT_TEST(testStaleMemberList);
   CPPUNIT_TEST(testOnlyTheLargestRequests);
+  CPPUNIT_TEST(testOwnersThatDoNotReachEachOther);
   CPPUNIT_TEST(testRandomScenarios);
   CPPUNIT_TEST(testSmallestLimitsUnderKillsInSeries);
   CPPUNIT_TEST_SUITE_END();
@@ -132,6 +133,33 @@
       }
   }
 
+  /// Guards against a debt of a largest request at each owner, while they don't
+  /// reach each other, and against isolated instances that let several such
+  /// requests in by chance.
+  void testOwnersThatDoNotReachEachOther() {
+    auto Freeze = [](int At, double Share, int Time) {
+      return QuotaFaultEvent{milliseconds(At), QuotaFaultKind::Freeze, Share,
+                             milliseconds(Time)};
+    };
+    std::vector<QuotaScenario> Scenarios{
+        scenario("simulations", 41419.4, 4.79577, 5000147,
+                 {cut(16236, 0.303342, 5138), split(18502, 0.226169, 5044),
+                  split(12258, 0.467871, 6986), split(6703, 0.439707, 5572),
+                  Freeze(14795, 0.155695, 2841), add(7521, 0.438403)}),
+        scenario("simulations", 19845.3, 3.72096, 1000035,
+                 {split(6323, 0.478075, 6884), Freeze(11834, 0.113288, 2388),
+                  cut(11342, 0.148358, 6987), Freeze(9837, 0.179101, 545),
+                  kill(10183, 1, 638)}),
+        scenario("simulations", 20393.8, 3.54221, 2000218,
+                 {add(14843, 0.435787), kill(9043, 0.818743, 1142),
+                  kill(16835, 0.24802, 1250), split(6690, 0.46534, 5780),
+                  cut(10568, 0.292142, 6976), kill(6697, 0.729698, 618)})};
+    for (QuotaScenario &Each : Scenarios) {
+      Each.m_HasOnlyLargestRequests = true;
+      check(Each);
+    }
+  }
+
   /// Random limits, from half of the smallest to the largest, with all kinds of
   /// faults, single and combined.
   void testRandomScenarios() {
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -192,7 +192,7 @@
       Request.m_From = Pending.m_Instance;
       Request.m_Acquisition = Id;
       Request.m_Request = {Pending.m_Acquisition.m_Account,
-                           Pending.m_Acquisition.m_Tokens, 0};
+                           Pending.m_Acquisition.partTokens(), 0};
       return send(m_Indexes.at(Pending.m_Acquisition.m_RemainingOwners.back()),
                   Request);
     }
