platform: Keep the revision of a read apart from concurrent writes

Cause: StoreClient::lastRevision() was the newest revision of any response. The response to gateway 2's own write (71) came before the response to its older watch (65, no events); the mirror applied the watch's changes as those up to 71. What the watch brought next was older than that and was skipped. Change: the revision is that of the response that is being returned or notified of; writes don't touch it. Why it holds: a mirror's revision can only become one whose changes it was given.

--- a/Libraries/LibPlatform/KeyValueService.h
+++ b/Libraries/LibPlatform/KeyValueService.h
@@ -84,8 +84,9 @@
   watch(const std::string &Prefix, Revision After,
         const std::function<bool(const std::vector<Entry> &)> &Notify,
         boost::asio::yield_context Yield) = 0;
-  /// Returns the newest revision that the store reported; right after
-  /// readPrefix(), the revision up to which its entries have all changes.
+  /// Returns, right after read() and readPrefix() and in watch()'s Notify, the
+  /// revision up to which their entries have all changes. Never that of another
+  /// call: a response to a write may overtake an older response to a read.
   virtual Revision lastRevision() const = 0;
 };
 
