--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -99,7 +99,7 @@
   /// Records the outcome of an attempt, and frees the target's slot unless
   /// releaseSlot() has done so.
   void noteAttempt(AttemptOutcome Outcome);
-  /// Frees the target's slot while the caller has yet to take the response.
+  /// Frees the target's slot before the caller has taken the response.
   void releaseSlot();
   /// Removes the attempt from the target's load. \returns false if that was
   /// done before.
@@ -130,10 +130,11 @@
   unsigned m_PossibleExecutions = 0;       ///< Attempts that may have run.
   std::uint32_t m_PendingPromptTokens = 0; ///< In the current target's load.
   bool m_HasResponseStarted = false;       ///< In the current attempt.
-  /// When the current attempt stopped to count as work of the target; none
-  /// before.
+  /// Time from which the current attempt no longer counts as the target's work;
+  /// none before.
   std::optional<core::TimePoint> m_TargetEndedAt;
-  bool m_IsUnread = false; ///< In the current attempt, by the caller.
+  /// Whether the caller has left the current attempt's response unread.
+  bool m_IsUnread = false;
   /// Time for which the connection may be reused, according to the last
   /// response.
   core::Duration m_KeepAliveTime{};
--- a/Libraries/LibRouting/DistributedQuota.cpp
+++ b/Libraries/LibRouting/DistributedQuota.cpp
@@ -164,6 +164,7 @@
     cacheGrant(Each.m_Owner, Each.m_Account, Each.m_Tokens, Now);
   Acquisition.m_Parts.clear();
   Acquisition.m_Owner.reset();
+  Acquisition.m_Source = QuotaSource::None;
 }
 
 void DistributedQuota::recordRefusal(AccountState &State,
--- a/Libraries/LibRouting/DistributedQuota.h
+++ b/Libraries/LibRouting/DistributedQuota.h
@@ -158,7 +158,8 @@
   /// Whether a few requests of this size would exceed the account's tolerance.
   bool isLarge(const QuotaAcquisition &Acquisition,
                const AccountState &State) const;
-  /// Caches the parts of a request that did not get all of them.
+  /// Caches the parts of a request that did not get all of them, so that they
+  /// are used by others or returned.
   void releaseParts(QuotaAcquisition &Acquisition, core::TimePoint Now);
   /// Asks the local owner or selects the next remote one.
   QuotaStep next(QuotaAcquisition &Acquisition, core::TimePoint Now);
