--- a/Libraries/LibRouting/DistributedQuota.cpp
+++ b/Libraries/LibRouting/DistributedQuota.cpp
@@ -160,8 +160,7 @@
 
 void DistributedQuota::releaseParts(QuotaAcquisition &Acquisition,
                                     core::TimePoint Now) {
-  for (const QuotaReturn &Each : Acquisition.m_Parts)
-    cacheGrant(Each.m_Owner, Each.m_Account, Each.m_Tokens, Now);
+  giveBack(Acquisition, Now);
   Acquisition.m_Parts.clear();
   Acquisition.m_Owner.reset();
   Acquisition.m_Source = QuotaSource::None;
--- a/Tests/LibGateway/SlowCallerTest.cpp
+++ b/Tests/LibGateway/SlowCallerTest.cpp
@@ -65,11 +65,8 @@
     for (std::size_t I = 1; I < Slots; ++I)
       sendWithoutReading("/once/large");
     CPPUNIT_ASSERT(eventually([this] { return m_Target->m_SentBytes > 0; }));
-    for (int I = 0; I < 20; ++I) {
-      auto Begin = std::chrono::steady_clock::now();
-      CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/short")).m_Status);
-      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - Begin < Objective);
-    }
+    for (int I = 0; I < 20; ++I)
+      sendShortInTime();
   }
 
   void testUnreadBodyIsNotHeld() { checkHeldBytes("/once/large"); }
--- a/Tests/LibGateway/UnreadResponseTest.cpp
+++ b/Tests/LibGateway/UnreadResponseTest.cpp
@@ -31,11 +31,6 @@
     std::lock_guard<std::mutex> Lock(m_Mutex);
     return m_LastSent;
   }
-  void sendShortInTime() {
-    auto Begin = std::chrono::steady_clock::now();
-    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/short")).m_Status);
-    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - Begin < Objective);
-  }
 
 public:
   void setUp() override {
--- a/Tests/Platform/ConcurrentStoreCallsTest.cpp
+++ b/Tests/Platform/ConcurrentStoreCallsTest.cpp
@@ -36,8 +36,7 @@
     bool IsWrite = Call.request().m_Target == "/kv-txn";
     while (!IsWrite && !m_IsWritten)
       tests::sleepFor(m_Context, std::chrono::milliseconds(5), Yield);
-    http::ResponseMessage Response;
-    Response.m_Head.m_Status = 200;
+    http::ResponseMessage Response = http::emptyResponse(200);
     Response.m_Body = IsWrite ? R"({"rev":71,"storeRevision":71})"
                               : R"({"privateKey":"k","value":"","rev":65,)"
                                 R"("storeRevision":65,"events":[]})";
@@ -77,11 +76,7 @@
         [this](http::Exchange &Call, asio::yield_context Yield) {
           handle(Call, Yield);
         },
-        [](unsigned Status) {
-          http::ResponseMessage Out;
-          Out.m_Head.m_Status = Status;
-          return Out;
-        });
+        http::emptyResponse);
     StoreSettings Settings;
     Settings.m_Addresses = {Address};
     Settings.m_CallTimeout = std::chrono::seconds(5);
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -165,8 +165,8 @@
   void arrivedAtIncarnation(const std::string &Id,
                             const std::string &Incarnation);
   /// Records the backpressure that the response to request \p Id stated, once
-  /// it was delivered. \param SentAt time before which the gateway cannot have
-  /// read it.
+  /// it was delivered.
+  /// \param SentAt time before which the gateway cannot have read it.
   void backpressureStated(const std::string &Id, const std::string &Incarnation,
                           const ResponseBackpressure &Backpressure,
                           TimePoint SentAt);
--- a/Tests/Support/SlowCallerFixture.h
+++ b/Tests/Support/SlowCallerFixture.h
@@ -39,6 +39,12 @@
          platform::Revision(2)});
     start();
   }
+  /// Sends a request that has to be served within the objective.
+  void sendShortInTime() {
+    auto Begin = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/short")).m_Status);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - Begin < Objective);
+  }
   /// Sends requests one after the other on one connection and reads nothing.
   tcp::socket &sendWithoutReading(const std::string &Path,
                                   std::size_t Count = 1) {
