LibGateway, LibRouting: Log when the path to a pool's targets is lost

Change: PoolPaths judges the path to each pool from connections that fail at three targets (or all) without one that works, and from the bytes heard since. PathMonitor checks a path by opening connections, but only once requests suggest that it is lost: two targets silent for 0.5 s, one for 1 s, or another pool whose path is not open. The connections serve later requests. Log event path-changed, gauge yardrill_impaired_paths. Decides nothing yet.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -84,6 +84,7 @@
       m_Retries(m_Settings.m_Retries,
                 // No retry was sent before a deployment's first start.
                 m_Settings.m_IsFirstStart ? core::TimePoint() : m_StartedAt),
+      m_Paths(Context, pathMonitorHooks()),
       m_ExitDetector(Context, exitDetectorHooks()),
       m_Backpressure(
           m_Settings.m_PeerAddress, m_Targets,
@@ -197,6 +198,7 @@
     m_Connections.closeExpired();
     for (const auto &[Id, Open] : m_OpenRequests)
       Open->checkUnreadResponse(Now);
+    m_Paths.upkeep(silentRequests(Now), Now);
     m_ExitDetector.upkeep(Now);
     m_Backpressure.upkeep(Now);
     m_Slots.upkeep(Now);
@@ -382,6 +384,42 @@
   return Out;
 }
 
+//===----------------------------------------------------------------------===//
+// Paths to the targets
+//===----------------------------------------------------------------------===//
+
+PathMonitorHooks Gateway::pathMonitorHooks() {
+  PathMonitorHooks Out;
+  Out.m_Pools = [this] {
+    std::vector<core::PoolName> Pools;
+    if (m_Table)
+      for (const auto &[Name, Pool] : m_Table->pools())
+        Pools.push_back(Name);
+    return Pools;
+  };
+  Out.m_Targets = [this](const core::PoolName &Pool) {
+    std::vector<routing::Target> Targets;
+    for (const routing::KnownTarget *Each : m_Targets.subsetOf(Pool))
+      if (Each->acceptsRequests() && !Each->m_ExpiredAt)
+        Targets.push_back(Each->m_Target);
+    return Targets;
+  };
+  Out.m_Connect = [this](const routing::Target &Target,
+                         asio::yield_context Yield) {
+    return probe(Target, Yield) == ProbeResult::Listens;
+  };
+  Out.m_Changed = [](const core::PoolName &, routing::PathState) {};
+  return Out;
+}
+
+std::map<core::PoolName, SilentRequests>
+Gateway::silentRequests(core::TimePoint Now) const {
+  std::map<core::PoolName, SilentRequests> Out;
+  for (const auto &[Id, Open] : m_OpenRequests)
+    Open->addIfSilent(Out, Now);
+  return Out;
+}
+
 ProbeResult Gateway::probe(const routing::Target &Target,
                            asio::yield_context Yield) {
   auto Address = Target.m_Address.toTcp();
@@ -590,6 +628,7 @@
   Set("yardrill_resting_targets",
       m_Targets.throttles().backedOff(core::steadyNow()));
   Set("yardrill_suspected_contents", m_Quarantine.table().size());
+  Set("yardrill_impaired_paths", m_Paths.paths().impairedPools().size());
   Set("yardrill_store_connected", m_Follower.isConnected() ? 1 : 0);
   Set("yardrill_store_revision",
       static_cast<std::size_t>(m_Mirror.revision().value()));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "LibGateway/FleetMembership.h"
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/MembershipRecord.h"
+#include "LibGateway/PathMonitor.h"
 #include "LibGateway/PeerService.h"
 #include "LibGateway/QuarantineService.h"
 #include "LibGateway/QuotaService.h"
@@ -125,6 +126,11 @@
   SlotLendingServiceHooks lendingHooks();
   TargetExitDetectorHooks exitDetectorHooks();
   QuarantineHooks quarantineHooks();
+  PathMonitorHooks pathMonitorHooks();
+  /// Returns the requests that have waited for bytes of targets for long, by
+  /// pool.
+  std::map<core::PoolName, SilentRequests>
+  silentRequests(core::TimePoint Now) const;
   /// Opens a connection to find out whether a target still listens.
   ProbeResult probe(const routing::Target &Target,
                     boost::asio::yield_context Yield);
@@ -149,6 +155,7 @@
   routing::Dispatcher m_Dispatcher;
   http::ConnectionPool m_Connections;
   RetryBudgets m_Retries;
+  PathMonitor m_Paths;
   TargetExitDetector m_ExitDetector;
   BackpressureService m_Backpressure;
   SlotService m_Slots;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -37,7 +37,7 @@
 
 GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller)
     : m_Owner(Owner), m_Caller(Caller),
-      m_Relay(Caller, {[this] { return timeLeft() + ResponseGracePeriod; },
+      m_Relay(Caller, {[this] { return beginRead(); },
                        [this](std::size_t Count) { noteEvents(Count); },
                        [this] { releaseSlot(); }}),
       m_Id(Owner.m_NextRequest++), m_WakeTimer(Owner.m_Context) {
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -39,6 +39,10 @@
   /// Frees the target's slot if the caller has not read its response for a
   /// while. To be called a few times a second.
   void checkUnreadResponse(core::TimePoint Now);
+  /// Adds the request to \p Out, by pool, if it has waited for bytes of its
+  /// target for PathMonitor::MinSilence or longer.
+  void addIfSilent(std::map<core::PoolName, SilentRequests> &Out,
+                   core::TimePoint Now) const;
   /// Called by the gateway's destructor: the coroutine is unwound later, with
   /// the event loop, and must not use the gateway then.
   void notifyOwnerDestroyed() { m_IsOwnerDestroyed = true; }
@@ -77,6 +81,10 @@
   /// succeed.
   AttemptOutcome relayBuffered(http::ResponseMessage Response,
                                boost::asio::yield_context Yield);
+  /// Returns the time for which to wait for bytes of the target, and records
+  /// that it has sent those before. To be called before each part of a
+  /// response is read.
+  core::Duration beginRead();
   /// Records events of the response for metrics and load estimates.
   void noteEvents(std::size_t Count);
   /// Whether to try another target after \p Outcome. Counts the retry in the
@@ -133,6 +141,9 @@
   /// Time from which the current attempt no longer counts as the target's work;
   /// none before.
   std::optional<core::TimePoint> m_TargetEndedAt;
+  /// Time since which the target has sent nothing of the response; none while
+  /// nothing is awaited from it.
+  std::optional<core::TimePoint> m_SilentSince;
   /// Whether the caller has left the current attempt's response unread.
   bool m_IsUnread = false;
   /// Time for which the connection may be reused, according to the last
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -44,9 +44,13 @@
   auto Address = m_Target->m_Address.toTcp();
   std::unique_ptr<http::ClientConnection> Connection;
   try {
+    bool IsNew = !m_Owner.m_Connections.hasIdle(Address);
     Connection = m_Owner.m_Connections.acquire(Address, false, Yield);
+    if (IsNew)
+      m_Owner.m_Paths.noteConnected(m_Pool);
   } catch (const Error &Failure) {
     m_Reason = "connect-failed";
+    m_Owner.m_Paths.noteConnectFailure(*m_Target, core::steadyNow());
     if (Failure.kind() == core::ErrorKind::Refused)
       m_Owner.m_ExitDetector.noteTargetExit(m_Target->incarnation());
     core::LogLine("connect-failed", core::LogLevel::Warning)
@@ -73,6 +77,7 @@
         .add("reason", Failure.what());
   }
   m_Connection = nullptr;
+  m_SilentSince.reset();
   if (Result == AttemptOutcome::Complete || Result == AttemptOutcome::NotRun)
     m_Owner.m_Connections.release(Address, std::move(Connection),
                                   m_KeepAliveTime);
@@ -114,6 +119,23 @@
   }
 }
 
+core::Duration GatewayRequest::beginRead() {
+  core::TimePoint Now = core::steadyNow();
+  m_SilentSince = Now;
+  m_Owner.m_Paths.noteHeard(m_Pool, Now);
+  return timeLeft() + ResponseGracePeriod;
+}
+
+void GatewayRequest::addIfSilent(std::map<core::PoolName, SilentRequests> &Out,
+                                 core::TimePoint Now) const {
+  if (!m_SilentSince || m_TargetEndedAt || m_Relay.blockedSince() ||
+      Now - *m_SilentSince < PathMonitor::MinSilence)
+    return;
+  SilentRequests &Silent = Out[m_Pool];
+  Silent.m_Targets.insert(m_Target->m_Name);
+  Silent.m_Longest = std::max(Silent.m_Longest, Now - *m_SilentSince);
+}
+
 static bool isEventStream(const http::ResponseHead &Head) {
   const std::string *Type = Head.m_Headers.find("Content-Type");
   return Type &&
@@ -133,9 +155,11 @@
     Forward.m_LastEvent = m_Relay.lastEventId();
   m_Owner.m_Wire.prepare(m_Caller.request(), Forward);
   m_HasResponseStarted = false;
+  m_SilentSince = core::steadyNow();
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   http::ResponseHead Head = readMatchingHead(Connection, Yield);
   m_HasResponseStarted = true;
+  beginRead();
   ResponseDescription Info = m_Owner.m_Wire.describe(Head);
   m_Owner.m_Backpressure.noteStated(*m_Target, Info.m_Backpressure,
                                     core::steadyNow());
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -32,6 +32,16 @@
         {std::move(Connection), core::steadyNow() + MaxIdleTime});
 }
 
+bool ConnectionPool::hasIdle(const tcp::endpoint &Address) const {
+  auto Found = m_Idle.find(Address);
+  if (Found == m_Idle.end())
+    return false;
+  core::TimePoint Now = core::steadyNow();
+  return std::any_of(
+      Found->second.begin(), Found->second.end(),
+      [Now](const IdleConnection &Each) { return Now < Each.m_ExpiresAt; });
+}
+
 void ConnectionPool::closeIdle(const tcp::endpoint &Address) {
   m_Idle.erase(Address);
 }
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -42,6 +42,9 @@
   void release(const boost::asio::ip::tcp::endpoint &Address,
                std::unique_ptr<ClientConnection> Connection,
                core::Duration MaxIdleTime = std::chrono::hours(1));
+  /// Whether there is an idle connection to the address, which the server may
+  /// have closed in the meantime.
+  bool hasIdle(const boost::asio::ip::tcp::endpoint &Address) const;
   /// Closes the idle connections to an address at which another server listens
   /// now. Whether a request sent on one of them arrived would be unknown.
   void closeIdle(const boost::asio::ip::tcp::endpoint &Address);
