Tests/LibGateway: Show that an instance without a path to the targets refuses everyone

LostPathTest runs three real gateways and four targets; each gateway reaches the targets through proxies of its own (TargetLinks), so that one alone loses its path.

LoopbackProxy gets a mode in which new connections hang.

--- a/Tests/Support/GatewayFleet.cpp
+++ b/Tests/Support/GatewayFleet.cpp
@@ -22,6 +22,8 @@
 GatewayFleet::GatewayFleet(std::size_t Gateways, std::size_t Targets)
     : m_Instances(Gateways) {
   m_Store.put("op/config", Configuration);
+  for (Instance &Each : m_Instances)
+    Each.m_Links = std::make_unique<TargetLinks>(m_Context);
   for (std::size_t I = 0; I < Targets; ++I)
     m_Targets.push_back(
         std::make_unique<ExitingTarget>(m_Context, m_Store, m_ArrivalLog, I));
@@ -61,13 +63,21 @@
   Started.m_Context = std::make_unique<asio::io_context>(1);
   Started.m_Gateway = gateway::Gateway::Builder()
                           .settings(Settings)
-                          .dialect(m_Dialect)
+                          .dialect(*Started.m_Links)
                           .store(m_Store)
                           .build(*Started.m_Context);
   Started.m_Gateway->start();
   Started.m_Thread = std::thread([&Started] { Started.m_Context->run(); });
 }
 
+void GatewayFleet::setLinks(std::size_t Index, ProxyMode Mode) {
+  runOnTargetThread([&] { m_Instances[Index].m_Links->setMode(Mode); });
+}
+
+void GatewayFleet::resetLinks(std::size_t Index) {
+  runOnTargetThread([&] { m_Instances[Index].m_Links->resetAll(); });
+}
+
 void GatewayFleet::startAll() {
   for (std::size_t I = 0; I < m_Instances.size(); ++I)
     start(I);
--- a/Tests/Support/GatewayFleet.h
+++ b/Tests/Support/GatewayFleet.h
@@ -5,6 +5,7 @@
 #include "ExitingTarget.h"
 #include "PlatformDialect.h"
 #include "Process.h"
+#include "TargetLinks.h"
 #include "TestClient.h"
 
 #include "LibGateway/Gateway.h"
@@ -31,6 +32,11 @@
   /// \returns false on a timeout.
   bool waitUntilReady();
 
+  /// Applies a mode to the links of a gateway to all targets.
+  void setLinks(std::size_t Index, ProxyMode Mode);
+  /// Resets the connections of a gateway to targets.
+  void resetLinks(std::size_t Index);
+
   /// Runs \p Task on the thread of the targets and waits for its end.
   void runOnTargetThread(const std::function<void()> &Task);
   std::size_t size() const { return m_Instances.size(); }
@@ -40,6 +46,12 @@
 
   static http::RequestMessage request(const std::string &Path,
                                       const std::string &Body);
+  int callerPort(std::size_t Gateway) const {
+    return m_Instances[Gateway].m_CallerPort;
+  }
+  int peerPort(std::size_t Gateway) const {
+    return m_Instances[Gateway].m_PeerPort;
+  }
   Reply send(std::size_t Gateway, const std::string &Path,
              const std::string &Body);
   /// Returns the value of a gauge or counter of one gateway, or 0 if it has
@@ -62,6 +74,7 @@
     int m_ReadinessPort = freePort();
     int m_PeerPort = freePort();
     int m_MetricsPort = freePort();
+    std::unique_ptr<TargetLinks> m_Links;
     std::unique_ptr<asio::io_context> m_Context;
     std::unique_ptr<gateway::Gateway> m_Gateway;
     std::thread m_Thread;
@@ -70,7 +83,6 @@
 
   asio::io_context m_Context{1}; ///< Event loop of the targets.
   SharedStore m_Store;
-  platform::PlatformDialect m_Dialect;
   ArrivalLog m_ArrivalLog;
   std::vector<Instance> m_Instances;
   std::vector<std::unique_ptr<ExitingTarget>> m_Targets;
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -43,12 +43,39 @@
       asio::detached);
 }
 
+void LoopbackProxy::listenSilently() {
+  static constexpr int QueueLength = 0;
+  /// A queue of that length holds one connection; the others are in progress.
+  static constexpr int Connections = 3;
+  m_Acceptor = tcp::acceptor(m_Context);
+  m_Acceptor.open(tcp::v4());
+  m_Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  m_Acceptor.bind(loopback(m_Port));
+  m_Acceptor.listen(QueueLength);
+  fcntl(m_Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+  for (int I = 0; I < Connections; ++I) {
+    tcp::socket &Queued = m_QueuedConnections.emplace_back(m_Context);
+    Queued.open(tcp::v4());
+    Queued.native_non_blocking(true);
+    // Asio's connect() would wait for the connection.
+    tcp::endpoint Address = loopback(m_Port);
+    ::connect(Queued.native_handle(), Address.data(),
+              static_cast<socklen_t>(Address.size()));
+  }
+}
+
 void LoopbackProxy::setMode(ProxyMode Mode) {
+  bool WasListening = m_Mode != ProxyMode::Silent && m_Acceptor.is_open();
   m_Mode = Mode;
-  if (Mode == ProxyMode::Closed)
-    m_Acceptor.close();
-  else if (!m_Acceptor.is_open())
+  bool MustListen = Mode != ProxyMode::Closed && Mode != ProxyMode::Silent;
+  if (WasListening && MustListen)
+    return;
+  m_QueuedConnections.clear();
+  m_Acceptor.close();
+  if (MustListen)
     listen();
+  else if (Mode == ProxyMode::Silent)
+    listenSilently();
 }
 
 void LoopbackProxy::ProxiedConnection::reset() {
@@ -114,7 +141,7 @@
 }
 
 bool LoopbackProxy::isCut(bool IsForward) const {
-  return m_Mode == ProxyMode::CutBoth ||
+  return m_Mode == ProxyMode::CutBoth || m_Mode == ProxyMode::Silent ||
          m_Mode == (IsForward ? ProxyMode::CutForward : ProxyMode::CutBackward);
 }
 
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -21,6 +21,7 @@
   CutForward,
   CutBackward,
   CutBoth,
+  Silent, ///< As CutBoth, and new connections hang.
   Reset,  ///< New connections are reset.
   Closed, ///< New connections are refused, as after a crash of the server.
 };
@@ -62,6 +63,9 @@
   using ConnectionHandle = std::shared_ptr<ProxiedConnection>;
 
   void listen();
+  /// Listens without accepting, and fills the queue of new connections, so that
+  /// the kernel drops further ones.
+  void listenSilently();
   void accept(boost::asio::yield_context Yield);
   void connect(const ConnectionHandle &Connection,
                boost::asio::yield_context Yield);
@@ -77,6 +81,8 @@
   int m_ToPort;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::list<std::weak_ptr<ProxiedConnection>> m_Connections;
+  /// Connections that fill the queue while the mode is Silent.
+  std::list<boost::asio::ip::tcp::socket> m_QueuedConnections;
   ProxyMode m_Mode = ProxyMode::PassThrough;
   double m_ResponseRate = 0;
   DeliveryHook m_DeliveryHook;
