LibGateway: Forward requests to peers while the path to the targets is lost

Instances that had lost their links to all targets tried up to four of them, 0.35 s each, and answered 503 after 1.1 to 1.4 s, while their peers served nearly everyone.

Cause: an instance judges the world by its own links alone. No code path took a request that a caller sent to one instance to a target through another.

Ruled out: not ready and `Connection: close` (the balancer needs two misses of a second each, uses all instances of a hall if fewer than half are in, and open connections stay); shorter connect timeouts (the targets stay out of reach).

Change: while PoolPaths says that the path to a pool is lost, a request goes to a peer that doesn't report the same, the less loaded of two random ones of the group. It stays as its caller sent it, with one signed header (ForwardTicket). The peer admits it by itself: account, tier, quota, quarantine and configuration are its own, so that nothing is charged or run twice. It declines, and the next peer is tried, if it is stopping, has an older configuration, or has lost the path as well; a forwarded request is never forwarded again. While open connections live on, only requests that would need a new one are forwarded. Reports name the pools whose path is lost, one byte while there is none. Where no path is lost, a request costs one more comparison.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -110,6 +110,10 @@
   /// next attempt.
   virtual void prepare(http::RequestMessage &Request,
                        const ForwardDescription &Forward) const = 0;
+  /// Undoes what the above did to the headers that describe() reads, so that a
+  /// peer can read the request as this instance did.
+  virtual void restore(http::RequestMessage &Request,
+                       const RequestDescription &Original) const = 0;
   /// Adds the request's id to a response that the gateway creates.
   virtual void prepare(http::ResponseHead &Response,
                        const RequestDescription &To) const = 0;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -48,6 +48,8 @@
 /// Connecting takes about a millisecond, or seconds if a full accept queue
 /// drops the SYN.
 static constexpr std::chrono::milliseconds ConnectTimeout{350};
+/// The same for a peer, another of which may take the request instead.
+static constexpr std::chrono::milliseconds PeerConnectTimeout{150};
 /// Retry-After, in seconds, of a request whose body exceeds the budget for all
 /// bodies: some of those being read are complete by then.
 static const char BodyBudgetRetryAfter[] = "0.5";
@@ -81,6 +83,7 @@
            },
            [this](core::RequestId Request) { m_Lending.recordEnd(Request); }}),
       m_Connections(Context, {ConnectTimeout, MaxIdleConnections}),
+      m_PeerConnections(Context, {PeerConnectTimeout, MaxIdleConnections}),
       m_Retries(m_Settings.m_Retries,
                 // No retry was sent before a deployment's first start.
                 m_Settings.m_IsFirstStart ? core::TimePoint() : m_StartedAt),
@@ -98,6 +101,9 @@
       m_Lending(m_Dispatcher, m_Targets, m_Slots.leases(),
                 m_Settings.m_DataHall, m_Metrics, lendingHooks()),
       m_Quarantine(Context, Store, quarantineHooks()),
+      m_ForwardingPeers(
+          [this]() -> const PeerTable & { return m_Peers->peers(); },
+          m_Settings.m_DataHall, core::randomBits()),
       m_Quotas(Context, m_Settings, m_Metrics,
                [this](const config::Endpoint &To, const peer::PeerBody &Body) {
                  m_Peers->send(To, Body);
@@ -131,6 +137,16 @@
   return Out;
 }
 
+/// Returns the limits of requests that peers forward, with room for the ticket.
+static http::ServerLimits
+toForwardedLimits(const routing::CallerLimits &Limits) {
+  static constexpr std::size_t TicketBytes = 1024;
+  http::ServerLimits Out;
+  Out.m_HeaderBytes = Limits.m_HeaderBytes + TicketBytes;
+  Out.m_BodyBytes = std::max(Out.m_BodyBytes, Limits.m_BodyBytes);
+  return Out;
+}
+
 void Gateway::listen() {
   m_CallerServer = http::Server::create(
       m_Context, m_Settings.m_CallerAddress.toTcp(),
@@ -185,6 +201,10 @@
             m_Lending.handle(Message, core::steadyNow());
             scheduleTick();
           }});
+  m_Peers->setForwardedHandler(
+      [this](http::Exchange &Call, asio::yield_context Yield) {
+        handleForwarded(Call, Yield);
+      });
 }
 
 void Gateway::start() {
@@ -196,6 +216,7 @@
     m_Targets.removeExpired(Now);
     m_Follower.setEnabled(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
+    m_PeerConnections.closeExpired();
     for (const auto &[Id, Open] : m_OpenRequests)
       Open->checkUnreadResponse(Now);
     m_Paths.upkeep(silentRequests(Now), Now);
@@ -269,6 +290,7 @@
   m_Quotas.setAccounts(m_Table->accounts());
   m_Targets.setPools(m_Table->pools(), core::steadyNow());
   m_CallerServer->setLimits(toServerLimits(m_Table->limits(), m_Settings));
+  m_Peers->setForwardedLimits(toForwardedLimits(m_Table->limits()));
   core::LogLine("configuration-in-force")
       .add("version", m_Table->version())
       .add("accounts", m_Table->accounts().size());
@@ -317,6 +339,8 @@
   }
   Report.m_IsStoreConnected = m_Follower.isConnected();
   Report.m_HasWaitingRequests = m_Dispatcher.waiting() > 0;
+  for (const core::PoolName &Pool : m_Paths.paths().impairedPools())
+    Report.m_LostPools.push_back(routing::hashOf(Pool));
   for (const auto &[Pool, Demand] :
        m_Dispatcher.scarceDemand(core::steadyNow()))
     for (const auto &[Tier, Each] : Demand)
@@ -408,10 +432,36 @@
                          asio::yield_context Yield) {
     return probe(Target, Yield) == ProbeResult::Listens;
   };
-  Out.m_Changed = [](const core::PoolName &, routing::PathState) {};
+  Out.m_Changed = [this](const core::PoolName &Pool, routing::PathState State) {
+    handlePathChange(Pool, State);
+  };
   return Out;
 }
 
+void Gateway::handlePathChange(const core::PoolName &Pool,
+                               routing::PathState State) {
+  if (State == routing::PathState::Open)
+    m_Targets.forgetFailures(Pool);
+  else
+    for (const auto &[Id, Open] : m_OpenRequests)
+      Open->handleLostPath(Pool);
+  m_Peers->scheduleReport();
+}
+
+void Gateway::handleForwarded(http::Exchange &Call, asio::yield_context Yield) {
+  auto Ticket = m_Peers->readTicket(Call.request());
+  if (!Ticket) {
+    m_Metrics.count("yardrill_forwarded_requests_rejected_total");
+    http::ResponseMessage Response = http::emptyResponse(403);
+    Response.m_Head.m_Headers.set(peer::ForwardOutcomeHeader,
+                                  peer::OutcomeNotTaken);
+    return Call.sendResponse(std::move(Response), Yield);
+  }
+  Call.request().m_Headers.remove(peer::ForwardTicketHeader);
+  GatewayRequest Request(*this, Call, std::move(Ticket));
+  Request.run(Yield);
+}
+
 std::map<core::PoolName, SilentRequests>
 Gateway::silentRequests(core::TimePoint Now) const {
   std::map<core::PoolName, SilentRequests> Out;
@@ -530,7 +580,7 @@
   if (Elapsed < AcceptPeriodWhenStopping || !m_OnStopped)
     return;
   m_CallerServer->stopAccepting();
-  bool IsIdle = m_CallerServer->openRequests() == 0;
+  bool IsIdle = m_CallerServer->openRequests() == 0 && m_OpenRequests.empty();
   if (!IsIdle && Elapsed < m_Settings.m_StopGrace - StopMargin)
     return;
   core::LogLine("instance-stopped")
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "LibGateway/BackpressureService.h"
 #include "LibGateway/Dialect.h"
 #include "LibGateway/FleetMembership.h"
+#include "LibGateway/ForwardingPeers.h"
 #include "LibGateway/GatewaySettings.h"
 #include "LibGateway/MembershipRecord.h"
 #include "LibGateway/PathMonitor.h"
@@ -127,6 +128,11 @@
   TargetExitDetectorHooks exitDetectorHooks();
   QuarantineHooks quarantineHooks();
   PathMonitorHooks pathMonitorHooks();
+  /// Reports the change to peers, and forwards the requests that wait for
+  /// targets behind a lost path.
+  void handlePathChange(const core::PoolName &Pool, routing::PathState State);
+  /// Handles a request that arrived at the peer address with a ticket.
+  void handleForwarded(http::Exchange &Call, boost::asio::yield_context Yield);
   /// Returns the requests that have waited for bytes of targets for long, by
   /// pool.
   std::map<core::PoolName, SilentRequests>
@@ -154,6 +160,7 @@
   routing::TargetDirectory m_Targets;
   routing::Dispatcher m_Dispatcher;
   http::ConnectionPool m_Connections;
+  http::ConnectionPool m_PeerConnections; ///< For forwarded requests.
   RetryBudgets m_Retries;
   PathMonitor m_Paths;
   TargetExitDetector m_ExitDetector;
@@ -162,6 +169,7 @@
   SlotLendingService m_Lending;
   QuarantineService m_Quarantine;
   std::unique_ptr<PeerService> m_Peers;
+  ForwardingPeers m_ForwardingPeers;
   QuotaService m_Quotas;
   RolloutWriter m_RolloutWriter;
   RolloutService m_Rollouts;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -11,8 +11,6 @@
 namespace asio = boost::asio;
 using core::Error;
 
-/// Minimum time left for an attempt at another target.
-static constexpr std::chrono::milliseconds MinRetryTime{20};
 /// Callers abandon a stream after a gap of the longest of these, also before
 /// its first event (source: the platform's description of its clients).
 static constexpr std::chrono::seconds MinCallerTimeout{2};
@@ -35,13 +33,22 @@
 /// Number of attempts after which a request that was not sent is not retried.
 static constexpr unsigned MaxAttempts = 4;
 
-GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller)
+GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller,
+                               std::optional<peer::ForwardTicket> Ticket)
     : m_Owner(Owner), m_Caller(Caller),
       m_Relay(Caller, {[this] { return beginRead(); },
                        [this](std::size_t Count) { noteEvents(Count); },
                        [this] { releaseSlot(); }}),
-      m_Id(Owner.m_NextRequest++), m_WakeTimer(Owner.m_Context) {
+      m_Id(Owner.m_NextRequest++), m_Ticket(std::move(Ticket)),
+      m_ForwardedBody(Owner.m_CallerServer->bodyBudget()),
+      m_WakeTimer(Owner.m_Context) {
   m_Table = Owner.m_Table;
+  m_Description = Owner.m_Wire.describe(Caller.request());
+  if (m_Ticket) {
+    m_Timing = ResponseTiming(m_Timing.arrivedAt() -
+                              std::chrono::microseconds(m_Ticket->m_ElapsedUs));
+    m_PossibleExecutions = m_Ticket->m_PossibleExecutions;
+  }
   m_Owner.m_OpenRequests.emplace(m_Id, this);
 }
 
@@ -112,8 +119,7 @@
 // Admission and placement
 //===----------------------------------------------------------------------===//
 
-unsigned GatewayRequest::admit(asio::yield_context Yield) {
-  m_Description = m_Owner.m_Wire.describe(m_Caller.request());
+unsigned GatewayRequest::admit() {
   if (m_Owner.isPastAcceptPeriod(m_Timing.arrivedAt())) {
     m_Reason = "stopping";
     return 503;
@@ -134,10 +140,8 @@
   // be served, once the content is cleared.
   if (isQuarantined())
     return 503;
-  if (acquireQuota(Admitted.m_Charge, Yield))
-    return 0;
-  m_Reason = "over-quota";
-  return 429;
+  m_Charge = Admitted.m_Charge;
+  return 0;
 }
 
 quarantine::ContentDigest GatewayRequest::contentDigest() const {
@@ -152,13 +156,14 @@
   return quarantine::ContentDigest::of(Parts);
 }
 
-bool GatewayRequest::acquireQuota(std::uint32_t Tokens,
-                                  asio::yield_context Yield) {
-  if (!m_Account)
+bool GatewayRequest::acquireQuota(asio::yield_context Yield) {
+  if (!m_Account || m_HasQuota)
     return true;
+  m_Acquisition = routing::QuotaAcquisition();
   m_Acquisition.m_Account = routing::hashOf(m_Account->m_Name);
-  m_Acquisition.m_Tokens = Tokens;
+  m_Acquisition.m_Tokens = m_Charge;
   bool IsGranted = m_Owner.m_Quotas.acquire(m_Acquisition, Yield);
+  m_HasQuota = IsGranted;
   if (!IsGranted)
     logQuota("quota-refused");
   else if (m_Acquisition.m_Source == routing::QuotaSource::Isolated)
@@ -166,6 +171,12 @@
   return IsGranted;
 }
 
+void GatewayRequest::giveBackQuota() {
+  if (m_HasQuota)
+    m_Owner.m_Quotas.giveBack(m_Acquisition);
+  m_HasQuota = false;
+}
+
 core::Duration GatewayRequest::callerTimeout() const {
   return std::max({core::Duration(MinCallerTimeout),
                    m_Route->m_FirstByteObjective * CallerTimeoutPerObjective,
@@ -235,42 +246,85 @@
 
 void GatewayRequest::run(asio::yield_context Yield) {
   m_Caller.setDisconnectCallback([this] { handleCallerDisconnect(); });
-  waitForConfiguration(Yield);
-  unsigned Status = admit(Yield);
-  if (Status != 0) {
-    core::Duration Wait = core::Duration::zero();
-    if (Status == 429)
-      Wait = m_Acquisition.m_RetryAfter.value_or(retryAfter());
-    if (Status == 503)
-      Wait = isQuarantined() ? QuarantinedRetryAfter : retryAfter();
-    return respond(Status, m_Reason, Wait, Yield);
+  if (!m_Ticket)
+    waitForConfiguration(Yield);
+  else if (const char *Reason = reasonNotToTake())
+    return declineForwarded(Reason, Yield);
+  if (unsigned Status = admit())
+    return reject(Status, Yield);
+  if (m_Ticket)
+    if (const char *Reason = reasonNotToSend())
+      return declineForwarded(Reason, Yield);
+  auto Outcome = runAttempts(Yield);
+  if (!Outcome)
+    return;
+  if (*Outcome == AttemptOutcome::CallerGone) {
+    m_Reason = "caller-gone";
+    return finish("request-finished");
+  }
+  if (*Outcome == AttemptOutcome::Complete) {
+    if (!m_IsPeerRefusal)
+      m_Reason = "complete";
+    return finish("request-finished");
   }
-  m_Owner.m_Retries.budgetOf(m_Pool).recordRequest(m_Timing.arrivedAt());
+  finishFailed(*Outcome, Yield);
+}
+
+std::optional<AttemptOutcome>
+GatewayRequest::runAttempts(asio::yield_context Yield) {
   AttemptOutcome Outcome = AttemptOutcome::NotSent;
   while (true) {
-    if (!waitForTarget(Yield)) {
-      if (m_IsCallerGone)
-        Outcome = AttemptOutcome::CallerGone;
-      break;
+    if (shouldForward()) {
+      // The peer that sends it to a target charges the account.
+      giveBackQuota();
+      Outcome = forward(Yield);
+      m_IsForwardExhausted = Outcome == AttemptOutcome::NotSent;
+      if (m_IsForwardExhausted)
+        continue;
+    } else {
+      if (!acquireQuota(Yield)) {
+        m_Reason = "over-quota";
+        reject(429, Yield);
+        return std::nullopt;
+      }
+      if (!m_IsCounted)
+        m_Owner.m_Retries.budgetOf(m_Pool).recordRequest(m_Timing.arrivedAt());
+      m_IsCounted = true;
+      if (!waitForTarget(Yield)) {
+        if (m_IsCallerGone)
+          return AttemptOutcome::CallerGone;
+        if (timeLeft() > MinRetryTime && shouldForward())
+          continue;
+        return Outcome;
+      }
+      // Other instances may have reported target exits while it waited.
+      if (isQuarantined()) {
+        releaseSlot();
+        return Outcome;
+      }
+      m_Timing.noteAttempt(core::steadyNow());
+      Outcome = runAttempt(Yield);
+      noteAttempt(Outcome);
+      m_WasNotSent = Outcome == AttemptOutcome::NotSent;
+      if (m_WasNotSent && timeLeft() > MinRetryTime && shouldForward())
+        continue;
     }
-    // Other instances may have reported target exits while it waited.
-    if (isQuarantined()) {
-      releaseSlot();
-      break;
-    }
-    m_Timing.noteAttempt(core::steadyNow());
-    Outcome = runAttempt(Yield);
-    noteAttempt(Outcome);
     if (Outcome == AttemptOutcome::Complete ||
         Outcome == AttemptOutcome::CallerGone || !shouldRetry(Outcome))
-      break;
-  }
-  if (Outcome == AttemptOutcome::Complete ||
-      Outcome == AttemptOutcome::CallerGone) {
-    m_Reason = Outcome == AttemptOutcome::Complete ? "complete" : "caller-gone";
-    return finish("request-finished");
+      return Outcome;
   }
-  finishFailed(Outcome, Yield);
+}
+
+void GatewayRequest::reject(unsigned Status, asio::yield_context Yield) {
+  // Other statuses promise that it has not run.
+  if (m_PossibleExecutions > 0)
+    return finishFailed(AttemptOutcome::Failed, Yield);
+  core::Duration Wait = core::Duration::zero();
+  if (Status == 429)
+    Wait = m_Acquisition.m_RetryAfter.value_or(retryAfter());
+  if (Status == 503)
+    Wait = isQuarantined() ? QuarantinedRetryAfter : retryAfter();
+  respond(Status, m_Reason, Wait, Yield);
 }
 
 //===----------------------------------------------------------------------===//
@@ -320,7 +374,7 @@
   if (m_PossibleExecutions > 0)
     return respond(HasTimedOut ? 504 : 502, m_Reason, core::Duration::zero(),
                    Yield);
-  m_Owner.m_Quotas.giveBack(m_Acquisition);
+  giveBackQuota();
   if (m_IsRefused)
     m_Reason = m_Owner.availableAt(m_Pool, core::steadyNow()) ? "targets-closed"
                                                               : "no-target";
@@ -336,6 +390,8 @@
   http::ResponseMessage Response;
   Response.m_Head.m_Status = Status;
   m_Owner.m_Wire.prepare(Response.m_Head, m_Description);
+  if (m_Ticket)
+    Response.m_Head.m_Headers.set(peer::ForwardOutcomeHeader, m_ForwardOutcome);
   if (RetryAfter > core::Duration::zero()) {
     char Text[32];
     std::snprintf(Text, sizeof Text, "%.3f", core::toSeconds(RetryAfter));
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -23,7 +23,9 @@
 /// did not run it, or if the route lets it run more than once.
 class GatewayRequest : private RequestInfo {
 public:
-  GatewayRequest(Gateway &Owner, http::Exchange &Caller);
+  /// \param Ticket of a request that a peer has forwarded.
+  GatewayRequest(Gateway &Owner, http::Exchange &Caller,
+                 std::optional<peer::ForwardTicket> Ticket = std::nullopt);
   ~GatewayRequest();
   GatewayRequest(const GatewayRequest &) = delete;
   GatewayRequest &operator=(const GatewayRequest &) = delete;
@@ -36,6 +38,9 @@
   std::uint32_t routeHash() const { return m_Route ? m_Route->m_Hash : 0; }
   /// Called when the dispatcher refuses the request.
   void refuse();
+  /// Called when the path to a pool is lost. Stops waiting for its targets if a
+  /// peer reaches them.
+  void handleLostPath(const core::PoolName &Pool);
   /// Frees the target's slot if the caller has not read its response for a
   /// while. To be called a few times a second.
   void checkUnreadResponse(core::TimePoint Now);
@@ -48,16 +53,49 @@
   void notifyOwnerDestroyed() { m_IsOwnerDestroyed = true; }
 
 private:
+  /// Minimum time left for an attempt at another target.
+  static constexpr std::chrono::milliseconds MinRetryTime{20};
   /// Time beyond the deadline for which to wait for a response: a target stops
   /// at the deadline that it was given, and reports so.
   static constexpr std::chrono::milliseconds ResponseGracePeriod{200};
 
-  /// Checks the request against the configuration, the quarantine and the
-  /// quota. \returns 0 if it is admitted, else the status to respond with.
-  unsigned admit(boost::asio::yield_context Yield);
-  /// Acquires tokens of the account's quota. \returns whether they were
-  /// granted.
-  bool acquireQuota(std::uint32_t Tokens, boost::asio::yield_context Yield);
+  /// Checks the request against the configuration and the quarantine. \returns
+  /// 0 if it is admitted, else the status to respond with.
+  unsigned admit();
+  /// Acquires tokens of the account's quota, unless it has them. \returns
+  /// whether they were granted.
+  bool acquireQuota(boost::asio::yield_context Yield);
+  /// Returns the tokens of the account's quota, if it has any.
+  void giveBackQuota();
+  /// Responds to a request that is not admitted.
+  void reject(unsigned Status, boost::asio::yield_context Yield);
+  /// Makes attempts at targets, or passes the request to a peer. \returns none
+  /// after a response was sent.
+  std::optional<AttemptOutcome> runAttempts(boost::asio::yield_context Yield);
+
+  // Requests passed on to a peer.
+  /// Whether to pass the request to a peer, as this instance has no path to the
+  /// pool and a peer has.
+  bool shouldForward() const;
+  /// Offers the request to some peers. \returns NotSent if none has taken it.
+  AttemptOutcome forward(boost::asio::yield_context Yield);
+  AttemptOutcome forwardTo(const config::Endpoint &Peer,
+                           boost::asio::yield_context Yield);
+  /// \throws core::Error when the connection fails or the peer does not respond
+  /// in time.
+  AttemptOutcome exchangeWithPeer(http::ClientConnection &Connection,
+                                  const config::Endpoint &Peer,
+                                  boost::asio::yield_context Yield);
+  void logForwardFailure(const config::Endpoint &Peer,
+                         const char *Reason) const;
+
+  // Requests that a peer has forwarded.
+  /// Returns why this instance must not handle the request; null if it may.
+  const char *reasonNotToTake();
+  /// The same after its admission.
+  const char *reasonNotToSend() const;
+  /// Lets the peer offer the request to another instance.
+  void declineForwarded(const char *Reason, boost::asio::yield_context Yield);
   quarantine::ContentDigest contentDigest() const;
   /// Returns how long the caller waits for the next event of a stream.
   core::Duration callerTimeout() const;
@@ -73,6 +111,13 @@
   /// connection fails or the target does not respond in time.
   AttemptOutcome exchange(http::ClientConnection &Connection,
                           boost::asio::yield_context Yield);
+  /// Relays the response of a target, directly or through a peer.
+  /// \param MayRetry whether to hold back a failure if another target may
+  /// succeed.
+  /// \throws core::Error when the response breaks.
+  AttemptOutcome relayResponse(http::ClientConnection &Connection,
+                               const http::ResponseHead &Head, bool MayRetry,
+                               boost::asio::yield_context Yield);
   /// Reads response heads until one has this request's id. A late response to
   /// an earlier request may come first; it is logged and discarded.
   http::ResponseHead readMatchingHead(http::ClientConnection &Connection,
@@ -128,9 +173,20 @@
   http::Exchange &m_Caller;
   ResponseRelay m_Relay;
   core::RequestId m_Id;
+  const std::optional<peer::ForwardTicket> m_Ticket;
+  /// Body of a forwarded request; callers' bodies are counted as they are read.
+  http::ByteBudget::Reservation m_ForwardedBody;
   core::TimePoint m_EndsAt; ///< Deadline of the response.
   core::Timer m_WakeTimer;
   bool m_IsRefused = false;
+  std::uint32_t m_Charge = 0; ///< Tokens to take from the account's quota.
+  bool m_HasQuota = false;
+  bool m_IsCounted = false;          ///< In the pool's retry budget.
+  bool m_WasNotSent = false;         ///< Outcome of the last attempt.
+  bool m_IsForwardExhausted = false; ///< No peer has taken it.
+  bool m_IsPeerRefusal = false;      ///< The response is a peer's own.
+  /// Value of peer::ForwardOutcomeHeader in responses of this instance's own.
+  const char *m_ForwardOutcome = peer::OutcomeFinal;
   bool m_IsCallerGone = false;
   bool m_IsOwnerDestroyed = false;
   http::ClientConnection *m_Connection = nullptr;
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -42,15 +42,21 @@
     return AttemptOutcome::NotSent;
   }
   auto Address = m_Target->m_Address.toTcp();
+  bool IsNew = !m_Owner.m_Connections.hasIdle(Address);
+  m_WasNotSent = IsNew;
+  if (IsNew && shouldForward()) {
+    m_Reason = "no-path";
+    return AttemptOutcome::NotSent;
+  }
   std::unique_ptr<http::ClientConnection> Connection;
+  core::TimePoint BegunAt = core::steadyNow();
   try {
-    bool IsNew = !m_Owner.m_Connections.hasIdle(Address);
     Connection = m_Owner.m_Connections.acquire(Address, false, Yield);
     if (IsNew)
-      m_Owner.m_Paths.noteConnected(m_Pool);
+      m_Owner.m_Paths.noteConnected(m_Pool, core::steadyNow());
   } catch (const Error &Failure) {
     m_Reason = "connect-failed";
-    m_Owner.m_Paths.noteConnectFailure(*m_Target, core::steadyNow());
+    m_Owner.m_Paths.noteConnectFailure(*m_Target, BegunAt, core::steadyNow());
     if (Failure.kind() == core::ErrorKind::Refused)
       m_Owner.m_ExitDetector.noteTargetExit(m_Target->incarnation());
     core::LogLine("connect-failed", core::LogLevel::Warning)
@@ -120,9 +126,12 @@
 }
 
 core::Duration GatewayRequest::beginRead() {
-  core::TimePoint Now = core::steadyNow();
-  m_SilentSince = Now;
-  m_Owner.m_Paths.noteHeard(m_Pool, Now);
+  // Bytes of a peer say nothing about the path to the targets.
+  if (m_Target) {
+    core::TimePoint Now = core::steadyNow();
+    m_SilentSince = Now;
+    m_Owner.m_Paths.noteHeard(m_Pool, Now);
+  }
   return timeLeft() + ResponseGracePeriod;
 }
 
@@ -163,10 +172,7 @@
   ResponseDescription Info = m_Owner.m_Wire.describe(Head);
   m_Owner.m_Backpressure.noteStated(*m_Target, Info.m_Backpressure,
                                     core::steadyNow());
-  AttemptOutcome Result = AttemptOutcome::Failed;
-  // A response that exceeds the budget is passed on as it arrives.
-  http::ByteBudget::Reservation Held(m_Owner.m_CallerServer->bodyBudget());
-  bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
+  AttemptOutcome Result = AttemptOutcome::NotRun;
   if (Info.m_IsNotRun) {
     m_Reason = Info.m_IsMisdirected ? "target-replaced" : "target-refused";
     logTargetRefusal(Head.m_Status);
@@ -178,29 +184,44 @@
                 .empty()) {
       // Discards the body: the refusal is not relayed to the caller.
     }
-    Result = AttemptOutcome::NotRun;
-  } else if (IsSuccess && (!Info.m_IsSigned || Info.m_IsEncoded)) {
+  } else {
+    Result = relayResponse(Connection, Head, true, Yield);
+  }
+  m_KeepAliveTime =
+      Info.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
+  return Result;
+}
+
+AttemptOutcome GatewayRequest::relayResponse(http::ClientConnection &Connection,
+                                             const http::ResponseHead &Head,
+                                             bool MayRetry,
+                                             asio::yield_context Yield) {
+  ResponseDescription Info = m_Owner.m_Wire.describe(Head);
+  bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
+  if (IsSuccess && (!Info.m_IsSigned || Info.m_IsEncoded)) {
     m_Reason = "unsigned-answer";
     return AttemptOutcome::Failed;
-  } else if (IsSuccess && isEventStream(Head)) {
-    Result = m_Relay.relayEvents(Connection, Head, Yield);
+  }
+  if (IsSuccess && isEventStream(Head)) {
+    AttemptOutcome Result = m_Relay.relayEvents(Connection, Head, Yield);
     if (Result == AttemptOutcome::Failed)
       m_Reason = "stream-cut";
-  } else if (m_Relay.isStarted()) {
+    return Result;
+  }
+  if (m_Relay.isStarted()) {
     // Only another stream can continue one that began.
     m_Reason = "resume-refused";
     return AttemptOutcome::Failed;
-  } else if (Head.m_ContentLength &&
-             *Head.m_ContentLength <= MaxBufferedBytes &&
-             Held.tryExtend(*Head.m_ContentLength)) {
-    Result =
-        relayBuffered(m_Relay.readResponse(Connection, Head, Yield), Yield);
-  } else {
-    Result = m_Relay.relayBytes(Connection, Head, Yield);
   }
-  m_KeepAliveTime =
-      Info.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
-  return Result;
+  // A response that exceeds the budget is passed on as it arrives.
+  http::ByteBudget::Reservation Held(m_Owner.m_CallerServer->bodyBudget());
+  if (!Head.m_ContentLength || *Head.m_ContentLength > MaxBufferedBytes ||
+      !Held.tryExtend(*Head.m_ContentLength))
+    return m_Relay.relayBytes(Connection, Head, Yield);
+  http::ResponseMessage Response =
+      m_Relay.readResponse(Connection, Head, Yield);
+  return MayRetry ? relayBuffered(std::move(Response), Yield)
+                  : m_Relay.sendResponse(std::move(Response), Yield);
 }
 
 AttemptOutcome GatewayRequest::relayBuffered(http::ResponseMessage Response,
@@ -218,21 +239,24 @@
   metrics::RequestLabels Labels = labels();
   bool IsFirst = !m_Timing.hasFirstEvent();
   std::optional<core::Duration> TimePerEvent = m_Timing.noteEvents(Count, Now);
-  if (m_PendingPromptTokens > 0) {
+  if (m_Target && m_PendingPromptTokens > 0) {
     m_Owner.m_Targets.recordFirstEvent(m_Target->incarnation(),
                                        m_PendingPromptTokens);
     m_PendingPromptTokens = 0;
   }
-  if (IsFirst) {
+  if (IsFirst && m_Target)
     m_Owner.m_Targets.recordFirstEventTime(m_Pool,
                                            Now - m_Timing.attemptStartedAt());
+  if (IsFirst) {
     m_Owner.m_Metrics.observe(metrics::RequestLatency::FirstToken, Labels,
                               m_Timing.timeToFirstEvent());
   }
   if (TimePerEvent) {
     m_Owner.m_Metrics.observe(metrics::RequestLatency::BetweenTokens, Labels,
                               *TimePerEvent);
-    m_Owner.m_Targets.recordServiceTime(m_Target->incarnation(), *TimePerEvent);
+    if (m_Target)
+      m_Owner.m_Targets.recordServiceTime(m_Target->incarnation(),
+                                          *TimePerEvent);
   }
 }
 
--- a/Libraries/LibGateway/MirrorFetcher.h
+++ b/Libraries/LibGateway/MirrorFetcher.h
@@ -43,6 +43,7 @@
                 platform::StoreMirror &Mirror,
                 metrics::MetricsRegistry &Metrics, double LinkBytesPerSecond);
 
+  MirrorServer &server() { return m_Server; }
   /// Starts to fetch changes and a pending value, if that is due.
   /// \param PeersAhead peers that have state which this instance lacks.
   /// \param MayWaitForStore whether the store is likely to deliver it soon.
--- a/Libraries/LibGateway/MirrorServer.cpp
+++ b/Libraries/LibGateway/MirrorServer.cpp
@@ -2,6 +2,7 @@
 #include "LibGateway/MirrorServer.h"
 
 #include "LibCore/Error.h"
+#include "LibPeer/ForwardTicket.h"
 
 #include <charconv>
 #include <optional>
@@ -10,6 +11,13 @@
 
 namespace asio = boost::asio;
 
+/// Returns the response to a request that was not read.
+static http::ResponseMessage unreadResponse(unsigned Status) {
+  http::ResponseMessage Out = http::emptyResponse(Status);
+  Out.m_Head.m_Headers.set(peer::ForwardOutcomeHeader, peer::OutcomeNotTaken);
+  return Out;
+}
+
 MirrorServer::MirrorServer(asio::io_context &Context,
                            const config::Endpoint &Address,
                            const peer::PeerCodec &Codec,
@@ -21,9 +29,13 @@
       m_Server(http::Server::create(
           Context, Address.toTcp(), http::ServerLimits(),
           [this](http::Exchange &Call, asio::yield_context Yield) {
+            bool IsForwarded = Call.request().m_Headers.find(
+                                   peer::ForwardTicketHeader) != nullptr;
+            if (IsForwarded && m_HandleForwarded)
+              return m_HandleForwarded(Call, Yield);
             send(Call, respondTo(Call.request()), Yield);
           },
-          http::emptyResponse)) {
+          unreadResponse)) {
   m_Mirror.setReplacedCallback(
       [this](platform::Entry Old) { m_History.addReplaced(std::move(Old)); });
 }
--- a/Libraries/LibGateway/MirrorServer.h
+++ b/Libraries/LibGateway/MirrorServer.h
@@ -2,7 +2,8 @@
 //
 // Two kinds of HTTP requests: changes since a revision, and the current value
 // of a key with a large value. Responses of status 200, and requests for
-// values, are signed with the key that all instances share.
+// values, are signed with the key that all instances share. Callers' requests
+// that a peer forwards arrive at the same address, with a peer::ForwardTicket.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_LIBGATEWAY_MIRRORSERVER_H
@@ -41,6 +42,14 @@
                const config::Endpoint &Address, const peer::PeerCodec &Codec,
                platform::StoreMirror &Mirror, metrics::MetricsRegistry &Metrics,
                double LinkBytesPerSecond);
+  /// Sets the handler of callers' requests that peers forward.
+  void setForwardedHandler(http::Server::Handler Handle) {
+    m_HandleForwarded = std::move(Handle);
+  }
+  /// Sets the limits of requests.
+  void setLimits(const http::ServerLimits &Limits) {
+    m_Server->setLimits(Limits);
+  }
 
 private:
   http::ResponseMessage respondTo(const http::RequestMessage &Request);
@@ -70,6 +79,7 @@
   platform::Revision m_SnapshotRevision;
   platform::Revision m_SnapshotCompleteRevision;
   std::size_t m_OpenTransfers = 0; ///< Responses being sent
+  http::Server::Handler m_HandleForwarded;
   std::unique_ptr<http::Server> m_Server;
 };
 
--- a/Libraries/LibGateway/PathMonitor.cpp
+++ b/Libraries/LibGateway/PathMonitor.cpp
@@ -29,9 +29,10 @@
       }) {}
 
 void PathMonitor::noteConnectFailure(const routing::Target &Failed,
+                                     core::TimePoint BegunAt,
                                      core::TimePoint Now) {
   m_Paths.recordConnectFailure(Failed, m_Hooks.m_Targets(Failed.m_Pool).size(),
-                               Now);
+                               BegunAt, Now);
 }
 
 bool PathMonitor::isSuspect(const core::PoolName &Pool,
@@ -86,12 +87,14 @@
 
 void PathMonitor::check(const routing::Target &Checked,
                         asio::yield_context Yield) {
+  core::TimePoint BegunAt = core::steadyNow();
   bool IsConnected = m_Hooks.m_Connect(Checked, Yield);
+  core::TimePoint Now = core::steadyNow();
   m_Checking.erase(Checked.m_Name);
   if (IsConnected)
-    m_Paths.recordConnected(Checked.m_Pool);
+    m_Paths.recordConnected(Checked.m_Pool, Now);
   else
-    noteConnectFailure(Checked, core::steadyNow());
+    noteConnectFailure(Checked, BegunAt, Now);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/PathMonitor.h
+++ b/Libraries/LibGateway/PathMonitor.h
@@ -52,11 +52,13 @@
     m_Paths.recordHeard(Pool, Now);
   }
   /// Called when a connection to a target was opened for a request.
-  void noteConnected(const core::PoolName &Pool) {
-    m_Paths.recordConnected(Pool);
+  void noteConnected(const core::PoolName &Pool, core::TimePoint Now) {
+    m_Paths.recordConnected(Pool, Now);
   }
-  /// Called when a connection to a target could not be opened.
-  void noteConnectFailure(const routing::Target &Failed, core::TimePoint Now);
+  /// Called when a connection to a target, begun at \p BegunAt, could not be
+  /// opened.
+  void noteConnectFailure(const routing::Target &Failed,
+                          core::TimePoint BegunAt, core::TimePoint Now);
   /// Checks paths that are not open, or that \p Silent suggests are not. To be
   /// called a few times a second.
   void upkeep(const std::map<core::PoolName, SilentRequests> &Silent,
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -359,6 +359,7 @@
       Report.m_HasWaitingRequests != m_LastReport.m_HasWaitingRequests ||
       !isSameWaiting(Report.m_Demand, m_LastReport.m_Demand) ||
       Report.m_IsStoreConnected != m_LastReport.m_IsStoreConnected ||
+      Report.m_LostPools != m_LastReport.m_LostPools ||
       Report.m_StoreRevision != m_LastReport.m_StoreRevision ||
       Report.m_CompleteRevision != m_LastReport.m_CompleteRevision;
   if (!IsFull && !HasChanges)
--- a/Libraries/LibGateway/PeerService.cpp
+++ b/Libraries/LibGateway/PeerService.cpp
@@ -83,6 +83,21 @@
   send(std::vector<config::Endpoint>{To}, Body);
 }
 
+std::string PeerService::signTicket(peer::ForwardTicket Ticket) const {
+  Ticket.m_From = m_Self;
+  Ticket.m_WallSeconds = core::wallSeconds().count();
+  return Ticket.encode(m_Codec);
+}
+
+std::optional<peer::ForwardTicket>
+PeerService::readTicket(const http::RequestMessage &Request) const {
+  const std::string *Text = Request.m_Headers.find(peer::ForwardTicketHeader);
+  if (!Text)
+    return std::nullopt;
+  return peer::ForwardTicket::decode(*Text, m_Codec, m_Self.m_Peer,
+                                     core::wallSeconds().count());
+}
+
 bool PeerService::isDiscoveryDone() const {
   return m_Exchange.isDiscoveryDone(core::steadyNow());
 }
--- a/Libraries/LibGateway/PeerService.h
+++ b/Libraries/LibGateway/PeerService.h
@@ -2,7 +2,7 @@
 //
 // Load reports are sent by UDP; each replaces the previous one. State of the
 // store is sent by TCP, only to instances that request it because they are
-// behind.
+// behind. So are callers' requests that an instance forwards.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_LIBGATEWAY_PEERSERVICE_H
@@ -12,6 +12,7 @@
 #include "LibGateway/MirrorFetcher.h"
 #include "LibGateway/PeerExchange.h"
 #include "LibMetrics/MetricsRegistry.h"
+#include "LibPeer/ForwardTicket.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibPeer/PeerSocket.h"
 
@@ -35,6 +36,22 @@
   /// Sends a message that is not a load report; it can be lost.
   void send(const config::Endpoint &To, const peer::PeerBody &Body);
 
+  /// Sets the handler of callers' requests that peers forward.
+  void setForwardedHandler(http::Server::Handler Handle) {
+    m_Fetcher.server().setForwardedHandler(std::move(Handle));
+  }
+  /// Sets the limits of requests that peers forward.
+  void setForwardedLimits(const http::ServerLimits &Limits) {
+    m_Fetcher.server().setLimits(Limits);
+  }
+  /// Returns the header for a request that is forwarded, with the sender and
+  /// the time filled in.
+  std::string signTicket(peer::ForwardTicket Ticket) const;
+  /// Returns the ticket of a forwarded request; none if no peer has signed it
+  /// for this instance just now.
+  std::optional<peer::ForwardTicket>
+  readTicket(const http::RequestMessage &Request) const;
+
   // See PeerExchange.
   void setStopping() { m_Exchange.setStopping(); }
   void scheduleReport() { m_Exchange.scheduleReport(); }
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -70,11 +70,18 @@
   std::vector<TierDemandEntry> m_Demand;
   /// Some of the peers that the sender received messages from recently.
   std::vector<decision::InstanceRef> m_RecentPeers;
+  /// Hashes of the pools that the sender has no path to; nearly always empty.
+  std::vector<std::uint32_t> m_LostPools;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(m_IsFull, m_Name, m_DataHall, m_StoreRevision, m_CompleteRevision,
        m_IsStoreConnected, m_IsStopping, m_HasWaitingRequests, m_Targets,
        m_Demand, m_RecentPeers);
+    // Takes one byte while it is empty, instead of eight.
+    bool HasLostPools = !m_LostPools.empty();
+    Ar(HasLostPools);
+    if (HasLostPools)
+      Ar(m_LostPools);
   }
 };
 
--- a/Libraries/LibRouting/PoolPaths.cpp
+++ b/Libraries/LibRouting/PoolPaths.cpp
@@ -28,14 +28,20 @@
     update(Pool);
 }
 
-void PoolPaths::recordConnected(const core::PoolName &Pool) {
+void PoolPaths::recordConnected(const core::PoolName &Pool,
+                                core::TimePoint Now) {
+  m_ConnectedAt[Pool] = Now;
   if (m_Failures.erase(Pool) != 0)
     update(Pool);
 }
 
 void PoolPaths::recordConnectFailure(const Target &Failed,
                                      std::size_t PoolTargets,
+                                     core::TimePoint BegunAt,
                                      core::TimePoint Now) {
+  auto Connected = m_ConnectedAt.find(Failed.m_Pool);
+  if (Connected != m_ConnectedAt.end() && BegunAt <= Connected->second)
+    return;
   FailedConnects &Failures = m_Failures[Failed.m_Pool];
   removeExpired(Failures, Now);
   Failures.m_At[Failed.m_Name] = Now;
--- a/Libraries/LibRouting/PoolPaths.h
+++ b/Libraries/LibRouting/PoolPaths.h
@@ -45,11 +45,12 @@
   /// Records that a target of the pool has sent bytes.
   void recordHeard(const core::PoolName &Pool, core::TimePoint Now);
   /// Records that a connection to a target of the pool was opened.
-  void recordConnected(const core::PoolName &Pool);
-  /// Records that a connection to a target could not be opened.
+  void recordConnected(const core::PoolName &Pool, core::TimePoint Now);
+  /// Records that a connection to a target could not be opened. Ignored if
+  /// another one was opened since this one was begun.
   /// \param PoolTargets number of targets that this instance may use.
   void recordConnectFailure(const Target &Failed, std::size_t PoolTargets,
-                            core::TimePoint Now);
+                            core::TimePoint BegunAt, core::TimePoint Now);
   /// Forgets old failures. To be called a few times a second.
   void removeExpired(core::TimePoint Now);
 
@@ -77,6 +78,8 @@
 
   ChangeCallback m_OnChange;
   std::unordered_map<core::PoolName, core::TimePoint> m_HeardAt;
+  /// Time at which a connection was last opened.
+  std::unordered_map<core::PoolName, core::TimePoint> m_ConnectedAt;
   std::map<core::PoolName, FailedConnects> m_Failures;
   /// States other than Open.
   std::map<core::PoolName, PathState> m_Impaired;
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -267,6 +267,14 @@
   Known->m_CooldownUntil = Now + Cooldown;
 }
 
+void TargetDirectory::forgetFailures(const core::PoolName &Pool) {
+  for (KnownTarget *Each : subsetOf(Pool)) {
+    Each->m_FailureRate = 0;
+    Each->m_ConsecutiveFailures = 0;
+    Each->m_CooldownUntil = core::TimePoint();
+  }
+}
+
 void TargetDirectory::recordSuccess(const TargetIncarnation &Incarnation) {
   KnownTarget *Known = findByIncarnation(Incarnation);
   if (!Known)
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -109,6 +109,9 @@
   /// (TargetFailure::Failed) and no other failure directly precedes it.
   void recordFailure(const TargetIncarnation &Incarnation,
                      TargetFailure Failure, core::TimePoint Now);
+  /// Forgets the failures of a pool's targets, because the path to them was
+  /// lost meanwhile.
+  void forgetFailures(const core::PoolName &Pool);
   /// Excludes an incarnation because another one responded at its address.
   void recordReplacement(const TargetIncarnation &Incarnation);
   /// Lowers the failure rate and ends a probation.
--- a/Tests/LibGateway/LostPathTest.cpp
+++ b/Tests/LibGateway/LostPathTest.cpp
@@ -52,7 +52,7 @@
   /// Cuts the first \p Count gateways off and asserts that their callers are
   /// served from NoticeTime on.
   static void assertServed(std::size_t Count, ProxyMode Mode, bool IsReset) {
-    GatewayFleet Fleet(Gateways, Targets);
+    GatewayFleet Fleet(Gateways, Targets, true);
     Fleet.startAll();
     CPPUNIT_ASSERT(Fleet.waitUntilReady());
     CPPUNIT_ASSERT(servedFor(Fleet, Gateways, milliseconds(1000)) > 0.95);
--- a/Tests/LibRouting/PoolPathsTest.cpp
+++ b/Tests/LibRouting/PoolPathsTest.cpp
@@ -36,7 +36,7 @@
     Target Failed;
     Failed.m_Name = core::TargetName(Name);
     Failed.m_Pool = m_Pool;
-    m_Paths.recordConnectFailure(Failed, PoolTargets, at(Ms));
+    m_Paths.recordConnectFailure(Failed, PoolTargets, at(Ms), at(Ms));
   }
 
 public:
@@ -69,14 +69,18 @@
   void testOneConnectionOpensThePath() {
     for (const char *Name : {"a", "b", "c", "d"})
       fail(Name, 0);
-    m_Paths.recordConnected(m_Pool);
+    m_Paths.recordConnected(m_Pool, at(10));
     CPPUNIT_ASSERT(m_Paths.areAllOpen());
     CPPUNIT_ASSERT(m_Changes.back().second == PathState::Open);
+    // Begun before the path was open again.
+    for (const char *Name : {"a", "b", "c", "d"})
+      fail(Name, 5);
+    CPPUNIT_ASSERT(m_Paths.areAllOpen());
   }
   void testSuccessBetweenFailuresKeepsThePathOpen() {
     fail("a", 0);
     fail("b", 10);
-    m_Paths.recordConnected(m_Pool);
+    m_Paths.recordConnected(m_Pool, at(15));
     fail("c", 20);
     CPPUNIT_ASSERT(m_Paths.areAllOpen());
   }
--- a/Tests/Support/GatewayFleet.cpp
+++ b/Tests/Support/GatewayFleet.cpp
@@ -19,11 +19,13 @@
   return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
 }
 
-GatewayFleet::GatewayFleet(std::size_t Gateways, std::size_t Targets)
+GatewayFleet::GatewayFleet(std::size_t Gateways, std::size_t Targets,
+                           bool HasLinks)
     : m_Instances(Gateways) {
   m_Store.put("op/config", Configuration);
   for (Instance &Each : m_Instances)
-    Each.m_Links = std::make_unique<TargetLinks>(m_Context);
+    if (HasLinks)
+      Each.m_Links = std::make_unique<TargetLinks>(m_Context);
   for (std::size_t I = 0; I < Targets; ++I)
     m_Targets.push_back(
         std::make_unique<ExitingTarget>(m_Context, m_Store, m_ArrivalLog, I));
@@ -60,10 +62,13 @@
   Settings.m_IsFirstStart = !Started.m_HasRun;
   Settings.m_Retries = {0.2, std::chrono::seconds(10), 200};
   Started.m_HasRun = true;
+  const gateway::Dialect *Wire = &m_Dialect;
+  if (Started.m_Links)
+    Wire = Started.m_Links.get();
   Started.m_Context = std::make_unique<asio::io_context>(1);
   Started.m_Gateway = gateway::Gateway::Builder()
                           .settings(Settings)
-                          .dialect(*Started.m_Links)
+                          .dialect(*Wire)
                           .store(m_Store)
                           .build(*Started.m_Context);
   Started.m_Gateway->start();
--- a/Tests/Support/GatewayFleet.h
+++ b/Tests/Support/GatewayFleet.h
@@ -19,7 +19,10 @@
 /// thread, as a process would; the store is a mock that outlives them.
 class GatewayFleet {
 public:
-  GatewayFleet(std::size_t Gateways, std::size_t Targets);
+  /// \param HasLinks whether setLinks() and resetLinks() may be used. The ends
+  /// of targets look different through links: their ports stay open.
+  GatewayFleet(std::size_t Gateways, std::size_t Targets,
+               bool HasLinks = false);
   ~GatewayFleet();
 
   /// Starts the gateway at \p Index, which must not be running.
@@ -74,7 +77,7 @@
     int m_ReadinessPort = freePort();
     int m_PeerPort = freePort();
     int m_MetricsPort = freePort();
-    std::unique_ptr<TargetLinks> m_Links;
+    std::unique_ptr<TargetLinks> m_Links; ///< Null without links.
     std::unique_ptr<asio::io_context> m_Context;
     std::unique_ptr<gateway::Gateway> m_Gateway;
     std::thread m_Thread;
@@ -83,6 +86,7 @@
 
   asio::io_context m_Context{1}; ///< Event loop of the targets.
   SharedStore m_Store;
+  platform::PlatformDialect m_Dialect;
   ArrivalLog m_ArrivalLog;
   std::vector<Instance> m_Instances;
   std::vector<std::unique_ptr<ExitingTarget>> m_Targets;
--- a/Tests/Support/TargetLinks.h
+++ b/Tests/Support/TargetLinks.h
@@ -41,6 +41,10 @@
                const gateway::ForwardDescription &Forward) const override {
     m_Dialect.prepare(Request, Forward);
   }
+  void restore(http::RequestMessage &Request,
+               const gateway::RequestDescription &Original) const override {
+    m_Dialect.restore(Request, Original);
+  }
   void prepare(http::ResponseHead &Response,
                const gateway::RequestDescription &To) const override {
     m_Dialect.prepare(Response, To);
