LibGateway: Do not take a lost path for the exit of targets

What callers would see: the content of requests that ran while an instance's links were reset counts as one that ends targets, at all instances, and is refused with 503 (quarantined).

Cause: the class of the lost path, in another place. A target that refuses a connection after a broken response counted as gone; with reset links all do.

Change: the exit counts only if one of three other targets of the pool accepts a connection.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -387,7 +387,10 @@
   TargetExitDetectorHooks Out;
   Out.m_Probe = [this](const routing::Target &Target,
                        asio::yield_context Yield) {
-    return probe(Target, Yield);
+    ProbeResult Result = probe(Target, Yield);
+    if (Result == ProbeResult::Gone && !isExitConfirmed(Target, Yield))
+      return ProbeResult::Unknown;
+    return Result;
   };
   Out.m_ReportExit = [this](const routing::Target &Target,
                             const quarantine::ContentDigest &Content) {
@@ -408,6 +411,23 @@
   return Out;
 }
 
+bool Gateway::isExitConfirmed(const routing::Target &Refusing,
+                              asio::yield_context Yield) {
+  /// Others may have exited as well, such as those of the same host.
+  static constexpr std::size_t MaxOthers = 3;
+  std::vector<routing::Target> Others = usableTargets(Refusing.m_Pool);
+  Others.erase(std::remove(Others.begin(), Others.end(), Refusing),
+               Others.end());
+  std::shuffle(Others.begin(), Others.end(), m_Random);
+  if (Others.size() > MaxOthers)
+    Others.resize(MaxOthers);
+  return Others.empty() ||
+         std::any_of(Others.begin(), Others.end(),
+                     [&](const routing::Target &Each) {
+                       return probe(Each, Yield) == ProbeResult::Listens;
+                     });
+}
+
 //===----------------------------------------------------------------------===//
 // Paths to the targets
 //===----------------------------------------------------------------------===//
@@ -422,11 +442,7 @@
     return Pools;
   };
   Out.m_Targets = [this](const core::PoolName &Pool) {
-    std::vector<routing::Target> Targets;
-    for (const routing::KnownTarget *Each : m_Targets.subsetOf(Pool))
-      if (Each->acceptsRequests() && !Each->m_ExpiredAt)
-        Targets.push_back(Each->m_Target);
-    return Targets;
+    return usableTargets(Pool);
   };
   Out.m_Connect = [this](const routing::Target &Target,
                          asio::yield_context Yield) {
@@ -438,6 +454,15 @@
   return Out;
 }
 
+std::vector<routing::Target>
+Gateway::usableTargets(const core::PoolName &Pool) {
+  std::vector<routing::Target> Out;
+  for (const routing::KnownTarget *Each : m_Targets.subsetOf(Pool))
+    if (Each->acceptsRequests() && !Each->m_ExpiredAt)
+      Out.push_back(Each->m_Target);
+  return Out;
+}
+
 void Gateway::handlePathChange(const core::PoolName &Pool,
                                routing::PathState State) {
   if (State == routing::PathState::Open)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -128,6 +128,9 @@
   TargetExitDetectorHooks exitDetectorHooks();
   QuarantineHooks quarantineHooks();
   PathMonitorHooks pathMonitorHooks();
+  /// Returns the targets of this instance's subset that are expected to accept
+  /// connections.
+  std::vector<routing::Target> usableTargets(const core::PoolName &Pool);
   /// Reports the change to peers, and forwards the requests that wait for
   /// targets behind a lost path.
   void handlePathChange(const core::PoolName &Pool, routing::PathState State);
@@ -140,6 +143,10 @@
   /// Opens a connection to find out whether a target still listens.
   ProbeResult probe(const routing::Target &Target,
                     boost::asio::yield_context Yield);
+  /// Whether a target that refuses connections has exited: not if all others of
+  /// its pool that this instance tries can't be connected to either.
+  bool isExitConfirmed(const routing::Target &Refusing,
+                       boost::asio::yield_context Yield);
   /// Counts a retry if the pool's budget allows one. \returns whether it does.
   bool tryReserveRetry(const core::PoolName &Pool);
   http::ResponseMessage readinessResponse() const;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -161,6 +161,8 @@
   bool isQuarantined();
   /// Finds out whether the target exited while it ran the request.
   void noteBrokenResponse(boost::asio::yield_context Yield);
+  /// Finds out whether a target that refused a connection has exited.
+  void noteRefusedConnection(boost::asio::yield_context Yield);
   /// Reports the outcome of an attempt to the pool's rollout.
   void reportRolloutOutcome(AttemptOutcome Outcome);
   /// Scales the duration of a stream to that of a reference request, so that
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -50,6 +50,7 @@
   }
   std::unique_ptr<http::ClientConnection> Connection;
   core::TimePoint BegunAt = core::steadyNow();
+  bool IsRefused = false;
   try {
     Connection = m_Owner.m_Connections.acquire(Address, false, Yield);
     if (IsNew)
@@ -57,12 +58,15 @@
   } catch (const Error &Failure) {
     m_Reason = "connect-failed";
     m_Owner.m_Paths.noteConnectFailure(*m_Target, BegunAt, core::steadyNow());
-    if (Failure.kind() == core::ErrorKind::Refused)
-      m_Owner.m_ExitDetector.noteTargetExit(m_Target->incarnation());
+    IsRefused = Failure.kind() == core::ErrorKind::Refused;
     core::LogLine("connect-failed", core::LogLevel::Warning)
         .add("request", m_Description.m_Id)
         .add("target", m_Target->m_Name)
         .add("reason", Failure.what());
+  }
+  if (!Connection) {
+    if (IsRefused)
+      noteRefusedConnection(Yield);
     return AttemptOutcome::NotSent;
   }
   if (m_IsCallerGone)
@@ -107,6 +111,13 @@
     m_Owner.m_ExitDetector.noteBrokenResponse(*m_Target, m_Content, Yield);
 }
 
+void GatewayRequest::noteRefusedConnection(asio::yield_context Yield) {
+  routing::TargetIncarnation Incarnation = m_Target->incarnation();
+  if (m_Owner.m_ExitDetector.hasBrokenResponses(Incarnation) &&
+      m_Owner.isExitConfirmed(*m_Target, Yield))
+    m_Owner.m_ExitDetector.noteTargetExit(Incarnation);
+}
+
 http::ResponseHead
 GatewayRequest::readMatchingHead(http::ClientConnection &Connection,
                                  asio::yield_context Yield) {
--- a/Libraries/LibGateway/TargetExitDetector.cpp
+++ b/Libraries/LibGateway/TargetExitDetector.cpp
@@ -42,6 +42,12 @@
   Broken->m_ProbeDone.cancel();
 }
 
+bool TargetExitDetector::hasBrokenResponses(
+    const routing::TargetIncarnation &Incarnation) const {
+  auto Found = m_BrokenResponses.find(Incarnation);
+  return Found != m_BrokenResponses.end() && !Found->second->m_Contents.empty();
+}
+
 void TargetExitDetector::noteTargetExit(
     const routing::TargetIncarnation &Incarnation) {
   auto Found = m_BrokenResponses.find(Incarnation);
--- a/Libraries/LibGateway/TargetExitDetector.h
+++ b/Libraries/LibGateway/TargetExitDetector.h
@@ -56,6 +56,9 @@
   void noteBrokenResponse(const routing::Target &Target,
                           const quarantine::ContentDigest &Content,
                           boost::asio::yield_context Yield);
+  /// Whether recent responses of the incarnation broke without a known cause,
+  /// so that evidence of its exit would count.
+  bool hasBrokenResponses(const routing::TargetIncarnation &Incarnation) const;
   /// Records other evidence that an incarnation exited: a refused connection,
   /// another incarnation at its address, or the removal of its announcement.
   /// Decides for broken responses whose probe had no result.
--- a/Tests/LibGateway/LostPathTest.cpp
+++ b/Tests/LibGateway/LostPathTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(testStreamsCrossTheHopOnce);
   CPPUNIT_TEST(testRefusalsOfAKilledPeerAreTrue);
   CPPUNIT_TEST(testRequestsWithoutATicketAreRejected);
+  CPPUNIT_TEST(testContentIsNotBlamedForResetLinks);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t Gateways = 3;
@@ -178,6 +179,25 @@
                                    .m_Status);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.arrivalsOf("forged"));
   }
+
+  void testContentIsNotBlamedForResetLinks() {
+    GatewayFleet Fleet(Gateways, Targets, true);
+    startAndWarmUp(Fleet);
+    std::vector<std::future<Reply>> Calls;
+    for (int I = 0; I < 12; ++I)
+      Calls.push_back(std::async(std::launch::async, [&Fleet] {
+        return Fleet.send(0, "/once/x", "same content");
+      }));
+    CPPUNIT_ASSERT(eventually(
+        [&Fleet] { return Fleet.arrivalsOf("same content") >= Targets; }));
+    Fleet.setLinks(0, ProxyMode::Closed);
+    Fleet.resetLinks(0);
+    for (auto &Each : Calls)
+      Each.get();
+    std::this_thread::sleep_for(milliseconds(500));
+    for (std::size_t I = 0; I < Gateways; ++I)
+      CPPUNIT_ASSERT_EQUAL(0.0, Fleet.metric(I, "yardrill_suspected_contents"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostPathTest);
