Tests/Platform: Show that changes after a restore of the store are not read

The stand-in store can keep a copy and come back from it: revisions are given out again, the era in its responses rises, leases are gone, a watch from a revision that it doesn't have gets 410.

--- a/Tests/StandIns/Platform.cpp
+++ b/Tests/StandIns/Platform.cpp
@@ -97,7 +97,7 @@
   while (m_IsUnresponsive)
     sleep(PollPeriod, Yield);
   if (IsOverLimit)
-    return sendJson(Call, json::object{{"error", "rate limit"}}, Yield, 429);
+    return respond(Call, {429, {{"error", "rate limit"}}}, Yield);
   const http::RequestMessage Request = Call.request();
   if (startsWith(Request.m_Target, "/kv-watch"))
     return watch(Call, Yield);
@@ -115,7 +115,28 @@
   Response Result = execute(Request);
   if (IsResponseDropped)
     return Call.abort();
-  sendJson(Call, Result.m_Body, Yield, Result.m_Status);
+  respond(Call, Result, Yield);
+}
+
+void Platform::respond(http::Exchange &Call, const Response &Result,
+                       asio::yield_context Yield) const {
+  http::ResponseMessage Out;
+  Out.m_Head.m_Status = Result.m_Status;
+  Out.m_Head.m_Headers.set("Content-Type", "application/json");
+  Out.m_Head.m_Headers.set("Store-Era", std::to_string(m_Era));
+  Out.m_Body = json::serialize(Result.m_Body) + "\n";
+  Call.sendResponse(std::move(Out), Yield);
+}
+
+void Platform::restoreCopy() {
+  m_Items = m_CopiedItems;
+  m_Revision = m_CopiedRevision;
+  m_Leases.clear();
+  while (!m_Changes.empty() && m_Changes.back().m_Revision > m_Revision)
+    m_Changes.pop_back();
+  ++m_Era;
+  for (auto &Watcher : m_Watchers)
+    Watcher->cancel();
 }
 
 Platform::Response Platform::execute(const http::RequestMessage &Call) {
@@ -274,13 +295,13 @@
   const std::string Target = Call.request().m_Target;
   std::string Prefix = parameter(Target, "pathPrefix");
   std::int64_t After = toInteger(parameter(Target, "sinceRev"));
-  if (After < m_CompactedRevision)
-    return sendJson(Call, json::object{{"error", "history is gone"}}, Yield,
-                    410);
+  if (After < m_CompactedRevision || After > m_Revision)
+    return respond(Call, {410, {{"error", "history is gone"}}}, Yield);
   auto Deadline = Clock::now() + std::chrono::milliseconds(
                                      toInteger(parameter(Target, "waitMs")));
   auto Signal = std::make_shared<asio::steady_timer>(m_Context);
   auto Position = m_Watchers.insert(m_Watchers.end(), Signal);
+  std::int64_t Era = m_Era;
   bool IsDisconnected = false;
   Call.setDisconnectCallback([&IsDisconnected, Signal] {
     IsDisconnected = true;
@@ -288,7 +309,7 @@
   });
   ++m_OpenWatches;
   json::array Changes = changesAfter(Prefix, After);
-  while (!IsDisconnected && !m_IsDown && Changes.empty() &&
+  while (!IsDisconnected && !m_IsDown && Era == m_Era && Changes.empty() &&
          Clock::now() < Deadline) {
     boost::system::error_code Ignored;
     Signal->expires_at(Deadline);
@@ -297,11 +318,10 @@
   }
   --m_OpenWatches;
   m_Watchers.erase(Position);
-  if (IsDisconnected || m_IsDown)
+  if (IsDisconnected || m_IsDown || Era != m_Era)
     return Call.abort();
-  sendJson(Call,
-           json::object{{"events", Changes}, {"storeRevision", m_Revision}},
-           Yield);
+  respond(Call, {200, {{"events", Changes}, {"storeRevision", m_Revision}}},
+          Yield);
 }
 
 void Platform::schedulePut(const json::object &PutSettings) {
@@ -333,6 +353,12 @@
   readIfPresent(Settings, "calls_per_second", m_CallsPerSecond);
   if (const json::value *Put = Settings.if_contains("put"))
     schedulePut(Put->as_object());
+  if (Settings.if_contains("keep_copy")) {
+    m_CopiedItems = m_Items;
+    m_CopiedRevision = m_Revision;
+  }
+  if (Settings.if_contains("restore_copy"))
+    restoreCopy();
   if (Settings.if_contains("forget_history")) {
     m_CompactedRevision = m_Revision;
     m_Changes.clear();
--- a/Tests/StandIns/Platform.h
+++ b/Tests/StandIns/Platform.h
@@ -20,7 +20,8 @@
 ///
 /// Faults that POST /control injects: an outage, no or slow responses, a rate
 /// limit, responses dropped after the write took effect, writes that take
-/// effect late, and the compaction of the history.
+/// effect late, the compaction of the history, and a return from an older copy,
+/// after which revisions are given out again and the era is higher by one.
 class Platform final : public StandIn {
 public:
   using StandIn::StandIn;
@@ -56,6 +57,11 @@
 
   /// Executes any call but a watch.
   Response execute(const http::RequestMessage &Call);
+  /// Goes back to the copy, without leases and the history since.
+  void restoreCopy();
+  /// Sends a response that states the era.
+  void respond(http::Exchange &Call, const Response &Result,
+               boost::asio::yield_context Yield) const;
   Response readItem(const std::string &Key) const;
   Response readRange(const std::string &Prefix, const std::string &After) const;
   /// Applies all changes of a transaction if all expected revisions match.
@@ -87,6 +93,9 @@
   std::int64_t m_NextLease = 1;
   /// Last revision whose changes are forgotten; watches from before get 410.
   std::int64_t m_CompactedRevision = 0;
+  std::int64_t m_Era = 1;
+  std::map<std::string, Item> m_CopiedItems;
+  std::int64_t m_CopiedRevision = 1;
   std::int64_t m_MaxPageItems = 500;
   bool m_IsDown = false;         ///< Aborts all calls.
   bool m_IsUnresponsive = false; ///< Accepts calls and holds their responses.
