LibPlatform, StoreClient: Order revisions by the store's era

After the store had come back from a copy, versions 58 to 68 were in force nowhere for 6 s.

Cause: a revision was used as an order and as an identity beyond the history that gave it out. Peers compared bare revisions, so that the older state with the higher number won.

Ruled out: the changes skipped by concurrent calls (mended before; the reads here were whole).

Change: Revision holds the era (Store-Era of the response it came with) above the count. All orders and identities over revisions, in the mirror, reports, updates and patches, now hold across eras with no change of their own. A watch whose response has another era fails as after lost history; a conditional write on a revision of an older era isn't sent; pages of two eras are not joined.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -706,7 +706,9 @@
   Set("yardrill_impaired_paths", m_Paths.paths().impairedPools().size());
   Set("yardrill_store_connected", m_Follower.isConnected() ? 1 : 0);
   Set("yardrill_store_revision",
-      static_cast<std::size_t>(m_Mirror.revision().value()));
+      static_cast<std::size_t>(platform::countOf(m_Mirror.revision())));
+  Set("yardrill_store_era",
+      static_cast<std::size_t>(platform::eraOf(m_Mirror.revision())));
   Set("yardrill_configuration_version",
       m_Table ? m_Table->version().value() : 0);
 }
--- a/Libraries/LibPlatform/KeyValueService.h
+++ b/Libraries/LibPlatform/KeyValueService.h
@@ -2,7 +2,7 @@
 #ifndef YARDRILL_LIBPLATFORM_KEYVALUESERVICE_H
 #define YARDRILL_LIBPLATFORM_KEYVALUESERVICE_H
 
-#include "LibCore/StrongType.h"
+#include "LibPlatform/Revision.h"
 
 #include <boost/asio/spawn.hpp>
 #include <chrono>
@@ -15,9 +15,6 @@
 namespace yardrill::platform {
 
 using LeaseId = core::StrongType<struct LeaseIdTag, std::int64_t>;
-/// Counter that grows with every change of the store; 0 stands for an absent
-/// key.
-using Revision = core::StrongType<struct RevisionTag, std::int64_t>;
 
 /// A key of the store with its value, or a change of it.
 struct Entry {
@@ -28,6 +25,10 @@
   /// The key has a value at this revision, but m_Value is empty. Set only in
   /// entries that another instance sent.
   bool m_IsValueOmitted = false;
+  /// The change was found when the store had come back from an older copy: it
+  /// may be a state that was replaced since, and is written again if so. Set
+  /// only for subscribers of a StoreMirror.
+  bool m_IsRestored = false;
 };
 
 struct Put {
@@ -79,7 +80,7 @@
   /// Calls \p Notify with the changes after \p After, in order, until it
   /// returns false.
   /// \throws core::Error when the watch fails; of kind Conflict when the store
-  /// no longer has all changes after \p After.
+  /// no longer has all changes after \p After, or has another era.
   virtual void
   watch(const std::string &Prefix, Revision After,
         const std::function<bool(const std::vector<Entry> &)> &Notify,
--- a/Libraries/LibPlatform/StoreMirror.cpp
+++ b/Libraries/LibPlatform/StoreMirror.cpp
@@ -53,6 +53,11 @@
   }
   if (!Update.m_IsDeleted)
     m_Entries[Update.m_Key] = Update;
+  notify(Update);
+}
+
+void StoreMirror::notify(Entry Update) const {
+  Update.m_IsRestored = m_IsRestoring;
   for (const Subscriber &Notify : m_Subscribers)
     Notify(Update);
 }
@@ -71,6 +76,8 @@
   if (At < m_Revision)
     return apply(At, Content);
   bool IsFirst = m_Revision == Revision();
+  bool IsOtherEra = eraOf(m_Revision) != eraOf(At);
+  m_IsRestoring = IsOtherEra && !IsFirst;
   std::set<std::string> Present;
   for (const Entry &Each : Content) {
     Present.insert(Each.m_Key);
@@ -78,7 +85,9 @@
   }
   removeAbsent(At, Present);
   m_Revision = At;
-  if (IsFirst) {
+  m_IsRestoring = false;
+  // Changes don't lead from one era to the next.
+  if (IsOtherEra || IsFirst) {
     m_Changes.clear();
     m_HistoryStart = At;
   }
--- a/Libraries/LibPlatform/StoreMirror.h
+++ b/Libraries/LibPlatform/StoreMirror.h
@@ -52,7 +52,8 @@
 
   /// Applies a snapshot of all entries at revision \p At. Some may be newer, as
   /// a range is read in several pages. A snapshot older than revision() removes
-  /// nothing.
+  /// nothing. One of a newer era replaces everything, and its changes are
+  /// marked as restored.
   void replaceAll(Revision At, const std::vector<Entry> &Content);
   /// Applies \p Changes, which are all those after revision() up to \p At.
   void apply(Revision At, const std::vector<Entry> &Changes);
@@ -97,6 +98,7 @@
   /// \pre isPresent(Key).
   Entry current(const std::string &Key) const;
   void recordChange(const Entry &Update);
+  void notify(Entry Update) const;
 
   std::size_t m_MaxChanges;
   Revision m_Revision;
@@ -105,6 +107,7 @@
   std::map<std::string, Entry> m_Entries;
   PendingValueMap m_PendingValues;
   std::deque<Change> m_Changes;
+  bool m_IsRestoring = false; ///< During a snapshot of a newer era.
   std::vector<Subscriber> m_Subscribers;
   ReplacedCallback m_ReplacedCallback;
 };
