LibGateway: Keep old state of a restored store out of force

Change: an incarnation that leaves stays so. An order's id is its count, so that an unchanged order stays the same one in a new era. The configuration never went back (versions).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -214,6 +214,7 @@
   m_Peers->start(m_Timers);
   m_Timers.subscribe(UpkeepPeriod, [this](core::TimePoint Now) {
     m_Targets.removeExpired(Now);
+    removeOldGoneTargets(Now);
     m_Follower.setEnabled(m_Peers->mustFollowStore());
     m_Connections.closeExpired();
     m_PeerConnections.closeExpired();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -65,6 +65,11 @@
 private:
   friend class GatewayRequest;
 
+  struct GoneTarget {
+    core::TargetStartTime m_StartTime;
+    core::TimePoint m_GoneAt{};
+  };
+
   Gateway(boost::asio::io_context &Context, GatewaySettings Settings,
           const Dialect &Wire, platform::KeyValueService &Store);
 
@@ -78,6 +83,15 @@
   bool mustWaitForPeers(core::Duration SinceStart) const;
   /// Passes a changed store entry to the component that it concerns.
   void applyEntry(const platform::Entry &Change);
+  /// Whether a change that was found in a restored store must not come into
+  /// force. Operators' orders are looked at again later.
+  bool isHeldBack(const platform::Entry &Change, const StoreUpdate &Decoded);
+  /// Applies the entry of an order that was held back, unless it was written
+  /// again in the meantime.
+  void applyHeldBack(const platform::Entry &HeldBack);
+  void removeOldGoneTargets(core::TimePoint Now);
+  void applyTargetRemoval(const TargetRemoval &Removal,
+                          const platform::Entry &Change);
   /// \param ModRevision revision of the announcement.
   void applyTarget(const TargetUpdate &Announced,
                    platform::Revision ModRevision);
@@ -165,6 +179,8 @@
   StoreFollower m_Follower;
   routing::RoutingTableHandle m_Table;
   routing::TargetDirectory m_Targets;
+  /// Targets whose announcement was removed recently.
+  std::map<core::TargetName, GoneTarget> m_GoneTargets;
   routing::Dispatcher m_Dispatcher;
   http::ConnectionPool m_Connections;
   http::ConnectionPool m_PeerConnections; ///< For forwarded requests.
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -8,6 +8,64 @@
 
 using core::Error;
 
+/// Time after which what is missing in a restored store counts as taken back:
+/// targets and operators write their entries again within two seconds.
+static constexpr std::chrono::milliseconds RestoredGracePeriod{2400};
+/// Age of the oldest copy from which a store comes back.
+static constexpr std::chrono::minutes GoneTargetMemory{5};
+
+bool Gateway::isHeldBack(const platform::Entry &Change,
+                         const StoreUpdate &Decoded) {
+  if (const auto *Update = std::get_if<TargetUpdate>(&Decoded)) {
+    auto Gone = m_GoneTargets.find(Update->m_Target.m_Name);
+    return Gone != m_GoneTargets.end() &&
+           Gone->second.m_StartTime == Update->m_Target.m_StartTime;
+  }
+  if (!std::holds_alternative<DataHallUpdate>(Decoded) &&
+      !std::holds_alternative<RolloutOrderUpdate>(Decoded) &&
+      !std::holds_alternative<RolloutOrderRemoval>(Decoded))
+    return false;
+  m_Timers.callAfter(RestoredGracePeriod, [this, Change](core::TimePoint) {
+    applyHeldBack(Change);
+  });
+  return true;
+}
+
+void Gateway::applyHeldBack(const platform::Entry &HeldBack) {
+  const platform::Entry *Current = m_Mirror.find(HeldBack.m_Key);
+  bool IsUnchanged =
+      HeldBack.m_IsDeleted
+          ? Current == nullptr
+          : Current && Current->m_ModRevision == HeldBack.m_ModRevision;
+  if (!IsUnchanged)
+    return;
+  platform::Entry Change = HeldBack;
+  Change.m_IsRestored = false;
+  applyEntry(Change);
+}
+
+void Gateway::applyTargetRemoval(const TargetRemoval &Removal,
+                                 const platform::Entry &Change) {
+  core::TimePoint Now = core::steadyNow();
+  core::LogLine("target-gone")
+      .add("target", Removal.m_Target)
+      .add("revision", Change.m_ModRevision)
+      .add("is_restored", Change.m_IsRestored);
+  routing::KnownTarget *Known = m_Targets.find(Removal.m_Target);
+  if (Known && !Change.m_IsRestored) {
+    m_GoneTargets[Removal.m_Target] = {Known->m_Target.m_StartTime, Now};
+    m_ExitDetector.noteTargetExit(Known->m_Target.incarnation());
+  }
+  m_Targets.withdraw(Removal.m_Target, Now, Change.m_IsRestored);
+}
+
+void Gateway::removeOldGoneTargets(core::TimePoint Now) {
+  for (auto Each = m_GoneTargets.begin(); Each != m_GoneTargets.end();)
+    Each = Now - Each->second.m_GoneAt > GoneTargetMemory
+               ? m_GoneTargets.erase(Each)
+               : std::next(Each);
+}
+
 void Gateway::applyEntry(const platform::Entry &Change) {
   if (m_MembershipRecord.isRecordKey(Change.m_Key)) {
     m_Membership.setRecorded(m_MembershipRecord.read(Change));
@@ -32,6 +90,12 @@
       m_Targets.withdraw(*Name, core::steadyNow());
     return;
   }
+  if (Change.m_IsRestored && isHeldBack(Change, Decoded)) {
+    core::LogLine("restored-entry-held-back")
+        .add("key", Change.m_Key)
+        .add("revision", Change.m_ModRevision);
+    return;
+  }
   if (auto *Update = std::get_if<ConfigurationUpdate>(&Decoded)) {
     core::LogLine("configuration-read")
         .add("version", Update->m_Table->version())
@@ -44,15 +108,8 @@
     return applyTarget(*Update, Change.m_ModRevision);
   if (const auto *Update = std::get_if<DataHallUpdate>(&Decoded))
     return applyDataHall(*Update, Change.m_ModRevision);
-  if (const auto *Removal = std::get_if<TargetRemoval>(&Decoded)) {
-    core::LogLine("target-gone")
-        .add("target", Removal->m_Target)
-        .add("revision", Change.m_ModRevision);
-    if (routing::KnownTarget *Known = m_Targets.find(Removal->m_Target))
-      m_ExitDetector.noteTargetExit(Known->m_Target.incarnation());
-    m_Targets.withdraw(Removal->m_Target, core::steadyNow());
-    return;
-  }
+  if (const auto *Removal = std::get_if<TargetRemoval>(&Decoded))
+    return applyTargetRemoval(*Removal, Change);
   if (const auto *Update = std::get_if<RolloutOrderUpdate>(&Decoded))
     m_Rollouts.setOrder(Update->m_Order.m_Pool, Update->m_Order);
   if (const auto *Removal = std::get_if<RolloutOrderRemoval>(&Decoded))
@@ -92,6 +149,7 @@
 void Gateway::applyTarget(const TargetUpdate &Announced,
                           platform::Revision ModRevision) {
   const routing::Target &Update = Announced.m_Target;
+  m_GoneTargets.erase(Update.m_Name);
   routing::AnnouncementEffect Effect = m_Targets.announce(Update);
   updateWarmUp(Announced, Effect);
   if (Effect == routing::AnnouncementEffect::Nothing)
--- a/Libraries/LibGateway/RolloutService.cpp
+++ b/Libraries/LibGateway/RolloutService.cpp
@@ -34,13 +34,17 @@
 
 void RolloutService::setOrder(const core::PoolName &Name,
                               std::optional<rollout::Order> Order) {
+  Pool &Rollout = poolOf(Name);
+  // As in a store that has come back from a copy.
+  const std::optional<rollout::Order> &Current = Rollout.m_State.order();
+  if (Order && Current && *Order == *Current)
+    return;
   core::LogLine Line("rollout-ordered");
   Line.add("pool", Name).add("is_withdrawn", !Order);
   if (Order)
     Line.add("version", Order->m_Version)
         .add("order", Order->m_Id)
         .add("bake_us", Order->m_BakeTime);
-  Pool &Rollout = poolOf(Name);
   Rollout.m_State.setOrder(std::move(Order), core::steadyNow());
   Rollout.m_Coordinator.reset();
 }
--- a/Libraries/LibRollout/Order.h
+++ b/Libraries/LibRollout/Order.h
@@ -18,8 +18,8 @@
 
 namespace yardrill::rollout {
 
-/// Identifies an order by its revision in the store. Writing the same text
-/// again makes a new order.
+/// Identifies an order by the count of its revision in the store. Writing the
+/// same text again makes a new order.
 using OrderId = core::StrongType<struct OrderIdTag, std::int64_t>;
 
 /// Roll-out that an operator has ordered.
@@ -29,6 +29,11 @@
   core::TargetVersion m_Version; ///< Version to move the traffic to.
   /// Time from the acknowledgement of the order to its deadline.
   core::Duration m_BakeTime{};
+
+  bool operator==(const Order &Other) const {
+    return m_Id == Other.m_Id && m_Pool == Other.m_Pool &&
+           m_Version == Other.m_Version && m_BakeTime == Other.m_BakeTime;
+  }
 };
 
 enum class State { InProgress, Completed, RolledBack };
--- a/Libraries/LibRouting/KnownTarget.h
+++ b/Libraries/LibRouting/KnownTarget.h
@@ -51,6 +51,8 @@
   std::optional<core::TimePoint> m_AssumedWarmUpSince;
   /// Time since which its announcement is missing.
   std::optional<core::TimePoint> m_ExpiredAt;
+  /// Whether it is missing since the store has come back from an older copy.
+  bool m_IsLostInCopy = false;
 
   std::size_t running() const {
     return m_LocalLoad.m_Running + m_RemoteLoad.m_Running;
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -56,15 +56,19 @@
       m_RemotelyBusy.end());
 }
 
-AnnouncementEffect TargetDirectory::announce(const Target &Announced) {
-  m_Expired.erase(Announced.m_Name);
-  auto [Entry, IsNew] = m_Targets.try_emplace(Announced.m_Name);
+AnnouncementEffect TargetDirectory::announce(const Target &Update) {
+  m_Expired.erase(Update.m_Name);
+  auto [Entry, IsNew] = m_Targets.try_emplace(Update.m_Name);
   KnownTarget &Known = Entry->second;
-  bool IsReset = IsNew || Known.m_Target.m_StartTime != Announced.m_StartTime;
+  bool IsReset = IsNew || Known.m_Target.m_StartTime != Update.m_StartTime;
+  Target Announced = Update;
+  if (!IsReset && Known.m_Target.m_IsLeaving)
+    Announced.m_IsLeaving = true;
   bool IsMoved = IsReset || Known.m_Target.m_Pool != Announced.m_Pool ||
                  Known.m_Target.m_DataHall != Announced.m_DataHall;
   bool WasExpired = Known.m_ExpiredAt.has_value();
   Known.m_ExpiredAt.reset();
+  Known.m_IsLostInCopy = false;
   if (!IsMoved && !WasExpired && Known.m_Target == Announced)
     return AnnouncementEffect::Nothing;
   if (!IsMoved) {
@@ -86,11 +90,12 @@
 }
 
 void TargetDirectory::withdraw(const core::TargetName &Name,
-                               core::TimePoint Now) {
+                               core::TimePoint Now, bool IsRestored) {
   KnownTarget *Known = find(Name);
   if (!Known || Known->m_ExpiredAt)
     return;
   Known->m_ExpiredAt = Now;
+  Known->m_IsLostInCopy = IsRestored;
   m_Expired.insert(Name);
 }
 
@@ -98,14 +103,20 @@
   return m_Expired.size() * 2 > m_Targets.size();
 }
 
+core::Duration TargetDirectory::gracePeriod(const KnownTarget &Known,
+                                            bool AreMostExpired) {
+  return AreMostExpired || Known.m_IsLostInCopy ? OutageGracePeriod
+                                                : ExpiryGracePeriod;
+}
+
 void TargetDirectory::removeExpired(core::TimePoint Now) {
   // Judged over all pools together, because most targets of a small pool may
   // leave within a second without an outage.
-  core::Duration Grace =
-      areMostExpired() ? OutageGracePeriod : ExpiryGracePeriod;
+  bool AreMostExpired = areMostExpired();
   for (auto Each = m_Expired.begin(); Each != m_Expired.end();) {
     auto Known = m_Targets.find(*Each);
-    if (Now - *Known->second.m_ExpiredAt < Grace) {
+    if (Now - *Known->second.m_ExpiredAt <
+        gracePeriod(Known->second, AreMostExpired)) {
       ++Each;
       continue;
     }
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -47,12 +47,16 @@
   TargetDirectory &operator=(const TargetDirectory &) = delete;
 
   /// Adds or updates a target. State of an earlier incarnation under the same
-  /// name is discarded.
-  AnnouncementEffect announce(const Target &Announced);
+  /// name is discarded. An incarnation that leaves stays so, whatever a later
+  /// announcement says.
+  AnnouncementEffect announce(const Target &Update);
   /// Marks a target as expired because its announcement is missing. It is still
   /// used for a grace period if no other target is free: announcements that
   /// expired during a store outage return within two seconds of its end.
-  void withdraw(const core::TargetName &Name, core::TimePoint Now);
+  /// \param IsRestored whether the announcement is missing because the store
+  /// has come back from an older copy; it then returns within the same time.
+  void withdraw(const core::TargetName &Name, core::TimePoint Now,
+                bool IsRestored = false);
   /// Removes targets whose grace period has passed.
   void removeExpired(core::TimePoint Now);
 
@@ -220,6 +224,9 @@
   void rebuildSubset(PoolState &Pool) const;
   /// Removes a target from its pool and from all indexes.
   void detach(KnownTarget &Known);
+  /// Returns how long a target is kept without its announcement.
+  static core::Duration gracePeriod(const KnownTarget &Known,
+                                    bool AreMostExpired);
   /// Adds a target to its pool and to the hash index.
   void attach(KnownTarget &Known);
 
--- a/Tests/Support/ExitingTarget.h
+++ b/Tests/Support/ExitingTarget.h
@@ -63,6 +63,8 @@
   }
   /// Announces itself again under the same name.
   void reannounce() { announce(); }
+  /// Announces that it leaves; it goes on serving.
+  void announceLeaving() { announce("draining"); }
   void withdrawAnnouncement() { m_Store.remove(key()); }
 
   /// Exits and restarts for a reason unrelated to requests.
@@ -102,12 +104,12 @@
            std::to_string(m_Incarnation);
   }
   std::string key() const { return "servers/" + name(); }
-  void announce() {
+  void announce(const std::string &State = "ready") {
     m_Store.put(key(),
                 R"({"service":"app","address":"127.0.0.1:)" +
                     std::to_string(m_Port) +
-                    R"(","zone":"hall","version":"v1","slots":4,)"
-                    R"("state":"ready","coldLeftMs":0,"seq":1,"born":0})");
+                    R"(","zone":"hall","version":"v1","slots":4,"state":")" +
+                    State + R"(","coldLeftMs":0,"seq":1,"born":0})");
   }
   void listen() {
     m_Acceptor =
--- a/Tests/Support/SharedStore.h
+++ b/Tests/Support/SharedStore.h
@@ -13,7 +13,8 @@
 namespace yardrill::tests {
 
 /// In-memory store with all entries and the history of changes. Thread-safe;
-/// watches wait on the event loop of the caller.
+/// watches wait on the event loop of the caller. Can go back to a copy, after
+/// which counts are given out again in a new era.
 class SharedStore final : public EmptyStore {
 public:
   std::vector<platform::Entry> readPrefix(const std::string &,
@@ -46,6 +47,7 @@
       Pause.expires_after(std::chrono::milliseconds(5));
       boost::system::error_code Ignored;
       Pause.async_wait(Yield[Ignored]);
+      failIfOfOtherEra(After);
       std::vector<platform::Entry> Changes = changesAfter(After);
       if (Changes.empty())
         continue;
@@ -97,6 +99,21 @@
     std::lock_guard<std::mutex> Lock(m_Mutex);
     return m_Swaps;
   }
+  void keepCopy() {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_CopiedEntries = m_Entries;
+    m_CopiedRevision = m_LastRevision;
+  }
+  /// Goes back to the copy.
+  void restoreCopy() {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Entries = m_CopiedEntries;
+    m_Changes.clear();
+    ++m_Era;
+    m_LastRevision = inEra(m_CopiedRevision);
+    for (auto &[Key, Each] : m_Entries)
+      Each.m_ModRevision = inEra(Each.m_ModRevision);
+  }
   /// Makes reads, swaps and watches fail while \p IsDown.
   void setDown(bool IsDown) {
     std::lock_guard<std::mutex> Lock(m_Mutex);
@@ -117,6 +134,14 @@
         Out.push_back(Each);
     return Out;
   }
+  platform::Revision inEra(platform::Revision Of) const {
+    return platform::makeRevision(m_Era, platform::countOf(Of));
+  }
+  void failIfOfOtherEra(platform::Revision After) const {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    if (platform::eraOf(After) != m_Era)
+      throw core::Error(core::ErrorKind::Conflict, "restored");
+  }
   void apply(const std::string &Key, const std::string &Value, bool IsDeleted) {
     m_LastRevision = platform::Revision(m_LastRevision.value() + 1);
     m_Entries[Key] = {Key, Value, m_LastRevision, IsDeleted};
@@ -127,6 +152,9 @@
   std::map<std::string, platform::Entry> m_Entries;
   std::vector<platform::Entry> m_Changes;
   platform::Revision m_LastRevision;
+  std::map<std::string, platform::Entry> m_CopiedEntries;
+  platform::Revision m_CopiedRevision;
+  std::int64_t m_Era = 0;
   int m_Swaps = 0;
   bool m_IsDown = false;
 };
