LibRouting: Keep brittle targets from rejections

A target may state (Server-Brittle: N) that it fails when it has to reject more than N requests a second, summed over all instances.

Change: after a rejection by such a target an instance that is one of S in its subset sends it nothing for S/N seconds, at most 5, a bound like the other throttles, not a preference. No request is sent to such a target beyond its free slots, late short ones included. Without the header: one comparison a choice.

Not covered: an instance learns of N from its own responses only, and requests that are on their way together may be rejected together.

Evidence: TargetDirectoryTest, two cases.

--- a/Libraries/LibGateway/BackpressureService.cpp
+++ b/Libraries/LibGateway/BackpressureService.cpp
@@ -48,6 +48,11 @@
 void BackpressureService::noteStated(
     const routing::Target &Target,
     const routing::TargetBackpressure &Backpressure, core::TimePoint Now) {
+  // Nothing is said by a response that is not the target's own.
+  if (!Backpressure.m_IsLimitUnspecified ||
+      Backpressure.m_MaxRejectionsPerSecond)
+    m_Targets.setMaxRejections(Target.incarnation(),
+                               Backpressure.m_MaxRejectionsPerSecond);
   if (Backpressure.isEmpty() && m_Targets.throttles().isEmpty())
     return;
   routing::TargetIncarnation Incarnation = Target.incarnation();
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -319,7 +319,9 @@
   double BestCost = 0;
   for (KnownTarget *Each : candidates(Request, Now)) {
     HasCandidate = true;
-    if (!MustSend && !hasFreeSlot(*Each, Request))
+    // A target that fails under rejections must not be filled beyond its slots.
+    bool NeedsFreeSlot = !MustSend || Each->m_MaxRejectionsPerSecond;
+    if (NeedsFreeSlot && !hasFreeSlot(*Each, Request))
       continue;
     // Targets with an expired announcement are used when the others are full.
     bool IsExpired = Each->m_ExpiredAt.has_value();
--- a/Libraries/LibRouting/KnownTarget.h
+++ b/Libraries/LibRouting/KnownTarget.h
@@ -42,6 +42,11 @@
   double m_FailureRate = 0; ///< Moving average, 0 to 1.
   unsigned m_ConsecutiveFailures = 0;
   core::TimePoint m_CooldownUntil{};
+  /// Rejections a second, summed over all instances, above which it fails; none
+  /// if it bears any number.
+  std::optional<double> m_MaxRejectionsPerSecond;
+  /// Time until which this instance must not risk another rejection.
+  core::TimePoint m_RejectionPauseUntil{};
   /// Another incarnation responds at its address; this one will not return.
   bool m_IsReplaced = false;
   /// End of the warm-up that its announcement states.
--- a/Libraries/LibRouting/TargetBackpressure.h
+++ b/Libraries/LibRouting/TargetBackpressure.h
@@ -20,6 +20,9 @@
   bool m_IsLimitUnspecified = false;
   /// Time during which the target accepts nothing from this instance.
   std::optional<core::Duration> m_Backoff;
+  /// Rejections a second, of requests of all instances together, above which
+  /// the target fails. Only meaningful in a response of the target itself.
+  std::optional<double> m_MaxRejectionsPerSecond;
   bool m_IsLeaving = false; ///< The target exits soon; binds all instances.
 
   bool isEmpty() const {
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -15,6 +15,9 @@
 /// skip a burst of failures, short enough to notice a restart.
 static constexpr std::chrono::milliseconds InitialCooldown{100};
 static constexpr std::chrono::milliseconds MaxCooldown{2000};
+/// Longest time for which a target that fails under rejections is avoided after
+/// one.
+static constexpr std::chrono::seconds MaxRejectionPause{5};
 /// Weights of the newest sample in the moving averages.
 static constexpr double ServiceTimeWeight = 0.1;
 static constexpr double FailureWeight = 0.1;
@@ -267,6 +270,8 @@
   KnownTarget *Known = findByIncarnation(Incarnation);
   if (!Known)
     return;
+  if (Failure == TargetFailure::Refused)
+    pauseAfterRejection(*Known, Now);
   Known->m_FailureRate += FailureWeight * (1 - Known->m_FailureRate);
   unsigned Doublings = std::min(Known->m_ConsecutiveFailures, 5U);
   ++Known->m_ConsecutiveFailures;
@@ -278,6 +283,29 @@
   Known->m_CooldownUntil = Now + Cooldown;
 }
 
+void TargetDirectory::setMaxRejections(const TargetIncarnation &Incarnation,
+                                       std::optional<double> PerSecond) {
+  if (!PerSecond && !m_HasMaxRejections)
+    return;
+  m_HasMaxRejections = true;
+  if (KnownTarget *Known = findByIncarnation(Incarnation))
+    Known->m_MaxRejectionsPerSecond = PerSecond;
+}
+
+void TargetDirectory::pauseAfterRejection(KnownTarget &Known,
+                                          core::TimePoint Now) {
+  if (!Known.m_MaxRejectionsPerSecond)
+    return;
+  std::size_t Instances =
+      std::max<std::size_t>(1, subsetInstances(Known.m_Target.m_Pool).size());
+  double PerSecond =
+      *Known.m_MaxRejectionsPerSecond / static_cast<double>(Instances);
+  core::Duration Pause = MaxRejectionPause;
+  if (PerSecond * core::toSeconds(MaxRejectionPause) > 1)
+    Pause = core::fromSeconds(1 / PerSecond);
+  Known.m_RejectionPauseUntil = Now + Pause;
+}
+
 void TargetDirectory::forgetFailures(const core::PoolName &Pool) {
   for (KnownTarget *Each : subsetOf(Pool)) {
     Each->m_FailureRate = 0;
@@ -432,7 +460,7 @@
 
 bool TargetDirectory::acceptsRequests(const KnownTarget &Known,
                                       core::TimePoint Now) {
-  return isOpen(Known) &&
+  return isOpen(Known) && Known.m_RejectionPauseUntil <= Now &&
          (m_Throttles.isEmpty() ||
           m_Throttles.acceptsRequests(Known.m_Target.incarnation(), Now));
 }
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -109,6 +109,10 @@
   bool reserveSlot(const TargetIncarnation &Incarnation);
   /// Undoes reserveSlot().
   void releaseSlot(const TargetIncarnation &Incarnation);
+  /// Sets the rejections a second, of requests of all instances together, above
+  /// which a target fails; none if it bears any number.
+  void setMaxRejections(const TargetIncarnation &Incarnation,
+                        std::optional<double> PerSecond);
   /// Raises the failure rate and starts a cooldown, unless the request ran
   /// (TargetFailure::Failed) and no other failure directly precedes it.
   void recordFailure(const TargetIncarnation &Incarnation,
@@ -212,6 +216,9 @@
   /// Sets the target's limit by the later one of its warm-ups.
   void applyWarmUp(const KnownTarget &Known, core::TimePoint Now);
   void assumeWarmUp(KnownTarget &Known, core::TimePoint Now);
+  /// Keeps a target that fails under rejections from further ones: each
+  /// instance that shares it may cause an equal part of them.
+  void pauseAfterRejection(KnownTarget &Known, core::TimePoint Now);
   /// Whether most targets of all pools are missing, which indicates a store
   /// outage.
   bool areMostExpired() const;
@@ -241,6 +248,8 @@
   std::set<core::DataHallName> m_DrainedHalls;
   std::map<core::DataHallName, core::RegionName> m_Regions;
   FleetSubset m_FleetSubset;
+  /// Whether any target has ever stated how many rejections it bears.
+  bool m_HasMaxRejections = false;
   TargetThrottleTable m_Throttles;
 };
 
--- a/Tests/LibRouting/TargetDirectoryTest.cpp
+++ b/Tests/LibRouting/TargetDirectoryTest.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(testExpiredTargetsOfSmallPoolAreRemovedSoon);
   CPPUNIT_TEST(testRestartedTargetStartsFresh);
   CPPUNIT_TEST(testRequestsOfEndedIncarnationAreIgnored);
+  CPPUNIT_TEST(testRejectionsOfBrittleTargetStayWithinItsLimit);
+  CPPUNIT_TEST(testRejectionsOfOtherTargetsHaveNoLimit);
   CPPUNIT_TEST_SUITE_END();
 
   core::TimePoint m_Now{std::chrono::hours(1)};
@@ -57,6 +59,39 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), m_Targets.all().size());
   }
 
+  /// Guards against instances that together cause more rejections than a target
+  /// bears; each asks as often as it may.
+  void testRejectionsOfBrittleTargetStayWithinItsLimit() {
+    static constexpr std::size_t Instances = 7;
+    static constexpr double Limit = 3;
+    FleetSubset::Fleet Fleet;
+    for (std::size_t I = 0; I < Instances; ++I)
+      Fleet[{"10.0.0." + std::to_string(I + 1), 7600}] =
+          core::DataHallName("hall");
+    m_Targets.setSubset(FleetSubset({"10.0.0.1", 7600}, Fleet, Instances));
+    announce("a", "pool");
+    m_Targets.setMaxRejections(incarnation("a", 0), Limit);
+    const KnownTarget *Known = m_Targets.find(core::TargetName("a"));
+    int Rejections = 0;
+    for (int Ms = 0; Ms < 60000; Ms += 10) {
+      m_Now += milliseconds(10);
+      if (!m_Targets.acceptsRequests(*Known, m_Now))
+        continue;
+      ++Rejections;
+      m_Targets.recordFailure(incarnation("a", 0), TargetFailure::Refused,
+                              m_Now);
+    }
+    CPPUNIT_ASSERT(Rejections > 0);
+    CPPUNIT_ASSERT(Rejections * Instances <= 60 * Limit + Instances);
+  }
+
+  void testRejectionsOfOtherTargetsHaveNoLimit() {
+    announce("a", "pool");
+    m_Targets.recordFailure(incarnation("a", 0), TargetFailure::Refused, m_Now);
+    CPPUNIT_ASSERT(m_Targets.acceptsRequests(
+        *m_Targets.find(core::TargetName("a")), m_Now));
+  }
+
   /// Guards against keeping load, cooldown, slowness or replacement of an
   /// earlier incarnation when a target restarts under the same name.
   void testRestartedTargetStartsFresh() {
