--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -55,9 +55,6 @@
 static const char BodyBudgetRetryAfter[] = "0.5";
 /// Idle connections kept for each target.
 static constexpr std::size_t MaxIdleConnections = 64;
-/// Time for which a probe's connection is kept. Its target has not yet stated
-/// when it closes idle connections.
-static constexpr std::chrono::seconds ProbedConnectionIdleTime{1};
 /// Changes kept for peers that are behind; a peer further behind gets a
 /// snapshot.
 static constexpr std::size_t MaxMirrorChanges = 4096;
@@ -412,103 +409,6 @@
   return Out;
 }
 
-bool Gateway::isExitConfirmed(const routing::Target &Refusing,
-                              asio::yield_context Yield) {
-  /// Others may have exited as well, such as those of the same host.
-  static constexpr std::size_t MaxOthers = 3;
-  std::vector<routing::Target> Others = usableTargets(Refusing.m_Pool);
-  Others.erase(std::remove(Others.begin(), Others.end(), Refusing),
-               Others.end());
-  std::shuffle(Others.begin(), Others.end(), m_Random);
-  if (Others.size() > MaxOthers)
-    Others.resize(MaxOthers);
-  return Others.empty() ||
-         std::any_of(Others.begin(), Others.end(),
-                     [&](const routing::Target &Each) {
-                       return probe(Each, Yield) == ProbeResult::Listens;
-                     });
-}
-
-//===----------------------------------------------------------------------===//
-// Paths to the targets
-//===----------------------------------------------------------------------===//
-
-PathMonitorHooks Gateway::pathMonitorHooks() {
-  PathMonitorHooks Out;
-  Out.m_Pools = [this] {
-    std::vector<core::PoolName> Pools;
-    if (m_Table)
-      for (const auto &[Name, Pool] : m_Table->pools())
-        Pools.push_back(Name);
-    return Pools;
-  };
-  Out.m_Targets = [this](const core::PoolName &Pool) {
-    return usableTargets(Pool);
-  };
-  Out.m_Connect = [this](const routing::Target &Target,
-                         asio::yield_context Yield) {
-    return probe(Target, Yield) == ProbeResult::Listens;
-  };
-  Out.m_Changed = [this](const core::PoolName &Pool, routing::PathState State) {
-    handlePathChange(Pool, State);
-  };
-  return Out;
-}
-
-std::vector<routing::Target>
-Gateway::usableTargets(const core::PoolName &Pool) {
-  std::vector<routing::Target> Out;
-  for (const routing::KnownTarget *Each : m_Targets.subsetOf(Pool))
-    if (Each->acceptsRequests() && !Each->m_ExpiredAt)
-      Out.push_back(Each->m_Target);
-  return Out;
-}
-
-void Gateway::handlePathChange(const core::PoolName &Pool,
-                               routing::PathState State) {
-  if (State == routing::PathState::Open)
-    m_Targets.forgetFailures(Pool);
-  else
-    for (const auto &[Id, Open] : m_OpenRequests)
-      Open->handleLostPath(Pool);
-  m_Peers->scheduleReport();
-}
-
-void Gateway::handleForwarded(http::Exchange &Call, asio::yield_context Yield) {
-  auto Ticket = m_Peers->readTicket(Call.request());
-  if (!Ticket) {
-    m_Metrics.count("yardrill_forwarded_requests_rejected_total");
-    http::ResponseMessage Response = http::emptyResponse(403);
-    Response.m_Head.m_Headers.set(peer::ForwardOutcomeHeader,
-                                  peer::OutcomeNotTaken);
-    return Call.sendResponse(std::move(Response), Yield);
-  }
-  Call.request().m_Headers.remove(peer::ForwardTicketHeader);
-  GatewayRequest Request(*this, Call, std::move(Ticket));
-  Request.run(Yield);
-}
-
-std::map<core::PoolName, SilentRequests>
-Gateway::silentRequests(core::TimePoint Now) const {
-  std::map<core::PoolName, SilentRequests> Out;
-  for (const auto &[Id, Open] : m_OpenRequests)
-    Open->addIfSilent(Out, Now);
-  return Out;
-}
-
-ProbeResult Gateway::probe(const routing::Target &Target,
-                           asio::yield_context Yield) {
-  auto Address = Target.m_Address.toTcp();
-  try {
-    m_Connections.release(Address, m_Connections.acquire(Address, true, Yield),
-                          ProbedConnectionIdleTime);
-  } catch (const Error &Failure) {
-    return Failure.kind() == core::ErrorKind::Refused ? ProbeResult::Gone
-                                                      : ProbeResult::Unknown;
-  }
-  return ProbeResult::Listens;
-}
-
 //===----------------------------------------------------------------------===//
 // Rollouts and loads of peers
 //===----------------------------------------------------------------------===//
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -59,8 +59,9 @@
     Queued.native_non_blocking(true);
     // Asio's connect() would wait for the connection.
     tcp::endpoint Address = loopback(m_Port);
-    ::connect(Queued.native_handle(), Address.data(),
-              static_cast<socklen_t>(Address.size()));
+    [[maybe_unused]] int InProgress =
+        ::connect(Queued.native_handle(), Address.data(),
+                  static_cast<socklen_t>(Address.size()));
   }
 }
 
