LibGateway: Do not look for the target of a forwarded request

What callers would see: an instance without a path crashes when the caller of a forwarded request leaves its response unread for 1 s.

Cause: checkUnreadResponse() names the target of the attempt; a forwarded request has none.

Change: such a request holds no slot here; its peer, which holds one, frees it by the same check.

--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -148,8 +148,8 @@
 
 void GatewayRequest::addIfSilent(std::map<core::PoolName, SilentRequests> &Out,
                                  core::TimePoint Now) const {
-  if (!m_SilentSince || m_TargetEndedAt || m_Relay.blockedSince() ||
-      Now - *m_SilentSince < PathMonitor::MinSilence)
+  if (!m_Target || !m_SilentSince || m_TargetEndedAt ||
+      m_Relay.blockedSince() || Now - *m_SilentSince < PathMonitor::MinSilence)
     return;
   SilentRequests &Silent = Out[m_Pool];
   Silent.m_Targets.insert(m_Target->m_Name);
@@ -335,7 +335,8 @@
 
 void GatewayRequest::checkUnreadResponse(core::TimePoint Now) {
   std::optional<core::TimePoint> BlockedSince = m_Relay.blockedSince();
-  if (m_TargetEndedAt || !BlockedSince ||
+  // Of a forwarded request, the peer holds the slot.
+  if (!m_Target || m_TargetEndedAt || !BlockedSince ||
       Now - *BlockedSince < MaxUnreadSlotTime)
     return;
   core::LogLine("response-unread", core::LogLevel::Warning)
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -134,10 +134,10 @@
   if (IsNotTaken)
     return AttemptOutcome::NotSent;
   m_Reason = "peer-refused";
-  m_IsPeerRefusal = true;
   // Its response can't follow the beginning of another one.
   if (m_Relay.isStarted())
     return AttemptOutcome::Failed;
+  m_IsPeerRefusal = true;
   return m_Relay.sendResponse(std::move(Response), Yield);
 }
 
--- a/Tests/LibGateway/LostPathTest.cpp
+++ b/Tests/LibGateway/LostPathTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(testRefusalsOfAKilledPeerAreTrue);
   CPPUNIT_TEST(testRequestsWithoutATicketAreRejected);
   CPPUNIT_TEST(testContentIsNotBlamedForResetLinks);
+  CPPUNIT_TEST(testSlowReaderCrossesTheHop);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t Gateways = 3;
@@ -198,6 +199,28 @@
     for (std::size_t I = 0; I < Gateways; ++I)
       CPPUNIT_ASSERT_EQUAL(0.0, Fleet.metric(I, "yardrill_suspected_contents"));
   }
+
+  void testSlowReaderCrossesTheHop() {
+    GatewayFleet Fleet(Gateways, Targets, true);
+    startAndWarmUp(Fleet);
+    cutFirst(Fleet);
+    http::RequestMessage Request =
+        GatewayFleet::request("/again/large", "slow reader");
+    Request.m_Headers.set("Deadline-Ms", "9000");
+    bool HasPaused = false;
+    Reply Received =
+        call(Fleet.callerPort(0), Request, [&](const std::string &) {
+          // Longer than a response may stay unread and hold a slot.
+          if (!HasPaused)
+            std::this_thread::sleep_for(milliseconds(2000));
+          HasPaused = true;
+          return true;
+        });
+    CPPUNIT_ASSERT(HasPaused);
+    CPPUNIT_ASSERT_EQUAL(200U, Received.m_Status);
+    CPPUNIT_ASSERT_EQUAL(ExitingTarget::LargeBytes, Received.m_Body.size());
+    CPPUNIT_ASSERT(servedFor(Fleet, 1, milliseconds(500)) > 0.95);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostPathTest);
--- a/Tests/Support/ExitingTarget.h
+++ b/Tests/Support/ExitingTarget.h
@@ -95,6 +95,8 @@
 
   static constexpr std::chrono::milliseconds DownTime{400};
   static constexpr std::chrono::milliseconds WorkTime{30};
+  /// Length of a response that fills the buffers of a connection.
+  static constexpr std::size_t LargeBytes = 32UL << 20;
 
 private:
   using SocketHandle = std::shared_ptr<tcp::socket>;
@@ -168,6 +170,9 @@
       std::string Response =
           completeResponse(Received, "answer", "200 OK",
                            "Replica-Seal: s\r\n" + m_Backpressure.m_Headers);
+      if (Received.target() == "/again/large")
+        Response = completeResponse(Received, std::string(LargeBytes, 'x'),
+                                    "200 OK", "Replica-Seal: s\r\n");
       if (Received["Expect-Replica"] != name())
         Response =
             completeResponse(Received, "", "421 Misdirected Request", "");
