LibGateway: Forward a request only within its regions

Cause: a request that may be sent to some regions only could be forwarded to an instance in any other.

Change: peers in another region than this instance's are chosen only if the request's account and route allow that region.

Evidence: ForwardingPeersTest::testRequestStaysInItsRegions; before, all four peers were chosen from, as the last assertion still shows for other requests.

--- a/Libraries/LibGateway/ForwardingPeers.cpp
+++ b/Libraries/LibGateway/ForwardingPeers.cpp
@@ -14,14 +14,29 @@
 /// Requests by which a peer counts as more loaded while requests wait there.
 static constexpr double WaitingLoad = 8;
 
+bool ForwardingPeers::isInRegions(
+    const core::DataHallName &Hall,
+    const routing::AllowedRegions &Allowed) const {
+  if (!Allowed || Hall == m_LocalDataHall)
+    return true;
+  auto Region = m_RegionOfHall.find(Hall);
+  if (Region == m_RegionOfHall.end())
+    return false;
+  auto Local = m_RegionOfHall.find(m_LocalDataHall);
+  bool IsLocal =
+      Local != m_RegionOfHall.end() && Local->second == Region->second;
+  return IsLocal || Allowed->count(Region->second) != 0;
+}
+
 bool ForwardingPeers::isCandidate(const LivePeer &Peer,
                                   const core::PoolName &Pool,
+                                  const routing::AllowedRegions &Allowed,
                                   const std::set<config::Endpoint> &Tried,
                                   core::TimePoint Now) {
   const peer::LoadReport &Report = Peer.m_Report;
   const config::Endpoint &Address = Peer.m_Instance.m_Peer;
   if (Peer.m_IsSilent || Report.m_IsStopping || Report.m_StoreRevision == 0 ||
-      Tried.count(Address) != 0)
+      Tried.count(Address) != 0 || !isInRegions(Report.m_DataHall, Allowed))
     return false;
   const auto &Lost = Report.m_LostPools;
   if (std::find(Lost.begin(), Lost.end(), routing::hashOf(Pool)) != Lost.end())
@@ -35,20 +50,19 @@
   return true;
 }
 
-std::vector<const LivePeer *>
-ForwardingPeers::candidates(const core::PoolName &Pool,
-                            const std::set<config::Endpoint> &Tried,
-                            core::TimePoint Now) {
+std::vector<const LivePeer *> ForwardingPeers::candidates(
+    const core::PoolName &Pool, const routing::AllowedRegions &Allowed,
+    const std::set<config::Endpoint> &Tried, core::TimePoint Now) {
   std::vector<const LivePeer *> Out;
   if (m_OpenCount >= MaxOpen)
     return Out;
   for (const LivePeer *Each : m_Peers().groupPeers())
-    if (isCandidate(*Each, Pool, Tried, Now))
+    if (isCandidate(*Each, Pool, Allowed, Tried, Now))
       Out.push_back(Each);
   if (!Out.empty())
     return Out;
   for (const auto &[Incarnation, Each] : m_Peers().all())
-    if (isCandidate(Each, Pool, Tried, Now))
+    if (isCandidate(Each, Pool, Allowed, Tried, Now))
       Out.push_back(&Each);
   return Out;
 }
@@ -67,11 +81,10 @@
   return Out;
 }
 
-std::optional<config::Endpoint>
-ForwardingPeers::choose(const core::PoolName &Pool,
-                        const std::set<config::Endpoint> &Tried,
-                        core::TimePoint Now) {
-  std::vector<const LivePeer *> From = candidates(Pool, Tried, Now);
+std::optional<config::Endpoint> ForwardingPeers::choose(
+    const core::PoolName &Pool, const routing::AllowedRegions &Allowed,
+    const std::set<config::Endpoint> &Tried, core::TimePoint Now) {
+  std::vector<const LivePeer *> From = candidates(Pool, Allowed, Tried, Now);
   if (From.empty())
     return std::nullopt;
   // The best of all would get the requests of all instances that are cut off.
@@ -81,8 +94,10 @@
   return (loadOf(*Second) < loadOf(*First) ? Second : First)->m_Instance.m_Peer;
 }
 
-bool ForwardingPeers::hasPeer(const core::PoolName &Pool, core::TimePoint Now) {
-  return !candidates(Pool, {}, Now).empty();
+bool ForwardingPeers::hasPeer(const core::PoolName &Pool,
+                              const routing::AllowedRegions &Allowed,
+                              core::TimePoint Now) {
+  return !candidates(Pool, Allowed, {}, Now).empty();
 }
 
 void ForwardingPeers::recordStart(const config::Endpoint &Peer) {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -100,7 +100,7 @@
       m_Quarantine(Context, Store, quarantineHooks()),
       m_ForwardingPeers(
           [this]() -> const PeerTable & { return m_Peers->peers(); },
-          m_Settings.m_DataHall, core::randomBits()),
+          m_Settings.m_DataHall, m_Settings.m_Regions, core::randomBits()),
       m_Quotas(Context, m_Settings, m_Metrics,
                [this](const config::Endpoint &To, const peer::PeerBody &Body) {
                  m_Peers->send(To, Body);
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -23,7 +23,8 @@
   if (State == PathState::Open ||
       (State == PathState::NoNewConnections && !m_WasNotSent))
     return false;
-  return m_Owner.m_ForwardingPeers.hasPeer(m_Pool, core::steadyNow());
+  return m_Owner.m_ForwardingPeers.hasPeer(m_Pool, m_Regions,
+                                           core::steadyNow());
 }
 
 void GatewayRequest::handleLostPath(const core::PoolName &Pool) {
@@ -35,8 +36,8 @@
   m_Target.reset();
   std::set<config::Endpoint> Tried;
   while (Tried.size() < MaxPeersTried && timeLeft() > MinRetryTime) {
-    auto Peer =
-        m_Owner.m_ForwardingPeers.choose(m_Pool, Tried, core::steadyNow());
+    auto Peer = m_Owner.m_ForwardingPeers.choose(m_Pool, m_Regions, Tried,
+                                                 core::steadyNow());
     if (!Peer)
       break;
     Tried.insert(*Peer);
