Tests/Soak: Do not hold a gateway to what its peer was told

Cause, from the gateways' logs: all targets but one were down, so gateway 3 forwarded a2291; gateway 2 sent it and was told to back off (target-refused a2291 in gateway-2.log alone). Gateway 3's own back-off had ended at 35.068, and it sent at 35.071. The checker takes the gateway that a caller called for the one that sends.

Change: back-offs, limits and leaving stated in responses are not attributed, and arrivals not held against them, for requests sent while three targets are out of reach or were within 4 s, the only time in which a gateway forwards (three failed connects within 3 s).

--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -93,19 +93,33 @@
   if (!Request)
     return;
   const Gateway &Sender = m_Gateways[Request->m_Gateway];
-  m_Backpressure.requestArrived(Id, Incarnation, Request->m_Gateway,
-                                Request->m_SentAt, m_Now(),
-                                !Sender.m_Process.hasEndedBefore(m_Now()));
+  m_Backpressure.requestArrived(
+      Id, Incarnation, Request->m_Gateway, Request->m_SentAt, m_Now(),
+      !Sender.m_Process.hasEndedBefore(m_Now()) || mayBeForwarded(*Request));
 }
 
 void InvariantChecker::backpressureStated(
     const std::string &Id, const std::string &Incarnation,
     const ResponseBackpressure &Backpressure, TimePoint SentAt) {
-  if (const SentRequest *Request = findRequest(Id))
+  const SentRequest *Request = findRequest(Id);
+  if (Request && !mayBeForwarded(*Request))
     m_Backpressure.backpressureStated(Id, Incarnation, Request->m_Gateway,
                                       Backpressure, SentAt, m_Now());
 }
 
+void InvariantChecker::noteLinkDisturbance(const void *Target, bool Begins) {
+  m_TargetLinks[Target].change(Begins, m_Now());
+}
+
+bool InvariantChecker::mayBeForwarded(const SentRequest &Request) const {
+  TimePoint Since = Request.m_SentAt - bounds::UnreachableMemory;
+  auto Count = std::count_if(
+      m_TargetLinks.begin(), m_TargetLinks.end(), [Since](const auto &Each) {
+        return Each.second.m_ActiveCount > 0 || Each.second.m_EndedAt >= Since;
+      });
+  return static_cast<std::size_t>(Count) >= bounds::MinUnreachableTargets;
+}
+
 void InvariantChecker::requestExecuted(const std::string &Id) {
   SentRequest *Request = findRequest(Id);
   if (!Request)
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -67,6 +67,10 @@
 inline constexpr double LimitSlack = 5; ///< Requests.
 /// Time allowed for requests in flight when a target states backpressure.
 inline constexpr std::chrono::milliseconds BackpressureSlack{500};
+/// Number of targets that must be out of reach for a gateway to forward
+/// requests, and time for which it remembers that they were.
+inline constexpr std::size_t MinUnreachableTargets = 3;
+inline constexpr std::chrono::milliseconds UnreachableMemory{4000};
 /// Requests that one gateway may send to a target during a back-off.
 inline constexpr std::size_t MaxRequestsInBackoff = 2;
 /// Share of the requests that are served from SettleTime after the last
@@ -178,6 +182,10 @@
   }
   void requestExecuted(const std::string &Id);
   void noteTargetDisturbance(const std::string &Id);
+  /// Records that gateways may not be able to connect to a target, or that they
+  /// are again.
+  /// \param Target identifies the target, also after restarts.
+  void noteLinkDisturbance(const void *Target, bool Begins);
   /// Records that a target exited under a request with that content.
   void targetExited(const std::string &Content);
   /// Records that a request arrived at a target of that version.
@@ -212,6 +220,7 @@
       return m_ActiveCount == 0 && m_EndedAt + bounds::SettleTime <= Since;
     }
   };
+  std::map<const void *, Disturbance> m_TargetLinks;
   using TimeSeries = std::vector<DataPoint>;
 
   void checkQuotas();
@@ -219,6 +228,9 @@
   void checkRecovery(TimePoint RecoveredAt);
   void checkQuarantine();
   SentRequest *findRequest(const std::string &Id);
+  /// Whether another gateway than the one that got it may have sent a request
+  /// to a target, since so many targets are or were out of reach.
+  bool mayBeForwarded(const SentRequest &Request) const;
 
   /// Arrival of a request at a target of a version.
   struct VersionArrival {
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(testRateLimitOfNotifiedGateways);
   CPPUNIT_TEST(testBackoff);
   CPPUNIT_TEST(testBackoffOfResponseThatIsReadBeforeItIsReported);
+  CPPUNIT_TEST(testBackoffStatedToAnotherGatewayIsNotAttributed);
   CPPUNIT_TEST(testLeavingInResponses);
   CPPUNIT_TEST_SUITE_END();
 
@@ -126,6 +127,29 @@
   /// Guards against a soak that holds a gateway to a back-off for longer than
   /// it was asked for: a busy soak reports a response some time after the
   /// gateway has read it.
+  /// Guards against blaming a gateway for a back-off that a target stated to a
+  /// peer, which the gateway had forwarded the request to.
+  void testBackoffStatedToAnotherGatewayIsNotAttributed() {
+    static const int Links[bounds::MinUnreachableTargets] = {};
+    auto BreakBackoff = [this] {
+      stateBackpressure("i-1", {std::nullopt, seconds(2), false});
+      m_Now += bounds::BackpressureSlack + milliseconds(1);
+      for (std::size_t I = 0; I <= bounds::MaxRequestsInBackoff; ++I)
+        arriveAtIncarnation("i-1");
+      m_Now += bounds::UnreachableMemory;
+    };
+    for (const int &Each : Links)
+      m_Checker.noteLinkDisturbance(&Each, true);
+    BreakBackoff();
+    expectNoViolation();
+    m_Checker.noteLinkDisturbance(&Links[0], false);
+    BreakBackoff();
+    expectNoViolation();
+    m_Now += milliseconds(1);
+    BreakBackoff();
+    expectViolation("rest");
+  }
+
   void testBackoffOfResponseThatIsReadBeforeItIsReported() {
     m_Now += seconds(10);
     TimePoint SentAt = m_Now;
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -88,6 +88,8 @@
 }
 
 void SoakTarget::setDisturbed(bool IsDisturbed) {
+  if (IsDisturbed != m_IsDisturbed)
+    m_Checker.noteLinkDisturbance(this, IsDisturbed);
   m_IsDisturbed = IsDisturbed;
   for (const std::string &Id : m_Running)
     m_Checker.noteTargetDisturbance(Id);
@@ -122,6 +124,8 @@
   setDisturbed(true);
   m_Proxy->setMode(tests::ProxyMode::Reset);
   m_Proxy->resetAll();
+  // Gateways learn that it is gone.
+  m_Checker.noteLinkDisturbance(this, false);
 }
 
 bool SoakTarget::isFaultDrawn(double Share) {
