--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -17,9 +17,14 @@
 bool Gateway::isHeldBack(const platform::Entry &Change,
                          const StoreUpdate &Decoded) {
   if (const auto *Update = std::get_if<TargetUpdate>(&Decoded)) {
-    auto Gone = m_GoneTargets.find(Update->m_Target.m_Name);
+    const routing::Target &Copied = Update->m_Target;
+    const routing::KnownTarget *Known =
+        m_Targets.findByIncarnation(Copied.incarnation());
+    if (Known && Known->m_Target.m_IsLeaving && !Copied.m_IsLeaving)
+      return true;
+    auto Gone = m_GoneTargets.find(Copied.m_Name);
     return Gone != m_GoneTargets.end() &&
-           Gone->second.m_StartTime == Update->m_Target.m_StartTime;
+           Gone->second.m_StartTime == Copied.m_StartTime;
   }
   if (!std::holds_alternative<DataHallUpdate>(Decoded) &&
       !std::holds_alternative<RolloutOrderUpdate>(Decoded) &&
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -59,14 +59,11 @@
       m_RemotelyBusy.end());
 }
 
-AnnouncementEffect TargetDirectory::announce(const Target &Update) {
-  m_Expired.erase(Update.m_Name);
-  auto [Entry, IsNew] = m_Targets.try_emplace(Update.m_Name);
+AnnouncementEffect TargetDirectory::announce(const Target &Announced) {
+  m_Expired.erase(Announced.m_Name);
+  auto [Entry, IsNew] = m_Targets.try_emplace(Announced.m_Name);
   KnownTarget &Known = Entry->second;
-  bool IsReset = IsNew || Known.m_Target.m_StartTime != Update.m_StartTime;
-  Target Announced = Update;
-  if (!IsReset && Known.m_Target.m_IsLeaving)
-    Announced.m_IsLeaving = true;
+  bool IsReset = IsNew || Known.m_Target.m_StartTime != Announced.m_StartTime;
   bool IsMoved = IsReset || Known.m_Target.m_Pool != Announced.m_Pool ||
                  Known.m_Target.m_DataHall != Announced.m_DataHall;
   bool WasExpired = Known.m_ExpiredAt.has_value();
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -47,9 +47,8 @@
   TargetDirectory &operator=(const TargetDirectory &) = delete;
 
   /// Adds or updates a target. State of an earlier incarnation under the same
-  /// name is discarded. An incarnation that leaves stays so, whatever a later
-  /// announcement says.
-  AnnouncementEffect announce(const Target &Update);
+  /// name is discarded.
+  AnnouncementEffect announce(const Target &Announced);
   /// Marks a target as expired because its announcement is missing. It is still
   /// used for a grace period if no other target is free: announcements that
   /// expired during a store outage return within two seconds of its end.
