--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -116,7 +116,8 @@
   /// succeed.
   /// \throws core::Error when the response breaks.
   AttemptOutcome relayResponse(http::ClientConnection &Connection,
-                               const http::ResponseHead &Head, bool MayRetry,
+                               const http::ResponseHead &Head,
+                               const ResponseDescription &Info, bool MayRetry,
                                boost::asio::yield_context Yield);
   /// Reads response heads until one has this request's id. A late response to
   /// an earlier request may come first; it is logged and discarded.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -196,7 +196,7 @@
       // Discards the body: the refusal is not relayed to the caller.
     }
   } else {
-    Result = relayResponse(Connection, Head, true, Yield);
+    Result = relayResponse(Connection, Head, Info, true, Yield);
   }
   m_KeepAliveTime =
       Info.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
@@ -205,9 +205,9 @@
 
 AttemptOutcome GatewayRequest::relayResponse(http::ClientConnection &Connection,
                                              const http::ResponseHead &Head,
+                                             const ResponseDescription &Info,
                                              bool MayRetry,
                                              asio::yield_context Yield) {
-  ResponseDescription Info = m_Owner.m_Wire.describe(Head);
   bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
   if (IsSuccess && (!Info.m_IsSigned || Info.m_IsEncoded)) {
     m_Reason = "unsigned-answer";
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -127,7 +127,8 @@
   const std::string *OwnOutcome =
       Head.m_Headers.find(peer::ForwardOutcomeHeader);
   if (!OwnOutcome)
-    return relayResponse(Connection, Head, false, Yield);
+    return relayResponse(Connection, Head, m_Owner.m_Wire.describe(Head), false,
+                         Yield);
   bool IsNotTaken = *OwnOutcome == peer::OutcomeNotTaken;
   Head.m_Headers.remove(peer::ForwardOutcomeHeader);
   http::ResponseMessage Response =
