Tests/Support: Record who granted each request, and under which list

The search for the worst quota scenario printed instances only, so an owner with an old list and the one that a newer list put in its place looked alike. Each grant now has its owner, the size of the list by which that owner granted, and the number of instances that would grant shares of the account then; above three, a share has two holders.

--- a/Tests/Support/QuotaScenario.cpp
+++ b/Tests/Support/QuotaScenario.cpp
@@ -150,6 +150,23 @@
   return Out.str();
 }
 
+/// Returns the tokens by owner and by the size of its list.
+static std::string describeOwners(const std::vector<TokenGrant> &Grants) {
+  std::map<std::pair<std::size_t, std::size_t>, double> ByOwner;
+  std::size_t MaxHolders = 0;
+  for (const TokenGrant &Each : Grants) {
+    if (!Each.m_IsIsolated)
+      ByOwner[{Each.m_Owner, Each.m_ListSize}] += Each.m_Tokens;
+    MaxHolders = std::max(MaxHolders, Each.m_HolderCount);
+  }
+  std::ostringstream Out;
+  Out << "; by owner/list:";
+  for (const auto &[Owner, Tokens] : ByOwner)
+    Out << " " << Owner.first << "/" << Owner.second << "=" << Tokens;
+  Out << " max_holders=" << MaxHolders;
+  return Out.str();
+}
+
 std::string QuotaScenarioResult::describeFullestWindow() const {
   struct Sums {
     double m_Tokens = 0;
@@ -167,6 +184,7 @@
   for (const auto &[Instance, Each] : ByInstance)
     Out << " " << Instance << "=" << Each.m_Tokens << " ("
         << Each.m_IsolatedTokens << ")";
+  Out << describeOwners(m_FullestWindow);
   return Out.str();
 }
 
--- a/Tests/Support/QuotaScenario.h
+++ b/Tests/Support/QuotaScenario.h
@@ -93,8 +93,10 @@
   double usedTolerance() const {
     return (m_MaxTokens - m_BoundTokens) / (m_AllowedTokens - m_BoundTokens);
   }
-  /// Returns the tokens of the fullest window by the instance that granted
-  /// them, and of these the tokens that it granted while isolated.
+  /// Returns the tokens of the fullest window by the instance that admitted
+  /// the requests, and of these the tokens that it granted while isolated; then
+  /// the tokens by the owner that granted them and the size of its list, with
+  /// the largest number of holders of shares at the time of a grant.
   std::string describeFullestWindow() const;
 };
 
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -87,7 +87,8 @@
     config::Endpoint m_Address;
     std::unique_ptr<DistributedQuota> m_Quota; ///< Null while down.
     core::TimePoint m_DownUntil{};
-    core::TimePoint m_ReadsAt{}; ///< Next update of list and accounts.
+    core::TimePoint m_ReadsAt{};        ///< Next update of list and accounts.
+    routing::ConsistentHashRing m_Ring; ///< Ring of the list that it read last.
     bool m_HasRead = false;
     core::TimePoint m_FrozenUntil{};
     core::TimePoint m_CutUntil{};
@@ -152,8 +153,8 @@
 
   /// Applies the instance list and, after a start, the accounts.
   void readStore(ModelInstance &Instance) {
-    Instance.m_Quota->setRing(routing::ConsistentHashRing(m_StoredInstances),
-                              m_Now);
+    Instance.m_Ring = routing::ConsistentHashRing(m_StoredInstances);
+    Instance.m_Quota->setRing(Instance.m_Ring, m_Now);
     if (!Instance.m_HasRead)
       Instance.m_Quota->setAccounts(m_Settings.m_Accounts, m_Now);
     Instance.m_HasRead = true;
@@ -196,16 +197,50 @@
       return send(m_Indexes.at(Pending.m_Acquisition.m_RemainingOwners.back()),
                   Request);
     }
-    bool IsCutOff = m_Instances[Pending.m_Instance].m_CutUntil > m_Now;
     if (Step == QuotaStep::Granted)
-      m_Grants[Pending.m_Account].push_back(
-          {m_Now, Pending.m_Acquisition.m_Tokens, Pending.m_Instance, IsCutOff,
-           Pending.m_Acquisition.m_Source == routing::QuotaSource::Isolated});
+      recordGrant(Pending);
     else
-      ++m_Refused[Pending.m_Account][IsCutOff ? 1 : 0];
+      ++m_Refused[Pending.m_Account][isCutOff(Pending.m_Instance) ? 1 : 0];
     m_Pending.erase(Id);
   }
 
+  bool isCutOff(std::size_t Instance) const {
+    return m_Instances[Instance].m_CutUntil > m_Now;
+  }
+
+  void recordGrant(const PendingAcquisition &Pending) {
+    const routing::QuotaAcquisition &Granted = Pending.m_Acquisition;
+    TokenGrant Out;
+    Out.m_At = m_Now;
+    Out.m_Tokens = Granted.m_Tokens;
+    Out.m_Instance = Pending.m_Instance;
+    Out.m_IsCutOff = isCutOff(Pending.m_Instance);
+    Out.m_IsIsolated = Granted.m_Source == routing::QuotaSource::Isolated;
+    Out.m_Owner =
+        Granted.m_Owner ? m_Indexes.at(*Granted.m_Owner) : Pending.m_Instance;
+    Out.m_ListSize = m_Instances[Out.m_Owner].m_Ring.size();
+    Out.m_HolderCount = holderCount(Granted.m_Account);
+    m_Grants[Pending.m_Account].push_back(Out);
+  }
+
+  /// Returns the number of instances that would grant shares of the account.
+  std::size_t holderCount(routing::AccountHash Account) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_Instances.begin(), m_Instances.end(),
+                      [this, Account](const ModelInstance &Each) {
+                        return Each.m_Quota && Each.m_HasRead &&
+                               Each.m_FrozenUntil <= m_Now &&
+                               !hasDetectedCut(Each) && isOwner(Each, Account);
+                      }));
+  }
+
+  static bool isOwner(const ModelInstance &Instance,
+                      routing::AccountHash Account) {
+    auto Owners = Instance.m_Ring.ownersOf(Account);
+    return std::find(Owners.begin(), Owners.end(), Instance.m_Address) !=
+           Owners.end();
+  }
+
   routing::QuotaResponse charge(DistributedQuota &Quota,
                                 const routing::QuotaRequest &Request) {
     routing::QuotaResponse Out;
--- a/Tests/Support/QuotaSimulation.h
+++ b/Tests/Support/QuotaSimulation.h
@@ -26,6 +26,15 @@
   std::size_t m_Instance = 0;
   bool m_IsCutOff = false;   ///< Granted by an instance that cut() had cut off.
   bool m_IsIsolated = false; ///< Granted without an owner.
+  /// Owner that granted the tokens, or their last part; the instance itself if
+  /// it was isolated.
+  std::size_t m_Owner = 0;
+  /// Number of instances in the list by which that owner granted.
+  std::size_t m_ListSize = 0;
+  /// Number of instances that would grant shares of the account at that time,
+  /// each by its own list. If there are more than MaxOwners, a share has two
+  /// holders.
+  std::size_t m_HolderCount = 0;
 };
 
 /// Returns the grants in the fullest window.
