Tests/Support: Let split instances go on by the product's own rule

The simulation let each minority of a split stop and each half or majority go on, counted over all instances, those added on the other side among them. The product counts what an instance hears of its group of eight (PeerExchange::isListConfirmed): with 6 instances a half that is split off hears 2 of 5 and stops, four of six hear 3 of 5 and go on; in a large fleet some members of a minority go on, because they hear half of their group. That is stricter at a half and more lenient below it. Each instance now counts its own group, made by the product's FleetSubset from the list that it has.

QuotaModelTest prints the same as before at all sizes; QuotaDeploymentsTest and QuotaTest pass.

--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -1,6 +1,7 @@
 #include "QuotaSimulation.h"
 
 #include "LibRouting/DistributedQuota.h"
+#include "LibRouting/FleetSubset.h"
 
 #include <algorithm>
 #include <array>
@@ -19,9 +20,9 @@
 /// Time from the start of an instance until it has read the store.
 static constexpr std::chrono::milliseconds MinReadTime{50};
 static constexpr std::chrono::milliseconds MaxReadTime{300};
-/// Time until an instance that is cut off, also from the store, detects that it
-/// may miss changes: its group peers are silent, and its watch of the store
-/// fails.
+/// Time until an instance that is cut off from the store and from some others
+/// detects that: its watch of the store fails, and the reports of its group
+/// peers are missing.
 static constexpr std::chrono::milliseconds MinDetectionTime{700};
 static constexpr std::chrono::milliseconds MaxDetectionTime{3300};
 /// Limit on the delay until an instance learns of an added one.
@@ -89,6 +90,7 @@
     core::TimePoint m_DownUntil{};
     core::TimePoint m_ReadsAt{};        ///< Next update of list and accounts.
     routing::ConsistentHashRing m_Ring; ///< Ring of the list that it read last.
+    std::vector<config::Endpoint> m_Group; ///< Its group peers by that list.
     bool m_HasRead = false;
     core::TimePoint m_FrozenUntil{};
     core::TimePoint m_CutUntil{};
@@ -119,6 +121,21 @@
         std::max(Instance.m_CutUntil, Instance.m_SplitUntil) > m_Now;
     return IsCutOff && Instance.m_DetectsCutAt <= m_Now;
   }
+  /// Whether the instance grants shares of quotas. Without the store, it does
+  /// while it hears at least half of its group peers.
+  bool isListConfirmed(const ModelInstance &Instance) const {
+    if (!hasDetectedCut(Instance))
+      return true;
+    auto Heard = std::count_if(Instance.m_Group.begin(), Instance.m_Group.end(),
+                               [this, &Instance](const config::Endpoint &Each) {
+                                 const ModelInstance &Peer =
+                                     m_Instances[m_Indexes.at(Each)];
+                                 return Peer.m_Quota &&
+                                        Peer.m_FrozenUntil <= m_Now &&
+                                        canReach(Instance, Peer);
+                               });
+    return static_cast<std::size_t>(Heard) * 2 >= Instance.m_Group.size();
+  }
   void scheduleCutDetection(ModelInstance &Instance) {
     if (std::max(Instance.m_CutUntil, Instance.m_SplitUntil) <= m_Now)
       Instance.m_DetectsCutAt =
@@ -154,6 +171,12 @@
   /// Applies the instance list and, after a start, the accounts.
   void readStore(ModelInstance &Instance) {
     Instance.m_Ring = routing::ConsistentHashRing(m_StoredInstances);
+    routing::FleetSubset::Fleet Fleet;
+    for (const config::Endpoint &Each : m_StoredInstances)
+      Fleet.emplace(Each, core::DataHallName("hall"));
+    routing::FleetSubset Subset(Instance.m_Address, Fleet);
+    Instance.m_Group.assign(Subset.groupMembers().begin(),
+                            Subset.groupMembers().end());
     Instance.m_Quota->setRing(Instance.m_Ring, m_Now);
     if (!Instance.m_HasRead)
       Instance.m_Quota->setAccounts(m_Settings.m_Accounts, m_Now);
@@ -230,7 +253,7 @@
                       [this, Account](const ModelInstance &Each) {
                         return Each.m_Quota && Each.m_HasRead &&
                                Each.m_FrozenUntil <= m_Now &&
-                               !hasDetectedCut(Each) && isOwner(Each, Account);
+                               isListConfirmed(Each) && isOwner(Each, Account);
                       }));
   }
 
@@ -330,7 +353,7 @@
         start(Each, false);
       if (!Each.m_Quota)
         continue;
-      Each.m_Quota->setListConfirmed(!hasDetectedCut(Each));
+      Each.m_Quota->setListConfirmed(isListConfirmed(Each));
       // A running instance learns of added ones from its peers, a restarted one
       // from the store.
       bool CanRead = !Each.m_HasRead ||
@@ -406,11 +429,9 @@
 
 void QuotaSimulation::split(const std::vector<std::size_t> &Instances,
                             core::Duration Time) {
-  bool IsMinority = Instances.size() * 2 < size();
   for (std::size_t Index : Instances) {
     Model::ModelInstance &Each = m_Model->m_Instances[Index];
-    if (IsMinority)
-      m_Model->scheduleCutDetection(Each);
+    m_Model->scheduleCutDetection(Each);
     Each.m_SplitUntil = now() + Time;
   }
 }
