Tests: Play an outage of the store with a lost instance in the quota model

A mend of shares with two holders may not refuse more in an outage of the store, in which no list is written. The model had no outage. Now the store can be lost for all, and a scenario loses it and then one instance for good.

--- a/Tests/LibRouting/QuotaModelTest.cpp
+++ b/Tests/LibRouting/QuotaModelTest.cpp
@@ -39,7 +39,15 @@
 /// Tolerance of the platform in tokens per window.
 constexpr double Tolerance = BoundOfWindow - (Rate * Window.count() + Burst);
 
-enum class Faults { None, KillsOfAll, KillsInTurn, Cuts, Mixed, OneCut };
+enum class Faults {
+  None,
+  KillsOfAll,
+  KillsInTurn,
+  Cuts,
+  Mixed,
+  OneCut,
+  OutageAndLoss ///< The store is lost, and then an instance, for good.
+};
 
 class FaultSimulation {
 public:
@@ -151,6 +159,10 @@
           ++m_CutOffCount;
         }
       return Kind == Faults::Cuts ? seconds(7) : SimulatedTime;
+    case Faults::OutageAndLoss:
+      m_Fleet.loseStore(SimulatedTime);
+      m_Fleet.kill(0, SimulatedTime);
+      return SimulatedTime;
     case Faults::None:
     case Faults::Mixed:
       break;
@@ -179,6 +191,7 @@
   CPPUNIT_TEST(testSomeAreCutOff);
   CPPUNIT_TEST(testCutOffInstancesUseTheTolerance);
   CPPUNIT_TEST(testMixedFaults);
+  CPPUNIT_TEST(testStoreIsLostWithAnInstance);
   CPPUNIT_TEST_SUITE_END();
 
   /// Simulates fleets of several sizes with several seeds.
@@ -254,6 +267,10 @@
     CPPUNIT_ASSERT(Tokens <= Share * Times * (1 + 4 * Deviation));
   }
   void testMixedFaults() { check(Faults::Mixed, BoundOfWindow, 0.05); }
+  // Owners must go on, because nobody replaces them during an outage.
+  void testStoreIsLostWithAnInstance() {
+    check(Faults::OutageAndLoss, BoundOfWindow, 0.05);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaModelTest);
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -95,7 +95,7 @@
     core::TimePoint m_FrozenUntil{};
     core::TimePoint m_CutUntil{};
     core::TimePoint m_SplitUntil{}; ///< End of the split.
-    core::TimePoint m_DetectsCutAt = core::TimePoint::max();
+    core::TimePoint m_DetectsLossAt = core::TimePoint::max();
     std::deque<Datagram> m_Inbox;
     std::vector<CallerRequest> m_DelayedRequests; ///< Received while frozen.
   };
@@ -104,6 +104,7 @@
   core::TimePoint m_Now{std::chrono::hours(1)};
   std::mt19937_64 m_Random;
   std::vector<config::Endpoint> m_StoredInstances; ///< List in the store.
+  core::TimePoint m_StoreLostUntil{};
   std::vector<ModelInstance> m_Instances;
   std::map<config::Endpoint, std::size_t> m_Indexes; ///< By address.
   std::map<std::uint64_t, PendingAcquisition> m_Pending;
@@ -116,15 +117,17 @@
     return !IsSplit && From.m_CutUntil <= m_Now && To.m_CutUntil <= m_Now;
   }
 
-  bool hasDetectedCut(const ModelInstance &Instance) const {
-    bool IsCutOff =
-        std::max(Instance.m_CutUntil, Instance.m_SplitUntil) > m_Now;
-    return IsCutOff && Instance.m_DetectsCutAt <= m_Now;
+  bool isStoreReached(const ModelInstance &Instance) const {
+    return std::max({Instance.m_CutUntil, Instance.m_SplitUntil,
+                     m_StoreLostUntil}) <= m_Now;
+  }
+  bool hasDetectedLoss(const ModelInstance &Instance) const {
+    return !isStoreReached(Instance) && Instance.m_DetectsLossAt <= m_Now;
   }
   /// Whether the instance grants shares of quotas. Without the store, it does
   /// while it hears at least half of its group peers.
   bool isListConfirmed(const ModelInstance &Instance) const {
-    if (!hasDetectedCut(Instance))
+    if (!hasDetectedLoss(Instance))
       return true;
     auto Heard = std::count_if(Instance.m_Group.begin(), Instance.m_Group.end(),
                                [this, &Instance](const config::Endpoint &Each) {
@@ -136,9 +139,10 @@
                                });
     return static_cast<std::size_t>(Heard) * 2 >= Instance.m_Group.size();
   }
-  void scheduleCutDetection(ModelInstance &Instance) {
-    if (std::max(Instance.m_CutUntil, Instance.m_SplitUntil) <= m_Now)
-      Instance.m_DetectsCutAt =
+  /// Must be called before the instance loses the store.
+  void scheduleLossDetection(ModelInstance &Instance) {
+    if (isStoreReached(Instance))
+      Instance.m_DetectsLossAt =
           m_Now + drawDuration(MinDetectionTime, MaxDetectionTime);
   }
 
@@ -356,8 +360,7 @@
       Each.m_Quota->setListConfirmed(isListConfirmed(Each));
       // A running instance learns of added ones from its peers, a restarted one
       // from the store.
-      bool CanRead = !Each.m_HasRead ||
-                     std::max(Each.m_CutUntil, Each.m_SplitUntil) <= m_Now;
+      bool CanRead = !Each.m_HasRead || isStoreReached(Each);
       if (Each.m_ReadsAt <= m_Now && CanRead)
         readStore(Each);
       for (const CallerRequest &Delayed :
@@ -423,7 +426,7 @@
 
 void QuotaSimulation::cut(std::size_t Instance, core::Duration Time) {
   Model::ModelInstance &Affected = m_Model->m_Instances[Instance];
-  m_Model->scheduleCutDetection(Affected);
+  m_Model->scheduleLossDetection(Affected);
   Affected.m_CutUntil = now() + Time;
 }
 
@@ -431,11 +434,17 @@
                             core::Duration Time) {
   for (std::size_t Index : Instances) {
     Model::ModelInstance &Each = m_Model->m_Instances[Index];
-    m_Model->scheduleCutDetection(Each);
+    m_Model->scheduleLossDetection(Each);
     Each.m_SplitUntil = now() + Time;
   }
 }
 
+void QuotaSimulation::loseStore(core::Duration Time) {
+  for (Model::ModelInstance &Each : m_Model->m_Instances)
+    m_Model->scheduleLossDetection(Each);
+  m_Model->m_StoreLostUntil = now() + Time;
+}
+
 void QuotaSimulation::freeze(std::size_t Instance, core::Duration Time) {
   m_Model->m_Instances[Instance].m_FrozenUntil = now() + Time;
 }
--- a/Tests/Support/QuotaSimulation.h
+++ b/Tests/Support/QuotaSimulation.h
@@ -74,6 +74,9 @@
   void cut(std::size_t Instance, core::Duration Time);
   /// Cuts the given instances off from the others, but not from each other.
   void split(const std::vector<std::size_t> &Instances, core::Duration Time);
+  /// Makes the store unavailable. Instances that start read the lists and the
+  /// accounts from their peers.
+  void loseStore(core::Duration Time);
   /// Suspends the instance; datagrams and requests wait until it resumes.
   void freeze(std::size_t Instance, core::Duration Time);
   /// Adds an instance; the others learn of it within 0.5 s.
