--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -63,6 +63,7 @@
                  const Dialect &Wire, platform::KeyValueService &Store)
     : m_Context(Context), m_Settings(std::move(Settings)), m_Wire(Wire),
       m_Store(Store), m_Timers(Context), m_MembershipRecord(Context, Store),
+      m_OwnersRecord(Context, Store, "quota-owners"),
       m_Mirror(MaxMirrorChanges), m_Follower(Context, Store, m_Mirror),
       m_Dispatcher(
           m_Targets, m_Settings.m_DataHall, m_Settings.m_Placement,
@@ -222,11 +223,11 @@
     m_Backpressure.upkeep(Now);
     m_Slots.upkeep(Now);
     m_Quarantine.upkeep(Now);
-    m_Quotas.upkeep(m_Peers->isListConfirmed(), Now);
+    m_Quotas.upkeep(m_Peers->ownershipEvidence(Now), Now);
     // Without a record, the quota owners are the discovered instances.
     if (m_Membership.recorded().empty())
       updateQuotaOwners();
-    updateMembershipRecord(Now);
+    updateMembershipRecords(Now);
   });
   core::LogLine("instance-started")
       .add("instance", m_Settings.m_Name)
@@ -345,29 +346,6 @@
       Report.m_Demand.push_back(toEntry(Pool, Tier, Each));
 }
 
-void Gateway::updateQuotaOwners() {
-  FleetMembers Owners = m_Membership.recorded();
-  // At a fleet's first start there is no record, and the live instances own the
-  // quotas. A process that starts later and finds no record waits until it has
-  // discovered them.
-  bool IsDiscoveryDone =
-      m_Settings.m_IsFirstStart || m_Peers->isDiscoveryDone();
-  if (Owners.empty() && IsDiscoveryDone)
-    Owners = m_Peers->liveInstances();
-  if (!m_Quotas.setOwners(Owners))
-    return;
-  core::LogLine("quota-owners")
-      .add("instances", Owners.size())
-      .add("is_recorded", !m_Membership.recorded().empty());
-}
-
-void Gateway::updateMembershipRecord(core::TimePoint Now) {
-  if (!m_Follower.isConnected() || !m_Peers->isRecordWriter())
-    return;
-  if (auto List = m_Membership.proposeUpdate(m_Peers->liveInstances(), Now))
-    m_MembershipRecord.write(*List, Now);
-}
-
 //===----------------------------------------------------------------------===//
 // Target exits and quarantine
 //===----------------------------------------------------------------------===//
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -18,6 +18,7 @@
 #include "LibGateway/PathMonitor.h"
 #include "LibGateway/PeerService.h"
 #include "LibGateway/QuarantineService.h"
+#include "LibGateway/QuotaOwnership.h"
 #include "LibGateway/QuotaService.h"
 #include "LibGateway/RetryBudgets.h"
 #include "LibGateway/RolloutService.h"
@@ -108,10 +109,13 @@
   void describeLoad(peer::LoadReport &Report) const;
   /// Sums up the loads that group peers report for each target.
   void updatePeerLoads();
-  /// Recomputes which instances own quotas from the known fleet members.
+  /// Applies a change of the members of the fleet or of the owners of quotas.
+  /// \returns false if \p Change is of another kind.
+  bool applyMembershipRecord(const platform::Entry &Change);
+  /// Recomputes which instances own quotas from both records.
   void updateQuotaOwners();
-  /// Corrects the membership record if this instance is its writer.
-  void updateMembershipRecord(core::TimePoint Now);
+  /// Corrects both records if this instance is their writer.
+  void updateMembershipRecords(core::TimePoint Now);
   RolloutHooks rolloutHooks();
   /// Schedules upkeep of rollouts while any is active.
   void scheduleRolloutUpkeep();
@@ -174,7 +178,9 @@
   core::SteadyTimerService m_Timers;
   metrics::MetricsRegistry m_Metrics;
   MembershipRecord m_MembershipRecord;
+  MembershipRecord m_OwnersRecord;
   FleetMembership m_Membership;
+  QuotaOwnership m_QuotaOwnership;
   platform::StoreMirror m_Mirror;
   StoreFollower m_Follower;
   routing::RoutingTableHandle m_Table;
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMembership.cpp
@@ -0,0 +1,56 @@
+//===-- GatewayMembership.cpp - Members of the fleet and owners of quotas -===//
+#include "LibGateway/Gateway.h"
+
+#include "LibCore/Log.h"
+
+#include <boost/asio/post.hpp>
+
+namespace yardrill::gateway {
+
+bool Gateway::applyMembershipRecord(const platform::Entry &Change) {
+  if (m_MembershipRecord.isRecordKey(Change.m_Key)) {
+    m_Membership.setRecorded(m_MembershipRecord.read(Change));
+    m_QuotaOwnership.setMembers(m_Membership.recorded(), Change.m_ModRevision);
+    m_Peers->setRecorded(m_Membership.recorded());
+  } else if (m_OwnersRecord.isRecordKey(Change.m_Key)) {
+    m_QuotaOwnership.setOwners(m_OwnersRecord.read(Change),
+                               Change.m_ModRevision);
+  } else {
+    return false;
+  }
+  // The same update may change both records.
+  boost::asio::post(m_Context, [this] { updateQuotaOwners(); });
+  return true;
+}
+
+void Gateway::updateQuotaOwners() {
+  FleetMembers Members = m_Membership.recorded();
+  // At a fleet's first start there is no record, and the live instances own the
+  // quotas. A process that starts later and finds no record waits until it has
+  // discovered them.
+  bool IsDiscoveryDone =
+      m_Settings.m_IsFirstStart || m_Peers->isDiscoveryDone();
+  if (Members.empty() && IsDiscoveryDone)
+    Members = m_Peers->liveInstances();
+  FleetMembers Owners = m_QuotaOwnership.owners();
+  if (Owners.empty())
+    Owners = Members;
+  if (!m_Quotas.setOwners(Owners, Members))
+    return;
+  m_Peers->setQuotaOwners(Owners, Members);
+  core::LogLine("quota-owners")
+      .add("owners", Owners.size())
+      .add("members", Members.size())
+      .add("is_recorded", !m_Membership.recorded().empty());
+}
+
+void Gateway::updateMembershipRecords(core::TimePoint Now) {
+  if (!m_Follower.isConnected() || !m_Peers->isRecordWriter())
+    return;
+  if (auto List = m_Membership.proposeUpdate(m_Peers->liveInstances(), Now))
+    m_MembershipRecord.write(*List, Now);
+  if (auto List = m_QuotaOwnership.proposeUpdate(m_Peers->memberReports(), Now))
+    m_OwnersRecord.write(*List, Now);
+}
+
+} // namespace yardrill::gateway
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -72,11 +72,8 @@
 }
 
 void Gateway::applyEntry(const platform::Entry &Change) {
-  if (m_MembershipRecord.isRecordKey(Change.m_Key)) {
-    m_Membership.setRecorded(m_MembershipRecord.read(Change));
-    m_Peers->setRecorded(m_Membership.recorded());
-    return updateQuotaOwners();
-  }
+  if (applyMembershipRecord(Change))
+    return;
   if (m_Quarantine.isRecordKey(Change.m_Key))
     return m_Quarantine.applyEntry(Change);
   if (m_Rollouts.applyRecord(Change))
--- a/Libraries/LibGateway/MembershipRecord.cpp
+++ b/Libraries/LibGateway/MembershipRecord.cpp
@@ -1,16 +1,16 @@
-//===-- MembershipRecord.cpp - Membership of the fleet in the store -------===//
+//===-- MembershipRecord.cpp - Lists of instances in the store ------------===//
 #include "LibGateway/MembershipRecord.h"
 
 #include <sstream>
 
 namespace yardrill::gateway {
 
-static const char Name[] = "instances";
 static constexpr std::chrono::seconds WritePeriod{10};
 
 MembershipRecord::MembershipRecord(boost::asio::io_context &Context,
-                                   platform::KeyValueService &Store)
-    : m_Record(Context, Store, Name, WritePeriod) {}
+                                   platform::KeyValueService &Store,
+                                   std::string Name)
+    : m_Record(Context, Store, std::move(Name), WritePeriod) {}
 
 /// Returns one line per instance: its address, a space and its data hall.
 static std::string toText(const FleetMembers &Instances) {
--- a/Libraries/LibGateway/MembershipRecord.h
+++ b/Libraries/LibGateway/MembershipRecord.h
@@ -1,7 +1,8 @@
-//===-- MembershipRecord.h - Membership of the fleet in the store ---------===//
+//===-- MembershipRecord.h - Lists of instances in the store --------------===//
 //
-// Lets each instance know which instances own which quotas, even one that has
-// just started and knows no peer. One instance writes it, rarely.
+// Lets each instance know the members of the fleet and which of them own
+// quotas, even one that has just started and knows no peer. One instance writes
+// the lists, rarely.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_LIBGATEWAY_MEMBERSHIPRECORD_H
@@ -15,11 +16,13 @@
 /// Data hall of each instance, by peer address.
 using FleetMembers = routing::FleetSubset::Fleet;
 
-/// Reads and writes the record; used by Gateway.
+/// Reads and writes one list; used by Gateway.
 class MembershipRecord {
 public:
+  /// \param Name see StoreRecord.
   MembershipRecord(boost::asio::io_context &Context,
-                   platform::KeyValueService &Store);
+                   platform::KeyValueService &Store,
+                   std::string Name = "instances");
 
   bool isRecordKey(const std::string &Key) const {
     return m_Record.isRecordKey(Key);
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -20,6 +20,11 @@
 /// number of periods: every 2 s. The writer counts an instance as live for 10 s
 /// after its last report.
 static constexpr std::size_t WriterRounds = 8;
+/// While the store is not reached, owners of quotas in other groups get a full
+/// report from their witnesses once in this number of periods.
+static constexpr std::size_t WitnessRounds = 2;
+/// Time after the loss of the store in which witnesses report.
+static constexpr std::chrono::seconds WitnessTime{2};
 /// Average number of peers per group to which a follower reports a new revision
 /// at once; these fetch it and report it within their groups.
 static constexpr std::size_t ReceiversPerGroup = 2;
@@ -171,6 +176,14 @@
     To.push_back(*Writer);
 }
 
+void PeerExchange::addWitnessedOwners(std::vector<config::Endpoint> &To) {
+  if (isStoreReachable() || ++m_UnreachableReports % WitnessRounds != 0)
+    return;
+  for (const config::Endpoint &Each : m_WitnessedOwners)
+    if (!m_Subset.isGroupPeer(Each))
+      To.push_back(Each);
+}
+
 void PeerExchange::setRecorded(FleetMembers Instances) {
   m_Recorded = std::move(Instances);
   m_IsMembershipChanged = true;
@@ -242,9 +255,61 @@
   return m_LastReport.m_IsStoreConnected || m_Peers.followerCount() > 0;
 }
 
-bool PeerExchange::isListConfirmed() const {
-  return isStoreReachable() ||
-         m_Peers.groupPeers().size() * 2 >= m_GroupAddresses.size();
+void PeerExchange::setQuotaOwners(const FleetMembers &Owners,
+                                  const FleetMembers &Members) {
+  FleetMembers All = Owners;
+  All.insert(Members.begin(), Members.end());
+  std::vector<config::Endpoint> Addresses;
+  for (const auto &[Address, Hall] : All)
+    Addresses.push_back(Address);
+  routing::ConsistentHashRing Ring(Addresses);
+  m_Witnesses = Ring.witnessesOf(m_Settings.m_PeerAddress);
+  m_WitnessCount = m_Witnesses.size();
+  auto IsPending = [&](const config::Endpoint &Each) {
+    return Owners.count(Each) == 0 || Members.count(Each) == 0;
+  };
+  m_Witnesses.erase(
+      std::remove_if(m_Witnesses.begin(), m_Witnesses.end(), IsPending),
+      m_Witnesses.end());
+  m_WitnessedOwners.clear();
+  for (const auto &[Address, Hall] : Owners) {
+    auto Witnesses = Ring.witnessesOf(Address);
+    if (std::find(Witnesses.begin(), Witnesses.end(),
+                  m_Settings.m_PeerAddress) != Witnesses.end())
+      m_WitnessedOwners.push_back(Address);
+  }
+}
+
+bool PeerExchange::hasMostWitnesses() const {
+  auto Agreeing =
+      std::count_if(m_Witnesses.begin(), m_Witnesses.end(),
+                    [this](const config::Endpoint &Each) {
+                      const LivePeer *Witness = m_Peers.find(Each);
+                      return Witness && !Witness->m_IsSilent &&
+                             !Witness->m_Report.m_IsStopping &&
+                             Witness->m_Report.m_CompleteRevision <=
+                                 m_Mirror.completeRevision().value();
+                    });
+  return static_cast<std::size_t>(Agreeing) * 2 >= m_WitnessCount;
+}
+
+routing::OwnershipEvidence
+PeerExchange::ownershipEvidence(core::TimePoint Now) const {
+  if (isStoreReachable())
+    return routing::OwnershipEvidence::Store;
+  if (Now - m_StoreReachableAt <= WitnessTime || hasMostWitnesses())
+    return routing::OwnershipEvidence::Witnesses;
+  return routing::OwnershipEvidence::None;
+}
+
+MemberReports PeerExchange::memberReports() const {
+  MemberReports Out{
+      {m_Settings.m_PeerAddress, {m_Mirror.completeRevision(), m_IsStopping}}};
+  for (const auto &[Incarnation, Each] : m_Peers.all())
+    Out[Each.m_Instance.m_Peer] = {
+        platform::Revision(Each.m_Report.m_CompleteRevision),
+        Each.m_Report.m_IsStopping};
+  return Out;
 }
 
 bool PeerExchange::isDiscoveryDone(core::TimePoint Now) const {
@@ -274,6 +339,8 @@
 
 void PeerExchange::tick(core::TimePoint Now) {
   expire(Now);
+  if (isStoreReachable())
+    m_StoreReachableAt = Now;
   m_FollowerSelection.update(m_Peers.followersBefore(), Now);
   notifyIfChanged();
   bool IsLarge = m_Subset.groupCount() > 1;
@@ -291,6 +358,7 @@
   repartition();
   std::vector<config::Endpoint> To = m_GroupAddresses;
   addOtherGroupReceivers(To);
+  addWitnessedOwners(To);
   To.insert(To.end(), m_HintedPeers.begin(), m_HintedPeers.end());
   for (const auto &[Address, Since] : m_Missing.all())
     if (!m_Subset.isGroupPeer(Address))
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -14,9 +14,11 @@
 #include "LibGateway/MirrorFetcher.h"
 #include "LibGateway/MissingPeers.h"
 #include "LibGateway/PeerTable.h"
+#include "LibGateway/QuotaOwnership.h"
 #include "LibGateway/Rotation.h"
 #include "LibPlatform/StoreMirror.h"
 #include "LibRouting/FleetSubset.h"
+#include "LibRouting/QuotaOwner.h"
 
 #include <functional>
 #include <optional>
@@ -92,10 +94,14 @@
   bool isRecordWriter(core::TimePoint Now) const {
     return isDiscoveryDone(Now) && m_Peers.followersBefore() == 0;
   }
-  /// Whether this instance would learn of a change of the membership: from the
-  /// store, or, if no known instance reaches it, from at least half of the
-  /// group peers.
-  bool isListConfirmed() const;
+  /// Sets the owners of quotas, among which each has its witnesses.
+  /// \param Members see QuotaService::setOwners().
+  void setQuotaOwners(const FleetMembers &Owners, const FleetMembers &Members);
+  /// Returns the evidence that no other instance has taken over quotas of this
+  /// one.
+  routing::OwnershipEvidence ownershipEvidence(core::TimePoint Now) const;
+  /// Returns what this instance and all live peers know of the store.
+  MemberReports memberReports() const;
   /// Returns this instance and the peers in the table, silent ones included.
   FleetMembers liveInstances() const;
   /// Returns the peer addresses of all other instances that are live or
@@ -131,6 +137,9 @@
                           std::vector<config::Endpoint> &To);
   /// Adds the peers of other groups that the next full report is sent to.
   void addOtherGroupReceivers(std::vector<config::Endpoint> &To);
+  /// Adds the owners of other groups that have this instance as a witness and
+  /// need its report.
+  void addWitnessedOwners(std::vector<config::Endpoint> &To);
   /// Divides the fleet into groups anew, if its members or the group size
   /// changed.
   void repartition();
@@ -138,6 +147,9 @@
   std::size_t desiredGroupSize() const;
   /// Recomputes all that depends on the fleet's members and groups.
   void rebuildPeerLists();
+  /// Whether at least half of the witnesses are live and know of no change
+  /// that this instance lacks.
+  bool hasMostWitnesses() const;
   /// Whether this instance or a live peer is connected to the store.
   bool isStoreReachable() const;
   /// Whether the mirror is newer than the last report states.
@@ -155,11 +167,12 @@
   std::set<config::Endpoint> m_HintedPeers;
   MissingPeers m_Missing;
   routing::FleetSubset m_Subset;
-  routing::FleetSubset::Fleet m_Fleet; ///< Basis of m_Subset
-  std::size_t m_MaxGroupMembers = 0;   ///< Group size used for m_Subset
-  Rotation m_OtherGroupRotation;       ///< Index into m_OtherGroupAddresses
-  std::size_t m_FullReports = 0;       ///< Counter for WriterRounds
-  peer::LoadReport m_LastReport;       ///< Last report sent, in full
+  routing::FleetSubset::Fleet m_Fleet;  ///< Basis of m_Subset
+  std::size_t m_MaxGroupMembers = 0;    ///< Group size used for m_Subset
+  Rotation m_OtherGroupRotation;        ///< Index into m_OtherGroupAddresses
+  std::size_t m_FullReports = 0;        ///< Counter for WriterRounds
+  std::size_t m_UnreachableReports = 0; ///< Counter for WitnessRounds
+  peer::LoadReport m_LastReport;        ///< Last report sent, in full
   core::TimePoint m_LastReportAt{};
   core::TimePoint m_FullReportAt{};
   bool m_IsStopping = false;
@@ -170,6 +183,13 @@
   bool m_IsMembershipChanged = false; ///< Since the last repartition()
   std::vector<config::Endpoint> m_GroupAddresses; ///< Peers of the own group
   std::vector<config::Endpoint> m_OtherGroupAddresses; ///< All other peers
+  /// Witnesses of this instance that remain so whichever pending changes of the
+  /// owners take effect.
+  std::vector<config::Endpoint> m_Witnesses;
+  std::size_t m_WitnessCount = 0; ///< With those that may be added or removed
+  /// Owners of quotas that have this instance as a witness.
+  std::vector<config::Endpoint> m_WitnessedOwners;
+  core::TimePoint m_StoreReachableAt{}; ///< Last time that it was
   FollowerSelection m_FollowerSelection;
   std::mt19937_64 m_Random;
 };
--- a/Libraries/LibGateway/PeerService.h
+++ b/Libraries/LibGateway/PeerService.h
@@ -65,7 +65,13 @@
   bool hasPeerWithState() const { return m_Exchange.hasPeerWithState(); }
   bool isDiscoveryDone() const;
   bool isRecordWriter() const;
-  bool isListConfirmed() const { return m_Exchange.isListConfirmed(); }
+  void setQuotaOwners(const FleetMembers &Owners, const FleetMembers &Members) {
+    m_Exchange.setQuotaOwners(Owners, Members);
+  }
+  routing::OwnershipEvidence ownershipEvidence(core::TimePoint Now) const {
+    return m_Exchange.ownershipEvidence(Now);
+  }
+  MemberReports memberReports() const { return m_Exchange.memberReports(); }
   FleetMembers liveInstances() const { return m_Exchange.liveInstances(); }
   std::vector<config::Endpoint> otherInstances() const {
     return m_Exchange.otherInstances();
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -38,6 +38,11 @@
   return Found == m_Peers.end() ? nullptr : &Found->second;
 }
 
+const LivePeer *PeerTable::find(const config::Endpoint &Address) const {
+  auto Found = m_ByAddress.find(Address);
+  return Found == m_ByAddress.end() ? nullptr : find(Found->second);
+}
+
 PeerTable::ReportResult PeerTable::handle(const peer::PeerMessage &Message,
                                           const peer::LoadReport &Report,
                                           core::TimePoint Now,
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -68,6 +68,8 @@
   const Peers &all() const { return m_Peers; }
   /// Returns the peer with that incarnation; null if it is unknown.
   const LivePeer *find(core::IncarnationId Peer) const;
+  /// Returns the peer with that address; null if it is unknown.
+  const LivePeer *find(const config::Endpoint &Address) const;
   /// Whether a peer with that address is in the table, silent or not.
   bool isKnown(const config::Endpoint &Address) const {
     return m_ByAddress.count(Address) != 0;
--- /dev/null
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -0,0 +1,168 @@
+//===-- QuotaOwnership.cpp - Decides which members own quotas -------------===//
+#include "LibGateway/QuotaOwnership.h"
+
+#include <algorithm>
+
+namespace yardrill::gateway {
+
+/// Time from a report that an instance knows a membership until no owner still
+/// counts an older report of it. Exceeds the time for which a peer is known
+/// without a report (10 s) and a stall of the owner.
+static constexpr std::chrono::seconds SettlingTime{15};
+/// Minimum time between two samples of an instance's revision.
+static constexpr std::chrono::seconds SamplePeriod{1};
+/// Time without a call after which the reports received before do not count.
+static constexpr std::chrono::seconds MaxPause{5};
+/// Time after which a removed owner counts as ended, although too few of its
+/// witnesses are left to show it. Exceeds the longest expected partition.
+static constexpr std::chrono::hours MaxPartition{2};
+
+void QuotaOwnership::setOwners(FleetMembers Owners, platform::Revision At) {
+  m_Owners = std::move(Owners);
+  m_OwnersAt = At;
+}
+
+void QuotaOwnership::setMembers(FleetMembers Members, platform::Revision At) {
+  if (m_Members.empty())
+    m_FirstMembersAt = At;
+  for (const auto &[Address, Hall] : Members)
+    if (m_Members.count(Address) == 0)
+      m_ChangedAt[Address] = At;
+  for (const auto &[Address, Hall] : m_Members)
+    if (Members.count(Address) == 0)
+      m_ChangedAt[Address] = At;
+  m_Members = std::move(Members);
+}
+
+platform::Revision
+QuotaOwnership::changedAt(const config::Endpoint &Instance) const {
+  auto Found = m_ChangedAt.find(Instance);
+  return Found == m_ChangedAt.end() ? m_FirstMembersAt : Found->second;
+}
+
+void QuotaOwnership::addReport(Known &Instance, const MemberReport &Report,
+                               core::TimePoint Now) {
+  Instance.m_IsLive = true;
+  Instance.m_LastLiveAt = Now;
+  Instance.m_IsStopping = Report.m_IsStopping;
+  std::deque<Sample> &Samples = Instance.m_Samples;
+  platform::Revision Previous =
+      Samples.empty() ? Instance.m_SettledRevision : Samples.back().m_Revision;
+  // It has restarted and knows less than before.
+  if (Report.m_Revision < Previous) {
+    Samples.clear();
+    Instance.m_SettledRevision = platform::Revision();
+  }
+  if (Samples.empty() || Now - Samples.back().m_At >= SamplePeriod)
+    Samples.push_back({Now, Report.m_Revision});
+}
+
+void QuotaOwnership::observe(const MemberReports &Live, core::TimePoint Now) {
+  if (Now - m_ObservedAt > MaxPause)
+    m_Known.clear();
+  m_ObservedAt = Now;
+  for (const auto &[Address, Hall] : m_Owners)
+    m_Known.try_emplace(Address).first->second.m_IsLive = false;
+  for (auto Each = m_Known.begin(); Each != m_Known.end();) {
+    bool IsOwner = m_Owners.count(Each->first) != 0;
+    Each = IsOwner ? std::next(Each) : m_Known.erase(Each);
+  }
+  for (auto &[Address, Each] : m_Known) {
+    auto Report = Live.find(Address);
+    if (Report != Live.end())
+      addReport(Each, Report->second, Now);
+    if (Each.m_LastLiveAt == core::TimePoint())
+      Each.m_LastLiveAt = Now;
+    while (!Each.m_Samples.empty() &&
+           Now - Each.m_Samples.front().m_At >= SettlingTime) {
+      Each.m_SettledRevision = Each.m_Samples.front().m_Revision;
+      Each.m_Samples.pop_front();
+    }
+  }
+}
+
+bool QuotaOwnership::hasSettled(const config::Endpoint &Instance,
+                                platform::Revision At) const {
+  platform::Revision Settled = m_Known.at(Instance).m_SettledRevision;
+  return Settled != platform::Revision() && !(Settled < At);
+}
+
+bool QuotaOwnership::isReleased(const config::Endpoint &Owner,
+                                const routing::ConsistentHashRing &Ring,
+                                core::TimePoint Now) const {
+  platform::Revision RemovedAt = changedAt(Owner);
+  if (hasSettled(Owner, RemovedAt))
+    return true;
+  const Known &Removed = m_Known.at(Owner);
+  // It is heard and learns of the change itself.
+  if (Removed.m_IsLive)
+    return false;
+  core::Duration Silence = Now - Removed.m_LastLiveAt;
+  if (Silence >= (Removed.m_IsStopping ? core::Duration(SettlingTime)
+                                       : core::Duration(MaxPartition)))
+    return true;
+  std::vector<config::Endpoint> Witnesses = Ring.witnessesOf(Owner);
+  auto Settled = std::count_if(Witnesses.begin(), Witnesses.end(),
+                               [this, RemovedAt](const auto &Each) {
+                                 return hasSettled(Each, RemovedAt);
+                               });
+  return static_cast<std::size_t>(Settled) * 2 > Witnesses.size();
+}
+
+FleetMembers
+QuotaOwnership::removableOwners(const routing::ConsistentHashRing &Ring,
+                                core::TimePoint Now) const {
+  FleetMembers Out;
+  platform::Revision ChangedAt = m_OwnersAt;
+  for (const auto &[Address, Hall] : m_Owners) {
+    if (m_Members.count(Address) != 0 || !isReleased(Address, Ring, Now))
+      continue;
+    Out.emplace(Address, Hall);
+    ChangedAt = std::max(ChangedAt, changedAt(Address));
+  }
+  for (bool IsChanged = true; IsChanged;) {
+    IsChanged = false;
+    for (const auto &[Address, Hall] : m_Owners) {
+      if (Out.count(Address) != 0 || hasSettled(Address, ChangedAt))
+        continue;
+      for (const config::Endpoint &Each : Ring.witnessesOf(Address))
+        IsChanged = Out.erase(Each) != 0 || IsChanged;
+    }
+  }
+  return Out;
+}
+
+std::optional<FleetMembers>
+QuotaOwnership::proposeUpdate(const MemberReports &Live, core::TimePoint Now) {
+  if (m_Members.empty())
+    return std::nullopt;
+  if (m_Owners.empty())
+    return m_Members;
+  observe(Live, Now);
+  std::vector<config::Endpoint> Addresses;
+  for (const auto &[Address, Hall] : m_Owners)
+    Addresses.push_back(Address);
+  FleetMembers Removed =
+      removableOwners(routing::ConsistentHashRing(Addresses), Now);
+  FleetMembers Next;
+  for (const auto &[Address, Hall] : m_Owners)
+    if (Removed.count(Address) == 0)
+      Next.emplace(Address, Hall);
+  FleetMembers Added;
+  for (const auto &[Address, Hall] : m_Members) {
+    platform::Revision ChangedAt = std::max(m_OwnersAt, changedAt(Address));
+    // Any of the remaining owners may lose a share to the added one.
+    bool IsKnown = std::all_of(Next.begin(), Next.end(),
+                               [this, ChangedAt](const auto &Each) {
+                                 return hasSettled(Each.first, ChangedAt);
+                               });
+    if (m_Owners.count(Address) == 0 && IsKnown)
+      Added.emplace(Address, Hall);
+  }
+  Next.insert(Added.begin(), Added.end());
+  if (Next == m_Owners)
+    return std::nullopt;
+  return Next;
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -0,0 +1,95 @@
+//===-- QuotaOwnership.h - Decides which members own quotas ---------------===//
+//
+// Does no I/O. The owners follow the membership of the fleet, but later: a new
+// owner must not grant while its predecessor still does. An owner that does not
+// reach the store goes on, as in an outage of the store, while at least half of
+// its witnesses know of no newer membership. So it can be replaced only once it
+// knows the new membership, or once most of its witnesses do.
+//
+//===----------------------------------------------------------------------===//
+#ifndef YARDRILL_LIBGATEWAY_QUOTAOWNERSHIP_H
+#define YARDRILL_LIBGATEWAY_QUOTAOWNERSHIP_H
+
+#include "LibCore/Time.h"
+#include "LibGateway/MembershipRecord.h"
+#include "LibPlatform/Revision.h"
+#include "LibRouting/ConsistentHashRing.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace yardrill::gateway {
+
+/// What an instance has reported last.
+struct MemberReport {
+  platform::Revision m_Revision; ///< Revision up to which it knows the store.
+  bool m_IsStopping = false;
+};
+
+/// Reports of live instances, by peer address.
+using MemberReports = std::map<config::Endpoint, MemberReport>;
+
+/// Compares the recorded owners with the membership; used by Gateway.
+class QuotaOwnership {
+public:
+  /// Sets the owners that the store holds since revision \p At; empty if it
+  /// holds none.
+  void setOwners(FleetMembers Owners, platform::Revision At);
+  const FleetMembers &owners() const { return m_Owners; }
+  /// Sets the membership that the store holds since revision \p At.
+  void setMembers(FleetMembers Members, platform::Revision At);
+
+  /// Returns the owners that should replace the recorded ones; none if nothing
+  /// changes. Must be called several times a second; after a pause, the reports
+  /// received before do not count.
+  std::optional<FleetMembers> proposeUpdate(const MemberReports &Live,
+                                            core::TimePoint Now);
+
+private:
+  struct Sample {
+    core::TimePoint m_At{};
+    platform::Revision m_Revision;
+  };
+  /// What is known of one instance.
+  struct Known {
+    std::deque<Sample> m_Samples; ///< Those younger than SettlingTime.
+    /// Revision that it has known for SettlingTime.
+    platform::Revision m_SettledRevision;
+    core::TimePoint m_LastLiveAt{};
+    bool m_IsLive = false;
+    bool m_IsStopping = false; ///< By its last report.
+  };
+
+  void observe(const MemberReports &Live, core::TimePoint Now);
+  static void addReport(Known &Instance, const MemberReport &Report,
+                        core::TimePoint Now);
+  /// Returns the revision since which \p Instance is a member, or no longer is.
+  platform::Revision changedAt(const config::Endpoint &Instance) const;
+  /// Whether \p Instance has known revision \p At for long.
+  bool hasSettled(const config::Endpoint &Instance,
+                  platform::Revision At) const;
+  /// Whether an owner that is no longer a member has stopped granting.
+  bool isReleased(const config::Endpoint &Owner,
+                  const routing::ConsistentHashRing &Ring,
+                  core::TimePoint Now) const;
+
+  /// Returns the owners that are no longer members and have stopped granting,
+  /// without those whose removal would change the witnesses of others that may
+  /// not know of it.
+  FleetMembers removableOwners(const routing::ConsistentHashRing &Ring,
+                               core::TimePoint Now) const;
+
+  FleetMembers m_Owners;
+  platform::Revision m_OwnersAt;
+  FleetMembers m_Members;
+  platform::Revision
+      m_FirstMembersAt; ///< Of the first membership that was set.
+  std::map<config::Endpoint, platform::Revision> m_ChangedAt;
+  std::map<config::Endpoint, Known> m_Known;
+  core::TimePoint m_ObservedAt{};
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- a/Libraries/LibGateway/QuotaService.cpp
+++ b/Libraries/LibGateway/QuotaService.cpp
@@ -19,20 +19,31 @@
     : m_Context(Context),
       m_Quota(Settings.m_PeerAddress, Settings.m_QuotaTolerance,
               Settings.m_IsFirstStart, core::randomBits()),
-      m_Protocol(m_Quota, Metrics, std::move(Send)) {}
+      m_Protocol(m_Quota, Metrics, std::move(Send)),
+      m_Self(Settings.m_PeerAddress) {}
 
 void QuotaService::setAccounts(const std::vector<routing::Account> &Accounts) {
   m_Quota.setAccounts(Accounts, core::steadyNow());
 }
 
-bool QuotaService::setOwners(const FleetMembers &Instances) {
-  if (Instances == m_Owners)
+static routing::ConsistentHashRing ringOf(const FleetMembers &Instances) {
+  std::vector<config::Endpoint> Addresses;
+  for (const auto &[Address, Hall] : Instances)
+    Addresses.push_back(Address);
+  return routing::ConsistentHashRing(Addresses);
+}
+
+bool QuotaService::setOwners(const FleetMembers &Owners,
+                             const FleetMembers &Members) {
+  if (Owners == m_Owners && Members == m_Members)
     return false;
-  m_Owners = Instances;
-  std::vector<config::Endpoint> Members;
-  for (const auto &[Address, Hall] : m_Owners)
-    Members.push_back(Address);
-  m_Quota.setRing(routing::ConsistentHashRing(Members), core::steadyNow());
+  m_Owners = Owners;
+  m_Members = Members;
+  FleetMembers Planned = Owners;
+  Planned.insert(Members.begin(), Members.end());
+  if (Members.count(m_Self) == 0)
+    Planned.erase(m_Self);
+  m_Quota.setRing({ringOf(Owners), ringOf(Planned)}, core::steadyNow());
   return true;
 }
 
@@ -45,14 +56,15 @@
     m_Protocol.handle(From, *Response, Now);
 }
 
-void QuotaService::upkeep(bool IsListConfirmed, core::TimePoint Now) {
-  m_Quota.setListConfirmed(IsListConfirmed);
-  if (IsListConfirmed != m_IsListConfirmed)
-    core::LogLine(IsListConfirmed ? "quota-list-confirmed"
-                                  : "quota-list-unconfirmed",
-                  core::LogLevel::Warning)
-        .add("owners", m_Owners.size());
-  m_IsListConfirmed = IsListConfirmed;
+void QuotaService::upkeep(routing::OwnershipEvidence Evidence,
+                          core::TimePoint Now) {
+  m_Quota.setEvidence(Evidence);
+  if (Evidence != m_Evidence)
+    core::LogLine("quota-ownership-evidence", core::LogLevel::Warning)
+        .add("evidence", routing::toString(Evidence))
+        .add("owners", m_Owners.size())
+        .add("members", m_Members.size());
+  m_Evidence = Evidence;
   m_Protocol.upkeep(Now);
 }
 
--- a/Libraries/LibGateway/QuotaService.h
+++ b/Libraries/LibGateway/QuotaService.h
@@ -23,13 +23,16 @@
 
   /// Sets the accounts, with their limits, of the configuration in force.
   void setAccounts(const std::vector<routing::Account> &Accounts);
-  /// Sets the instances that own quotas. \returns whether they changed.
-  bool setOwners(const FleetMembers &Instances);
+  /// Sets the instances that own quotas.
+  /// \param Members all instances of the fleet. Those that own no quotas yet
+  /// are about to, and owners that are not among them are about to be removed.
+  /// \returns whether anything changed.
+  bool setOwners(const FleetMembers &Owners, const FleetMembers &Members);
   /// Handles quota messages of peers; ignores other messages.
   void handle(const peer::PeerMessage &Message);
   /// Must be called a few times a second.
-  /// \param IsListConfirmed see routing::QuotaOwner::setListConfirmed().
-  void upkeep(bool IsListConfirmed, core::TimePoint Now);
+  /// \param Evidence see routing::QuotaOwner::setEvidence().
+  void upkeep(routing::OwnershipEvidence Evidence, core::TimePoint Now);
 
   /// Acquires the tokens of a request; waits for responses of owners if needed.
   /// \returns whether they are granted.
@@ -47,8 +50,10 @@
   boost::asio::io_context &m_Context;
   routing::DistributedQuota m_Quota;
   QuotaProtocol m_Protocol;
+  config::Endpoint m_Self;
   FleetMembers m_Owners;
-  bool m_IsListConfirmed = true;
+  FleetMembers m_Members;
+  routing::OwnershipEvidence m_Evidence = routing::OwnershipEvidence::Store;
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibRouting/ConsistentHashRing.cpp
+++ b/Libraries/LibRouting/ConsistentHashRing.cpp
@@ -15,17 +15,33 @@
   m_Points.erase(std::unique(m_Points.begin(), m_Points.end()), m_Points.end());
 }
 
+std::vector<config::Endpoint>
+ConsistentHashRing::membersFrom(std::size_t Start, std::size_t Count) const {
+  std::vector<config::Endpoint> Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.push_back(m_Points[(Start + I) % m_Points.size()].second);
+  return Out;
+}
+
 std::vector<config::Endpoint>
 ConsistentHashRing::ownersOf(std::uint32_t Hash) const {
   auto First = std::lower_bound(m_Points.begin(), m_Points.end(), Hash,
                                 [](const auto &Point, std::uint32_t Searched) {
                                   return Point.first < Searched;
                                 });
-  auto Start = static_cast<std::size_t>(First - m_Points.begin());
-  std::vector<config::Endpoint> Out;
-  for (std::size_t I = 0; I < std::min(MaxOwners, m_Points.size()); ++I)
-    Out.push_back(m_Points[(Start + I) % m_Points.size()].second);
-  return Out;
+  return membersFrom(static_cast<std::size_t>(First - m_Points.begin()),
+                     std::min(MaxOwners, m_Points.size()));
+}
+
+std::vector<config::Endpoint>
+ConsistentHashRing::witnessesOf(const config::Endpoint &Member) const {
+  auto Own = std::find_if(
+      m_Points.begin(), m_Points.end(),
+      [&Member](const auto &Point) { return Point.second == Member; });
+  if (Own == m_Points.end())
+    return {};
+  return membersFrom(static_cast<std::size_t>(Own - m_Points.begin()) + 1,
+                     std::min(MaxWitnesses, m_Points.size() - 1));
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/ConsistentHashRing.h
+++ b/Libraries/LibRouting/ConsistentHashRing.h
@@ -20,6 +20,9 @@
   /// so the loss of one of three leaves two thirds of the limit without a
   /// failover.
   static constexpr std::size_t MaxOwners = 3;
+  /// Maximum number of witnesses of an owner. Odd, so that there is always a
+  /// majority.
+  static constexpr std::size_t MaxWitnesses = 15;
 
   /// Creates a ring without members.
   ConsistentHashRing() = default;
@@ -29,8 +32,18 @@
   /// Returns the members that follow \p Hash on the ring: MaxOwners, or all if
   /// there are fewer.
   std::vector<config::Endpoint> ownersOf(std::uint32_t Hash) const;
+  /// Returns the members that follow \p Member on the ring: MaxWitnesses, or
+  /// all others if there are fewer; none if \p Member is not on the ring.
+  /// Without the store, an owner goes on only while at least half of these know
+  /// of no newer membership.
+  std::vector<config::Endpoint>
+  witnessesOf(const config::Endpoint &Member) const;
 
 private:
+  /// Returns \p Count members from position \p Start of the ring on.
+  std::vector<config::Endpoint> membersFrom(std::size_t Start,
+                                            std::size_t Count) const;
+
   /// Members sorted by the low half of stableHash() of their address.
   std::vector<std::pair<std::uint32_t, config::Endpoint>> m_Points;
 };
--- a/Libraries/LibRouting/DistributedQuota.cpp
+++ b/Libraries/LibRouting/DistributedQuota.cpp
@@ -47,23 +47,24 @@
   configure(Now);
 }
 
-void DistributedQuota::setRing(ConsistentHashRing HashRing,
-                               core::TimePoint Now) {
-  m_Ring = std::move(HashRing);
+void DistributedQuota::setRing(QuotaRings Rings, core::TimePoint Now) {
+  m_Rings = std::move(Rings);
   configure(Now);
 }
 
 QuotaLimits DistributedQuota::isolatedLimits(const QuotaLimits &Limits) const {
   // Without a membership, the number of instances is unknown.
-  if (m_Ring.size() == 0)
+  std::size_t InstanceCount =
+      std::max(m_Rings.m_Owners.size(), m_Rings.m_Planned.size());
+  if (InstanceCount == 0)
     return {};
   double Tokens = m_Tolerance.tokens(Limits) * IsolatedShare /
-                  static_cast<double>(m_Ring.size());
+                  static_cast<double>(InstanceCount);
   return {Tokens / core::toSeconds(m_Tolerance.m_Window), Tokens};
 }
 
 void DistributedQuota::configure(core::TimePoint Now) {
-  m_LocalOwner.configure(m_Accounts, m_Ring, Now);
+  m_LocalOwner.configure(m_Accounts, m_Rings, Now);
   std::unordered_map<AccountHash, AccountState> Next;
   for (const Account &Each : m_Accounts) {
     if (Each.m_TokensPerSecond <= 0)
@@ -106,7 +107,8 @@
     return QuotaStep::Granted;
   if (takeCachedGrant(Found->second, Acquisition))
     return QuotaStep::Granted;
-  Acquisition.m_RemainingOwners = m_Ring.ownersOf(Acquisition.m_Account);
+  Acquisition.m_RemainingOwners =
+      m_Rings.m_Owners.ownersOf(Acquisition.m_Account);
   auto OwnerCount =
       static_cast<std::uint32_t>(Acquisition.m_RemainingOwners.size());
   Acquisition.m_PartCount =
--- a/Libraries/LibRouting/DistributedQuota.h
+++ b/Libraries/LibRouting/DistributedQuota.h
@@ -95,10 +95,10 @@
         m_Tolerance(Tolerance), m_Random(Seed) {}
 
   void setAccounts(std::vector<Account> Accounts, core::TimePoint Now);
-  void setRing(ConsistentHashRing HashRing, core::TimePoint Now);
+  void setRing(QuotaRings Rings, core::TimePoint Now);
   /// See QuotaOwner.
-  void setListConfirmed(bool IsConfirmed) {
-    m_LocalOwner.setListConfirmed(IsConfirmed);
+  void setEvidence(OwnershipEvidence Evidence) {
+    m_LocalOwner.setEvidence(Evidence);
   }
 
   /// Starts an acquisition; m_Account and m_Tokens must be set.
@@ -152,7 +152,7 @@
 
   void configure(core::TimePoint Now);
   /// Returns this instance's share of the tolerance for an account with the
-  /// given limits.
+  /// given limits. Instances that own no quotas have a share, too.
   QuotaLimits isolatedLimits(const QuotaLimits &Limits) const;
   bool takeCachedGrant(AccountState &State, QuotaAcquisition &Acquisition);
   /// Whether a few requests of this size would exceed the account's tolerance.
@@ -173,7 +173,7 @@
   QuotaOwner m_LocalOwner;
   QuotaTolerance m_Tolerance;
   std::vector<Account> m_Accounts;
-  ConsistentHashRing m_Ring;
+  QuotaRings m_Rings{ConsistentHashRing()};
   std::unordered_map<AccountHash, AccountState> m_AccountStates;
   /// Owners that did not respond, with the time until which they are not asked.
   std::map<config::Endpoint, core::TimePoint> m_UnresponsiveUntil;
--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -29,6 +29,18 @@
   return static_cast<AccountHash>(core::stableHash(Account.value()));
 }
 
+std::string toString(OwnershipEvidence Evidence) {
+  switch (Evidence) {
+  case OwnershipEvidence::None:
+    return "none";
+  case OwnershipEvidence::Witnesses:
+    return "witnesses";
+  case OwnershipEvidence::Store:
+    return "store";
+  }
+  return "?";
+}
+
 double QuotaTolerance::tokens(const QuotaLimits &Limits) const {
   double Bound =
       Limits.m_TokensPerSecond * core::toSeconds(m_Window) + Limits.m_Burst;
@@ -50,16 +62,18 @@
   return {Tokens * AdvancesPerSecond, Tokens};
 }
 
+static bool contains(const std::vector<config::Endpoint> &Owners,
+                     const config::Endpoint &Searched) {
+  return std::find(Owners.begin(), Owners.end(), Searched) != Owners.end();
+}
+
 void QuotaOwner::configure(const std::vector<Account> &Accounts,
-                           const ConsistentHashRing &HashRing,
-                           core::TimePoint Now) {
+                           const QuotaRings &Rings, core::TimePoint Now) {
   std::unordered_map<AccountHash, Bucket> Next;
   for (const Account &Each : Accounts) {
     AccountHash Hash = hashOf(Each.m_Name);
-    std::vector<config::Endpoint> Owners = HashRing.ownersOf(Hash);
-    bool IsOwner =
-        std::find(Owners.begin(), Owners.end(), m_Self) != Owners.end();
-    if (!IsOwner || Each.m_TokensPerSecond <= 0)
+    std::vector<config::Endpoint> Owners = Rings.m_Owners.ownersOf(Hash);
+    if (!contains(Owners, m_Self) || Each.m_TokensPerSecond <= 0)
       continue;
     double Share = 1 / static_cast<double>(Owners.size());
     QuotaLimits AccountLimits{Each.m_TokensPerSecond, Each.m_Burst};
@@ -68,7 +82,7 @@
     if (Known == m_Buckets.end()) {
       TokenBucket Tokens(Limits, initialLevel(AccountLimits, Share), Now);
       TokenBucket Advance(advanceLimits(Limits), 0, Now);
-      Known = Next.emplace(Hash, Bucket{Tokens, Advance, {}}).first;
+      Known = Next.emplace(Hash, Bucket{Tokens, Advance, {}, false}).first;
     } else {
       Known->second.m_Tokens.setLimits(Limits, Now);
       Known->second.m_Advance.setLimits(advanceLimits(Limits), Now);
@@ -76,17 +90,24 @@
     }
     Owners.erase(std::find(Owners.begin(), Owners.end(), m_Self));
     Known->second.m_Others = std::move(Owners);
+    Known->second.m_IsLeaving =
+        !contains(Rings.m_Planned.ownersOf(Hash), m_Self);
   }
   m_Buckets = std::move(Next);
   m_WasConfigured =
-      m_WasConfigured || (!Accounts.empty() && HashRing.size() > 0);
+      m_WasConfigured || (!Accounts.empty() && Rings.m_Owners.size() > 0);
+}
+
+bool QuotaOwner::isHeld(const Bucket &Quota) const {
+  return m_Evidence == OwnershipEvidence::Store ||
+         (m_Evidence == OwnershipEvidence::Witnesses && !Quota.m_IsLeaving);
 }
 
 QuotaResponse QuotaOwner::handleRequest(const QuotaRequest &Request,
                                         core::TimePoint Now) {
   QuotaResponse Out;
   auto Found = m_Buckets.find(Request.m_Account);
-  if (Found == m_Buckets.end() || !m_IsListConfirmed)
+  if (Found == m_Buckets.end() || !isHeld(Found->second))
     return Out;
   TokenBucket &Tokens = Found->second.m_Tokens;
   Tokens.giveBack(Request.m_Returned, Now);
@@ -123,7 +144,7 @@
 bool QuotaOwner::charge(AccountHash Account, std::uint32_t Tokens,
                         core::TimePoint Now) {
   auto Found = m_Buckets.find(Account);
-  if (Found == m_Buckets.end() || !m_IsListConfirmed)
+  if (Found == m_Buckets.end() || !isHeld(Found->second))
     return false;
   Found->second.m_Tokens.charge(Tokens, Now);
   return true;
--- a/Libraries/LibRouting/QuotaOwner.h
+++ b/Libraries/LibRouting/QuotaOwner.h
@@ -26,6 +26,7 @@
 #include "LibRouting/TokenBucket.h"
 
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -64,8 +65,8 @@
 enum class QuotaVerdict : std::uint8_t {
   Granted,
   Refused,
-  /// Does not own the account, is not configured yet, or cannot confirm the
-  /// membership.
+  /// Does not own the account, is not configured yet, or lacks evidence that it
+  /// still owns the account.
   NotOwner,
 };
 
@@ -78,6 +79,33 @@
   core::Duration m_RetryAfter{}; ///< Time until a retry, if refused.
 };
 
+/// Evidence that no other instance has taken over a share of this one by a
+/// newer list of owners.
+enum class OwnershipEvidence : std::uint8_t {
+  None, ///< The owners may have changed.
+  /// The store is not reached, and most witnesses of this instance know of no
+  /// newer membership. Shares that a pending change takes away may be lost.
+  Witnesses,
+  Store, ///< A change of the owners would be received from the store.
+};
+
+std::string toString(OwnershipEvidence Evidence);
+
+/// Selects owners now and after a pending change of the membership.
+struct QuotaRings {
+  /// Uses \p Owners for both.
+  QuotaRings(const ConsistentHashRing &Owners) // NOLINT: implicit on purpose
+      : m_Owners(Owners), m_Planned(Owners) {}
+  QuotaRings(ConsistentHashRing Owners, ConsistentHashRing Planned)
+      : m_Owners(std::move(Owners)), m_Planned(std::move(Planned)) {}
+
+  ConsistentHashRing m_Owners; ///< Instances that own quotas.
+  /// Also those that the membership adds; without this instance if the
+  /// membership has removed it. What an instance owns by both rings, no pending
+  /// change can take from it.
+  ConsistentHashRing m_Planned;
+};
+
 /// Holds this instance's shares of account quotas and grants tokens from them.
 class QuotaOwner {
 public:
@@ -88,12 +116,11 @@
 
   /// Creates buckets for accounts that this instance newly owns, updates the
   /// limits of the others, and drops those it no longer owns.
-  void configure(const std::vector<Account> &Accounts,
-                 const ConsistentHashRing &HashRing, core::TimePoint Now);
-  /// Sets whether this instance would receive a change of the membership. While
-  /// it would not, it grants nothing, because another instance may own the same
-  /// shares by a newer membership.
-  void setListConfirmed(bool IsConfirmed) { m_IsListConfirmed = IsConfirmed; }
+  void configure(const std::vector<Account> &Accounts, const QuotaRings &Rings,
+                 core::TimePoint Now);
+  /// Sets the evidence without which shares grant nothing, because another
+  /// instance may own them by a newer list.
+  void setEvidence(OwnershipEvidence Evidence) { m_Evidence = Evidence; }
   /// Takes back the returned tokens, then grants or refuses the wanted ones.
   QuotaResponse handleRequest(const QuotaRequest &Request, core::TimePoint Now);
 
@@ -103,7 +130,7 @@
     return std::exchange(m_Charges, {});
   }
   /// Takes over a part of another owner's debt. \returns false if this instance
-  /// does not own the account or cannot confirm the membership.
+  /// does not own the account or lacks evidence that it still does.
   bool charge(AccountHash Account, std::uint32_t Tokens, core::TimePoint Now);
   /// Reduces the debt by \p Tokens that another owner has taken over.
   void settleCharge(AccountHash Account, std::uint32_t Tokens,
@@ -114,8 +141,11 @@
     TokenBucket m_Tokens;
     TokenBucket m_Advance; ///< Tokens that may be granted in advance.
     std::vector<config::Endpoint> m_Others; ///< Other owners of the account.
+    bool m_IsLeaving = false; ///< A pending change takes this share away.
   };
 
+  /// Whether there is evidence that no other instance holds this share.
+  bool isHeld(const Bucket &Quota) const;
   /// Queues charges that divide a debt evenly over all owners, unless they
   /// would be too small.
   void shareDebt(AccountHash Account, Bucket &Quota, core::TimePoint Now);
@@ -126,7 +156,7 @@
 
   config::Endpoint m_Self;
   bool m_IsFullAtStart;
-  bool m_IsListConfirmed = true;
+  OwnershipEvidence m_Evidence = OwnershipEvidence::Store;
   bool m_WasConfigured = false; ///< Accounts and membership were set.
   std::unordered_map<AccountHash, Bucket> m_Buckets;
   std::vector<QuotaCharge> m_Charges;
--- a/Tests/LibRouting/QuotaTest.cpp
+++ b/Tests/LibRouting/QuotaTest.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(testRestartedOwnersStartWithNothing);
   CPPUNIT_TEST(testNewOwnerStartsWithNothing);
   CPPUNIT_TEST(testUnconfirmedListOwnsNothing);
+  CPPUNIT_TEST(testPendingChangeTakesShareWithoutStore);
+  CPPUNIT_TEST(testWitnessesFollowOnTheRing);
   CPPUNIT_TEST(testDebtIsSharedByTheOwners);
   CPPUNIT_TEST(testLowerLimitBindsAtOnce);
   CPPUNIT_TEST(testUnusedTokensAreGivenBackOnce);
@@ -207,14 +209,60 @@
     QuotaOwner Owner(owner(6), true);
     Owner.configure(accounts(1000, 1000), ConsistentHashRing(members(6)),
                     m_Now);
-    Owner.setListConfirmed(false);
+    Owner.setEvidence(OwnershipEvidence::None);
     CPPUNIT_ASSERT(Owner.handleRequest({m_Account, 1, 0}, m_Now).m_Verdict ==
                    QuotaVerdict::NotOwner);
-    Owner.setListConfirmed(true);
+    Owner.setEvidence(OwnershipEvidence::Store);
     CPPUNIT_ASSERT(Owner.handleRequest({m_Account, 1, 0}, m_Now).m_Verdict ==
                    QuotaVerdict::Granted);
   }
 
+  void testPendingChangeTakesShareWithoutStore() {
+    // The last of the three owners loses its share to an added instance.
+    std::size_t Added = 6;
+    config::Endpoint Last;
+    do {
+      auto Owners = ConsistentHashRing(members(Added)).ownersOf(m_Account);
+      auto Next = ConsistentHashRing(members(++Added)).ownersOf(m_Account);
+      Last = Owners.back();
+      if (std::find(Next.begin(), Next.end(), Last) == Next.end())
+        break;
+    } while (Added < 100);
+    QuotaOwner Owner(Last, true);
+    Owner.configure(accounts(1000, 1000),
+                    {ConsistentHashRing(members(Added - 1)),
+                     ConsistentHashRing(members(Added))},
+                    m_Now);
+    auto Verdict = [&](OwnershipEvidence Evidence) {
+      Owner.setEvidence(Evidence);
+      return Owner.handleRequest({m_Account, 1, 0}, m_Now).m_Verdict;
+    };
+    CPPUNIT_ASSERT(Verdict(OwnershipEvidence::Store) == QuotaVerdict::Granted);
+    CPPUNIT_ASSERT(Verdict(OwnershipEvidence::Witnesses) ==
+                   QuotaVerdict::NotOwner);
+    CPPUNIT_ASSERT(!Owner.charge(m_Account, 1, m_Now));
+    Owner.configure(accounts(1000, 1000),
+                    ConsistentHashRing(members(Added - 1)), m_Now);
+    CPPUNIT_ASSERT(Verdict(OwnershipEvidence::Witnesses) ==
+                   QuotaVerdict::Granted);
+  }
+
+  void testWitnessesFollowOnTheRing() {
+    ConsistentHashRing Small(members(6));
+    for (const config::Endpoint &Each : members(6)) {
+      auto Witnesses = Small.witnessesOf(Each);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5), Witnesses.size());
+      CPPUNIT_ASSERT(std::count(Witnesses.begin(), Witnesses.end(), Each) == 0);
+    }
+    CPPUNIT_ASSERT(Small.witnessesOf(members(7).back()).empty());
+    CPPUNIT_ASSERT(
+        ConsistentHashRing(members(1)).witnessesOf(members(1).front()).empty());
+    ConsistentHashRing Large(members(100));
+    auto Witnesses = Large.witnessesOf(members(1).front());
+    std::set<config::Endpoint> Distinct(Witnesses.begin(), Witnesses.end());
+    CPPUNIT_ASSERT_EQUAL(ConsistentHashRing::MaxWitnesses, Distinct.size());
+  }
+
   void testDebtIsSharedByTheOwners() {
     // Each owner holds a third of 9,000 tokens, and one grants 12,000.
     auto Owners = ConsistentHashRing(members(6)).ownersOf(m_Account);
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -1,7 +1,7 @@
 #include "QuotaSimulation.h"
 
+#include "LibGateway/QuotaOwnership.h"
 #include "LibRouting/DistributedQuota.h"
-#include "LibRouting/FleetSubset.h"
 
 #include <algorithm>
 #include <array>
@@ -25,8 +25,15 @@
 /// peers are missing.
 static constexpr std::chrono::milliseconds MinDetectionTime{700};
 static constexpr std::chrono::milliseconds MaxDetectionTime{3300};
-/// Limit on the delay until an instance learns of an added one.
+/// Time without the store in which an owner does not need its witnesses; see
+/// PeerExchange::ownershipEvidence().
+static constexpr std::chrono::seconds WitnessTime{2};
+/// Limit on the delay until an instance learns of a change of the lists.
 static constexpr std::chrono::milliseconds MaxPropagationTime{500};
+/// Period at which the writer compares the lists with the reports.
+static constexpr std::chrono::milliseconds UpkeepPeriod{250};
+/// Time for which an instance that is no longer heard counts as live.
+static constexpr std::chrono::seconds PeerTimeout{10};
 
 namespace {
 
@@ -45,6 +52,22 @@
   std::uint32_t m_Tokens = 0;
 };
 
+/// Lists of instances, as the store or an instance has them.
+struct InstanceLists {
+  platform::Revision m_Revision;
+  gateway::FleetMembers m_Members;
+  platform::Revision m_MembersAt; ///< Revision of m_Members.
+  gateway::FleetMembers m_Owners;
+  platform::Revision m_OwnersAt; ///< Revision of m_Owners.
+};
+
+routing::ConsistentHashRing ringOf(const gateway::FleetMembers &Instances) {
+  std::vector<config::Endpoint> Addresses;
+  for (const auto &[Address, Hall] : Instances)
+    Addresses.push_back(Address);
+  return routing::ConsistentHashRing(Addresses);
+}
+
 struct PendingAcquisition {
   std::size_t m_Instance = 0;
   std::size_t m_Account = 0;
@@ -88,9 +111,13 @@
     config::Endpoint m_Address;
     std::unique_ptr<DistributedQuota> m_Quota; ///< Null while down.
     core::TimePoint m_DownUntil{};
-    core::TimePoint m_ReadsAt{};        ///< Next update of list and accounts.
-    routing::ConsistentHashRing m_Ring; ///< Ring of the list that it read last.
-    std::vector<config::Endpoint> m_Group; ///< Its group peers by that list.
+    core::TimePoint m_ReadsAt{}; ///< Next update of lists and accounts.
+    core::TimePoint m_HeardAt{}; ///< Last time that the writer heard of it.
+    InstanceLists m_Lists;       ///< As it knows them.
+    routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
+    std::vector<config::Endpoint> m_Witnesses;
+    std::size_t m_WitnessCount =
+        0; ///< With those that may be added or removed.
     bool m_HasRead = false;
     core::TimePoint m_FrozenUntil{};
     core::TimePoint m_CutUntil{};
@@ -103,7 +130,14 @@
   QuotaSimulationSettings m_Settings;
   core::TimePoint m_Now{std::chrono::hours(1)};
   std::mt19937_64 m_Random;
-  std::vector<config::Endpoint> m_StoredInstances; ///< List in the store.
+  InstanceLists m_Stored{platform::Revision(1),
+                         {},
+                         platform::Revision(1),
+                         {},
+                         platform::Revision(1)};
+  std::size_t m_Writer = 0;            ///< Instance that writes the lists.
+  gateway::QuotaOwnership m_Ownership; ///< Of the writer.
+  core::TimePoint m_UpkeepAt{};
   core::TimePoint m_StoreLostUntil{};
   std::vector<ModelInstance> m_Instances;
   std::map<config::Endpoint, std::size_t> m_Indexes; ///< By address.
@@ -124,20 +158,26 @@
   bool hasDetectedLoss(const ModelInstance &Instance) const {
     return !isStoreReached(Instance) && Instance.m_DetectsLossAt <= m_Now;
   }
-  /// Whether the instance grants shares of quotas. Without the store, it does
-  /// while it hears at least half of its group peers.
-  bool isListConfirmed(const ModelInstance &Instance) const {
+  bool isRunning(const ModelInstance &Instance) const {
+    return Instance.m_Quota && Instance.m_HasRead &&
+           Instance.m_FrozenUntil <= m_Now;
+  }
+  /// See PeerExchange::ownershipEvidence().
+  routing::OwnershipEvidence evidence(const ModelInstance &Instance) const {
     if (!hasDetectedLoss(Instance))
-      return true;
-    auto Heard = std::count_if(Instance.m_Group.begin(), Instance.m_Group.end(),
-                               [this, &Instance](const config::Endpoint &Each) {
-                                 const ModelInstance &Peer =
-                                     m_Instances[m_Indexes.at(Each)];
-                                 return Peer.m_Quota &&
-                                        Peer.m_FrozenUntil <= m_Now &&
-                                        canReach(Instance, Peer);
-                               });
-    return static_cast<std::size_t>(Heard) * 2 >= Instance.m_Group.size();
+      return routing::OwnershipEvidence::Store;
+    auto Agreeing = std::count_if(
+        Instance.m_Witnesses.begin(), Instance.m_Witnesses.end(),
+        [this, &Instance](const config::Endpoint &Each) {
+          const ModelInstance &Witness = m_Instances[m_Indexes.at(Each)];
+          return isRunning(Witness) && canReach(Instance, Witness) &&
+                 !(Instance.m_Lists.m_Revision < Witness.m_Lists.m_Revision);
+        });
+    bool HasMost =
+        static_cast<std::size_t>(Agreeing) * 2 >= Instance.m_WitnessCount;
+    return HasMost || m_Now - Instance.m_DetectsLossAt <= WitnessTime
+               ? routing::OwnershipEvidence::Witnesses
+               : routing::OwnershipEvidence::None;
   }
   /// Must be called before the instance loses the store.
   void scheduleLossDetection(ModelInstance &Instance) {
@@ -158,11 +198,29 @@
                          std::to_string(Index % 200 + 10),
                      7600};
     m_Indexes.emplace(New.m_Address, Index);
-    m_StoredInstances.push_back(New.m_Address);
+    m_Stored.m_Members.emplace(New.m_Address, core::DataHallName("hall"));
+    if (IsFirstStart)
+      m_Stored.m_Owners = m_Stored.m_Members;
+    else
+      announceMembers();
     m_Instances.push_back(std::move(New));
     start(m_Instances.back(), IsFirstStart);
   }
 
+  void announceMembers() {
+    announceLists();
+    m_Stored.m_MembersAt = m_Stored.m_Revision;
+  }
+  /// Gives the lists in the store a new revision, and lets all instances read
+  /// them.
+  void announceLists() {
+    m_Stored.m_Revision = platform::Revision(m_Stored.m_Revision.value() + 1);
+    for (ModelInstance &Each : m_Instances)
+      Each.m_ReadsAt =
+          std::min(Each.m_ReadsAt,
+                   m_Now + drawDuration(core::Duration(0), MaxPropagationTime));
+  }
+
   void start(ModelInstance &Instance, bool IsFirstStart) {
     Instance.m_Quota = std::make_unique<DistributedQuota>(
         Instance.m_Address, m_Settings.m_Tolerance, IsFirstStart, m_Random());
@@ -172,22 +230,80 @@
       Instance.m_ReadsAt += drawDuration(MinReadTime, MaxReadTime);
   }
 
-  /// Applies the instance list and, after a start, the accounts.
+  /// Applies the lists and, after a start, the accounts.
   void readStore(ModelInstance &Instance) {
-    Instance.m_Ring = routing::ConsistentHashRing(m_StoredInstances);
-    routing::FleetSubset::Fleet Fleet;
-    for (const config::Endpoint &Each : m_StoredInstances)
-      Fleet.emplace(Each, core::DataHallName("hall"));
-    routing::FleetSubset Subset(Instance.m_Address, Fleet);
-    Instance.m_Group.assign(Subset.groupMembers().begin(),
-                            Subset.groupMembers().end());
-    Instance.m_Quota->setRing(Instance.m_Ring, m_Now);
+    readLists(Instance, m_Stored);
     if (!Instance.m_HasRead)
       Instance.m_Quota->setAccounts(m_Settings.m_Accounts, m_Now);
     Instance.m_HasRead = true;
     Instance.m_ReadsAt = core::TimePoint::max();
   }
 
+  void readLists(ModelInstance &Instance, const InstanceLists &Lists) {
+    Instance.m_Lists = Lists;
+    gateway::FleetMembers Planned = Lists.m_Owners;
+    Planned.insert(Lists.m_Members.begin(), Lists.m_Members.end());
+    if (Lists.m_Members.count(Instance.m_Address) == 0)
+      Planned.erase(Instance.m_Address);
+    Instance.m_Rings = {ringOf(Lists.m_Owners), ringOf(Planned)};
+    Instance.m_Witnesses =
+        Instance.m_Rings.m_Planned.witnessesOf(Instance.m_Address);
+    Instance.m_WitnessCount = Instance.m_Witnesses.size();
+    auto IsPending = [&Lists](const config::Endpoint &Each) {
+      return Lists.m_Owners.count(Each) == 0 ||
+             Lists.m_Members.count(Each) == 0;
+    };
+    Instance.m_Witnesses.erase(std::remove_if(Instance.m_Witnesses.begin(),
+                                              Instance.m_Witnesses.end(),
+                                              IsPending),
+                               Instance.m_Witnesses.end());
+    Instance.m_Quota->setRing(Instance.m_Rings, m_Now);
+  }
+
+  /// Lets the first instance that runs and reaches the store write the list of
+  /// owners, by what it hears of the others.
+  void updateOwners() {
+    m_UpkeepAt = m_Now + UpkeepPeriod;
+    auto Writer = std::find_if(m_Instances.begin(), m_Instances.end(),
+                               [this](const ModelInstance &Each) {
+                                 return isRunning(Each) && isStoreReached(Each);
+                               });
+    if (Writer == m_Instances.end())
+      return;
+    auto Index = static_cast<std::size_t>(Writer - m_Instances.begin());
+    if (Index != m_Writer)
+      m_Ownership = gateway::QuotaOwnership();
+    m_Writer = Index;
+    m_Ownership.setMembers(m_Stored.m_Members, m_Stored.m_MembersAt);
+    m_Ownership.setOwners(m_Stored.m_Owners, m_Stored.m_OwnersAt);
+    gateway::MemberReports Live;
+    for (ModelInstance &Each : m_Instances) {
+      if (isRunning(Each) && canReach(*Writer, Each))
+        Each.m_HeardAt = m_Now;
+      if (m_Now - Each.m_HeardAt < PeerTimeout)
+        Live[Each.m_Address] = {Each.m_Lists.m_Revision, false};
+    }
+    auto Next = m_Ownership.proposeUpdate(Live, m_Now);
+    if (!Next)
+      return;
+    m_Stored.m_Owners = *Next;
+    announceLists();
+    m_Stored.m_OwnersAt = m_Stored.m_Revision;
+  }
+
+  /// Lets instances without the store read the lists of peers that know newer
+  /// ones.
+  void fetchFromPeers() {
+    for (ModelInstance &Each : m_Instances) {
+      if (!isRunning(Each) || isStoreReached(Each))
+        continue;
+      for (const ModelInstance &Peer : m_Instances)
+        if (isRunning(Peer) && canReach(Each, Peer) &&
+            Each.m_Lists.m_Revision < Peer.m_Lists.m_Revision)
+          readLists(Each, Peer.m_Lists);
+    }
+  }
+
   void send(std::size_t To, const Datagram &Message) {
     std::uniform_real_distribution<double> Chance(0, 1);
     ModelInstance &Receiver = m_Instances[To];
@@ -245,7 +361,7 @@
     Out.m_IsIsolated = Granted.m_Source == routing::QuotaSource::Isolated;
     Out.m_Owner =
         Granted.m_Owner ? m_Indexes.at(*Granted.m_Owner) : Pending.m_Instance;
-    Out.m_ListSize = m_Instances[Out.m_Owner].m_Ring.size();
+    Out.m_ListSize = m_Instances[Out.m_Owner].m_Rings.m_Owners.size();
     Out.m_HolderCount = holderCount(Granted.m_Account);
     m_Grants[Pending.m_Account].push_back(Out);
   }
@@ -255,17 +371,23 @@
     return static_cast<std::size_t>(
         std::count_if(m_Instances.begin(), m_Instances.end(),
                       [this, Account](const ModelInstance &Each) {
-                        return Each.m_Quota && Each.m_HasRead &&
-                               Each.m_FrozenUntil <= m_Now &&
-                               isListConfirmed(Each) && isOwner(Each, Account);
+                        return isRunning(Each) && isHolder(Each, Account);
                       }));
   }
 
-  static bool isOwner(const ModelInstance &Instance,
-                      routing::AccountHash Account) {
-    auto Owners = Instance.m_Ring.ownersOf(Account);
-    return std::find(Owners.begin(), Owners.end(), Instance.m_Address) !=
-           Owners.end();
+  bool isHolder(const ModelInstance &Instance,
+                routing::AccountHash Account) const {
+    auto IsOwnerBy = [&](const routing::ConsistentHashRing &Ring) {
+      auto Owners = Ring.ownersOf(Account);
+      return std::find(Owners.begin(), Owners.end(), Instance.m_Address) !=
+             Owners.end();
+    };
+    routing::OwnershipEvidence Evidence = evidence(Instance);
+    if (Evidence == routing::OwnershipEvidence::Witnesses)
+      return IsOwnerBy(Instance.m_Rings.m_Owners) &&
+             IsOwnerBy(Instance.m_Rings.m_Planned);
+    return Evidence == routing::OwnershipEvidence::Store &&
+           IsOwnerBy(Instance.m_Rings.m_Owners);
   }
 
   routing::QuotaResponse charge(DistributedQuota &Quota,
@@ -357,7 +479,7 @@
         start(Each, false);
       if (!Each.m_Quota)
         continue;
-      Each.m_Quota->setListConfirmed(isListConfirmed(Each));
+      Each.m_Quota->setEvidence(evidence(Each));
       // A running instance learns of added ones from its peers, a restarted one
       // from the store.
       bool CanRead = !Each.m_HasRead || isStoreReached(Each);
@@ -372,6 +494,10 @@
       sendCharges(I);
     }
     expirePending();
+    if (m_UpkeepAt > m_Now)
+      return;
+    updateOwners();
+    fetchFromPeers();
   }
 };
 
@@ -449,13 +575,11 @@
   m_Model->m_Instances[Instance].m_FrozenUntil = now() + Time;
 }
 
-void QuotaSimulation::add() {
-  Model &M = *m_Model;
-  M.add(false);
-  for (Model::ModelInstance &Each : M.m_Instances)
-    Each.m_ReadsAt =
-        std::min(Each.m_ReadsAt,
-                 now() + M.drawDuration(core::Duration(0), MaxPropagationTime));
+void QuotaSimulation::add() { m_Model->add(false); }
+
+void QuotaSimulation::remove(std::size_t Instance) {
+  m_Model->m_Stored.m_Members.erase(m_Model->m_Instances[Instance].m_Address);
+  m_Model->announceMembers();
 }
 
 const std::vector<TokenGrant> &
--- a/Tests/Support/QuotaSimulation.h
+++ b/Tests/Support/QuotaSimulation.h
@@ -29,7 +29,7 @@
   /// Owner that granted the tokens, or their last part; the instance itself if
   /// it was isolated.
   std::size_t m_Owner = 0;
-  /// Number of instances in the list by which that owner granted.
+  /// Number of owners in the list by which that owner granted.
   std::size_t m_ListSize = 0;
   /// Number of instances that would grant shares of the account at that time,
   /// each by its own list. If there are more than MaxOwners, a share has two
@@ -79,8 +79,12 @@
   void loseStore(core::Duration Time);
   /// Suspends the instance; datagrams and requests wait until it resumes.
   void freeze(std::size_t Instance, core::Duration Time);
-  /// Adds an instance; the others learn of it within 0.5 s.
+  /// Adds an instance to the membership; the others learn of it within 0.5 s.
+  /// It owns quotas once QuotaOwnership decides so.
   void add();
+  /// Removes an instance from the membership, as if it had been silent for
+  /// long.
+  void remove(std::size_t Instance);
 
   const std::vector<TokenGrant> &grants(std::size_t Account) const;
   /// Returns the number of the account's requests that were refused by
