Bench, Tests: Count messages and owners without evidence while the store is lost

fleet_messages plays a loss of the store, which the model of control messages had not, and the largest share of instances that may grant no quotas at a time.

Nothing is sent while the store is reached.

--- a/Bench/FleetMessagesProgram.cpp
+++ b/Bench/FleetMessagesProgram.cpp
@@ -2,10 +2,10 @@
 //
 // Usage: fleet_messages [INSTANCES...]
 //
-// Prints for each size of fleet, at rest, with changes of the store, and with a
-// third of the instances and all followers lost: bytes a second of the middle
-// and the busiest instance, bytes by purpose, and how long a change takes to
-// reach the first, the middle and the last instance.
+// Prints for each size of fleet, at rest, with changes of the store, with a
+// third of the instances or all followers lost, and without the store: bytes a
+// second of the middle and the busiest instance, bytes by purpose, and how long
+// a change takes to reach the first, the middle and the last instance.
 //
 //===----------------------------------------------------------------------===//
 #include "PeerSimulation.h"
@@ -34,6 +34,7 @@
   std::cout << " first_ms=" << toMs(Result.m_FirstDelay)
             << " middle_ms=" << toMs(Result.m_MiddleDelay)
             << " last_ms=" << toMs(Result.m_LastDelay)
+            << " max_without_evidence=" << Result.m_MaxWithoutEvidence
             << " max_followers=" << Result.m_MaxFollowers
             << " is_writer_list_right=" << Result.m_IsWriterListRight
             << std::endl;
@@ -59,5 +60,10 @@
     Scenario.m_KilledShare = 0;
     Scenario.m_AreFollowersKilled = true;
     print("followers-killed", Scenario);
+    Scenario.m_KillAt.reset();
+    Scenario.m_AreFollowersKilled = false;
+    Scenario.m_ChangesPerSecond = 0;
+    Scenario.m_StoreLostAt = std::chrono::seconds(3);
+    print("store-lost", Scenario);
   }
 }
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -22,7 +22,7 @@
 static constexpr std::size_t WriterRounds = 8;
 /// While the store is not reached, owners of quotas in other groups get a full
 /// report from their witnesses once in this number of periods.
-static constexpr std::size_t WitnessRounds = 2;
+static constexpr std::size_t WitnessRounds = 4;
 /// Time after the loss of the store in which witnesses report.
 static constexpr std::chrono::seconds WitnessTime{2};
 /// Average number of peers per group to which a follower reports a new revision
--- a/Tests/Support/PeerSimulation.cpp
+++ b/Tests/Support/PeerSimulation.cpp
@@ -94,6 +94,8 @@
                         const peer::PeerBody &Body) const;
   void deliver();
   void changeStore();
+  bool isStoreLost() const;
+  void measureEvidence();
   void watchStore(std::size_t Index);
   void startFetch(std::size_t Index);
   void completeFetches();
@@ -146,6 +148,7 @@
       Own.m_Reference, Own.m_Settings, *Own.m_Mirror, std::move(Hooks), m_Now,
       m_Random());
   Own.m_Exchange->setRecorded(m_Members);
+  Own.m_Exchange->setQuotaOwners(m_Members, m_Members);
   Own.m_TickAt = m_Now + core::Duration(m_Random() % 40000);
   Own.m_WatchAt = m_Now + core::Duration(m_Random() % 150000);
 }
@@ -221,10 +224,15 @@
     m_ChangedAt[Change.m_ModRevision] = m_Now;
 }
 
+bool PeerSimulation::isStoreLost() const {
+  return m_Scenario.m_StoreLostAt &&
+         m_Now >= m_Start + SettleTime + *m_Scenario.m_StoreLostAt;
+}
+
 void PeerSimulation::watchStore(std::size_t Index) {
   SimulatedInstance &Own = m_Instances[Index];
   Own.m_WatchAt = m_Now + WatchPeriod;
-  Own.m_IsConnected = Own.m_Exchange->mustFollowStore();
+  Own.m_IsConnected = !isStoreLost() && Own.m_Exchange->mustFollowStore();
   if (!Own.m_IsConnected || !(Own.m_Mirror->revision() < m_Store.revision()))
     return;
   gateway::MirrorUpdate::since(m_Store, Own.m_Mirror->revision())
@@ -295,6 +303,23 @@
   }
 }
 
+void PeerSimulation::measureEvidence() {
+  std::size_t Live = 0;
+  std::size_t Without = 0;
+  for (const SimulatedInstance &Each : m_Instances) {
+    if (!Each.m_IsUp)
+      continue;
+    ++Live;
+    Without += Each.m_Exchange->ownershipEvidence(m_Now) ==
+                       routing::OwnershipEvidence::None
+                   ? 1
+                   : 0;
+  }
+  m_Result.m_MaxWithoutEvidence =
+      std::max(m_Result.m_MaxWithoutEvidence,
+               static_cast<double>(Without) / static_cast<double>(Live));
+}
+
 bool PeerSimulation::isWriterListRight() const {
   gateway::FleetMembers Live;
   for (const SimulatedInstance &Each : m_Instances)
@@ -349,6 +374,7 @@
     if (isMeasured()) {
       m_Result.m_MaxFollowers = std::max(m_Result.m_MaxFollowers, Followers);
       measureDelays();
+      measureEvidence();
     }
   }
   double Time = core::toSeconds(m_Scenario.m_Length);
--- a/Tests/Support/PeerSimulation.h
+++ b/Tests/Support/PeerSimulation.h
@@ -36,6 +36,8 @@
   double m_KilledShare = 0;
   /// Whether the killed instances include all followers of the store.
   bool m_AreFollowersKilled = false;
+  /// Time from which no instance reaches the store; none: never.
+  std::optional<core::Duration> m_StoreLostAt;
   std::uint64_t m_Seed = 1;
 };
 
@@ -58,6 +60,9 @@
   core::Duration m_LastDelay{};
   /// Largest number of instances that follow the store at a time.
   std::size_t m_MaxFollowers = 0;
+  /// Largest share of live instances that may grant no quotas at a time,
+  /// because they may have missed a change of the owners.
+  double m_MaxWithoutEvidence = 0;
   /// Whether the record writer took all live instances for live at the end, and
   /// none of the killed ones.
   bool m_IsWriterListRight = false;
