LibGateway: Keep the owners of quotas when the store comes back from a copy

Cause: the order of the lists. A store that is restored brings back the list of owners of its copy, with a newer era, and every connected instance followed it at once, while an owner that was split off went on by the list in force: two holders, without the wait that a change of the owners takes. The list of owners of the copy now only replaces one in an instance that knows none; the others keep theirs, and the writer writes it again.

An instance that starts between the restore and the write reads the copy's list; suspected, not measured, a quarter of a second.

--- a/Libraries/LibGateway/GatewayMembership.cpp
+++ b/Libraries/LibGateway/GatewayMembership.cpp
@@ -13,8 +13,11 @@
     m_QuotaOwnership.setMembers(m_Membership.recorded(), Change.m_ModRevision);
     m_Peers->setRecorded(m_Membership.recorded());
   } else if (m_OwnersRecord.isRecordKey(Change.m_Key)) {
-    m_QuotaOwnership.setOwners(m_OwnersRecord.read(Change),
-                               Change.m_ModRevision);
+    FleetMembers Owners = m_OwnersRecord.read(Change);
+    if (Change.m_IsRestored)
+      m_QuotaOwnership.setRestoredOwners(Owners, Change.m_ModRevision);
+    else
+      m_QuotaOwnership.setOwners(std::move(Owners), Change.m_ModRevision);
   } else {
     return false;
   }
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -20,6 +20,15 @@
 void QuotaOwnership::setOwners(FleetMembers Owners, platform::Revision At) {
   m_Owners = std::move(Owners);
   m_OwnersAt = At;
+  m_IsStoreOutdated = false;
+}
+
+void QuotaOwnership::setRestoredOwners(const FleetMembers &Owners,
+                                       platform::Revision At) {
+  if (m_Owners.empty())
+    return setOwners(Owners, At);
+  m_IsStoreOutdated = Owners != m_Owners;
+  m_OwnersAt = At;
 }
 
 void QuotaOwnership::setMembers(FleetMembers Members, platform::Revision At) {
@@ -160,7 +169,7 @@
       Added.emplace(Address, Hall);
   }
   Next.insert(Added.begin(), Added.end());
-  if (Next == m_Owners)
+  if (Next == m_Owners && !m_IsStoreOutdated)
     return std::nullopt;
   return Next;
 }
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -36,6 +36,9 @@
   /// Sets the owners that the store holds since revision \p At; empty if it
   /// holds none.
   void setOwners(FleetMembers Owners, platform::Revision At);
+  /// Handles that a store which came back from an older copy holds \p Owners
+  /// since revision \p At. Those known before stay in place, and are proposed.
+  void setRestoredOwners(const FleetMembers &Owners, platform::Revision At);
   const FleetMembers &owners() const { return m_Owners; }
   /// Sets the membership that the store holds since revision \p At.
   void setMembers(FleetMembers Members, platform::Revision At);
@@ -82,6 +85,7 @@
 
   FleetMembers m_Owners;
   platform::Revision m_OwnersAt;
+  bool m_IsStoreOutdated = false; ///< The store holds owners of an older copy.
   FleetMembers m_Members;
   platform::Revision
       m_FirstMembersAt; ///< Of the first membership that was set.
--- a/Tests/LibGateway/QuotaOwnershipTest.cpp
+++ b/Tests/LibGateway/QuotaOwnershipTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(testReportsBeforeAPauseDoNotCount);
   CPPUNIT_TEST(testStoppedOwnersAreReplaced);
   CPPUNIT_TEST(testAdditionsInSeriesTakeEffect);
+  CPPUNIT_TEST(testRestoredStoreBringsBackNoOwners);
   CPPUNIT_TEST(testAllOwnersLostForGoodAreReplacedInTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +200,20 @@
     CPPUNIT_ASSERT(MaxOwners >= 9);
   }
 
+  void testRestoredStoreBringsBackNoOwners() {
+    start(6);
+    m_Ownership.setMembers(members(0, 5), platform::makeRevision(1, 1));
+    m_Ownership.setRestoredOwners(members(0, 5), platform::makeRevision(1, 1));
+    CPPUNIT_ASSERT(m_Ownership.owners() == members(0, 6));
+    CPPUNIT_ASSERT(*updateAfter(seconds(1)) == members(0, 6));
+    m_Ownership.setOwners(members(0, 6), platform::makeRevision(1, 2));
+    CPPUNIT_ASSERT(!updateAfter(seconds(1)));
+    // An instance that knows none before has to take those of the copy.
+    QuotaOwnership Started;
+    Started.setRestoredOwners(members(0, 5), platform::makeRevision(1, 1));
+    CPPUNIT_ASSERT(Started.owners() == members(0, 5));
+  }
+
   void testAllOwnersLostForGoodAreReplacedInTheEnd() {
     start(3);
     silence(0, 3);
