LibHTTP: Let a connection's reservation outlive the server's body budget

Found on the way: LibGateway.LostPathTest was red once in a run of all tests beside other load, and 2 of 12 whole runs of it beside builds ended with SIGSEGV or "malloc_consolidate(): unaligned fastbin chunk".

Cause: a connection's coroutine ends with the event loop, after the server that its reservation refers to; the reservation then writes to the freed budget, while threads of other instances may have that memory. Evidence: valgrind, "Invalid read of size 8" in ServerConnection's destructor, inside a block freed by ~Gateway; gdb, 18 of 240 runs, each in the same destructor on the main thread. The program itself ends without that destruction, so callers saw nothing.

The counters now live as long as the last reservation. Test: BodyBudgetTest:: testReservationOutlivesTheBudget, before: expected 0, actual 2^64 - 5.

--- a/Libraries/LibHTTP/ByteBudget.h
+++ b/Libraries/LibHTTP/ByteBudget.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <limits>
+#include <memory>
 #include <utility>
 
 namespace yardrill::http {
@@ -15,16 +16,27 @@
 public:
   explicit ByteBudget(
       std::size_t Limit = std::numeric_limits<std::size_t>::max())
-      : m_Limit(Limit) {}
+      : m_State(std::make_shared<State>()) {
+    m_State->m_Limit = Limit;
+  }
 
-  std::size_t used() const { return m_Used; }
+  std::size_t used() const { return m_State->m_Used; }
   /// Returns the most bytes that were held at a time.
-  std::size_t peak() const { return m_Peak; }
+  std::size_t peak() const { return m_State->m_Peak; }
 
-  /// Holds a part of the budget, and returns it when destroyed.
+private:
+  struct State {
+    std::size_t m_Limit = 0;
+    std::size_t m_Used = 0;
+    std::size_t m_Peak = 0;
+  };
+
+public:
+  /// Holds a part of the budget, and returns it when destroyed. May outlive the
+  /// budget, as a connection's coroutine may outlive its server.
   class Reservation {
   public:
-    explicit Reservation(ByteBudget &Budget) : m_Budget(Budget) {}
+    explicit Reservation(ByteBudget &Budget) : m_Budget(Budget.m_State) {}
     ~Reservation() { release(); }
     Reservation(const Reservation &) = delete;
     Reservation &operator=(const Reservation &) = delete;
@@ -34,24 +46,22 @@
     bool tryExtend(std::size_t Bytes) {
       if (Bytes <= m_Bytes)
         return true;
-      if (Bytes - m_Bytes > m_Budget.m_Limit - m_Budget.m_Used)
+      if (Bytes - m_Bytes > m_Budget->m_Limit - m_Budget->m_Used)
         return false;
-      m_Budget.m_Used += Bytes - m_Bytes;
-      m_Budget.m_Peak = std::max(m_Budget.m_Peak, m_Budget.m_Used);
+      m_Budget->m_Used += Bytes - m_Bytes;
+      m_Budget->m_Peak = std::max(m_Budget->m_Peak, m_Budget->m_Used);
       m_Bytes = Bytes;
       return true;
     }
-    void release() { m_Budget.m_Used -= std::exchange(m_Bytes, 0); }
+    void release() { m_Budget->m_Used -= std::exchange(m_Bytes, 0); }
 
   private:
-    ByteBudget &m_Budget;
+    std::shared_ptr<State> m_Budget;
     std::size_t m_Bytes = 0;
   };
 
 private:
-  std::size_t m_Limit;
-  std::size_t m_Used = 0;
-  std::size_t m_Peak = 0;
+  std::shared_ptr<State> m_State;
 };
 
 } // namespace yardrill::http
--- a/Tests/LibHTTP/BodyBudgetTest.cpp
+++ b/Tests/LibHTTP/BodyBudgetTest.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
+#include <optional>
 #include <thread>
 #include <unistd.h>
 
@@ -28,6 +29,7 @@
   CPPUNIT_TEST(testIdleConnectionsHoldNothing);
   CPPUNIT_TEST(testSlowReadersHoldNoResponse);
   CPPUNIT_TEST(testReservationIsReturned);
+  CPPUNIT_TEST(testReservationOutlivesTheBudget);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t BodyBytes = 200000;
@@ -211,6 +213,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Budget.used());
     CPPUNIT_ASSERT_EQUAL(std::size_t(10), Budget.peak());
   }
+
+  void testReservationOutlivesTheBudget() {
+    std::optional<ByteBudget> Budget(std::in_place, 10);
+    ByteBudget::Reservation Held(*Budget);
+    CPPUNIT_ASSERT(Held.tryExtend(5));
+    // Another object at the same place.
+    Budget.emplace(10);
+    Held.release();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Budget->used());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BodyBudgetTest);
