LibGateway: Derive rings and witnesses of owners in one place

QuotaService, PeerExchange and both models of the owners each built the rings and the witnesses with a pending change from the two lists. ringsOf() and QuotaWitnesses now do so for all, so that the models play the product's own.

--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -257,20 +257,10 @@
 
 void PeerExchange::setQuotaOwners(const FleetMembers &Owners,
                                   const FleetMembers &Members) {
+  m_Witnesses = QuotaWitnesses(m_Settings.m_PeerAddress, Owners, Members);
   FleetMembers All = Owners;
   All.insert(Members.begin(), Members.end());
-  std::vector<config::Endpoint> Addresses;
-  for (const auto &[Address, Hall] : All)
-    Addresses.push_back(Address);
-  routing::ConsistentHashRing Ring(Addresses);
-  m_Witnesses = Ring.witnessesOf(m_Settings.m_PeerAddress);
-  m_WitnessCount = m_Witnesses.size();
-  auto IsPending = [&](const config::Endpoint &Each) {
-    return Owners.count(Each) == 0 || Members.count(Each) == 0;
-  };
-  m_Witnesses.erase(
-      std::remove_if(m_Witnesses.begin(), m_Witnesses.end(), IsPending),
-      m_Witnesses.end());
+  routing::ConsistentHashRing Ring = ringOf(All);
   m_WitnessedOwners.clear();
   for (const auto &[Address, Hall] : Owners) {
     auto Witnesses = Ring.witnessesOf(Address);
@@ -280,17 +270,19 @@
   }
 }
 
+bool PeerExchange::agrees(const config::Endpoint &Witness) const {
+  const LivePeer *Found = m_Peers.find(Witness);
+  return Found && !Found->m_IsSilent && !Found->m_Report.m_IsStopping &&
+         Found->m_Report.m_CompleteRevision <=
+             m_Mirror.completeRevision().value();
+}
+
 bool PeerExchange::hasMostWitnesses() const {
-  auto Agreeing =
-      std::count_if(m_Witnesses.begin(), m_Witnesses.end(),
-                    [this](const config::Endpoint &Each) {
-                      const LivePeer *Witness = m_Peers.find(Each);
-                      return Witness && !Witness->m_IsSilent &&
-                             !Witness->m_Report.m_IsStopping &&
-                             Witness->m_Report.m_CompleteRevision <=
-                                 m_Mirror.completeRevision().value();
-                    });
-  return static_cast<std::size_t>(Agreeing) * 2 >= m_WitnessCount;
+  const std::vector<config::Endpoint> &All = m_Witnesses.m_Permanent;
+  auto Agreeing = std::count_if(
+      All.begin(), All.end(),
+      [this](const config::Endpoint &Each) { return agrees(Each); });
+  return m_Witnesses.areEnough(static_cast<std::size_t>(Agreeing));
 }
 
 routing::OwnershipEvidence
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -95,7 +95,7 @@
     return isDiscoveryDone(Now) && m_Peers.followersBefore() == 0;
   }
   /// Sets the owners of quotas, among which each has its witnesses.
-  /// \param Members see QuotaService::setOwners().
+  /// \param Members see ringsOf().
   void setQuotaOwners(const FleetMembers &Owners, const FleetMembers &Members);
   /// Returns the evidence that no other instance has taken over quotas of this
   /// one.
@@ -147,8 +147,10 @@
   std::size_t desiredGroupSize() const;
   /// Recomputes all that depends on the fleet's members and groups.
   void rebuildPeerLists();
-  /// Whether at least half of the witnesses are live and know of no change
-  /// that this instance lacks.
+  /// Whether a witness is live and knows of no change of the store that this
+  /// instance lacks.
+  bool agrees(const config::Endpoint &Witness) const;
+  /// Whether at least half of the witnesses agree.
   bool hasMostWitnesses() const;
   /// Whether this instance or a live peer is connected to the store.
   bool isStoreReachable() const;
@@ -183,10 +185,7 @@
   bool m_IsMembershipChanged = false; ///< Since the last repartition()
   std::vector<config::Endpoint> m_GroupAddresses; ///< Peers of the own group
   std::vector<config::Endpoint> m_OtherGroupAddresses; ///< All other peers
-  /// Witnesses of this instance that remain so whichever pending changes of the
-  /// owners take effect.
-  std::vector<config::Endpoint> m_Witnesses;
-  std::size_t m_WitnessCount = 0; ///< With those that may be added or removed
+  QuotaWitnesses m_Witnesses;                          ///< Of this instance
   /// Owners of quotas that have this instance as a witness.
   std::vector<config::Endpoint> m_WitnessedOwners;
   core::TimePoint m_StoreReachableAt{}; ///< Last time that it was
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -17,6 +17,41 @@
 /// witnesses are left to show it. Exceeds the longest expected partition.
 static constexpr std::chrono::hours MaxPartition{2};
 
+routing::ConsistentHashRing ringOf(const FleetMembers &Instances) {
+  std::vector<config::Endpoint> Addresses;
+  for (const auto &[Address, Hall] : Instances)
+    Addresses.push_back(Address);
+  return routing::ConsistentHashRing(Addresses);
+}
+
+/// Returns all instances of both lists.
+static FleetMembers merged(FleetMembers Owners, const FleetMembers &Members) {
+  Owners.insert(Members.begin(), Members.end());
+  return Owners;
+}
+
+routing::QuotaRings ringsOf(const config::Endpoint &Self,
+                            const FleetMembers &Owners,
+                            const FleetMembers &Members) {
+  FleetMembers Planned = merged(Owners, Members);
+  if (Members.count(Self) == 0)
+    Planned.erase(Self);
+  return {ringOf(Owners), ringOf(Planned)};
+}
+
+QuotaWitnesses::QuotaWitnesses(const config::Endpoint &Owner,
+                               const FleetMembers &Owners,
+                               const FleetMembers &Members)
+    : m_Permanent(ringOf(merged(Owners, Members)).witnessesOf(Owner)),
+      m_Count(m_Permanent.size()) {
+  auto IsPending = [&](const config::Endpoint &Each) {
+    return Owners.count(Each) == 0 || Members.count(Each) == 0;
+  };
+  m_Permanent.erase(
+      std::remove_if(m_Permanent.begin(), m_Permanent.end(), IsPending),
+      m_Permanent.end());
+}
+
 void QuotaOwnership::setOwners(FleetMembers Owners, platform::Revision At) {
   m_Owners = std::move(Owners);
   m_OwnersAt = At;
@@ -148,11 +183,7 @@
   if (m_Owners.empty())
     return m_Members;
   observe(Live, Now);
-  std::vector<config::Endpoint> Addresses;
-  for (const auto &[Address, Hall] : m_Owners)
-    Addresses.push_back(Address);
-  FleetMembers Removed =
-      removableOwners(routing::ConsistentHashRing(Addresses), Now);
+  FleetMembers Removed = removableOwners(ringOf(m_Owners), Now);
   FleetMembers Next;
   for (const auto &[Address, Hall] : m_Owners)
     if (Removed.count(Address) == 0)
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -14,13 +14,40 @@
 #include "LibGateway/MembershipRecord.h"
 #include "LibPlatform/Revision.h"
 #include "LibRouting/ConsistentHashRing.h"
+#include "LibRouting/QuotaOwner.h"
 
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace yardrill::gateway {
 
+/// Returns the ring of the given instances.
+routing::ConsistentHashRing ringOf(const FleetMembers &Instances);
+
+/// Returns the rings by which \p Self owns quotas.
+/// \param Members of the fleet. Those that own no quotas yet are about to, and
+/// owners that are not among them are about to be removed.
+routing::QuotaRings ringsOf(const config::Endpoint &Self,
+                            const FleetMembers &Owners,
+                            const FleetMembers &Members);
+
+/// Witnesses of an owner while a change of the owners may be pending.
+struct QuotaWitnesses {
+  QuotaWitnesses() = default;
+  /// See ringsOf().
+  QuotaWitnesses(const config::Endpoint &Owner, const FleetMembers &Owners,
+                 const FleetMembers &Members);
+
+  /// Whether \p Agreeing of m_Permanent are enough for the owner to go on.
+  bool areEnough(std::size_t Agreeing) const { return Agreeing * 2 >= m_Count; }
+
+  /// Those that no pending change adds or removes.
+  std::vector<config::Endpoint> m_Permanent;
+  std::size_t m_Count = 0; ///< All of them.
+};
+
 /// What an instance has reported last.
 struct MemberReport {
   platform::Revision m_Revision; ///< Revision up to which it knows the store.
--- a/Libraries/LibGateway/QuotaService.cpp
+++ b/Libraries/LibGateway/QuotaService.cpp
@@ -4,6 +4,7 @@
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
 #include "LibCore/Timer.h"
+#include "LibGateway/QuotaOwnership.h"
 
 #include <memory>
 
@@ -26,24 +27,13 @@
   m_Quota.setAccounts(Accounts, core::steadyNow());
 }
 
-static routing::ConsistentHashRing ringOf(const FleetMembers &Instances) {
-  std::vector<config::Endpoint> Addresses;
-  for (const auto &[Address, Hall] : Instances)
-    Addresses.push_back(Address);
-  return routing::ConsistentHashRing(Addresses);
-}
-
 bool QuotaService::setOwners(const FleetMembers &Owners,
                              const FleetMembers &Members) {
   if (Owners == m_Owners && Members == m_Members)
     return false;
   m_Owners = Owners;
   m_Members = Members;
-  FleetMembers Planned = Owners;
-  Planned.insert(Members.begin(), Members.end());
-  if (Members.count(m_Self) == 0)
-    Planned.erase(m_Self);
-  m_Quota.setRing({ringOf(Owners), ringOf(Planned)}, core::steadyNow());
+  m_Quota.setRing(ringsOf(m_Self, Owners, Members), core::steadyNow());
   return true;
 }
 
--- a/Libraries/LibGateway/QuotaService.h
+++ b/Libraries/LibGateway/QuotaService.h
@@ -24,8 +24,7 @@
   /// Sets the accounts, with their limits, of the configuration in force.
   void setAccounts(const std::vector<routing::Account> &Accounts);
   /// Sets the instances that own quotas.
-  /// \param Members all instances of the fleet. Those that own no quotas yet
-  /// are about to, and owners that are not among them are about to be removed.
+  /// \param Members see ringsOf().
   /// \returns whether anything changed.
   bool setOwners(const FleetMembers &Owners, const FleetMembers &Members);
   /// Handles quota messages of peers; ignores other messages.
--- a/Tests/LibGateway/QuotaOwnershipModelTest.cpp
+++ b/Tests/LibGateway/QuotaOwnershipModelTest.cpp
@@ -55,13 +55,6 @@
   return {"10.1.0." + std::to_string(10 + Index), 7600};
 }
 
-routing::ConsistentHashRing ringOf(const FleetMembers &Instances) {
-  std::vector<config::Endpoint> Addresses;
-  for (const auto &[Address, Hall] : Instances)
-    Addresses.push_back(Address);
-  return routing::ConsistentHashRing(Addresses);
-}
-
 bool contains(const std::vector<config::Endpoint> &All,
               const config::Endpoint &Searched) {
   return std::find(All.begin(), All.end(), Searched) != All.end();
@@ -121,10 +114,8 @@
 private:
   struct Instance {
     Lists m_Lists;
-    routing::ConsistentHashRing m_Ring;
-    routing::ConsistentHashRing m_PlannedRing;
-    std::vector<config::Endpoint> m_Witnesses; ///< See PeerExchange.
-    std::size_t m_WitnessCount = 0;
+    routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
+    QuotaWitnesses m_Witnesses;
     /// Revision that it last reported to each other one, and steps since then.
     std::array<platform::Revision, MaxInstances> m_Heard;
     std::array<int, MaxInstances> m_Silence{};
@@ -146,21 +137,9 @@
   void read(Instance &Reader, const Lists &Read) {
     auto Index = static_cast<std::size_t>(&Reader - m_Instances.data());
     Reader.m_Lists = Read;
-    Reader.m_Ring = ringOf(Read.m_Owners);
-    FleetMembers Planned = Read.m_Owners;
-    Planned.insert(Read.m_Members.begin(), Read.m_Members.end());
-    Reader.m_Witnesses = ringOf(Planned).witnessesOf(address(Index));
-    Reader.m_WitnessCount = Reader.m_Witnesses.size();
-    auto IsPending = [&Read](const config::Endpoint &Each) {
-      return Read.m_Owners.count(Each) == 0 || Read.m_Members.count(Each) == 0;
-    };
-    Reader.m_Witnesses.erase(std::remove_if(Reader.m_Witnesses.begin(),
-                                            Reader.m_Witnesses.end(),
-                                            IsPending),
-                             Reader.m_Witnesses.end());
-    if (Read.m_Members.count(address(Index)) == 0)
-      Planned.erase(address(Index));
-    Reader.m_PlannedRing = ringOf(Planned);
+    Reader.m_Rings = ringsOf(address(Index), Read.m_Owners, Read.m_Members);
+    Reader.m_Witnesses =
+        QuotaWitnesses(address(Index), Read.m_Owners, Read.m_Members);
   }
 
   /// Anything that reaches the store may be written, whoever is silent.
@@ -274,20 +253,21 @@
   bool hasMostWitnesses(const Instance &Owner) const {
     std::size_t Agreeing = 0;
     for (std::size_t I = 0; I < m_Size; ++I)
-      if (contains(Owner.m_Witnesses, address(I)) &&
+      if (contains(Owner.m_Witnesses.m_Permanent, address(I)) &&
           Owner.m_Silence[I] <= StepsUntilForgotten &&
           !(Owner.m_Lists.m_Revision < Owner.m_Heard[I]))
         ++Agreeing;
-    return Agreeing * 2 >= Owner.m_WitnessCount;
+    return Owner.m_Witnesses.areEnough(Agreeing);
   }
 
   bool isHolder(std::size_t Index, std::uint32_t Account) const {
     const Instance &Owner = m_Instances[Index];
-    if (!contains(Owner.m_Ring.ownersOf(Account), address(Index)))
+    if (!contains(Owner.m_Rings.m_Owners.ownersOf(Account), address(Index)))
       return false;
     if (reachesStore(Index))
       return true;
-    return contains(Owner.m_PlannedRing.ownersOf(Account), address(Index)) &&
+    return contains(Owner.m_Rings.m_Planned.ownersOf(Account),
+                    address(Index)) &&
            hasMostWitnesses(Owner);
   }
 
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -61,13 +61,6 @@
   platform::Revision m_OwnersAt; ///< Revision of m_Owners.
 };
 
-routing::ConsistentHashRing ringOf(const gateway::FleetMembers &Instances) {
-  std::vector<config::Endpoint> Addresses;
-  for (const auto &[Address, Hall] : Instances)
-    Addresses.push_back(Address);
-  return routing::ConsistentHashRing(Addresses);
-}
-
 struct PendingAcquisition {
   std::size_t m_Instance = 0;
   std::size_t m_Account = 0;
@@ -115,9 +108,7 @@
     core::TimePoint m_HeardAt{}; ///< Last time that the writer heard of it.
     InstanceLists m_Lists;       ///< As it knows them.
     routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
-    std::vector<config::Endpoint> m_Witnesses;
-    std::size_t m_WitnessCount =
-        0; ///< With those that may be added or removed.
+    gateway::QuotaWitnesses m_Witnesses;
     bool m_HasRead = false;
     core::TimePoint m_FrozenUntil{};
     core::TimePoint m_CutUntil{};
@@ -167,14 +158,15 @@
     if (!hasDetectedLoss(Instance))
       return routing::OwnershipEvidence::Store;
     auto Agreeing = std::count_if(
-        Instance.m_Witnesses.begin(), Instance.m_Witnesses.end(),
+        Instance.m_Witnesses.m_Permanent.begin(),
+        Instance.m_Witnesses.m_Permanent.end(),
         [this, &Instance](const config::Endpoint &Each) {
           const ModelInstance &Witness = m_Instances[m_Indexes.at(Each)];
           return isRunning(Witness) && canReach(Instance, Witness) &&
                  !(Instance.m_Lists.m_Revision < Witness.m_Lists.m_Revision);
         });
     bool HasMost =
-        static_cast<std::size_t>(Agreeing) * 2 >= Instance.m_WitnessCount;
+        Instance.m_Witnesses.areEnough(static_cast<std::size_t>(Agreeing));
     return HasMost || m_Now - Instance.m_DetectsLossAt <= WitnessTime
                ? routing::OwnershipEvidence::Witnesses
                : routing::OwnershipEvidence::None;
@@ -241,22 +233,10 @@
 
   void readLists(ModelInstance &Instance, const InstanceLists &Lists) {
     Instance.m_Lists = Lists;
-    gateway::FleetMembers Planned = Lists.m_Owners;
-    Planned.insert(Lists.m_Members.begin(), Lists.m_Members.end());
-    if (Lists.m_Members.count(Instance.m_Address) == 0)
-      Planned.erase(Instance.m_Address);
-    Instance.m_Rings = {ringOf(Lists.m_Owners), ringOf(Planned)};
-    Instance.m_Witnesses =
-        Instance.m_Rings.m_Planned.witnessesOf(Instance.m_Address);
-    Instance.m_WitnessCount = Instance.m_Witnesses.size();
-    auto IsPending = [&Lists](const config::Endpoint &Each) {
-      return Lists.m_Owners.count(Each) == 0 ||
-             Lists.m_Members.count(Each) == 0;
-    };
-    Instance.m_Witnesses.erase(std::remove_if(Instance.m_Witnesses.begin(),
-                                              Instance.m_Witnesses.end(),
-                                              IsPending),
-                               Instance.m_Witnesses.end());
+    Instance.m_Rings =
+        gateway::ringsOf(Instance.m_Address, Lists.m_Owners, Lists.m_Members);
+    Instance.m_Witnesses = gateway::QuotaWitnesses(
+        Instance.m_Address, Lists.m_Owners, Lists.m_Members);
     Instance.m_Quota->setRing(Instance.m_Rings, m_Now);
   }
 
