LibGateway, Tests: Compare the members with the owners in linear time

For each member the writer asked all owners whether they know it, four times a second, also while nothing was to be added: 440 x 440 look-ups. It now takes the smallest revision that all remaining owners know, once, and looks at the witnesses only when an owner is to be removed.

--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -164,7 +164,7 @@
     Out.emplace(Address, Hall);
     ChangedAt = std::max(ChangedAt, changedAt(Address));
   }
-  for (bool IsChanged = true; IsChanged;) {
+  for (bool IsChanged = !Out.empty(); IsChanged;) {
     IsChanged = false;
     for (const auto &[Address, Hall] : m_Owners) {
       if (Out.count(Address) != 0 || hasSettled(Address, ChangedAt))
@@ -188,15 +188,20 @@
   for (const auto &[Address, Hall] : m_Owners)
     if (Removed.count(Address) == 0)
       Next.emplace(Address, Hall);
+  // Any of the remaining owners may lose a share to an added one.
+  std::optional<platform::Revision> KnownToAll;
+  for (const auto &[Address, Hall] : Next) {
+    platform::Revision Settled = m_Known.at(Address).m_SettledRevision;
+    KnownToAll = KnownToAll ? std::min(*KnownToAll, Settled) : Settled;
+  }
   FleetMembers Added;
   for (const auto &[Address, Hall] : m_Members) {
+    if (m_Owners.count(Address) != 0)
+      continue;
     platform::Revision ChangedAt = std::max(m_OwnersAt, changedAt(Address));
-    // Any of the remaining owners may lose a share to the added one.
-    bool IsKnown = std::all_of(Next.begin(), Next.end(),
-                               [this, ChangedAt](const auto &Each) {
-                                 return hasSettled(Each.first, ChangedAt);
-                               });
-    if (m_Owners.count(Address) == 0 && IsKnown)
+    bool IsKnown = !KnownToAll || (*KnownToAll != platform::Revision() &&
+                                   !(*KnownToAll < ChangedAt));
+    if (IsKnown)
       Added.emplace(Address, Hall);
   }
   Next.insert(Added.begin(), Added.end());
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -109,6 +109,8 @@
     InstanceLists m_Lists;       ///< As it knows them.
     routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
     gateway::QuotaWitnesses m_Witnesses;
+    /// Whether it owns each account, now and after a pending change.
+    std::vector<std::pair<bool, bool>> m_Owned;
     bool m_HasRead = false;
     core::TimePoint m_FrozenUntil{};
     core::TimePoint m_CutUntil{};
@@ -237,6 +239,7 @@
         gateway::ringsOf(Instance.m_Address, Lists.m_Owners, Lists.m_Members);
     Instance.m_Witnesses = gateway::QuotaWitnesses(
         Instance.m_Address, Lists.m_Owners, Lists.m_Members);
+    updateOwned(Instance);
     Instance.m_Quota->setRing(Instance.m_Rings, m_Now);
   }
 
@@ -342,12 +345,12 @@
     Out.m_Owner =
         Granted.m_Owner ? m_Indexes.at(*Granted.m_Owner) : Pending.m_Instance;
     Out.m_ListSize = m_Instances[Out.m_Owner].m_Rings.m_Owners.size();
-    Out.m_HolderCount = holderCount(Granted.m_Account);
+    Out.m_HolderCount = holderCount(Pending.m_Account);
     m_Grants[Pending.m_Account].push_back(Out);
   }
 
   /// Returns the number of instances that would grant shares of the account.
-  std::size_t holderCount(routing::AccountHash Account) const {
+  std::size_t holderCount(std::size_t Account) const {
     return static_cast<std::size_t>(
         std::count_if(m_Instances.begin(), m_Instances.end(),
                       [this, Account](const ModelInstance &Each) {
@@ -355,19 +358,29 @@
                       }));
   }
 
-  bool isHolder(const ModelInstance &Instance,
-                routing::AccountHash Account) const {
-    auto IsOwnerBy = [&](const routing::ConsistentHashRing &Ring) {
+  bool isHolder(const ModelInstance &Instance, std::size_t Account) const {
+    auto [IsOwner, IsPlanned] = Instance.m_Owned[Account];
+    if (!IsOwner)
+      return false;
+    routing::OwnershipEvidence Evidence = evidence(Instance);
+    return Evidence == routing::OwnershipEvidence::Store ||
+           (Evidence == routing::OwnershipEvidence::Witnesses && IsPlanned);
+  }
+
+  void updateOwned(ModelInstance &Instance) const {
+    auto IsOwnerBy = [&Instance](const routing::ConsistentHashRing &Ring,
+                                 routing::AccountHash Account) {
       auto Owners = Ring.ownersOf(Account);
       return std::find(Owners.begin(), Owners.end(), Instance.m_Address) !=
              Owners.end();
     };
-    routing::OwnershipEvidence Evidence = evidence(Instance);
-    if (Evidence == routing::OwnershipEvidence::Witnesses)
-      return IsOwnerBy(Instance.m_Rings.m_Owners) &&
-             IsOwnerBy(Instance.m_Rings.m_Planned);
-    return Evidence == routing::OwnershipEvidence::Store &&
-           IsOwnerBy(Instance.m_Rings.m_Owners);
+    Instance.m_Owned.clear();
+    for (const routing::Account &Each : m_Settings.m_Accounts) {
+      routing::AccountHash Hash = routing::hashOf(Each.m_Name);
+      Instance.m_Owned.emplace_back(
+          IsOwnerBy(Instance.m_Rings.m_Owners, Hash),
+          IsOwnerBy(Instance.m_Rings.m_Planned, Hash));
+    }
   }
 
   routing::QuotaResponse charge(DistributedQuota &Quota,
