--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -108,7 +109,8 @@
     core::TimePoint m_HeardAt{}; ///< Last time that the writer heard of it.
     InstanceLists m_Lists;       ///< As it knows them.
     routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
-    gateway::QuotaWitnesses m_Witnesses;
+    /// Made when they are needed first, as that takes long.
+    mutable std::optional<gateway::QuotaWitnesses> m_Witnesses;
     /// Whether it owns each account, now and after a pending change.
     std::vector<std::pair<bool, bool>> m_Owned;
     bool m_HasRead = false;
@@ -128,6 +130,8 @@
                          platform::Revision(1),
                          {},
                          platform::Revision(1)};
+  routing::QuotaRings m_MemberRings{routing::ConsistentHashRing()};
+  platform::Revision m_MemberRingsOf;  ///< Revision of the lists.
   std::size_t m_Writer = 0;            ///< Instance that writes the lists.
   gateway::QuotaOwnership m_Ownership; ///< Of the writer.
   core::TimePoint m_UpkeepAt{};
@@ -159,16 +163,20 @@
   routing::OwnershipEvidence evidence(const ModelInstance &Instance) const {
     if (!hasDetectedLoss(Instance))
       return routing::OwnershipEvidence::Store;
+    const InstanceLists &Lists = Instance.m_Lists;
+    if (!Instance.m_Witnesses)
+      Instance.m_Witnesses.emplace(Instance.m_Address, Lists.m_Owners,
+                                   Lists.m_Members);
     auto Agreeing = std::count_if(
-        Instance.m_Witnesses.m_Permanent.begin(),
-        Instance.m_Witnesses.m_Permanent.end(),
+        Instance.m_Witnesses->m_Permanent.begin(),
+        Instance.m_Witnesses->m_Permanent.end(),
         [this, &Instance](const config::Endpoint &Each) {
           const ModelInstance &Witness = m_Instances[m_Indexes.at(Each)];
           return isRunning(Witness) && canReach(Instance, Witness) &&
                  !(Instance.m_Lists.m_Revision < Witness.m_Lists.m_Revision);
         });
     bool HasMost =
-        Instance.m_Witnesses.areEnough(static_cast<std::size_t>(Agreeing));
+        Instance.m_Witnesses->areEnough(static_cast<std::size_t>(Agreeing));
     return HasMost || m_Now - Instance.m_DetectsLossAt <= WitnessTime
                ? routing::OwnershipEvidence::Witnesses
                : routing::OwnershipEvidence::None;
@@ -235,10 +243,18 @@
 
   void readLists(ModelInstance &Instance, const InstanceLists &Lists) {
     Instance.m_Lists = Lists;
-    Instance.m_Rings =
-        gateway::ringsOf(Instance.m_Address, Lists.m_Owners, Lists.m_Members);
-    Instance.m_Witnesses = gateway::QuotaWitnesses(
-        Instance.m_Address, Lists.m_Owners, Lists.m_Members);
+    bool IsMember = Lists.m_Members.count(Instance.m_Address) != 0;
+    // All members derive the same rings.
+    if (IsMember && m_MemberRingsOf != Lists.m_Revision) {
+      m_MemberRings =
+          gateway::ringsOf(Instance.m_Address, Lists.m_Owners, Lists.m_Members);
+      m_MemberRingsOf = Lists.m_Revision;
+    }
+    Instance.m_Rings = IsMember
+                           ? m_MemberRings
+                           : gateway::ringsOf(Instance.m_Address,
+                                              Lists.m_Owners, Lists.m_Members);
+    Instance.m_Witnesses.reset();
     updateOwned(Instance);
     Instance.m_Quota->setRing(Instance.m_Rings, m_Now);
   }
