LibRouting, LibGateway: Ask the ring who owns and who is witnessed

Found by reading the change again; no decision is changed. - Each instance searched all owners for those that have it as a witness, in square time, at each change of the lists, and merged the lists and made the ring a second time for it. ConsistentHashRing::witnessedBy() reads the members before it; QuotaWitnesses holds them. - The writer made a ring four times a second that is needed only when an owner is to be removed. - "Is it one of the owners" stood in QuotaOwner and in the simulation, in a copy of all owners; ConsistentHashRing::isOwner() copies none. "Does it know that revision" stood twice in QuotaOwnership, which also visited its owners three times a call. - OwnershipEvidenceTest built a ring by hand that ringOf() makes.

--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -179,7 +179,7 @@
 void PeerExchange::addWitnessedOwners(std::vector<config::Endpoint> &To) {
   if (isStoreReachable() || ++m_UnreachableReports % WitnessRounds != 0)
     return;
-  for (const config::Endpoint &Each : m_WitnessedOwners)
+  for (const config::Endpoint &Each : m_Witnesses.m_Witnessed)
     if (!m_Subset.isGroupPeer(Each))
       To.push_back(Each);
 }
@@ -258,16 +258,6 @@
 void PeerExchange::setQuotaOwners(const FleetMembers &Owners,
                                   const FleetMembers &Members) {
   m_Witnesses = QuotaWitnesses(m_Settings.m_PeerAddress, Owners, Members);
-  FleetMembers All = Owners;
-  All.insert(Members.begin(), Members.end());
-  routing::ConsistentHashRing Ring = ringOf(All);
-  m_WitnessedOwners.clear();
-  for (const auto &[Address, Hall] : Owners) {
-    auto Witnesses = Ring.witnessesOf(Address);
-    if (std::find(Witnesses.begin(), Witnesses.end(),
-                  m_Settings.m_PeerAddress) != Witnesses.end())
-      m_WitnessedOwners.push_back(Address);
-  }
 }
 
 bool PeerExchange::agrees(const config::Endpoint &Witness) const {
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -186,8 +186,6 @@
   std::vector<config::Endpoint> m_GroupAddresses; ///< Peers of the own group
   std::vector<config::Endpoint> m_OtherGroupAddresses; ///< All other peers
   QuotaWitnesses m_Witnesses;                          ///< Of this instance
-  /// Owners of quotas that have this instance as a witness.
-  std::vector<config::Endpoint> m_WitnessedOwners;
   core::TimePoint m_StoreReachableAt{}; ///< Last time that it was
   FollowerSelection m_FollowerSelection;
   std::mt19937_64 m_Random;
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -2,6 +2,7 @@
 #include "LibGateway/QuotaOwnership.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace yardrill::gateway {
 
@@ -41,21 +42,26 @@
 
 QuotaWitnesses::QuotaWitnesses(const config::Endpoint &Owner,
                                const FleetMembers &Owners,
-                               const FleetMembers &Members)
-    : m_Permanent(ringOf(merged(Owners, Members)).witnessesOf(Owner)),
-      m_Count(m_Permanent.size()) {
-  auto IsPending = [&](const config::Endpoint &Each) {
-    return Owners.count(Each) == 0 || Members.count(Each) == 0;
-  };
-  m_Permanent.erase(
-      std::remove_if(m_Permanent.begin(), m_Permanent.end(), IsPending),
-      m_Permanent.end());
+                               const FleetMembers &Members) {
+  routing::ConsistentHashRing Ring = ringOf(merged(Owners, Members));
+  std::vector<config::Endpoint> All = Ring.witnessesOf(Owner);
+  m_Count = All.size();
+  std::copy_if(All.begin(), All.end(), std::back_inserter(m_Permanent),
+               [&](const config::Endpoint &Each) {
+                 return Owners.count(Each) != 0 && Members.count(Each) != 0;
+               });
+  for (const config::Endpoint &Each : Ring.witnessedBy(Owner))
+    if (Owners.count(Each) != 0)
+      m_Witnessed.push_back(Each);
 }
 
 void QuotaOwnership::setOwners(FleetMembers Owners, platform::Revision At) {
   m_Owners = std::move(Owners);
   m_OwnersAt = At;
   m_IsStoreOutdated = false;
+  for (auto Each = m_Known.begin(); Each != m_Known.end();)
+    Each = m_Owners.count(Each->first) != 0 ? std::next(Each)
+                                            : m_Known.erase(Each);
 }
 
 void QuotaOwnership::setRestoredOwners(const FleetMembers &Owners,
@@ -105,13 +111,9 @@
   if (Now - m_ObservedAt > MaxPause)
     m_Known.clear();
   m_ObservedAt = Now;
-  for (const auto &[Address, Hall] : m_Owners)
-    m_Known.try_emplace(Address).first->second.m_IsLive = false;
-  for (auto Each = m_Known.begin(); Each != m_Known.end();) {
-    bool IsOwner = m_Owners.count(Each->first) != 0;
-    Each = IsOwner ? std::next(Each) : m_Known.erase(Each);
-  }
-  for (auto &[Address, Each] : m_Known) {
+  for (const auto &[Address, Hall] : m_Owners) {
+    Known &Each = m_Known[Address];
+    Each.m_IsLive = false;
     auto Report = Live.find(Address);
     if (Report != Live.end())
       addReport(Each, Report->second, Now);
@@ -125,10 +127,13 @@
   }
 }
 
+bool QuotaOwnership::includes(platform::Revision Known, platform::Revision At) {
+  return Known != platform::Revision() && !(Known < At);
+}
+
 bool QuotaOwnership::hasSettled(const config::Endpoint &Instance,
                                 platform::Revision At) const {
-  platform::Revision Settled = m_Known.at(Instance).m_SettledRevision;
-  return Settled != platform::Revision() && !(Settled < At);
+  return includes(m_Known.at(Instance).m_SettledRevision, At);
 }
 
 bool QuotaOwnership::isReleased(const config::Endpoint &Owner,
@@ -153,16 +158,22 @@
   return static_cast<std::size_t>(Settled) * 2 > Witnesses.size();
 }
 
-FleetMembers
-QuotaOwnership::removableOwners(const routing::ConsistentHashRing &Ring,
-                                core::TimePoint Now) const {
+FleetMembers QuotaOwnership::removableOwners(core::TimePoint Now) const {
   FleetMembers Out;
+  for (const auto &[Address, Hall] : m_Owners)
+    if (m_Members.count(Address) == 0)
+      Out.emplace(Address, Hall);
+  if (Out.empty())
+    return Out;
+  routing::ConsistentHashRing Ring = ringOf(m_Owners);
   platform::Revision ChangedAt = m_OwnersAt;
-  for (const auto &[Address, Hall] : m_Owners) {
-    if (m_Members.count(Address) != 0 || !isReleased(Address, Ring, Now))
+  for (auto Each = Out.begin(); Each != Out.end();) {
+    if (!isReleased(Each->first, Ring, Now)) {
+      Each = Out.erase(Each);
       continue;
-    Out.emplace(Address, Hall);
-    ChangedAt = std::max(ChangedAt, changedAt(Address));
+    }
+    ChangedAt = std::max(ChangedAt, changedAt(Each->first));
+    ++Each;
   }
   for (bool IsChanged = !Out.empty(); IsChanged;) {
     IsChanged = false;
@@ -183,28 +194,21 @@
   if (m_Owners.empty())
     return m_Members;
   observe(Live, Now);
-  FleetMembers Removed = removableOwners(ringOf(m_Owners), Now);
-  FleetMembers Next;
-  for (const auto &[Address, Hall] : m_Owners)
-    if (Removed.count(Address) == 0)
-      Next.emplace(Address, Hall);
+  FleetMembers Next = m_Owners;
+  for (const auto &[Address, Hall] : removableOwners(Now))
+    Next.erase(Address);
   // Any of the remaining owners may lose a share to an added one.
   std::optional<platform::Revision> KnownToAll;
   for (const auto &[Address, Hall] : Next) {
     platform::Revision Settled = m_Known.at(Address).m_SettledRevision;
     KnownToAll = KnownToAll ? std::min(*KnownToAll, Settled) : Settled;
   }
-  FleetMembers Added;
   for (const auto &[Address, Hall] : m_Members) {
-    if (m_Owners.count(Address) != 0)
-      continue;
     platform::Revision ChangedAt = std::max(m_OwnersAt, changedAt(Address));
-    bool IsKnown = !KnownToAll || (*KnownToAll != platform::Revision() &&
-                                   !(*KnownToAll < ChangedAt));
-    if (IsKnown)
-      Added.emplace(Address, Hall);
+    bool IsKnown = !KnownToAll || includes(*KnownToAll, ChangedAt);
+    if (m_Owners.count(Address) == 0 && IsKnown)
+      Next.emplace(Address, Hall);
   }
-  Next.insert(Added.begin(), Added.end());
   if (Next == m_Owners && !m_IsStoreOutdated)
     return std::nullopt;
   return Next;
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -46,6 +46,8 @@
   /// Those that no pending change adds or removes.
   std::vector<config::Endpoint> m_Permanent;
   std::size_t m_Count = 0; ///< All of them.
+  /// Owners that have this one as a witness.
+  std::vector<config::Endpoint> m_Witnessed;
 };
 
 /// What an instance has reported last.
@@ -92,6 +94,8 @@
   };
 
   void observe(const MemberReports &Live, core::TimePoint Now);
+  /// Whether an instance with state up to \p Known knows the change at \p At.
+  static bool includes(platform::Revision Known, platform::Revision At);
   static void addReport(Known &Instance, const MemberReport &Report,
                         core::TimePoint Now);
   /// Returns the revision since which \p Instance is a member, or no longer is.
@@ -103,12 +107,10 @@
   bool isReleased(const config::Endpoint &Owner,
                   const routing::ConsistentHashRing &Ring,
                   core::TimePoint Now) const;
-
   /// Returns the owners that are no longer members and have stopped granting,
   /// without those whose removal would change the witnesses of others that may
   /// not know of it.
-  FleetMembers removableOwners(const routing::ConsistentHashRing &Ring,
-                               core::TimePoint Now) const;
+  FleetMembers removableOwners(core::TimePoint Now) const;
 
   FleetMembers m_Owners;
   platform::Revision m_OwnersAt;
--- a/Libraries/LibRouting/ConsistentHashRing.cpp
+++ b/Libraries/LibRouting/ConsistentHashRing.cpp
@@ -23,25 +23,51 @@
   return Out;
 }
 
-std::vector<config::Endpoint>
-ConsistentHashRing::ownersOf(std::uint32_t Hash) const {
+std::size_t ConsistentHashRing::firstOwner(std::uint32_t Hash) const {
   auto First = std::lower_bound(m_Points.begin(), m_Points.end(), Hash,
                                 [](const auto &Point, std::uint32_t Searched) {
                                   return Point.first < Searched;
                                 });
-  return membersFrom(static_cast<std::size_t>(First - m_Points.begin()),
-                     std::min(MaxOwners, m_Points.size()));
+  return static_cast<std::size_t>(First - m_Points.begin());
 }
 
 std::vector<config::Endpoint>
-ConsistentHashRing::witnessesOf(const config::Endpoint &Member) const {
-  auto Own = std::find_if(
+ConsistentHashRing::ownersOf(std::uint32_t Hash) const {
+  return membersFrom(firstOwner(Hash), std::min(MaxOwners, m_Points.size()));
+}
+
+bool ConsistentHashRing::isOwner(std::uint32_t Hash,
+                                 const config::Endpoint &Member) const {
+  std::size_t First = firstOwner(Hash);
+  for (std::size_t I = 0; I < std::min(MaxOwners, m_Points.size()); ++I)
+    if (m_Points[(First + I) % m_Points.size()].second == Member)
+      return true;
+  return false;
+}
+
+std::size_t
+ConsistentHashRing::positionOf(const config::Endpoint &Member) const {
+  auto Found = std::find_if(
       m_Points.begin(), m_Points.end(),
       [&Member](const auto &Point) { return Point.second == Member; });
-  if (Own == m_Points.end())
+  return static_cast<std::size_t>(Found - m_Points.begin());
+}
+
+std::vector<config::Endpoint>
+ConsistentHashRing::witnessesOf(const config::Endpoint &Member) const {
+  std::size_t Position = positionOf(Member);
+  if (Position == m_Points.size())
+    return {};
+  return membersFrom(Position + 1, std::min(MaxWitnesses, m_Points.size() - 1));
+}
+
+std::vector<config::Endpoint>
+ConsistentHashRing::witnessedBy(const config::Endpoint &Member) const {
+  std::size_t Position = positionOf(Member);
+  if (Position == m_Points.size())
     return {};
-  return membersFrom(static_cast<std::size_t>(Own - m_Points.begin()) + 1,
-                     std::min(MaxWitnesses, m_Points.size() - 1));
+  std::size_t Count = std::min(MaxWitnesses, m_Points.size() - 1);
+  return membersFrom(Position + m_Points.size() - Count, Count);
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/ConsistentHashRing.h
+++ b/Libraries/LibRouting/ConsistentHashRing.h
@@ -32,14 +32,23 @@
   /// Returns the members that follow \p Hash on the ring: MaxOwners, or all if
   /// there are fewer.
   std::vector<config::Endpoint> ownersOf(std::uint32_t Hash) const;
+  /// Whether \p Member is one of ownersOf(\p Hash).
+  bool isOwner(std::uint32_t Hash, const config::Endpoint &Member) const;
   /// Returns the members that follow \p Member on the ring: MaxWitnesses, or
   /// all others if there are fewer; none if \p Member is not on the ring.
   /// Without the store, an owner goes on only while at least half of these know
   /// of no newer membership.
   std::vector<config::Endpoint>
   witnessesOf(const config::Endpoint &Member) const;
+  /// Returns the members that have \p Member as a witness.
+  std::vector<config::Endpoint>
+  witnessedBy(const config::Endpoint &Member) const;
 
 private:
+  /// Returns the position of the first owner of \p Hash.
+  std::size_t firstOwner(std::uint32_t Hash) const;
+  /// Returns the position of \p Member; size() if it is not on the ring.
+  std::size_t positionOf(const config::Endpoint &Member) const;
   /// Returns \p Count members from position \p Start of the ring on.
   std::vector<config::Endpoint> membersFrom(std::size_t Start,
                                             std::size_t Count) const;
--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -62,19 +62,14 @@
   return {Tokens * AdvancesPerSecond, Tokens};
 }
 
-static bool contains(const std::vector<config::Endpoint> &Owners,
-                     const config::Endpoint &Searched) {
-  return std::find(Owners.begin(), Owners.end(), Searched) != Owners.end();
-}
-
 void QuotaOwner::configure(const std::vector<Account> &Accounts,
                            const QuotaRings &Rings, core::TimePoint Now) {
   std::unordered_map<AccountHash, Bucket> Next;
   for (const Account &Each : Accounts) {
     AccountHash Hash = hashOf(Each.m_Name);
-    std::vector<config::Endpoint> Owners = Rings.m_Owners.ownersOf(Hash);
-    if (!contains(Owners, m_Self) || Each.m_TokensPerSecond <= 0)
+    if (!Rings.m_Owners.isOwner(Hash, m_Self) || Each.m_TokensPerSecond <= 0)
       continue;
+    std::vector<config::Endpoint> Owners = Rings.m_Owners.ownersOf(Hash);
     double Share = 1 / static_cast<double>(Owners.size());
     QuotaLimits AccountLimits{Each.m_TokensPerSecond, Each.m_Burst};
     QuotaLimits Limits = AccountLimits.part(Share);
@@ -90,8 +85,7 @@
     }
     Owners.erase(std::find(Owners.begin(), Owners.end(), m_Self));
     Known->second.m_Others = std::move(Owners);
-    Known->second.m_IsLeaving =
-        !contains(Rings.m_Planned.ownersOf(Hash), m_Self);
+    Known->second.m_IsLeaving = !Rings.m_Planned.isOwner(Hash, m_Self);
   }
   m_Buckets = std::move(Next);
   m_WasConfigured =
--- a/Tests/LibGateway/OwnershipEvidenceTest.cpp
+++ b/Tests/LibGateway/OwnershipEvidenceTest.cpp
@@ -165,13 +165,7 @@
     create(40, 40);
     tick(seconds(1));
     routing::FleetSubset Group(address(0), members(40));
-    auto Witnesses = routing::ConsistentHashRing([] {
-                       std::vector<config::Endpoint> Out;
-                       for (std::size_t I = 0; I < 40; ++I)
-                         Out.push_back(address(I));
-                       return Out;
-                     }())
-                         .witnessesOf(address(0));
+    auto Witnesses = ringOf(members(40)).witnessesOf(address(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t(15), Witnesses.size());
     std::size_t Heard = 0;
     for (std::size_t I = 1; I < 40; ++I) {
--- a/Tests/LibGateway/QuotaOwnershipModelTest.cpp
+++ b/Tests/LibGateway/QuotaOwnershipModelTest.cpp
@@ -262,7 +262,7 @@
 
   bool isHolder(std::size_t Index, std::uint32_t Account) const {
     const Instance &Owner = m_Instances[Index];
-    if (!contains(Owner.m_Rings.m_Owners.ownersOf(Account), address(Index)))
+    if (!Owner.m_Rings.m_Owners.isOwner(Account, address(Index)))
       return false;
     if (reachesStore(Index))
       return true;
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -384,18 +384,12 @@
   }
 
   void updateOwned(ModelInstance &Instance) const {
-    auto IsOwnerBy = [&Instance](const routing::ConsistentHashRing &Ring,
-                                 routing::AccountHash Account) {
-      auto Owners = Ring.ownersOf(Account);
-      return std::find(Owners.begin(), Owners.end(), Instance.m_Address) !=
-             Owners.end();
-    };
     Instance.m_Owned.clear();
     for (const routing::Account &Each : m_Settings.m_Accounts) {
       routing::AccountHash Hash = routing::hashOf(Each.m_Name);
       Instance.m_Owned.emplace_back(
-          IsOwnerBy(Instance.m_Rings.m_Owners, Hash),
-          IsOwnerBy(Instance.m_Rings.m_Planned, Hash));
+          Instance.m_Rings.m_Owners.isOwner(Hash, Instance.m_Address),
+          Instance.m_Rings.m_Planned.isOwner(Hash, Instance.m_Address));
     }
   }
 
