LibGateway, platform: Log which stream a request resumes and at which version

The logs of a stream that changed its version named neither the attempt that it resumes, nor the event after which it goes on, nor the versions of the targets: request-sent now has target_version, resumes and last_event; target-seen has version. No decision changes.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -30,7 +30,9 @@
   std::optional<std::string> m_Key;         ///< API key of a client account.
   std::optional<core::Duration> m_Deadline; ///< Relative to the arrival.
   std::optional<std::string> m_LastEvent;   ///< Id of the last event received.
-  bool m_HasTokenCounts = false;            ///< Whether the next two are given.
+  /// Id of the attempt that received the first event of the resumed stream.
+  std::optional<std::string> m_ResumedAttempt;
+  bool m_HasTokenCounts = false; ///< Whether the next two are given.
   std::uint32_t m_PromptTokens = 0;
   std::uint32_t m_OutputTokens = 0;   ///< Upper bound of the output.
   std::uint32_t m_ExpectedTokens = 0; ///< Estimate of the output; 0: none.
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -107,6 +107,9 @@
   bool waitForTarget(boost::asio::yield_context Yield);
   /// Sends the request to the assigned target and relays the response.
   AttemptOutcome runAttempt(boost::asio::yield_context Yield);
+  /// Returns the id of the last event that the caller has; none before the
+  /// first.
+  std::optional<std::string> lastEvent() const;
   /// Runs the attempt on an open connection. \throws core::Error when the
   /// connection fails or the target does not respond in time.
   AttemptOutcome exchange(http::ClientConnection &Connection,
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -36,7 +36,7 @@
 
 AttemptOutcome GatewayRequest::runAttempt(asio::yield_context Yield) {
   logDispatch(m_Owner.m_Targets.findByIncarnation(m_Target->incarnation()),
-              m_Owner.m_Mirror.revision());
+              m_Owner.m_Mirror.revision(), lastEvent().value_or(""));
   if (timeLeft() <= core::Duration::zero()) {
     m_Reason = "time-over";
     return AttemptOutcome::NotSent;
@@ -98,6 +98,11 @@
   return Result;
 }
 
+std::optional<std::string> GatewayRequest::lastEvent() const {
+  return m_Relay.lastEventId().empty() ? m_Description.m_LastEvent
+                                       : m_Relay.lastEventId();
+}
+
 bool GatewayRequest::isQuarantined() {
   if (!m_Owner.m_Quarantine.isQuarantined(m_Content))
     return false;
@@ -170,9 +175,7 @@
   Forward.m_TimeLeft = timeLeft();
   if (m_Account)
     Forward.m_Account = m_Account->m_Name;
-  Forward.m_LastEvent = m_Description.m_LastEvent;
-  if (!m_Relay.lastEventId().empty())
-    Forward.m_LastEvent = m_Relay.lastEventId();
+  Forward.m_LastEvent = lastEvent();
   m_Owner.m_Wire.prepare(m_Caller.request(), Forward);
   m_HasResponseStarted = false;
   m_SilentSince = core::steadyNow();
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -105,8 +105,7 @@
                                  asio::yield_context Yield) {
   http::RequestMessage &Request = m_Caller.request();
   RequestDescription Original = m_Description;
-  if (!m_Relay.lastEventId().empty())
-    Original.m_LastEvent = m_Relay.lastEventId();
+  Original.m_LastEvent = lastEvent();
   // An earlier attempt at a target may have replaced these headers.
   m_Owner.m_Wire.restore(Request, Original);
   peer::ForwardTicket Ticket;
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -160,6 +160,7 @@
       .add("target", Update.m_Name)
       .add("birth", Update.m_StartTime)
       .add("pool", Update.m_Pool)
+      .add("version", Update.m_Version)
       .add("address", Update.m_Address.toString())
       .add("is_leaving", Update.m_IsLeaving)
       .add("revision", ModRevision);
--- a/Libraries/LibGateway/RequestInfo.cpp
+++ b/Libraries/LibGateway/RequestInfo.cpp
@@ -25,7 +25,8 @@
 }
 
 void RequestInfo::logDispatch(const routing::KnownTarget *Known,
-                              platform::Revision StoreRevision) const {
+                              platform::Revision StoreRevision,
+                              const std::string &LastEvent) const {
   core::LogLine Line("request-sent");
   Line.add("request", m_Description.m_Id)
       .add("content", m_Content)
@@ -33,10 +34,15 @@
       .add("account_tier", m_Tier)
       .add("route_tier", m_Route->m_Tier)
       .add("target", m_Target->m_Name)
+      .add("target_version", m_Target->m_Version)
       .add("try", m_Timing.attempts())
       .add("waited_us", core::steadyNow() - m_Timing.arrivedAt())
       .add("configuration", m_Table->version())
       .add("store_revision", StoreRevision);
+  if (m_Description.m_ResumedAttempt)
+    Line.add("resumes", *m_Description.m_ResumedAttempt);
+  if (!LastEvent.empty())
+    Line.add("last_event", LastEvent);
   if (m_PredictedWait)
     Line.add("predicted_wait_us", *m_PredictedWait);
   if (m_Account)
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -47,10 +47,13 @@
   void logQuota(const char *Event) const;
   /// Logs that the request is sent to m_Target, with the data that the choice
   /// was based on.
+  /// \param LastEvent event after which the target is to resume the stream;
+  /// empty: none.
   /// \param Known null if the target is no longer known.
   /// \param StoreRevision revision of the mirrored state.
   void logDispatch(const routing::KnownTarget *Known,
-                   platform::Revision StoreRevision) const;
+                   platform::Revision StoreRevision,
+                   const std::string &LastEvent) const;
   /// Logs that the target did not run the request, under the event m_Reason.
   void logTargetRefusal(unsigned TargetStatus) const;
   /// \param ResponseStatus status of a target's response that was relayed.
