Tests: Take streams up again between targets of two versions

Callers leave a stream after its first event, lose the instance that began it, or have its target exit; the checker reads the versions from what each caller received over its attempts, and counts the streams that go on.

--- /dev/null
+++ b/Tests/LibGateway/StreamVersionTest.cpp
@@ -0,0 +1,174 @@
+//===-- StreamVersionTest.cpp - Streams that are taken up again -----------===//
+//
+// Guards against a stream that goes on at a target of another version than the
+// one that began it, and against streams that could go on and don't.
+//
+//===----------------------------------------------------------------------===//
+#include "GatewayFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace yardrill;
+using namespace yardrill::tests;
+using std::chrono::milliseconds;
+
+class StreamVersionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StreamVersionTest);
+  CPPUNIT_TEST(testStreamLeftByItsCallerKeepsItsVersion);
+  CPPUNIT_TEST(testStreamOfAKilledInstanceKeepsItsVersion);
+  CPPUNIT_TEST(testStreamWhoseTargetExitsKeepsItsVersion);
+  CPPUNIT_TEST(testStreamOfAnUnknownVersionDoesNotGoOn);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::size_t Gateways = 4;
+  static constexpr std::size_t Targets = 6;
+  static constexpr std::size_t Streams = 16;
+
+  /// What one caller received of a stream, over all its attempts.
+  struct Stream {
+    std::string m_FirstAttempt;
+    std::vector<std::string> m_Versions; ///< One for each event.
+    bool m_HasGoneOn = false;
+
+    bool isOfOneVersion() const {
+      return std::all_of(
+          m_Versions.begin(), m_Versions.end(),
+          [this](const auto &Each) { return Each == m_Versions.front(); });
+    }
+  };
+
+  /// Returns the versions of the events in a body.
+  static std::vector<std::string> versionsIn(const std::string &Body) {
+    static const std::string Field = "data: ";
+    std::vector<std::string> Out;
+    for (std::size_t At = Body.find(Field); At != std::string::npos;
+         At = Body.find(Field, At)) {
+      At += Field.size();
+      Out.push_back(Body.substr(At, Body.find('\n', At) - At));
+    }
+    return Out;
+  }
+  /// Starts a fleet in which every other target has another version.
+  static void startMixed(GatewayFleet &Fleet) {
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.waitUntilReady());
+    Fleet.runOnTargetThread([&] {
+      for (std::size_t I = 1; I < Targets; I += 2)
+        Fleet.target(I).setVersion("v2");
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+  }
+  /// Begins a stream and leaves it after its first event if \p OnFirst returns
+  /// false; else reads it until it ends.
+  static Stream begin(GatewayFleet &Fleet, std::size_t Gateway,
+                      const std::string &Body,
+                      const std::function<bool()> &OnFirst) {
+    Stream Out;
+    http::RequestMessage Request =
+        GatewayFleet::request(VersionedStreamPath, Body);
+    Out.m_FirstAttempt = *Request.m_Headers.find("Attempt-Id");
+    Reply Received = call(Fleet.callerPort(Gateway), Request,
+                          [&](const std::string &) { return OnFirst(); });
+    Out.m_Versions = versionsIn(Received.m_Body);
+    return Out;
+  }
+  static void resume(GatewayFleet &Fleet, std::size_t Gateway,
+                     const std::string &Body, Stream &Current) {
+    http::RequestMessage Request =
+        GatewayFleet::request(VersionedStreamPath, Body);
+    Request.m_Headers.set("Last-Event-Id",
+                          std::to_string(Current.m_Versions.size()));
+    Request.m_Headers.set("Resumes", Current.m_FirstAttempt);
+    Reply Received = call(Fleet.callerPort(Gateway), Request);
+    std::vector<std::string> Further = versionsIn(Received.m_Body);
+    Current.m_HasGoneOn = Received.m_Status == 200 && !Further.empty();
+    Current.m_Versions.insert(Current.m_Versions.end(), Further.begin(),
+                              Further.end());
+  }
+  static void assertEachKeepsItsVersion(const std::vector<Stream> &All) {
+    std::size_t GoneOn = 0;
+    std::size_t OfTwoVersions = 0;
+    for (const Stream &Each : All) {
+      CPPUNIT_ASSERT(!Each.m_Versions.empty());
+      GoneOn += Each.m_HasGoneOn ? 1 : 0;
+      OfTwoVersions += Each.isOfOneVersion() ? 0 : 1;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), OfTwoVersions);
+    CPPUNIT_ASSERT(2 * GoneOn >= All.size());
+  }
+
+public:
+  void testStreamLeftByItsCallerKeepsItsVersion() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    std::vector<Stream> All;
+    for (std::size_t I = 0; I < Streams; ++I) {
+      std::string Body = "stream " + std::to_string(I);
+      All.push_back(begin(Fleet, 0, Body, [] { return false; }));
+      resume(Fleet, 1 + I % (Gateways - 1), Body, All.back());
+    }
+    assertEachKeepsItsVersion(All);
+  }
+
+  void testStreamOfAKilledInstanceKeepsItsVersion() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    std::atomic<std::size_t> Begun{0};
+    std::vector<std::future<Stream>> Calls;
+    for (std::size_t I = 0; I < Streams; ++I)
+      Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
+        return begin(Fleet, 0, "stream " + std::to_string(I), [&Begun] {
+          ++Begun;
+          return true;
+        });
+      }));
+    CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
+    Fleet.kill(0);
+    std::vector<Stream> All;
+    for (std::size_t I = 0; I < Streams; ++I) {
+      All.push_back(Calls[I].get());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), All.back().m_Versions.size());
+      resume(Fleet, 1 + I % (Gateways - 1), "stream " + std::to_string(I),
+             All.back());
+    }
+    assertEachKeepsItsVersion(All);
+  }
+
+  void testStreamWhoseTargetExitsKeepsItsVersion() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    std::atomic<std::size_t> Begun{0};
+    std::vector<std::future<Stream>> Calls;
+    for (std::size_t I = 0; I < Streams; ++I)
+      Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
+        return begin(Fleet, I % Gateways, "stream " + std::to_string(I),
+                     [&Begun] {
+                       ++Begun;
+                       return true;
+                     });
+      }));
+    CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
+    Fleet.runOnTargetThread([&] {
+      for (std::size_t I : {0, 1, 2, 3})
+        Fleet.target(I).simulateExit();
+    });
+    std::vector<Stream> All;
+    for (auto &Each : Calls) {
+      All.push_back(Each.get());
+      All.back().m_HasGoneOn = All.back().m_Versions.size() > 1;
+    }
+    assertEachKeepsItsVersion(All);
+  }
+
+  void testStreamOfAnUnknownVersionDoesNotGoOn() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    Stream Unknown;
+    Unknown.m_FirstAttempt = "never-seen";
+    Unknown.m_Versions = {"v1"};
+    resume(Fleet, 0, "stream", Unknown);
+    CPPUNIT_ASSERT(!Unknown.m_HasGoneOn);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamVersionTest);
--- a/Tests/Support/ExitingTarget.h
+++ b/Tests/Support/ExitingTarget.h
@@ -1,7 +1,7 @@
 //===-- ExitingTarget.h - Target that requests can make exit --------------===//
 //
-// It can also state backpressure: a rate limit, a back-off, or that it leaves.
-// Used by GatewayFleet.
+// It can also state backpressure (a rate limit, a back-off, or that it leaves)
+// and has a version, which its streams show. Used by GatewayFleet.
 //
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_TESTS_SUPPORT_EXITINGTARGET_H
@@ -22,6 +22,10 @@
 /// its first event by then.
 inline const char MidStreamExitRequestBody[] = "ends its target midway";
 
+/// Path of streams whose events show the version of their target. A new one
+/// ends ExitingTarget::VersionedStreamTime after its first event.
+inline const char VersionedStreamPath[] = "/stream/versions";
+
 /// Request that a target received.
 struct Arrival {
   core::TimePoint m_At;
@@ -61,6 +65,11 @@
   void setBackpressure(ScriptedBackpressure Backpressure) {
     m_Backpressure = std::move(Backpressure);
   }
+  /// Sets the version from the next announcement on, which is made at once.
+  void setVersion(std::string Version) {
+    m_Version = std::move(Version);
+    announce();
+  }
   /// Announces itself again under the same name.
   void reannounce() { announce(); }
   /// Announces that it leaves; it goes on serving.
@@ -95,6 +104,7 @@
 
   static constexpr std::chrono::milliseconds DownTime{400};
   static constexpr std::chrono::milliseconds WorkTime{30};
+  static constexpr std::chrono::milliseconds VersionedStreamTime{1500};
   /// Length of a response that fills the buffers of a connection.
   static constexpr std::size_t LargeBytes = 32UL << 20;
 
@@ -107,11 +117,11 @@
   }
   std::string key() const { return "servers/" + name(); }
   void announce(const std::string &State = "ready") {
-    m_Store.put(key(),
-                R"({"service":"app","address":"127.0.0.1:)" +
-                    std::to_string(m_Port) +
-                    R"(","zone":"hall","version":"v1","slots":4,"state":")" +
-                    State + R"(","coldLeftMs":0,"seq":1,"born":0})");
+    m_Store.put(key(), R"({"service":"app","address":"127.0.0.1:)" +
+                           std::to_string(m_Port) +
+                           R"(","zone":"hall","version":")" + m_Version +
+                           R"(","slots":4,"state":")" + State +
+                           R"(","coldLeftMs":0,"seq":1,"born":0})");
   }
   void listen() {
     m_Acceptor =
@@ -142,11 +152,14 @@
           asio::detached);
     }
   }
-  void work(asio::yield_context Yield) {
-    asio::steady_timer Timer(m_Context, WorkTime);
+  void work(core::Duration Time, asio::yield_context Yield) {
+    asio::steady_timer Timer(m_Context, Time);
     boost::system::error_code Ignored;
     Timer.async_wait(Yield[Ignored]);
   }
+  std::string versionedEvent(int Id) const {
+    return chunk("id: " + std::to_string(Id) + "\ndata: " + m_Version + "\n\n");
+  }
   void exitUnderRequest() {
     {
       std::lock_guard<std::mutex> Lock(m_ArrivalLog.m_Mutex);
@@ -167,6 +180,7 @@
         m_ArrivalLog.m_Arrivals.push_back(
             {core::steadyNow(), Received.body(), m_Number});
       }
+      core::Duration Work = WorkTime;
       std::string Response =
           completeResponse(Received, "answer", "200 OK",
                            "Replica-Seal: s\r\n" + m_Backpressure.m_Headers);
@@ -180,7 +194,19 @@
         Response =
             completeResponse(Received, "", "503 Service Unavailable",
                              "Not-Executed: 1\r\n" + m_Backpressure.m_Headers);
-      else if (Received.target().starts_with("/stream/")) {
+      else if (Received.target() == VersionedStreamPath) {
+        std::string Last(Received["Last-Event-Id"]);
+        if (Last.empty()) {
+          std::string First = streamHead(Received) + versionedEvent(1);
+          asio::async_write(*Socket, asio::buffer(First), Yield[Failure]);
+          Work = VersionedStreamTime;
+        }
+        Response =
+            versionedEvent(std::atoi(Last.c_str()) + (Last.empty() ? 2 : 1)) +
+            "0\r\n\r\n";
+        if (!Last.empty())
+          Response = streamHead(Received) + Response;
+      } else if (Received.target().starts_with("/stream/")) {
         std::string First = streamHead(Received) + chunk("id: 1\ndata: a\n\n");
         if (Received["Last-Event-Id"].empty())
           asio::async_write(*Socket, asio::buffer(First), Yield[Failure]);
@@ -189,7 +215,7 @@
           Response = streamHead(Received) + Response;
       }
       if (!m_Backpressure.m_RefusesRequests)
-        work(Yield);
+        work(Work, Yield);
       if (!Socket->is_open())
         return;
       if (Received.body() == ExitRequestBody ||
@@ -206,6 +232,7 @@
   ArrivalLog &m_ArrivalLog;
   std::size_t m_Number;
   std::size_t m_Incarnation = 1;
+  std::string m_Version = "v1";
   ScriptedBackpressure m_Backpressure;
   tcp::acceptor m_Acceptor;
   int m_Port;
