LibGateway: Let streams go on only at the version that began them

Cause: the version at which a stream begins was known to nobody beyond the target that ran it. The caller's next attempt, a retry within one answer and a retry through a peer went to any target of the pool.

Now a stream has an origin: pool and version of its first event. A retry within one answer keeps it; a ticket and the peer's response carry it over a hop. For callers that return to another instance: - While a pool has had one version only, for as long as a caller may return, that is the version. An instance that says so has seen all announcements in that time, its route has led to that pool, and a read of the store sent after the caller came shows that it has missed none. - Otherwise the instance that relays the first event sends the origin, before its caller gets that event, to three instances that follow its key on the ring; also when a second version appears, a route changes or the store is lost, for the streams that are open then. Who doesn't know asks five. - Unknown is no guess: 503 at once, since nothing ran. The dispatcher binds such a request to the version. It holds back no request that may use others, and its wait is not predicted from all targets' slots. With no target of that version left it is refused at once, with Retry-After its whole time.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -99,6 +99,11 @@
       m_Lending(m_Dispatcher, m_Targets, m_Slots.leases(),
                 m_Settings.m_DataHall, m_Metrics, lendingHooks()),
       m_Quarantine(Context, Store, quarantineHooks()),
+      m_Freshness(Context, Store, m_Mirror),
+      m_StreamOrigins(Context, m_Timers, streamOriginHooks(),
+                      [this](const config::Endpoint &Instance) {
+                        return isKnownSilent(Instance);
+                      }),
       m_ForwardingPeers(
           [this]() -> const PeerTable & { return m_Peers->peers(); },
           m_Settings.m_DataHall, m_Settings.m_Regions, core::randomBits()),
@@ -113,7 +118,10 @@
       m_Random(core::randomBits()) {
   m_Mirror.subscribe(
       [this](const platform::Entry &Change) { applyEntry(Change); });
+  m_Mirror.setSkippedCallback(
+      [this](const std::string &Key) { noteSkippedChanges(Key); });
   m_Targets.setRegions(m_Settings.m_Regions);
+  m_Targets.setVersionRetention(m_StreamRetention);
   m_Dispatcher.setOverload(m_Settings.m_Overload);
   listen();
 }
@@ -188,6 +196,7 @@
           [this] { updatePeerLoads(); }, [this] { return largestPoolSize(); },
           [this](const routing::FleetSubset &Subset) {
             m_Targets.setSubset(Subset);
+            m_StreamOrigins.setOthers(m_Peers->otherInstances());
             updateQuotaOwners();
           },
           [this](const peer::PeerMessage &Message) {
@@ -197,6 +206,7 @@
             m_Backpressure.handle(Message, core::steadyNow());
             m_Slots.handle(Message, core::steadyNow());
             m_Lending.handle(Message, core::steadyNow());
+            m_StreamOrigins.handle(Message);
             scheduleTick();
           }});
   m_Peers->setForwardedHandler(
@@ -223,6 +233,7 @@
     m_Backpressure.upkeep(Now);
     m_Slots.upkeep(Now);
     m_Quarantine.upkeep(Now);
+    m_StreamOrigins.upkeep(Now);
     m_Quotas.upkeep(m_Peers->ownershipEvidence(Now), Now);
     // Without a record, the quota owners are the discovered instances.
     if (m_Membership.recorded().empty())
@@ -285,7 +296,13 @@
 void Gateway::applyConfiguration(routing::RoutingTableHandle Next) {
   if (m_Table && !(m_Table->version() < Next->version()))
     return;
+  // What came before the first configuration that this process has is unknown.
+  if (!m_Table && !m_Settings.m_IsFirstStart)
+    m_VersionsKnownSince = core::steadyNow();
   m_Table = std::move(Next);
+  m_RouteHistory.update(*m_Table, core::steadyNow());
+  updateStreamRetention();
+  m_StreamOrigins.replicate();
   m_Quotas.setAccounts(m_Table->accounts());
   m_Targets.setPools(m_Table->pools(), core::steadyNow());
   m_CallerServer->setLimits(toServerLimits(m_Table->limits(), m_Settings));
@@ -581,6 +598,7 @@
   Set("yardrill_drained_data_halls", m_Targets.drainedHalls().size());
   Set("yardrill_resting_targets",
       m_Targets.throttles().backedOff(core::steadyNow()));
+  Set("yardrill_stream_origins", m_StreamOrigins.size());
   Set("yardrill_suspected_contents", m_Quarantine.table().size());
   Set("yardrill_impaired_paths", m_Paths.paths().impairedPools().size());
   Set("yardrill_store_connected", m_Follower.isConnected() ? 1 : 0);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -26,11 +26,14 @@
 #include "LibGateway/SlotLendingService.h"
 #include "LibGateway/SlotService.h"
 #include "LibGateway/StoreFollower.h"
+#include "LibGateway/StoreFreshness.h"
+#include "LibGateway/StreamOriginService.h"
 #include "LibGateway/TargetExitDetector.h"
 #include "LibHTTP/ConnectionPool.h"
 #include "LibHTTP/Server.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibRouting/Dispatcher.h"
+#include "LibRouting/RouteHistory.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetDirectory.h"
 
@@ -43,6 +46,10 @@
 
 class GatewayRequest;
 
+/// Time after the end of a stream's attempt for which its caller may take it up
+/// again; callers return at once, or as Retry-After states.
+inline constexpr std::chrono::seconds StreamReturnTime{30};
+
 /// Accepts requests of callers, sends each to a target and relays its response.
 /// Owns the servers, the connections to targets, peers and the store, and the
 /// state that each GatewayRequest works on.
@@ -146,6 +153,20 @@
   TargetExitDetectorHooks exitDetectorHooks();
   QuarantineHooks quarantineHooks();
   PathMonitorHooks pathMonitorHooks();
+  StreamOriginHooks streamOriginHooks();
+  /// Adapts the time for which streams may be taken up again to the routes.
+  void updateStreamRetention();
+  /// Whether this process has known all versions of targets for as long as
+  /// streams may be taken up again.
+  bool hasVersionHistory(core::TimePoint Now) const;
+  /// Called when a target may have come and gone unseen.
+  void noteSkippedChanges(const std::string &Key);
+  /// See StreamOriginHooks::m_OnlyVersion.
+  std::optional<core::TargetVersion>
+  onlyVersionOf(const StreamRoute &Route) const;
+  /// Whether the instance at that address is stopping, or sends no reports
+  /// although it should.
+  bool isKnownSilent(const config::Endpoint &Instance) const;
   /// Returns the targets of this instance's subset that are expected to accept
   /// connections.
   std::vector<routing::Target> usableTargets(const core::PoolName &Pool);
@@ -198,6 +219,14 @@
   SlotLendingService m_Lending;
   QuarantineService m_Quarantine;
   std::unique_ptr<PeerService> m_Peers;
+  StoreFreshness m_Freshness;
+  StreamOriginService m_StreamOrigins;
+  routing::RouteHistory m_RouteHistory;
+  /// Time for which streams may be taken up again after they have begun.
+  core::Duration m_StreamRetention = StreamReturnTime;
+  /// Time since which no target has come and gone unseen; none: ever since the
+  /// fleet's first start.
+  std::optional<core::TimePoint> m_VersionsKnownSince;
   ForwardingPeers m_ForwardingPeers;
   QuotaService m_Quotas;
   RolloutWriter m_RolloutWriter;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -200,6 +200,7 @@
   Placement.m_PromptTokens = m_Description.m_PromptTokens;
   Placement.m_TriedTargets = m_TriedTargets;
   Placement.m_Regions = m_Regions;
+  Placement.m_Version = requiredVersion();
   if (Placement.m_IsInference) {
     // The caller's estimate is a median. Without it, expect half of the bound.
     double Tokens = m_Description.m_ExpectedTokens != 0
@@ -255,6 +256,10 @@
   if (m_Ticket)
     if (const char *Reason = reasonNotToSend())
       return declineForwarded(Reason, Yield);
+  if (const char *Reason = findStreamOrigin(Yield)) {
+    m_Reason = Reason;
+    return reject(503, Yield);
+  }
   auto Outcome = runAttempts(Yield);
   if (!Outcome)
     return;
@@ -263,6 +268,7 @@
     return finish("request-finished");
   }
   if (*Outcome == AttemptOutcome::Complete) {
+    noteStreamComplete();
     if (!m_IsPeerRefusal)
       m_Reason = "complete";
     return finish("request-finished");
@@ -343,8 +349,9 @@
   if (Outcome == AttemptOutcome::Failed &&
       m_Owner.m_Quarantine.isSuspect(m_Content))
     return false;
-  // A stream without an event id cannot be resumed at another target.
-  if (m_Relay.isStarted() && m_Relay.lastEventId().empty())
+  // A stream without an event id cannot be resumed at another target, nor can
+  // one whose version is unknown.
+  if (m_Relay.isStarted() && (m_Relay.lastEventId().empty() || !m_StreamOrigin))
     return false;
   // An attempt that sent no byte costs no retry budget.
   if (Outcome == AttemptOutcome::NotSent)
@@ -375,10 +382,16 @@
     return respond(HasTimedOut ? 504 : 502, m_Reason, core::Duration::zero(),
                    Yield);
   giveBackQuota();
+  core::Duration Wait = retryAfter();
   if (m_IsRefused)
     m_Reason = m_Owner.availableAt(m_Pool, core::steadyNow()) ? "targets-closed"
                                                               : "no-target";
-  respond(503, HasTimedOut ? "time-over" : m_Reason, retryAfter(), Yield);
+  // It can't go on within its caller's time.
+  if (m_IsRefused && !HasTimedOut && isStreamVersionGone()) {
+    m_Reason = "stream-version-gone";
+    Wait = timeLeft();
+  }
+  respond(503, HasTimedOut ? "time-over" : m_Reason, Wait, Yield);
 }
 
 void GatewayRequest::respond(unsigned Status, const char *Reason,
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -73,6 +73,29 @@
   /// after a response was sent.
   std::optional<AttemptOutcome> runAttempts(boost::asio::yield_context Yield);
 
+  // Streams that are taken up again.
+  /// Whether the route's streams may go on at another target.
+  bool isResumable() const;
+  /// Whether the caller has part of the stream already.
+  bool resumesStream() const;
+  StreamRoute streamRoute() const;
+  /// Returns the version of the only targets that may receive the request; none
+  /// if it is free.
+  std::optional<core::TargetVersion> requiredVersion() const;
+  /// Finds out where a stream that is taken up again has begun. \returns why it
+  /// can't go on; null if it may, or if it is no such stream.
+  const char *findStreamOrigin(boost::asio::yield_context Yield);
+  /// Records where a stream begins, before its caller gets the first event.
+  void noteStreamBegin();
+  void noteStreamComplete();
+  /// Whether no target of the required version is left.
+  bool isStreamVersionGone() const;
+  /// Tells the peer that forwarded the request where its stream comes from.
+  void stateStreamOrigin(http::ResponseHead &Head) const;
+  /// Takes what the above states out of a peer's response. \returns false if
+  /// the stream must not go on with it.
+  bool readStreamOrigin(http::ResponseHead &Head);
+
   // Requests passed on to a peer.
   /// Whether to pass the request to a peer, as this instance has no path to the
   /// pool and a peer has.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -199,6 +199,7 @@
       // Discards the body: the refusal is not relayed to the caller.
     }
   } else {
+    stateStreamOrigin(Head);
     Result = relayResponse(Connection, Head, Info, true, Yield);
   }
   m_KeepAliveTime =
@@ -262,6 +263,7 @@
     m_Owner.m_Targets.recordFirstEventTime(m_Pool,
                                            Now - m_Timing.attemptStartedAt());
   if (IsFirst) {
+    noteStreamBegin();
     m_Owner.m_Metrics.observe(metrics::RequestLatency::FirstToken, Labels,
                               m_Timing.timeToFirstEvent());
   }
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -117,6 +117,10 @@
                            .count();
   Ticket.m_Version = m_Table->version();
   Ticket.m_PossibleExecutions = m_PossibleExecutions;
+  if (auto Version = requiredVersion()) {
+    Ticket.m_StreamPool = m_StreamOrigin->m_Pool;
+    Ticket.m_StreamVersion = Version->value();
+  }
   Request.m_Headers.set(peer::ForwardTicketHeader,
                         m_Owner.m_Peers->signTicket(std::move(Ticket)));
   Connection.sendRequest(Request, timeLeft(), Yield);
@@ -125,9 +129,14 @@
       Connection.readHead(timeLeft() + ResponseGracePeriod, Yield);
   const std::string *OwnOutcome =
       Head.m_Headers.find(peer::ForwardOutcomeHeader);
-  if (!OwnOutcome)
+  if (!OwnOutcome) {
+    if (!readStreamOrigin(Head)) {
+      m_Reason = "resume-refused";
+      return AttemptOutcome::Failed;
+    }
     return relayResponse(Connection, Head, m_Owner.m_Wire.describe(Head), false,
                          Yield);
+  }
   bool IsNotTaken = *OwnOutcome == peer::OutcomeNotTaken;
   Head.m_Headers.remove(peer::ForwardOutcomeHeader);
   http::ResponseMessage Response =
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -156,6 +156,7 @@
   updateWarmUp(Announced, Effect);
   if (Effect == routing::AnnouncementEffect::Nothing)
     return;
+  m_StreamOrigins.replicate();
   core::LogLine("target-seen")
       .add("target", Update.m_Name)
       .add("birth", Update.m_StartTime)
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -79,6 +79,8 @@
 
   /// Whether this instance has to follow the store.
   bool mustFollowStore() const;
+  /// Whether this instance or a live peer is connected to the store.
+  bool isStoreReachable() const;
   const PeerTable &peers() const { return m_Peers; }
   /// Returns the number of group peers that are silent without having stopped.
   std::size_t missingCount() const;
@@ -152,8 +154,6 @@
   bool agrees(const config::Endpoint &Witness) const;
   /// Whether at least half of the witnesses agree.
   bool hasMostWitnesses() const;
-  /// Whether this instance or a live peer is connected to the store.
-  bool isStoreReachable() const;
   /// Whether the mirror is newer than the last report states.
   bool hasUnreportedRevision() const;
   void expire(core::TimePoint Now);
--- a/Libraries/LibGateway/PeerService.h
+++ b/Libraries/LibGateway/PeerService.h
@@ -35,6 +35,8 @@
   void start(core::TimerService &Timers);
   /// Sends a message that is not a load report; it can be lost.
   void send(const config::Endpoint &To, const peer::PeerBody &Body);
+  void send(const std::vector<config::Endpoint> &To,
+            const peer::PeerBody &Body);
 
   /// Sets the handler of callers' requests that peers forward.
   void setForwardedHandler(http::Server::Handler Handle) {
@@ -60,6 +62,7 @@
     m_Exchange.setRecorded(std::move(Instances));
   }
   const PeerTable &peers() const { return m_Exchange.peers(); }
+  bool isStoreReachable() const { return m_Exchange.isStoreReachable(); }
   bool mustFollowStore() const { return m_Exchange.mustFollowStore(); }
   std::size_t missingCount() const { return m_Exchange.missingCount(); }
   bool hasPeerWithState() const { return m_Exchange.hasPeerWithState(); }
@@ -83,8 +86,6 @@
 private:
   /// Adds the hooks through which the exchange sends.
   PeerExchangeHooks withTransport(PeerExchangeHooks Hooks);
-  void send(const std::vector<config::Endpoint> &To,
-            const peer::PeerBody &Body);
   void receive(const peer::PeerMessage &Message);
   void drop(peer::DropReason Reason);
   void tick(core::TimePoint Now);
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -5,6 +5,7 @@
 #include "LibCore/Log.h"
 #include "LibGateway/Dialect.h"
 #include "LibGateway/ResponseTiming.h"
+#include "LibGateway/StreamOrigin.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPlatform/KeyValueService.h"
 #include "LibQuarantine/ContentDigest.h"
@@ -29,6 +30,9 @@
   routing::AllowedRegions m_Regions;       ///< Of the route and the account.
   routing::QuotaAcquisition m_Acquisition; ///< Tokens taken from the quota.
   quarantine::ContentDigest m_Content;     ///< Set on admission.
+  StreamKey m_StreamKey;                   ///< Set for resumable streams.
+  /// Where the stream has begun; none before its first event.
+  std::optional<StreamOrigin> m_StreamOrigin;
   ResponseTiming m_Timing{core::steadyNow()};
   /// Wait for a slot that was predicted when the request began to wait.
   std::optional<core::Duration> m_PredictedWait;
--- /dev/null
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -0,0 +1,111 @@
+#include "LibGateway/StreamOriginService.h"
+
+#include "LibCore/Timer.h"
+
+#include <memory>
+
+namespace yardrill::gateway {
+
+namespace asio = boost::asio;
+
+/// Silent instances that are skipped on the ring at most.
+static constexpr std::size_t MaxSkipped = 8;
+
+StreamOriginService::StreamOriginService(
+    asio::io_context &Context, core::TimerService &Timers,
+    StreamOriginHooks Hooks,
+    std::function<bool(const config::Endpoint &)> IsSilent)
+    : m_Context(Context), m_Timers(Timers), m_IsSilent(std::move(IsSilent)),
+      m_Exchange(withInstances(std::move(Hooks))) {}
+
+StreamOriginHooks StreamOriginService::withInstances(StreamOriginHooks Hooks) {
+  Hooks.m_Keepers = [this](const StreamKey &Key) {
+    return instancesAfter(Key, Keepers);
+  };
+  // A lookup begins to wait for responses once this has called back.
+  Hooks.m_ConfirmOnlyVersion =
+      [this, Confirm = std::move(Hooks.m_ConfirmOnlyVersion)](
+          const StreamRoute &Route, StreamOriginHooks::VersionCallback Call) {
+        Confirm(Route, [this, Call = std::move(Call)](
+                           std::optional<core::TargetVersion> Only,
+                           core::TimePoint Now) {
+          Call(std::move(Only), Now);
+          schedulePoll();
+        });
+      };
+  Hooks.m_Asked = [this](const StreamKey &Key) {
+    return instancesAfter(Key, MaxAsked);
+  };
+  return Hooks;
+}
+
+std::vector<config::Endpoint>
+StreamOriginService::instancesAfter(const StreamKey &Key,
+                                    std::size_t Count) const {
+  std::vector<config::Endpoint> Out;
+  for (config::Endpoint &Each : m_Ring.membersAfter(
+           static_cast<std::uint32_t>(Key.m_Low), Count + MaxSkipped))
+    if (Out.size() < Count && !m_IsSilent(Each))
+      Out.push_back(std::move(Each));
+  return Out;
+}
+
+void StreamOriginService::recordBegin(const StreamKey &Key,
+                                      const StreamRoute &Route,
+                                      const StreamOrigin &Origin,
+                                      core::TimePoint KeptUntil) {
+  m_Exchange.recordBegin(Key, Route, Origin, KeptUntil, core::steadyNow());
+}
+
+namespace {
+
+/// Shared by the waiting coroutine and the lookup, of which either can end
+/// first.
+struct PendingLookup {
+  explicit PendingLookup(asio::io_context &Context) : m_Timer(Context) {}
+
+  core::Timer m_Timer;
+  bool m_IsDone = false;
+  std::optional<StreamOrigin> m_Origin;
+};
+
+} // namespace
+
+std::optional<StreamOrigin>
+StreamOriginService::find(const StreamKey &Key, const StreamRoute &Route,
+                          asio::yield_context Yield) {
+  auto Pending = std::make_shared<PendingLookup>(m_Context);
+  Pending->m_Timer.expires_at(core::Timer::time_point::max());
+  m_Exchange.lookUp(Key, Route, [Pending](std::optional<StreamOrigin> Origin) {
+    Pending->m_Origin = std::move(Origin);
+    Pending->m_IsDone = true;
+    Pending->m_Timer.cancel();
+  });
+  boost::system::error_code Ignored;
+  if (!Pending->m_IsDone)
+    Pending->m_Timer.async_wait(Yield[Ignored]);
+  return Pending->m_Origin;
+}
+
+void StreamOriginService::schedulePoll() {
+  if (m_IsPollScheduled || !m_Exchange.hasLookups())
+    return;
+  m_IsPollScheduled = true;
+  m_Timers.callAfter(StreamOriginExchange::QueryPeriod,
+                     [this](core::TimePoint Now) {
+                       m_IsPollScheduled = false;
+                       m_Exchange.pollLookups(Now);
+                       schedulePoll();
+                     });
+}
+
+void StreamOriginService::handle(const peer::PeerMessage &Message) {
+  m_Exchange.handle(Message, core::steadyNow());
+}
+
+void StreamOriginService::upkeep(core::TimePoint Now) {
+  m_Exchange.removeExpired(Now);
+  m_Exchange.replicate(Now);
+}
+
+} // namespace yardrill::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StreamOriginService.h
@@ -0,0 +1,68 @@
+//===-- StreamOriginService.h - Looks up where streams have begun ---------===//
+#ifndef YARDRILL_LIBGATEWAY_STREAMORIGINSERVICE_H
+#define YARDRILL_LIBGATEWAY_STREAMORIGINSERVICE_H
+
+#include "LibCore/TimerService.h"
+#include "LibGateway/StreamOriginExchange.h"
+#include "LibRouting/ConsistentHashRing.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+namespace yardrill::gateway {
+
+/// Runs a StreamOriginExchange on the event loop and chooses the instances that
+/// keep the origin of each stream; owned by Gateway.
+class StreamOriginService {
+public:
+  /// \param Hooks without those that choose instances, which are set here.
+  /// \param IsSilent whether the instance at that address is known to be
+  /// silent.
+  StreamOriginService(boost::asio::io_context &Context,
+                      core::TimerService &Timers, StreamOriginHooks Hooks,
+                      std::function<bool(const config::Endpoint &)> IsSilent);
+
+  /// Sets all other instances.
+  void setOthers(const std::vector<config::Endpoint> &Others) {
+    m_Ring = routing::ConsistentHashRing(Others);
+  }
+  /// Waits for the origin of a stream. \returns none if it is unknown.
+  std::optional<StreamOrigin> find(const StreamKey &Key,
+                                   const StreamRoute &Route,
+                                   boost::asio::yield_context Yield);
+  void handle(const peer::PeerMessage &Message);
+  /// Must be called a few times a second.
+  void upkeep(core::TimePoint Now);
+
+  // See StreamOriginExchange.
+  void recordBegin(const StreamKey &Key, const StreamRoute &Route,
+                   const StreamOrigin &Origin, core::TimePoint KeptUntil);
+  void recordComplete(const StreamKey &Key) { m_Exchange.recordComplete(Key); }
+  void replicate() { m_Exchange.replicate(core::steadyNow()); }
+  std::size_t size() const { return m_Exchange.size(); }
+
+  /// Instances that keep the origin of a stream beside the one that relays it.
+  static constexpr std::size_t Keepers = 3;
+  /// Instances that are asked: more than the keepers, since instances may see
+  /// others as silent or not.
+  static constexpr std::size_t MaxAsked = Keepers + 2;
+
+private:
+  StreamOriginHooks withInstances(StreamOriginHooks Hooks);
+  /// Returns the first \p Count instances after the key on the ring that are
+  /// not known to be silent.
+  std::vector<config::Endpoint> instancesAfter(const StreamKey &Key,
+                                               std::size_t Count) const;
+  void schedulePoll();
+
+  boost::asio::io_context &m_Context;
+  core::TimerService &m_Timers;
+  std::function<bool(const config::Endpoint &)> m_IsSilent;
+  routing::ConsistentHashRing m_Ring;
+  StreamOriginExchange m_Exchange;
+  bool m_IsPollScheduled = false;
+};
+
+} // namespace yardrill::gateway
+
+#endif
--- a/Libraries/LibPeer/ForwardTicket.h
+++ b/Libraries/LibPeer/ForwardTicket.h
@@ -23,6 +23,9 @@
 /// Header of a response that the peer itself made; absent from those of
 /// targets. Its value is one of those below.
 inline constexpr char ForwardOutcomeHeader[] = "Yardrill-Forward-Outcome";
+/// Header of a forwarded stream's response: hash of the pool that it comes
+/// from, a blank, and the hex-encoded version of the targets.
+inline constexpr char StreamOriginHeader[] = "Yardrill-Stream-Origin";
 /// The peer has not sent the request to a target, and another peer may.
 inline constexpr char OutcomeNotTaken[] = "not-taken";
 /// The peer's response is final for the caller.
@@ -39,10 +42,14 @@
   core::ConfigurationVersion m_Version; ///< In force at the sender.
   /// Attempts that may have run.
   std::uint32_t m_PossibleExecutions = 0;
+  /// Pool, by routing::hashOf(), and version of the only targets at which a
+  /// stream may go on; empty for one that has not begun.
+  std::uint32_t m_StreamPool = 0;
+  std::string m_StreamVersion;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(m_From, m_To, m_RequestId, m_Content, m_WallSeconds, m_ElapsedUs,
-       m_Version, m_PossibleExecutions);
+       m_Version, m_PossibleExecutions, m_StreamPool, m_StreamVersion);
   }
 
   /// Returns the ticket signed by \p Codec, as the value of a header.
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -8,6 +8,7 @@
 #include "LibPeer/QuarantineMessages.h"
 #include "LibPeer/RolloutMessages.h"
 #include "LibPeer/SlotMessages.h"
+#include "LibPeer/StreamMessages.h"
 #include "LibPeer/TargetMessages.h"
 
 #include <cereal/types/string.hpp>
@@ -122,7 +123,8 @@
     std::variant<Heartbeat, decision::ThresholdCommand,
                  decision::ThresholdReport, LoadReport, QuotaRequest,
                  QuotaResponse, RolloutReport, RolloutPermit, QuarantineUpdate,
-                 BackpressureUpdate, SlotRequest, SlotGrant, SlotReturn>;
+                 BackpressureUpdate, SlotRequest, SlotGrant, SlotReturn,
+                 StreamOriginUpdate, StreamOriginQuery, StreamOriginResponse>;
 
 /// Envelope of each datagram between peers.
 struct PeerMessage {
--- a/Libraries/LibPlatform/StoreMirror.cpp
+++ b/Libraries/LibPlatform/StoreMirror.cpp
@@ -16,6 +16,9 @@
     return;
   if (Update.m_IsValueOmitted)
     return markPending(Update);
+  // The entry was created and removed again, and its value is unknown.
+  if (!Known && Update.m_IsDeleted)
+    notifySkipped(Update.m_Key);
   auto PendingValue = m_PendingValues.find(Update.m_Key);
   bool IsPending = PendingValue != m_PendingValues.end();
   if (!Known && !IsPending && Update.m_IsDeleted)
@@ -78,6 +81,8 @@
   bool IsFirst = m_Revision == Revision();
   bool IsOtherEra = eraOf(m_Revision) != eraOf(At);
   m_IsRestoring = IsOtherEra && !IsFirst;
+  if (!IsFirst && m_Revision < At)
+    notifySkipped("");
   std::set<std::string> Present;
   for (const Entry &Each : Content) {
     Present.insert(Each.m_Key);
--- a/Libraries/LibPlatform/StoreMirror.h
+++ b/Libraries/LibPlatform/StoreMirror.h
@@ -50,6 +50,14 @@
     m_ReplacedCallback = std::move(Callback);
   }
 
+  /// Sets a function that is called when updates have skipped changes, so that
+  /// an entry may have come and gone unseen: with the key of such an entry, or
+  /// with an empty one if any may have.
+  void
+  setSkippedCallback(std::function<void(const std::string &Key)> Callback) {
+    m_SkippedCallback = std::move(Callback);
+  }
+
   /// Applies a snapshot of all entries at revision \p At. Some may be newer, as
   /// a range is read in several pages. A snapshot older than revision() removes
   /// nothing. One of a newer era replaces everything, and its changes are
@@ -89,6 +97,10 @@
   void applyEntry(const Entry &Update);
   void markPending(const Entry &Update);
   bool isPending(const Entry &Update) const;
+  void notifySkipped(const std::string &Key) const {
+    if (m_SkippedCallback)
+      m_SkippedCallback(Key);
+  }
   /// Stores or removes an entry and notifies the subscribers.
   void store(const Entry &Update);
   /// Removes the entries that a snapshot read at \p At does not have.
@@ -110,6 +122,7 @@
   bool m_IsRestoring = false; ///< During a snapshot of a newer era.
   std::vector<Subscriber> m_Subscribers;
   ReplacedCallback m_ReplacedCallback;
+  std::function<void(const std::string &)> m_SkippedCallback;
 };
 
 } // namespace yardrill::platform
--- a/Libraries/LibRouting/ConsistentHashRing.cpp
+++ b/Libraries/LibRouting/ConsistentHashRing.cpp
@@ -33,7 +33,12 @@
 
 std::vector<config::Endpoint>
 ConsistentHashRing::ownersOf(std::uint32_t Hash) const {
-  return membersFrom(firstOwner(Hash), std::min(MaxOwners, m_Points.size()));
+  return membersAfter(Hash, MaxOwners);
+}
+
+std::vector<config::Endpoint>
+ConsistentHashRing::membersAfter(std::uint32_t Hash, std::size_t Count) const {
+  return membersFrom(firstOwner(Hash), std::min(Count, m_Points.size()));
 }
 
 bool ConsistentHashRing::isOwner(std::uint32_t Hash,
--- a/Libraries/LibRouting/ConsistentHashRing.h
+++ b/Libraries/LibRouting/ConsistentHashRing.h
@@ -32,6 +32,10 @@
   /// Returns the members that follow \p Hash on the ring: MaxOwners, or all if
   /// there are fewer.
   std::vector<config::Endpoint> ownersOf(std::uint32_t Hash) const;
+  /// Returns \p Count members that follow \p Hash on the ring, or all if there
+  /// are fewer.
+  std::vector<config::Endpoint> membersAfter(std::uint32_t Hash,
+                                             std::size_t Count) const;
   /// Whether \p Member is one of ownersOf(\p Hash).
   bool isOwner(std::uint32_t Hash, const config::Endpoint &Member) const;
   /// Returns the members that follow \p Member on the ring: MaxWitnesses, or
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -257,9 +257,17 @@
 bool Dispatcher::mayUse(const KnownTarget &Known,
                         const PlacementRequest &Request) const {
   return Request.m_TriedTargets.count(Known.m_Target.incarnation()) == 0 &&
+         (!Request.m_Version ||
+          *Request.m_Version == Known.m_Target.m_Version) &&
          m_Targets.isInRegions(Known, Request.m_Regions);
 }
 
+bool Dispatcher::holdsBack(const PlacementRequest &Waiting,
+                           const PlacementRequest &Other) {
+  return Waiting.m_Pool == Other.m_Pool &&
+         (!Waiting.m_Version || Waiting.m_Version == Other.m_Version);
+}
+
 std::vector<KnownTarget *>
 Dispatcher::candidates(const PlacementRequest &Request,
                        core::TimePoint Now) const {
@@ -278,9 +286,10 @@
   };
   AddCandidates(m_Targets.subsetOf(Request.m_Pool));
   // The subset may contain no target of a version that takes requests during a
-  // rollout, none in the request's regions, or only drained data halls.
-  bool IsRestricted =
-      Gate || Request.m_Regions || !m_Targets.drainedHalls().empty();
+  // rollout or that the request needs, none in the request's regions, or only
+  // drained data halls.
+  bool IsRestricted = Gate || Request.m_Regions || Request.m_Version ||
+                      !m_Targets.drainedHalls().empty();
   if (IsRestricted && Out.empty())
     AddCandidates(m_Targets.allTargetsOf(Request.m_Pool));
   // A failing target always has free slots. Without this it would receive the
@@ -427,7 +436,7 @@
     m_Fairness.add(Request);
   bool IsBehindOthers =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
-        return Each.second.m_Pool == Request.m_Pool &&
+        return holdsBack(Each.second, Request) &&
                precedes(Each.second, Request, Now);
       });
   if (!IsBehindOthers && trySend(Request, Now))
@@ -519,15 +528,19 @@
 void Dispatcher::dispatchWaiting(core::TimePoint Now) {
   // Once a request has to wait, later ones of its pool must not overtake it.
   // Those whose queue deadline has passed are still sent or refused.
-  std::set<core::PoolName> Full;
+  std::vector<const PlacementRequest *> Blocked;
   for (const PlacementRequest *Request : waitingInOrder(Now)) {
-    if (Full.count(Request->m_Pool) != 0 && Now < queueDeadline(*Request))
+    bool IsHeldBack = std::any_of(Blocked.begin(), Blocked.end(),
+                                  [Request](const PlacementRequest *Each) {
+                                    return holdsBack(*Each, *Request);
+                                  });
+    if (IsHeldBack && Now < queueDeadline(*Request))
       continue;
     if (trySend(*Request, Now))
       // Copies the key, because withdraw() destroys the request.
       withdraw(core::RequestId(Request->m_Request));
-    else
-      Full.insert(Request->m_Pool);
+    else if (!IsHeldBack)
+      Blocked.push_back(Request);
   }
   refuseHopeless(Now);
 }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -51,6 +51,8 @@
   core::TimePoint m_EndsAt{};
   std::set<TargetIncarnation> m_TriedTargets; ///< Excluded from assignment.
   AllowedRegions m_Regions; ///< Targets elsewhere must not receive it.
+  /// Version of the only targets that may receive it; none: of all.
+  std::optional<core::TargetVersion> m_Version;
 
   /// Whether the first byte has an objective. Without one, it is due when the
   /// caller gives up.
@@ -190,8 +192,13 @@
   /// precede it; none if a target accepts one now or no target will.
   std::optional<core::TimePoint>
   nextAvailability(const PlacementRequest &Request, core::TimePoint Now) const;
-  /// Whether the request may be sent to the target, by its regions and its
-  /// earlier attempts.
+  /// Whether \p Other must not be sent before \p Waiting. Not so while
+  /// \p Waiting can use only targets of a version to which \p Other isn't
+  /// bound.
+  static bool holdsBack(const PlacementRequest &Waiting,
+                        const PlacementRequest &Other);
+  /// Whether the request may be sent to the target, by its regions, its version
+  /// and its earlier attempts.
   bool mayUse(const KnownTarget &Known, const PlacementRequest &Request) const;
   /// Returns the targets that may receive a request. Targets in cooldown are
   /// included only if all targets are.
--- a/Libraries/LibRouting/DispatcherWaiting.cpp
+++ b/Libraries/LibRouting/DispatcherWaiting.cpp
@@ -39,9 +39,10 @@
 bool Dispatcher::mayRefuseEarly(const PlacementRequest &Request,
                                 core::TimePoint Now) const {
   // A returned caller does not return again, and one whose target failed may
-  // have been run.
+  // have been run. Predictions are about targets of all versions.
   if (!m_Overload.m_WaitPrediction || Request.m_FirstArrivedAt ||
-      !Request.m_TriedTargets.empty() || !hasFewFreeSlots(Request.m_Pool, Now))
+      Request.m_Version || !Request.m_TriedTargets.empty() ||
+      !hasFewFreeSlots(Request.m_Pool, Now))
     return false;
   auto AvailableAt = nextAvailability(Request, Now);
   return !AvailableAt || queueDeadline(Request) < *AvailableAt;
@@ -49,7 +50,7 @@
 
 bool Dispatcher::tryRefuseOnArrival(const PlacementRequest &Request,
                                     core::TimePoint Now) {
-  if (!m_Overload.m_WaitPrediction)
+  if (!m_Overload.m_WaitPrediction || Request.m_Version)
     return false;
   std::size_t Ahead = 0;
   std::size_t TierAhead = 0;
--- a/Libraries/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/RoutingTable.h
@@ -127,6 +127,11 @@
   const std::unordered_map<core::PoolName, Pool> &pools() const {
     return m_Pools;
   }
+  /// Returns all routes; those of a host with the longest prefix first.
+  const std::unordered_map<std::string, std::vector<Route>> &
+  routesByHost() const {
+    return m_RoutesByHost;
+  }
   const std::vector<Account> &accounts() const { return m_Accounts; }
   /// Whether any accounts are configured. If so, only public routes can be used
   /// without a key.
--- a/Libraries/LibRouting/SlotBorrowing.cpp
+++ b/Libraries/LibRouting/SlotBorrowing.cpp
@@ -10,7 +10,8 @@
 
 bool SlotBorrowing::isDue(const PlacementRequest &Waiting,
                           core::TimePoint Now) const {
-  if (!Waiting.hasObjective())
+  // A lender doesn't know which version a request needs.
+  if (!Waiting.hasObjective() || Waiting.m_Version)
     return false;
   auto Decided = m_DecidedAt.find(Waiting.m_Request);
   if (Decided != m_DecidedAt.end() && Now - Decided->second < AnswerTimeout)
--- a/Libraries/LibRouting/TargetDirectory.cpp
+++ b/Libraries/LibRouting/TargetDirectory.cpp
@@ -44,9 +44,11 @@
   Pool.m_Order.insert(Known);
   invalidateSubset(Pool);
   m_ByHash.emplace(Known.m_Hash, &Known);
+  m_Versions.add(Known.m_Target.m_Pool, Known.m_Target.m_Version);
 }
 
 void TargetDirectory::detach(KnownTarget &Known) {
+  m_Versions.remove(Known.m_Target.m_Pool, Known.m_Target.m_Version);
   PoolState &Pool = m_Pools.at(Known.m_Target.m_Pool);
   Pool.m_Order.erase(Known);
   invalidateSubset(Pool);
@@ -72,6 +74,8 @@
   if (!IsMoved && !WasExpired && Known.m_Target == Announced)
     return AnnouncementEffect::Nothing;
   if (!IsMoved) {
+    m_Versions.remove(Known.m_Target.m_Pool, Known.m_Target.m_Version);
+    m_Versions.add(Announced.m_Pool, Announced.m_Version);
     Known.m_Target = Announced;
     return AnnouncementEffect::Changed;
   }
@@ -124,6 +128,15 @@
     m_Targets.erase(Known);
     Each = m_Expired.erase(Each);
   }
+  m_Versions.removeOld(m_VersionRetention, Now);
+}
+
+bool TargetDirectory::hasVersion(const core::PoolName &Pool,
+                                 const core::TargetVersion &Version) const {
+  std::vector<KnownTarget *> All = allTargetsOf(Pool);
+  return std::any_of(All.begin(), All.end(), [&](const KnownTarget *Each) {
+    return Each->m_Target.m_Version == Version && Each->acceptsRequests();
+  });
 }
 
 //===----------------------------------------------------------------------===//
--- a/Libraries/LibRouting/TargetDirectory.h
+++ b/Libraries/LibRouting/TargetDirectory.h
@@ -16,6 +16,7 @@
 #include "LibRouting/KnownTarget.h"
 #include "LibRouting/RoutingTable.h"
 #include "LibRouting/TargetThrottleTable.h"
+#include "LibRouting/VersionHistory.h"
 
 #include <functional>
 #include <map>
@@ -56,8 +57,18 @@
   /// has come back from an older copy; it then returns within the same time.
   void withdraw(const core::TargetName &Name, core::TimePoint Now,
                 bool IsRestored = false);
-  /// Removes targets whose grace period has passed.
+  /// Removes targets whose grace period has passed, and versions that have had
+  /// no target for the retention time. To be called a few times a second.
   void removeExpired(core::TimePoint Now);
+  /// Sets the time for which versions() keeps a version without targets.
+  void setVersionRetention(core::Duration Retention) {
+    m_VersionRetention = Retention;
+  }
+  const VersionHistory &versions() const { return m_Versions; }
+  /// Whether a target of the pool has that version and may get requests now or
+  /// later. Takes a time linear in the size of the pool.
+  bool hasVersion(const core::PoolName &Pool,
+                  const core::TargetVersion &Version) const;
 
   // Warm-up: a target that has just started, or that has idled while its data
   // hall was drained, fails under more than its pool's warm-up rate.
@@ -242,6 +253,8 @@
   std::set<const KnownTarget *, KnownTarget::ByHash> m_Busy;
   std::vector<KnownTarget *> m_RemotelyBusy; ///< Targets with remote load.
   std::set<core::TargetName> m_Expired;
+  VersionHistory m_Versions;
+  core::Duration m_VersionRetention{};
   /// Pools whose targets need a warm-up.
   std::map<core::PoolName, Pool> m_WarmUpPools;
   std::set<core::DataHallName> m_DrainedHalls;
--- a/Tests/LibGateway/StreamVersionTest.cpp
+++ b/Tests/LibGateway/StreamVersionTest.cpp
@@ -18,6 +18,12 @@
   CPPUNIT_TEST(testStreamOfAKilledInstanceKeepsItsVersion);
   CPPUNIT_TEST(testStreamWhoseTargetExitsKeepsItsVersion);
   CPPUNIT_TEST(testStreamOfAnUnknownVersionDoesNotGoOn);
+  CPPUNIT_TEST(testStreamGoesOnWhileOneVersionServes);
+  CPPUNIT_TEST(testStreamBegunBeforeAnotherVersionKeepsItsVersion);
+  CPPUNIT_TEST(testStreamOfAKilledInstanceGoesOnWithoutTheStore);
+  CPPUNIT_TEST(testThirdAttemptKeepsTheFirstVersion);
+  CPPUNIT_TEST(testForwardedStreamKeepsItsVersion);
+  CPPUNIT_TEST(testStreamWhoseVersionIsGoneIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t Gateways = 4;
@@ -85,16 +91,52 @@
     Current.m_Versions.insert(Current.m_Versions.end(), Further.begin(),
                               Further.end());
   }
+  /// Begins streams at gateway 0 and kills it \p Delay after their first
+  /// events; calls \p Meanwhile before that.
+  static std::vector<Stream>
+  beginAndKill(GatewayFleet &Fleet, milliseconds Delay,
+               const std::function<void()> &Meanwhile = nullptr) {
+    std::atomic<std::size_t> Begun{0};
+    std::vector<std::future<Stream>> Calls;
+    for (std::size_t I = 0; I < Streams; ++I)
+      Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
+        return begin(Fleet, 0, bodyOf(I), [&Begun] {
+          ++Begun;
+          return true;
+        });
+      }));
+    CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
+    if (Meanwhile)
+      Meanwhile();
+    std::this_thread::sleep_for(Delay);
+    Fleet.kill(0);
+    std::vector<Stream> Out;
+    for (auto &Each : Calls) {
+      Out.push_back(Each.get());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.back().m_Versions.size());
+    }
+    return Out;
+  }
+  static void resumeElsewhere(GatewayFleet &Fleet, std::vector<Stream> &All) {
+    for (std::size_t I = 0; I < All.size(); ++I)
+      resume(Fleet, 1 + I % (Gateways - 1), bodyOf(I), All[I]);
+  }
+  static std::string bodyOf(std::size_t Number) {
+    return "stream " + std::to_string(Number);
+  }
+  static std::size_t goneOn(const std::vector<Stream> &All) {
+    return static_cast<std::size_t>(
+        std::count_if(All.begin(), All.end(),
+                      [](const Stream &Each) { return Each.m_HasGoneOn; }));
+  }
   static void assertEachKeepsItsVersion(const std::vector<Stream> &All) {
-    std::size_t GoneOn = 0;
     std::size_t OfTwoVersions = 0;
     for (const Stream &Each : All) {
       CPPUNIT_ASSERT(!Each.m_Versions.empty());
-      GoneOn += Each.m_HasGoneOn ? 1 : 0;
       OfTwoVersions += Each.isOfOneVersion() ? 0 : 1;
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), OfTwoVersions);
-    CPPUNIT_ASSERT(2 * GoneOn >= All.size());
+    CPPUNIT_ASSERT(2 * goneOn(All) >= All.size());
   }
 
 public:
@@ -102,35 +144,17 @@
     GatewayFleet Fleet(Gateways, Targets);
     startMixed(Fleet);
     std::vector<Stream> All;
-    for (std::size_t I = 0; I < Streams; ++I) {
-      std::string Body = "stream " + std::to_string(I);
-      All.push_back(begin(Fleet, 0, Body, [] { return false; }));
-      resume(Fleet, 1 + I % (Gateways - 1), Body, All.back());
-    }
+    for (std::size_t I = 0; I < Streams; ++I)
+      All.push_back(begin(Fleet, 0, bodyOf(I), [] { return false; }));
+    resumeElsewhere(Fleet, All);
     assertEachKeepsItsVersion(All);
   }
 
   void testStreamOfAKilledInstanceKeepsItsVersion() {
     GatewayFleet Fleet(Gateways, Targets);
     startMixed(Fleet);
-    std::atomic<std::size_t> Begun{0};
-    std::vector<std::future<Stream>> Calls;
-    for (std::size_t I = 0; I < Streams; ++I)
-      Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
-        return begin(Fleet, 0, "stream " + std::to_string(I), [&Begun] {
-          ++Begun;
-          return true;
-        });
-      }));
-    CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
-    Fleet.kill(0);
-    std::vector<Stream> All;
-    for (std::size_t I = 0; I < Streams; ++I) {
-      All.push_back(Calls[I].get());
-      CPPUNIT_ASSERT_EQUAL(std::size_t(1), All.back().m_Versions.size());
-      resume(Fleet, 1 + I % (Gateways - 1), "stream " + std::to_string(I),
-             All.back());
-    }
+    std::vector<Stream> All = beginAndKill(Fleet, milliseconds(0));
+    resumeElsewhere(Fleet, All);
     assertEachKeepsItsVersion(All);
   }
 
@@ -141,11 +165,10 @@
     std::vector<std::future<Stream>> Calls;
     for (std::size_t I = 0; I < Streams; ++I)
       Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
-        return begin(Fleet, I % Gateways, "stream " + std::to_string(I),
-                     [&Begun] {
-                       ++Begun;
-                       return true;
-                     });
+        return begin(Fleet, I % Gateways, bodyOf(I), [&Begun] {
+          ++Begun;
+          return true;
+        });
       }));
     CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
     Fleet.runOnTargetThread([&] {
@@ -169,6 +192,88 @@
     resume(Fleet, 0, "stream", Unknown);
     CPPUNIT_ASSERT(!Unknown.m_HasGoneOn);
   }
+
+  void testStreamGoesOnWhileOneVersionServes() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.waitUntilReady());
+    std::vector<Stream> All = beginAndKill(Fleet, milliseconds(0));
+    resumeElsewhere(Fleet, All);
+    CPPUNIT_ASSERT_EQUAL(Streams, goneOn(All));
+  }
+
+  void testStreamBegunBeforeAnotherVersionKeepsItsVersion() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.waitUntilReady());
+    std::vector<Stream> All = beginAndKill(Fleet, milliseconds(400), [&] {
+      Fleet.runOnTargetThread([&] {
+        for (std::size_t I = 1; I < Targets; I += 2)
+          Fleet.target(I).setVersion("v2");
+      });
+    });
+    resumeElsewhere(Fleet, All);
+    assertEachKeepsItsVersion(All);
+  }
+
+  void testStreamOfAKilledInstanceGoesOnWithoutTheStore() {
+    GatewayFleet Fleet(Gateways, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.waitUntilReady());
+    std::vector<Stream> All = beginAndKill(
+        Fleet, milliseconds(800), [&] { Fleet.store().setDown(true); });
+    resumeElsewhere(Fleet, All);
+    assertEachKeepsItsVersion(All);
+    Stream Unknown;
+    Unknown.m_FirstAttempt = "never-seen";
+    Unknown.m_Versions = {"v1"};
+    resume(Fleet, 1, "stream", Unknown);
+    CPPUNIT_ASSERT(!Unknown.m_HasGoneOn);
+  }
+
+  void testThirdAttemptKeepsTheFirstVersion() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    std::vector<Stream> All = beginAndKill(Fleet, milliseconds(0));
+    resumeElsewhere(Fleet, All);
+    Fleet.kill(1);
+    for (std::size_t I = 0; I < All.size(); ++I)
+      resume(Fleet, 2 + I % (Gateways - 2), bodyOf(I), All[I]);
+    assertEachKeepsItsVersion(All);
+  }
+
+  void testForwardedStreamKeepsItsVersion() {
+    GatewayFleet Fleet(Gateways, Targets, true);
+    startMixed(Fleet);
+    Fleet.setLinks(0, ProxyMode::Closed);
+    Fleet.resetLinks(0);
+    CPPUNIT_ASSERT(eventually([&] {
+      Fleet.send(0, "/again/x", "");
+      return Fleet.metric(0, "yardrill_forwarded_requests_total") > 0;
+    }));
+    std::vector<Stream> All;
+    for (std::size_t I = 0; I < Streams; ++I)
+      All.push_back(begin(Fleet, 0, bodyOf(I), [] { return false; }));
+    for (std::size_t I = 0; I < Streams; ++I)
+      resume(Fleet, I % Gateways, bodyOf(I), All[I]);
+    assertEachKeepsItsVersion(All);
+  }
+
+  void testStreamWhoseVersionIsGoneIsRefusedAtOnce() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    std::vector<Stream> All = beginAndKill(Fleet, milliseconds(0));
+    Fleet.runOnTargetThread([&] {
+      for (std::size_t I = 1; I < Targets; I += 2)
+        Fleet.target(I).announceLeaving();
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    core::TimePoint Begin = core::steadyNow();
+    resumeElsewhere(Fleet, All);
+    CPPUNIT_ASSERT(core::steadyNow() - Begin < std::chrono::seconds(4));
+    for (const Stream &Each : All)
+      CPPUNIT_ASSERT_EQUAL(Each.m_Versions.front() == "v1", Each.m_HasGoneOn);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamVersionTest);
