--- a/Libraries/LibGateway/GatewayStreams.cpp
+++ b/Libraries/LibGateway/GatewayStreams.cpp
@@ -8,6 +8,11 @@
 
 namespace asio = boost::asio;
 
+/// Lower bound of the time for which a target is announced: it states that it
+/// leaves some seconds before it does, and an announcement lapses after three
+/// missed heartbeats.
+static constexpr std::chrono::seconds MinAnnouncementTime{2};
+
 void Gateway::updateStreamRetention() {
   for (const auto &[Host, Routes] : m_Table->routesByHost())
     for (const routing::Route &Each : Routes)
@@ -23,10 +28,16 @@
 }
 
 void Gateway::noteSkippedChanges(const std::string &Key) {
+  core::TimePoint Now = core::steadyNow();
   platform::Entry Skipped;
   Skipped.m_Key = Key;
-  if (Key.empty() || m_Wire.targetOf(Skipped))
-    m_VersionsKnownSince = core::steadyNow();
+  if (!Key.empty() && !m_Wire.targetOf(Skipped))
+    return;
+  // A whole snapshot: no target comes and goes within that time.
+  if (Key.empty() && m_Follower.heardAt() &&
+      Now - *m_Follower.heardAt() < MinAnnouncementTime)
+    return;
+  m_VersionsKnownSince = Now;
 }
 
 std::optional<core::TargetVersion>
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -45,6 +45,7 @@
 }
 
 void StoreFollower::noteConnected() {
+  m_HeardAt = core::steadyNow();
   if (m_IsConnected)
     return;
   m_IsConnected = true;
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <optional>
 
 namespace yardrill::gateway {
 
@@ -29,6 +30,9 @@
   /// watch in progress ends with the next change or failure.
   void setEnabled(bool IsEnabled) { m_IsEnabled = IsEnabled; }
   bool isConnected() const { return m_IsConnected; }
+  /// Returns the time of the last response of the store to this instance; none
+  /// before the first.
+  std::optional<core::TimePoint> heardAt() const { return m_HeardAt; }
 
 private:
   void pause(core::Duration Length, boost::asio::yield_context Yield);
@@ -44,6 +48,7 @@
   platform::KeyValueService &m_Store;
   platform::StoreMirror &m_Mirror;
   bool m_IsConnected = false;
+  std::optional<core::TimePoint> m_HeardAt;
   bool m_IsEnabled = true;
   bool m_MustReadAll = false; ///< The store lacks history for the watch
 };
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -8,9 +8,6 @@
 
 namespace asio = boost::asio;
 
-/// Silent instances that are skipped on the ring at most.
-static constexpr std::size_t MaxSkipped = 8;
-
 StreamOriginService::StreamOriginService(
     asio::io_context &Context, core::TimerService &Timers,
     StreamOriginHooks Hooks,
@@ -20,7 +17,7 @@
 
 StreamOriginHooks StreamOriginService::withInstances(StreamOriginHooks Hooks) {
   Hooks.m_Keepers = [this](const StreamKey &Key) {
-    return instancesAfter(Key, Keepers);
+    return select(Key, Keepers);
   };
   // A lookup begins to wait for responses once this has called back.
   Hooks.m_ConfirmOnlyVersion =
@@ -34,20 +31,16 @@
         });
       };
   Hooks.m_Asked = [this](const StreamKey &Key) {
-    return instancesAfter(Key, MaxAsked);
+    return select(Key, MaxAsked);
   };
   return Hooks;
 }
 
 std::vector<config::Endpoint>
-StreamOriginService::instancesAfter(const StreamKey &Key,
-                                    std::size_t Count) const {
-  std::vector<config::Endpoint> Out;
-  for (config::Endpoint &Each : m_Ring.membersAfter(
-           static_cast<std::uint32_t>(Key.m_Low), Count + MaxSkipped))
-    if (Out.size() < Count && !m_IsSilent(Each))
-      Out.push_back(std::move(Each));
-  return Out;
+StreamOriginService::select(const StreamKey &Key, std::size_t Count) const {
+  return m_Others.select(
+      Key.m_Low, Count,
+      [this](const config::Endpoint &Each) { return !m_IsSilent(Each); });
 }
 
 void StreamOriginService::recordBegin(const StreamKey &Key,
--- a/Libraries/LibGateway/StreamOriginService.h
+++ b/Libraries/LibGateway/StreamOriginService.h
@@ -4,7 +4,7 @@
 
 #include "LibCore/TimerService.h"
 #include "LibGateway/StreamOriginExchange.h"
-#include "LibRouting/ConsistentHashRing.h"
+#include "LibRouting/RendezvousHash.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -24,7 +24,7 @@
 
   /// Sets all other instances.
   void setOthers(const std::vector<config::Endpoint> &Others) {
-    m_Ring = routing::ConsistentHashRing(Others);
+    m_Others = routing::RendezvousHash(Others);
   }
   /// Waits for the origin of a stream. \returns none if it is unknown.
   std::optional<StreamOrigin> find(const StreamKey &Key,
@@ -49,16 +49,16 @@
 
 private:
   StreamOriginHooks withInstances(StreamOriginHooks Hooks);
-  /// Returns the first \p Count instances after the key on the ring that are
-  /// not known to be silent.
-  std::vector<config::Endpoint> instancesAfter(const StreamKey &Key,
-                                               std::size_t Count) const;
+  /// Returns instances that are not known to be silent, the same ones at all
+  /// instances that see the same fleet.
+  std::vector<config::Endpoint> select(const StreamKey &Key,
+                                       std::size_t Count) const;
   void schedulePoll();
 
   boost::asio::io_context &m_Context;
   core::TimerService &m_Timers;
   std::function<bool(const config::Endpoint &)> m_IsSilent;
-  routing::ConsistentHashRing m_Ring;
+  routing::RendezvousHash m_Others;
   StreamOriginExchange m_Exchange;
   bool m_IsPollScheduled = false;
 };
--- a/Tests/LibRouting/DispatcherTest.cpp
+++ b/Tests/LibRouting/DispatcherTest.cpp
@@ -13,6 +13,9 @@
   CPPUNIT_TEST_SUITE(DispatcherTest);
   CPPUNIT_TEST(testSpreadsOverFreeSlots);
   CPPUNIT_TEST(testCountsRemoteLoad);
+  CPPUNIT_TEST(testBoundRequestWaitsForItsVersion);
+  CPPUNIT_TEST(testBoundRequestHoldsNoOtherBack);
+  CPPUNIT_TEST(testBoundRequestWithoutItsVersionIsRefusedAtOnce);
   CPPUNIT_TEST(testLoadOfOtherGroupsIsNotEstimated);
   CPPUNIT_TEST(testSlowTargetGetsLess);
   CPPUNIT_TEST(testSlowTargetUsesAllSlotsForShortPrompts);
@@ -105,6 +108,46 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(5));
   }
 
+  void announce(const std::string &Name, const std::string &Version) {
+    Target Announced = target(Name, 1);
+    Announced.m_Version = core::TargetVersion(Version);
+    m_Targets.announce(Announced);
+  }
+  void placeBound(std::uint64_t Id, const std::string &Version) {
+    PlacementRequest Bound = request(Id);
+    Bound.m_Version = core::TargetVersion(Version);
+    m_Dispatcher.place(Bound, m_Now);
+  }
+  void testBoundRequestWaitsForItsVersion() {
+    announce("a", "v1");
+    announce("b", "v2");
+    placeBound(1, "v2");
+    placeBound(2, "v2");
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(1));
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
+    m_Targets.recordEnd(core::TargetName("b"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), sentTo(2));
+  }
+  void testBoundRequestHoldsNoOtherBack() {
+    announce("a", "v1");
+    announce("b", "v2");
+    placeBound(1, "v2");
+    placeBound(2, "v2");
+    place(3);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(3));
+    place(4);
+    m_Targets.recordEnd(core::TargetName("a"), 0);
+    m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), sentTo(4));
+    CPPUNIT_ASSERT_EQUAL(std::string(), sentTo(2));
+  }
+  void testBoundRequestWithoutItsVersionIsRefusedAtOnce() {
+    announce("a", "v1");
+    placeBound(1, "v2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Refused.count(core::RequestId(1)));
+  }
+
   void testCountsRemoteLoad() {
     announce("a");
     announce("b");
