platform, LibGateway: Log the shared parts of a prompt when its target breaks off

It now names the ids of the prompt's shared parts; the adapter reads them from the header. No decision changes.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace yardrill::gateway {
 
@@ -36,6 +37,8 @@
   std::uint32_t m_PromptTokens = 0;
   std::uint32_t m_OutputTokens = 0;   ///< Upper bound of the output.
   std::uint32_t m_ExpectedTokens = 0; ///< Estimate of the output; 0: none.
+  /// Ids of the parts of the prompt that other requests may share, in order.
+  std::vector<std::string> m_SharedParts;
 };
 
 /// Fields that the gateway adds to a request when it sends it to a target.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -84,6 +84,7 @@
         .add("request", m_Description.m_Id)
         .add("target", m_Target->m_Name)
         .add("content", m_Content)
+        .add("parts", sharedParts())
         .add("reason", Failure.what());
   }
   m_Connection = nullptr;
--- a/Libraries/LibGateway/RequestInfo.cpp
+++ b/Libraries/LibGateway/RequestInfo.cpp
@@ -57,6 +57,13 @@
         .add("failure_share", Known->m_FailureRate);
 }
 
+std::string RequestInfo::sharedParts() const {
+  std::string Out;
+  for (const std::string &Each : m_Description.m_SharedParts)
+    Out += (Out.empty() ? "" : ",") + Each;
+  return Out;
+}
+
 void RequestInfo::logTargetRefusal(unsigned TargetStatus) const {
   core::LogLine(m_Reason, core::LogLevel::Warning)
       .add("request", m_Description.m_Id)
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -58,6 +58,8 @@
   void logDispatch(const routing::KnownTarget *Known,
                    platform::Revision StoreRevision,
                    const std::string &LastEvent) const;
+  /// Returns the ids of the prompt's shared parts, separated by commas.
+  std::string sharedParts() const;
   /// Logs that the target did not run the request, under the event m_Reason.
   void logTargetRefusal(unsigned TargetStatus) const;
   /// \param ResponseStatus status of a target's response that was relayed.
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(testParsesRegions);
   CPPUNIT_TEST(testParsesDrainedDataHalls);
   CPPUNIT_TEST(testMalformedEntriesThrowTypedErrors);
+  CPPUNIT_TEST(testSharedPartsAreAllButTheLast);
   CPPUNIT_TEST_SUITE_END();
 
   PlatformDialect m_Dialect;
@@ -47,6 +48,16 @@
   }
 
 public:
+  void testSharedPartsAreAllButTheLast() {
+    http::RequestMessage Request;
+    CPPUNIT_ASSERT(m_Dialect.describe(Request).m_SharedParts.empty());
+    Request.m_Headers.set("Prefix-Hash", "e4402b7d:250");
+    CPPUNIT_ASSERT(m_Dialect.describe(Request).m_SharedParts.empty());
+    Request.m_Headers.set("Prefix-Hash",
+                          "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    std::vector<std::string> Shared{"5c1e07a2", "91bd3f06"};
+    CPPUNIT_ASSERT(m_Dialect.describe(Request).m_SharedParts == Shared);
+  }
   void testParsesRequest() {
     auto Description = m_Dialect.describe(request());
     CPPUNIT_ASSERT_EQUAL(std::string("9c41"), Description.m_Id);
