--- a/Tests/Support/ExitingTarget.h
+++ b/Tests/Support/ExitingTarget.h
@@ -22,6 +22,9 @@
 /// its first event by then.
 inline const char MidStreamExitRequestBody[] = "ends its target midway";
 
+/// Id of a part of a prompt that makes each target exit which begins to respond
+/// to a request with it.
+inline const char ExitPromptPart[] = "dead5eed";
 /// Path of streams whose events show the version of their target. A new one
 /// ends ExitingTarget::VersionedStreamTime after its first event.
 inline const char VersionedStreamPath[] = "/stream/versions";
@@ -30,7 +33,8 @@
 struct Arrival {
   core::TimePoint m_At;
   std::string m_Body;
-  std::size_t m_Target = 0; ///< Index of the target, the same after exits.
+  std::size_t m_Target = 0;   ///< Index of the target, the same after exits.
+  bool m_HasExitPart = false; ///< Whether its prompt has ExitPromptPart.
 };
 
 /// Backpressure that a target states in its responses.
@@ -157,6 +161,10 @@
     boost::system::error_code Ignored;
     Timer.async_wait(Yield[Ignored]);
   }
+  static bool hasExitPart(const Request &Received) {
+    return Received["Prefix-Hash"].find(ExitPromptPart) !=
+           beast::string_view::npos;
+  }
   std::string versionedEvent(int Id) const {
     return chunk("id: " + std::to_string(Id) + "\ndata: " + m_Version + "\n\n");
   }
@@ -177,8 +185,8 @@
         return;
       {
         std::lock_guard<std::mutex> Lock(m_ArrivalLog.m_Mutex);
-        m_ArrivalLog.m_Arrivals.push_back(
-            {core::steadyNow(), Received.body(), m_Number});
+        m_ArrivalLog.m_Arrivals.push_back({core::steadyNow(), Received.body(),
+                                           m_Number, hasExitPart(Received)});
       }
       core::Duration Work = WorkTime;
       std::string Response =
@@ -219,7 +227,7 @@
       if (!Socket->is_open())
         return;
       if (Received.body() == ExitRequestBody ||
-          Received.body() == MidStreamExitRequestBody)
+          Received.body() == MidStreamExitRequestBody || hasExitPart(Received))
         return exitUnderRequest();
       asio::async_write(*Socket, asio::buffer(Response), Yield[Failure]);
       if (Failure)
--- a/Tests/Support/GatewayFleet.cpp
+++ b/Tests/Support/GatewayFleet.cpp
@@ -170,6 +170,19 @@
   return m_ArrivalLog.m_Exits.size();
 }
 
+std::size_t GatewayFleet::exitPartArrivalsAfter(std::size_t Exit,
+                                                core::Duration After) {
+  std::lock_guard<std::mutex> Lock(m_ArrivalLog.m_Mutex);
+  if (m_ArrivalLog.m_Exits.size() < Exit)
+    return 0;
+  core::TimePoint Since = m_ArrivalLog.m_Exits[Exit - 1] + After;
+  return static_cast<std::size_t>(std::count_if(
+      m_ArrivalLog.m_Arrivals.begin(), m_ArrivalLog.m_Arrivals.end(),
+      [Since](const Arrival &Each) {
+        return Each.m_HasExitPart && Since < Each.m_At;
+      }));
+}
+
 std::size_t GatewayFleet::arrivalsAfterThirdExit(const std::string &Body,
                                                  core::Duration After) {
   static constexpr std::size_t Third = 3;
--- a/Tests/Support/GatewayFleet.h
+++ b/Tests/Support/GatewayFleet.h
@@ -62,6 +62,9 @@
   double metric(std::size_t Gateway, const std::string &Name);
   /// Returns the number of requests with \p Body that targets received.
   std::size_t arrivalsOf(const std::string &Body);
+  /// Returns the number of requests with ExitPromptPart that targets received
+  /// later than \p After the exit with that number, counted from 1.
+  std::size_t exitPartArrivalsAfter(std::size_t Exit, core::Duration After);
   /// Returns the times of all requests that one target received, in order.
   std::vector<core::TimePoint> arrivalsAt(std::size_t Target);
   /// Returns the number of target exits caused by requests.
