--- a/Bench/QuarantineSearchProgram.cpp
+++ b/Bench/QuarantineSearchProgram.cpp
@@ -1,11 +1,13 @@
 //===-- QuarantineSearchProgram.cpp - Random quarantine scenarios ---------===//
 //
 // Usage: quarantine_search
-//   [DAYS [INSTANCES [TARGETS [THRESHOLD [RETRY_SUSPECTS]]]]].
+//   [DAYS [INSTANCES [TARGETS [THRESHOLD [RETRY_SUSPECTS [PARTS [TRIALS]]]]]]].
 // Simulates DAYS random scenarios of that fleet size and prints their sums.
 // THRESHOLD is the number of incarnations that exit before a content is
 // refused; RETRY_SUSPECTS other than 0 retries an attempt immediately after its
-// target exited, even if others exited under its content before. Exits with 1
+// target exited, even if others exited under its content before. With PARTS
+// other than 0 the bad contents are parts of prompts; with TRIALS 0 no
+// quarantined content is tried again. Exits with 1
 // if a scenario has more than 3 late sends (see QuarantineResult).
 //
 //===----------------------------------------------------------------------===//
@@ -32,6 +34,8 @@
         randomQuarantineScenario(Seed, Number(2, 7), Number(3, 9));
     Scenario.m_QuarantineThreshold = Number(4, Scenario.m_QuarantineThreshold);
     Scenario.m_RetriesSuspects = Number(5, 0) != 0;
+    Scenario.m_AreParts = Number(6, 0) != 0;
+    Scenario.m_HasTrials = Number(7, 1) != 0;
     QuarantineResult Result = simulate(Scenario);
     Bad += Scenario.m_BadContents;
     Violations += Result.m_LateSends > 3;
@@ -44,6 +48,8 @@
     Sum.m_HarmlessLost += Result.m_HarmlessLost;
     Sum.m_WronglyRefused += Result.m_WronglyRefused;
     Sum.m_PopularRefused += Result.m_PopularRefused;
+    Sum.m_CompanionAttempts += Result.m_CompanionAttempts;
+    Sum.m_CompanionRefused += Result.m_CompanionRefused;
     Sum.m_StoreWrites += Result.m_StoreWrites;
     Sum.m_Datagrams += Result.m_Datagrams;
   }
@@ -62,5 +68,7 @@
       Sum.m_HarmlessLost, Sum.m_WronglyRefused, Sum.m_PopularRefused);
   std::printf("per day %.1f writes to the store, %.0f datagrams\n",
               Ratio(Sum.m_StoreWrites, Days), Ratio(Sum.m_Datagrams, Days));
+  std::printf("of %zu attempts with a companion of a bad part %zu refused\n",
+              Sum.m_CompanionAttempts, Sum.m_CompanionRefused);
   return Violations == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -196,7 +196,10 @@
           [this] { updatePeerLoads(); }, [this] { return largestPoolSize(); },
           [this](const routing::FleetSubset &Subset) {
             m_Targets.setSubset(Subset);
-            m_StreamOrigins.setOthers(m_Peers->otherInstances());
+            std::vector<config::Endpoint> Instances = m_Peers->otherInstances();
+            m_StreamOrigins.setOthers(Instances);
+            Instances.push_back(m_Settings.m_PeerAddress);
+            m_AllInstances = routing::RendezvousHash(Instances);
             updateQuotaOwners();
           },
           [this](const peer::PeerMessage &Message) {
@@ -386,8 +389,8 @@
     return Result;
   };
   Out.m_ReportExit = [this](const routing::Target &Target,
-                            const quarantine::ContentDigest &Content) {
-    m_Quarantine.noteTargetExit(Target, Content);
+                            const QuarantineService::Contents &Contents) {
+    m_Quarantine.noteTargetExit(Target, Contents);
   };
   return Out;
 }
@@ -398,6 +401,12 @@
     m_Peers->send(To, Body);
   };
   Out.m_Others = [this] { return m_Peers->otherInstances(); };
+  Out.m_MayTryAgain = [this](const quarantine::ContentDigest &Content) {
+    std::vector<config::Endpoint> First = m_AllInstances.select(
+        Content.m_High ^ Content.m_Low, 1,
+        [this](const config::Endpoint &Each) { return !isKnownSilent(Each); });
+    return !First.empty() && First.front() == m_Settings.m_PeerAddress;
+  };
   Out.m_IsRecordWriter = [this] {
     return m_Follower.isConnected() && m_Peers->isRecordWriter();
   };
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -218,6 +218,7 @@
   SlotService m_Slots;
   SlotLendingService m_Lending;
   QuarantineService m_Quarantine;
+  routing::RendezvousHash m_AllInstances; ///< With this one.
   std::unique_ptr<PeerService> m_Peers;
   StoreFreshness m_Freshness;
   StreamOriginService m_StreamOrigins;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -30,6 +30,8 @@
 static constexpr std::chrono::seconds QuarantinedRetryAfter{2};
 /// Period in which a waiting request checks for the first configuration.
 static constexpr std::chrono::milliseconds ConfigurationPollPeriod{5};
+/// Parts of a prompt by which a request is quarantined, from the first one on.
+static constexpr std::size_t MaxSharedParts = 64;
 /// Number of attempts after which a request that was not sent is not retried.
 static constexpr unsigned MaxAttempts = 4;
 
@@ -135,7 +137,9 @@
   m_EndsAt = Admitted.m_EndsAt;
   if (Admitted.m_Status != 0)
     return Admitted.m_Status;
-  m_Content = contentDigest();
+  identifyContents();
+  m_IsTrial = m_Owner.m_Quarantine.isQuarantined(m_Contents) &&
+              m_Owner.m_Quarantine.tryBeginTrial(m_Contents, core::steadyNow());
   // 503 is correct, since no target received the request. A later attempt may
   // be served, once the content is cleared.
   if (isQuarantined())
@@ -144,7 +148,7 @@
   return 0;
 }
 
-quarantine::ContentDigest GatewayRequest::contentDigest() const {
+void GatewayRequest::identifyContents() {
   const http::RequestMessage &Request = m_Caller.request();
   quarantine::Content Parts;
   if (m_Account)
@@ -153,7 +157,13 @@
   Parts.m_Method = Request.m_Method;
   Parts.m_Target = Request.m_Target;
   Parts.m_Body = Request.m_Body;
-  return quarantine::ContentDigest::of(Parts);
+  m_Content = quarantine::ContentDigest::of(Parts);
+  m_Contents = {m_Content};
+  std::size_t Shared =
+      std::min(m_Description.m_SharedParts.size(), MaxSharedParts);
+  for (std::size_t I = 0; I < Shared; ++I)
+    m_Contents.push_back(quarantine::ContentDigest::ofPart(
+        routing::hashOf(m_Pool), m_Description.m_SharedParts[I]));
 }
 
 bool GatewayRequest::acquireQuota(asio::yield_context Yield) {
@@ -347,7 +357,7 @@
   // Retried at once, a suspect content could make one more target exit. An
   // innocent one is served when its caller sends it again.
   if (Outcome == AttemptOutcome::Failed &&
-      m_Owner.m_Quarantine.isSuspect(m_Content))
+      m_Owner.m_Quarantine.isSuspect(m_Contents))
     return false;
   // A stream without an event id cannot be resumed at another target, nor can
   // one whose version is unknown.
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -119,7 +119,8 @@
   const char *reasonNotToSend() const;
   /// Lets the peer offer the request to another instance.
   void declineForwarded(const char *Reason, boost::asio::yield_context Yield);
-  quarantine::ContentDigest contentDigest() const;
+  /// Sets m_Content and m_Contents.
+  void identifyContents();
   /// Returns how long the caller waits for the next event of a stream.
   core::Duration callerTimeout() const;
   /// Waits for the first configuration, for requests that arrive while the
@@ -179,6 +180,9 @@
   /// Records the outcome of an attempt, and frees the target's slot unless
   /// releaseSlot() has done so.
   void noteAttempt(AttemptOutcome Outcome);
+  /// Whether the complete response shows that the target has outlived the
+  /// request. One that ends with its connection may have been cut by an exit.
+  bool provesHarmless() const;
   /// Frees the target's slot before the caller has taken the response.
   void releaseSlot();
   /// Removes the attempt from the target's load. \returns false if that was
@@ -208,6 +212,7 @@
   core::TimePoint m_EndsAt; ///< Deadline of the response.
   core::Timer m_WakeTimer;
   bool m_IsRefused = false;
+  bool m_IsTrial = false;     ///< Sent although its contents are quarantined.
   std::uint32_t m_Charge = 0; ///< Tokens to take from the account's quota.
   bool m_HasQuota = false;
   bool m_IsCounted = false;          ///< In the pool's retry budget.
@@ -223,6 +228,7 @@
   unsigned m_PossibleExecutions = 0;       ///< Attempts that may have run.
   std::uint32_t m_PendingPromptTokens = 0; ///< In the current target's load.
   bool m_HasResponseStarted = false;       ///< In the current attempt.
+  bool m_IsEndKnown = false; ///< Whether the response states where it ends.
   /// Time from which the current attempt no longer counts as the target's work;
   /// none before.
   std::optional<core::TimePoint> m_TargetEndedAt;
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -17,6 +17,9 @@
 static constexpr std::chrono::milliseconds KeepAliveMargin{500};
 /// Assumed idle timeout of targets that state none.
 static constexpr std::chrono::seconds DefaultKeepAlive{4};
+/// Time for which a connection is kept whose target has not yet stated when it
+/// closes idle connections.
+static constexpr std::chrono::seconds UnusedConnectionIdleTime{1};
 /// Expected time of a stream by its prompt and events, and the reference time
 /// to which normalizedDuration() scales. Only their ratios affect comparisons.
 static constexpr double ReferenceMs = 100;
@@ -27,9 +30,6 @@
 /// using the target's slot. Targets cut such responses off, and that can't be
 /// observed: the end of the connection follows the bytes that are not read.
 static constexpr std::chrono::seconds MaxUnreadSlotTime{1};
-/// Lowest status of a target's errors. A target may return one before it runs
-/// the request, so such a response does not clear the request's content.
-static constexpr unsigned MinFailureStatus = 500;
 /// A caller that leaves sooner is no evidence of a slow target.
 static constexpr std::chrono::seconds MinMeaningfulWait{1};
 static const char EventStreamType[] = "text/event-stream";
@@ -71,6 +71,12 @@
   }
   if (m_IsCallerGone)
     return AttemptOutcome::CallerGone;
+  // Other instances may have reported target exits while it connected.
+  if (isQuarantined()) {
+    m_Owner.m_Connections.release(Address, std::move(Connection),
+                                  UnusedConnectionIdleTime);
+    return AttemptOutcome::Withheld;
+  }
   m_Connection = Connection.get();
   AttemptOutcome Result = AttemptOutcome::Failed;
   bool IsBroken = false;
@@ -105,7 +111,7 @@
 }
 
 bool GatewayRequest::isQuarantined() {
-  if (!m_Owner.m_Quarantine.isQuarantined(m_Content))
+  if (m_IsTrial || !m_Owner.m_Quarantine.isQuarantined(m_Contents))
     return false;
   m_Reason = "quarantined";
   return true;
@@ -114,7 +120,7 @@
 void GatewayRequest::noteBrokenResponse(asio::yield_context Yield) {
   // A leaving target exits anyway, whatever requests it runs.
   if (!m_Owner.m_Targets.isLeaving(m_Target->incarnation()))
-    m_Owner.m_ExitDetector.noteBrokenResponse(*m_Target, m_Content, Yield);
+    m_Owner.m_ExitDetector.noteBrokenResponse(*m_Target, m_Contents, Yield);
 }
 
 void GatewayRequest::noteRefusedConnection(asio::yield_context Yield) {
@@ -183,6 +189,8 @@
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   http::ResponseHead Head = readMatchingHead(Connection, Yield);
   m_HasResponseStarted = true;
+  m_IsEndKnown = Head.m_ContentLength.has_value() ||
+                 Head.m_Headers.find("Transfer-Encoding") != nullptr;
   beginRead();
   ResponseDescription Info = m_Owner.m_Wire.describe(Head);
   m_Owner.m_Backpressure.noteStated(*m_Target, Info.m_Backpressure,
@@ -291,8 +299,8 @@
   switch (Outcome) {
   case AttemptOutcome::Complete:
     m_Owner.m_Targets.recordSuccess(Incarnation);
-    if (m_Relay.status() < MinFailureStatus)
-      m_Owner.m_Quarantine.noteSuccess(m_Content);
+    if (provesHarmless())
+      m_Owner.m_Quarantine.noteSuccess(m_Contents);
     if (HasNoEvents && !m_IsUnread)
       m_Owner.m_Targets.recordServiceTime(
           Incarnation, *m_TargetEndedAt - m_Timing.attemptStartedAt());
@@ -316,6 +324,7 @@
                                         : routing::TargetFailure::Unreachable,
                                     Now);
     break;
+  case AttemptOutcome::Withheld:
   case AttemptOutcome::CallerGone:
     break;
   }
@@ -323,6 +332,12 @@
     m_Owner.handleFreedSlot(Incarnation);
 }
 
+bool GatewayRequest::provesHarmless() const {
+  // A target may return an error before it runs the request.
+  bool IsSuccess = m_Relay.status() >= 200 && m_Relay.status() < 300;
+  return IsSuccess && m_IsEndKnown;
+}
+
 bool GatewayRequest::endTargetWork() {
   if (!m_Target || m_TargetEndedAt)
     return false;
--- a/Libraries/LibGateway/GatewayRequestStream.cpp
+++ b/Libraries/LibGateway/GatewayRequestStream.cpp
@@ -56,6 +56,7 @@
   if (Pool == Pools.end())
     return "stream-pool-moved";
   m_Pool = Pool->m_Pool;
+  identifyContents();
   return nullptr;
 }
 
--- a/Libraries/LibGateway/QuarantineService.cpp
+++ b/Libraries/LibGateway/QuarantineService.cpp
@@ -22,6 +22,10 @@
                                      platform::KeyValueService &Store,
                                      QuarantineHooks Hooks)
     : m_Hooks(std::move(Hooks)), m_Gossip(gossipHooks()),
+      m_Trials(m_Gossip.table(),
+               [this](const ContentDigest &Content) {
+                 return m_Hooks.m_MayTryAgain(Content);
+               }),
       m_Record(Context, Store, RecordName, WritePeriod),
       m_Random(core::randomBits()) {}
 
@@ -34,28 +38,58 @@
     sendToSample(Observations);
   };
   Out.m_Changed = [this](const ContentDigest &Content, bool IsQuarantined) {
+    if (!IsQuarantined)
+      m_Trials.forget(Content);
     core::LogLine(IsQuarantined ? "content-quarantined" : "content-released",
                   core::LogLevel::Warning)
         .add("content", Content)
+        .add("is_part", Content.isPart())
         .add("targets_ended", table().incriminatingIncarnations(Content));
   };
   return Out;
 }
 
 void QuarantineService::noteTargetExit(const routing::Target &Exited,
-                                       const ContentDigest &Content) {
-  m_Gossip.noteTargetExit(Content, Exited.incarnation().hash(),
-                          core::steadyNow());
-  core::LogLine("target-ended", core::LogLevel::Warning)
-      .add("target", Exited.m_Name)
-      .add("birth", Exited.m_StartTime)
-      .add("pool", Exited.m_Pool)
-      .add("content", Content)
-      .add("targets_ended", table().incriminatingIncarnations(Content));
+                                       const Contents &Of) {
+  m_Gossip.noteTargetExit(Of, Exited.incarnation().hash(), core::steadyNow());
+  for (const ContentDigest &Each : Of)
+    core::LogLine("target-ended", core::LogLevel::Warning)
+        .add("target", Exited.m_Name)
+        .add("birth", Exited.m_StartTime)
+        .add("pool", Exited.m_Pool)
+        .add("content", Each)
+        .add("is_part", Each.isPart())
+        .add("targets_ended", table().incriminatingIncarnations(Each));
 }
 
-void QuarantineService::noteSuccess(const ContentDigest &Content) {
-  m_Gossip.noteSuccess(Content, core::steadyNow());
+void QuarantineService::noteSuccess(const Contents &Of) {
+  m_Gossip.noteSuccess(Of, core::steadyNow());
+}
+
+bool QuarantineService::isQuarantined(const Contents &Of) const {
+  return table().quarantined() > 0 &&
+         std::any_of(Of.begin(), Of.end(), [this](const ContentDigest &Each) {
+           return table().isQuarantined(Each);
+         });
+}
+
+bool QuarantineService::isSuspect(const Contents &Of) const {
+  return table().size() > 0 &&
+         std::any_of(Of.begin(), Of.end(), [this](const ContentDigest &Each) {
+           return table().isSuspect(Each);
+         });
+}
+
+bool QuarantineService::tryBeginTrial(const Contents &Of, core::TimePoint Now) {
+  if (!m_Trials.tryBegin(Of, Now))
+    return false;
+  for (const ContentDigest &Each : Of)
+    if (table().isQuarantined(Each))
+      core::LogLine("content-tried-again")
+          .add("content", Each)
+          .add("is_part", Each.isPart())
+          .add("targets_ended", table().incriminatingIncarnations(Each));
+  return true;
 }
 
 void QuarantineService::handle(const peer::PeerMessage &Message) {
--- a/Libraries/LibGateway/QuarantineService.h
+++ b/Libraries/LibGateway/QuarantineService.h
@@ -6,6 +6,7 @@
 #include "LibGateway/StoreRecord.h"
 #include "LibPeer/PeerMessage.h"
 #include "LibQuarantine/Gossip.h"
+#include "LibQuarantine/TrialSchedule.h"
 #include "LibRouting/Target.h"
 
 #include <functional>
@@ -20,6 +21,9 @@
   std::function<void(const config::Endpoint &, const peer::PeerBody &)> m_Send;
   /// Returns the peer addresses of all other instances.
   std::function<std::vector<config::Endpoint>()> m_Others;
+  /// Whether this instance is the one of the fleet that tries a quarantined
+  /// content again after a while.
+  std::function<bool(const quarantine::ContentDigest &)> m_MayTryAgain;
   /// Whether this instance writes the record in the store.
   std::function<bool()> m_IsRecordWriter;
 };
@@ -35,20 +39,23 @@
   QuarantineService(boost::asio::io_context &Context,
                     platform::KeyValueService &Store, QuarantineHooks Hooks);
 
-  /// Records that \p Which exited while it ran a request with \p Content.
-  void noteTargetExit(const routing::Target &Exited,
-                      const quarantine::ContentDigest &Content);
-  /// Records that a target responded to a request with \p Content in full.
-  void noteSuccess(const quarantine::ContentDigest &Content);
-  /// Whether requests with \p Content must not be sent to any target.
-  bool isQuarantined(const quarantine::ContentDigest &Content) const {
-    return m_Gossip.table().isQuarantined(Content);
-  }
-  /// Whether the exits of at least two targets incriminate \p Content, see
-  /// quarantine::QuarantineTable::IncarnationsToSuspect.
-  bool isSuspect(const quarantine::ContentDigest &Content) const {
-    return m_Gossip.table().isSuspect(Content);
-  }
+  /// Contents of one request: the whole, and the shared parts of its prompt.
+  using Contents = std::vector<quarantine::ContentDigest>;
+
+  /// Records that a target exited while it ran requests with these contents.
+  void noteTargetExit(const routing::Target &Exited, const Contents &Of);
+  /// Records that a target responded to a request with these contents in full.
+  void noteSuccess(const Contents &Of);
+  /// Whether requests with one of these contents must not be sent to any
+  /// target.
+  bool isQuarantined(const Contents &Of) const;
+  /// Whether the exits of at least two targets incriminate one of these
+  /// contents, see quarantine::QuarantineTable::IncarnationsToSuspect.
+  bool isSuspect(const Contents &Of) const;
+  /// Whether a request with quarantined contents may be sent all the same, to
+  /// find out whether they are wrongly quarantined. If so, no other one may for
+  /// a while.
+  bool tryBeginTrial(const Contents &Of, core::TimePoint Now);
   const quarantine::QuarantineTable &table() const { return m_Gossip.table(); }
 
   /// Merges observations from another instance; ignores other messages.
@@ -71,6 +78,7 @@
 
   QuarantineHooks m_Hooks;
   quarantine::Gossip m_Gossip;
+  quarantine::TrialSchedule m_Trials;
   StoreRecord m_Record;
   std::mt19937_64 m_Random;
 };
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -30,7 +30,9 @@
   routing::AllowedRegions m_Regions;       ///< Of the route and the account.
   routing::QuotaAcquisition m_Acquisition; ///< Tokens taken from the quota.
   quarantine::ContentDigest m_Content;     ///< Set on admission.
-  StreamKey m_StreamKey;                   ///< Set for resumable streams.
+  /// m_Content and the shared parts of the prompt; set on admission.
+  std::vector<quarantine::ContentDigest> m_Contents;
+  StreamKey m_StreamKey; ///< Set for resumable streams.
   /// Where the stream has begun; none before its first event.
   std::optional<StreamOrigin> m_StreamOrigin;
   ResponseTiming m_Timing{core::steadyNow()};
--- a/Libraries/LibGateway/ResponseRelay.h
+++ b/Libraries/LibGateway/ResponseRelay.h
@@ -18,6 +18,7 @@
 enum class AttemptOutcome {
   Complete,   ///< The caller received the complete response.
   NotSent,    ///< No byte of the request reached the target.
+  Withheld,   ///< This instance decided not to send the request.
   NotRun,     ///< The target reported that it did not run the request.
   Failed,     ///< The request may have run; its response is missing or broken.
   CallerGone, ///< The caller disconnected or does not read.
--- a/Libraries/LibGateway/TargetExitDetector.cpp
+++ b/Libraries/LibGateway/TargetExitDetector.cpp
@@ -9,14 +9,16 @@
 static constexpr std::chrono::seconds ExitNoticeTimeout{6};
 
 void TargetExitDetector::noteBrokenResponse(
-    const routing::Target &Target, const quarantine::ContentDigest &Content,
+    const routing::Target &Target,
+    const std::vector<quarantine::ContentDigest> &Contents,
     asio::yield_context Yield) {
   auto [It, IsNew] = m_BrokenResponses.try_emplace(Target.incarnation());
   if (IsNew)
     It->second = std::make_shared<BrokenResponses>(m_Context, Target);
   // Kept alive while this coroutine waits, since upkeep() may erase the entry.
   BrokenResponsesHandle Broken = It->second;
-  Broken->m_Contents.push_back(Content);
+  Broken->m_Contents.insert(Broken->m_Contents.end(), Contents.begin(),
+                            Contents.end());
   Broken->m_LastBrokenAt = core::steadyNow();
   if (Broken->m_HasExited)
     return reportExit(*Broken);
@@ -60,8 +62,8 @@
 void TargetExitDetector::reportExit(BrokenResponses &Broken) {
   std::vector<quarantine::ContentDigest> Contents;
   Contents.swap(Broken.m_Contents);
-  for (const quarantine::ContentDigest &Each : Contents)
-    m_Hooks.m_ReportExit(Broken.m_Target, Each);
+  if (!Contents.empty())
+    m_Hooks.m_ReportExit(Broken.m_Target, Contents);
 }
 
 void TargetExitDetector::upkeep(core::TimePoint Now) {
--- a/Libraries/LibGateway/TargetExitDetector.h
+++ b/Libraries/LibGateway/TargetExitDetector.h
@@ -36,9 +36,9 @@
   std::function<ProbeResult(const routing::Target &,
                             boost::asio::yield_context)>
       m_Probe;
-  /// Called when a target exited while it ran a request with that content.
+  /// Called when a target exited while it ran requests with these contents.
   std::function<void(const routing::Target &,
-                     const quarantine::ContentDigest &)>
+                     const std::vector<quarantine::ContentDigest> &)>
       m_ReportExit;
 };
 
@@ -50,12 +50,14 @@
                      TargetExitDetectorHooks Hooks)
       : m_Context(Context), m_Hooks(std::move(Hooks)) {}
 
-  /// Records that a response of \p Target broke. Returns when a probe has
+  /// Records that a response of \p Target to a request with these contents
+  /// broke. Returns when a probe has
   /// ended, or at once if the exit is known; concurrent broken responses share
   /// a probe.
-  void noteBrokenResponse(const routing::Target &Target,
-                          const quarantine::ContentDigest &Content,
-                          boost::asio::yield_context Yield);
+  void
+  noteBrokenResponse(const routing::Target &Target,
+                     const std::vector<quarantine::ContentDigest> &Contents,
+                     boost::asio::yield_context Yield);
   /// Whether recent responses of the incarnation broke without a known cause,
   /// so that evidence of its exit would count.
   bool hasBrokenResponses(const routing::TargetIncarnation &Incarnation) const;
--- a/Libraries/LibQuarantine/ContentDigest.cpp
+++ b/Libraries/LibQuarantine/ContentDigest.cpp
@@ -9,6 +9,9 @@
 
 static constexpr std::size_t HexDigitsOfHalf = 16;
 static constexpr int HexBase = 16;
+/// Upper half of m_Low of parts, "part" in ASCII.
+static constexpr std::uint32_t PartTag = 0x70617274;
+static constexpr int TagShift = 32;
 
 static std::uint64_t readBigEndian(std::string_view Bytes) {
   std::uint64_t Out = 0;
@@ -36,6 +39,15 @@
   return Out;
 }
 
+ContentDigest ContentDigest::ofPart(std::uint32_t Pool, std::string_view Part) {
+  std::uint64_t Low = static_cast<std::uint64_t>(PartTag) << TagShift | Pool;
+  bool IsShort = !Part.empty() && Part.size() <= HexDigitsOfHalf;
+  auto Id = IsShort ? parseHalf(Part) : std::nullopt;
+  return {Id ? *Id : core::stableHash(Part), Low};
+}
+
+bool ContentDigest::isPart() const { return m_Low >> TagShift == PartTag; }
+
 std::optional<ContentDigest> ContentDigest::parse(std::string_view Text) {
   if (Text.size() != 2 * HexDigitsOfHalf)
     return std::nullopt;
--- a/Libraries/LibQuarantine/ContentDigest.h
+++ b/Libraries/LibQuarantine/ContentDigest.h
@@ -23,14 +23,22 @@
   std::string_view m_Body;
 };
 
-/// The first 128 bits of SHA-256 (FIPS 180-4) over a request's content. No
-/// client can produce a request with the digest of another account's request
-/// and so have that one quarantined.
+/// Identifies what a request may make targets exit by: its whole content, or a
+/// part of its prompt that requests share.
+///
+/// Of a whole content, the first 128 bits of SHA-256 (FIPS 180-4): no client
+/// can produce a request with the digest of another account's request and so
+/// have that one quarantined. Of a part, its id and the pool, whatever the
+/// account: a part does the same in the requests of all accounts.
 struct ContentDigest {
   std::uint64_t m_High = 0;
   std::uint64_t m_Low = 0;
 
   static ContentDigest of(const Content &Parts);
+  /// \param Pool hash of the pool's name.
+  /// \param Part id of the part; hex digits are kept readable.
+  static ContentDigest ofPart(std::uint32_t Pool, std::string_view Part);
+  bool isPart() const;
   /// Parses 32 hex digits. \returns nothing if \p Text is anything else.
   static std::optional<ContentDigest> parse(std::string_view Text);
   /// Returns 32 lower-case hex digits.
@@ -48,11 +56,11 @@
 
 } // namespace yardrill::quarantine
 
-/// Uses the low half, since all bits of a digest are evenly distributed.
+/// Uses both halves: parts of one pool have the same low one.
 template <> struct std::hash<yardrill::quarantine::ContentDigest> {
   std::size_t
   operator()(const yardrill::quarantine::ContentDigest &Digest) const {
-    return static_cast<std::size_t>(Digest.m_Low);
+    return static_cast<std::size_t>(Digest.m_High ^ Digest.m_Low);
   }
 };
 
--- a/Libraries/LibQuarantine/Gossip.cpp
+++ b/Libraries/LibQuarantine/Gossip.cpp
@@ -22,14 +22,17 @@
 /// with three incarnations each.
 static constexpr std::size_t MaxStoredContents = 256;
 
-void Gossip::noteTargetExit(const ContentDigest &Content,
+void Gossip::noteTargetExit(const std::vector<ContentDigest> &Contents,
                             IncarnationHash Incarnation, core::TimePoint Now) {
-  m_Table.noteTargetExit(Content, Incarnation, Now);
+  for (const ContentDigest &Each : Contents)
+    m_Table.noteTargetExit(Each, Incarnation, Now);
   broadcastUpdates(Now);
 }
 
-void Gossip::noteSuccess(const ContentDigest &Content, core::TimePoint Now) {
-  m_Table.noteSuccess(Content, Now);
+void Gossip::noteSuccess(const std::vector<ContentDigest> &Contents,
+                         core::TimePoint Now) {
+  for (const ContentDigest &Each : Contents)
+    m_Table.noteSuccess(Each, Now);
   broadcastUpdates(Now);
 }
 
--- a/Libraries/LibQuarantine/Gossip.h
+++ b/Libraries/LibQuarantine/Gossip.h
@@ -40,11 +40,12 @@
   explicit Gossip(GossipHooks Hooks)
       : m_Hooks(std::move(Hooks)), m_Table(m_Hooks.m_Changed) {}
 
-  // Records an observation of this instance and broadcasts the change; see
-  // QuarantineTable.
-  void noteTargetExit(const ContentDigest &Content, IncarnationHash Incarnation,
-                      core::TimePoint Now);
-  void noteSuccess(const ContentDigest &Content, core::TimePoint Now);
+  // Records an observation of this instance for each content of a request, or
+  // of several, and broadcasts the changes; see QuarantineTable.
+  void noteTargetExit(const std::vector<ContentDigest> &Contents,
+                      IncarnationHash Incarnation, core::TimePoint Now);
+  void noteSuccess(const std::vector<ContentDigest> &Contents,
+                   core::TimePoint Now);
   /// Merges observations received from another instance.
   void merge(const std::vector<Observation> &Observed, core::TimePoint Now);
   /// Merges the text of the store's entry. \returns false if it is malformed.
--- a/Libraries/LibQuarantine/QuarantineTable.cpp
+++ b/Libraries/LibQuarantine/QuarantineTable.cpp
@@ -9,17 +9,55 @@
 /// that the version before it answered.
 static constexpr std::chrono::seconds SuccessWindow{30};
 
-std::size_t QuarantineTable::Entry::incriminatingIncarnations() const {
+std::size_t QuarantineTable::Entry::uncleared() const {
   return static_cast<std::size_t>(
       std::count_if(m_Incarnations.begin(), m_Incarnations.end(),
                     [](const auto &Each) { return !Each.second; }));
 }
 
+std::size_t
+QuarantineTable::Entry::unexplained(const Incarnations &Explained) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Incarnations.begin(), m_Incarnations.end(), [&](const auto &Each) {
+        return !Each.second && Explained.count(Each.first) == 0;
+      }));
+}
+
+void QuarantineTable::Entry::addUnclearedTo(Incarnations &Sum) const {
+  for (const auto &[Incarnation, IsCleared] : m_Incarnations)
+    if (!IsCleared)
+      Sum.insert(Incarnation);
+}
+
 std::size_t
 QuarantineTable::incriminatingIncarnations(const ContentDigest &Content) const {
   auto Found = m_Entries.find(Content);
-  return Found == m_Entries.end() ? 0
-                                  : Found->second.incriminatingIncarnations();
+  if (Found == m_Entries.end())
+    return 0;
+  return isQuarantined(Content) ? Found->second.uncleared()
+                                : Found->second.unexplained(m_Explained);
+}
+
+bool QuarantineTable::isDoubtful(
+    const std::vector<ContentDigest> &Contents) const {
+  Incarnations Others;
+  for (const ContentDigest &Each : m_Quarantined)
+    if (std::find(Contents.begin(), Contents.end(), Each) == Contents.end())
+      m_Entries.at(Each).addUnclearedTo(Others);
+  return std::all_of(
+      Contents.begin(), Contents.end(), [&](const ContentDigest &Each) {
+        return !isQuarantined(Each) ||
+               (Each.isPart() && m_Entries.at(Each).unexplained(Others) <
+                                     IncarnationsToQuarantine);
+      });
+}
+
+std::optional<core::TimePoint>
+QuarantineTable::changedAt(const ContentDigest &Content) const {
+  auto Found = m_Entries.find(Content);
+  if (Found == m_Entries.end())
+    return std::nullopt;
+  return Found->second.m_ChangedAt;
 }
 
 bool QuarantineTable::isCleared(const ContentDigest &Content,
@@ -45,7 +83,7 @@
 QuarantineTable::suspectedContents(std::size_t MinIncarnations) const {
   std::vector<ContentDigest> Out;
   for (const auto &[Content, Suspect] : m_Entries)
-    if (Suspect.incriminatingIncarnations() >= MinIncarnations)
+    if (incriminatingIncarnations(Content) >= MinIncarnations)
       Out.push_back(Content);
   std::sort(Out.begin(), Out.end());
   return Out;
@@ -104,37 +142,78 @@
     m_Updates.push_back(Known);
 }
 
-bool QuarantineTable::apply(const Observation &Observed, core::TimePoint Now) {
-  if (m_Entries.find(Observed.m_Content) == m_Entries.end())
-    evictIfFull();
-  Entry &Suspect = m_Entries[Observed.m_Content];
+bool QuarantineTable::change(Entry &Suspect,
+                             const Observation &Observed) const {
   auto Found = Suspect.m_Incarnations.find(Observed.m_Incarnation);
   bool IsKnown = Found != Suspect.m_Incarnations.end();
   // A cleared incarnation stays cleared.
   if (IsKnown && (Found->second || !Observed.m_IsCleared))
     return false;
-  bool WasQuarantined =
-      Suspect.incriminatingIncarnations() >= IncarnationsToQuarantine;
   if (IsKnown) {
     Found->second = true;
-  } else {
-    evictIfFull(Suspect);
-    if (Suspect.m_Incarnations.size() >= MaxIncarnations)
-      return false;
-    Suspect.m_Incarnations.emplace(Observed.m_Incarnation,
-                                   Observed.m_IsCleared);
+    return true;
   }
+  evictIfFull(Suspect);
+  if (Suspect.m_Incarnations.size() >= MaxIncarnations)
+    return false;
+  Suspect.m_Incarnations.emplace(Observed.m_Incarnation, Observed.m_IsCleared);
+  return true;
+}
+
+bool QuarantineTable::apply(const Observation &Observed, core::TimePoint Now) {
+  const ContentDigest &Content = Observed.m_Content;
+  if (m_Entries.find(Content) == m_Entries.end())
+    evictIfFull();
+  auto [It, IsNew] = m_Entries.try_emplace(Content);
+  Entry &Suspect = It->second;
+  std::size_t Before = Suspect.uncleared();
+  Weight OldWeight = weightOf(Content, Suspect);
+  if (!change(Suspect, Observed))
+    return false;
   Suspect.m_ChangedAt = Now;
-  bool IsQuarantined =
-      Suspect.incriminatingIncarnations() >= IncarnationsToQuarantine;
-  if (IsQuarantined == WasQuarantined)
-    return true;
-  m_Quarantined += IsQuarantined ? 1 : -1;
-  if (m_Changed)
-    m_Changed(Observed.m_Content, IsQuarantined);
+  if (!IsNew)
+    m_ByWeight.erase(OldWeight);
+  m_ByWeight.insert(weightOf(Content, Suspect));
+  if (std::max(Before, Suspect.uncleared()) >= IncarnationsToQuarantine)
+    updateVerdicts();
   return true;
 }
 
+void QuarantineTable::updateVerdicts() {
+  std::set<ContentDigest> Before;
+  Before.swap(m_Quarantined);
+  m_Explained.clear();
+  std::size_t Count = 0;
+  std::vector<ContentDigest> Equal; // With Count uncleared incarnations.
+  auto Accept = [&] {
+    for (const ContentDigest &Each : Equal)
+      m_Entries.at(Each).addUnclearedTo(m_Explained);
+    m_Quarantined.insert(Equal.begin(), Equal.end());
+    Equal.clear();
+  };
+  for (auto Each = m_ByWeight.rbegin(); Each != m_ByWeight.rend(); ++Each) {
+    const auto &[Uncleared, ChangedAt, Content] = *Each;
+    if (Uncleared < IncarnationsToQuarantine)
+      break;
+    if (Uncleared != Count)
+      Accept();
+    Count = Uncleared;
+    // A whole content that makes targets exit may have run beside another one.
+    if (!Content.isPart() || m_Entries.at(Content).unexplained(m_Explained) >=
+                                 IncarnationsToQuarantine)
+      Equal.push_back(Content);
+  }
+  Accept();
+  if (!m_Changed)
+    return;
+  for (const ContentDigest &Each : Before)
+    if (!isQuarantined(Each))
+      m_Changed(Each, false);
+  for (const ContentDigest &Each : m_Quarantined)
+    if (Before.count(Each) == 0)
+      m_Changed(Each, true);
+}
+
 void QuarantineTable::evictIfFull(Entry &Suspect) const {
   if (Suspect.m_Incarnations.size() < MaxIncarnations)
     return;
@@ -148,22 +227,11 @@
 void QuarantineTable::evictIfFull() {
   if (m_Entries.size() < MaxContents)
     return;
-  auto Least = std::min_element(
-      m_Entries.begin(), m_Entries.end(), [](const auto &A, const auto &B) {
-        return std::make_pair(A.second.incriminatingIncarnations(),
-                              A.second.m_ChangedAt) <
-               std::make_pair(B.second.incriminatingIncarnations(),
-                              B.second.m_ChangedAt);
-      });
-  bool WasQuarantined =
-      Least->second.incriminatingIncarnations() >= IncarnationsToQuarantine;
-  ContentDigest Content = Least->first;
+  ContentDigest Least = std::get<ContentDigest>(*m_ByWeight.begin());
+  m_ByWeight.erase(m_ByWeight.begin());
   m_Entries.erase(Least);
-  if (!WasQuarantined)
-    return;
-  --m_Quarantined;
-  if (m_Changed)
-    m_Changed(Content, false);
+  if (isQuarantined(Least))
+    updateVerdicts();
 }
 
 } // namespace yardrill::quarantine
--- a/Libraries/LibQuarantine/QuarantineTable.h
+++ b/Libraries/LibQuarantine/QuarantineTable.h
@@ -12,6 +12,13 @@
 // incarnations is quarantined: one that makes targets exit never succeeds, and
 // any other is running at the exit of three targets only by coincidence.
 //
+// A request has several contents: itself and each shared part of its prompt. A
+// part that ran beside a quarantined content is not incriminated by the exits
+// that this one explains. Of two contents the one with more incriminating
+// incarnations explains the exits of both; with equally many, neither does. All
+// of that is derived from the sets, so that it doesn't depend on their order
+// either.
+//
 // Uses no clock: the time is a parameter.
 //
 //===----------------------------------------------------------------------===//
@@ -24,7 +31,9 @@
 #include <array>
 #include <functional>
 #include <map>
-#include <string>
+#include <optional>
+#include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -58,7 +67,7 @@
       IncarnationsToQuarantine - 1;
   /// Limit on the contents in the table. Those with the fewest incriminating
   /// incarnations are evicted, the longest unchanged first.
-  static constexpr std::size_t MaxContents = 1024;
+  static constexpr std::size_t MaxContents = 4096;
   /// Limit on the incarnations of one content. Cleared ones are evicted; if
   /// there is none, new ones are ignored.
   static constexpr std::size_t MaxIncarnations = 16;
@@ -76,7 +85,9 @@
   /// Merges an observation of another instance or from the store.
   void merge(const Observation &Observed, core::TimePoint Now);
 
-  /// Returns the number of incarnations that incriminate the content.
+  /// Returns the number of incarnations that incriminate the content. Those
+  /// that a quarantined content explains do so only if it is quarantined
+  /// itself.
   std::size_t incriminatingIncarnations(const ContentDigest &Content) const;
   /// Whether the incarnation does not incriminate the content, also because it
   /// is unknown.
@@ -86,9 +97,16 @@
     return incriminatingIncarnations(Content) >= IncarnationsToSuspect;
   }
   bool isQuarantined(const ContentDigest &Content) const {
-    return incriminatingIncarnations(Content) >= IncarnationsToQuarantine;
+    return m_Quarantined.count(Content) != 0;
   }
-  std::size_t quarantined() const { return m_Quarantined; }
+  /// Whether the quarantined ones of \p Contents are parts whose exits other
+  /// quarantined contents would explain as well, so that a request with these
+  /// would tell them apart.
+  bool isDoubtful(const std::vector<ContentDigest> &Contents) const;
+  /// Returns the time of the last change of the content's incarnations; none if
+  /// it is not in the table.
+  std::optional<core::TimePoint> changedAt(const ContentDigest &Content) const;
+  std::size_t quarantined() const { return m_Quarantined.size(); }
   std::size_t size() const { return m_Entries.size(); }
   /// Returns all observations of a content, cleared ones included.
   std::vector<Observation> observations(const ContentDigest &Content) const;
@@ -102,13 +120,18 @@
   std::vector<Observation> takeUpdates();
 
 private:
+  using Incarnations = std::set<IncarnationHash>;
   struct Entry {
     /// Maps each incarnation to whether it is cleared.
     std::map<IncarnationHash, bool> m_Incarnations;
     core::TimePoint m_ChangedAt{};
 
-    std::size_t incriminatingIncarnations() const;
+    std::size_t uncleared() const;
+    /// Returns how many uncleared incarnations \p Explained doesn't have.
+    std::size_t unexplained(const Incarnations &Explained) const;
+    void addUnclearedTo(Incarnations &Sum) const;
   };
+  using Weight = std::tuple<std::size_t, core::TimePoint, ContentDigest>;
   /// The last success of a content.
   struct Success {
     ContentDigest m_Content;
@@ -117,18 +140,27 @@
   };
   /// Size of the cache of recent successes. It is direct-mapped: a digest
   /// replaces another one of the same slot.
-  static constexpr std::size_t SuccessSlots = 1024;
+  static constexpr std::size_t SuccessSlots = 4096;
 
   bool hasRecentSuccess(const ContentDigest &Content,
                         core::TimePoint Now) const;
   /// Applies an observation. \returns whether it changed the table.
   bool apply(const Observation &Observed, core::TimePoint Now);
+  /// Changes the incarnations of an entry. \returns whether it did.
+  bool change(Entry &Suspect, const Observation &Observed) const;
+  static Weight weightOf(const ContentDigest &Content, const Entry &Of) {
+    return {Of.uncleared(), Of.m_ChangedAt, Content};
+  }
+  /// Derives which contents are quarantined, and reports the changes.
+  void updateVerdicts();
   void evictIfFull();
   void evictIfFull(Entry &Suspect) const;
 
   Hook m_Changed;
   std::unordered_map<ContentDigest, Entry> m_Entries;
-  std::size_t m_Quarantined = 0;
+  std::set<Weight> m_ByWeight; ///< All entries, the next to be evicted first.
+  std::set<ContentDigest> m_Quarantined;
+  Incarnations m_Explained; ///< Uncleared ones of all quarantined contents.
   std::vector<Observation> m_Updates;
   std::array<Success, SuccessSlots> m_RecentSuccesses;
 };
--- a/Tests/LibGateway/TargetExitDetectorTest.cpp
+++ b/Tests/LibGateway/TargetExitDetectorTest.cpp
@@ -34,8 +34,8 @@
       return m_ProbeResult;
     };
     Out.m_ReportExit = [this](const routing::Target &,
-                              const ContentDigest &Content) {
-      m_Reported.push_back(Content);
+                              const std::vector<ContentDigest> &Contents) {
+      m_Reported.insert(m_Reported.end(), Contents.begin(), Contents.end());
     };
     return Out;
   }
@@ -48,7 +48,7 @@
     asio::spawn(
         m_Context,
         [this, Number](asio::yield_context Yield) {
-          m_Detector.noteBrokenResponse(target(), {Number, Number}, Yield);
+          m_Detector.noteBrokenResponse(target(), {{Number, Number}}, Yield);
           ++m_Returned;
         },
         asio::detached);
--- a/Tests/LibQuarantine/GossipTest.cpp
+++ b/Tests/LibQuarantine/GossipTest.cpp
@@ -48,9 +48,9 @@
     Gossip A(Hooks);
     Gossip B(Hooks);
     Gossip C(countingHooks());
-    A.noteTargetExit(m_Content, 10, m_Now);
-    B.noteTargetExit(m_Content, 11, m_Now);
-    C.noteTargetExit(m_Content, 12, m_Now);
+    A.noteTargetExit({m_Content}, 10, m_Now);
+    B.noteTargetExit({m_Content}, 11, m_Now);
+    C.noteTargetExit({m_Content}, 12, m_Now);
     C.merge(Received, m_Now);
     CPPUNIT_ASSERT(C.table().isQuarantined(m_Content));
     CPPUNIT_ASSERT(!A.table().isQuarantined(m_Content));
@@ -58,7 +58,7 @@
 
   void testBroadcastsRepeatedly() {
     Gossip Tested(countingHooks());
-    Tested.noteTargetExit(m_Content, 10, m_Now);
+    Tested.noteTargetExit({m_Content}, 10, m_Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_BroadcastCount);
     advanceTime(Tested, milliseconds(2000));
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), m_BroadcastCount);
@@ -71,8 +71,8 @@
 
   void testGossipsUntilStored() {
     Gossip Tested(countingHooks());
-    Tested.noteTargetExit(m_Content, 10, m_Now);
-    Tested.noteTargetExit(m_Content, 11, m_Now);
+    Tested.noteTargetExit({m_Content}, 10, m_Now);
+    Tested.noteTargetExit({m_Content}, 11, m_Now);
     advanceTime(Tested, seconds(5));
     CPPUNIT_ASSERT(m_SampleSendCount >= 4);
     CPPUNIT_ASSERT(Tested.mergeStored(Tested.storedText(), m_Now));
@@ -80,7 +80,7 @@
     advanceTime(Tested, seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_SampleSendCount);
     // The third incarnation is not stored yet.
-    Tested.noteTargetExit(m_Content, 12, m_Now);
+    Tested.noteTargetExit({m_Content}, 12, m_Now);
     advanceTime(Tested, seconds(3));
     CPPUNIT_ASSERT(m_SampleSendCount >= 2);
   }
@@ -88,8 +88,8 @@
   void testStoreOutlastsAllInstances() {
     Gossip Before(countingHooks());
     for (IncarnationHash Incarnation : {10, 11, 12})
-      Before.noteTargetExit(m_Content, Incarnation, m_Now);
-    Before.noteTargetExit({3, 4}, 10, m_Now);
+      Before.noteTargetExit({m_Content}, Incarnation, m_Now);
+    Before.noteTargetExit({{3, 4}}, 10, m_Now);
     Gossip After(countingHooks());
     CPPUNIT_ASSERT(After.mergeStored(Before.storedText(), m_Now));
     CPPUNIT_ASSERT(After.table().isQuarantined(m_Content));
@@ -100,7 +100,7 @@
   void testClearedContentReachesLateReplicas() {
     Gossip Tested(countingHooks());
     for (IncarnationHash Incarnation : {10, 11, 12})
-      Tested.noteTargetExit(m_Content, Incarnation, m_Now);
+      Tested.noteTargetExit({m_Content}, Incarnation, m_Now);
     auto ClearedText = withContentCleared(Tested.storedText(), m_Content);
     CPPUNIT_ASSERT(ClearedText);
     Gossip Missed = Tested;
@@ -115,15 +115,15 @@
 
   void testPopularContentIsNotRewritten() {
     Gossip Tested(countingHooks());
-    Tested.noteTargetExit(m_Content, 10, m_Now);
-    Tested.noteTargetExit(m_Content, 11, m_Now);
+    Tested.noteTargetExit({m_Content}, 10, m_Now);
+    Tested.noteTargetExit({m_Content}, 11, m_Now);
     Tested.mergeStored(Tested.storedText(), m_Now);
-    Tested.noteSuccess(m_Content, m_Now);
+    Tested.noteSuccess({m_Content}, m_Now);
     std::string StoredText = Tested.storedText();
     Tested.mergeStored(StoredText, m_Now);
     for (IncarnationHash Incarnation = 20; Incarnation < 40; ++Incarnation) {
-      Tested.noteTargetExit(m_Content, Incarnation, m_Now);
-      Tested.noteSuccess(m_Content, m_Now);
+      Tested.noteTargetExit({m_Content}, Incarnation, m_Now);
+      Tested.noteSuccess({m_Content}, m_Now);
       CPPUNIT_ASSERT_EQUAL(StoredText, Tested.storedText());
     }
   }
--- a/Tests/LibQuarantine/QuarantineTableTest.cpp
+++ b/Tests/LibQuarantine/QuarantineTableTest.cpp
@@ -22,6 +22,10 @@
   CPPUNIT_TEST(testOnlyLocalChangesAreUpdates);
   CPPUNIT_TEST(testLeastSuspectedContentsAreEvicted);
   CPPUNIT_TEST(testIncarnationsAreBounded);
+  CPPUNIT_TEST(testPartBesideAHarmfulOneIsExplained);
+  CPPUNIT_TEST(testVerdictsDoNotDependOnTheOrder);
+  CPPUNIT_TEST(testEquallySuspectPartsAreDoubtful);
+  CPPUNIT_TEST(testWholeContentIsNeverExplained);
   CPPUNIT_TEST_SUITE_END();
 
   core::TimePoint m_Now = core::steadyNow();
@@ -149,7 +153,7 @@
     for (IncarnationHash Incarnation : {10, 11, 12})
       Table.noteTargetExit(content(1), Incarnation, m_Now);
     for (std::uint64_t I = 2; I < 5000; ++I)
-      Table.noteTargetExit(content(I), 10, m_Now + milliseconds(I));
+      Table.noteTargetExit(content(I), 20, m_Now + milliseconds(I));
     CPPUNIT_ASSERT_EQUAL(QuarantineTable::MaxContents, Table.size());
     CPPUNIT_ASSERT(Table.isQuarantined(content(1)));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
@@ -171,6 +175,71 @@
       Table.noteTargetExit(content(1), Incarnation, m_Now);
     CPPUNIT_ASSERT(Table.isQuarantined(content(1)));
   }
+
+  static ContentDigest part(const char *Id) {
+    return ContentDigest::ofPart(1, Id);
+  }
+
+  void testPartBesideAHarmfulOneIsExplained() {
+    QuarantineTable Table;
+    for (IncarnationHash Each : {10, 11, 12, 13})
+      Table.noteTargetExit(part("bad"), Each, m_Now);
+    for (IncarnationHash Each : {10, 11, 12})
+      Table.noteTargetExit(part("beside"), Each, m_Now);
+    CPPUNIT_ASSERT(Table.isQuarantined(part("bad")));
+    CPPUNIT_ASSERT(!Table.isQuarantined(part("beside")));
+    CPPUNIT_ASSERT(!Table.isSuspect(part("beside")));
+    // Exits that the first one doesn't explain count.
+    for (IncarnationHash Each : {20, 21, 22})
+      Table.noteTargetExit(part("beside"), Each, m_Now);
+    CPPUNIT_ASSERT(Table.isQuarantined(part("beside")));
+  }
+
+  void testVerdictsDoNotDependOnTheOrder() {
+    std::vector<Observation> All;
+    for (IncarnationHash Each : {10, 11, 12, 13})
+      All.push_back({part("a"), Each, false});
+    for (IncarnationHash Each : {10, 11, 12})
+      All.push_back({part("b"), Each, Each == 12});
+    for (IncarnationHash Each : {12, 13, 14, 15, 16})
+      All.push_back({part("c"), Each, false});
+    std::mt19937 Random(1);
+    for (int I = 0; I < 100; ++I) {
+      std::shuffle(All.begin(), All.end(), Random);
+      QuarantineTable Table;
+      for (const Observation &Each : All)
+        Table.merge(Each, m_Now);
+      CPPUNIT_ASSERT(!Table.isQuarantined(part("a")));
+      CPPUNIT_ASSERT(!Table.isQuarantined(part("b")));
+      CPPUNIT_ASSERT(Table.isQuarantined(part("c")));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Table.quarantined());
+    }
+  }
+
+  void testEquallySuspectPartsAreDoubtful() {
+    QuarantineTable Table;
+    for (IncarnationHash Each : {10, 11, 12}) {
+      Table.noteTargetExit(part("bad"), Each, m_Now);
+      Table.noteTargetExit(part("beside"), Each, m_Now);
+    }
+    CPPUNIT_ASSERT(Table.isQuarantined(part("beside")));
+    CPPUNIT_ASSERT(Table.isDoubtful({content(9), part("beside")}));
+    CPPUNIT_ASSERT(!Table.isDoubtful({part("bad"), part("beside")}));
+    Table.noteSuccess(part("beside"), m_Now);
+    CPPUNIT_ASSERT(!Table.isQuarantined(part("beside")));
+    CPPUNIT_ASSERT(Table.isQuarantined(part("bad")));
+    CPPUNIT_ASSERT(!Table.isDoubtful({part("bad")}));
+  }
+
+  void testWholeContentIsNeverExplained() {
+    QuarantineTable Table;
+    for (IncarnationHash Each : {10, 11, 12, 13})
+      Table.noteTargetExit(content(1), Each, m_Now);
+    for (IncarnationHash Each : {10, 11, 12})
+      Table.noteTargetExit(content(2), Each, m_Now);
+    CPPUNIT_ASSERT(Table.isQuarantined(content(2)));
+    CPPUNIT_ASSERT(!Table.isDoubtful({content(2)}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTableTest);
--- a/Tests/Support/QuarantineSimulation.cpp
+++ b/Tests/Support/QuarantineSimulation.cpp
@@ -1,5 +1,7 @@
 #include "QuarantineSimulation.h"
 
+#include "LibQuarantine/TrialSchedule.h"
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -28,6 +30,9 @@
 static constexpr unsigned MaxSends = 2; ///< Sends of one attempt to targets.
 static constexpr std::size_t PopularContents = 5;
 static constexpr std::size_t Third = 3;
+static constexpr std::size_t Fifth = 5;
+static constexpr std::size_t FirstParts = 20;
+static constexpr std::size_t Documents = 100;
 
 namespace {
 
@@ -35,9 +40,11 @@
 
 struct Request {
   Kind m_Kind = Kind::Unique;
-  ContentDigest m_Content;
+  ContentDigest m_Content; ///< The bad one of a bad request.
+  std::vector<ContentDigest> m_Contents;
   std::size_t m_Instance = 0;
   std::size_t m_Incarnation = 0; ///< Incarnation of the instance.
+  bool m_IsTrial = false;
   unsigned m_Sends = 0;
   unsigned m_RetriesLeft = 1;
 };
@@ -45,6 +52,7 @@
 
 struct Instance {
   std::unique_ptr<Gossip> m_Gossip;
+  std::unique_ptr<quarantine::TrialSchedule> m_Trials;
   std::size_t m_Incarnation = 0;
   bool m_IsUp = true;
   bool m_IsCut = false;
@@ -108,6 +116,14 @@
   void recordSend(const Request &Current);
   bool isConnected(const Instance &Sender) const;
   bool isRefused(const Request &Current) const;
+  bool isSuspect(const Request &Current) const;
+  void countCompanion(const Request &Current);
+  ContentDigest firstPart() {
+    return ContentDigest::ofPart(1, std::to_string(drawBelow(FirstParts)));
+  }
+  static ContentDigest document(std::size_t Number) {
+    return ContentDigest::ofPart(2, std::to_string(Number));
+  }
   void refuse(const Request &Current);
 
   QuarantineScenario m_Scenario;
@@ -142,7 +158,16 @@
     for (int I = 0; I < 2; ++I)
       sendObservations(Index, drawBelow(m_Instances.size()), Observations);
   };
+  Hooks.m_Changed = [this, Index](const ContentDigest &Content, bool IsBad) {
+    if (!IsBad && m_Instances[Index].m_Trials)
+      m_Instances[Index].m_Trials->forget(Content);
+  };
+  Started.m_Trials.reset();
   Started.m_Gossip = std::make_unique<Gossip>(Hooks);
+  Started.m_Trials = std::make_unique<quarantine::TrialSchedule>(
+      Started.m_Gossip->table(), [this, Index](const ContentDigest &Content) {
+        return Content.m_High % m_Instances.size() == Index;
+      });
   Started.m_IsUp = true;
   Started.m_StartedAt = m_Now;
   Started.m_RecoveredAt = m_Now;
@@ -255,6 +280,12 @@
     Current->m_Content = {m_NextContent, m_NextContent};
     m_NextContent += 7;
   }
+  Current->m_Contents = {Current->m_Content};
+  if (m_Scenario.m_AreParts) {
+    Current->m_Contents.push_back(firstPart());
+    if (draw() < 0.5)
+      Current->m_Contents.push_back(document(drawBelow(Documents)));
+  }
   arrive(Current);
   after(drawInterval(m_Scenario.m_RequestRate *
                      static_cast<double>(m_Targets.size())),
@@ -265,6 +296,14 @@
   auto Current = std::make_shared<Request>();
   Current->m_Kind = Kind::Bad;
   Current->m_Content = {2, Number};
+  Current->m_Contents = {Current->m_Content};
+  if (m_Scenario.m_AreParts) {
+    Current->m_Contents = {{m_NextContent, m_NextContent},
+                           firstPart(),
+                           Current->m_Content,
+                           document(Number)};
+    m_NextContent += 7;
+  }
   Current->m_RetriesLeft = 0;
   arrive(Current);
   after(drawInterval(m_Scenario.m_BadRate),
@@ -279,13 +318,43 @@
   Current->m_Incarnation = At.m_Incarnation;
   Current->m_Sends = 0;
   m_Result.m_HarmlessAttempts += Current->m_Kind != Kind::Bad;
+  Current->m_IsTrial = isRefused(*Current) && m_Scenario.m_HasTrials &&
+                       m_Instances[Current->m_Instance].m_Trials->tryBegin(
+                           Current->m_Contents, m_Now);
+  countCompanion(*Current);
   send(Current);
 }
 
 bool QuarantineSimulation::isRefused(const Request &Current) const {
   const Gossip &Own = *m_Instances[Current.m_Instance].m_Gossip;
-  return Own.table().incriminatingIncarnations(Current.m_Content) >=
-         m_Scenario.m_QuarantineThreshold;
+  return std::any_of(Current.m_Contents.begin(), Current.m_Contents.end(),
+                     [&](const ContentDigest &Each) {
+                       return Own.table().incriminatingIncarnations(Each) >=
+                              m_Scenario.m_QuarantineThreshold;
+                     });
+}
+
+bool QuarantineSimulation::isSuspect(const Request &Current) const {
+  const Gossip &Own = *m_Instances[Current.m_Instance].m_Gossip;
+  return std::any_of(
+      Current.m_Contents.begin(), Current.m_Contents.end(),
+      [&](const ContentDigest &Each) { return Own.table().isSuspect(Each); });
+}
+
+void QuarantineSimulation::countCompanion(const Request &Current) {
+  if (!m_Scenario.m_AreParts || Current.m_Kind == Kind::Bad)
+    return;
+  for (std::size_t Number = 0; Number < m_Scenario.m_BadContents; ++Number) {
+    const std::vector<TimePoint> &Exits = m_Exits[{2, Number}];
+    bool HasCompanion =
+        std::find(Current.m_Contents.begin(), Current.m_Contents.end(),
+                  document(Number)) != Current.m_Contents.end();
+    if (!HasCompanion || Exits.size() < Third ||
+        m_Now < Exits[Third - 1] + 2 * m_Scenario.m_ContactTime)
+      continue;
+    ++m_Result.m_CompanionAttempts;
+    m_Result.m_CompanionRefused += isRefused(Current) && !Current.m_IsTrial;
+  }
 }
 
 void QuarantineSimulation::refuse(const Request &Current) {
@@ -296,14 +365,15 @@
 
 void QuarantineSimulation::recordSend(const Request &Current) {
   const std::vector<TimePoint> &Exits = m_Exits[Current.m_Content];
-  if (Exits.size() >= Third &&
-      m_Now > Exits[Third - 1] + m_Scenario.m_ContactTime &&
+  std::size_t Bound = m_Scenario.m_AreParts ? Fifth : Third;
+  if (Exits.size() >= Bound &&
+      m_Now > Exits[Bound - 1] + m_Scenario.m_ContactTime &&
       isConnected(m_Instances[Current.m_Instance]))
     ++m_LateSends[Current.m_Content];
 }
 
 void QuarantineSimulation::send(const RequestHandle &Current) {
-  if (isRefused(*Current))
+  if (isRefused(*Current) && !Current->m_IsTrial)
     return refuse(*Current);
   Target *Chosen = nullptr;
   std::size_t Offset = drawBelow(m_Targets.size());
@@ -344,7 +414,7 @@
       std::find(At.m_Running.begin(), At.m_Running.end(), Current));
   Instance &From = m_Instances[Current->m_Instance];
   if (From.m_IsUp && From.m_Incarnation == Current->m_Incarnation)
-    From.m_Gossip->noteSuccess(Current->m_Content, m_Now);
+    From.m_Gossip->noteSuccess(Current->m_Contents, m_Now);
 }
 
 void QuarantineSimulation::exitTarget(std::size_t Index) {
@@ -371,9 +441,8 @@
   bool IsInstanceGone =
       !At.m_IsUp || At.m_Incarnation != Current->m_Incarnation;
   if (!IsInstanceGone) {
-    At.m_Gossip->noteTargetExit(Current->m_Content, Incarnation, m_Now);
-    bool IsRetried = m_Scenario.m_RetriesSuspects ||
-                     !At.m_Gossip->table().isSuspect(Current->m_Content);
+    At.m_Gossip->noteTargetExit(Current->m_Contents, Incarnation, m_Now);
+    bool IsRetried = m_Scenario.m_RetriesSuspects || !isSuspect(*Current);
     if (Current->m_Sends < MaxSends && IsRetried)
       return send(Current);
   }
--- a/Tests/Support/QuarantineSimulation.h
+++ b/Tests/Support/QuarantineSimulation.h
@@ -43,6 +43,13 @@
   /// Share of the harmless requests whose content many callers send, 0 to 1.
   double m_PopularShare = 0.1;
   std::size_t m_BadContents = 3;
+  /// Whether the bad contents are parts of prompts. Each request then has
+  /// shared parts, and no two requests with a bad one are alike. Beside a bad
+  /// part there is always the same other one, its companion, which harmless
+  /// requests have as well.
+  bool m_AreParts = false;
+  /// Whether a quarantined content may be tried again.
+  bool m_HasTrials = true;
   double m_BadRate = 2; ///< Attempts per second with each bad content.
   /// Time from the start of a bad request at a target to the target's exit.
   std::chrono::milliseconds m_TimeToExit{100};
@@ -63,8 +70,13 @@
 /// Measurements of one simulated run.
 struct QuarantineResult {
   /// Maximum, over all bad contents, of the sends by connected instances later
-  /// than the contact time after the exit of the third target.
+  /// than the contact time after the exit of the third target, or of the fifth
+  /// under a part.
   std::size_t m_LateSends = 0;
+  /// Harmless attempts with a companion later than twice the contact time after
+  /// the third exit under its bad part, and those refused.
+  std::size_t m_CompanionAttempts = 0;
+  std::size_t m_CompanionRefused = 0;
   /// Target exits caused by bad requests.
   std::size_t m_ExitsUnderBad = 0;
   /// Harmless attempts that reached a running instance.
