--- a/Programs/yardrill/QuarantineVerbs.cpp
+++ b/Programs/yardrill/QuarantineVerbs.cpp
@@ -75,15 +75,22 @@
   for (const Observation &Each : *Observations)
     ++(Each.m_IsCleared ? Counts[Each.m_Content].second
                         : Counts[Each.m_Content].first);
-  std::cout << "content                           exits  cleared  state\n";
+  QuarantineTable Table;
+  for (const Observation &Each : *Observations)
+    Table.merge(Each, core::TimePoint());
+  std::cout << "content                           exits  cleared  state        "
+               "kind\n";
   for (const auto &[Content, Count] : Counts) {
     const char *State = "released";
-    if (Count.first >= QuarantineTable::IncarnationsToQuarantine)
+    if (Table.isQuarantined(Content))
       State = "quarantined";
-    else if (Count.first >= QuarantineTable::IncarnationsToSuspect)
+    else if (Table.isSuspect(Content))
       State = "suspect";
-    std::printf("%s  %5zu  %7zu  %s\n", Content.toString().c_str(), Count.first,
-                Count.second, State);
+    else if (Count.first >= QuarantineTable::IncarnationsToSuspect)
+      State = "explained";
+    std::printf("%s  %5zu  %7zu  %-11s  %s\n", Content.toString().c_str(),
+                Count.first, Count.second, State,
+                Content.isPart() ? "part" : "whole");
     std::fflush(stdout);
   }
 }
--- a/Programs/yardrill/RequestTimeline.cpp
+++ b/Programs/yardrill/RequestTimeline.cpp
@@ -62,9 +62,19 @@
      "the response was unsigned or had a content encoding, so it was not "
      "passed on"},
     {"resume-refused", "no other target resumed the stream"},
+    {"stream-origin-unknown", "not run: it resumes a stream, and no instance "
+                              "could tell at which version "
+                              "of the targets that began"},
+    {"stream-version-gone",
+     "not run: it resumes a stream that began at a version of which no target "
+     "is left"},
+    {"stream-pool-moved",
+     "not run: it resumes a stream that began in a pool to which its route no "
+     "longer leads"},
     {"time-over", "its time limit was reached; it ran if it was sent"},
     {"quarantined",
-     "three targets exited while they ran requests with that content (503: "
+     "three targets exited while they ran requests with that content, or with "
+     "one part of its prompt (503: "
      "this one did not run; 502: it did); see yardrill quarantine list"},
     {"over-quota", "not run: its client account exceeded its quota"},
     {"unknown-key", "not run: no account of the configuration in force has "
