--- a/Bench/StreamOriginsProgram.cpp
+++ b/Bench/StreamOriginsProgram.cpp
@@ -1,9 +1,9 @@
 //===-- StreamOriginsProgram.cpp - Random schedules of resumed streams ----===//
 //
 // Usage: stream_origins [DAYS [INSTANCES [TARGETS]]].
-// Simulates DAYS random scenarios of that fleet size with each way to keep the
-// origins of streams, and prints their sums. Exits with 1 if a stream went on
-// at another version.
+// Simulates DAYS random scenarios of that fleet size with each way to replicate
+// the origins of streams, and prints their sums. Exits with 1 if a stream went
+// on at another version.
 //
 //===----------------------------------------------------------------------===//
 #include "StreamOriginSimulation.h"
@@ -14,7 +14,7 @@
 
 using namespace yardrill::tests;
 
-/// Streams taken up again on a day from which their share counts.
+/// Streams resumed on a day from which their share counts.
 static constexpr std::size_t MinResumed = 12;
 
 int main(int Count, char **Arguments) {
@@ -24,14 +24,14 @@
   };
   struct Way {
     const char *m_Name;
-    StreamKeeping m_Keeping;
-    std::size_t m_Keepers;
+    OriginReplication m_Replication;
+    std::size_t m_Replicas;
   };
-  const Way Ways[] = {{"selected-1", StreamKeeping::Selected, 1},
-                      {"selected-2", StreamKeeping::Selected, 2},
-                      {"selected-3", StreamKeeping::Selected, 3},
-                      {"group", StreamKeeping::Group, 0},
-                      {"first-only", StreamKeeping::FirstOnly, 0}};
+  const Way Ways[] = {{"selected-1", OriginReplication::Selected, 1},
+                      {"selected-2", OriginReplication::Selected, 2},
+                      {"selected-3", OriginReplication::Selected, 3},
+                      {"group", OriginReplication::Group, 0},
+                      {"first-only", OriginReplication::None, 0}};
   std::size_t Days = Number(1, 100);
   std::size_t Changed = 0;
   for (const Way &Each : Ways) {
@@ -41,8 +41,8 @@
     for (std::size_t Seed = 1; Seed <= Days; ++Seed) {
       StreamScenario Scenario =
           randomStreamScenario(Seed, Number(2, 7), Number(3, 9));
-      Scenario.m_Keeping = Each.m_Keeping;
-      Scenario.m_Keepers = Each.m_Keepers;
+      Scenario.m_Replication = Each.m_Replication;
+      Scenario.m_Replicas = Each.m_Replicas;
       StreamResult Result = simulate(Scenario);
       if (Result.m_ResumedInTouch >= MinResumed) {
         double Share = static_cast<double>(Result.m_GoneOnInTouch) /
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -46,8 +46,8 @@
 
 class GatewayRequest;
 
-/// Time after the end of a stream's attempt for which its caller may take it up
-/// again; callers return at once, or as Retry-After states.
+/// Time after the end of a stream's attempt for which its caller may resume
+/// it; callers return at once, or as Retry-After states.
 inline constexpr std::chrono::seconds StreamReturnTime{30};
 
 /// Accepts requests of callers, sends each to a target and relays its response.
@@ -154,10 +154,10 @@
   QuarantineHooks quarantineHooks();
   PathMonitorHooks pathMonitorHooks();
   StreamOriginHooks streamOriginHooks();
-  /// Adapts the time for which streams may be taken up again to the routes.
+  /// Adapts the time for which streams may be resumed to the routes.
   void updateStreamRetention();
   /// Whether this process has known all versions of targets for as long as
-  /// streams may be taken up again.
+  /// streams may be resumed.
   bool hasVersionHistory(core::TimePoint Now) const;
   /// Called when a target may have come and gone unseen.
   void noteSkippedChanges(const std::string &Key);
@@ -223,7 +223,7 @@
   StoreFreshness m_Freshness;
   StreamOriginService m_StreamOrigins;
   routing::RouteHistory m_RouteHistory;
-  /// Time for which streams may be taken up again after they have begun.
+  /// Time for which streams may be resumed after they have begun.
   core::Duration m_StreamRetention = StreamReturnTime;
   /// Time since which no target has come and gone unseen; none: ever since the
   /// fleet's first start.
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -73,7 +73,7 @@
   /// after a response was sent.
   std::optional<AttemptOutcome> runAttempts(boost::asio::yield_context Yield);
 
-  // Streams that are taken up again.
+  // Resumption of streams.
   /// Whether the route's streams may go on at another target.
   bool isResumable() const;
   /// Whether the caller has part of the stream already.
@@ -82,8 +82,8 @@
   /// Returns the version of the only targets that may receive the request; none
   /// if it is free.
   std::optional<core::TargetVersion> requiredVersion() const;
-  /// Finds out where a stream that is taken up again has begun. \returns why it
-  /// can't go on; null if it may, or if it is no such stream.
+  /// Finds out where a resumed stream has begun. \returns why it
+  /// can't go on; null if it may, or if it resumes none.
   const char *findStreamOrigin(boost::asio::yield_context Yield);
   /// Records where a stream begins, before its caller gets the first event.
   void noteStreamBegin();
--- a/Libraries/LibGateway/GatewayRequestStream.cpp
+++ b/Libraries/LibGateway/GatewayRequestStream.cpp
@@ -1,4 +1,4 @@
-//===-- GatewayRequestStream.cpp - Streams that are taken up again --------===//
+//===-- GatewayRequestStream.cpp - Resumption of streams ------------------===//
 #include "LibGateway/GatewayRequest.h"
 
 #include "LibCore/Digest.h"
--- a/Libraries/LibGateway/StreamOriginExchange.cpp
+++ b/Libraries/LibGateway/StreamOriginExchange.cpp
@@ -35,15 +35,15 @@
 bool StreamOriginExchange::send(const StreamKey &Key,
                                 const StreamRecord &Record,
                                 core::TimePoint Now) const {
-  std::vector<config::Endpoint> Keepers = m_Hooks.m_Keepers(Key);
-  if (Keepers.empty() ||
+  std::vector<config::Endpoint> Holders = m_Hooks.m_ReplicaHolders(Key);
+  if (Holders.empty() ||
       Record.m_Origin.m_Version.value().size() > MaxVersionBytes)
     return false;
   peer::StreamOriginUpdate Update;
   Update.m_Entries.push_back({Key.m_High, Key.m_Low, Record.m_Origin.m_Pool,
                               Record.m_Origin.m_Version.value(),
                               toMilliseconds(Record.m_KeptUntil - Now)});
-  m_Hooks.m_Send(Keepers, Update);
+  m_Hooks.m_Send(Holders, Update);
   return true;
 }
 
--- a/Libraries/LibGateway/StreamOriginExchange.h
+++ b/Libraries/LibGateway/StreamOriginExchange.h
@@ -34,9 +34,10 @@
   std::function<void(const std::vector<config::Endpoint> &,
                      const peer::PeerBody &)>
       m_Send;
-  /// Returns the other instances that keep the origin of a stream.
-  std::function<std::vector<config::Endpoint>(const StreamKey &)> m_Keepers;
-  /// Returns the other instances to ask for the origin of a stream: its keepers
+  /// Returns the other instances that hold a replica of a stream's origin.
+  std::function<std::vector<config::Endpoint>(const StreamKey &)>
+      m_ReplicaHolders;
+  /// Returns the other instances to ask for the origin of a stream: the holders
   /// as any instance may see them.
   std::function<std::vector<config::Endpoint>(const StreamKey &)> m_Asked;
   /// Returns the only version that targets of the route's pool have had for as
@@ -101,7 +102,8 @@
 
   /// Whether other instances must know the origins of a route's streams.
   bool mustReplicate(const StreamRoute &Route) const;
-  /// Sends a record to its keepers. \returns false if there are none.
+  /// Sends a record to the holders of its replicas. \returns false if there are
+  /// none.
   bool send(const StreamKey &Key, const StreamRecord &Record,
             core::TimePoint Now) const;
   void ask(const StreamKey &Key, const StreamRoute &Route, OnFound Found,
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -16,8 +16,8 @@
       m_Exchange(withInstances(std::move(Hooks))) {}
 
 StreamOriginHooks StreamOriginService::withInstances(StreamOriginHooks Hooks) {
-  Hooks.m_Keepers = [this](const StreamKey &Key) {
-    return select(Key, Keepers);
+  Hooks.m_ReplicaHolders = [this](const StreamKey &Key) {
+    return select(Key, Replicas);
   };
   // A lookup begins to wait for responses once this has called back.
   Hooks.m_ConfirmOnlyVersion =
--- a/Libraries/LibGateway/StreamOriginService.h
+++ b/Libraries/LibGateway/StreamOriginService.h
@@ -41,11 +41,11 @@
   void replicate() { m_Exchange.replicate(core::steadyNow()); }
   std::size_t size() const { return m_Exchange.size(); }
 
-  /// Instances that keep the origin of a stream beside the one that relays it.
-  static constexpr std::size_t Keepers = 3;
-  /// Instances that are asked: more than the keepers, since instances may see
-  /// others as silent or not.
-  static constexpr std::size_t MaxAsked = Keepers + 2;
+  /// Instances that hold the origin of a stream beside the one that relays it.
+  static constexpr std::size_t Replicas = 3;
+  /// Instances that are asked: more than hold a replica, since instances may
+  /// see others as silent or not.
+  static constexpr std::size_t MaxAsked = Replicas + 2;
 
 private:
   StreamOriginHooks withInstances(StreamOriginHooks Hooks);
--- a/Tests/LibGateway/StreamVersionTest.cpp
+++ b/Tests/LibGateway/StreamVersionTest.cpp
@@ -1,4 +1,4 @@
-//===-- StreamVersionTest.cpp - Streams that are taken up again -----------===//
+//===-- StreamVersionTest.cpp - Versions of resumed streams ---------------===//
 //
 // Guards against a stream that goes on at a target of another version than the
 // one that began it, and against streams that could go on and don't.
--- a/Tests/LibRouting/VersionHistoryTest.cpp
+++ b/Tests/LibRouting/VersionHistoryTest.cpp
@@ -1,7 +1,7 @@
 //===-- VersionHistoryTest.cpp - What proves that one version served ------===//
 //
 // Guards against a version or a route's earlier pool that is forgotten while
-// callers may still take up streams of it.
+// callers may still resume streams of it.
 //
 //===----------------------------------------------------------------------===//
 #include "LibRouting/RouteHistory.h"
--- a/Tests/Support/StreamOriginSimulation.cpp
+++ b/Tests/Support/StreamOriginSimulation.cpp
@@ -25,7 +25,7 @@
 static constexpr Duration OverlapTime = 2s;
 static constexpr Duration FirstEventTime = 80ms;
 static constexpr double MeanStreamSeconds = 1.5;
-/// Time for which streams may be taken up again.
+/// Time for which streams may be resumed.
 static constexpr Duration Retention = 45s;
 static constexpr Duration UpkeepPeriod = 250ms;
 /// Time until peers know that an instance is down.
@@ -289,10 +289,10 @@
                              const peer::PeerBody &Body) {
     send(Index, To, Body);
   };
-  Out.m_Keepers = [this, Index](const gateway::StreamKey &Key) {
-    if (m_Scenario.m_Keeping == StreamKeeping::Selected)
-      return selected(Index, Key, m_Scenario.m_Keepers);
-    if (m_Scenario.m_Keeping == StreamKeeping::Group)
+  Out.m_ReplicaHolders = [this, Index](const gateway::StreamKey &Key) {
+    if (m_Scenario.m_Replication == OriginReplication::Selected)
+      return selected(Index, Key, m_Scenario.m_Replicas);
+    if (m_Scenario.m_Replication == OriginReplication::Group)
       return groupOf(Index);
     return std::vector<config::Endpoint>();
   };
@@ -371,13 +371,13 @@
 
 std::vector<config::Endpoint>
 StreamOriginSimulation::asked(std::size_t Self, const gateway::StreamKey &Key) {
-  if (m_Scenario.m_Keeping == StreamKeeping::Selected)
-    return selected(Self, Key, m_Scenario.m_Keepers + 2);
+  if (m_Scenario.m_Replication == OriginReplication::Selected)
+    return selected(Self, Key, m_Scenario.m_Replicas + 2);
   std::vector<config::Endpoint> Out;
   for (std::size_t I = 0; I < m_Instances.size(); ++I)
-    if (I != Self && m_Scenario.m_Keeping == StreamKeeping::FirstOnly)
+    if (I != Self && m_Scenario.m_Replication == OriginReplication::None)
       Out.push_back(address(I));
-  if (m_Scenario.m_Keeping == StreamKeeping::FirstOnly)
+  if (m_Scenario.m_Replication == OriginReplication::None)
     return Out;
   for (std::size_t First = 0; First < m_Instances.size(); First += GroupSize)
     for (int I = 0; I < 2; ++I) {
--- a/Tests/Support/StreamOriginSimulation.h
+++ b/Tests/Support/StreamOriginSimulation.h
@@ -1,4 +1,4 @@
-//===-- StreamOriginSimulation.h - Fleets whose streams are taken up ------===//
+//===-- StreamOriginSimulation.h - Fleets whose streams are resumed -------===//
 //
 // Simulates instances with the real gateway::StreamOriginExchange and
 // routing::VersionHistory in simulated time, before targets of several
@@ -29,11 +29,12 @@
   double m_Share = 1; ///< Average share of the instances.
 };
 
-/// Who keeps the origin of a stream beside the instance that relays it.
-enum class StreamKeeping {
-  Selected,  ///< Instances selected by its key.
-  Group,     ///< The instance's group of 16; two of each group are asked.
-  FirstOnly, ///< Nobody; all instances are asked.
+/// Which instances hold the origin of a stream beside the instance that relays
+/// it.
+enum class OriginReplication {
+  Selected, ///< Instances selected by its key.
+  Group,    ///< The instance's group of 16; two of each group are asked.
+  None,     ///< Nobody; all instances are asked.
 };
 
 /// Input of one simulated run.
@@ -48,8 +49,8 @@
   std::vector<std::chrono::milliseconds> m_Releases;
   std::vector<StreamFault> m_Faults;
   double m_DatagramLoss = 0.01; ///< Share of lost datagrams, 0 to 1.
-  StreamKeeping m_Keeping = StreamKeeping::Selected;
-  std::size_t m_Keepers = 3; ///< If selected.
+  OriginReplication m_Replication = OriginReplication::Selected;
+  std::size_t m_Replicas = 3; ///< If selected.
   /// Whether the instances have run for longer than streams are kept.
   bool m_IsOldFleet = true;
 };
@@ -57,7 +58,7 @@
 /// Measurements of one simulated run.
 struct StreamResult {
   std::size_t m_Begun = 0;
-  std::size_t m_Resumed = 0; ///< Attempts that take up a stream.
+  std::size_t m_Resumed = 0; ///< Attempts that resume a stream.
   std::size_t m_GoneOn = 0;
   std::size_t m_Unknown = 0;       ///< Refused, as nobody told the origin.
   std::size_t m_WithoutTarget = 0; ///< No target of their version was left.
