--- a/Tests/Support/StreamOriginSimulation.cpp
+++ b/Tests/Support/StreamOriginSimulation.cpp
@@ -493,7 +493,7 @@
   m_Instances[*Index].m_Exchange->lookUp(
       Current->m_Key, {1, Pool},
       [this, Index, Incarnation, Current,
-       AskedAt](std::optional<gateway::StreamOrigin> Origin) {
+       AskedAt](const std::optional<gateway::StreamOrigin> &Origin) {
         handleOrigin(*Index, Incarnation, Current, AskedAt, Origin);
       });
 }
