LibQuarantine: Keep recent successes off the stack, judge whole contents as before

Found by QuarantineVerbsTest, red 3 of 3. - yardrill quarantine list ended without output: the table that it now judges with is made on a coroutine's stack, and its cache of successes, four times as large, exceeds that. The cache is on the heap now. - Exits that another content explains made a suspect whole content unsuspected, though these are to be judged as before. They count again, so that testLeastSuspectedContentsAreEvicted is again as it was. After: QuarantineVerbsTest, QuarantineModelTest and the other tests of LibQuarantine green.

--- a/Libraries/LibQuarantine/QuarantineTable.cpp
+++ b/Libraries/LibQuarantine/QuarantineTable.cpp
@@ -34,8 +34,9 @@
   auto Found = m_Entries.find(Content);
   if (Found == m_Entries.end())
     return 0;
-  return isQuarantined(Content) ? Found->second.uncleared()
-                                : Found->second.unexplained(m_Explained);
+  bool IsExplainable = Content.isPart() && !isQuarantined(Content);
+  return IsExplainable ? Found->second.unexplained(m_Explained)
+                       : Found->second.uncleared();
 }
 
 bool QuarantineTable::isDoubtful(
--- a/Libraries/LibQuarantine/QuarantineTable.h
+++ b/Libraries/LibQuarantine/QuarantineTable.h
@@ -28,7 +28,6 @@
 #include "LibCore/Time.h"
 #include "LibQuarantine/ContentDigest.h"
 
-#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -86,8 +85,8 @@
   void merge(const Observation &Observed, core::TimePoint Now);
 
   /// Returns the number of incarnations that incriminate the content. Those
-  /// that a quarantined content explains do so only if it is quarantined
-  /// itself.
+  /// that another content explains don't incriminate a part that is not
+  /// quarantined.
   std::size_t incriminatingIncarnations(const ContentDigest &Content) const;
   /// Whether the incarnation does not incriminate the content, also because it
   /// is unknown.
@@ -162,7 +161,7 @@
   std::set<ContentDigest> m_Quarantined;
   Incarnations m_Explained; ///< Uncleared ones of all quarantined contents.
   std::vector<Observation> m_Updates;
-  std::array<Success, SuccessSlots> m_RecentSuccesses;
+  std::vector<Success> m_RecentSuccesses = std::vector<Success>(SuccessSlots);
 };
 
 } // namespace yardrill::quarantine
--- a/Tests/LibQuarantine/QuarantineTableTest.cpp
+++ b/Tests/LibQuarantine/QuarantineTableTest.cpp
@@ -153,7 +153,7 @@
     for (IncarnationHash Incarnation : {10, 11, 12})
       Table.noteTargetExit(content(1), Incarnation, m_Now);
     for (std::uint64_t I = 2; I < 5000; ++I)
-      Table.noteTargetExit(content(I), 20, m_Now + milliseconds(I));
+      Table.noteTargetExit(content(I), 10, m_Now + milliseconds(I));
     CPPUNIT_ASSERT_EQUAL(QuarantineTable::MaxContents, Table.size());
     CPPUNIT_ASSERT(Table.isQuarantined(content(1)));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
