LibGateway: Identify a request's contents once

A resumed stream hashed its whole body a second time although its pool, on which the identities of parts depend, is nearly always the one chosen on admission; and the pool's hash was computed for each part of a prompt.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -161,9 +161,12 @@
   m_Contents = {m_Content};
   std::size_t Shared =
       std::min(m_Description.m_SharedParts.size(), MaxSharedParts);
+  if (Shared == 0)
+    return;
+  routing::PoolHash Pool = routing::hashOf(m_Pool);
   for (std::size_t I = 0; I < Shared; ++I)
     m_Contents.push_back(quarantine::ContentDigest::ofPart(
-        routing::hashOf(m_Pool), m_Description.m_SharedParts[I]));
+        Pool, m_Description.m_SharedParts[I]));
 }
 
 bool GatewayRequest::acquireQuota(asio::yield_context Yield) {
--- a/Libraries/LibGateway/GatewayRequestStream.cpp
+++ b/Libraries/LibGateway/GatewayRequestStream.cpp
@@ -55,8 +55,10 @@
       });
   if (Pool == Pools.end())
     return "stream-pool-moved";
-  m_Pool = Pool->m_Pool;
-  identifyContents();
+  if (m_Pool != Pool->m_Pool) {
+    m_Pool = Pool->m_Pool;
+    identifyContents();
+  }
   return nullptr;
 }
 
