Tests/Support: Share the events of two simulations, begin test streams in one place

Found by reading the change again; no assertion is changed. - QuarantineSimulation and StreamOriginSimulation had the same event queue, clock and draws; both derive from EventSimulation now.

--- a/Tests/LibGateway/StreamVersionTest.cpp
+++ b/Tests/LibGateway/StreamVersionTest.cpp
@@ -91,21 +91,28 @@
     Current.m_Versions.insert(Current.m_Versions.end(), Further.begin(),
                               Further.end());
   }
+  /// Begins streams in turn at the first \p Count gateways. Returns when each
+  /// has had its first event; they are read until they end.
+  static std::vector<std::future<Stream>> beginAll(GatewayFleet &Fleet,
+                                                   std::size_t Count) {
+    auto Begun = std::make_shared<std::atomic<std::size_t>>(0);
+    std::vector<std::future<Stream>> Out;
+    for (std::size_t I = 0; I < Streams; ++I)
+      Out.push_back(std::async(std::launch::async, [&Fleet, Begun, Count, I] {
+        return begin(Fleet, I % Count, bodyOf(I), [Begun] {
+          ++*Begun;
+          return true;
+        });
+      }));
+    CPPUNIT_ASSERT(eventually([&] { return *Begun == Streams; }));
+    return Out;
+  }
   /// Begins streams at gateway 0 and kills it \p Delay after their first
   /// events; calls \p Meanwhile before that.
   static std::vector<Stream>
   beginAndKill(GatewayFleet &Fleet, milliseconds Delay,
                const std::function<void()> &Meanwhile = nullptr) {
-    std::atomic<std::size_t> Begun{0};
-    std::vector<std::future<Stream>> Calls;
-    for (std::size_t I = 0; I < Streams; ++I)
-      Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
-        return begin(Fleet, 0, bodyOf(I), [&Begun] {
-          ++Begun;
-          return true;
-        });
-      }));
-    CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
+    std::vector<std::future<Stream>> Calls = beginAll(Fleet, 1);
     if (Meanwhile)
       Meanwhile();
     std::this_thread::sleep_for(Delay);
@@ -161,16 +168,7 @@
   void testStreamWhoseTargetExitsKeepsItsVersion() {
     GatewayFleet Fleet(Gateways, Targets);
     startMixed(Fleet);
-    std::atomic<std::size_t> Begun{0};
-    std::vector<std::future<Stream>> Calls;
-    for (std::size_t I = 0; I < Streams; ++I)
-      Calls.push_back(std::async(std::launch::async, [&Fleet, &Begun, I] {
-        return begin(Fleet, I % Gateways, bodyOf(I), [&Begun] {
-          ++Begun;
-          return true;
-        });
-      }));
-    CPPUNIT_ASSERT(eventually([&] { return Begun == Streams; }));
+    std::vector<std::future<Stream>> Calls = beginAll(Fleet, Gateways);
     Fleet.runOnTargetThread([&] {
       for (std::size_t I : {0, 1, 2, 3})
         Fleet.target(I).simulateExit();
--- a/Tests/Support/QuarantineSimulation.cpp
+++ b/Tests/Support/QuarantineSimulation.cpp
@@ -1,12 +1,13 @@
 #include "QuarantineSimulation.h"
 
+#include "EventSimulation.h"
+
 #include "LibQuarantine/TrialSchedule.h"
 
 #include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 
 namespace yardrill::tests {
@@ -68,33 +69,14 @@
   std::vector<RequestHandle> m_Running;
 };
 
-class QuarantineSimulation {
+class QuarantineSimulation : private EventSimulation {
 public:
   explicit QuarantineSimulation(const QuarantineScenario &Scenario)
-      : m_Scenario(Scenario), m_Random(Scenario.m_Seed) {}
+      : EventSimulation(Scenario.m_Seed), m_Scenario(Scenario) {}
 
   QuarantineResult run();
 
 private:
-  struct Event {
-    TimePoint m_At;
-    std::uint64_t m_Sequence;
-    std::function<void()> m_Action;
-    bool operator<(const Event &Other) const {
-      return std::tie(Other.m_At, Other.m_Sequence) <
-             std::tie(m_At, m_Sequence);
-    }
-  };
-
-  void after(Duration Delay, std::function<void()> Action) {
-    m_Events.push({m_Now + Delay, m_NextEvent++, std::move(Action)});
-  }
-  double draw() { return std::uniform_real_distribution<double>()(m_Random); }
-  std::size_t drawBelow(std::size_t Max) { return m_Random() % Max; }
-  Duration drawInterval(double Rate) {
-    return core::fromSeconds(std::exponential_distribution<>(Rate)(m_Random));
-  }
-
   void startInstance(std::size_t Index);
   void upkeep(std::size_t Index);
   void sendObservations(std::size_t From, std::size_t To,
@@ -127,11 +109,6 @@
   void refuse(const Request &Current);
 
   QuarantineScenario m_Scenario;
-  std::mt19937_64 m_Random;
-  TimePoint m_Now{std::chrono::hours(1)};
-  TimePoint m_End{};
-  std::priority_queue<Event> m_Events;
-  std::uint64_t m_NextEvent = 0;
   std::vector<Instance> m_Instances;
   std::vector<Target> m_Targets;
   quarantine::IncarnationHash m_NextIncarnation = 1;
@@ -455,7 +432,7 @@
 }
 
 QuarantineResult QuarantineSimulation::run() {
-  m_End = m_Now + m_Scenario.m_Length;
+  TimePoint End = m_Now + m_Scenario.m_Length;
   m_Instances.resize(m_Scenario.m_Instances);
   for (std::size_t I = 0; I < m_Instances.size(); ++I) {
     startInstance(I);
@@ -471,12 +448,7 @@
     after(core::fromSeconds(1 + 5 * draw()), [this, I] { generateBad(I); });
   for (const QuarantineFaultEvent &Each : m_Scenario.m_Faults)
     after(Each.m_At, [this, Each] { beginFault(Each); });
-  while (!m_Events.empty() && m_Events.top().m_At < m_End) {
-    Event Next = m_Events.top();
-    m_Events.pop();
-    m_Now = Next.m_At;
-    Next.m_Action();
-  }
+  runUntil(End);
   for (const auto &[Content, Count] : m_LateSends)
     m_Result.m_LateSends = std::max(m_Result.m_LateSends, Count);
   return m_Result;
--- a/Tests/Support/StreamOriginSimulation.cpp
+++ b/Tests/Support/StreamOriginSimulation.cpp
@@ -1,5 +1,7 @@
 #include "StreamOriginSimulation.h"
 
+#include "EventSimulation.h"
+
 #include "LibGateway/StreamOriginExchange.h"
 #include "LibPeer/PeerCodec.h"
 #include "LibRouting/RendezvousHash.h"
@@ -8,7 +10,6 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 
 namespace yardrill::tests {
@@ -66,35 +67,18 @@
   bool m_IsCut = false;
   bool m_IsPollScheduled = false;
   TimePoint m_DownSince{};
-  TimePoint m_RecoveredAt{};     ///< End of its last fault.
-  std::set<StreamHandle> m_Open; ///< Streams that it relays.
+  TimePoint m_RecoveredAt{}; ///< End of its last fault.
+  std::map<gateway::StreamKey, StreamHandle>
+      m_Open; ///< Streams that it relays.
 };
 
-class StreamOriginSimulation {
+class StreamOriginSimulation : private EventSimulation {
 public:
   explicit StreamOriginSimulation(const StreamScenario &Scenario)
-      : m_Scenario(Scenario), m_Random(Scenario.m_Seed) {}
+      : EventSimulation(Scenario.m_Seed), m_Scenario(Scenario) {}
   StreamResult run();
 
 private:
-  struct Event {
-    TimePoint m_At;
-    std::uint64_t m_Sequence;
-    std::function<void()> m_Action;
-    bool operator<(const Event &Other) const {
-      return std::tie(Other.m_At, Other.m_Sequence) <
-             std::tie(m_At, m_Sequence);
-    }
-  };
-
-  void at(TimePoint When, std::function<void()> Action) {
-    m_Events.push({When, m_NextEvent++, std::move(Action)});
-  }
-  void after(Duration Delay, std::function<void()> Action) {
-    at(m_Now + Delay, std::move(Action));
-  }
-  double draw() { return std::uniform_real_distribution<double>()(m_Random); }
-  std::size_t drawBelow(std::size_t Max) { return m_Random() % Max; }
   Duration drawDelay(double Min, double Max) {
     return core::fromSeconds(Min + (Max - Min) * draw());
   }
@@ -153,11 +137,6 @@
   std::optional<std::size_t> drawInstance();
 
   StreamScenario m_Scenario;
-  std::mt19937_64 m_Random;
-  TimePoint m_Now{std::chrono::hours(1)};
-  TimePoint m_End{};
-  std::priority_queue<Event> m_Events;
-  std::uint64_t m_NextEvent = 0;
   std::vector<Instance> m_Instances;
   std::map<config::Endpoint, std::size_t> m_Indexes;
   routing::RendezvousHash m_All;
@@ -242,7 +221,7 @@
     return;
   Killed.m_IsUp = false;
   Killed.m_DownSince = m_Now;
-  for (const StreamHandle &Each : Killed.m_Open)
+  for (const auto &[Key, Each] : Killed.m_Open)
     retry(Each, ReturnTime);
   Killed.m_Open.clear();
   after(RestartTime, [this, Index] { start(Index); });
@@ -434,8 +413,7 @@
   begin(Current);
   double Rate =
       m_Scenario.m_StreamsPerSecond * static_cast<double>(m_Instances.size());
-  after(core::fromSeconds(std::exponential_distribution<>(Rate)(m_Random)),
-        [this] { generate(); });
+  after(drawInterval(Rate), [this] { generate(); });
 }
 
 void StreamOriginSimulation::begin(const StreamHandle &Current) {
@@ -455,9 +433,7 @@
     if (!Relaying.m_IsUp || Relaying.m_Incarnation != Incarnation)
       return;
     ++m_Result.m_Begun;
-    Current->m_EndsAt =
-        m_Now + core::fromSeconds(std::exponential_distribution<>(
-                    1 / MeanStreamSeconds)(m_Random));
+    Current->m_EndsAt = m_Now + drawInterval(1 / MeanStreamSeconds);
     relay(*Index, Current);
   });
 }
@@ -468,10 +444,10 @@
   Relaying.m_Exchange->recordBegin(Current->m_Key, {1, Pool},
                                    {routing::hashOf(Pool), Current->m_Version},
                                    m_Now + Retention, m_Now);
-  Relaying.m_Open.insert(Current);
+  Relaying.m_Open[Current->m_Key] = Current;
   at(Current->m_EndsAt, [this, Index, Current] {
     Instance &Ended = m_Instances[Index];
-    if (Ended.m_Open.erase(Current) > 0)
+    if (Ended.m_Open.erase(Current->m_Key) > 0)
       Ended.m_Exchange->recordComplete(Current->m_Key);
   });
 }
@@ -543,7 +519,7 @@
 //===----------------------------------------------------------------------===//
 
 StreamResult StreamOriginSimulation::run() {
-  m_End = m_Now + m_Scenario.m_Length;
+  TimePoint End = m_Now + m_Scenario.m_Length;
   m_Instances.resize(m_Scenario.m_Instances);
   std::vector<config::Endpoint> Addresses;
   for (std::size_t I = 0; I < m_Instances.size(); ++I) {
@@ -584,12 +560,7 @@
       }
     });
   generate();
-  while (!m_Events.empty() && m_Events.top().m_At <= m_End) {
-    Event Next = m_Events.top();
-    m_Events.pop();
-    m_Now = Next.m_At;
-    Next.m_Action();
-  }
+  runUntil(End);
   return m_Result;
 }
 
