--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,6 @@
 """A planned stop of a gateway while requests wait in it for a free slot.
 
-Two replicas with two slots each run calls of 4 s; clients send four requests a
+Two replicas with two slots each run calls of 4 s; clients send eight requests a
 second, each on a connection of its own, from 2 s before the SIGTERM until 2.9 s
 after it. See claim.txt.
 """
@@ -19,7 +19,7 @@
 TIMEOUT_MS = 15000
 GRACE_S = 8
 LOSS_SLACK_S = 0.2
-REQUESTS_PER_S = 4
+REQUESTS_PER_S = 8
 BEFORE_STOP_S = 2.0
 AFTER_STOP_S = 2.9
 
