LibGateway: Log what delays and refuses requests, once a second

Callers saw requests fail at an instance that got most new connections, and the logs could not tell slots, link and processor apart: 3,065 lines were dropped. TransferMeter (LibHTTP) measures how long requests take to be read and to be sent to a target; LoadMonitor logs it with the event loop's delay, the refusals by cause, and the requests sent in own and borrowed slots. At rest nothing is logged and no timer is added.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -224,6 +224,8 @@
       [this](core::Duration Since) { return mustWaitForPeers(Since); });
   m_Peers->start(m_Timers);
   m_Timers.subscribe(UpkeepPeriod, [this](core::TimePoint Now) {
+    m_Load.upkeep(UpkeepPeriod, m_CallerServer->transfers(),
+                  m_Lending.borrowedCount(), 0, Now);
     m_Targets.removeExpired(Now);
     removeOldGoneTargets(Now);
     m_Follower.setEnabled(m_Peers->mustFollowStore());
@@ -596,6 +598,8 @@
   Set("yardrill_open_requests", m_OpenRequests.size());
   Set("yardrill_held_body_bytes", m_CallerServer->bodyBudget().used());
   Set("yardrill_held_body_bytes_peak", m_CallerServer->bodyBudget().peak());
+  Set("yardrill_open_transfers",
+      m_CallerServer->transfers().open(core::steadyNow()));
   Set("yardrill_waiting_requests", m_Dispatcher.waiting());
   Set("yardrill_targets", m_Targets.all().size());
   Set("yardrill_peers", m_Peers->peers().all().size());
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "LibGateway/FleetMembership.h"
 #include "LibGateway/ForwardingPeers.h"
 #include "LibGateway/GatewaySettings.h"
+#include "LibGateway/LoadMonitor.h"
 #include "LibGateway/MembershipRecord.h"
 #include "LibGateway/PathMonitor.h"
 #include "LibGateway/PeerService.h"
@@ -198,6 +199,7 @@
   platform::KeyValueService &m_Store;
   core::SteadyTimerService m_Timers;
   metrics::MetricsRegistry m_Metrics;
+  LoadMonitor m_Load{m_Metrics};
   MembershipRecord m_MembershipRecord;
   MembershipRecord m_OwnersRecord;
   FleetMembership m_Membership;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -43,6 +43,7 @@
                        [this] { releaseSlot(); }}),
       m_Id(Owner.m_NextRequest++), m_Ticket(std::move(Ticket)),
       m_ForwardedBody(Owner.m_CallerServer->bodyBudget()),
+      m_Sending(Owner.m_CallerServer->transfers()),
       m_WakeTimer(Owner.m_Context) {
   m_Table = Owner.m_Table;
   m_Description = Owner.m_Wire.describe(Caller.request());
@@ -65,6 +66,7 @@
 
 void GatewayRequest::assignTarget(const routing::Target &Chosen) {
   m_Target = Chosen;
+  m_Owner.m_Load.noteSent();
   m_PredictedWait = m_Owner.m_Dispatcher.predictedWait(m_Id);
   m_WakeTimer.cancel();
 }
@@ -413,6 +415,7 @@
   m_Status = Status;
   m_Reason = Reason;
   m_RetryAfter = RetryAfter;
+  m_Owner.m_Load.noteRefusal(Reason);
   http::ResponseMessage Response;
   Response.m_Head.m_Status = Status;
   m_Owner.m_Wire.prepare(Response.m_Head, m_Description);
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -209,7 +209,8 @@
   const std::optional<peer::ForwardTicket> m_Ticket;
   /// Body of a forwarded request; callers' bodies are counted as they are read.
   http::ByteBudget::Reservation m_ForwardedBody;
-  core::TimePoint m_EndsAt; ///< Deadline of the response.
+  core::TimePoint m_EndsAt;                ///< Deadline of the response.
+  http::TransferMeter::Transfer m_Sending; ///< To a target.
   core::Timer m_WakeTimer;
   bool m_IsRefused = false;
   bool m_IsTrial = false;     ///< Sent although its contents are quarantined.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -94,6 +94,7 @@
         .add("reason", Failure.what());
   }
   m_Connection = nullptr;
+  m_Sending.abandon();
   m_SilentSince.reset();
   if (Result == AttemptOutcome::Complete || Result == AttemptOutcome::NotRun)
     m_Owner.m_Connections.release(Address, std::move(Connection),
@@ -186,7 +187,9 @@
   m_Owner.m_Wire.prepare(m_Caller.request(), Forward);
   m_HasResponseStarted = false;
   m_SilentSince = core::steadyNow();
+  m_Sending.begin(core::steadyNow());
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
+  m_Sending.complete(core::steadyNow());
   http::ResponseHead Head = readMatchingHead(Connection, Yield);
   m_HasResponseStarted = true;
   m_IsEndKnown = Head.m_ContentLength.has_value() ||
--- a/Libraries/LibGateway/SlotLendingService.h
+++ b/Libraries/LibGateway/SlotLendingService.h
@@ -38,6 +38,7 @@
   void update(core::TimePoint Now);
   /// Returns the slot of a request that has ended, if it was borrowed.
   void recordEnd(core::RequestId Id) { m_Borrowing.recordEnd(Id); }
+  std::uint64_t borrowedCount() const { return m_Borrowing.borrowedCount(); }
   /// Grants nothing from now on.
   void setStopping() { m_IsStopping = true; }
 
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -36,6 +36,7 @@
   std::uint16_t port() const override { return m_Port; }
   std::size_t openConnections() const override { return m_Connections.size(); }
   ByteBudget &bodyBudget() override { return m_BodyBudget; }
+  const TransferMeter &transfers() const override { return m_Transfers; }
   std::size_t openRequests() const override {
     return static_cast<std::size_t>(
         std::count_if(m_Connections.begin(), m_Connections.end(),
@@ -54,6 +55,7 @@
   tcp::acceptor m_Acceptor;
   ServerLimits m_Limits;
   ByteBudget m_BodyBudget;
+  TransferMeter m_Transfers;
   Handler m_Handle;
   ErrorResponseFactory m_MakeErrorResponse;
   /// Delays the next accept; cancelled when a connection closes.
@@ -112,7 +114,7 @@
   auto Position = m_Connections.insert(
       m_Connections.end(),
       std::make_shared<ServerConnection>(
-          std::move(Socket), m_Limits, m_BodyBudget, m_Handle,
+          std::move(Socket), m_Limits, m_BodyBudget, m_Transfers, m_Handle,
           m_MakeErrorResponse, m_IsKeepAliveDisabled));
   asio::spawn(
       m_Context,
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -10,6 +10,7 @@
 #include "LibCore/Time.h"
 #include "LibHTTP/ByteBudget.h"
 #include "LibHTTP/Message.h"
+#include "LibHTTP/TransferMeter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -86,6 +87,9 @@
   virtual std::size_t openConnections() const = 0;
   /// Returns the budget of ServerLimits::m_AllBodyBytes.
   virtual ByteBudget &bodyBudget() = 0;
+  /// Returns the meter of the requests that are being read. A request on a new
+  /// connection counts from the connection's start.
+  virtual const TransferMeter &transfers() const = 0;
   /// Returns the number of requests of which at least one byte has arrived and
   /// whose responses are not complete.
   virtual std::size_t openRequests() const = 0;
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -34,6 +34,7 @@
   m_Stream.socket().set_option(tcp::no_delay(true));
   // waitForDisconnect() peeks: a blocking receive would stall the event loop.
   m_Stream.socket().non_blocking(true);
+  m_Reading.begin(core::steadyNow());
   while (!m_IsAborted) {
     m_IsIdle = m_Buffer.size() == 0;
     m_IsResponseComplete = m_IsStreamStarted = m_IsChunked = false;
@@ -90,6 +91,7 @@
     // From now on a shutdown waits for this request.
     m_IsIdle = false;
   }
+  m_Reading.begin(core::steadyNow());
   RequestParser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
   Parser.body_limit(m_Limits.m_BodyBytes);
@@ -115,6 +117,9 @@
   }
   bool IsWithinBudget = Failure || readBody(Parser, Failure, Yield);
   stopReadTimer();
+  if (!Failure && IsWithinBudget)
+    m_Reading.complete(core::steadyNow());
+  m_Reading.abandon();
   if (!IsWithinBudget)
     return 503;
   if (Failure)
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -26,12 +26,13 @@
 public:
   ServerConnection(boost::asio::ip::tcp::socket Socket,
                    const ServerLimits &Limits, ByteBudget &BodyBudget,
+                   const TransferMeter &Transfers,
                    const Server::Handler &Handle,
                    const Server::ErrorResponseFactory &MakeErrorResponse,
                    const bool &IsKeepAliveDisabled)
       : m_Stream(std::move(Socket)), m_ReadTimer(m_Stream.get_executor()),
-        m_Limits(Limits), m_HeldBody(BodyBudget), m_Handle(Handle),
-        m_MakeErrorResponse(MakeErrorResponse),
+        m_Limits(Limits), m_HeldBody(BodyBudget), m_Reading(Transfers),
+        m_Handle(Handle), m_MakeErrorResponse(MakeErrorResponse),
         m_IsKeepAliveDisabled(IsKeepAliveDisabled) {}
 
   /// Serves requests until the connection closes.
@@ -88,6 +89,7 @@
   bool m_HasTimedOut = false;
   const ServerLimits &m_Limits;
   ByteBudget::Reservation m_HeldBody; ///< For the body of m_Request.
+  TransferMeter::Transfer m_Reading;
   const Server::Handler &m_Handle;
   const Server::ErrorResponseFactory &m_MakeErrorResponse;
   const bool &m_IsKeepAliveDisabled;
