Tests: Show that requests fail at an instance that gets most new connections

Callers see refusals and late responses while the balancer hands most new connections of a data hall, or of all, to one instance. The model gets a balancer that does so, instances of two sizes with a link in both directions, and the rule from the callers' side: the share served at the first attempt that was read, and the time until the first event.

--- a/Bench/OverloadModelProgram.cpp
+++ b/Bench/OverloadModelProgram.cpp
@@ -35,6 +35,10 @@
 DEFINE_double(silent, 0, "Share of instances silent from second 8 to 13");
 DEFINE_double(leaving, 0, "Share of targets gone from second 8 to 13");
 DEFINE_double(restart, 0, "Share of instances restarted at second 10");
+DEFINE_string(skew, "",
+              "Callers whose new connections go to one instance: hall or all; "
+              "replaces the shortage");
+DEFINE_bool(hot_large, false, "Whether that instance is a large one");
 
 using namespace yardrill;
 using namespace yardrill::tests;
@@ -69,6 +73,14 @@
 }
 
 static DispatchScenario createScenario(std::uint64_t Seed) {
+  if (!FLAGS_skew.empty()) {
+    DispatchScenario Out = skewedConnections(
+        FLAGS_instances,
+        FLAGS_skew == "hall" ? SkewScope::DataHall : SkewScope::All,
+        FLAGS_hot_large ? InstanceSize::Large : InstanceSize::Small);
+    Out.m_Seed = Seed;
+    return Out;
+  }
   DispatchScenario Out = longShortage(FLAGS_instances, FLAGS_load);
   Out.m_Seed = Seed;
   Out.m_Length = core::fromSeconds(FLAGS_seconds);
@@ -124,6 +136,23 @@
   std::cout << "\n";
 }
 
+/// Prints, by the second of the arrival, what callers got at the first attempt
+/// that was read.
+static void printFirstReads(const CallerResult &Result, core::Duration Length) {
+  std::cout << "second first_read_served_by_kind p50_ms p99_ms\n";
+  for (core::Duration From{}; From < Length; From += std::chrono::seconds(1)) {
+    core::Duration Until = From + std::chrono::seconds(1);
+    auto Milliseconds = [&](double Quantile) {
+      return core::toSeconds(Result.firstReadTime(Quantile, From, Until)) *
+             1000;
+    };
+    std::cout << core::toSeconds(From);
+    for (std::size_t Kind = 0; Kind < Result.m_Kinds.size(); ++Kind)
+      std::cout << " " << Result.servedAtFirstRead(Kind, From, Until);
+    std::cout << " " << Milliseconds(0.5) << " " << Milliseconds(0.99) << "\n";
+  }
+}
+
 static void run(std::uint64_t Seed) {
   DispatchScenario Scenario = createScenario(Seed);
   if (!switchOn(FLAGS_on, Scenario.m_Overload)) {
@@ -142,7 +171,11 @@
                    std::max(1e-9, core::toSeconds(Result.m_RefusingTime))
             << " sent_to_full_target=" << Result.m_SentToFullTarget
             << " borrow_questions=" << Result.m_SlotQuestions
-            << " slots_borrowed=" << Result.m_BorrowedSlots << "\n";
+            << " slots_borrowed=" << Result.m_BorrowedSlots
+            << " closed_unread=" << Result.m_ClosedUnread
+            << " given_up_unread=" << Result.m_GivenUpUnread << "\n";
+  if (Scenario.m_Skew)
+    printFirstReads(Result.m_Callers, Scenario.m_Length);
   printHeader();
   for (const KindResult &Kind : Result.m_Callers.m_Kinds) {
     print(Kind.m_Kind, Kind.m_All);
--- a/Tests/Support/CallerResult.cpp
+++ b/Tests/Support/CallerResult.cpp
@@ -58,4 +58,31 @@
   return Out;
 }
 
+double CallerResult::servedAtFirstRead(std::size_t Kind, core::Duration From,
+                                       core::Duration Until) const {
+  std::size_t Read = 0;
+  std::size_t Served = 0;
+  for (const FirstRead &Each : m_FirstReads)
+    if (Each.m_Kind == Kind && From <= Each.m_ArrivedAt &&
+        Each.m_ArrivedAt < Until) {
+      ++Read;
+      Served += Each.m_IsServed ? 1 : 0;
+    }
+  return ratio(Served, Read);
+}
+
+core::Duration CallerResult::firstReadTime(double Quantile, core::Duration From,
+                                           core::Duration Until) const {
+  std::vector<core::Duration> Times;
+  for (const FirstRead &Each : m_FirstReads)
+    if (From <= Each.m_ArrivedAt && Each.m_ArrivedAt < Until && Each.m_IsServed)
+      Times.push_back(Each.m_Time);
+  if (Times.empty())
+    return core::Duration::zero();
+  std::sort(Times.begin(), Times.end());
+  auto Rank =
+      static_cast<std::size_t>(Quantile * static_cast<double>(Times.size()));
+  return Times[std::min(Rank, Times.size() - 1)];
+}
+
 } // namespace yardrill::tests
--- a/Tests/Support/CallerResult.h
+++ b/Tests/Support/CallerResult.h
@@ -3,6 +3,7 @@
 #define YARDRILL_TESTS_SUPPORT_CALLERRESULT_H
 
 #include "LibCore/StrongType.h"
+#include "LibCore/Time.h"
 
 #include <cstddef>
 #include <map>
@@ -55,8 +56,28 @@
   std::map<core::AccountName, CallerOutcomes> m_Accounts;
 };
 
+/// Outcome of the first attempt of a request that an instance has read.
+struct FirstRead {
+  std::size_t m_Kind = 0;       ///< Index of its kind.
+  core::Duration m_ArrivedAt{}; ///< Of the request, since the start.
+  bool m_IsServed = false;      ///< Within the deadline.
+  core::Duration m_Time{};      ///< From the arrival to the first event.
+};
+
 struct CallerResult {
   std::vector<KindResult> m_Kinds;
+  /// In the order in which they ended.
+  std::vector<FirstRead> m_FirstReads;
+
+  /// Returns the share of the requests of a kind that arrived in a half-open
+  /// interval and were served at the first attempt that was read; 0 if none was
+  /// read.
+  double servedAtFirstRead(std::size_t Kind, core::Duration From,
+                           core::Duration Until) const;
+  /// Returns a quantile of the times to the first event of those served in that
+  /// interval, of all kinds; 0 if none was.
+  core::Duration firstReadTime(double Quantile, core::Duration From,
+                               core::Duration Until) const;
 
   /// Returns the result of a kind, which must exist.
   const KindResult &kind(const std::string &Name) const;
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -25,16 +25,19 @@
 DispatchFleet::DispatchFleet(const DispatchScenario &Scenario)
     : m_Scenario(Scenario), m_Random(Scenario.m_Seed),
       m_FaultRandom(Scenario.m_Seed + 1), m_SlotRandom(Scenario.m_Seed + 4),
+      m_SkewRandom(Scenario.m_Seed + 5),
       m_Network(Scenario.m_Network, Scenario.m_Seed + 2) {
-  if (!m_Scenario.m_Kinds.empty())
-    m_Callers = std::make_unique<SimulatedCallers>(
-        m_Scenario.m_Kinds, m_Scenario.m_Callers, m_Scenario.m_Instances,
-        core::PoolName(PoolName), m_Start, m_Scenario.m_Seed + 3,
-        [this](std::size_t Index, const routing::PlacementRequest &Request) {
-          applyReports(m_Instances[Index]);
-          m_Instances[Index].m_Dispatcher->place(Request, m_Now);
-          m_Instances[Index].m_Borrowing->update(m_Now);
-        });
+  if (m_Scenario.m_Kinds.empty())
+    return;
+  m_Callers = std::make_unique<SimulatedCallers>(
+      m_Scenario.m_Kinds, m_Scenario.m_Callers, m_Scenario.m_Instances,
+      core::PoolName(PoolName), m_Start, m_Scenario.m_Seed + 3,
+      [this](std::size_t Index, const routing::PlacementRequest &Request) {
+        arrive(Index, Request);
+      });
+  if (m_Scenario.m_Skew)
+    m_Callers->setBalancer(
+        [this](std::size_t Usual) { return balance(Usual); });
 }
 
 //===----------------------------------------------------------------------===//
@@ -94,6 +97,10 @@
   Own.m_Slots.reset();
   Own.m_Dispatcher.reset();
   Own.m_Targets = std::make_unique<routing::TargetDirectory>();
+  if (!m_Scenario.m_IntakePerSecond.empty())
+    Own.m_Intake = std::make_unique<SimulatedIntake>(
+        m_Scenario
+            .m_IntakePerSecond[Index % m_Scenario.m_IntakePerSecond.size()]);
   routing::Pool Pool;
   Pool.m_Name = core::PoolName(PoolName);
   if (m_Scenario.m_IsWarmUpKnown) {
@@ -135,6 +142,56 @@
 // Requests
 //===----------------------------------------------------------------------===//
 
+std::size_t DispatchFleet::balance(std::size_t Usual) {
+  const ConnectionSkew &Skew = *m_Scenario.m_Skew;
+  core::Duration Since = m_Now - m_Start;
+  bool IsAffected =
+      Skew.m_From <= Since && Since < Skew.m_Until &&
+      (!Skew.m_DataHall || dataHallOf(Usual) == dataHallOf(*Skew.m_DataHall));
+  std::uniform_real_distribution<double> Draw(0, 1);
+  return IsAffected && Draw(m_SkewRandom) < Skew.m_Share ? Skew.m_Instance
+                                                         : Usual;
+}
+
+void DispatchFleet::arrive(std::size_t Index,
+                           const routing::PlacementRequest &Request) {
+  SimulatedInstance &To = m_Instances[Index];
+  core::RequestId Id = Request.m_Request;
+  if (!To.m_Intake) {
+    m_Callers->recordRead(Id);
+    return place(Index, Request);
+  }
+  if (!To.m_Intake->mayAccept(m_Now)) {
+    ++m_Result.m_ClosedUnread;
+    return m_Callers->recordUnread(Id, m_Now);
+  }
+  TimePoint ReadAt = To.m_Intake->read(m_Now);
+  if (ReadAt - m_Now > SimulatedIntake::CallerPatience) {
+    ++m_Result.m_GivenUpUnread;
+    m_Network.callAt(m_Now + SimulatedIntake::CallerPatience, [this, Id] {
+      if (m_Callers->isOpen(Id))
+        m_Callers->recordUnread(Id, m_Now);
+    });
+  }
+  std::size_t Process = To.m_Process;
+  m_Network.callAt(ReadAt, [this, Index, Process, Request] {
+    bool IsWaitedFor = m_Instances[Index].m_Process == Process &&
+                       m_Callers->isOpen(Request.m_Request);
+    if (!IsWaitedFor)
+      return;
+    m_Callers->recordRead(Request.m_Request);
+    place(Index, Request);
+  });
+}
+
+void DispatchFleet::place(std::size_t Index,
+                          const routing::PlacementRequest &Request) {
+  SimulatedInstance &To = m_Instances[Index];
+  applyReports(To);
+  To.m_Dispatcher->place(Request, m_Now);
+  To.m_Borrowing->update(m_Now);
+}
+
 void DispatchFleet::sendRequest() {
   std::size_t Index = std::uniform_int_distribution<std::size_t>(
       0, m_Instances.size() - 1)(m_Random);
@@ -172,8 +229,10 @@
     return std::chrono::duration_cast<core::Duration>(Time * Speed);
   };
   core::Duration Time = Scale(m_Callers->slotTimeOf(Id));
-  TimePoint StartsAt = m_Targets.start(Target, m_Now, Time);
-  if (m_Now < StartsAt)
+  SimulatedIntake *Intake = m_Instances[Index].m_Intake.get();
+  TimePoint ArrivesAt = Intake ? Intake->send(m_Now) : m_Now;
+  TimePoint StartsAt = m_Targets.start(Target, ArrivesAt, Time);
+  if (ArrivesAt < StartsAt)
     ++m_Result.m_SentToFullTarget;
   Completion Sent{
       StartsAt + Time,         Index, m_Instances[Index].m_Process, Target,
--- a/Tests/Support/DispatchFleet.h
+++ b/Tests/Support/DispatchFleet.h
@@ -8,6 +8,7 @@
 #define YARDRILL_TESTS_SUPPORT_DISPATCHFLEET_H
 
 #include "DispatchSimulation.h"
+#include "SimulatedIntake.h"
 #include "SimulatedNetwork.h"
 #include "SimulatedTargets.h"
 
@@ -44,6 +45,7 @@
   std::unique_ptr<routing::SlotExchange> m_Slots;
   std::unique_ptr<routing::SlotLending> m_Lending;
   std::unique_ptr<routing::SlotBorrowing> m_Borrowing;
+  std::unique_ptr<SimulatedIntake> m_Intake; ///< Null: any rate is borne.
   routing::FleetSubset m_Subset;
   std::size_t m_Process = 0;
   bool m_IsRestarted = false; ///< See DispatchScenario::m_RestartedShare.
@@ -120,6 +122,12 @@
   void applyStoreChanges();
 
   // Requests.
+  /// Returns the instance that gets a new connection, which the balancer would
+  /// usually hand to \p Usual.
+  std::size_t balance(std::size_t Usual);
+  /// Hands a request to an instance, which reads it before it is placed.
+  void arrive(std::size_t Index, const routing::PlacementRequest &Request);
+  void place(std::size_t Index, const routing::PlacementRequest &Request);
   void sendRequest();
   void send(std::size_t Index, core::RequestId Id,
             const routing::Target &Chosen);
@@ -162,6 +170,7 @@
   std::mt19937_64 m_Random;
   std::mt19937_64 m_FaultRandom;
   std::mt19937_64 m_SlotRandom;
+  std::mt19937_64 m_SkewRandom;
   core::TimePoint m_Start{std::chrono::hours(1)};
   core::TimePoint m_Now = m_Start;
   core::TimePoint m_LoadsAt = m_Now;
--- a/Tests/Support/DispatchSimulation.h
+++ b/Tests/Support/DispatchSimulation.h
@@ -38,6 +38,17 @@
   core::Duration m_Until{};
 };
 
+/// Time in which the balancer hands most new connections to one instance.
+struct ConnectionSkew {
+  core::Duration m_From{}; ///< Since the start of the simulation.
+  core::Duration m_Until{};
+  /// Data hall whose callers are affected; none: all callers.
+  std::optional<std::size_t> m_DataHall;
+  std::size_t m_Instance = 0;
+  /// Share of the affected requests that come on new connections.
+  double m_Share = 0.9;
+};
+
 /// Returns the Retry-After of a refusal; none: the gateway's default.
 using RetryAfterHook = std::function<std::optional<core::Duration>(
     routing::Dispatcher &, const routing::PlacementRequest &,
@@ -84,6 +95,10 @@
   /// peers, by m_Network; none: each knows the load every 20 ms.
   std::optional<core::Duration> m_ReportPeriod;
   NetworkSettings m_Network;
+  std::optional<ConnectionSkew> m_Skew;
+  /// Requests a second that the link and the event loop of each instance bear,
+  /// in turn; empty: any.
+  std::vector<double> m_IntakePerSecond;
   std::vector<FaultPeriod> m_SilentInstances;
   /// Targets that get no new requests for a time.
   std::vector<FaultPeriod> m_LeavingTargets;
@@ -111,6 +126,10 @@
   std::size_t m_SentToFullTarget = 0;
   std::size_t m_SlotQuestions = 0; ///< Datagrams that ask for a slot.
   std::size_t m_BorrowedSlots = 0; ///< Requests sent in a borrowed slot.
+  /// Requests whose connection was refused or closed before they were read.
+  std::size_t m_ClosedUnread = 0;
+  /// Requests that their callers gave up because they were not read in time.
+  std::size_t m_GivenUpUnread = 0;
 
   /// Returns the number of requests that a target received in a half-open
   /// interval.
--- a/Tests/Support/OverloadScenarios.cpp
+++ b/Tests/Support/OverloadScenarios.cpp
@@ -56,6 +56,55 @@
   return Out;
 }
 
+/// Size of the fleet for which skewedConnections() states rates and targets.
+static constexpr double SkewReferenceInstances = 88;
+static constexpr double SkewReferenceTargets = 140;
+static constexpr std::size_t SkewDataHalls = 4;
+/// Leaves streams of the shortest objective no time to wait for a slot.
+static constexpr milliseconds SkewFirstEventTime{250};
+/// Requests a second that instances bear, by their size.
+static constexpr double SmallIntakePerSecond = 130;
+static constexpr double LargeIntakePerSecond = 1000;
+static constexpr std::size_t InstancesPerLargeOne = 11;
+
+DispatchScenario skewedConnections(std::size_t Instances, SkewScope Scope,
+                                   InstanceSize Hot) {
+  double Size = static_cast<double>(Instances) / SkewReferenceInstances;
+  DispatchScenario Out;
+  Out.m_Instances = Instances;
+  Out.m_DataHalls = SkewDataHalls;
+  Out.m_Targets = static_cast<std::size_t>(
+      std::max(1.0, std::round(SkewReferenceTargets * Size)));
+  Out.m_Slots = 4;
+  Out.m_Speeds = {0.8, 0.8, 1.4};
+  Out.m_Kinds = {createKind(TopKind, 1, 167 * Size, milliseconds(700),
+                            milliseconds(800), seconds(12)),
+                 createKind(MiddleKind, 2, 129 * Size, milliseconds(400),
+                            milliseconds(600), seconds(6)),
+                 createKind(LowestKind, 3, 135 * Size, milliseconds(900),
+                            milliseconds(400), seconds(15))};
+  for (RequestKind &Each : Out.m_Kinds) {
+    Each.m_Bursts.clear();
+    Each.m_FirstEventTime = SkewFirstEventTime;
+  }
+  bool IsOneGroup =
+      Instances <= routing::FleetSubset::groupSizeFor(Instances, Out.m_Targets);
+  Out.m_ReportPeriod = IsOneGroup ? SingleGroupPeriod : SeveralGroupsPeriod;
+  Out.m_Overload = routing::OverloadSettings();
+  Out.m_IntakePerSecond.assign(InstancesPerLargeOne, SmallIntakePerSecond);
+  Out.m_IntakePerSecond.front() = LargeIntakePerSecond;
+  Out.m_Length = seconds(18);
+  ConnectionSkew Skew;
+  Skew.m_From = seconds(5);
+  Skew.m_Until = seconds(15);
+  // Instance 0 is large; the next of its data hall is small.
+  Skew.m_Instance = Hot == InstanceSize::Large ? 0 : SkewDataHalls;
+  if (Scope == SkewScope::DataHall)
+    Skew.m_DataHall = 0;
+  Out.m_Skew = Skew;
+  return Out;
+}
+
 void addAccounts(DispatchScenario &Scenario, std::size_t Count) {
   for (RequestKind &Kind : Scenario.m_Kinds) {
     Kind.m_Accounts.clear();
--- a/Tests/Support/OverloadScenarios.h
+++ b/Tests/Support/OverloadScenarios.h
@@ -24,6 +24,17 @@
 void addFlood(DispatchScenario &Scenario, double Factor, core::Duration From,
               core::Duration Until);
 
+enum class SkewScope { DataHall, All };
+enum class InstanceSize { Small, Large };
+
+/// Returns a fleet of mostly small instances in four data halls, at half of its
+/// targets' capacity, in which the balancer hands most new connections of one
+/// hall, or of all, to one instance from second 5 to 15. All decisions under
+/// overload are on.
+/// \param Hot size of that instance.
+DispatchScenario skewedConnections(std::size_t Instances, SkewScope Scope,
+                                   InstanceSize Hot);
+
 } // namespace yardrill::tests
 
 #endif
--- a/Tests/Support/SimulatedCallers.cpp
+++ b/Tests/Support/SimulatedCallers.cpp
@@ -12,6 +12,8 @@
 static constexpr double MaxWaitShare = 1.0 / 3;
 /// Standard deviation of the logarithm of a lognormal time in a slot.
 static constexpr double LognormalDeviation = 1;
+/// Time until a caller whose connection was refused or reset has another one.
+static constexpr std::chrono::milliseconds ReconnectTime{6};
 /// Ids of other requests of the simulation are lower.
 static constexpr std::uint64_t FirstRequest = std::uint64_t{1} << 32;
 /// Makes draws of returns independent of those of first arrivals.
@@ -104,6 +106,8 @@
   OpenRequest Request;
   Request.m_Kind = Kind;
   Request.m_Instance = m_Instances(m_ArrivalRandom);
+  if (m_Balance)
+    Request.m_Instance = m_Balance(Request.m_Instance);
   Request.m_FirstArrivalAt = Now;
   Request.m_Deadline = Now + Sent.m_Deadline;
   routing::PlacementRequest &Placed = Request.m_Request;
@@ -166,6 +170,46 @@
   Change(Kind.m_Accounts[Request.m_Request.m_Account]);
 }
 
+void SimulatedCallers::recordRead(core::RequestId Id) {
+  m_Open.at(Id).m_IsRead = true;
+}
+
+void SimulatedCallers::recordFirstRead(const OpenRequest &Ended, bool IsServed,
+                                       core::TimePoint At) {
+  if (Ended.m_IsRead && !Ended.m_WasRead)
+    m_Result.m_FirstReads.push_back({Ended.m_Kind,
+                                     Ended.m_FirstArrivalAt - m_Start, IsServed,
+                                     At - Ended.m_FirstArrivalAt});
+}
+
+void SimulatedCallers::scheduleReturn(OpenRequest Returning,
+                                      core::TimePoint At) {
+  std::size_t Instance = m_Instances(m_ReturnRandom);
+  std::size_t InstanceCount = m_Instances.probabilities().size();
+  if (Instance == Returning.m_Instance)
+    Instance = (Instance + 1) % InstanceCount;
+  Returning.m_Instance = Instance;
+  Returning.m_IsReturn = true;
+  Returning.m_IsSent = false;
+  Returning.m_WasRead = Returning.m_WasRead || Returning.m_IsRead;
+  Returning.m_IsRead = false;
+  m_Returns.emplace(At, std::move(Returning));
+}
+
+void SimulatedCallers::recordUnread(core::RequestId Id, core::TimePoint Now) {
+  auto Found = m_Open.find(Id);
+  if (Found == m_Open.end())
+    return;
+  OpenRequest Unread = std::move(Found->second);
+  m_Open.erase(Found);
+  if (!Unread.m_IsReturn)
+    return scheduleReturn(std::move(Unread), Now + ReconnectTime);
+  count(Unread, [](CallerOutcomes &Each) {
+    ++Each.m_Refused;
+    ++Each.m_RefusedTwice;
+  });
+}
+
 void SimulatedCallers::recordSent(core::RequestId Id) {
   OpenRequest &Sent = m_Open.at(Id);
   if (Sent.m_IsSent)
@@ -199,6 +243,7 @@
   core::TimePoint At = Ended.m_FirstEventAt.value_or(Now);
   core::TimePoint Due =
       Ended.m_FirstArrivalAt + m_Kinds[Ended.m_Kind].m_Objective;
+  recordFirstRead(Ended, At <= Ended.m_Deadline, At);
   count(Ended, [&](CallerOutcomes &Each) {
     if (At <= Due)
       ++Each.m_InTime;
@@ -219,6 +264,7 @@
     return;
   OpenRequest Refused = std::move(Found->second);
   m_Open.erase(Found);
+  recordFirstRead(Refused, false, Now);
   const RequestKind &Kind = m_Kinds[Refused.m_Kind];
   double Share = core::toSeconds(Now - Refused.m_LastArrivalAt) /
                  core::toSeconds(Kind.m_Objective);
@@ -241,14 +287,7 @@
   core::Duration Longest = std::chrono::duration_cast<core::Duration>(
       (Refused.m_Deadline - Now) * MaxWaitShare);
   core::Duration Wait = std::min(RetryAfter.value_or(Drawn), Longest);
-  std::size_t Instance = m_Instances(m_ReturnRandom);
-  std::size_t InstanceCount = m_Instances.probabilities().size();
-  if (Instance == Refused.m_Instance)
-    Instance = (Instance + 1) % InstanceCount;
-  Refused.m_Instance = Instance;
-  Refused.m_IsReturn = true;
-  Refused.m_IsSent = false;
-  m_Returns.emplace(Now + Wait, std::move(Refused));
+  scheduleReturn(std::move(Refused), Now + Wait);
 }
 
 void SimulatedCallers::recordExit(std::size_t Instance) {
@@ -257,6 +296,7 @@
       ++Each;
       continue;
     }
+    recordFirstRead(Each->second, false, m_Start);
     count(Each->second, [](CallerOutcomes &Out) { ++Out.m_Lost; });
     Each = m_Open.erase(Each);
   }
--- a/Tests/Support/SimulatedCallers.h
+++ b/Tests/Support/SimulatedCallers.h
@@ -87,6 +87,11 @@
                    const CallerSettings &Settings, std::size_t Instances,
                    core::PoolName Pool, core::TimePoint Start,
                    std::uint64_t Seed, SendHook Send);
+  /// Sets a function that returns the instance to which the balancer hands a
+  /// new connection, given the one that it would usually choose.
+  void setBalancer(std::function<std::size_t(std::size_t)> Balance) {
+    m_Balance = std::move(Balance);
+  }
 
   /// Sends the first arrivals of a step, and the returns that are due.
   void sendFirst(core::TimePoint Now, core::Duration Step);
@@ -106,6 +111,11 @@
     return m_Open.at(Id).m_SlotTime;
   }
 
+  /// Records that the instance has read the request.
+  void recordRead(core::RequestId Id);
+  /// Records that the connection was refused, or closed with the request
+  /// unread. The caller tries another instance at once.
+  void recordUnread(core::RequestId Id, core::TimePoint Now);
   /// Records that a target runs the request.
   void recordSent(core::RequestId Id);
   /// Returns the requests that no target runs although their deadline has
@@ -135,6 +145,8 @@
     core::TimePoint m_Deadline{};
     core::Duration m_SlotTime{};
     bool m_IsReturn = false;
+    bool m_IsRead = false;  ///< At this attempt.
+    bool m_WasRead = false; ///< At an earlier attempt.
     bool m_IsSent = false;
     std::optional<core::TimePoint> m_FirstEventAt;
     routing::PlacementRequest m_Request;
@@ -142,6 +154,12 @@
 
   std::vector<double> accountWeights(const RequestKind &Kind,
                                      core::TimePoint Now) const;
+  /// Schedules a return to another instance.
+  void scheduleReturn(OpenRequest Returning, core::TimePoint At);
+  /// Records the outcome of the current attempt if it is the first that was
+  /// read.
+  void recordFirstRead(const OpenRequest &Ended, bool IsServed,
+                       core::TimePoint At);
   core::Duration drawSlotTime(const RequestKind &Kind);
   void sendClump(std::size_t Kind, core::TimePoint Now);
   void send(OpenRequest Sent, core::TimePoint Now);
@@ -154,6 +172,7 @@
   core::PoolName m_Pool;
   core::TimePoint m_Start;
   SendHook m_Send;
+  std::function<std::size_t(std::size_t)> m_Balance; ///< May be empty.
   std::mt19937_64 m_ArrivalRandom;
   std::mt19937_64 m_ReturnRandom;
   std::discrete_distribution<std::size_t> m_Instances;
