LibRouting: Ask other groups for a slot before a request is refused

Callers at an instance that got most new connections were refused while seven eighths of the targets stood idle. Cause: only requests that wait ask other groups for slots, and an instance whose group is full refuses on arrival, since its queue is long or a first event takes as long as the objective.

The Dispatcher now asks before it refuses, and the request waits for the answer (some ms, 100 at the most). A request whose question got a slot that a more urgent one used may ask again. In a shortage everywhere SlotQuestionRate refuses at once, as before. The line slots-lent tells why a lender had no slot.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -79,7 +79,11 @@
            [this](const core::PoolName &Pool) {
              return m_Rollouts.gateOf(Pool);
            },
-           [this](core::RequestId Request) { m_Lending.recordEnd(Request); }}),
+           [this](core::RequestId Request) { m_Lending.recordEnd(Request); },
+           [this](const routing::PlacementRequest &Request,
+                  core::TimePoint Now) {
+             return m_Lending.awaitSlotFor(Request, Now);
+           }}),
       m_Connections(Context, {ConnectTimeout, MaxIdleConnections}),
       m_PeerConnections(Context, {PeerConnectTimeout, MaxIdleConnections}),
       m_Retries(m_Settings.m_Retries,
--- a/Libraries/LibGateway/SlotLendingService.cpp
+++ b/Libraries/LibGateway/SlotLendingService.cpp
@@ -126,7 +126,8 @@
 
 void SlotLendingService::countProgress(core::TimePoint Now) {
   Totals Next{m_Lending.lentCount(), m_Borrowing.borrowedCount(),
-              m_Borrowing.questionCount()};
+              m_Borrowing.questionCount(), m_Lending.refusedForWaiting(),
+              m_Lending.refusedForReserve()};
   auto Count = [this](const char *Name, std::uint64_t Before,
                       std::uint64_t After) {
     if (After > Before)
@@ -139,13 +140,19 @@
   m_Counted = Next;
   bool IsNew = Next.m_Lent > m_Logged.m_Lent ||
                Next.m_Borrowed > m_Logged.m_Borrowed ||
-               Next.m_Questions > m_Logged.m_Questions;
+               Next.m_Questions > m_Logged.m_Questions ||
+               Next.m_RefusedForWaiting > m_Logged.m_RefusedForWaiting ||
+               Next.m_RefusedForReserve > m_Logged.m_RefusedForReserve;
   if (!IsNew || Now - m_LoggedAt < LogPeriod)
     return;
   core::LogLine("slots-lent")
       .add("lent", Next.m_Lent - m_Logged.m_Lent)
       .add("borrowed", Next.m_Borrowed - m_Logged.m_Borrowed)
-      .add("questions", Next.m_Questions - m_Logged.m_Questions);
+      .add("questions", Next.m_Questions - m_Logged.m_Questions)
+      .add("refused_waiting",
+           Next.m_RefusedForWaiting - m_Logged.m_RefusedForWaiting)
+      .add("refused_reserve",
+           Next.m_RefusedForReserve - m_Logged.m_RefusedForReserve);
   m_Logged = Next;
   m_LoggedAt = Now;
 }
--- a/Libraries/LibGateway/SlotLendingService.h
+++ b/Libraries/LibGateway/SlotLendingService.h
@@ -36,6 +36,11 @@
   /// Asks for slots for waiting requests. To be called when a request has to
   /// wait, and many times a second while any waits.
   void update(core::TimePoint Now);
+  /// See SlotBorrowing::awaitSlotFor().
+  bool awaitSlotFor(const routing::PlacementRequest &Request,
+                    core::TimePoint Now) {
+    return m_Borrowing.awaitSlotFor(Request, Now);
+  }
   /// Returns the slot of a request that has ended, if it was borrowed.
   void recordEnd(core::RequestId Id) { m_Borrowing.recordEnd(Id); }
   std::uint64_t borrowedCount() const { return m_Borrowing.borrowedCount(); }
@@ -58,6 +63,8 @@
     std::uint64_t m_Lent = 0;
     std::uint64_t m_Borrowed = 0;
     std::uint64_t m_Questions = 0;
+    std::uint64_t m_RefusedForWaiting = 0;
+    std::uint64_t m_RefusedForReserve = 0;
   };
 
   const routing::TargetDirectory &m_Targets;
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -387,7 +387,7 @@
     if (AvailableAt && *AvailableAt <= queueDeadline(Request))
       return false;
   }
-  if (!HasCandidate || (IsTimeUp && !Best)) {
+  if (!HasCandidate || (IsTimeUp && !Best && !isSlotAwaited(Request, Now))) {
     refuse(Request, Now);
     return true;
   }
@@ -539,7 +539,7 @@
     if (trySend(*Request, Now))
       // Copies the key, because withdraw() destroys the request.
       withdraw(core::RequestId(Request->m_Request));
-    else if (!IsHeldBack)
+    else if (!IsHeldBack && Now < queueDeadline(*Request))
       Blocked.push_back(Request);
   }
   refuseHopeless(Now);
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -71,6 +71,10 @@
   /// Called when a request that was sent no longer holds its slot. May be
   /// empty.
   std::function<void(core::RequestId)> m_Ended;
+  /// Asks other instances for a slot for a request that is about to be refused.
+  /// Returns whether an answer is awaited, during which the request waits. May
+  /// be empty.
+  std::function<bool(const PlacementRequest &, core::TimePoint)> m_Borrow;
 };
 
 enum class PlacementPolicy {
@@ -270,6 +274,11 @@
   bool tryRefuseOnArrival(const PlacementRequest &Request, core::TimePoint Now);
   /// Refuses waiting requests that can't begin in time any more.
   void refuseHopeless(core::TimePoint Now);
+  /// Asks for a slot of another group. \returns whether an answer is awaited.
+  bool isSlotAwaited(const PlacementRequest &Request,
+                     core::TimePoint Now) const {
+    return m_Hooks.m_Borrow && m_Hooks.m_Borrow(Request, Now);
+  }
   /// Whether a request may be refused before its queue deadline.
   bool mayRefuseEarly(const PlacementRequest &Request,
                       core::TimePoint Now) const;
--- a/Libraries/LibRouting/DispatcherWaiting.cpp
+++ b/Libraries/LibRouting/DispatcherWaiting.cpp
@@ -45,7 +45,8 @@
       !hasFewFreeSlots(Request.m_Pool, Now))
     return false;
   auto AvailableAt = nextAvailability(Request, Now);
-  return !AvailableAt || queueDeadline(Request) < *AvailableAt;
+  return (!AvailableAt || queueDeadline(Request) < *AvailableAt) &&
+         !isSlotAwaited(Request, Now);
 }
 
 bool Dispatcher::tryRefuseOnArrival(const PlacementRequest &Request,
--- a/Libraries/LibRouting/SlotBorrowing.cpp
+++ b/Libraries/LibRouting/SlotBorrowing.cpp
@@ -8,53 +8,65 @@
 /// meanwhile don't answer.
 static constexpr std::chrono::seconds LenderListTime{1};
 
-bool SlotBorrowing::isDue(const PlacementRequest &Waiting,
+bool SlotBorrowing::isDue(const PlacementRequest &Request,
                           core::TimePoint Now) const {
   // A lender doesn't know which version a request needs.
-  if (!Waiting.hasObjective() || Waiting.m_Version)
+  if (!Request.hasObjective() || Request.m_Version)
     return false;
-  auto Decided = m_DecidedAt.find(Waiting.m_Request);
-  if (Decided != m_DecidedAt.end() && Now - Decided->second < AnswerTimeout)
-    return false;
-  // A request may also wait because its priority may not use what is free.
-  return !m_Requests.hasFreeSlot(Waiting, Now);
+  auto Decided = m_DecidedAt.find(Request.m_Request);
+  return Decided == m_DecidedAt.end() || Now - Decided->second >= AnswerTimeout;
 }
 
-core::Duration SlotBorrowing::expectedTime(const PlacementRequest &Waiting,
+core::Duration SlotBorrowing::expectedTime(const PlacementRequest &Request,
                                            core::TimePoint Now) const {
-  PoolDemand Own = m_Requests.demand().own(Waiting.m_Pool, Now);
-  return std::min(Own[Waiting.m_Priority].meanSlotTime(),
-                  Waiting.m_EndsAt - Now);
+  PoolDemand Own = m_Requests.demand().own(Request.m_Pool, Now);
+  return std::min(Own[Request.m_Priority].meanSlotTime(),
+                  Request.m_EndsAt - Now);
 }
 
 void SlotBorrowing::update(core::TimePoint Now) {
   expire(Now);
   if (!m_Requests.overload().m_SlotLending)
     return;
+  // A request may also wait because its priority may not use what is free.
   for (const PlacementRequest *Each : m_Requests.waitingInOrder(Now))
-    askFor(*Each, Now);
+    if (isDue(*Each, Now) && !m_Requests.hasFreeSlot(*Each, Now))
+      askFor(*Each, Now);
 }
 
-void SlotBorrowing::askFor(const PlacementRequest &Waiting,
+bool SlotBorrowing::awaitSlotFor(const PlacementRequest &Request,
+                                 core::TimePoint Now) {
+  if (!m_Requests.overload().m_SlotLending)
+    return false;
+  expire(Now);
+  bool IsAsked = std::any_of(
+      m_Questions.begin(), m_Questions.end(), [&](const auto &Each) {
+        return Each.second.m_Request == Request.m_Request;
+      });
+  return IsAsked || (isDue(Request, Now) && askFor(Request, Now));
+}
+
+bool SlotBorrowing::askFor(const PlacementRequest &Request,
                            core::TimePoint Now) {
-  const LenderList &Lenders = lendersOf(Waiting.m_Pool, Now);
-  if (Lenders.m_All.empty() || !isDue(Waiting, Now))
-    return;
-  m_DecidedAt[Waiting.m_Request] = Now;
-  if (!m_Rates[Waiting.m_Pool].tryAsk(m_Hooks.m_Draw(), Now))
-    return;
+  const LenderList &Lenders = lendersOf(Request.m_Pool, Now);
+  if (Lenders.m_All.empty())
+    return false;
+  m_DecidedAt[Request.m_Request] = Now;
+  if (!m_Rates[Request.m_Pool].tryAsk(m_Hooks.m_Draw(), Now))
+    return false;
   SlotQuestion Question;
   Question.m_Id = m_NextQuestion++;
-  Question.m_Pool = Waiting.m_Pool;
-  Question.m_Priority = Waiting.m_Priority;
-  Question.m_PromptTokens = Waiting.m_IsInference ? Waiting.m_PromptTokens : 0;
-  Question.m_ExpectedTime = expectedTime(Waiting, Now);
+  Question.m_Pool = Request.m_Pool;
+  Question.m_Priority = Request.m_Priority;
+  Question.m_PromptTokens = Request.m_IsInference ? Request.m_PromptTokens : 0;
+  Question.m_ExpectedTime = expectedTime(Request, Now);
   std::vector<config::Endpoint> To = drawLenders(Lenders);
   m_Questions[Question.m_Id] = {
-      Waiting.m_Pool, Now, {To.begin(), To.end()}, false};
+      Request.m_Request, Request.m_Pool, Now, {To.begin(), To.end()}, false};
   ++m_QuestionCount;
   for (const config::Endpoint &Each : To)
     m_Hooks.m_Ask(Each, Question);
+  return true;
 }
 
 const SlotBorrowing::LenderList &
@@ -137,6 +149,9 @@
 void SlotBorrowing::close(
     std::map<std::uint64_t, OpenQuestion>::iterator Question) {
   m_Rates[Question->second.m_Pool].record(Question->second.m_IsGranted);
+  // A more urgent request may have used the slot: this one asks again.
+  if (Question->second.m_IsGranted)
+    m_DecidedAt.erase(Question->second.m_Request);
   m_Questions.erase(Question);
 }
 
--- a/Libraries/LibRouting/SlotBorrowing.h
+++ b/Libraries/LibRouting/SlotBorrowing.h
@@ -63,6 +63,9 @@
   /// questions that were not answered in time. To be called when a request has
   /// to wait, and while any waits.
   void update(core::TimePoint Now);
+  /// Asks for a slot for a request that would be refused otherwise, whether or
+  /// not it waits yet. \returns whether an answer is awaited.
+  bool awaitSlotFor(const PlacementRequest &Request, core::TimePoint Now);
   /// Uses a slot that was granted in response to a question, or returns it if
   /// no waiting request can use it (any more).
   void handleGrant(const config::Endpoint &From, std::uint64_t Question,
@@ -77,6 +80,7 @@
 
 private:
   struct OpenQuestion {
+    core::RequestId m_Request;
     core::PoolName m_Pool;
     core::TimePoint m_AskedAt{};
     std::set<config::Endpoint> m_Unanswered;
@@ -95,15 +99,15 @@
 
   /// Gives up questions that were not answered in time.
   void expire(core::TimePoint Now);
-  /// Asks for a slot for a waiting request, if a question is due.
-  void askFor(const PlacementRequest &Waiting, core::TimePoint Now);
-  /// Whether the request may ask now: it has an objective, its group has no
-  /// free slot, and its last question has been answered or has timed out.
-  bool isDue(const PlacementRequest &Waiting, core::TimePoint Now) const;
+  /// Asks for a slot, if a question is due. \returns whether it asked.
+  bool askFor(const PlacementRequest &Request, core::TimePoint Now);
+  /// Whether the request may ask now: it has an objective, and its last
+  /// question has been answered or has timed out.
+  bool isDue(const PlacementRequest &Request, core::TimePoint Now) const;
   const LenderList &lendersOf(const core::PoolName &Pool, core::TimePoint Now);
   /// Returns the time for which a request is expected to need a slot; zero if
   /// unknown.
-  core::Duration expectedTime(const PlacementRequest &Waiting,
+  core::Duration expectedTime(const PlacementRequest &Request,
                               core::TimePoint Now) const;
   /// Returns the addresses to ask, at most two different ones.
   std::vector<config::Endpoint> drawLenders(const LenderList &From);
--- a/Libraries/LibRouting/SlotLending.cpp
+++ b/Libraries/LibRouting/SlotLending.cpp
@@ -86,9 +86,12 @@
 std::optional<SlotLease> SlotLending::grant(const SlotQuestion &Question,
                                             const OtherInstance &Borrower,
                                             core::TimePoint Now) {
-  if (!m_Requests.overload().m_SlotLending ||
-      isAnyWaiting(Question.m_Pool, Now))
+  if (!m_Requests.overload().m_SlotLending)
     return std::nullopt;
+  if (isAnyWaiting(Question.m_Pool, Now)) {
+    ++m_RefusedForWaiting;
+    return std::nullopt;
+  }
   PlacementRequest Request;
   Request.m_Pool = Question.m_Pool;
   Request.m_Priority = Question.m_Priority;
@@ -96,8 +99,10 @@
   Request.m_PromptTokens = Question.m_PromptTokens;
   Request.m_EndsAt = Now + MaxLeaseTime;
   const KnownTarget *Chosen = choose(Request, Borrower.m_DataHall, Now);
-  if (!Chosen)
+  if (!Chosen) {
+    ++m_RefusedForReserve;
     return std::nullopt;
+  }
   core::Duration HeldTime = std::clamp<core::Duration>(
       2 * Question.m_ExpectedTime, MinLeaseTime, MaxLeaseTime);
   if (Question.m_ExpectedTime == core::Duration::zero())
--- a/Libraries/LibRouting/SlotLending.h
+++ b/Libraries/LibRouting/SlotLending.h
@@ -36,6 +36,10 @@
   /// Returns the number of slots of a pool that must stay free.
   double reservedSlots(const core::PoolName &Pool, core::TimePoint Now) const;
   std::uint64_t lentCount() const { return m_LentCount; }
+  /// Returns the number of questions that were answered with no slot because
+  /// requests wait in the own group, and because its free slots are reserved.
+  std::uint64_t refusedForWaiting() const { return m_RefusedForWaiting; }
+  std::uint64_t refusedForReserve() const { return m_RefusedForReserve; }
 
 private:
   /// Whether a request of the pool waits here or at a group peer.
@@ -53,6 +57,8 @@
   const Dispatcher &m_Requests;
   SlotLeases &m_Leases;
   std::uint64_t m_LentCount = 0;
+  std::uint64_t m_RefusedForWaiting = 0;
+  std::uint64_t m_RefusedForReserve = 0;
 };
 
 } // namespace yardrill::routing
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -126,6 +126,10 @@
   Hooks.m_Ended = [&Own](core::RequestId Id) {
     Own.m_Borrowing->recordEnd(Id);
   };
+  Hooks.m_Borrow = [&Own](const routing::PlacementRequest &Request,
+                          core::TimePoint Now) {
+    return Own.m_Borrowing->awaitSlotFor(Request, Now);
+  };
   Own.m_Dispatcher = std::make_unique<routing::Dispatcher>(
       *Own.m_Targets, dataHallOf(Index),
       routing::PlacementPolicy::LeastPredictedWait, std::move(Hooks));
