LibHTTP, platform: Notice silent connections to the store within two seconds

Keep-alive probes need 3 s and are not sent while a request is unacknowledged.

TCP_USER_TIMEOUT bounds both: 2 s without an acknowledgement of data or probes. A slow store still acknowledges, so no call is added. Ruled out: the back-off after the failure (0.1 s).

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -57,6 +57,16 @@
   Socket.set_option(Count(2), Ignored);
 }
 
+void ClientConnection::setSilenceTimeout(core::Duration Timeout) {
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Timeout).count();
+  error_code Ignored;
+  m_Impl->m_Stream.socket().set_option(
+      UserTimeout(static_cast<int>(Milliseconds)), Ignored);
+}
+
 ClientConnection::ClientConnection(std::unique_ptr<Implementation> Impl)
     : m_Impl(std::move(Impl)) {}
 
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -25,6 +25,10 @@
           boost::asio::yield_context Yield);
   ~ClientConnection();
 
+  /// Makes the connection fail after \p Timeout, rounded up to seconds while it
+  /// waits for a response, if the other side acknowledges nothing, not even
+  /// probes.
+  void setSilenceTimeout(core::Duration Timeout);
   /// \throws core::Error of kind OutcomeUnknown.
   void sendRequest(const RequestMessage &Request, core::Duration Timeout,
                    boost::asio::yield_context Yield);
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -18,8 +18,11 @@
       return std::move(Newest.m_Connection);
   }
   ++m_Opened;
-  return ClientConnection::connect(m_Context, Address,
-                                   m_Limits.m_ConnectTimeout, Yield);
+  auto Opened = ClientConnection::connect(m_Context, Address,
+                                          m_Limits.m_ConnectTimeout, Yield);
+  if (m_Limits.m_SilenceTimeout)
+    Opened->setSilenceTimeout(*m_Limits.m_SilenceTimeout);
+  return Opened;
 }
 
 void ConnectionPool::release(const tcp::endpoint &Address,
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace yardrill::http {
@@ -18,6 +19,9 @@
 struct ConnectionPoolLimits {
   core::Duration m_ConnectTimeout = std::chrono::seconds(1);
   std::size_t m_MaxIdlePerAddress = 64; ///< Further ones are closed.
+  /// See ClientConnection::setSilenceTimeout(); none: about three seconds, if
+  /// at all.
+  std::optional<core::Duration> m_SilenceTimeout;
 };
 
 /// Opens client connections and keeps idle ones for reuse, by address. Not
