LibHTTP: Refuse connections beyond what link and event loop bear

Callers of an instance that got most new connections waited for seconds, got 429 below their limits or lost their requests: it read whatever came, and what it had read waited in the queues of its link, with the datagrams of its peers.

IntakeLimiter bounds what is read: the bytes that requests cause on the link, in each direction, against its bandwidth, and the open transfers against their measured rate. Beyond it the server closes its listening socket, so that callers learn at once and no byte of theirs is carried; it resumes with room for several. Kept connections end with their next response meanwhile.

Ruled out: the processor (the loop is 1 to 23 ms late).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -144,6 +144,7 @@
   Out.m_AllBodyBytes = Settings.m_MaxBodyBytes;
   Out.m_ReadTimeout = Limits.m_HeaderTimeout;
   Out.m_IdleTimeout = Limits.m_IdleTimeout;
+  Out.m_LinkBytesPerSecond = Settings.m_LinkBytesPerSecond;
   return Out;
 }
 
@@ -228,8 +229,9 @@
       [this](core::Duration Since) { return mustWaitForPeers(Since); });
   m_Peers->start(m_Timers);
   m_Timers.subscribe(UpkeepPeriod, [this](core::TimePoint Now) {
-    m_Load.upkeep(UpkeepPeriod, m_CallerServer->transfers(),
-                  m_Lending.borrowedCount(), 0, Now);
+    m_Load.upkeep(UpkeepPeriod, m_CallerServer->intake(),
+                  m_Lending.borrowedCount(), m_CallerServer->refusingTime(),
+                  Now);
     m_Targets.removeExpired(Now);
     removeOldGoneTargets(Now);
     m_Follower.setEnabled(m_Peers->mustFollowStore());
@@ -603,7 +605,9 @@
   Set("yardrill_held_body_bytes", m_CallerServer->bodyBudget().used());
   Set("yardrill_held_body_bytes_peak", m_CallerServer->bodyBudget().peak());
   Set("yardrill_open_transfers",
-      m_CallerServer->transfers().open(core::steadyNow()));
+      m_CallerServer->intake().transfers().open(core::steadyNow()));
+  m_Metrics.setGauge("yardrill_refusing_connections_seconds",
+                     core::toSeconds(m_CallerServer->refusingTime()));
   Set("yardrill_waiting_requests", m_Dispatcher.waiting());
   Set("yardrill_targets", m_Targets.all().size());
   Set("yardrill_peers", m_Peers->peers().all().size());
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -43,7 +43,7 @@
                        [this] { releaseSlot(); }}),
       m_Id(Owner.m_NextRequest++), m_Ticket(std::move(Ticket)),
       m_ForwardedBody(Owner.m_CallerServer->bodyBudget()),
-      m_Sending(Owner.m_CallerServer->transfers()),
+      m_Sending(Owner.m_CallerServer->intake().transfers()),
       m_WakeTimer(Owner.m_Context) {
   m_Table = Owner.m_Table;
   m_Description = Owner.m_Wire.describe(Caller.request());
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -188,6 +188,8 @@
   m_HasResponseStarted = false;
   m_SilentSince = core::steadyNow();
   m_Sending.begin(core::steadyNow());
+  m_Owner.m_CallerServer->intake().link().recordRequestSent(
+      m_Caller.request().m_Body.size(), core::steadyNow());
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   m_Sending.complete(core::steadyNow());
   http::ResponseHead Head = readMatchingHead(Connection, Yield);
--- a/Libraries/LibGateway/LoadMonitor.h
+++ b/Libraries/LibGateway/LoadMonitor.h
@@ -3,7 +3,7 @@
 #define YARDRILL_LIBGATEWAY_LOADMONITOR_H
 
 #include "LibCore/Time.h"
-#include "LibHTTP/TransferMeter.h"
+#include "LibHTTP/IntakeLimiter.h"
 #include "LibMetrics/MetricsRegistry.h"
 
 #include <cstdint>
@@ -24,17 +24,17 @@
   void noteSent() { ++m_Sent; }
   /// To be called by a timer with the given period.
   /// \param Borrowed number of slots borrowed since the start.
-  /// \param ClosedUnread number of connections since the start that were closed
-  /// with their request unread.
-  void upkeep(core::Duration Period, const http::TransferMeter &Transfers,
-              std::uint64_t Borrowed, std::uint64_t ClosedUnread,
+  /// \param RefusingTime time since the start in which connections were
+  /// refused.
+  void upkeep(core::Duration Period, const http::IntakeLimiter &Intake,
+              std::uint64_t Borrowed, core::Duration RefusingTime,
               core::TimePoint Now);
 
 private:
-  bool isNotable(const http::TransferMeter &Transfers,
-                 std::uint64_t ClosedUnread, core::TimePoint Now) const;
-  void log(const http::TransferMeter &Transfers, std::uint64_t Borrowed,
-           std::uint64_t ClosedUnread, core::TimePoint Now) const;
+  bool isNotable(const http::IntakeLimiter &Intake, core::Duration RefusingTime,
+                 core::TimePoint Now) const;
+  void log(const http::IntakeLimiter &Intake, std::uint64_t Borrowed,
+           core::Duration RefusingTime, core::TimePoint Now) const;
 
   metrics::MetricsRegistry &m_Metrics;
   core::TimePoint m_UpkeepAt{};
@@ -43,7 +43,7 @@
   std::uint64_t m_Sent = 0;        ///< Requests sent to targets.
   std::uint64_t m_LoggedSent = 0;
   std::uint64_t m_LoggedBorrowed = 0;
-  std::uint64_t m_LoggedClosedUnread = 0;
+  core::Duration m_LoggedRefusingTime{};
   std::map<std::string, std::uint64_t> m_Refusals; ///< Since m_LoggedAt.
 };
 
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -9,8 +9,8 @@
 
 #include "LibCore/Time.h"
 #include "LibHTTP/ByteBudget.h"
+#include "LibHTTP/IntakeLimiter.h"
 #include "LibHTTP/Message.h"
-#include "LibHTTP/TransferMeter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +18,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 
 namespace yardrill::http {
 
@@ -37,6 +38,10 @@
   /// once a body without a stated length has grown too large. Set when the
   /// server is created.
   std::size_t m_AllBodyBytes = std::numeric_limits<std::size_t>::max();
+  /// Bandwidth of the process's link. With it, connections are refused while
+  /// the IntakeLimiter allows none; without it, never. Set when the server is
+  /// created.
+  std::optional<double> m_LinkBytesPerSecond;
 };
 
 /// One request and its response, passed to a Server's handler and used on the
@@ -87,9 +92,13 @@
   virtual std::size_t openConnections() const = 0;
   /// Returns the budget of ServerLimits::m_AllBodyBytes.
   virtual ByteBudget &bodyBudget() = 0;
-  /// Returns the meter of the requests that are being read. A request on a new
-  /// connection counts from the connection's start.
-  virtual const TransferMeter &transfers() const = 0;
+  /// Returns what measures and limits the intake. The server records the
+  /// requests that it reads, on a new connection from its start, and the
+  /// responses; what requests cause to be sent elsewhere is recorded by the
+  /// handler.
+  virtual IntakeLimiter &intake() = 0;
+  /// Returns the time since the start in which connections were refused.
+  virtual core::Duration refusingTime() const = 0;
   /// Returns the number of requests of which at least one byte has arrived and
   /// whose responses are not complete.
   virtual std::size_t openRequests() const = 0;
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -15,6 +15,8 @@
 using boost::system::error_code;
 
 static const std::size_t ReadAheadBytes = 4096;
+/// Typical size of the head of a response.
+static const std::size_t HeadBytes = 256;
 /// Time for which a connection is read after an error response, which a reset
 /// could otherwise discard (RFC 9112, section 9.6).
 static const std::chrono::seconds LingerTime(1);
@@ -34,7 +36,6 @@
   m_Stream.socket().set_option(tcp::no_delay(true));
   // waitForDisconnect() peeks: a blocking receive would stall the event loop.
   m_Stream.socket().non_blocking(true);
-  m_Reading.begin(core::steadyNow());
   while (!m_IsAborted) {
     m_IsIdle = m_Buffer.size() == 0;
     m_IsResponseComplete = m_IsStreamStarted = m_IsChunked = false;
@@ -98,6 +99,8 @@
   startReadTimer();
   beast::http::async_read_header(m_Stream, m_Buffer, Parser, Yield[Failure]);
   bool IsHeaderRead = !Failure;
+  if (IsHeaderRead)
+    m_Intake.link().recordRequestHead(core::steadyNow());
   if (IsHeaderRead && Parser.get().version() != 11) {
     stopReadTimer();
     return 505;
@@ -143,7 +146,9 @@
       !m_HeldBody.tryExtend(static_cast<std::size_t>(*Length)))
     return false;
   while (!Failure && !Parser.is_done()) {
-    beast::http::async_read_some(m_Stream, m_Buffer, Parser, Yield[Failure]);
+    std::size_t Size = beast::http::async_read_some(m_Stream, m_Buffer, Parser,
+                                                    Yield[Failure]);
+    m_Intake.link().recordRequestBody(Size, core::steadyNow());
     if (!m_HeldBody.tryExtend(Parser.get().body().size()))
       return false;
   }
@@ -223,6 +228,10 @@
       });
 }
 
+void ServerConnection::recordResponse(std::size_t Bytes) {
+  m_Intake.link().recordResponse(Bytes, core::steadyNow());
+}
+
 void ServerConnection::throwIfWriteFailed(error_code Failure) {
   m_Stream.expires_never();
   if (!Failure)
@@ -237,9 +246,10 @@
   beast::http::response<beast::http::string_body> Out;
   copyHead(Response.m_Head, Out);
   Out.version(11);
-  Out.keep_alive(!mustCloseAfterResponse());
+  setKeepAlive(Out);
   error_code Failure;
   m_Stream.expires_after(m_Limits.m_WriteTimeout);
+  recordResponse(Response.m_Body.size() + HeadBytes);
   bool NoBody = hasNoBody(Response.m_Head.m_Status, m_Request.m_Method);
   if (!NoBody || m_Request.m_Method == "HEAD")
     Out.content_length(Response.m_Body.size());
@@ -259,7 +269,7 @@
   beast::http::response<beast::http::empty_body> Out;
   copyHead(Head, Out);
   Out.version(11);
-  Out.keep_alive(!mustCloseAfterResponse());
+  setKeepAlive(Out);
   m_HasNoBody = hasNoBody(Head.m_Status, m_Request.m_Method);
   m_IsChunked = !Head.m_ContentLength && !m_HasNoBody;
   if (Head.m_ContentLength)
@@ -270,6 +280,7 @@
   error_code Failure;
   m_Stream.expires_after(m_Limits.m_WriteTimeout);
   m_IsStreamStarted = true;
+  recordResponse(HeadBytes);
   beast::http::async_write_header(m_Stream, Serializer, Yield[Failure]);
   throwIfWriteFailed(Failure);
 }
@@ -281,6 +292,7 @@
     return;
   error_code Failure;
   m_Stream.expires_after(m_Limits.m_WriteTimeout);
+  recordResponse(Data.size());
   asio::const_buffer Bytes(Data.data(), Data.size());
   if (m_IsChunked)
     asio::async_write(m_Stream, beast::http::make_chunk(Bytes), Yield[Failure]);
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -19,21 +19,25 @@
 
 /// Connection that a Server accepted. Reads requests, passes them to the
 /// server's handler and is their Exchange, one request after the other. The
-/// limits, functions and flag given to the constructor are the server's.
+/// arguments of the constructor are the server's.
 class ServerConnection final
     : public Exchange,
       public std::enable_shared_from_this<ServerConnection> {
 public:
   ServerConnection(boost::asio::ip::tcp::socket Socket,
                    const ServerLimits &Limits, ByteBudget &BodyBudget,
-                   const TransferMeter &Transfers,
-                   const Server::Handler &Handle,
+                   IntakeLimiter &Intake, const Server::Handler &Handle,
                    const Server::ErrorResponseFactory &MakeErrorResponse,
-                   const bool &IsKeepAliveDisabled)
+                   const bool &IsKeepAliveDisabled,
+                   std::function<bool()> ShouldEndKeepAlive)
       : m_Stream(std::move(Socket)), m_ReadTimer(m_Stream.get_executor()),
-        m_Limits(Limits), m_HeldBody(BodyBudget), m_Reading(Transfers),
-        m_Handle(Handle), m_MakeErrorResponse(MakeErrorResponse),
-        m_IsKeepAliveDisabled(IsKeepAliveDisabled) {}
+        m_Limits(Limits), m_HeldBody(BodyBudget), m_Intake(Intake),
+        m_Reading(Intake.transfers()), m_Handle(Handle),
+        m_MakeErrorResponse(MakeErrorResponse),
+        m_IsKeepAliveDisabled(IsKeepAliveDisabled),
+        m_ShouldEndKeepAlive(std::move(ShouldEndKeepAlive)) {
+    m_Reading.begin(core::steadyNow());
+  }
 
   /// Serves requests until the connection closes.
   void run(boost::asio::yield_context Yield);
@@ -72,7 +76,13 @@
   void linger(boost::asio::yield_context Yield);
   void watchForDisconnect();
   void waitForDisconnect(const std::weak_ptr<std::function<void()>> &Weak);
+  void recordResponse(std::size_t Bytes);
   void throwIfWriteFailed(boost::system::error_code Failure);
+  /// Sets what the head of a response says of the connection.
+  template <class Message> void setKeepAlive(Message &Out) {
+    m_KeepAlive = m_KeepAlive && !m_ShouldEndKeepAlive();
+    Out.keep_alive(!mustCloseAfterResponse());
+  }
   bool mustCloseAfterResponse() const {
     return !m_KeepAlive || m_IsKeepAliveDisabled;
   }
@@ -89,10 +99,12 @@
   bool m_HasTimedOut = false;
   const ServerLimits &m_Limits;
   ByteBudget::Reservation m_HeldBody; ///< For the body of m_Request.
+  IntakeLimiter &m_Intake;
   TransferMeter::Transfer m_Reading;
   const Server::Handler &m_Handle;
   const Server::ErrorResponseFactory &m_MakeErrorResponse;
   const bool &m_IsKeepAliveDisabled;
+  std::function<bool()> m_ShouldEndKeepAlive;
   boost::beast::flat_buffer m_Buffer;
   RequestMessage m_Request;
   bool m_KeepAlive = true;
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -97,10 +97,9 @@
   Own.m_Slots.reset();
   Own.m_Dispatcher.reset();
   Own.m_Targets = std::make_unique<routing::TargetDirectory>();
-  if (!m_Scenario.m_IntakePerSecond.empty())
+  if (!m_Scenario.m_Intakes.empty())
     Own.m_Intake = std::make_unique<SimulatedIntake>(
-        m_Scenario
-            .m_IntakePerSecond[Index % m_Scenario.m_IntakePerSecond.size()]);
+        m_Scenario.m_Intakes[Index % m_Scenario.m_Intakes.size()]);
   routing::Pool Pool;
   Pool.m_Name = core::PoolName(PoolName);
   if (m_Scenario.m_IsWarmUpKnown) {
@@ -169,7 +168,7 @@
     ++m_Result.m_ClosedUnread;
     return m_Callers->recordUnread(Id, m_Now);
   }
-  TimePoint ReadAt = To.m_Intake->read(m_Now);
+  TimePoint ReadAt = To.m_Intake->beginRead(Id, m_Now);
   if (ReadAt - m_Now > SimulatedIntake::CallerPatience) {
     ++m_Result.m_GivenUpUnread;
     m_Network.callAt(m_Now + SimulatedIntake::CallerPatience, [this, Id] {
@@ -179,9 +178,11 @@
   }
   std::size_t Process = To.m_Process;
   m_Network.callAt(ReadAt, [this, Index, Process, Request] {
-    bool IsWaitedFor = m_Instances[Index].m_Process == Process &&
-                       m_Callers->isOpen(Request.m_Request);
-    if (!IsWaitedFor)
+    SimulatedInstance &Own = m_Instances[Index];
+    if (Own.m_Process != Process)
+      return;
+    Own.m_Intake->endRead(Request.m_Request, m_Now);
+    if (!m_Callers->isOpen(Request.m_Request))
       return;
     m_Callers->recordRead(Request.m_Request);
     place(Index, Request);
--- a/Tests/Support/DispatchSimulation.h
+++ b/Tests/Support/DispatchSimulation.h
@@ -11,6 +11,7 @@
 #define YARDRILL_TESTS_SUPPORT_DISPATCHSIMULATION_H
 
 #include "SimulatedCallers.h"
+#include "SimulatedIntake.h"
 #include "SimulatedNetwork.h"
 
 #include "LibCore/Time.h"
@@ -96,9 +97,8 @@
   std::optional<core::Duration> m_ReportPeriod;
   NetworkSettings m_Network;
   std::optional<ConnectionSkew> m_Skew;
-  /// Requests a second that the link and the event loop of each instance bear,
-  /// in turn; empty: any.
-  std::vector<double> m_IntakePerSecond;
+  /// Of the instances, in turn; empty: any rate is borne.
+  std::vector<IntakeCapacity> m_Intakes;
   std::vector<FaultPeriod> m_SilentInstances;
   /// Targets that get no new requests for a time.
   std::vector<FaultPeriod> m_LeavingTargets;
--- a/Tests/Support/OverloadScenarios.cpp
+++ b/Tests/Support/OverloadScenarios.cpp
@@ -62,9 +62,8 @@
 static constexpr std::size_t SkewDataHalls = 4;
 /// Leaves streams of the shortest objective no time to wait for a slot.
 static constexpr milliseconds SkewFirstEventTime{250};
-/// Requests a second that instances bear, by their size.
-static constexpr double SmallIntakePerSecond = 130;
-static constexpr double LargeIntakePerSecond = 1000;
+static constexpr IntakeCapacity SmallIntake{400, 130};
+static constexpr IntakeCapacity LargeIntake{1000, 2600};
 static constexpr std::size_t InstancesPerLargeOne = 11;
 
 DispatchScenario skewedConnections(std::size_t Instances, SkewScope Scope,
@@ -91,8 +90,8 @@
       Instances <= routing::FleetSubset::groupSizeFor(Instances, Out.m_Targets);
   Out.m_ReportPeriod = IsOneGroup ? SingleGroupPeriod : SeveralGroupsPeriod;
   Out.m_Overload = routing::OverloadSettings();
-  Out.m_IntakePerSecond.assign(InstancesPerLargeOne, SmallIntakePerSecond);
-  Out.m_IntakePerSecond.front() = LargeIntakePerSecond;
+  Out.m_Intakes.assign(InstancesPerLargeOne, SmallIntake);
+  Out.m_Intakes.front() = LargeIntake;
   Out.m_Length = seconds(18);
   ConnectionSkew Skew;
   Skew.m_From = seconds(5);
