Tests/Soak: Hand most new connections to one gateway for seconds

The balancer of the soak sends 85 of 100 new connections to one ready gateway, to others once that one is removed, while callers open new ones more often. From 4 s on, undisturbed gateways must serve three quarters of their usual share. Drawn apart from the other faults, so that seeds keep their schedules.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -20,6 +20,10 @@
 static constexpr std::uint64_t MaxPauseMs = 150;
 static constexpr int MissesUntilRemoval = 2;
 static constexpr std::uint64_t MaxRequestsPerConnection = 40;
+/// The same while connections are skewed.
+static constexpr std::uint64_t MaxRequestsWhileSkewed = 3;
+/// Percentage of the new connections that are skewed.
+static constexpr std::uint64_t SkewedPercentage = 85;
 static constexpr std::size_t ReadinessResponseLimit = 65536;
 /// Time for which a bad request is repeated with the same content.
 static constexpr std::chrono::seconds BadRequestRepeatTime{12};
@@ -159,8 +163,9 @@
                 {RequestKind::Idempotent, "/again/"},
                 {RequestKind::Stream, "/stream/"},
                 {RequestKind::ResumableStream, "/resume/"}};
-  for (std::uint64_t Left = 1 + randomBelow(MaxRequestsPerConnection); Left > 0;
-       --Left) {
+  std::uint64_t MaxRequests =
+      m_SkewedTo ? MaxRequestsWhileSkewed : MaxRequestsPerConnection;
+  for (std::uint64_t Left = 1 + randomBelow(MaxRequests); Left > 0; --Left) {
     const auto &Route = Routes[randomBelow(std::size(Routes))];
     SentRequest Request =
         makeSentRequest(Gateway, Route.m_Kind, randomBelow(4) == 0);
@@ -203,6 +208,9 @@
 }
 
 std::size_t Callers::chooseGateway() {
+  if (m_SkewedTo && m_Misses[*m_SkewedTo] < MissesUntilRemoval &&
+      randomBelow(100) < SkewedPercentage)
+    return *m_SkewedTo;
   std::vector<std::size_t> Available;
   for (std::size_t I = 0; I < m_Misses.size(); ++I)
     if (m_Misses[I] < MissesUntilRemoval)
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -24,6 +24,9 @@
   /// stopBadRequestCallers().
   void startBadRequestCallers(std::size_t Count);
   void stopBadRequestCallers() { m_AreBadRequestsStopped = true; }
+  /// Hands most new connections to one gateway while it is not removed, and
+  /// makes callers open new ones more often; none: connections are spread.
+  void setSkew(std::optional<std::size_t> Gateway) { m_SkewedTo = Gateway; }
   /// Makes every coroutine return after its current step.
   void stop() { m_IsStopped = true; }
   /// Returns whether all coroutines have returned.
@@ -74,6 +77,7 @@
   std::map<std::pair<std::size_t, std::size_t>, std::uint64_t>
       m_NewestActiveVersion;
   std::uint64_t m_NextId = 1;
+  std::optional<std::size_t> m_SkewedTo;
   std::size_t m_ActiveCoroutines = 0;
   bool m_IsStopped = false;
   bool m_AreBadRequestsStopped = false;
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -24,6 +24,12 @@
 /// Exceeds bounds::SettleTime, after which rate limits are checked.
 static constexpr std::uint64_t MinBackpressureMs = 4000;
 static constexpr std::uint64_t BackpressureSpreadMs = 8000;
+/// Makes the skews independent of the other faults of a seed.
+static constexpr std::uint64_t SkewSeed = 0x5ce3;
+static constexpr std::uint64_t SkewGapMs = 6000;
+/// Exceeds bounds::SkewAdaptationTime, after which requests are judged.
+static constexpr std::uint64_t MinSkewMs = 6000;
+static constexpr std::uint64_t SkewSpreadMs = 6000;
 /// Rate limits are multiples of 0.1 requests per second below this.
 static constexpr std::uint64_t MaxLimitTenths = 60;
 
@@ -38,7 +44,8 @@
       "target-link-one-way", "target-idle-reset", "target-crashes",
       "target-leaves",       "target-fails",      "target-refuses",
       "target-breaks-off",   "target-is-mute",    "publish",
-      "target-limits",       "target-tires",      "target-says-it-leaves"};
+      "target-limits",       "target-tires",      "target-says-it-leaves",
+      "connection-skew"};
   static_assert(std::size(Names) == FaultKindCount);
   return Names[static_cast<int>(Kind)];
 }
@@ -76,23 +83,39 @@
         Length - At);
     Next.m_Kind = static_cast<FaultKind>(
         RandomFaultKindCount +
-        Random() % (FaultKindCount - RandomFaultKindCount));
+        Random() % (BackpressureKindsEnd - RandomFaultKindCount));
     Next.m_Selector = Random();
     Out.push_back(Next);
   }
   return Out;
 }
 
+std::vector<Fault> drawSkews(std::uint64_t Seed, milliseconds Length) {
+  std::mt19937_64 Random(Seed ^ SkewSeed);
+  std::vector<Fault> Out;
+  for (milliseconds At(Random() % SkewGapMs); At < Length;) {
+    Fault Next;
+    Next.m_At = At;
+    Next.m_Length = std::min(milliseconds(MinSkewMs + Random() % SkewSpreadMs),
+                             Length - At);
+    Next.m_Kind = FaultKind::ConnectionSkew;
+    Next.m_Selector = Random();
+    Out.push_back(Next);
+    At += Next.m_Length + milliseconds(Random() % SkewGapMs);
+  }
+  return Out;
+}
+
 namespace {
 
 /// Injects one fault.
 class FaultInjection {
 public:
-  FaultInjection(const Fault &Scheduled, Deployment &System,
+  FaultInjection(const Fault &Scheduled, Deployment &System, Callers &Sources,
                  InvariantChecker &Checker, asio::io_context &Context,
                  asio::yield_context Yield)
-      : m_Fault(Scheduled), m_System(System), m_Checker(Checker),
-        m_Context(Context), m_Yield(std::move(Yield)),
+      : m_Fault(Scheduled), m_System(System), m_Sources(Sources),
+        m_Checker(Checker), m_Context(Context), m_Yield(std::move(Yield)),
         m_GatewayIndex(Scheduled.m_Selector % System.gateways()),
         m_TargetIndex(Scheduled.m_Selector % System.targets()) {}
 
@@ -158,6 +181,14 @@
     m_System.target(m_TargetIndex).setResponseFaults({});
   }
 
+  void skewConnections() {
+    m_Checker.noteSkew(true);
+    m_Sources.setSkew(m_GatewayIndex);
+    sleepForFault();
+    m_Sources.setSkew(std::nullopt);
+    m_Checker.noteSkew(false);
+  }
+
   void limitRate() {
     SoakTarget &Target = m_System.target(m_TargetIndex);
     Target.setLimit(static_cast<double>(m_Fault.m_Selector % MaxLimitTenths) /
@@ -168,6 +199,7 @@
 
   const Fault &m_Fault;
   Deployment &m_System;
+  Callers &m_Sources;
   InvariantChecker &m_Checker;
   asio::io_context &m_Context;
   asio::yield_context m_Yield;
@@ -243,13 +275,15 @@
     m_System.target(m_TargetIndex).setLeavingInResponses();
     sleepForFault();
     return m_System.crashTarget(m_TargetIndex, m_Fault.m_Length / 8, m_Yield);
+  case FaultKind::ConnectionSkew:
+    return skewConnections();
   }
 }
 
-void runFault(const Fault &Scheduled, Deployment &System,
+void runFault(const Fault &Scheduled, Deployment &System, Callers &Sources,
               InvariantChecker &Checker, asio::io_context &Context,
               asio::yield_context Yield) {
-  FaultInjection(Scheduled, System, Checker, Context, Yield).run();
+  FaultInjection(Scheduled, System, Sources, Checker, Context, Yield).run();
 }
 
 } // namespace yardrill::soak
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -2,6 +2,7 @@
 #ifndef YARDRILL_TESTS_SOAK_FAULTPLAN_H
 #define YARDRILL_TESTS_SOAK_FAULTPLAN_H
 
+#include "Callers.h"
 #include "Deployment.h"
 
 #include <chrono>
@@ -42,12 +43,16 @@
   TargetLimits,
   TargetTires,
   TargetSaysItLeaves,
+  // See drawSkews().
+  ConnectionSkew,
 };
 /// Number of kinds that drawFaults() uses.
 inline constexpr std::uint64_t RandomFaultKindCount =
     static_cast<std::uint64_t>(FaultKind::Publish) + 1;
-inline constexpr std::uint64_t FaultKindCount =
+inline constexpr std::uint64_t BackpressureKindsEnd =
     static_cast<std::uint64_t>(FaultKind::TargetSaysItLeaves) + 1;
+inline constexpr std::uint64_t FaultKindCount =
+    static_cast<std::uint64_t>(FaultKind::ConnectionSkew) + 1;
 
 const char *toString(FaultKind Kind);
 
@@ -73,9 +78,14 @@
 std::vector<Fault> drawBackpressureFaults(std::uint64_t Seed,
                                           std::chrono::milliseconds Length);
 
+/// Returns the times in which the balancer hands most new connections to one
+/// gateway; drawn separately, for the same reason.
+std::vector<Fault> drawSkews(std::uint64_t Seed,
+                             std::chrono::milliseconds Length);
+
 /// Injects a fault and removes it after its length, if it has one. Throws
 /// core::Error when the store can't be reached.
-void runFault(const Fault &Scheduled, Deployment &System,
+void runFault(const Fault &Scheduled, Deployment &System, Callers &Sources,
               InvariantChecker &Checker, boost::asio::io_context &Context,
               boost::asio::yield_context Yield);
 
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -63,6 +63,10 @@
 
 void InvariantChecker::requestSent(SentRequest Request) {
   m_Requests.push_back({Request.m_SentAt});
+  Request.m_IsGatewayUndisturbed =
+      isUndisturbedSince(Request.m_Gateway, Request.m_SentAt);
+  if (m_SkewedSince)
+    Request.m_SkewAge = Request.m_SentAt - *m_SkewedSince;
   std::string Id = Request.m_Id;
   m_SentRequests.emplace(std::move(Id), std::move(Request));
 }
@@ -310,6 +314,44 @@
   addViolation("recovery", Text.str());
 }
 
+void InvariantChecker::noteSkew(bool Begins) {
+  if (Begins)
+    m_SkewedSince = m_Now();
+  else
+    m_SkewedSince.reset();
+}
+
+void InvariantChecker::checkSkews() {
+  struct {
+    std::size_t m_Sent = 0;
+    std::size_t m_Served = 0;
+
+    double share() const {
+      return static_cast<double>(m_Served) / static_cast<double>(m_Sent);
+    }
+  } Usual, Skewed;
+  for (const auto &[Id, Request] : m_SentRequests) {
+    if (!Request.m_IsGatewayUndisturbed || Request.m_IsTargetDisturbed ||
+        Request.m_IsProbe || !Request.m_Content.empty() ||
+        m_Quotas.count(Request.m_Account) != 0)
+      continue;
+    // Neither counts while instances adapt.
+    if (Request.m_SkewAge && *Request.m_SkewAge < bounds::SkewAdaptationTime)
+      continue;
+    auto &Counted = Request.m_SkewAge ? Skewed : Usual;
+    ++Counted.m_Sent;
+    Counted.m_Served +=
+        Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
+  }
+  if (std::min(Usual.m_Sent, Skewed.m_Sent) < bounds::MinRequestsForShare ||
+      Skewed.share() >= bounds::MinServedWhileSkewed * Usual.share())
+    return;
+  std::ostringstream Text;
+  Text << Skewed.share() << " of the requests served while connections were "
+       << "skewed, " << Usual.share() << " else";
+  addViolation("recovery", Text.str());
+}
+
 void InvariantChecker::checkQuarantine() {
   for (const auto &[Content, Observed] : m_BadContents) {
     if (Observed.m_Exits.size() < bounds::ExitsForQuarantine)
@@ -335,6 +377,7 @@
   checkQuotas();
   checkRetries();
   checkRecovery(RecoveredAt);
+  checkSkews();
 }
 
 std::string InvariantChecker::summary() const {
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -76,6 +76,12 @@
 /// Share of the requests that are served from SettleTime after the last
 /// disturbance on.
 inline constexpr double MinServedAfterRecovery = 0.9;
+/// Time from the begin of a skew of connections until it may cost no more, and
+/// least share that is served from then on, relative to the time without one.
+inline constexpr std::chrono::milliseconds SkewAdaptationTime{4000};
+inline constexpr double MinServedWhileSkewed = 0.75;
+/// Number of requests below which shares say little.
+inline constexpr std::size_t MinRequestsForShare = 40;
 } // namespace bounds
 
 enum class RequestKind { NonIdempotent, Idempotent, Stream, ResumableStream };
@@ -98,8 +104,12 @@
   double m_Tokens = 0;
   TimePoint m_SentAt;
   std::chrono::milliseconds m_TimeLimit{};
-  std::size_t m_Arrivals = 0;   ///< At targets.
-  std::size_t m_Executions = 0; ///< By targets.
+  std::size_t m_Arrivals = 0;          ///< At targets.
+  std::size_t m_Executions = 0;        ///< By targets.
+  bool m_IsGatewayUndisturbed = false; ///< When it was sent.
+  /// Time since which connections were skewed when it was sent; none: they were
+  /// not.
+  std::optional<Clock::duration> m_SkewAge;
   bool m_IsProbe = false; ///< Probes a route that need not exist yet (404).
   /// Whether a target that received it refused, aborted, failed or was
   /// disturbed.
@@ -144,6 +154,9 @@
   void gatewayRestarted(std::size_t Gateway) { m_Backpressure.forget(Gateway); }
   void noteStorePathDisturbance(std::size_t Gateway, bool Begins);
   void noteStoreDisturbance(bool Begins);
+  /// Records that the balancer hands most new connections to one gateway, or
+  /// (false) no longer.
+  void noteSkew(bool Begins);
   /// Records that a planned stop began, or (false) that the process exited.
   void setStopping(std::size_t Gateway, bool IsStopping);
   /// Returns whether the gateway is not stopping and all disturbances of its
@@ -227,6 +240,7 @@
   void checkRetries();
   void checkRecovery(TimePoint RecoveredAt);
   void checkQuarantine();
+  void checkSkews();
   SentRequest *findRequest(const std::string &Id);
   /// Whether another gateway than the one that got it may have sent a request
   /// to a target, since so many targets are or were out of reach.
@@ -260,6 +274,7 @@
   NowFunction m_Now;
   std::vector<Gateway> m_Gateways;
   Disturbance m_Store;
+  std::optional<TimePoint> m_SkewedSince;
   std::map<std::string, SentRequest> m_SentRequests;
   std::map<std::string, AccountQuota> m_Quotas;
   std::map<std::string, TimeSeries> m_ExecutedTokens; ///< By account.
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(testBackoffOfResponseThatIsReadBeforeItIsReported);
   CPPUNIT_TEST(testBackoffStatedToAnotherGatewayIsNotAttributed);
   CPPUNIT_TEST(testLeavingInResponses);
+  CPPUNIT_TEST(testSkewedConnections);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint m_Now{std::chrono::hours(1)};
@@ -73,7 +74,31 @@
     m_Checker.backpressureStated(send(), Incarnation, Backpressure, m_Now);
   }
 
+  void sendAndAnswer(int Count, int Served) {
+    for (int I = 0; I < Count; ++I)
+      m_Checker.responseReceived(send(), I < Served ? 200 : 503);
+  }
+
 public:
+  void testSkewedConnections() {
+    sendAndAnswer(100, 96);
+    m_Checker.noteSkew(true);
+    m_Now += seconds(3);
+    sendAndAnswer(100, 10);
+    m_Now += seconds(1);
+    sendAndAnswer(100, 80);
+    m_Checker.noteSkew(false);
+    m_Now += seconds(30);
+    sendAndAnswer(100, 100);
+    m_Checker.finish(m_Now);
+    expectNoViolation();
+    m_Checker.noteSkew(true);
+    m_Now += seconds(4);
+    sendAndAnswer(100, 30);
+    m_Checker.finish(m_Now);
+    expectViolation("recovery");
+  }
+
   void testRateLimit() {
     m_Checker.rateLimitChanged("r", 2);
     stateBackpressure("r", {2.0, std::nullopt, false});
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -123,6 +123,8 @@
     std::vector<Fault> BackpressureFaults =
         drawBackpressureFaults(FLAGS_seed, Length);
     Out.insert(Out.end(), BackpressureFaults.begin(), BackpressureFaults.end());
+    std::vector<Fault> Skews = drawSkews(FLAGS_seed, Length);
+    Out.insert(Out.end(), Skews.begin(), Skews.end());
     std::stable_sort(
         Out.begin(), Out.end(),
         [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
@@ -139,7 +141,7 @@
     asio::spawn(
         m_Context,
         [this, Scheduled](asio::yield_context Yield) {
-          runFault(Scheduled, m_System, m_Checker, m_Context, Yield);
+          runFault(Scheduled, m_System, m_Callers, m_Checker, m_Context, Yield);
           --m_ActiveFaults;
         },
         asio::detached);
