LibGateway: Refuse waiting requests before a stop ends

Cause: pollStop() waits for all open requests and then ends the event loop; nothing refuses those that wait. Ruled out: requests that a target runs, which may use the grace time.

2.5 s before the end they are refused with 503, which is true, and nothing is sent to a target from then on, as it would be cut.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -26,6 +26,8 @@
 /// Time in which a stopping instance still accepts requests: the load balancer
 /// needs two seconds to notice that it is not ready.
 static constexpr std::chrono::milliseconds AcceptPeriodWhenStopping{3000};
+/// Time before the end of a stop from which on no request is sent to a target.
+static constexpr std::chrono::milliseconds StopServiceTime{2500};
 /// Time between the end of a stop and the kill.
 static constexpr std::chrono::milliseconds StopMargin{300};
 /// Range of the delay before an instance asks the store at a fleet's first
@@ -499,6 +501,17 @@
          Now - m_StoppingSince > AcceptPeriodWhenStopping;
 }
 
+bool Gateway::isPastSendPeriod(core::TimePoint Now) const {
+  return isPastAcceptPeriod(Now) &&
+         Now - m_StoppingSince >
+             m_Settings.m_StopGrace - StopMargin - StopServiceTime;
+}
+
+void Gateway::refuseWaiting() {
+  for (const auto &[Id, Open] : m_OpenRequests)
+    Open->refuseIfWaiting();
+}
+
 void Gateway::stop(std::function<void()> OnStopped) {
   if (m_StoppingSince != core::TimePoint())
     return;
@@ -518,6 +531,8 @@
   if (Elapsed < AcceptPeriodWhenStopping || !m_OnStopped)
     return;
   m_CallerServer->stopAccepting();
+  if (isPastSendPeriod(Now))
+    refuseWaiting();
   bool IsIdle = m_CallerServer->openRequests() == 0 && m_OpenRequests.empty();
   if (!IsIdle && Elapsed < m_Settings.m_StopGrace - StopMargin)
     return;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -147,6 +147,11 @@
   /// Whether a stopping instance no longer admits requests, since one that
   /// arrives now might not complete.
   bool isPastAcceptPeriod(core::TimePoint Now) const;
+  /// Whether a stop ends too soon to send a request to a target.
+  bool isPastSendPeriod(core::TimePoint Now) const;
+  /// Refuses the requests that wait for a target, so that their callers can
+  /// turn to other instances.
+  void refuseWaiting();
   bool isReady() const;
   /// Whether the first configuration may still arrive.
   bool isJustStarted() const;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -79,6 +79,11 @@
   m_WakeTimer.cancel();
 }
 
+void GatewayRequest::refuseIfWaiting() {
+  if (m_Owner.m_Dispatcher.withdraw(m_Id))
+    refuse();
+}
+
 void GatewayRequest::handleCallerDisconnect() {
   m_IsCallerGone = true;
   if (m_Connection)
@@ -202,7 +207,9 @@
   m_Target.reset();
   m_TargetEndedAt.reset();
   m_IsUnread = false;
-  m_IsRefused = false;
+  m_IsRefused = m_Owner.isPastSendPeriod(core::steadyNow());
+  if (m_IsRefused)
+    return false;
   const routing::Pool *Pool = m_Table->findPool(m_Pool);
   routing::PlacementRequest Placement;
   Placement.m_Request = m_Id;
@@ -401,6 +408,8 @@
   if (m_IsRefused)
     m_Reason = m_Owner.availableAt(m_Pool, core::steadyNow()) ? "targets-closed"
                                                               : "no-target";
+  if (m_IsRefused && m_Owner.isPastSendPeriod(core::steadyNow()))
+    m_Reason = "stopping";
   // It can't go on within its caller's time.
   if (m_IsRefused && !HasTimedOut && isStreamVersionGone()) {
     m_Reason = "stream-version-gone";
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -38,6 +38,8 @@
   std::uint32_t routeHash() const { return m_Route ? m_Route->m_Hash : 0; }
   /// Called when the dispatcher refuses the request.
   void refuse();
+  /// Refuses the request if it waits for a target.
+  void refuseIfWaiting();
   /// Called when the path to a pool is lost. Stops waiting for its targets if a
   /// peer reaches them.
   void handleLostPath(const core::PoolName &Pool);
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -28,8 +28,8 @@
 }
 
 void GatewayRequest::handleLostPath(const core::PoolName &Pool) {
-  if (m_Pool == Pool && shouldForward() && m_Owner.m_Dispatcher.withdraw(m_Id))
-    refuse();
+  if (m_Pool == Pool && shouldForward())
+    refuseIfWaiting();
 }
 
 AttemptOutcome GatewayRequest::forward(asio::yield_context Yield) {
