LibRouting, LibHTTP: Ask once before a refusal; compute the link's room rarely

Found while reading the change: a request whose question got no answer asked again every 100 ms instead of being refused, and each event of a stream cost an exponential. SlotLendingServiceTest::testAsksBeforeItRefuses.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -424,7 +424,9 @@
   m_Status = Status;
   m_Reason = Reason;
   m_RetryAfter = RetryAfter;
-  m_Owner.m_Load.noteRefusal(Reason);
+  // Of requests that another instance might serve.
+  if (Status == 429 || Status >= 500)
+    m_Owner.m_Load.noteRefusal(Reason);
   http::ResponseMessage Response;
   Response.m_Head.m_Status = Status;
   m_Owner.m_Wire.prepare(Response.m_Head, m_Description);
--- a/Libraries/LibHTTP/LinkBudget.cpp
+++ b/Libraries/LibHTTP/LinkBudget.cpp
@@ -10,6 +10,8 @@
 /// Time for which unused bandwidth is kept, and for which a queue counts.
 static constexpr double MaxUnusedSeconds = 0.1;
 static constexpr double MaxQueueSeconds = 1;
+/// Period of the computation, which each event of a stream would cost else.
+static constexpr std::chrono::milliseconds RefillPeriod{5};
 /// Headers of a packet: Ethernet, IP and TCP.
 static constexpr double PacketBytes = 66;
 static constexpr double MaxPacketPayload = 1448;
@@ -30,7 +32,7 @@
 }
 
 void LinkBudget::refill(core::TimePoint Now) {
-  if (Now <= m_RefilledAt)
+  if (Now - m_RefilledAt < RefillPeriod)
     return;
   double Decay =
       std::exp(-core::toSeconds(Now - m_RefilledAt) / MeanTimeConstantSeconds);
--- a/Libraries/LibRouting/Dispatcher.cpp
+++ b/Libraries/LibRouting/Dispatcher.cpp
@@ -387,7 +387,7 @@
     if (AvailableAt && *AvailableAt <= queueDeadline(Request))
       return false;
   }
-  if (!HasCandidate || (IsTimeUp && !Best && !isSlotAwaited(Request, Now))) {
+  if (!HasCandidate || (IsTimeUp && !Best && !tryAwaitSlot(Request, Now))) {
     refuse(Request, Now);
     return true;
   }
--- a/Libraries/LibRouting/Dispatcher.h
+++ b/Libraries/LibRouting/Dispatcher.h
@@ -275,8 +275,8 @@
   /// Refuses waiting requests that can't begin in time any more.
   void refuseHopeless(core::TimePoint Now);
   /// Asks for a slot of another group. \returns whether an answer is awaited.
-  bool isSlotAwaited(const PlacementRequest &Request,
-                     core::TimePoint Now) const {
+  bool tryAwaitSlot(const PlacementRequest &Request,
+                    core::TimePoint Now) const {
     return m_Hooks.m_Borrow && m_Hooks.m_Borrow(Request, Now);
   }
   /// Whether a request may be refused before its queue deadline.
--- a/Libraries/LibRouting/DispatcherWaiting.cpp
+++ b/Libraries/LibRouting/DispatcherWaiting.cpp
@@ -45,8 +45,7 @@
       !hasFewFreeSlots(Request.m_Pool, Now))
     return false;
   auto AvailableAt = nextAvailability(Request, Now);
-  return (!AvailableAt || queueDeadline(Request) < *AvailableAt) &&
-         !isSlotAwaited(Request, Now);
+  return !AvailableAt || queueDeadline(Request) < *AvailableAt;
 }
 
 bool Dispatcher::tryRefuseOnArrival(const PlacementRequest &Request,
@@ -71,7 +70,7 @@
   m_PredictedWaits[Request.m_Request] = {*Predicted, Now, Ahead, 0};
   if (!WaitPrediction::refusesOnArrival(*Predicted,
                                         queueDeadline(Request) - Now) ||
-      !mayRefuseEarly(Request, Now))
+      !mayRefuseEarly(Request, Now) || tryAwaitSlot(Request, Now))
     return false;
   refuse(Request, Now);
   m_PredictedWaits.erase(Request.m_Request);
@@ -98,7 +97,7 @@
     if (Predicted &&
         WaitPrediction::refusesWaiting(*Predicted,
                                        queueDeadline(*Request) - Now) &&
-        mayRefuseEarly(*Request, Now)) {
+        mayRefuseEarly(*Request, Now) && !tryAwaitSlot(*Request, Now)) {
       refuse(*Request, Now);
       // Copies the key, because withdraw() destroys the request.
       withdraw(core::RequestId(Request->m_Request));
--- a/Libraries/LibRouting/SlotBorrowing.cpp
+++ b/Libraries/LibRouting/SlotBorrowing.cpp
@@ -7,6 +7,8 @@
 /// Time for which the instances to ask are kept. Those that have left
 /// meanwhile don't answer.
 static constexpr std::chrono::seconds LenderListTime{1};
+/// Time for which it is known that a request has asked.
+static constexpr std::chrono::seconds DecisionMemory{1};
 
 bool SlotBorrowing::isDue(const PlacementRequest &Request,
                           core::TimePoint Now) const {
@@ -43,7 +45,9 @@
       m_Questions.begin(), m_Questions.end(), [&](const auto &Each) {
         return Each.second.m_Request == Request.m_Request;
       });
-  return IsAsked || (isDue(Request, Now) && askFor(Request, Now));
+  // One whose question got no slot is refused.
+  bool HasAsked = m_DecidedAt.count(Request.m_Request) != 0;
+  return IsAsked || (!HasAsked && isDue(Request, Now) && askFor(Request, Now));
 }
 
 bool SlotBorrowing::askFor(const PlacementRequest &Request,
@@ -170,8 +174,8 @@
       close(Current);
   }
   for (auto Each = m_DecidedAt.begin(); Each != m_DecidedAt.end();)
-    Each = Now - Each->second >= AnswerTimeout ? m_DecidedAt.erase(Each)
-                                               : std::next(Each);
+    Each = Now - Each->second >= DecisionMemory ? m_DecidedAt.erase(Each)
+                                                : std::next(Each);
 }
 
 } // namespace yardrill::routing
--- a/Tests/LibGateway/SlotLendingServiceTest.cpp
+++ b/Tests/LibGateway/SlotLendingServiceTest.cpp
@@ -26,9 +26,13 @@
       : m_Dispatcher(m_Targets, core::DataHallName("hall"),
                      routing::PlacementPolicy::LeastPredictedWait,
                      {[](core::RequestId, const routing::Target &) {},
-                      [](core::RequestId) {},
+                      [this](core::RequestId) { ++m_Refused; },
                       {},
-                      [this](core::RequestId Id) { m_Lending.recordEnd(Id); }}),
+                      [this](core::RequestId Id) { m_Lending.recordEnd(Id); },
+                      [this](const routing::PlacementRequest &Request,
+                             core::TimePoint Now) {
+                        return m_Lending.awaitSlotFor(Request, Now);
+                      }}),
         m_Slots(m_Dispatcher, m_Targets, m_Metrics, Hook),
         m_Lending(m_Dispatcher, m_Targets, m_Slots.leases(),
                   core::DataHallName("hall"), m_Metrics, {Hook, [] {}}) {
@@ -53,6 +57,7 @@
     return m_Metrics.exposition().find(Line + "\n") != std::string::npos;
   }
 
+  int m_Refused = 0;
   routing::TargetDirectory m_Targets;
   routing::Dispatcher m_Dispatcher;
   metrics::MetricsRegistry m_Metrics;
@@ -65,6 +70,7 @@
 class SlotLendingServiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SlotLendingServiceTest);
   CPPUNIT_TEST(testBorrowsAndReturns);
+  CPPUNIT_TEST(testAsksBeforeItRefuses);
   CPPUNIT_TEST(testLostAnswerEndsWithItsLease);
   CPPUNIT_TEST(testStoppingInstanceGrantsNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -118,7 +124,7 @@
     }
   }
   /// Lets a request wait at the borrower, whose slots are all taken.
-  void placeAndAsk() {
+  void placeAndAsk(core::Duration Objective = seconds(2)) {
     core::PoolName Pool("pool");
     for (auto *Each : m_Borrower.m_Targets.subsetOf(Pool))
       if (Each->running() == 0)
@@ -129,7 +135,7 @@
     Request.m_Pool = Pool;
     Request.m_IsInference = true;
     Request.m_ArrivedAt = m_Now;
-    Request.m_FirstByteDue = m_Now + seconds(2);
+    Request.m_FirstByteDue = m_Now + Objective;
     Request.m_FirstEventDeadline = Request.m_EndsAt = m_Now + seconds(9);
     m_Borrower.m_Dispatcher.place(Request, m_Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Borrower.m_Dispatcher.waiting());
@@ -137,6 +143,22 @@
   }
 
 public:
+  void testAsksBeforeItRefuses() {
+    // Shorter than a first event takes: no time is left to wait for a slot.
+    placeAndAsk(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Sent.size());
+    m_Sent.clear();
+    m_Now += milliseconds(50);
+    m_Borrower.m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(0, m_Borrower.m_Refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Sent.size());
+    // The question has timed out.
+    m_Now += milliseconds(50);
+    m_Borrower.m_Dispatcher.dispatchWaiting(m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_Sent.size());
+    CPPUNIT_ASSERT_EQUAL(1, m_Borrower.m_Refused);
+  }
+
   void testBorrowsAndReturns() {
     placeAndAsk();
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Sent.size());
