--- a/Libraries/LibHTTP/LinkBudget.cpp
+++ b/Libraries/LibHTTP/LinkBudget.cpp
@@ -66,7 +66,7 @@
 
 void LinkBudget::recordRequestSent(std::size_t BodyBytes, core::TimePoint Now) {
   refill(Now);
-  add(m_Sent, BodyBytes + HeadBytes);
+  add(m_Sent, std::min(BodyBytes, MaxCountedBytes) + HeadBytes);
 }
 
 void LinkBudget::recordResponse(std::size_t Bytes, core::TimePoint Now) {
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -47,6 +47,7 @@
       break;
     }
     watchForDisconnect();
+    m_CountedBytes = 0;
     m_Handle(*this, Yield);
     m_DisconnectCallback.reset();
     // An idle connection holds no body.
@@ -140,6 +141,7 @@
 
 bool ServerConnection::readBody(RequestParser &Parser, error_code &Failure,
                                 asio::yield_context Yield) {
+  m_CountedBytes = 0;
   // A body whose length is known is refused before it is read.
   auto Length = Parser.content_length();
   if (Length && *Length <= m_Limits.m_BodyBytes &&
@@ -148,7 +150,8 @@
   while (!Failure && !Parser.is_done()) {
     std::size_t Size = beast::http::async_read_some(m_Stream, m_Buffer, Parser,
                                                     Yield[Failure]);
-    m_Intake.link().recordRequestBody(Size, core::steadyNow());
+    if (std::size_t Counted = countBytes(Size))
+      m_Intake.link().recordRequestBody(Counted, core::steadyNow());
     if (!m_HeldBody.tryExtend(Parser.get().body().size()))
       return false;
   }
@@ -228,8 +231,16 @@
       });
 }
 
+std::size_t ServerConnection::countBytes(std::size_t Bytes) {
+  std::size_t Counted =
+      std::min(Bytes, LinkBudget::MaxCountedBytes - m_CountedBytes);
+  m_CountedBytes += Counted;
+  return Counted;
+}
+
 void ServerConnection::recordResponse(std::size_t Bytes) {
-  m_Intake.link().recordResponse(Bytes, core::steadyNow());
+  if (std::size_t Counted = countBytes(Bytes))
+    m_Intake.link().recordResponse(Counted, core::steadyNow());
 }
 
 void ServerConnection::throwIfWriteFailed(error_code Failure) {
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -76,6 +76,9 @@
   void linger(boost::asio::yield_context Yield);
   void watchForDisconnect();
   void waitForDisconnect(const std::weak_ptr<std::function<void()>> &Weak);
+  /// Returns how many of further bytes of the current message count for the
+  /// link.
+  std::size_t countBytes(std::size_t Bytes);
   void recordResponse(std::size_t Bytes);
   void throwIfWriteFailed(boost::system::error_code Failure);
   /// Sets what the head of a response says of the connection.
@@ -101,6 +104,7 @@
   ByteBudget::Reservation m_HeldBody; ///< For the body of m_Request.
   IntakeLimiter &m_Intake;
   TransferMeter::Transfer m_Reading;
+  std::size_t m_CountedBytes = 0; ///< Of the current request or response.
   const Server::Handler &m_Handle;
   const Server::ErrorResponseFactory &m_MakeErrorResponse;
   const bool &m_IsKeepAliveDisabled;
--- a/Tests/LibHTTP/IntakeLimiterTest.cpp
+++ b/Tests/LibHTTP/IntakeLimiterTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(testFastLoopAcceptsABurst);
   CPPUNIT_TEST(testSlowCallersKeepNobodyOut);
   CPPUNIT_TEST(testServerRefusesAndAcceptsAgain);
+  CPPUNIT_TEST(testLargeResponseKeepsNobodyOut);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr double SmallLink = 1.25e6; ///< 10 Mbit/s.
@@ -136,6 +137,35 @@
     }
   }
 
+  void testLargeResponseKeepsNobodyOut() {
+    asio::io_context Context{1};
+    ServerLimits Limits;
+    Limits.m_LinkBytesPerSecond = SmallLink;
+    auto Respond = [](Exchange &Call, asio::yield_context Yield) {
+      ResponseMessage Response;
+      Response.m_Head.m_Status = 200;
+      if (Call.request().m_Target == "/large")
+        Response.m_Body = std::string(8000000, 'x');
+      Call.sendResponse(std::move(Response), Yield);
+    };
+    auto Tested = Server::create(
+        Context, {asio::ip::make_address("127.0.0.1"), 0}, Limits, Respond,
+        [](unsigned) { return ResponseMessage(); });
+    int Port = Tested->port();
+    std::thread Thread([&Context] { Context.run(); });
+    RequestMessage Request;
+    Request.m_Method = "GET";
+    Request.m_Target = "/large";
+    Request.m_Headers.set("Host", "h");
+    std::size_t Received = call(Port, Request).m_Body.size();
+    Request.m_Target = "/small";
+    unsigned Status = call(Port, Request).m_Status;
+    Context.stop();
+    Thread.join();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8000000), Received);
+    CPPUNIT_ASSERT_EQUAL(200U, Status);
+  }
+
   void testServerRefusesAndAcceptsAgain() {
     asio::io_context Context{1};
     ServerLimits Limits;
