LibHTTP: Accept clumps of callers at an idle instance

SlowCallerTest and StreamVersionTest failed in the run of all tests: three large responses at once, or 17 callers that connect at once, made an idle instance refuse connections. Causes: 64 KB of each counted against 94 KB of unused bandwidth, and more than 16 open transfers counted as a slow loop while none had completed.

A message counts for 32 KB, 0.25 s of unused bandwidth are kept, a request is taken for 2 KB until some have come, and only completed transfers that were slow show a loop that is behind. testIdleProcessAcceptsAClump, red before (17th of 25 refused). ConnectionSkewModelTest, IntakeLimiterTest and both tests pass.

--- a/Libraries/LibHTTP/IntakeLimiter.cpp
+++ b/Libraries/LibHTTP/IntakeLimiter.cpp
@@ -17,8 +17,10 @@
   std::size_t Open = m_Transfers.open(Now);
   if (Open <= MinTransfers)
     return false;
+  // Where nothing completes, callers connect without sending: the link shows
+  // whether their bytes are held up.
   auto Recent = m_Transfers.recentDuration(Now);
-  if (Recent && *Recent < NotableDelay)
+  if (!Recent || *Recent < NotableDelay)
     return false;
   return static_cast<double>(Open) >
          std::max(static_cast<double>(MinTransfers),
--- a/Libraries/LibHTTP/LinkBudget.cpp
+++ b/Libraries/LibHTTP/LinkBudget.cpp
@@ -8,7 +8,7 @@
 /// The rest is for peers, the store, acknowledgements and retransmissions.
 static constexpr double LinkShare = 0.75;
 /// Time for which unused bandwidth is kept, and for which a queue counts.
-static constexpr double MaxUnusedSeconds = 0.1;
+static constexpr double MaxUnusedSeconds = 0.25;
 static constexpr double MaxQueueSeconds = 1;
 /// Period of the computation, which each event of a stream would cost else.
 static constexpr std::chrono::milliseconds RefillPeriod{5};
@@ -19,8 +19,9 @@
 static constexpr std::size_t HeadBytes = 400;
 /// Time constant of the mean bytes of a request.
 static constexpr double MeanTimeConstantSeconds = 5;
-/// Assumed before any request has come.
-static constexpr double DefaultBytesPerRequest = 8192;
+/// Assumed before any request has come: callers of an idle or restarted process
+/// may connect at once.
+static constexpr double DefaultBytesPerRequest = 2048;
 
 LinkBudget::LinkBudget(double LinkBytesPerSecond)
     : m_BytesPerSecond(LinkBytesPerSecond * LinkShare) {}
--- a/Libraries/LibHTTP/LinkBudget.h
+++ b/Libraries/LibHTTP/LinkBudget.h
@@ -16,7 +16,7 @@
 public:
   /// Bytes of a request or a response that count. TCP paces the rest of a
   /// larger one, which shares the link with others and delays them little.
-  static constexpr std::size_t MaxCountedBytes = 65536;
+  static constexpr std::size_t MaxCountedBytes = 32768;
 
   /// \param LinkBytesPerSecond bandwidth of the link, in each direction.
   explicit LinkBudget(double LinkBytesPerSecond);
--- a/Tests/LibHTTP/IntakeLimiterTest.cpp
+++ b/Tests/LibHTTP/IntakeLimiterTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(testLargeRequestPassesASmallLink);
   CPPUNIT_TEST(testSlowLoopAcceptsWhatItPasses);
   CPPUNIT_TEST(testFastLoopAcceptsABurst);
+  CPPUNIT_TEST(testIdleProcessAcceptsAClump);
   CPPUNIT_TEST(testSlowCallersKeepNobodyOut);
   CPPUNIT_TEST(testServerRefusesAndAcceptsAgain);
   CPPUNIT_TEST(testLargeResponseKeepsNobodyOut);
@@ -126,6 +127,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1000), Open.size());
   }
 
+  void testIdleProcessAcceptsAClump() {
+    for (bool HasServed : {false, true}) {
+      IntakeLimiter Limiter(SmallLink);
+      if (HasServed)
+        readRequest(Limiter, BodyBytes);
+      m_Now += seconds(1);
+      std::list<TransferMeter::Transfer> Open;
+      for (int I = 0; I < 25; ++I) {
+        CPPUNIT_ASSERT(Limiter.mayAccept(m_Now));
+        Open.emplace_back(Limiter.transfers()).begin(m_Now);
+      }
+    }
+  }
+
   void testSlowCallersKeepNobodyOut() {
     IntakeLimiter Limiter(1000 * SmallLink);
     std::list<TransferMeter::Transfer> Slow;
