Tests/Support: Compute quantiles of callers' times in one place

The change had written the rank of CallerOutcomes::refusalTime() again for CallerResult::firstReadTime(). Behaviour is as it was: ConnectionSkewModelTest and OverloadModelTest pass; format and lint of the file are clean.

--- a/Tests/Support/CallerResult.cpp
+++ b/Tests/Support/CallerResult.cpp
@@ -9,6 +9,15 @@
   return All == 0 ? 0 : static_cast<double>(Count) / static_cast<double>(All);
 }
 
+/// \pre \p Values is not empty.
+template <class Value>
+static Value quantileOf(std::vector<Value> Values, double Quantile) {
+  std::sort(Values.begin(), Values.end());
+  auto Rank =
+      static_cast<std::size_t>(Quantile * static_cast<double>(Values.size()));
+  return Values[std::min(Rank, Values.size() - 1)];
+}
+
 double CallerOutcomes::share(std::size_t Count) const {
   return ratio(Count, m_Sent);
 }
@@ -20,11 +29,7 @@
 double CallerOutcomes::refusalTime(double Quantile) const {
   if (m_RefusalTimes.empty())
     return 0;
-  std::vector<double> Sorted = m_RefusalTimes;
-  std::sort(Sorted.begin(), Sorted.end());
-  auto Rank =
-      static_cast<std::size_t>(Quantile * static_cast<double>(Sorted.size()));
-  return Sorted[std::min(Rank, Sorted.size() - 1)];
+  return quantileOf(m_RefusalTimes, Quantile);
 }
 
 CallerOutcomes &CallerOutcomes::operator+=(const CallerOutcomes &Other) {
@@ -79,10 +84,7 @@
       Times.push_back(Each.m_Time);
   if (Times.empty())
     return core::Duration::zero();
-  std::sort(Times.begin(), Times.end());
-  auto Rank =
-      static_cast<std::size_t>(Quantile * static_cast<double>(Times.size()));
-  return Times[std::min(Rank, Times.size() - 1)];
+  return quantileOf(std::move(Times), Quantile);
 }
 
 } // namespace yardrill::tests
