LibGateway: Log why members and owners that are gone stay

Neither logs nor metrics said whether a member, an owner or a wait was the reason. The record writer now logs each retained instance with its reason when that changes (instance-retained), and has a gauge for each list.

Decisions are unchanged.

--- a/Libraries/LibGateway/FleetMembership.cpp
+++ b/Libraries/LibGateway/FleetMembership.cpp
@@ -14,17 +14,23 @@
 FleetMembership::proposeUpdate(const FleetMembers &Live, core::TimePoint Now) {
   std::map<config::Endpoint, core::TimePoint> Silent;
   FleetMembers Next = Live;
+  m_Retained.clear();
   for (const auto &[Address, Hall] : m_Recorded) {
     if (Live.count(Address) != 0)
       continue;
     auto Known = m_SilentSince.find(Address);
     core::TimePoint Since = Known == m_SilentSince.end() ? Now : Known->second;
     Silent.emplace(Address, Since);
-    if (Now - Since < RemovalDelay)
-      Next.emplace(Address, Hall);
+    if (Now - Since >= RemovalDelay)
+      continue;
+    Next.emplace(Address, Hall);
+    m_Retained.emplace(Address, RetentionReason::RecentlySilent);
   }
-  if (Silent.size() * 2 >= m_Recorded.size())
+  if (Silent.size() * 2 >= m_Recorded.size()) {
     Next.insert(m_Recorded.begin(), m_Recorded.end());
+    for (const auto &[Address, Since] : Silent)
+      m_Retained.emplace(Address, RetentionReason::MostSilent);
+  }
   m_SilentSince = std::move(Silent);
   if (Next == m_Recorded)
     return std::nullopt;
--- a/Libraries/LibGateway/FleetMembership.h
+++ b/Libraries/LibGateway/FleetMembership.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/Time.h"
 #include "LibGateway/MembershipRecord.h"
+#include "LibGateway/RetentionReason.h"
 
 #include <map>
 #include <optional>
@@ -32,11 +33,15 @@
   /// \param Live live instances, this one included.
   std::optional<FleetMembers> proposeUpdate(const FleetMembers &Live,
                                             core::TimePoint Now);
+  /// Returns the recorded instances that were not live at the last call of
+  /// proposeUpdate() and stay members.
+  const RetainedInstances &retained() const { return m_Retained; }
 
 private:
   FleetMembers m_Recorded;
   /// Time since which each recorded instance that is not live has been absent.
   std::map<config::Endpoint, core::TimePoint> m_SilentSince;
+  RetainedInstances m_Retained;
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -21,6 +21,7 @@
 #include "LibGateway/QuarantineService.h"
 #include "LibGateway/QuotaOwnership.h"
 #include "LibGateway/QuotaService.h"
+#include "LibGateway/RetentionMonitor.h"
 #include "LibGateway/RetryBudgets.h"
 #include "LibGateway/RolloutService.h"
 #include "LibGateway/RolloutWriter.h"
@@ -209,6 +210,8 @@
   MembershipRecord m_OwnersRecord;
   FleetMembership m_Membership;
   QuotaOwnership m_QuotaOwnership;
+  RetentionMonitor m_RetainedMembers{m_Metrics, "members"};
+  RetentionMonitor m_RetainedOwners{m_Metrics, "quota_owners"};
   platform::StoreMirror m_Mirror;
   StoreFollower m_Follower;
   routing::RoutingTableHandle m_Table;
--- a/Libraries/LibGateway/GatewayMembership.cpp
+++ b/Libraries/LibGateway/GatewayMembership.cpp
@@ -54,6 +54,8 @@
     m_MembershipRecord.write(*List, Now);
   if (auto List = m_QuotaOwnership.proposeUpdate(m_Peers->memberReports(), Now))
     m_OwnersRecord.write(*List, Now);
+  m_RetainedMembers.update(m_Membership.retained());
+  m_RetainedOwners.update(m_QuotaOwnership.retained());
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -136,39 +136,46 @@
   return includes(m_Known.at(Instance).m_SettledRevision, At);
 }
 
-bool QuotaOwnership::isReleased(const config::Endpoint &Owner,
+std::optional<RetentionReason>
+QuotaOwnership::retentionReason(const config::Endpoint &Owner,
                                 const routing::ConsistentHashRing &Ring,
                                 core::TimePoint Now) const {
   platform::Revision RemovedAt = changedAt(Owner);
   if (hasSettled(Owner, RemovedAt))
-    return true;
+    return std::nullopt;
   const Known &Removed = m_Known.at(Owner);
   // It is heard and learns of the change itself.
   if (Removed.m_IsLive)
-    return false;
+    return RetentionReason::Reporting;
   core::Duration Silence = Now - Removed.m_LastLiveAt;
   if (Silence >= (Removed.m_IsStopping ? core::Duration(SettlingTime)
                                        : core::Duration(MaxPartition)))
-    return true;
+    return std::nullopt;
   std::vector<config::Endpoint> Witnesses = Ring.witnessesOf(Owner);
   auto Settled = std::count_if(Witnesses.begin(), Witnesses.end(),
                                [this, RemovedAt](const auto &Each) {
                                  return hasSettled(Each, RemovedAt);
                                });
-  return static_cast<std::size_t>(Settled) * 2 > Witnesses.size();
+  if (static_cast<std::size_t>(Settled) * 2 > Witnesses.size())
+    return std::nullopt;
+  return RetentionReason::FewWitnesses;
 }
 
-FleetMembers QuotaOwnership::removableOwners(core::TimePoint Now) const {
+FleetMembers QuotaOwnership::removableOwners(core::TimePoint Now) {
   FleetMembers Out;
+  m_Retained.clear();
   for (const auto &[Address, Hall] : m_Owners)
     if (m_Members.count(Address) == 0)
       Out.emplace(Address, Hall);
+    else if (!m_Known.at(Address).m_IsLive)
+      m_Retained.emplace(Address, RetentionReason::Member);
   if (Out.empty())
     return Out;
   routing::ConsistentHashRing Ring = ringOf(m_Owners);
   platform::Revision ChangedAt = m_OwnersAt;
   for (auto Each = Out.begin(); Each != Out.end();) {
-    if (!isReleased(Each->first, Ring, Now)) {
+    if (auto Reason = retentionReason(Each->first, Ring, Now)) {
+      m_Retained.emplace(Each->first, *Reason);
       Each = Out.erase(Each);
       continue;
     }
@@ -180,8 +187,12 @@
     for (const auto &[Address, Hall] : m_Owners) {
       if (Out.count(Address) != 0 || hasSettled(Address, ChangedAt))
         continue;
-      for (const config::Endpoint &Each : Ring.witnessesOf(Address))
-        IsChanged = Out.erase(Each) != 0 || IsChanged;
+      for (const config::Endpoint &Each : Ring.witnessesOf(Address)) {
+        if (Out.erase(Each) == 0)
+          continue;
+        m_Retained.emplace(Each, RetentionReason::WitnessOfOthers);
+        IsChanged = true;
+      }
     }
   }
   return Out;
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -12,6 +12,7 @@
 
 #include "LibCore/Time.h"
 #include "LibGateway/MembershipRecord.h"
+#include "LibGateway/RetentionReason.h"
 #include "LibPlatform/Revision.h"
 #include "LibRouting/ConsistentHashRing.h"
 #include "LibRouting/QuotaOwner.h"
@@ -77,6 +78,9 @@
   /// received before do not count.
   std::optional<FleetMembers> proposeUpdate(const MemberReports &Live,
                                             core::TimePoint Now);
+  /// Returns the owners that stay although they were not live or not members
+  /// at the last call of proposeUpdate().
+  const RetainedInstances &retained() const { return m_Retained; }
 
 private:
   struct Sample {
@@ -103,14 +107,16 @@
   /// Whether \p Instance has known revision \p At for long.
   bool hasSettled(const config::Endpoint &Instance,
                   platform::Revision At) const;
-  /// Whether an owner that is no longer a member has stopped granting.
-  bool isReleased(const config::Endpoint &Owner,
+  /// Returns why an owner that is no longer a member may still grant; none if
+  /// it has stopped.
+  std::optional<RetentionReason>
+  retentionReason(const config::Endpoint &Owner,
                   const routing::ConsistentHashRing &Ring,
                   core::TimePoint Now) const;
   /// Returns the owners that are no longer members and have stopped granting,
   /// without those whose removal would change the witnesses of others that may
   /// not know of it.
-  FleetMembers removableOwners(core::TimePoint Now) const;
+  FleetMembers removableOwners(core::TimePoint Now);
 
   FleetMembers m_Owners;
   platform::Revision m_OwnersAt;
@@ -121,6 +127,7 @@
   std::map<config::Endpoint, platform::Revision> m_ChangedAt;
   std::map<config::Endpoint, Known> m_Known;
   core::TimePoint m_ObservedAt{};
+  RetainedInstances m_Retained;
 };
 
 } // namespace yardrill::gateway
