Tests: Show that a replaced fleet refuses accounts below their limits

QuotaReplacementTest plays the real FleetMembership, QuotaOwnership and DistributedQuota: announced stops one by one and all at once, stops that no running process remembers, losses of half and of all without a word, the return of the old instances, and a rolling restart at the same addresses.

--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -1,5 +1,6 @@
 #include "QuotaSimulation.h"
 
+#include "LibGateway/FleetMembership.h"
 #include "LibGateway/QuotaOwnership.h"
 #include "LibRouting/DistributedQuota.h"
 
@@ -105,8 +106,11 @@
     config::Endpoint m_Address;
     std::unique_ptr<DistributedQuota> m_Quota; ///< Null while down.
     core::TimePoint m_DownUntil{};
+    core::TimePoint m_StopsAt = core::TimePoint::max(); ///< Exit of a stop.
+    core::TimePoint m_DownAfterStopUntil{};
     core::TimePoint m_ReadsAt{}; ///< Next update of lists and accounts.
     core::TimePoint m_HeardAt{}; ///< Last time that the writer heard of it.
+    bool m_WasStopping = false;  ///< As it said then.
     InstanceLists m_Lists;       ///< As it knows them.
     routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
     /// Made when they are needed first, as that takes long.
@@ -131,9 +135,11 @@
                          {},
                          platform::Revision(1)};
   routing::QuotaRings m_MemberRings{routing::ConsistentHashRing()};
-  platform::Revision m_MemberRingsOf;  ///< Revision of the lists.
-  std::size_t m_Writer = 0;            ///< Instance that writes the lists.
-  gateway::QuotaOwnership m_Ownership; ///< Of the writer.
+  platform::Revision m_MemberRingsOf;    ///< Revision of the lists.
+  std::size_t m_Writer = 0;              ///< Instance that writes the lists.
+  gateway::QuotaOwnership m_Ownership;   ///< Of the writer.
+  gateway::FleetMembership m_Membership; ///< Of the writer.
+  std::size_t m_OwnerChanges = 0;
   core::TimePoint m_UpkeepAt{};
   core::TimePoint m_StoreLostUntil{};
   std::vector<ModelInstance> m_Instances;
@@ -200,10 +206,11 @@
                          std::to_string(Index % 200 + 10),
                      7600};
     m_Indexes.emplace(New.m_Address, Index);
-    m_Stored.m_Members.emplace(New.m_Address, core::DataHallName("hall"));
+    if (IsFirstStart || !m_Settings.m_HasWriter)
+      m_Stored.m_Members.emplace(New.m_Address, core::DataHallName("hall"));
     if (IsFirstStart)
       m_Stored.m_Owners = m_Stored.m_Members;
-    else
+    else if (!m_Settings.m_HasWriter)
       announceMembers();
     m_Instances.push_back(std::move(New));
     start(m_Instances.back(), IsFirstStart);
@@ -270,26 +277,65 @@
     if (Writer == m_Instances.end())
       return;
     auto Index = static_cast<std::size_t>(Writer - m_Instances.begin());
-    if (Index != m_Writer)
+    if (Index != m_Writer) {
       m_Ownership = gateway::QuotaOwnership();
+      m_Membership = gateway::FleetMembership();
+    }
     m_Writer = Index;
     m_Ownership.setMembers(m_Stored.m_Members, m_Stored.m_MembersAt);
     m_Ownership.setOwners(m_Stored.m_Owners, m_Stored.m_OwnersAt);
     gateway::MemberReports Live;
     for (ModelInstance &Each : m_Instances) {
-      if (isRunning(Each) && canReach(*Writer, Each))
+      if (isRunning(Each) && canReach(*Writer, Each)) {
         Each.m_HeardAt = m_Now;
+        Each.m_WasStopping = isStopping(Each);
+      }
       if (m_Now - Each.m_HeardAt < PeerTimeout)
-        Live[Each.m_Address] = {Each.m_Lists.m_Revision, false};
+        Live[Each.m_Address] = {Each.m_Lists.m_Revision, Each.m_WasStopping};
     }
+    if (m_Settings.m_HasWriter)
+      updateMembers(Live);
     auto Next = m_Ownership.proposeUpdate(Live, m_Now);
     if (!Next)
       return;
     m_Stored.m_Owners = *Next;
+    ++m_OwnerChanges;
     announceLists();
     m_Stored.m_OwnersAt = m_Stored.m_Revision;
   }
 
+  void updateMembers(const gateway::MemberReports &Live) {
+    gateway::FleetMembers Heard;
+    for (const auto &[Address, Report] : Live)
+      Heard.emplace(Address, core::DataHallName("hall"));
+    m_Membership.setRecorded(m_Stored.m_Members);
+    auto Next = m_Membership.proposeUpdate(Heard, m_Now);
+    if (!Next)
+      return;
+    m_Stored.m_Members = *Next;
+    announceMembers();
+    m_Ownership.setMembers(m_Stored.m_Members, m_Stored.m_MembersAt);
+  }
+
+  bool isStopping(const ModelInstance &Instance) const {
+    return Instance.m_StopsAt != core::TimePoint::max();
+  }
+
+  void kill(ModelInstance &Killed, core::TimePoint DownUntil) {
+    Killed.m_Quota.reset();
+    Killed.m_Inbox.clear();
+    Killed.m_DelayedRequests.clear();
+    Killed.m_FrozenUntil = core::TimePoint();
+    Killed.m_DownUntil = DownUntil;
+    Killed.m_StopsAt = core::TimePoint::max();
+    auto Index = static_cast<std::size_t>(&Killed - m_Instances.data());
+    if (Index == m_Writer)
+      m_Writer = m_Instances.size();
+    for (auto Each = m_Pending.begin(); Each != m_Pending.end();)
+      Each = Each->second.m_Instance == Index ? m_Pending.erase(Each)
+                                              : std::next(Each);
+  }
+
   /// Lets instances without the store read the lists of peers that know newer
   /// ones.
   void fetchFromPeers() {
@@ -478,6 +524,8 @@
       ModelInstance &Each = m_Instances[I];
       if (Each.m_FrozenUntil > m_Now)
         continue;
+      if (Each.m_Quota && Each.m_StopsAt <= m_Now)
+        kill(Each, Each.m_DownAfterStopUntil);
       if (!Each.m_Quota && Each.m_DownUntil <= m_Now)
         start(Each, false);
       if (!Each.m_Quota)
@@ -541,16 +589,7 @@
 }
 
 void QuotaSimulation::kill(std::size_t Instance, core::Duration Down) {
-  Model::ModelInstance &Killed = m_Model->m_Instances[Instance];
-  Killed.m_Quota.reset();
-  Killed.m_Inbox.clear();
-  Killed.m_DelayedRequests.clear();
-  Killed.m_FrozenUntil = core::TimePoint();
-  Killed.m_DownUntil = now() + Down;
-  auto &Pending = m_Model->m_Pending;
-  for (auto Each = Pending.begin(); Each != Pending.end();)
-    Each = Each->second.m_Instance == Instance ? Pending.erase(Each)
-                                               : std::next(Each);
+  m_Model->kill(m_Model->m_Instances[Instance], now() + Down);
 }
 
 void QuotaSimulation::cut(std::size_t Instance, core::Duration Time) {
@@ -585,6 +624,29 @@
   m_Model->announceMembers();
 }
 
+void QuotaSimulation::join() { m_Model->add(false); }
+
+void QuotaSimulation::stop(std::size_t Instance,
+                           std::optional<core::Duration> Down) {
+  Model::ModelInstance &Stopping = m_Model->m_Instances[Instance];
+  Stopping.m_StopsAt = now() + StopTime;
+  Stopping.m_DownAfterStopUntil =
+      Down ? Stopping.m_StopsAt + *Down : core::TimePoint::max();
+}
+
+void QuotaSimulation::restart(std::size_t Instance) {
+  m_Model->m_Instances[Instance].m_DownUntil = now();
+}
+
+bool QuotaSimulation::isReady(std::size_t Instance) const {
+  const Model::ModelInstance &Each = m_Model->m_Instances[Instance];
+  return m_Model->isRunning(Each) && !m_Model->isStopping(Each);
+}
+
+std::size_t QuotaSimulation::ownerChanges() const {
+  return m_Model->m_OwnerChanges;
+}
+
 const std::vector<TokenGrant> &
 QuotaSimulation::grants(std::size_t Account) const {
   return m_Model->m_Grants[Account];
--- a/Tests/Support/QuotaSimulation.h
+++ b/Tests/Support/QuotaSimulation.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace yardrill::tests {
@@ -50,6 +51,9 @@
   std::vector<routing::Account> m_Accounts; ///< Accounts; each has a limit.
   routing::QuotaTolerance m_Tolerance;
   std::uint64_t m_Seed = 1;
+  /// Whether the membership follows FleetMembership. Otherwise, it changes only
+  /// by QuotaSimulation::add() and remove().
+  bool m_HasWriter = false;
 };
 
 /// Fleet that serves requests of some accounts while a test injects faults.
@@ -86,6 +90,20 @@
   /// long.
   void remove(std::size_t Instance);
 
+  // With QuotaSimulationSettings::m_HasWriter only.
+  /// Starts an instance that the writer adds to the membership once it hears
+  /// of it.
+  void join();
+  /// Announces that the instance stops. It exits after StopTime, and restarts
+  /// after \p Down; never if none is given.
+  void stop(std::size_t Instance, std::optional<core::Duration> Down = {});
+  /// Restarts an instance that was killed or has stopped.
+  void restart(std::size_t Instance);
+  /// Whether the load balancer sends requests to the instance.
+  bool isReady(std::size_t Instance) const;
+  /// Returns how often the list of owners has changed.
+  std::size_t ownerChanges() const;
+
   const std::vector<TokenGrant> &grants(std::size_t Account) const;
   /// Returns the number of the account's requests that were refused by
   /// instances that cut() had cut off, or by all others.
@@ -95,6 +113,7 @@
   }
 
   static constexpr std::chrono::milliseconds StepTime{10};
+  static constexpr std::chrono::seconds StopTime{5};
 
 private:
   struct Model;
