LibGateway: Record announced stops, and follow them without waiting for proof

Cause: an announced stop was known only to processes that had heard it, and counted as silence. With half of the members silent none was removed from the membership, so owners of quotas that had exited stayed owners; whoever started later had not heard of the stops at all.

Change: - The record writer writes announced stops to the store at once (`departures`), and deletes them when the instance is back at its address or in no list any more. - A departed member is removed 12 s after its last report, restart or not. - An owner that has departed and left the membership is removed at once. It has exited, and from now on a stopping owner grants nothing without the store. It doesn't hold up the removal of others either: a witness that has exited agrees with nobody. - The guard "half are silent" is gone. The writer reaches the store, so it is not the one that is cut off from it, and owners are protected by QuotaOwnership, not by the membership.

testMinorityRemovesNoInstance asserted the guard and is replaced: testSilentMajorityIsRemoved says what the membership does now, and QuotaOwnershipTest.testMinorityReplacesNoOwner, QuotaOwnershipModelTest and QuotaListChangeTest, unchanged, say that no owner is replaced by that.

Ruled out: the guard alone.

--- a/Libraries/LibGateway/FleetMembership.cpp
+++ b/Libraries/LibGateway/FleetMembership.cpp
@@ -9,6 +9,9 @@
 /// the three owners of each of these accounts is absent, which leaves two
 /// thirds of its limit.
 static constexpr std::chrono::seconds RemovalDelay{12};
+/// The same for an instance that has announced its stop. With the time for
+/// which a peer counts as live without a report (10 s), it exceeds a restart.
+static constexpr std::chrono::seconds DepartureDelay{2};
 
 std::optional<FleetMembers>
 FleetMembership::proposeUpdate(const FleetMembers &Live, core::TimePoint Now) {
@@ -21,20 +24,38 @@
     auto Known = m_SilentSince.find(Address);
     core::TimePoint Since = Known == m_SilentSince.end() ? Now : Known->second;
     Silent.emplace(Address, Since);
-    if (Now - Since >= RemovalDelay)
+    bool HasDeparted = m_Departed.count(Address) != 0;
+    if (Now - Since >= (HasDeparted ? DepartureDelay : RemovalDelay))
       continue;
     Next.emplace(Address, Hall);
     m_Retained.emplace(Address, RetentionReason::RecentlySilent);
   }
-  if (Silent.size() * 2 >= m_Recorded.size()) {
-    Next.insert(m_Recorded.begin(), m_Recorded.end());
-    for (const auto &[Address, Since] : Silent)
-      m_Retained.emplace(Address, RetentionReason::MostSilent);
-  }
   m_SilentSince = std::move(Silent);
   if (Next == m_Recorded)
     return std::nullopt;
   return Next;
 }
 
+std::optional<FleetMembers>
+FleetMembership::proposeDepartures(const MemberReports &Live,
+                                   const FleetMembers &Owners) const {
+  FleetMembers Next;
+  for (const auto &[Address, Hall] : m_Departed) {
+    auto Report = Live.find(Address);
+    bool IsBack = Report != Live.end() && !Report->second.m_IsStopping;
+    bool IsListed =
+        m_Recorded.count(Address) != 0 || Owners.count(Address) != 0;
+    if (!IsBack && IsListed)
+      Next.emplace(Address, Hall);
+  }
+  for (const auto &[Address, Report] : Live) {
+    auto Member = m_Recorded.find(Address);
+    if (Report.m_IsStopping && Member != m_Recorded.end())
+      Next.insert(*Member);
+  }
+  if (Next == m_Departed)
+    return std::nullopt;
+  return Next;
+}
+
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/FleetMembership.h
+++ b/Libraries/LibGateway/FleetMembership.h
@@ -4,11 +4,17 @@
 // network partition, since a new owner does not know what its predecessor
 // granted. So an instance is added at once, and removed only after a delay.
 //
+// Two ways to leave are kept apart: silence is a suspicion that anything heard
+// of the instance refutes, while an announced stop is a fact. The store holds
+// it, so that it outlasts the processes that heard it, until the instance is
+// back at its address or removed from all lists.
+//
 //===----------------------------------------------------------------------===//
 #ifndef YARDRILL_LIBGATEWAY_FLEETMEMBERSHIP_H
 #define YARDRILL_LIBGATEWAY_FLEETMEMBERSHIP_H
 
 #include "LibCore/Time.h"
+#include "LibGateway/MemberReport.h"
 #include "LibGateway/MembershipRecord.h"
 #include "LibGateway/RetentionReason.h"
 
@@ -26,19 +32,31 @@
   }
   const FleetMembers &recorded() const { return m_Recorded; }
 
+  /// Sets the instances whose stop the store holds.
+  void setDeparted(FleetMembers Instances) {
+    m_Departed = std::move(Instances);
+  }
+  const FleetMembers &departed() const { return m_Departed; }
+
   /// Returns the recorded membership with the live instances added, and without
-  /// those that have not been live for too long; none if nothing changes. If at
-  /// least half of the recorded instances are not live, none is removed, since
-  /// the live ones may themselves be partitioned from the fleet.
+  /// those that have not been live for too long; none if nothing changes.
   /// \param Live live instances, this one included.
   std::optional<FleetMembers> proposeUpdate(const FleetMembers &Live,
                                             core::TimePoint Now);
+  /// Returns the members and owners of quotas whose stop should be recorded;
+  /// none if nothing changes. An instance that reports again without stopping
+  /// has restarted.
+  /// \param Owners instances that own quotas.
+  std::optional<FleetMembers>
+  proposeDepartures(const MemberReports &Live,
+                    const FleetMembers &Owners) const;
   /// Returns the recorded instances that were not live at the last call of
   /// proposeUpdate() and stay members.
   const RetainedInstances &retained() const { return m_Retained; }
 
 private:
   FleetMembers m_Recorded;
+  FleetMembers m_Departed;
   /// Time since which each recorded instance that is not live has been absent.
   std::map<config::Endpoint, core::TimePoint> m_SilentSince;
   RetainedInstances m_Retained;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,6 +13,9 @@
 namespace asio = boost::asio;
 using core::Error;
 
+/// Minimum time between two writes of the announced stops. A stopping instance
+/// exits within seconds, and may be the last that knows of its stop.
+static constexpr std::chrono::seconds DeparturesWritePeriod{1};
 /// Period in which waiting requests and a stop are checked.
 static constexpr std::chrono::milliseconds TickPeriod{20};
 /// Period of the upkeep of rollouts.
@@ -66,6 +69,7 @@
     : m_Context(Context), m_Settings(std::move(Settings)), m_Wire(Wire),
       m_Store(Store), m_Timers(Context), m_MembershipRecord(Context, Store),
       m_OwnersRecord(Context, Store, "quota-owners"),
+      m_DeparturesRecord(Context, Store, "departures", DeparturesWritePeriod),
       m_Mirror(MaxMirrorChanges), m_Follower(Context, Store, m_Mirror),
       m_Dispatcher(
           m_Targets, m_Settings.m_DataHall, m_Settings.m_Placement,
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -208,6 +208,7 @@
   LoadMonitor m_Load{m_Metrics};
   MembershipRecord m_MembershipRecord;
   MembershipRecord m_OwnersRecord;
+  MembershipRecord m_DeparturesRecord;
   FleetMembership m_Membership;
   QuotaOwnership m_QuotaOwnership;
   RetentionMonitor m_RetainedMembers{m_Metrics, "members"};
--- a/Libraries/LibGateway/GatewayMembership.cpp
+++ b/Libraries/LibGateway/GatewayMembership.cpp
@@ -18,6 +18,9 @@
       m_QuotaOwnership.setRestoredOwners(Owners, Change.m_ModRevision);
     else
       m_QuotaOwnership.setOwners(std::move(Owners), Change.m_ModRevision);
+  } else if (m_DeparturesRecord.isRecordKey(Change.m_Key)) {
+    m_Membership.setDeparted(m_DeparturesRecord.read(Change));
+    m_QuotaOwnership.setDeparted(m_Membership.departed());
   } else {
     return false;
   }
@@ -50,9 +53,13 @@
 void Gateway::updateMembershipRecords(core::TimePoint Now) {
   if (!m_Follower.isConnected() || !m_Peers->isRecordWriter())
     return;
+  MemberReports Live = m_Peers->memberReports();
+  if (auto List =
+          m_Membership.proposeDepartures(Live, m_QuotaOwnership.owners()))
+    m_DeparturesRecord.write(*List, Now);
   if (auto List = m_Membership.proposeUpdate(m_Peers->liveInstances(), Now))
     m_MembershipRecord.write(*List, Now);
-  if (auto List = m_QuotaOwnership.proposeUpdate(m_Peers->memberReports(), Now))
+  if (auto List = m_QuotaOwnership.proposeUpdate(Live, Now))
     m_OwnersRecord.write(*List, Now);
   m_RetainedMembers.update(m_Membership.retained());
   m_RetainedOwners.update(m_QuotaOwnership.retained());
--- a/Libraries/LibGateway/MembershipRecord.cpp
+++ b/Libraries/LibGateway/MembershipRecord.cpp
@@ -5,11 +5,9 @@
 
 namespace yardrill::gateway {
 
-static constexpr std::chrono::seconds WritePeriod{10};
-
 MembershipRecord::MembershipRecord(boost::asio::io_context &Context,
                                    platform::KeyValueService &Store,
-                                   std::string Name)
+                                   std::string Name, core::Duration WritePeriod)
     : m_Record(Context, Store, std::move(Name), WritePeriod) {}
 
 /// Returns one line per instance: its address, a space and its data hall.
--- a/Libraries/LibGateway/MembershipRecord.h
+++ b/Libraries/LibGateway/MembershipRecord.h
@@ -19,10 +19,14 @@
 /// Reads and writes one list; used by Gateway.
 class MembershipRecord {
 public:
+  static constexpr std::chrono::seconds DefaultWritePeriod{10};
+
   /// \param Name see StoreRecord.
+  /// \param WritePeriod see StoreRecord.
   MembershipRecord(boost::asio::io_context &Context,
                    platform::KeyValueService &Store,
-                   std::string Name = "instances");
+                   std::string Name = "instances",
+                   core::Duration WritePeriod = DefaultWritePeriod);
 
   bool isRecordKey(const std::string &Key) const {
     return m_Record.isRecordKey(Key);
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -279,6 +279,9 @@
 PeerExchange::ownershipEvidence(core::TimePoint Now) const {
   if (isStoreReachable())
     return routing::OwnershipEvidence::Store;
+  // Its successors need not wait for the witnesses of a stopping owner.
+  if (m_IsStopping)
+    return routing::OwnershipEvidence::None;
   if (Now - m_StoreReachableAt <= WitnessTime || hasMostWitnesses())
     return routing::OwnershipEvidence::Witnesses;
   return routing::OwnershipEvidence::None;
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -147,6 +147,10 @@
   // It is heard and learns of the change itself.
   if (Removed.m_IsLive)
     return RetentionReason::Reporting;
+  // A stopping owner grants nothing without the store, and has exited before it
+  // leaves the membership.
+  if (m_Departed.count(Owner) != 0)
+    return std::nullopt;
   core::Duration Silence = Now - Removed.m_LastLiveAt;
   if (Silence >= (Removed.m_IsStopping ? core::Duration(SettlingTime)
                                        : core::Duration(MaxPartition)))
@@ -188,7 +192,8 @@
       if (Out.count(Address) != 0 || hasSettled(Address, ChangedAt))
         continue;
       for (const config::Endpoint &Each : Ring.witnessesOf(Address)) {
-        if (Out.erase(Each) == 0)
+        // One that has exited agrees with nobody, by either list.
+        if (m_Departed.count(Each) != 0 || Out.erase(Each) == 0)
           continue;
         m_Retained.emplace(Each, RetentionReason::WitnessOfOthers);
         IsChanged = true;
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -11,6 +11,7 @@
 #define YARDRILL_LIBGATEWAY_QUOTAOWNERSHIP_H
 
 #include "LibCore/Time.h"
+#include "LibGateway/MemberReport.h"
 #include "LibGateway/MembershipRecord.h"
 #include "LibGateway/RetentionReason.h"
 #include "LibPlatform/Revision.h"
@@ -51,15 +52,6 @@
   std::vector<config::Endpoint> m_Witnessed;
 };
 
-/// What an instance has reported last.
-struct MemberReport {
-  platform::Revision m_Revision; ///< Revision up to which it knows the store.
-  bool m_IsStopping = false;
-};
-
-/// Reports of live instances, by peer address.
-using MemberReports = std::map<config::Endpoint, MemberReport>;
-
 /// Compares the recorded owners with the membership; used by Gateway.
 class QuotaOwnership {
 public:
@@ -72,6 +64,10 @@
   const FleetMembers &owners() const { return m_Owners; }
   /// Sets the membership that the store holds since revision \p At.
   void setMembers(FleetMembers Members, platform::Revision At);
+  /// Sets the instances whose stop the store holds; see FleetMembership.
+  void setDeparted(FleetMembers Instances) {
+    m_Departed = std::move(Instances);
+  }
 
   /// Returns the owners that should replace the recorded ones; none if nothing
   /// changes. Must be called several times a second; after a pause, the reports
@@ -122,6 +118,7 @@
   platform::Revision m_OwnersAt;
   bool m_IsStoreOutdated = false; ///< The store holds owners of an older copy.
   FleetMembers m_Members;
+  FleetMembers m_Departed;
   platform::Revision
       m_FirstMembersAt; ///< Of the first membership that was set.
   std::map<config::Endpoint, platform::Revision> m_ChangedAt;
--- a/Libraries/LibGateway/RetentionReason.cpp
+++ b/Libraries/LibGateway/RetentionReason.cpp
@@ -7,8 +7,6 @@
   switch (Reason) {
   case RetentionReason::RecentlySilent:
     return "recently-silent";
-  case RetentionReason::MostSilent:
-    return "most-silent";
   case RetentionReason::Member:
     return "member";
   case RetentionReason::Reporting:
--- a/Libraries/LibGateway/RetentionReason.h
+++ b/Libraries/LibGateway/RetentionReason.h
@@ -12,7 +12,6 @@
 /// Why an instance that is not live, or no longer a member, stays in a list.
 enum class RetentionReason {
   RecentlySilent, ///< It may be restarting.
-  MostSilent,     ///< Half or more of the members are silent.
   Member,         ///< It owns quotas and has not left the membership.
   Reporting,      ///< It is heard, and has not known its removal for long.
   FewWitnesses,   ///< Too few of its witnesses have known its removal for long.
--- a/Tests/LibGateway/FleetMembershipTest.cpp
+++ b/Tests/LibGateway/FleetMembershipTest.cpp
@@ -17,7 +17,9 @@
   CPPUNIT_TEST(testNewInstanceIsAddedAtOnce);
   CPPUNIT_TEST(testShortSilenceChangesNothing);
   CPPUNIT_TEST(testLongSilenceRemovesInstance);
-  CPPUNIT_TEST(testMinorityRemovesNoInstance);
+  CPPUNIT_TEST(testSilentMajorityIsRemoved);
+  CPPUNIT_TEST(testAnnouncedStopOutlastsThoseThatHeardIt);
+  CPPUNIT_TEST(testRestartRefutesAnnouncedStop);
   CPPUNIT_TEST(testRecordRoundTrip);
   CPPUNIT_TEST(testUnreadableRecordIsIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -76,12 +78,46 @@
                    FleetMembers({m_A, m_C}));
   }
 
-  void testMinorityRemovesNoInstance() {
-    // The instance is partitioned from its peers, but reaches the store.
+  void testSilentMajorityIsRemoved() {
+    // Owners of quotas outlast this; see QuotaOwnershipTest.
     FleetMembership Membership;
     Membership.setRecorded({m_A, m_B, m_C});
     CPPUNIT_ASSERT(!Membership.proposeUpdate({m_A}, m_Now));
-    CPPUNIT_ASSERT(!Membership.proposeUpdate({m_A}, m_Now + seconds(60)));
+    CPPUNIT_ASSERT(!Membership.proposeUpdate({m_A}, m_Now + seconds(11)));
+    CPPUNIT_ASSERT(*Membership.proposeUpdate({m_A}, m_Now + seconds(13)) ==
+                   FleetMembers({m_A}));
+  }
+
+  void testAnnouncedStopOutlastsThoseThatHeardIt() {
+    FleetMembership Membership;
+    Membership.setRecorded({m_A, m_B});
+    MemberReports Live{{m_A.first, {platform::Revision(1), false}},
+                       {m_B.first, {platform::Revision(1), true}}};
+    CPPUNIT_ASSERT(*Membership.proposeDepartures(Live, {}) ==
+                   FleetMembers({m_B}));
+    // Another process reads the record, and has not heard of the instance.
+    FleetMembership Reader;
+    Reader.setRecorded({m_A, m_B});
+    Reader.setDeparted({m_B});
+    Live.erase(m_B.first);
+    CPPUNIT_ASSERT(!Reader.proposeDepartures(Live, {}));
+    CPPUNIT_ASSERT(!Reader.proposeUpdate({m_A}, m_Now));
+    CPPUNIT_ASSERT(*Reader.proposeUpdate({m_A}, m_Now + seconds(3)) ==
+                   FleetMembers({m_A}));
+    Reader.setRecorded({m_A});
+    // It is still listed as an owner.
+    CPPUNIT_ASSERT(!Reader.proposeDepartures(Live, {m_A, m_B}));
+    CPPUNIT_ASSERT(Reader.proposeDepartures(Live, {m_A})->empty());
+  }
+
+  void testRestartRefutesAnnouncedStop() {
+    FleetMembership Membership;
+    Membership.setRecorded({m_A, m_B});
+    Membership.setDeparted({m_B});
+    MemberReports Live{{m_A.first, {platform::Revision(1), false}},
+                       {m_B.first, {platform::Revision(1), false}}};
+    CPPUNIT_ASSERT(Membership.proposeDepartures(Live, {})->empty());
+    CPPUNIT_ASSERT(!Membership.proposeUpdate({m_A, m_B}, m_Now));
   }
 
   void testRecordRoundTrip() {
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -61,6 +61,7 @@
   platform::Revision m_MembersAt; ///< Revision of m_Members.
   gateway::FleetMembers m_Owners;
   platform::Revision m_OwnersAt; ///< Revision of m_Owners.
+  gateway::FleetMembers m_Departed;
 };
 
 struct PendingAcquisition {
@@ -169,6 +170,8 @@
   routing::OwnershipEvidence evidence(const ModelInstance &Instance) const {
     if (!hasDetectedLoss(Instance))
       return routing::OwnershipEvidence::Store;
+    if (isStopping(Instance))
+      return routing::OwnershipEvidence::None;
     const InstanceLists &Lists = Instance.m_Lists;
     if (!Instance.m_Witnesses)
       Instance.m_Witnesses.emplace(Instance.m_Address, Lists.m_Owners,
@@ -309,6 +312,11 @@
     for (const auto &[Address, Report] : Live)
       Heard.emplace(Address, core::DataHallName("hall"));
     m_Membership.setRecorded(m_Stored.m_Members);
+    m_Membership.setDeparted(m_Stored.m_Departed);
+    auto Departed = m_Membership.proposeDepartures(Live, m_Stored.m_Owners);
+    m_Stored.m_Departed = Departed.value_or(m_Stored.m_Departed);
+    m_Membership.setDeparted(m_Stored.m_Departed);
+    m_Ownership.setDeparted(m_Stored.m_Departed);
     auto Next = m_Membership.proposeUpdate(Heard, m_Now);
     if (!Next)
       return;
