LibGateway: Forward nothing to a peer in the last seconds of a stop

By reading only: the case needs a request that was admitted in the first three seconds of the stop and loses its path after the fifth, which no test here brings about. LostPathTest and PlannedStopTest pass. Read without finding: kept connections (closed with their next response), half-read bodies (503 once they are complete, whatever the time), a second SIGTERM (stop() returns early), slots borrowed from other groups (a waiting request is withdrawn before it is refused, so a grant finds nothing).

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -148,7 +148,7 @@
   /// Whether a stopping instance no longer admits requests, since one that
   /// arrives now might not complete.
   bool isPastAcceptPeriod(core::TimePoint Now) const;
-  /// Whether a stop ends too soon to send a request to a target.
+  /// Whether a stop ends too soon to send a request to a target or a peer.
   bool isPastSendPeriod(core::TimePoint Now) const;
   /// Refuses the requests that wait for a target, so that their callers can
   /// turn to other instances.
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -17,7 +17,8 @@
 
 bool GatewayRequest::shouldForward() const {
   const routing::PoolPaths &Paths = m_Owner.m_Paths.paths();
-  if (Paths.areAllOpen() || m_Ticket || m_IsForwardExhausted)
+  if (Paths.areAllOpen() || m_Ticket || m_IsForwardExhausted ||
+      m_Owner.isPastSendPeriod(core::steadyNow()))
     return false;
   PathState State = Paths.stateOf(m_Pool);
   if (State == PathState::Open ||
