--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -64,7 +64,7 @@
   Out.m_Id = "a" + std::to_string(m_NextId++);
   Out.m_Kind = Kind;
   Out.m_Gateway = Gateway;
-  Out.m_Account = IsLimited ? "limited" : "open";
+  Out.m_Account = IsLimited ? "limited" : m_Account;
   Out.m_Tokens = 100;
   Out.m_TimeLimit = TimeLimit;
   Out.m_SentAt = Clock::now();
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -23,6 +23,8 @@
   /// Starts callers whose requests make targets exit; they run until
   /// stopBadRequestCallers().
   void startBadRequestCallers(std::size_t Count);
+  /// Lets callers without a quota of their own use \p Account from now on.
+  void setAccount(std::string Account) { m_Account = std::move(Account); }
   void stopBadRequestCallers() { m_AreBadRequestsStopped = true; }
   /// Hands most new connections to one gateway while it is not removed, and
   /// makes callers open new ones more often; none: connections are spread.
@@ -80,6 +82,7 @@
   std::optional<std::size_t> m_SkewedTo;
   std::size_t m_ActiveCoroutines = 0;
   bool m_IsStopped = false;
+  std::string m_Account = "open";
   bool m_AreBadRequestsStopped = false;
 };
 
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -33,6 +33,9 @@
 static constexpr std::chrono::seconds OperatorTimeout{20};
 static constexpr std::chrono::milliseconds PublishPollInterval{20};
 
+/// Tokens a second, several times what the callers of ModestAccount request.
+static constexpr int ModestLimit = 200000;
+
 /// Derives a block of loopback addresses from the process id, so that several
 /// soaks can run at the same time.
 static std::string loopbackAddress(std::size_t Index) {
@@ -52,7 +55,7 @@
               Shape.m_Folder + "/store.log"),
       m_Gateways(Shape.m_Gateways), m_Random(Random) {
   for (std::size_t I = 0; I < m_Gateways.size(); ++I) {
-    m_Gateways[I].m_Address = loopbackAddress(I);
+    m_Gateways[I].m_Address = loopbackAddress(m_UsedAddresses++);
     m_Gateways[I].m_StoreProxy = std::make_unique<tests::LoopbackProxy>(
         Context, tests::freePort(), m_StorePort);
   }
@@ -175,6 +178,11 @@
   Instance.m_Process.signal(SIGTERM);
 }
 
+void Deployment::replaceGateway(std::size_t Index) {
+  m_Gateways[Index].m_IsReplaced = true;
+  stopGateway(Index);
+}
+
 void Deployment::signalGateway(std::size_t Index, int Signal) {
   m_Gateways[Index].m_Process.signal(Signal);
 }
@@ -197,6 +205,8 @@
       if (Instance.m_StartsAt > Clock::now())
         continue;
       ++Instance.m_Restarts;
+      if (std::exchange(Instance.m_IsReplaced, false))
+        Instance.m_Address = loopbackAddress(m_UsedAddresses++);
       m_Checker.gatewayRestarted(I);
       startGateway(I, false);
       m_Checker.noteProcessDisturbance(I, false);
@@ -281,14 +291,21 @@
                    json::object{{"name", "engine"},
                                 {"engine", json::object{{"stride", 1}}}}}},
       {"tenants",
-       json::array{json::object{{"name", "open"},
-                                {"apiKeys", json::array{"open-key"}},
-                                {"plainTokens", 100}},
-                   json::object{{"name", "limited"},
-                                {"apiKeys", json::array{"limited-key"}},
-                                {"plainTokens", 100},
-                                {"ratePerS", 2000},
-                                {"burst", 2000}}}}};
+       json::array{
+           json::object{{"name", "open"},
+                        {"apiKeys", json::array{"open-key"}},
+                        {"plainTokens", 100}},
+           json::object{{"name", "limited"},
+                        {"apiKeys", json::array{"limited-key"}},
+                        {"plainTokens", 100},
+                        {"ratePerS", 2000},
+                        {"burst", 2000}},
+           json::object{
+               {"name", ModestAccount},
+               {"apiKeys", json::array{std::string(ModestAccount) + "-key"}},
+               {"plainTokens", 100},
+               {"ratePerS", ModestLimit},
+               {"burst", ModestLimit}}}}};
   put("op/config", json::serialize(Text), Yield);
   m_Versions.push_back({Number, Clock::now()});
   m_IsPublishing = false;
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -21,6 +21,9 @@
   std::string m_Folder;  ///< Existing folder for settings and logs.
 };
 
+/// Account that stays below its limit, so that all its requests are owed.
+inline constexpr const char *ModestAccount = "modest";
+
 /// A configuration version that the store accepted.
 struct AcceptedVersion {
   std::uint64_t m_Number = 0;
@@ -60,6 +63,8 @@
   // Faults. They have no effect on a gateway that is down.
   void killGateway(std::size_t Gateway);
   void stopGateway(std::size_t Gateway);
+  /// Stops the gateway for good. Another one takes its place, at a new address.
+  void replaceGateway(std::size_t Gateway);
   void signalGateway(std::size_t Gateway, int Signal);
   void freezeStore(bool IsFrozen);
   /// Posts settings to the control endpoint of the store's stand-in.
@@ -104,6 +109,7 @@
     tests::Process m_Process;
     std::size_t m_Restarts = 0;
     bool m_IsExitExpected = false;
+    bool m_IsReplaced = false; ///< The next process has a new address.
     TimePoint m_StoppingSince;
     TimePoint m_StartsAt; ///< Restart time while it is down.
   };
@@ -122,6 +128,7 @@
   int m_StorePort;
   tests::Process m_Store;
   std::vector<Gateway> m_Gateways;
+  std::size_t m_UsedAddresses = 0; ///< Number of gateways' addresses so far.
   std::vector<std::unique_ptr<SoakTarget>> m_Targets;
   std::vector<std::unique_ptr<SoakTarget>>
       m_CanaryTargets; ///< Of the running roll-out.
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -3,6 +3,7 @@
 // usage: soak --yardrill=PROGRAM --stand_in=PROGRAM --folder=DIRECTORY
 //             [--seed=N] [--seconds=N] [--gateways=N] [--targets=N]
 //             [--callers=N] [--bad_callers=N] [--norollouts] [--nofaults]
+//             [--replace]
 //
 // Gateways and the store's stand-in run as processes; targets, callers and
 // proxies run in this one. A seed determines the schedule of faults and the
@@ -36,6 +37,8 @@
               "number of callers whose requests make targets exit");
 DEFINE_bool(rollouts, true, "order roll-outs of new versions");
 DEFINE_bool(faults, true, "inject the scheduled faults");
+DEFINE_bool(replace, false,
+            "replace all gateways one by one meanwhile, at new addresses");
 
 namespace asio = boost::asio;
 using namespace yardrill::soak;
@@ -51,6 +54,10 @@
 /// Exceeds the timeout of every caller.
 constexpr std::chrono::milliseconds LastResponseTime{4000};
 
+/// Time from the last replacement until accounts below their limits must be
+/// served again.
+constexpr std::chrono::seconds ReplacementTime{30};
+
 class Soak {
 public:
   Soak()
@@ -83,6 +90,8 @@
         m_Context, [this](asio::yield_context Inner) { supervise(Inner); },
         asio::detached);
     yardrill::tests::sleepFor(m_Context, StartTime, Yield);
+    if (FLAGS_replace)
+      m_Callers.setAccount(ModestAccount);
     m_Callers.start(FLAGS_callers);
     yardrill::tests::sleepFor(m_Context, StartTime, Yield);
     if (FLAGS_rollouts)
@@ -92,6 +101,11 @@
           asio::detached);
     m_Callers.startBadRequestCallers(FLAGS_bad_callers);
     TimePoint Start = Clock::now();
+    if (FLAGS_replace)
+      asio::spawn(
+          m_Context,
+          [this](asio::yield_context Inner) { replaceGateways(Inner); },
+          asio::detached);
     if (!FLAGS_faults)
       yardrill::tests::sleepFor(m_Context, std::chrono::seconds(FLAGS_seconds),
                                 Yield);
@@ -107,6 +121,8 @@
     m_Operator.stop();
     while (m_ActiveFaults > 0 || !m_Operator.isIdle())
       yardrill::tests::sleepFor(m_Context, SupervisePeriod, Yield);
+    if (FLAGS_replace)
+      yardrill::tests::sleepFor(m_Context, ReplacementTime, Yield);
     TimePoint RecoveredAt = Clock::now();
     yardrill::tests::sleepFor(m_Context, RecoveryTime, Yield);
     m_Callers.stop();
@@ -115,6 +131,19 @@
     m_Context.stop();
   }
 
+  /// Replaces all gateways within the time of the faults, with random gaps.
+  void replaceGateways(asio::yield_context Yield) {
+    ++m_ActiveFaults;
+    std::uint64_t Gap = FLAGS_seconds * 1000 / FLAGS_gateways;
+    for (std::size_t I = 0; I < FLAGS_gateways; ++I) {
+      std::cout << "replace which=" << I << std::endl;
+      m_System.replaceGateway(I);
+      yardrill::tests::sleepFor(
+          m_Context, std::chrono::milliseconds((FLAGS_seed >> I) % Gap), Yield);
+    }
+    --m_ActiveFaults;
+  }
+
   static std::vector<Fault> plan() {
     if (!FLAGS_faults)
       return {};
