--- a/Tests/LibRouting/QuotaReplacementTest.cpp
+++ b/Tests/LibRouting/QuotaReplacementTest.cpp
@@ -6,7 +6,6 @@
 //===----------------------------------------------------------------------===//
 #include "ReplacedFleet.h"
 
-#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
 
@@ -15,29 +14,9 @@
 using std::chrono::seconds;
 using tests::ReplacedFleet;
 
-namespace {
-
-/// Stops all first instances in steps, each of which new ones follow.
-void replaceInSteps(ReplacedFleet &Replaced, std::size_t StepSize,
-                    core::Duration Gap, bool IsNewFirst) {
-  for (std::size_t I = 0; I < Replaced.firstCount(); I += StepSize) {
-    std::size_t End = std::min(I + StepSize, Replaced.firstCount());
-    if (IsNewFirst)
-      Replaced.join(End - I);
-    for (std::size_t J = I; J < End; ++J)
-      Replaced.fleet().stop(J);
-    Replaced.run(Gap);
-    if (!IsNewFirst)
-      Replaced.join(End - I);
-  }
-}
-
-} // namespace
-
 class QuotaReplacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuotaReplacementTest);
   CPPUNIT_TEST(testReplacementAfterAnnouncedStops);
-  CPPUNIT_TEST(testReplacementOfLargeFleets);
   CPPUNIT_TEST(testAllStopAtOnceAndOthersCome);
   CPPUNIT_TEST(testAllStopAndNoneOfThemRemembers);
   CPPUNIT_TEST(testMostStopAndNoneComes);
@@ -54,23 +33,15 @@
                      milliseconds(30000)})
       for (bool IsNewFirst : {false, true}) {
         ReplacedFleet Replaced(7);
-        replaceInSteps(Replaced, 1, Gap, IsNewFirst);
+        Replaced.replaceInSteps(1, Gap, IsNewFirst);
         Replaced.checkRecovery("stops, gap_ms=" + std::to_string(Gap.count()));
       }
   }
 
-  void testReplacementOfLargeFleets() {
-    for (std::size_t Size : {78U, 300U}) {
-      ReplacedFleet Replaced(Size);
-      replaceInSteps(Replaced, Size / 10, seconds(6), false);
-      Replaced.checkRecovery("stops");
-    }
-  }
-
   void testAllStopAtOnceAndOthersCome() {
     for (std::size_t Size : {7U, 78U}) {
       ReplacedFleet Replaced(Size);
-      replaceInSteps(Replaced, Size, seconds(1), false);
+      Replaced.replaceInSteps(Size, seconds(1), false);
       Replaced.checkRecovery("all stop at once");
     }
   }
@@ -119,7 +90,7 @@
 
   void testOldInstancesReturnAfterTheTakeover() {
     ReplacedFleet Replaced(7);
-    replaceInSteps(Replaced, 1, seconds(2), false);
+    Replaced.replaceInSteps(1, seconds(2), false);
     Replaced.run(seconds(60));
     for (std::size_t I = 0; I < 7; ++I)
       Replaced.fleet().restart(I);
--- a/Tests/Support/ReplacedFleet.cpp
+++ b/Tests/Support/ReplacedFleet.cpp
@@ -1,6 +1,7 @@
 //===-- ReplacedFleet.cpp - Callers of a fleet whose instances change -----===//
 #include "ReplacedFleet.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
 
@@ -54,6 +55,20 @@
     m_Fleet.join();
 }
 
+void ReplacedFleet::replaceInSteps(std::size_t StepSize, core::Duration Gap,
+                                   bool IsNewFirst) {
+  for (std::size_t I = 0; I < m_FirstCount; I += StepSize) {
+    std::size_t End = std::min(I + StepSize, m_FirstCount);
+    if (IsNewFirst)
+      join(End - I);
+    for (std::size_t J = I; J < End; ++J)
+      m_Fleet.stop(J);
+    run(Gap);
+    if (!IsNewFirst)
+      join(End - I);
+  }
+}
+
 void ReplacedFleet::kill(std::size_t First, std::size_t End,
                          std::optional<core::Duration> Down) {
   for (std::size_t I = First; I < End; ++I)
--- a/Tests/Support/ReplacedFleet.h
+++ b/Tests/Support/ReplacedFleet.h
@@ -22,11 +22,13 @@
   explicit ReplacedFleet(std::size_t Size, std::uint64_t Seed = 1);
 
   QuotaSimulation &fleet() { return m_Fleet; }
-  /// Returns the size of the fleet at the start.
-  std::size_t firstCount() const { return m_FirstCount; }
 
   void run(core::Duration Time);
   void join(std::size_t Count);
+  /// Stops all first instances in steps, and adds as many after each step and
+  /// \p Gap, or before it.
+  void replaceInSteps(std::size_t StepSize, core::Duration Gap,
+                      bool IsNewFirst);
   /// Kills the instances \p First to \p End - 1; for good if \p Down is none.
   void kill(std::size_t First, std::size_t End,
             std::optional<core::Duration> Down = {});
