--- a/Bench/QuotaSearchProgram.cpp
+++ b/Bench/QuotaSearchProgram.cpp
@@ -1,10 +1,11 @@
 //===-- QuotaSearchProgram.cpp - Searches for the worst quota scenario ----===//
 //
-// Usage: quota_search [DAYS [GENERATIONS [SEED [DEPLOYMENT]]]]
+// Usage: quota_search [DAYS [GENERATIONS [SEED [DEPLOYMENT [TIME_FACTOR]]]]]
 //
 // Simulates DAYS random scenarios for each deployment and mutates the worst one
 // for GENERATIONS. Prints the used share of the tolerance; a share above 1
-// violates the quota.
+// violates the quota. With a TIME_FACTOR of 8 or so, scenarios are long enough
+// for several changes of owners.
 //
 //===----------------------------------------------------------------------===//
 #include "QuotaScenario.h"
@@ -31,7 +32,7 @@
 }
 
 void search(const QuotaDeployment &Deployment, int Days, int Generations,
-            std::uint64_t Seed) {
+            std::uint64_t Seed, int TimeFactor) {
   SimulatedScenario Worst;
   int Violations = 0;
   double Sum = 0;
@@ -39,6 +40,7 @@
   for (int I = 0; I < Days; ++I) {
     QuotaScenario Scenario = QuotaScenario::random(
         Deployment, Seed * 1000003 + static_cast<std::uint64_t>(I));
+    Scenario.m_TimeFactor = TimeFactor;
     Scenario.m_HasOnlyLargestRequests = I % LargestOnlyPeriod == 0;
     SimulatedScenario Candidate = simulateScenario(std::move(Scenario));
     Violations += Candidate.m_Result.isWithinTolerance() ? 0 : 1;
@@ -76,6 +78,6 @@
   for (const QuotaDeployment &Each : QuotaDeployment::all())
     if (Only.empty() || Each.m_Name == Only)
       search(Each, Number(1, 50), Number(2, 50),
-             static_cast<std::uint64_t>(Number(3, 1)));
+             static_cast<std::uint64_t>(Number(3, 1)), Number(5, 1));
   return 0;
 }
--- a/Tests/LibGateway/FollowerSelectionTest.cpp
+++ b/Tests/LibGateway/FollowerSelectionTest.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(testFollowersWhenAThirdIsRejected);
   CPPUNIT_TEST(testUnavailableStoreIsTriedByFew);
   CPPUNIT_TEST(testFirstRanksResumeFollowing);
+  CPPUNIT_TEST(testSurvivorsFollowWhenAllFirstRanksAreLost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +122,16 @@
     CPPUNIT_ASSERT_EQUAL(FollowerSelection::DesiredFollowers,
                          All.selectedCount());
   }
+
+  void testSurvivorsFollowWhenAllFirstRanksAreLost() {
+    // The recorded members include instances that are gone.
+    Fleet All(985);
+    All.advance(seconds(5));
+    for (std::size_t I = 0; I < 900; ++I)
+      All.reachable()[I] = false;
+    All.advance(seconds(90));
+    CPPUNIT_ASSERT(All.followingCount() >= FollowerSelection::DesiredFollowers);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FollowerSelectionTest);
--- a/Tests/Support/QuotaScenario.cpp
+++ b/Tests/Support/QuotaScenario.cpp
@@ -144,7 +144,8 @@
 std::string QuotaScenario::describe() const {
   std::ostringstream Out;
   Out << m_Deployment->m_Name << " limit=" << m_Limit << " load=" << m_Load
-      << " seed=" << m_Seed << " largest=" << m_HasOnlyLargestRequests;
+      << " seed=" << m_Seed << " largest=" << m_HasOnlyLargestRequests
+      << " time_factor=" << m_TimeFactor;
   for (const QuotaFaultEvent &Each : m_Events)
     Out << "; " << toString(Each);
   return Out.str();
@@ -197,15 +198,16 @@
         m_Simulation({Scenario.m_Deployment->m_Size,
                       {account(Scenario.m_Limit)},
                       Scenario.m_Deployment->m_Tolerance,
-                      Scenario.m_Seed}) {}
+                      Scenario.m_Seed,
+                      Scenario.m_TimeFactor > 1}) {}
 
   QuotaScenarioResult simulate() {
     std::vector<QuotaFaultEvent> Remaining = m_Scenario.m_Events;
     core::TimePoint Begin = m_Simulation.now();
-    while (m_Simulation.now() < Begin + Length) {
+    while (m_Simulation.now() < Begin + Length * m_Scenario.m_TimeFactor) {
       m_Simulation.advance(QuotaSimulation::StepTime);
       for (auto Each = Remaining.begin(); Each != Remaining.end();) {
-        if (Begin + Each->m_At > m_Simulation.now()) {
+        if (Begin + Each->m_At * m_Scenario.m_TimeFactor > m_Simulation.now()) {
           ++Each;
           continue;
         }
@@ -276,6 +278,7 @@
   }
 
   void injectFault(const QuotaFaultEvent &Event) {
+    core::Duration Time = Event.m_Duration * m_Scenario.m_TimeFactor;
     if (Event.m_Kind == QuotaFaultKind::Add) {
       auto Count = static_cast<std::size_t>(
           Event.m_Share *
@@ -290,14 +293,14 @@
       if (IsAffected(m_Random))
         Affected.push_back(I);
     if (Event.m_Kind == QuotaFaultKind::Split)
-      return m_Simulation.split(Affected, Event.m_Duration);
+      return m_Simulation.split(Affected, Time);
     for (std::size_t Each : Affected) {
       if (Event.m_Kind == QuotaFaultKind::Kill)
-        m_Simulation.kill(Each, Event.m_Duration);
+        m_Simulation.kill(Each, Time);
       if (Event.m_Kind == QuotaFaultKind::Cut)
-        m_Simulation.cut(Each, Event.m_Duration);
+        m_Simulation.cut(Each, Time);
       if (Event.m_Kind == QuotaFaultKind::Freeze)
-        m_Simulation.freeze(Each, Event.m_Duration);
+        m_Simulation.freeze(Each, Time);
     }
   }
 
--- a/Tests/Support/QuotaScenario.h
+++ b/Tests/Support/QuotaScenario.h
@@ -70,6 +70,9 @@
   bool m_HasOnlyLargestRequests = false;
   std::vector<QuotaFaultEvent> m_Events;
   std::uint64_t m_Seed = 1;
+  /// Factor of all times. Above 1 the membership follows FleetMembership, and
+  /// owners change several times.
+  int m_TimeFactor = 1;
 
   /// Returns a scenario with random limit, load and faults.
   static QuotaScenario random(const QuotaDeployment &Deployment,
