LibGateway: Compare the lists of owners without copying them

The record writer copied both lists and built the ring of owners four times a second, also while nothing was pending, since leaseholders have a list of their own. At 985 instances that is some thousand map nodes and hashes each time (counted, not measured). It now looks at both lists in place and builds the ring only if a leaseholder has left the membership.

--- a/Libraries/LibGateway/FleetMembership.cpp
+++ b/Libraries/LibGateway/FleetMembership.cpp
@@ -36,15 +36,14 @@
   return Next;
 }
 
-std::optional<FleetMembers>
-FleetMembership::proposeDepartures(const MemberReports &Live,
-                                   const FleetMembers &Owners) const {
+std::optional<FleetMembers> FleetMembership::proposeDepartures(
+    const MemberReports &Live,
+    const std::function<bool(const config::Endpoint &)> &OwnsQuotas) const {
   FleetMembers Next;
   for (const auto &[Address, Hall] : m_Departed) {
     auto Report = Live.find(Address);
     bool IsBack = Report != Live.end() && !Report->second.m_IsStopping;
-    bool IsListed =
-        m_Recorded.count(Address) != 0 || Owners.count(Address) != 0;
+    bool IsListed = m_Recorded.count(Address) != 0 || OwnsQuotas(Address);
     if (!IsBack && IsListed)
       Next.emplace(Address, Hall);
   }
--- a/Libraries/LibGateway/FleetMembership.h
+++ b/Libraries/LibGateway/FleetMembership.h
@@ -18,6 +18,7 @@
 #include "LibGateway/MembershipRecord.h"
 #include "LibGateway/RetentionReason.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -46,10 +47,11 @@
   /// Returns the members and owners of quotas whose stop should be recorded;
   /// none if nothing changes. An instance that reports again without stopping
   /// has restarted.
-  /// \param Owners instances that own quotas.
-  std::optional<FleetMembers>
-  proposeDepartures(const MemberReports &Live,
-                    const FleetMembers &Owners) const;
+  /// \param OwnsQuotas returns whether an instance is listed as an owner or
+  /// leaseholder of quotas.
+  std::optional<FleetMembers> proposeDepartures(
+      const MemberReports &Live,
+      const std::function<bool(const config::Endpoint &)> &OwnsQuotas) const;
   /// Returns the recorded instances that were not live at the last call of
   /// proposeUpdate() and stay members.
   const RetainedInstances &retained() const { return m_Retained; }
--- a/Libraries/LibGateway/GatewayMembership.cpp
+++ b/Libraries/LibGateway/GatewayMembership.cpp
@@ -64,10 +64,10 @@
   if (!m_Follower.isConnected() || !m_Peers->isRecordWriter())
     return;
   MemberReports Live = m_Peers->memberReports();
-  FleetMembers Owners = m_QuotaOwnership.owners();
-  Owners.insert(m_QuotaOwnership.leaseholders().begin(),
-                m_QuotaOwnership.leaseholders().end());
-  if (auto List = m_Membership.proposeDepartures(Live, Owners))
+  auto OwnsQuotas = [this](const config::Endpoint &Instance) {
+    return m_QuotaOwnership.isListed(Instance);
+  };
+  if (auto List = m_Membership.proposeDepartures(Live, OwnsQuotas))
     m_DeparturesRecord.write(*List, Now);
   if (auto List = m_Membership.proposeUpdate(m_Peers->liveInstances(), Now))
     m_MembershipRecord.write(*List, Now);
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -70,11 +70,8 @@
 }
 
 void QuotaOwnership::forgetOthers() {
-  for (auto Each = m_Known.begin(); Each != m_Known.end();) {
-    bool IsListed = m_Owners.count(Each->first) != 0 ||
-                    m_Leaseholders.count(Each->first) != 0;
-    Each = IsListed ? std::next(Each) : m_Known.erase(Each);
-  }
+  for (auto Each = m_Known.begin(); Each != m_Known.end();)
+    Each = isListed(Each->first) ? std::next(Each) : m_Known.erase(Each);
 }
 
 void QuotaOwnership::setLeaseholders(FleetMembers Leaseholders,
@@ -140,23 +137,30 @@
   if (Now - m_ObservedAt > MaxPause)
     m_Known.clear();
   m_ObservedAt = Now;
-  for (const auto &[Address, Hall] : merged(m_Owners, m_Leaseholders)) {
-    Known &Each = m_Known[Address];
-    Each.m_IsLive = false;
-    if (m_Members.count(Address) != 0)
-      Each.m_RemovedSince = core::TimePoint();
-    else if (Each.m_RemovedSince == core::TimePoint())
-      Each.m_RemovedSince = Now;
-    auto Report = Live.find(Address);
-    if (Report != Live.end())
-      addReport(Each, Report->second, Now);
-    if (Each.m_LastLiveAt == core::TimePoint())
-      Each.m_LastLiveAt = Now;
-    while (!Each.m_Samples.empty() &&
-           Now - Each.m_Samples.front().m_At >= SettlingTime) {
-      Each.m_SettledRevision = Each.m_Samples.front().m_Revision;
-      Each.m_Samples.pop_front();
-    }
+  for (const auto &[Address, Hall] : m_Owners)
+    observe(Address, Live, Now);
+  for (const auto &[Address, Hall] : m_Leaseholders)
+    if (m_Owners.count(Address) == 0)
+      observe(Address, Live, Now);
+}
+
+void QuotaOwnership::observe(const config::Endpoint &Instance,
+                             const MemberReports &Live, core::TimePoint Now) {
+  Known &Each = m_Known[Instance];
+  Each.m_IsLive = false;
+  if (m_Members.count(Instance) != 0)
+    Each.m_RemovedSince = core::TimePoint();
+  else if (Each.m_RemovedSince == core::TimePoint())
+    Each.m_RemovedSince = Now;
+  auto Report = Live.find(Instance);
+  if (Report != Live.end())
+    addReport(Each, Report->second, Now);
+  if (Each.m_LastLiveAt == core::TimePoint())
+    Each.m_LastLiveAt = Now;
+  while (!Each.m_Samples.empty() &&
+         Now - Each.m_Samples.front().m_At >= SettlingTime) {
+    Each.m_SettledRevision = Each.m_Samples.front().m_Revision;
+    Each.m_Samples.pop_front();
   }
 }
 
@@ -268,7 +272,10 @@
   FleetMembers Next = m_Owners;
   for (const auto &[Address, Hall] : removableOwners(Now))
     Next.erase(Address);
-  addKnownMembers(merged(Next, m_Leaseholders), m_OwnersAt, Next);
+  auto Settled = settledRevision(Next);
+  if (auto OfLeaseholders = settledRevision(m_Leaseholders))
+    Settled = std::min(Settled.value_or(*OfLeaseholders), *OfLeaseholders);
+  addMembers(Settled, m_OwnersAt, Next);
   if (Next == m_Owners && !m_IsStoreOutdated)
     return std::nullopt;
   return Next;
@@ -281,7 +288,12 @@
     return std::nullopt;
   if (m_Leaseholders.empty())
     return m_Owners;
-  routing::ConsistentHashRing Ring = ringOf(m_Owners);
+  bool AreAllMembers = std::all_of(
+      m_Leaseholders.begin(), m_Leaseholders.end(),
+      [this](const auto &Each) { return m_Members.count(Each.first) != 0; });
+  routing::ConsistentHashRing Ring;
+  if (!AreAllMembers)
+    Ring = ringOf(m_Owners);
   FleetMembers Next;
   for (const auto &[Address, Hall] : m_Leaseholders) {
     bool IsMember = m_Members.count(Address) != 0;
@@ -294,23 +306,28 @@
       m_RetainedLeaseholders.emplace(Address, *Reason);
   }
   // Leaseholders are no witnesses, so no earlier change of them must be known.
-  addKnownMembers(Next, platform::Revision(), Next);
+  addMembers(settledRevision(Next), platform::Revision(), Next);
   if (Next == m_Leaseholders && !m_AreLeaseholdersOutdated)
     return std::nullopt;
   return Next;
 }
 
-void QuotaOwnership::addKnownMembers(const FleetMembers &Losing,
-                                     platform::Revision ListAt,
-                                     FleetMembers &Next) const {
-  std::optional<platform::Revision> KnownToAll;
-  for (const auto &[Address, Hall] : Losing) {
+std::optional<platform::Revision>
+QuotaOwnership::settledRevision(const FleetMembers &Instances) const {
+  std::optional<platform::Revision> Out;
+  for (const auto &[Address, Hall] : Instances) {
     platform::Revision Settled = m_Known.at(Address).m_SettledRevision;
-    KnownToAll = KnownToAll ? std::min(*KnownToAll, Settled) : Settled;
+    Out = std::min(Out.value_or(Settled), Settled);
   }
+  return Out;
+}
+
+void QuotaOwnership::addMembers(std::optional<platform::Revision> Settled,
+                                platform::Revision ListAt,
+                                FleetMembers &Next) const {
   for (const auto &[Address, Hall] : m_Members) {
     platform::Revision ChangedAt = std::max(ListAt, changedAt(Address));
-    if (!KnownToAll || includes(*KnownToAll, ChangedAt))
+    if (!Settled || includes(*Settled, ChangedAt))
       Next.emplace(Address, Hall);
   }
 }
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -91,6 +91,10 @@
   const FleetMembers &leaseholders() const {
     return m_Leaseholders.empty() ? m_Owners : m_Leaseholders;
   }
+  /// Whether \p Instance is an owner or a leaseholder.
+  bool isListed(const config::Endpoint &Instance) const {
+    return m_Owners.count(Instance) != 0 || m_Leaseholders.count(Instance) != 0;
+  }
   /// Sets the membership that the store holds since revision \p At.
   void setMembers(FleetMembers Members, platform::Revision At);
   /// Sets the instances whose stop the store holds; see FleetMembership.
@@ -132,13 +136,20 @@
   };
 
   void observe(const MemberReports &Live, core::TimePoint Now);
+  void observe(const config::Endpoint &Instance, const MemberReports &Live,
+               core::TimePoint Now);
   /// Forgets instances that hold no shares any more.
   void forgetOthers();
-  /// Adds the members that may begin to own quotas: those that all of
-  /// \p Losing, who may lose a share to them, have known for long, together
-  /// with the change at \p ListAt.
-  void addKnownMembers(const FleetMembers &Losing, platform::Revision ListAt,
-                       FleetMembers &Next) const;
+  /// Returns the highest revision that all of \p Instances have known for long;
+  /// none if there are no instances.
+  std::optional<platform::Revision>
+  settledRevision(const FleetMembers &Instances) const;
+  /// Adds the members that may begin to own quotas.
+  /// \param Settled revision known to all that may lose a share to them; none
+  /// if nobody may.
+  /// \param ListAt revision of a list that these must know as well.
+  void addMembers(std::optional<platform::Revision> Settled,
+                  platform::Revision ListAt, FleetMembers &Next) const;
   /// Whether an instance with state up to \p Known knows the change at \p At.
   static bool includes(platform::Revision Known, platform::Revision At);
   static void addReport(Known &Instance, const MemberReport &Report,
--- a/Libraries/LibRouting/QuotaRings.h
+++ b/Libraries/LibRouting/QuotaRings.h
@@ -42,9 +42,9 @@
   /// Returns the share that \p Instance holds; none if it is no owner.
   std::optional<QuotaShare> shareOf(std::uint32_t Account,
                                     const config::Endpoint &Instance) const;
-  /// Returns the size of each of \p OwnerCount shares of an account, 0 to 1. An
-  /// owner that is only heard of no more keeps its share meanwhile, so a lack
-  /// of leaseholders makes the others no larger.
+  /// Returns the size of each of \p OwnerCount shares of an account, 0 to 1.
+  /// Shares grow only with a list of fewer than MaxOwners owners, because a
+  /// leaseholder that is missing may still hold its share.
   double shareSize(std::size_t OwnerCount) const;
   /// Returns the number of instances that may admit requests.
   std::size_t instanceCount() const;
--- a/Tests/LibGateway/FleetMembershipTest.cpp
+++ b/Tests/LibGateway/FleetMembershipTest.cpp
@@ -43,6 +43,13 @@
     }
   };
 
+  static std::function<bool(const config::Endpoint &)>
+  isOneOf(const FleetMembers &Owners) {
+    return [Owners](const config::Endpoint &Each) {
+      return Owners.count(Each) != 0;
+    };
+  }
+
 public:
   void testFirstListHoldsLiveInstances() {
     FleetMembership Membership;
@@ -93,21 +100,21 @@
     Membership.setRecorded({m_A, m_B});
     MemberReports Live{{m_A.first, {platform::Revision(1), false}},
                        {m_B.first, {platform::Revision(1), true}}};
-    CPPUNIT_ASSERT(*Membership.proposeDepartures(Live, {}) ==
+    CPPUNIT_ASSERT(*Membership.proposeDepartures(Live, isOneOf({})) ==
                    FleetMembers({m_B}));
     // Another process reads the record, and has not heard of the instance.
     FleetMembership Reader;
     Reader.setRecorded({m_A, m_B});
     Reader.setDeparted({m_B});
     Live.erase(m_B.first);
-    CPPUNIT_ASSERT(!Reader.proposeDepartures(Live, {}));
+    CPPUNIT_ASSERT(!Reader.proposeDepartures(Live, isOneOf({})));
     CPPUNIT_ASSERT(!Reader.proposeUpdate({m_A}, m_Now));
     CPPUNIT_ASSERT(*Reader.proposeUpdate({m_A}, m_Now + seconds(3)) ==
                    FleetMembers({m_A}));
     Reader.setRecorded({m_A});
     // It is still listed as an owner.
-    CPPUNIT_ASSERT(!Reader.proposeDepartures(Live, {m_A, m_B}));
-    CPPUNIT_ASSERT(Reader.proposeDepartures(Live, {m_A})->empty());
+    CPPUNIT_ASSERT(!Reader.proposeDepartures(Live, isOneOf({m_A, m_B})));
+    CPPUNIT_ASSERT(Reader.proposeDepartures(Live, isOneOf({m_A}))->empty());
   }
 
   void testRestartRefutesAnnouncedStop() {
@@ -116,7 +123,7 @@
     Membership.setDeparted({m_B});
     MemberReports Live{{m_A.first, {platform::Revision(1), false}},
                        {m_B.first, {platform::Revision(1), false}}};
-    CPPUNIT_ASSERT(Membership.proposeDepartures(Live, {})->empty());
+    CPPUNIT_ASSERT(Membership.proposeDepartures(Live, isOneOf({}))->empty());
     CPPUNIT_ASSERT(!Membership.proposeUpdate({m_A, m_B}, m_Now));
   }
 
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -347,10 +347,10 @@
       Heard.emplace(Address, core::DataHallName("hall"));
     m_Membership.setRecorded(m_Stored.m_Members);
     m_Membership.setDeparted(m_Stored.m_Departed);
-    gateway::FleetMembers Owners = m_Stored.m_Owners;
-    Owners.insert(m_Stored.m_Leaseholders.begin(),
-                  m_Stored.m_Leaseholders.end());
-    auto Departed = m_Membership.proposeDepartures(Live, Owners);
+    auto Departed = m_Membership.proposeDepartures(
+        Live, [this](const config::Endpoint &Instance) {
+          return m_Ownership.isListed(Instance);
+        });
     m_Stored.m_Departed = Departed.value_or(m_Stored.m_Departed);
     m_Membership.setDeparted(m_Stored.m_Departed);
     m_Ownership.setDeparted(m_Stored.m_Departed);
