--- a/Libraries/LibGateway/GatewayMembership.cpp
+++ b/Libraries/LibGateway/GatewayMembership.cpp
@@ -21,11 +21,9 @@
   } else if (m_LeaseholdersRecord.isRecordKey(Change.m_Key)) {
     FleetMembers Leaseholders = m_LeaseholdersRecord.read(Change);
     if (Change.m_IsRestored)
-      m_QuotaOwnership.setRestoredLeaseholders(Leaseholders,
-                                               Change.m_ModRevision);
+      m_QuotaOwnership.setRestoredLeaseholders(Leaseholders);
     else
-      m_QuotaOwnership.setLeaseholders(std::move(Leaseholders),
-                                       Change.m_ModRevision);
+      m_QuotaOwnership.setLeaseholders(std::move(Leaseholders));
   } else if (m_DeparturesRecord.isRecordKey(Change.m_Key)) {
     m_Membership.setDeparted(m_DeparturesRecord.read(Change));
     m_QuotaOwnership.setDeparted(m_Membership.departed());
--- a/Libraries/LibGateway/QuotaOwnership.cpp
+++ b/Libraries/LibGateway/QuotaOwnership.cpp
@@ -74,20 +74,16 @@
     Each = isListed(Each->first) ? std::next(Each) : m_Known.erase(Each);
 }
 
-void QuotaOwnership::setLeaseholders(FleetMembers Leaseholders,
-                                     platform::Revision At) {
+void QuotaOwnership::setLeaseholders(FleetMembers Leaseholders) {
   m_Leaseholders = std::move(Leaseholders);
-  m_LeaseholdersAt = At;
   m_AreLeaseholdersOutdated = false;
   forgetOthers();
 }
 
-void QuotaOwnership::setRestoredLeaseholders(const FleetMembers &Leaseholders,
-                                             platform::Revision At) {
+void QuotaOwnership::setRestoredLeaseholders(const FleetMembers &Leaseholders) {
   if (m_Leaseholders.empty())
-    return setLeaseholders(Leaseholders, At);
+    return setLeaseholders(Leaseholders);
   m_AreLeaseholdersOutdated = Leaseholders != m_Leaseholders;
-  m_LeaseholdersAt = At;
 }
 
 void QuotaOwnership::setRestoredOwners(const FleetMembers &Owners,
--- a/Libraries/LibGateway/QuotaOwnership.h
+++ b/Libraries/LibGateway/QuotaOwnership.h
@@ -85,9 +85,8 @@
   const FleetMembers &owners() const { return m_Owners; }
   /// The same for leaseholders. As long as the store holds none, these are the
   /// owners.
-  void setLeaseholders(FleetMembers Leaseholders, platform::Revision At);
-  void setRestoredLeaseholders(const FleetMembers &Leaseholders,
-                               platform::Revision At);
+  void setLeaseholders(FleetMembers Leaseholders);
+  void setRestoredLeaseholders(const FleetMembers &Leaseholders);
   const FleetMembers &leaseholders() const {
     return m_Leaseholders.empty() ? m_Owners : m_Leaseholders;
   }
@@ -178,7 +177,6 @@
   platform::Revision m_OwnersAt;
   bool m_IsStoreOutdated = false; ///< The store holds owners of an older copy.
   FleetMembers m_Leaseholders;
-  platform::Revision m_LeaseholdersAt;
   bool m_AreLeaseholdersOutdated = false; ///< As m_IsStoreOutdated.
   FleetMembers m_Members;
   FleetMembers m_Departed;
--- a/Tests/LibGateway/QuotaOwnershipModelTest.cpp
+++ b/Tests/LibGateway/QuotaOwnershipModelTest.cpp
@@ -253,7 +253,7 @@
     m_Writer = Writer;
     m_Ownership.setMembers(m_Stored.m_Members, m_Stored.m_MembersAt);
     m_Ownership.setOwners(m_Stored.m_Owners, m_Stored.m_OwnersAt);
-    m_Ownership.setLeaseholders(m_Stored.m_Leaseholders, m_Stored.m_OwnersAt);
+    m_Ownership.setLeaseholders(m_Stored.m_Leaseholders);
     MemberReports Live;
     for (std::size_t I = 0; I < m_Size; ++I)
       if (m_Instances[Writer].m_Silence[I] <= StepsUntilForgotten)
--- a/Tests/LibGateway/QuotaOwnershipTest.cpp
+++ b/Tests/LibGateway/QuotaOwnershipTest.cpp
@@ -79,7 +79,7 @@
 
   /// Puts leaseholders in place after start().
   void startLeases(std::size_t Count) {
-    m_Ownership.setLeaseholders(members(0, Count), Revision(1));
+    m_Ownership.setLeaseholders(members(0, Count));
     CPPUNIT_ASSERT(!leaseholdersAfter(seconds(1)));
   }
   /// Returns the last proposal of leaseholders within \p Time; there must be
@@ -297,7 +297,7 @@
     m_Ownership.setMembers(members(1, 3), Revision(2));
     setLive(1, 3, 2);
     CPPUNIT_ASSERT(*leaseholdersAfter(seconds(20)) == members(1, 3));
-    m_Ownership.setLeaseholders(members(1, 3), Revision(3));
+    m_Ownership.setLeaseholders(members(1, 3));
     setLive(1, 3, 3);
     CPPUNIT_ASSERT(*updateAfter(seconds(1)) == members(1, 3));
   }
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -62,7 +62,6 @@
   gateway::FleetMembers m_Owners;
   platform::Revision m_OwnersAt; ///< Revision of m_Owners.
   gateway::FleetMembers m_Leaseholders;
-  platform::Revision m_LeaseholdersAt; ///< Revision of m_Leaseholders.
   gateway::FleetMembers m_Departed;
 };
 
@@ -313,8 +312,7 @@
     m_Writer = Index;
     m_Ownership.setMembers(m_Stored.m_Members, m_Stored.m_MembersAt);
     m_Ownership.setOwners(m_Stored.m_Owners, m_Stored.m_OwnersAt);
-    m_Ownership.setLeaseholders(m_Stored.m_Leaseholders,
-                                m_Stored.m_LeaseholdersAt);
+    m_Ownership.setLeaseholders(m_Stored.m_Leaseholders);
     gateway::MemberReports Live;
     for (ModelInstance &Each : m_Instances) {
       if (isRunning(Each) && canReach(*Writer, Each)) {
@@ -336,7 +334,6 @@
     if (Leaseholders) {
       m_Stored.m_Leaseholders = *Leaseholders;
       announceLists();
-      m_Stored.m_LeaseholdersAt = m_Stored.m_Revision;
     }
     m_OwnerChanges += (Owners ? 1 : 0) + (Leaseholders ? 1 : 0);
   }
