LibGateway: Log requests without a response and streams that are left

Cause: nothing told the hypotheses about requests that ran twice apart. A request whose caller saw no byte of a response, though it had been handed to a target, left no line of its own, and neither did a stream whose target this instance left.

Change: the events request-unanswered and stream-left, with a counter each; an Exchange knows whether bytes of its response reached the kernel.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -58,12 +58,18 @@
 GatewayRequest::~GatewayRequest() {
   if (m_IsOwnerDestroyed)
     return;
+  noteIfUnanswered(m_IsCallerGone ? "caller-gone" : m_Reason);
   m_Owner.m_Dispatcher.withdraw(m_Id);
   m_Owner.m_Dispatcher.recordEnd(m_Id, core::steadyNow());
   m_Owner.m_OpenRequests.erase(m_Id);
   m_Caller.setDisconnectCallback(nullptr);
 }
 
+void GatewayRequest::notifyOwnerDestroyed() {
+  noteIfUnanswered("stopped");
+  m_IsOwnerDestroyed = true;
+}
+
 void GatewayRequest::assignTarget(const routing::Target &Chosen) {
   m_Target = Chosen;
   m_Owner.m_Load.noteSent();
@@ -446,6 +452,19 @@
   finish("request-refused");
 }
 
+void GatewayRequest::noteIfUnanswered(const char *Reason) const {
+  if (!m_IsHandedOn || m_Caller.hasSentBytes())
+    return;
+  core::LogLine("request-unanswered", core::LogLevel::Warning)
+      .add("request", m_Description.m_Id)
+      .add("route", m_Route ? m_Route->m_Name : "")
+      .add("is_forwarded", m_Ticket.has_value())
+      .add("target", m_Target ? m_Target->m_Name : core::TargetName())
+      .add("reason", Reason)
+      .add("total_us", core::steadyNow() - m_Timing.arrivedAt());
+  m_Owner.m_Metrics.count("yardrill_unanswered_requests_total");
+}
+
 void GatewayRequest::finish(const char *Event) const {
   logCompletion(Event, m_Relay.status());
   countCompletion(m_Owner.m_Metrics);
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -52,7 +52,7 @@
                    core::TimePoint Now) const;
   /// Called by the gateway's destructor: the coroutine is unwound later, with
   /// the event loop, and must not use the gateway then.
-  void notifyOwnerDestroyed() { m_IsOwnerDestroyed = true; }
+  void notifyOwnerDestroyed();
 
 private:
   /// Minimum time left for an attempt at another target.
@@ -201,6 +201,13 @@
   /// Scales the duration of a stream to that of a reference request, so that
   /// targets can be compared.
   core::Duration normalizedDuration(core::Duration Elapsed) const;
+  /// Logs and counts the request if it may have run and its caller saw no byte
+  /// of a response.
+  void noteIfUnanswered(const char *Reason) const;
+  /// Logs and counts the attempt if this instance leaves a target that has not
+  /// completed a stream.
+  void noteIfStreamLeft(const http::ClientConnection &Connection,
+                        bool IsBroken) const;
   /// Logs and counts the end of the request.
   void finish(const char *Event) const;
 
@@ -226,6 +233,7 @@
   const char *m_ForwardOutcome = peer::OutcomeFinal;
   bool m_IsCallerGone = false;
   bool m_IsOwnerDestroyed = false;
+  bool m_IsHandedOn = false; ///< Bytes may have reached a target or a peer.
   http::ClientConnection *m_Connection = nullptr;
   std::set<routing::TargetIncarnation> m_TriedTargets;
   unsigned m_PossibleExecutions = 0;       ///< Attempts that may have run.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -96,6 +96,7 @@
   m_Connection = nullptr;
   m_Sending.abandon();
   m_SilentSince.reset();
+  noteIfStreamLeft(*Connection, IsBroken);
   if (Result == AttemptOutcome::Complete || Result == AttemptOutcome::NotRun)
     m_Owner.m_Connections.release(Address, std::move(Connection),
                                   m_KeepAliveTime);
@@ -106,6 +107,21 @@
   return Result;
 }
 
+void GatewayRequest::noteIfStreamLeft(const http::ClientConnection &Connection,
+                                      bool IsBroken) const {
+  if (Connection.isResponseComplete() || !m_Route ||
+      m_Route->m_Kind != routing::RouteKind::Stream)
+    return;
+  core::LogLine("stream-left", core::LogLevel::Warning)
+      .add("request", m_Description.m_Id)
+      .add("target", m_Target->m_Name)
+      .add("last_event", lastEvent().value_or(""))
+      .add("reason", m_IsCallerGone ? "caller-gone" : m_Reason)
+      .add("is_broken", IsBroken)
+      .add("attempt_us", core::steadyNow() - m_Timing.attemptStartedAt());
+  m_Owner.m_Metrics.count("yardrill_streams_left_total");
+}
+
 std::optional<std::string> GatewayRequest::lastEvent() const {
   return m_Relay.lastEventId().empty() ? m_Description.m_LastEvent
                                        : m_Relay.lastEventId();
@@ -188,6 +204,7 @@
   m_HasResponseStarted = false;
   m_SilentSince = core::steadyNow();
   m_Sending.begin(core::steadyNow());
+  m_IsHandedOn = true;
   m_Owner.m_CallerServer->intake().link().recordRequestSent(
       m_Caller.request().m_Body.size(), core::steadyNow());
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -124,6 +124,7 @@
   }
   Request.m_Headers.set(peer::ForwardTicketHeader,
                         m_Owner.m_Peers->signTicket(std::move(Ticket)));
+  m_IsHandedOn = true;
   Connection.sendRequest(Request, timeLeft(), Yield);
   Request.m_Headers.remove(peer::ForwardTicketHeader);
   http::ResponseHead Head =
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -68,6 +68,9 @@
   /// the functions that send report a disconnection.
   virtual void setDisconnectCallback(std::function<void()> Callback) = 0;
   virtual bool isStreamStarted() const = 0;
+  /// Returns whether any byte of the response was handed to the kernel. A
+  /// caller that saw none may take its request for unread, and send it again.
+  virtual bool hasSentBytes() const = 0;
 };
 
 /// HTTP/1.1 server that runs a handler for each request, with one coroutine per
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -39,6 +39,7 @@
   while (!m_IsAborted) {
     m_IsIdle = m_Buffer.size() == 0;
     m_IsResponseComplete = m_IsStreamStarted = m_IsChunked = false;
+    m_HasSentBytes = false;
     unsigned Status = readRequest(Yield);
     if (Status == NoResponse)
       break;
@@ -243,8 +244,9 @@
     m_Intake.link().recordResponse(Counted, core::steadyNow());
 }
 
-void ServerConnection::throwIfWriteFailed(error_code Failure) {
+void ServerConnection::finishWrite(error_code Failure, std::size_t Bytes) {
   m_Stream.expires_never();
+  m_HasSentBytes = m_HasSentBytes || Bytes > 0;
   if (!Failure)
     return;
   m_IsAborted = true;
@@ -267,11 +269,11 @@
   if (!NoBody)
     Out.body() = std::move(Response.m_Body);
   beast::http::response_serializer<beast::http::string_body> Serializer(Out);
-  if (NoBody)
-    beast::http::async_write_header(m_Stream, Serializer, Yield[Failure]);
-  else
-    beast::http::async_write(m_Stream, Serializer, Yield[Failure]);
-  throwIfWriteFailed(Failure);
+  std::size_t Written =
+      NoBody ? beast::http::async_write_header(m_Stream, Serializer,
+                                               Yield[Failure])
+             : beast::http::async_write(m_Stream, Serializer, Yield[Failure]);
+  finishWrite(Failure, Written);
   m_IsResponseComplete = true;
 }
 
@@ -292,8 +294,9 @@
   m_Stream.expires_after(m_Limits.m_WriteTimeout);
   m_IsStreamStarted = true;
   recordResponse(HeadBytes);
-  beast::http::async_write_header(m_Stream, Serializer, Yield[Failure]);
-  throwIfWriteFailed(Failure);
+  std::size_t Written =
+      beast::http::async_write_header(m_Stream, Serializer, Yield[Failure]);
+  finishWrite(Failure, Written);
 }
 
 void ServerConnection::sendBodyData(std::string_view Data,
@@ -305,19 +308,21 @@
   m_Stream.expires_after(m_Limits.m_WriteTimeout);
   recordResponse(Data.size());
   asio::const_buffer Bytes(Data.data(), Data.size());
-  if (m_IsChunked)
-    asio::async_write(m_Stream, beast::http::make_chunk(Bytes), Yield[Failure]);
-  else
-    asio::async_write(m_Stream, Bytes, Yield[Failure]);
-  throwIfWriteFailed(Failure);
+  std::size_t Written =
+      m_IsChunked ? asio::async_write(m_Stream, beast::http::make_chunk(Bytes),
+                                      Yield[Failure])
+                  : asio::async_write(m_Stream, Bytes, Yield[Failure]);
+  finishWrite(Failure, Written);
 }
 
 void ServerConnection::finishStream(asio::yield_context Yield) {
   error_code Failure;
   m_Stream.expires_after(m_Limits.m_WriteTimeout);
+  std::size_t Written = 0;
   if (m_IsChunked)
-    asio::async_write(m_Stream, beast::http::make_chunk_last(), Yield[Failure]);
-  throwIfWriteFailed(Failure);
+    Written = asio::async_write(m_Stream, beast::http::make_chunk_last(),
+                                Yield[Failure]);
+  finishWrite(Failure, Written);
   m_IsResponseComplete = true;
 }
 
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -56,6 +56,7 @@
   void abort() override;
   void setDisconnectCallback(std::function<void()> Callback) override;
   bool isStreamStarted() const override { return m_IsStreamStarted; }
+  bool hasSentBytes() const override { return m_HasSentBytes; }
 
 private:
   /// Returns 0 when a request was read, the status of the error response when
@@ -80,7 +81,8 @@
   /// link.
   std::size_t countBytes(std::size_t Bytes);
   void recordResponse(std::size_t Bytes);
-  void throwIfWriteFailed(boost::system::error_code Failure);
+  /// To be called after each write of a response.
+  void finishWrite(boost::system::error_code Failure, std::size_t Bytes);
   /// Sets what the head of a response says of the connection.
   template <class Message> void setKeepAlive(Message &Out) {
     m_KeepAlive = m_KeepAlive && !m_ShouldEndKeepAlive();
@@ -116,6 +118,7 @@
   bool m_IsAborted = false;
   bool m_IsResponseComplete = false;
   bool m_IsStreamStarted = false;
+  bool m_HasSentBytes = false; ///< Of the current response.
   bool m_IsChunked = false;
   bool m_HasNoBody = false;
   /// Null between requests. Waits hold it weakly, as they may outlive the
