LibGateway, Programs: Answer requests at targets before a stop ends

Callers saw: the end of a connection without a byte of a response, for requests that were at a target when the process exited: at the end of the stop grace, and at once when a second SIGTERM arrived while it stopped. They may have run, and a caller that takes the end for an unread request sends them again.

Cause: both ends stopped the event loop with requests in it; a stop also counted connections with a request that had been read as idle.

Change: at the time at which a stop used to end, requests that are still at targets are broken off and answered with 502 (streams end without their last chunk), and the process exits 200 ms later, 100 ms before the kill. A repeated SIGTERM changes nothing; a SIGINT during a stop brings it to that end at once. A stop waits until every connection of callers is closed. serve: the same for signals; a stop waits for connections as well.

ShutdownAndLeavingTest repeats SIGTERM five times within half a second.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -31,8 +31,11 @@
 static constexpr std::chrono::milliseconds AcceptPeriodWhenStopping{3000};
 /// Time before the end of a stop from which on no request is sent to a target.
 static constexpr std::chrono::milliseconds StopServiceTime{2500};
-/// Time between the end of a stop and the kill.
+/// Time before the kill at which requests that are still at targets are
+/// answered.
 static constexpr std::chrono::milliseconds StopMargin{300};
+/// Time between the end of a stop and the kill.
+static constexpr std::chrono::milliseconds ExitMargin{100};
 /// Range of the delay before an instance asks the store at a fleet's first
 /// start. Seeds ask at once, and the others ask the seeds; a fleet has this
 /// time before its first request.
@@ -518,6 +521,14 @@
     Open->refuseIfWaiting();
 }
 
+void Gateway::breakOffRequests() {
+  if (m_AreRequestsBrokenOff)
+    return;
+  m_AreRequestsBrokenOff = true;
+  for (const auto &[Id, Open] : m_OpenRequests)
+    Open->breakOff();
+}
+
 void Gateway::stop(std::function<void()> OnStopped) {
   if (m_StoppingSince != core::TimePoint())
     return;
@@ -532,6 +543,11 @@
       .add("open_requests", m_OpenRequests.size());
 }
 
+void Gateway::endStop() {
+  m_StoppingSince = std::min(
+      m_StoppingSince, core::steadyNow() - m_Settings.m_StopGrace + StopMargin);
+}
+
 void Gateway::pollStop(core::TimePoint Now) {
   core::Duration Elapsed = Now - m_StoppingSince;
   if (Elapsed < AcceptPeriodWhenStopping || !m_OnStopped)
@@ -539,8 +555,11 @@
   m_CallerServer->stopAccepting();
   if (isPastSendPeriod(Now))
     refuseWaiting();
-  bool IsIdle = m_CallerServer->openRequests() == 0 && m_OpenRequests.empty();
-  if (!IsIdle && Elapsed < m_Settings.m_StopGrace - StopMargin)
+  if (Elapsed >= m_Settings.m_StopGrace - StopMargin)
+    breakOffRequests();
+  bool IsIdle =
+      m_CallerServer->openConnections() == 0 && m_OpenRequests.empty();
+  if (!IsIdle && Elapsed < m_Settings.m_StopGrace - ExitMargin)
     return;
   core::LogLine("instance-stopped")
       .add("instance", m_Settings.m_Name)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -68,6 +68,8 @@
   /// Reports not ready, and accepts requests for a while longer. Calls
   /// \p OnStopped once no request is open or the stop grace is nearly over.
   void stop(std::function<void()> OnStopped);
+  /// Brings a stop that has begun to its end: open requests are answered.
+  void endStop();
   /// Applies new retry limits, overload switches and a new stop grace, and
   /// stores new seeds, which only start() uses; other settings stay.
   void reload(const GatewaySettings &Settings);
@@ -153,6 +155,9 @@
   /// Refuses the requests that wait for a target, so that their callers can
   /// turn to other instances.
   void refuseWaiting();
+  /// Ends the requests that are at targets, so that their callers get a
+  /// response before the process exits.
+  void breakOffRequests();
   bool isReady() const;
   /// Whether the first configuration may still arrive.
   bool isJustStarted() const;
@@ -257,6 +262,7 @@
   core::Duration m_StartDelay{};
   core::TimePoint m_StoppingSince{}; ///< Epoch: not stopping.
   std::function<void()> m_OnStopped;
+  bool m_AreRequestsBrokenOff = false;
 };
 
 /// Builds a gateway. The dialect and the store are required and must outlive
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -97,6 +97,13 @@
   m_WakeTimer.cancel();
 }
 
+void GatewayRequest::breakOff() {
+  m_IsBrokenOff = true;
+  if (m_Connection)
+    m_Connection->close();
+  m_WakeTimer.cancel();
+}
+
 core::Duration GatewayRequest::timeLeft() const {
   return m_EndsAt - core::steadyNow();
 }
@@ -366,7 +373,8 @@
 //===----------------------------------------------------------------------===//
 
 bool GatewayRequest::shouldRetry(AttemptOutcome Outcome) {
-  if (m_IsCallerGone || timeLeft() < MinRetryTime || isQuarantined())
+  if (m_IsCallerGone || m_IsBrokenOff || timeLeft() < MinRetryTime ||
+      isQuarantined())
     return false;
   if (Outcome == AttemptOutcome::Failed &&
       (!m_Route->isRetryable() ||
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -40,6 +40,8 @@
   void refuse();
   /// Refuses the request if it waits for a target.
   void refuseIfWaiting();
+  /// Ends the current attempt, whose outcome remains unknown.
+  void breakOff();
   /// Called when the path to a pool is lost. Stops waiting for its targets if a
   /// peer reaches them.
   void handleLostPath(const core::PoolName &Pool);
@@ -232,6 +234,7 @@
   /// Value of peer::ForwardOutcomeHeader in responses of this instance's own.
   const char *m_ForwardOutcome = peer::OutcomeFinal;
   bool m_IsCallerGone = false;
+  bool m_IsBrokenOff = false;
   bool m_IsOwnerDestroyed = false;
   bool m_IsHandedOn = false; ///< Bytes may have reached a target or a peer.
   http::ClientConnection *m_Connection = nullptr;
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -84,8 +84,10 @@
     Result = exchange(*Connection, Yield);
   } catch (const Error &Failure) {
     bool IsTimeOver = timeLeft() <= core::Duration::zero();
-    IsBroken = !IsTimeOver && !m_IsUnread;
-    m_Reason = IsTimeOver ? "time-over" : "target-broke";
+    IsBroken = !IsTimeOver && !m_IsUnread && !m_IsBrokenOff;
+    m_Reason = IsTimeOver      ? "time-over"
+               : m_IsBrokenOff ? "stopping"
+                               : "target-broke";
     core::LogLine("target-broke", core::LogLevel::Warning)
         .add("request", m_Description.m_Id)
         .add("target", m_Target->m_Name)
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -77,7 +77,7 @@
   try {
     Result = exchangeWithPeer(*Connection, Peer, Yield);
   } catch (const Error &Failure) {
-    m_Reason = "peer-broke";
+    m_Reason = m_IsBrokenOff ? "stopping" : "peer-broke";
     logForwardFailure(Peer, Failure.what());
   }
   m_Connection = nullptr;
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -139,7 +139,11 @@
   m_Traffic->stopAccepting();
   m_Decision->push(decision::StopRequested{});
   m_Peers->setStopping();
-  while (m_Traffic->load().m_Requests > 0 && !IsStopForced)
+  auto HasOpenWork = [this] {
+    TrafficThread::Load Load = m_Traffic->load();
+    return Load.m_Requests > 0 || Load.m_Connections > 0;
+  };
+  while (HasOpenWork() && !IsStopForced)
     std::this_thread::sleep_for(DrainPollPeriod);
   if (!IsStopForced)
     std::this_thread::sleep_for(LeaveNoticeTime);
--- a/Programs/yardrill/GatewayVerb.cpp
+++ b/Programs/yardrill/GatewayVerb.cpp
@@ -51,8 +51,8 @@
   return Out;
 }
 
-/// Process that runs a gateway::Gateway until SIGTERM or SIGINT; a second one
-/// stops it at once. SIGHUP reloads the settings file.
+/// Process that runs a gateway::Gateway until SIGTERM or SIGINT; a later SIGINT
+/// ends the stop. SIGHUP reloads the settings file.
 class GatewayProgram {
 public:
   GatewayProgram(std::string File, std::vector<std::string> SwitchesOff)
@@ -137,10 +137,10 @@
         return;
       if (Signal == SIGHUP)
         reloadIfChanged();
-      else if (m_IsStopping)
-        m_Context.stop();
-      else
+      else if (!m_IsStopping)
         stop();
+      else if (Signal == SIGINT)
+        m_Gateway->endStop();
       waitForSignal();
     });
   }
--- a/Programs/yardrill/ServeVerb.cpp
+++ b/Programs/yardrill/ServeVerb.cpp
@@ -50,9 +50,12 @@
   Instance->start();
   waitForSignal(Signals);
   std::atomic<bool> IsStopForced{false};
-  // A second signal stops the instance without waiting for open requests.
+  // A SIGINT stops the instance without waiting for open requests; a repeated
+  // SIGTERM changes nothing.
   std::thread SecondSignalThread([&] {
-    waitForSignal(Signals);
+    while (waitForSignal(Signals) != SIGINT) {
+      // The stop goes on.
+    }
     IsStopForced = true;
   });
   Instance->drain(IsStopForced);
--- a/Tests/Failures/ShutdownAndLeavingTest.cpp
+++ b/Tests/Failures/ShutdownAndLeavingTest.cpp
@@ -17,6 +17,7 @@
 class ShutdownAndLeavingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ShutdownAndLeavingTest);
   CPPUNIT_TEST(testStopCompletesRequestsInProgress);
+  CPPUNIT_TEST(testRepeatedSigtermCompletesRequestsInProgress);
   CPPUNIT_TEST(testUploadInProgressGetsAResponse);
   CPPUNIT_TEST(testLeadershipIsHandedOver);
   CPPUNIT_TEST(testTargetLeavesByInstanceList);
@@ -81,6 +82,26 @@
     }
   }
 
+  void testRepeatedSigtermCompletesRequestsInProgress() {
+    Fleet TestFleet(fleetOptions(1, 1));
+    CPPUNIT_ASSERT(TestFleet.waitUntilServing());
+    controlStandIn(TestFleet.applicationPort(), {{"delay_ms", 2000}});
+    auto Keyed = applicationRequest("/transfers", "k");
+    Keyed.m_Headers.set("Idempotency-Key", "1");
+    auto Running = callAsync(TestFleet.at(0).m_CallerPort, Keyed);
+    CPPUNIT_ASSERT(eventually([&] {
+      return countersOf(TestFleet.applicationPort())
+                 .at("calls")
+                 .to_number<int>() == 1;
+    }));
+    for (int I = 0; I < 5; ++I) {
+      TestFleet.at(0).m_Process.signal(SIGTERM);
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(200U, Running.get().m_Status);
+    CPPUNIT_ASSERT_EQUAL(0, TestFleet.at(0).m_Process.wait());
+  }
+
   /// Guards against dropping a request that is still being received when the
   /// stop begins.
   void testUploadInProgressGetsAResponse() {
