LibGateway: Close a broken connection to a target before its exit is probed

Cause: after a broken response the connection to the target stayed open while the target and up to three others were probed, for up to 1.4 s. A caller that left meanwhile and resumed its stream at another instance had it run at two targets. Found by reading; no test brings it about. The connection is closed before the probes now; nothing else used it.

--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -102,6 +102,8 @@
   if (Result == AttemptOutcome::Complete || Result == AttemptOutcome::NotRun)
     m_Owner.m_Connections.release(Address, std::move(Connection),
                                   m_KeepAliveTime);
+  // The target stops working when its connection closes.
+  Connection.reset();
   if (m_IsCallerGone && Result != AttemptOutcome::Complete)
     return AttemptOutcome::CallerGone;
   if (IsBroken)
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -1,11 +1,11 @@
 #include "LibHTTP/ClientConnection.h"
 
 #include "LibCore/Error.h"
+#include "LibHTTP/SilenceDetection.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <netinet/tcp.h>
 #include <optional>
 
 namespace yardrill::http {
@@ -42,29 +42,8 @@
     throw Error(Kind, std::string(Operation) + ": " + Failure.message());
 }
 
-/// Makes the kernel fail the connection about three seconds after the peer lost
-/// power or the network was partitioned.
-static void enableKeepAliveProbes(tcp::socket &Socket) {
-  using IdleTime =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-  using Interval =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-  error_code Ignored;
-  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
-  Socket.set_option(IdleTime(1), Ignored);
-  Socket.set_option(Interval(1), Ignored);
-  Socket.set_option(Count(2), Ignored);
-}
-
 void ClientConnection::setSilenceTimeout(core::Duration Timeout) {
-  using UserTimeout =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  auto Milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Timeout).count();
-  error_code Ignored;
-  m_Impl->m_Stream.socket().set_option(
-      UserTimeout(static_cast<int>(Milliseconds)), Ignored);
+  http::setSilenceTimeout(m_Impl->m_Stream.socket(), Timeout);
 }
 
 ClientConnection::ClientConnection(std::unique_ptr<Implementation> Impl)
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -42,6 +42,9 @@
   /// the IntakeLimiter allows none; without it, never. Set when the server is
   /// created.
   std::optional<double> m_LinkBytesPerSecond;
+  /// Time after which a connection fails whose caller acknowledges nothing, not
+  /// even probes; by default the kernel's, many minutes.
+  std::optional<core::Duration> m_SilenceTimeout;
 };
 
 /// One request and its response, passed to a Server's handler and used on the
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
+#include "LibHTTP/SilenceDetection.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -41,6 +42,10 @@
   m_Stream.socket().set_option(tcp::no_delay(true));
   // waitForDisconnect() peeks: a blocking receive would stall the event loop.
   m_Stream.socket().non_blocking(true);
+  if (m_Limits.m_SilenceTimeout) {
+    enableKeepAliveProbes(m_Stream.socket());
+    setSilenceTimeout(m_Stream.socket(), *m_Limits.m_SilenceTimeout);
+  }
   while (serveRequest(Yield)) {
     // The connection is kept.
   }
--- a/Tests/LibHTTP/ConnectionEndTest.cpp
+++ b/Tests/LibHTTP/ConnectionEndTest.cpp
@@ -7,6 +7,8 @@
 #include "LibCore/Error.h"
 #include "LibHTTP/Server.h"
 
+#include "SilentSocket.h"
+
 #include <boost/asio.hpp>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
@@ -29,6 +31,7 @@
   CPPUNIT_TEST(testBytesBehindARequestDoNotResetItsResponse);
   CPPUNIT_TEST(testBrokenOffResponseKeepsWhatWasSent);
   CPPUNIT_TEST(testCallerThatLeavesAfterFurtherBytesIsNoticed);
+  CPPUNIT_TEST(testSilentCallerIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int Steps = 16;
@@ -257,6 +260,25 @@
                                IsNoticed);
       }
   }
+
+  void testSilentCallerIsNoticed() {
+    bool IsNoticed = false;
+    ServerLimits Limits;
+    Limits.m_SilenceTimeout = seconds(2);
+    start(Limits, [&](Exchange &Call, asio::yield_context Yield) {
+      Call.setDisconnectCallback([&] { IsNoticed = true; });
+      asio::steady_timer Work(*m_Context, seconds(8));
+      Work.async_wait(Yield);
+    });
+    tcp::socket Caller = connect();
+    sendRequest(Caller);
+    runFor(milliseconds(20));
+    tests::dropArrivals(Caller);
+    runFor(milliseconds(1000));
+    CPPUNIT_ASSERT(!IsNoticed);
+    runFor(milliseconds(1700));
+    CPPUNIT_ASSERT(IsNoticed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionEndTest);
--- a/Tests/LibHTTP/SilentConnectionTest.cpp
+++ b/Tests/LibHTTP/SilentConnectionTest.cpp
@@ -6,16 +6,16 @@
 //===----------------------------------------------------------------------===//
 #include "LibCore/Error.h"
 #include "LibHTTP/ConnectionPool.h"
+#include "SilentSocket.h"
 
 #include <boost/asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
-#include <linux/filter.h>
-#include <sys/socket.h>
 
 using namespace yardrill;
 using namespace yardrill::http;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using tests::dropArrivals;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -35,14 +35,6 @@
   tcp::acceptor m_Acceptor{m_Context, {asio::ip::make_address("127.0.0.1"), 0}};
   ConnectionPool m_Pool{m_Context, {seconds(1), 4, SilenceTimeout}};
 
-  /// Drops all packets that arrive, so that not even probes are acknowledged.
-  static void dropArrivals(tcp::socket &Socket) {
-    sock_filter DropAll{BPF_RET | BPF_K, 0, 0, 0};
-    sock_fprog Program{1, &DropAll};
-    CPPUNIT_ASSERT_EQUAL(0, setsockopt(Socket.native_handle(), SOL_SOCKET,
-                                       SO_ATTACH_FILTER, &Program,
-                                       sizeof Program));
-  }
   /// Makes a call to a server that runs \p Serve. \returns the time until it
   /// failed.
   core::Duration timeToFailure(
