LibGateway: End forwarded requests whose peer is silent before it resumes them

Callers could see: a stream that goes on at another target while its first one works. The instance that forwarded it notices a silent connection after 3 s (two probes) and resumes it elsewhere; the peer that runs it had no such limit and went on, as its side of the connection only writes.

Change: connections on which peers forward requests fail after 2 s of silence, a second before the other side gives up.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -58,6 +58,9 @@
 static constexpr std::chrono::milliseconds ConnectTimeout{350};
 /// The same for a peer, another of which may take the request instead.
 static constexpr std::chrono::milliseconds PeerConnectTimeout{150};
+/// Time after which a silent peer's requests end. A peer notices the silence of
+/// its connection after three seconds and may then send them elsewhere.
+static constexpr std::chrono::seconds ForwardedSilenceTimeout{2};
 /// Retry-After, in seconds, of a request whose body exceeds the budget for all
 /// bodies: some of those being read are complete by then.
 static const char BodyBudgetRetryAfter[] = "0.5";
@@ -164,6 +167,7 @@
   static constexpr std::size_t TicketBytes = 1024;
   http::ServerLimits Out;
   Out.m_HeaderBytes = Limits.m_HeaderBytes + TicketBytes;
+  Out.m_SilenceTimeout = ForwardedSilenceTimeout;
   Out.m_BodyBytes = std::max(Out.m_BodyBytes, Limits.m_BodyBytes);
   return Out;
 }
