LibHTTP, LibGateway: Bound messages that never end in time and memory

A target in trouble may send bytes without end, in a head or a body, until its caller closes. Callers of a request with 2 s to live got nothing in 8 s, and the target's slot was held for as long, when it sent interim heads or the body of a response to another request; extensions of a chunk took 58 MB for one request. The store, peers and callers had the same ways.

Cause: a timeout was started anew for each part that was read and skipped, and what belongs to no body was held without a bound. While bytes were always there to read, an expired timer got no turn.

Change: a timeout applies to a call, and a call without time left fails. At most 16 interim responses and 4 responses to other requests are skipped, and at most 1 MB of a body is discarded. The head of a refusal is a promise: its body is read for 100 ms at the most, and the request is sent elsewhere. What is no body is held up to 128 KB (64 KB beyond the head for requests of callers). Responses of the store and of peers end within 8 s of their head; a peer's own response is bounded by 256 KB.

--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -9,9 +9,6 @@
 namespace asio = boost::asio;
 using core::Error;
 
-/// Responses up to this size are buffered before they are sent, so that another
-/// target's response can replace a broken one.
-static constexpr std::uint64_t MaxBufferedBytes = 262144;
 /// Connections are no longer reused this long before the target closes them as
 /// idle.
 static constexpr std::chrono::milliseconds KeepAliveMargin{500};
@@ -32,6 +29,13 @@
 static constexpr std::chrono::seconds MaxUnreadSlotTime{1};
 /// A caller that leaves sooner is no evidence of a slow target.
 static constexpr std::chrono::seconds MinMeaningfulWait{1};
+/// Late responses to earlier requests that are skipped on one connection.
+static constexpr int MaxSurplusResponses = 4;
+/// Bound of a body that is discarded.
+static constexpr std::size_t MaxSurplusBytes = 1048576;
+/// Time for which the body of a refusal is read, so that its connection can be
+/// reused.
+static constexpr std::chrono::milliseconds MaxRefusalBodyTime{100};
 static const char EventStreamType[] = "text/event-stream";
 
 AttemptOutcome GatewayRequest::runAttempt(asio::yield_context Yield) {
@@ -154,19 +158,23 @@
 http::ResponseHead
 GatewayRequest::readMatchingHead(http::ClientConnection &Connection,
                                  asio::yield_context Yield) {
-  while (true) {
-    core::Duration Timeout = timeLeft() + ResponseGracePeriod;
-    http::ResponseHead Head = Connection.readHead(Timeout, Yield);
+  for (int Surplus = 0; Surplus <= MaxSurplusResponses; ++Surplus) {
+    http::ResponseHead Head =
+        Connection.readHead(timeLeft() + ResponseGracePeriod, Yield);
     if (m_Owner.m_Wire.describe(Head).m_Id == m_Description.m_Id)
       return Head;
     core::LogLine("surplus-answer", core::LogLevel::Warning)
         .add("request", m_Description.m_Id)
         .add("target", m_Target->m_Name)
         .add("status", Head.m_Status);
-    while (!Connection.readBodyData(Timeout, Yield).empty()) {
-      // Discards the body, which belongs to an earlier request.
-    }
+    if (!Connection.discardBody(timeLeft() + ResponseGracePeriod,
+                                MaxSurplusBytes, Yield))
+      throw Error(core::ErrorKind::OutcomeUnknown,
+                  "a response to an earlier request does not end");
   }
+  throw Error(core::ErrorKind::OutcomeUnknown,
+              "more than " + std::to_string(MaxSurplusResponses) +
+                  " responses to other requests");
 }
 
 core::Duration GatewayRequest::beginRead() {
@@ -229,10 +237,8 @@
       m_Owner.m_Targets.recordReplacement(m_Target->incarnation());
       m_Owner.m_ExitDetector.noteTargetExit(m_Target->incarnation());
     }
-    while (!Connection.readBodyData(timeLeft() + ResponseGracePeriod, Yield)
-                .empty()) {
-      // Discards the body: the refusal is not relayed to the caller.
-    }
+    // The refusal is not relayed to the caller, and holds whatever follows it.
+    Connection.discardBody(MaxRefusalBodyTime, MaxSurplusBytes, Yield);
   } else {
     stateStreamOrigin(Head);
     Result = relayResponse(Connection, Head, Info, true, Yield);
@@ -265,7 +271,8 @@
   }
   // A response that exceeds the budget is passed on as it arrives.
   http::ByteBudget::Reservation Held(m_Owner.m_CallerServer->bodyBudget());
-  if (!Head.m_ContentLength || *Head.m_ContentLength > MaxBufferedBytes ||
+  if (!Head.m_ContentLength ||
+      *Head.m_ContentLength > ResponseRelay::MaxBufferedBytes ||
       !Held.tryExtend(*Head.m_ContentLength))
     return m_Relay.relayBytes(Connection, Head, Yield);
   http::ResponseMessage Response =
--- a/Libraries/LibGateway/ResponseRelay.cpp
+++ b/Libraries/LibGateway/ResponseRelay.cpp
@@ -22,6 +22,9 @@
     if (Data.empty())
       return Out;
     Out.m_Body += Data;
+    if (Out.m_Body.size() > MaxBufferedBytes)
+      throw core::Error(core::ErrorKind::LimitExceeded,
+                        "response body is too large");
   }
 }
 
--- a/Libraries/LibGateway/ResponseRelay.h
+++ b/Libraries/LibGateway/ResponseRelay.h
@@ -44,7 +44,12 @@
   ResponseRelay(http::Exchange &Caller, ResponseRelayHooks Hooks)
       : m_Caller(Caller), m_Hooks(std::move(Hooks)) {}
 
-  /// Reads a response into memory. \throws core::Error when it breaks.
+  /// Responses up to this size are buffered before they are sent, so that
+  /// another target's response can replace a broken one.
+  static constexpr std::uint64_t MaxBufferedBytes = 262144;
+
+  /// Reads a response into memory. \throws core::Error when it breaks or
+  /// exceeds MaxBufferedBytes.
   http::ResponseMessage readResponse(http::ClientConnection &From,
                                      const http::ResponseHead &Head,
                                      boost::asio::yield_context Yield) const;
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -19,6 +19,8 @@
 
 static const std::size_t ReadBufferBytes = 16384;
 static const std::uint32_t MaxHeaderBytes = 65536;
+/// Interim responses before the final one.
+static const int MaxInterimResponses = 16;
 
 class ClientConnection::Implementation {
 public:
@@ -29,7 +31,7 @@
   /// FIXME: Beast's timeouts do not advance while the machine is suspended, so
   /// a call without a response lasts longer by that time.
   beast::tcp_stream m_Stream;
-  beast::flat_buffer m_Buffer;
+  beast::flat_buffer m_Buffer{MaxUnparsedBytes};
   std::optional<Parser> m_Parser;
   bool m_IsHeadRequest = false;
   bool m_IsResponseComplete = false;
@@ -42,6 +44,13 @@
     throw Error(Kind, std::string(Operation) + ": " + Failure.message());
 }
 
+/// The stream's timer never gets a turn while bytes are always there to read.
+static void throwIfTimeIsOver(core::Duration Timeout, const char *Operation) {
+  if (Timeout <= core::Duration::zero())
+    throw Error(ErrorKind::OutcomeUnknown,
+                std::string(Operation) + ": the time is over");
+}
+
 void ClientConnection::setSilenceTimeout(core::Duration Timeout) {
   http::setSilenceTimeout(m_Impl->m_Stream.socket(), Timeout);
 }
@@ -99,18 +108,27 @@
 ResponseHead ClientConnection::readHead(core::Duration Timeout,
                                         asio::yield_context Yield) {
   auto &Parser = m_Impl->m_Parser;
+  throwIfTimeIsOver(Timeout, "read head");
   error_code Failure;
-  do {
+  int Interim = 0;
+  m_Impl->m_Stream.expires_after(Timeout);
+  while (true) {
     Parser.emplace();
     Parser->header_limit(MaxHeaderBytes);
     Parser->body_limit(boost::none);
     Parser->skip(m_Impl->m_IsHeadRequest);
-    m_Impl->m_Stream.expires_after(Timeout);
     beast::http::async_read_header(m_Impl->m_Stream, m_Impl->m_Buffer, *Parser,
                                    Yield[Failure]);
     throwIfFailed(Failure, ErrorKind::OutcomeUnknown, "read head");
     // Interim responses (RFC 9110, section 15.2) precede the final one.
-  } while (Parser->get().result_int() < 200);
+    if (Parser->get().result_int() >= 200)
+      break;
+    if (++Interim > MaxInterimResponses)
+      throw Error(ErrorKind::OutcomeUnknown,
+                  "read head: more than " +
+                      std::to_string(MaxInterimResponses) +
+                      " interim responses");
+  }
   if (!m_Impl->m_AllowsCloseDelimitedBody && !Parser->is_done() &&
       Parser->need_eof() && !Parser->chunked() && !Parser->content_length())
     throw Error(ErrorKind::OutcomeUnknown,
@@ -129,13 +147,15 @@
                                            asio::yield_context Yield) {
   auto &Parser = *m_Impl->m_Parser;
   std::string Data;
+  if (!Parser.is_done())
+    throwIfTimeIsOver(Timeout, "read body");
+  m_Impl->m_Stream.expires_after(Timeout);
   while (!Parser.is_done() && Data.empty()) {
     Data.resize(ReadBufferBytes);
     auto &Body = Parser.get().body();
     Body.data = Data.data();
     Body.size = Data.size();
     error_code Failure;
-    m_Impl->m_Stream.expires_after(Timeout);
     beast::http::async_read_some(m_Impl->m_Stream, m_Impl->m_Buffer, Parser,
                                  Yield[Failure]);
     if (Failure == beast::http::error::need_buffer)
@@ -147,13 +167,32 @@
   return Data;
 }
 
+bool ClientConnection::discardBody(core::Duration Timeout, std::size_t MaxBytes,
+                                   asio::yield_context Yield) {
+  core::TimePoint End = core::steadyNow() + Timeout;
+  std::size_t Discarded = 0;
+  try {
+    while (Discarded <= MaxBytes) {
+      std::string Data = readBodyData(End - core::steadyNow(), Yield);
+      if (Data.empty())
+        return true;
+      Discarded += Data.size();
+    }
+  } catch (const Error &) {
+    // The body broke, or did not end in time.
+  }
+  return false;
+}
+
 ResponseMessage ClientConnection::readResponse(core::Duration Timeout,
                                                std::size_t MaxBytes,
                                                asio::yield_context Yield) {
   ResponseMessage Out;
   Out.m_Head = readHead(Timeout, Yield);
+  core::TimePoint End = core::steadyNow() + MaxBodyTime;
   while (true) {
-    std::string Data = readBodyData(Timeout, Yield);
+    std::string Data =
+        readBodyData(std::min(Timeout, End - core::steadyNow()), Yield);
     if (Data.empty())
       return Out;
     if (Out.m_Body.size() + Data.size() > MaxBytes)
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -14,8 +14,9 @@
 
 /// HTTP/1.1 connection to a server, used by one coroutine at a time. Errors
 /// before the first byte is sent have kind Refused or Unavailable, later ones
-/// OutcomeUnknown: the server may have processed the request. Timeouts apply to
-/// each read and write, not to a complete response.
+/// OutcomeUnknown: the server may have processed the request. A timeout applies
+/// to one call, however many bytes arrive in it. What a server sends without
+/// end and that is no body fails the call once it exceeds MaxUnparsedBytes.
 class ClientConnection {
 public:
   /// \throws core::Error of kind Refused or Unavailable.
@@ -37,8 +38,8 @@
   /// default they are an error, since a crash of the server looks like their
   /// end.
   void allowCloseDelimitedBody();
-  /// Reads the status and headers of the next response, skipping interim (1xx)
-  /// ones.
+  /// Reads the status and headers of the next response, skipping a few interim
+  /// (1xx) ones.
   /// \throws core::Error of kind OutcomeUnknown.
   ResponseHead readHead(core::Duration Timeout,
                         boost::asio::yield_context Yield);
@@ -46,7 +47,13 @@
   /// \throws core::Error of kind OutcomeUnknown when the body is truncated.
   std::string readBodyData(core::Duration Timeout,
                            boost::asio::yield_context Yield);
-  /// Reads a complete response.
+  /// Discards the rest of a body. \returns false if it does not end within
+  /// \p MaxBytes and \p Timeout, or breaks; the connection can't be reused
+  /// then.
+  bool discardBody(core::Duration Timeout, std::size_t MaxBytes,
+                   boost::asio::yield_context Yield);
+  /// Reads a complete response. \p Timeout applies to the head and to each part
+  /// of the body, which has to end within MaxBodyTime.
   /// \throws core::Error of kind OutcomeUnknown, or LimitExceeded when the body
   /// is longer than \p MaxBytes.
   ResponseMessage readResponse(core::Duration Timeout, std::size_t MaxBytes,
@@ -60,6 +67,11 @@
   /// Closes the connection; a pending operation fails with OutcomeUnknown.
   void close();
 
+  /// Bound of bytes that are held because they are not part of a body: a head,
+  /// a chunk's extensions, trailers.
+  static constexpr std::size_t MaxUnparsedBytes = 131072;
+  static constexpr std::chrono::seconds MaxBodyTime{8};
+
 private:
   class Implementation;
   explicit ClientConnection(std::unique_ptr<Implementation> Impl);
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -18,6 +18,9 @@
 using boost::system::error_code;
 
 static const std::size_t ReadAheadBytes = 4096;
+/// Bound of what is held besides a head: part of a body, or bytes that belong
+/// to none, such as extensions of a chunk.
+static const std::size_t MaxUnparsedBytes = 65536;
 /// Typical size of the head of a response.
 static const std::size_t HeadBytes = 256;
 /// Time for which a connection is read after its last response, which a reset
@@ -147,6 +150,8 @@
     return NoResponse;
   error_code Failure;
   m_Reading.begin(core::steadyNow());
+  m_Buffer.max_size(
+      std::max(m_Buffer.size(), m_Limits.m_HeaderBytes + MaxUnparsedBytes));
   RequestParser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
   Parser.body_limit(m_Limits.m_BodyBytes);
