Tests/Soak: Let callers retry, leave and resume; send SIGTERM in series

The soak could not show a request that runs in two attempts of its caller, nor a stream that goes on while its first target works: callers never sent a request again and never resumed a stream.

Callers now retry as the platform's protocol says: idempotent requests after any failure, others after a promise, or after an end of the connection that looks as if the request had not been read (a reset, or an end without a byte; counted apart; a killed process's ends say nothing). All attempts share an identity, from which bodies are derived. 15 % of the resumable streams are left after some events and go on at another gateway; a target has to stop within 400 ms of that, unless its gateway or the path to it is disturbed. A request that its caller left counts neither as lost nor as unserved. A stop is a series of three SIGTERM.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -5,6 +5,7 @@
 #include "LibCore/Error.h"
 
 #include <boost/asio/spawn.hpp>
+#include <cmath>
 
 namespace yardrill::soak {
 
@@ -28,6 +29,11 @@
 /// Time for which a bad request is repeated with the same content.
 static constexpr std::chrono::seconds BadRequestRepeatTime{12};
 static constexpr std::uint64_t MaxBadRequestPauseMs = 600;
+static constexpr int MaxRepeats = 2;
+/// Time below which a caller does not try again.
+static constexpr std::chrono::milliseconds MinRepeatTime{100};
+/// Percentage of the resumable streams that their callers leave and resume.
+static constexpr std::uint64_t LeavingPercentage = 15;
 
 Callers::Callers(asio::io_context &Context, InvariantChecker &Checker,
                  Deployment &System, std::mt19937_64 &Random)
@@ -72,79 +78,164 @@
 }
 
 static http::RequestMessage toMessage(const SentRequest &Request,
-                                      const std::string &Path) {
+                                      const std::string &Path,
+                                      std::size_t SkippedEvents) {
+  std::string Identity =
+      Request.m_Identity.empty() ? Request.m_Id : Request.m_Identity;
   http::RequestMessage Out;
   Out.m_Method = "POST";
-  Out.m_Target = Path + (Request.m_Content.empty() ? "x?" + Request.m_Id
-                                                   : Request.m_Content);
-  Out.m_Headers = {{"Host", "h"},
-                   {"Attempt-Id", Request.m_Id},
-                   {"Api-Key", Request.m_Account + "-key"},
-                   {"Tenant", "forged"},
-                   {"Deadline-Ms", std::to_string(TimeLimit.count())}};
-  Out.m_Body = requestBodyOf(Request.m_Content.empty() ? Request.m_Id
-                                                       : Request.m_Content);
+  Out.m_Target =
+      Path + (Request.m_Content.empty() ? "x?" + Identity : Request.m_Content);
+  Out.m_Headers = {
+      {"Host", "h"},
+      {"Attempt-Id", Request.m_Id},
+      {"Api-Key", Request.m_Account + "-key"},
+      {"Tenant", "forged"},
+      {"Deadline-Ms", std::to_string(Request.m_TimeLimit.count())}};
+  if (SkippedEvents > 0) {
+    Out.m_Headers.set("Last-Event-Id", std::to_string(SkippedEvents));
+    Out.m_Headers.set("Resumes", Identity);
+  }
+  Out.m_Body =
+      requestBodyOf(Request.m_Content.empty() ? Identity : Request.m_Content);
   return Out;
 }
 
-static std::string allEventsOf(const std::string &Id) {
+static bool isStream(RequestKind Kind) {
+  return Kind == RequestKind::Stream || Kind == RequestKind::ResumableStream;
+}
+
+/// Returns the body that a target sends, without the first events of a stream.
+static std::string expectedBody(const SentRequest &Request,
+                                std::size_t SkippedEvents) {
+  const std::string &Identity =
+      Request.m_Identity.empty() ? Request.m_Id : Request.m_Identity;
+  if (!isStream(Request.m_Kind))
+    return responseBodyOf(Identity);
   std::string Out;
-  for (std::size_t I = 1; I <= eventCountOf(Id); ++I)
-    Out += eventOf(Id, I);
+  for (std::size_t I = SkippedEvents + 1; I <= eventCountOf(Identity); ++I)
+    Out += eventOf(Identity, I);
   return Out;
 }
 
-std::string Callers::readBody(http::ClientConnection &Connection,
-                              const SentRequest &Request, bool IsStream,
-                              asio::yield_context Yield) {
-  std::string Expected =
-      IsStream ? allEventsOf(Request.m_Id) : responseBodyOf(Request.m_Id);
-  std::string Out;
+static std::size_t completeEvents(const std::string &Received) {
+  std::size_t Out = 0;
+  for (std::size_t At = Received.find("\n\n"); At != std::string::npos;
+       At = Received.find("\n\n", At + 2))
+    ++Out;
+  return Out;
+}
+
+std::optional<std::size_t> Callers::drawLeaving(RequestKind Kind) {
+  if (Kind != RequestKind::ResumableStream ||
+      randomBelow(100) >= LeavingPercentage)
+    return std::nullopt;
+  return 1 + randomBelow(3);
+}
+
+void Callers::readBody(http::ClientConnection &Connection,
+                       const SentRequest &Request, std::size_t SkippedEvents,
+                       std::string &Received, asio::yield_context Yield) {
+  std::string Expected = expectedBody(Request, SkippedEvents);
+  std::optional<std::size_t> LeaveAfter = drawLeaving(Request.m_Kind);
   while (true) {
     std::string Data = Connection.readBodyData(ClientTimeout, Yield);
-    Out += Data;
-    if (Expected.compare(0, Out.size(), Out) != 0) {
+    Received += Data;
+    if (Expected.compare(0, Received.size(), Received) != 0) {
       m_Checker.wrongResponse(Request.m_Id,
                               "body differs from the expected one");
       throw core::Error(core::ErrorKind::Protocol, "unexpected response body");
     }
-    if (!Data.empty())
-      continue;
-    if (Out.size() != Expected.size())
-      m_Checker.wrongResponse(Request.m_Id,
-                              "body ended early without an error");
-    return Out;
+    if (Data.empty())
+      break;
+    if (LeaveAfter && completeEvents(Received) >= *LeaveAfter) {
+      m_Checker.callerLeft(Request.m_Id);
+      Connection.close();
+      throw core::Error(core::ErrorKind::OutcomeUnknown, "the caller left");
+    }
   }
+  if (Received.size() != Expected.size())
+    m_Checker.wrongResponse(Request.m_Id, "body ended early without an error");
 }
 
-std::optional<unsigned> Callers::exchange(http::ClientConnection &Connection,
-                                          const SentRequest &Request,
-                                          const std::string &Path,
-                                          asio::yield_context Yield) {
+Callers::Attempt Callers::exchange(http::ClientConnection &Connection,
+                                   const SentRequest &Request,
+                                   const std::string &Path,
+                                   std::size_t SkippedEvents,
+                                   asio::yield_context Yield) {
   m_Checker.requestSent(Request);
+  Attempt Out;
+  bool HasHead = false;
+  std::string Received;
   try {
-    Connection.sendRequest(toMessage(Request, Path), ClientTimeout, Yield);
+    Connection.sendRequest(toMessage(Request, Path, SkippedEvents),
+                           ClientTimeout, Yield);
     http::ResponseHead Head = Connection.readHead(ClientTimeout, Yield);
+    HasHead = true;
     bool IsSuccess = Head.m_Status == 200;
     const std::string *Id = Head.m_Headers.find("Attempt-Id");
     if (Id && *Id != Request.m_Id)
       m_Checker.wrongResponse(Request.m_Id, "is the response to " + *Id);
     if (IsSuccess && !Head.m_Headers.find("Replica-Seal"))
       m_Checker.wrongResponse(Request.m_Id, "is not signed");
+    if (const std::string *Wait = Head.m_Headers.find("Retry-After"))
+      Out.m_RetryAfter =
+          std::chrono::milliseconds(std::lround(std::stod(*Wait) * 1000));
     if (IsSuccess)
-      readBody(Connection, Request,
-               Request.m_Kind == RequestKind::Stream ||
-                   Request.m_Kind == RequestKind::ResumableStream,
-               Yield);
+      readBody(Connection, Request, SkippedEvents, Received, Yield);
     else
       while (!Connection.readBodyData(ClientTimeout, Yield).empty()) {
         // The body of a failure is not checked.
       }
     m_Checker.responseReceived(Request.m_Id, Head.m_Status);
-    return Head.m_Status;
+    Out.m_Status = Head.m_Status;
   } catch (const core::Error &Failure) {
-    m_Checker.responseLost(Request.m_Id, Failure.what());
-    return std::nullopt;
+    std::string Reason = Failure.what();
+    auto Has = [&Reason](const char *Text) {
+      return Reason.find(Text) != std::string::npos;
+    };
+    bool IsReset = Has("reset by peer") || Has("Broken pipe");
+    m_Checker.responseLost(Request.m_Id, Reason);
+    Out.m_LooksUnread =
+        !HasHead && (IsReset || Has("end of stream")) &&
+        !m_System.wasKilledSince(Request.m_Gateway, Request.m_SentAt);
+    if (Out.m_LooksUnread)
+      m_Checker.noteUnreadEnd(Request.m_Id, IsReset);
+  }
+  Out.m_Events = SkippedEvents + completeEvents(Received);
+  return Out;
+}
+
+void Callers::repeat(const SentRequest &First, const std::string &Path,
+                     Attempt Seen, asio::yield_context Yield) {
+  TimePoint EndsAt = First.m_SentAt + TimeLimit;
+  for (int Left = MaxRepeats; Left > 0 && !m_IsStopped; --Left) {
+    bool IsPromise =
+        Seen.m_Status && (*Seen.m_Status == 429 || *Seen.m_Status == 503);
+    bool IsServed = Seen.m_Status && *Seen.m_Status == 200;
+    if (IsServed || (!First.isRetryable() && !IsPromise && !Seen.m_LooksUnread))
+      return;
+    auto TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+        EndsAt - Clock::now());
+    tests::sleepFor(m_Context, std::min(Seen.m_RetryAfter, TimeLeft / 3),
+                    Yield);
+    SentRequest Next = First;
+    Next.m_Id = "a" + std::to_string(m_NextId++);
+    Next.m_Identity = First.m_Id;
+    Next.m_Gateway = chooseGateway();
+    Next.m_SentAt = Clock::now();
+    Next.m_TimeLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
+        EndsAt - Next.m_SentAt);
+    if (Next.m_TimeLimit < MinRepeatTime)
+      return;
+    try {
+      auto Connection = http::ClientConnection::connect(
+          m_Context, m_System.callerAddress(Next.m_Gateway), ConnectTime,
+          Yield);
+      Seen = exchange(*Connection, Next, Path, Seen.m_Events, Yield);
+    } catch (const core::Error &) {
+      // The gateway is down or starting; another one may be chosen next.
+    }
   }
 }
 
@@ -169,8 +260,10 @@
     const auto &Route = Routes[randomBelow(std::size(Routes))];
     SentRequest Request =
         makeSentRequest(Gateway, Route.m_Kind, randomBelow(4) == 0);
-    auto Status = exchange(*Connection, Request, Route.m_Path, Yield);
-    if (!Status || !Connection->isReusable() || m_IsStopped)
+    Attempt Seen = exchange(*Connection, Request, Route.m_Path, 0, Yield);
+    if (Seen.m_Status != 200U)
+      repeat(Request, Route.m_Path, Seen, Yield);
+    if (!Seen.m_Status || !Connection->isReusable() || m_IsStopped)
       return;
     // Pauses vary, so that connections also idle between requests.
     tests::sleepFor(m_Context,
@@ -197,7 +290,7 @@
           makeSentRequest(Gateway, RequestKind::Idempotent, false);
       Request.m_Content = BadContentPrefix + std::to_string(Number) + "-" +
                           std::to_string(Series);
-      exchange(*Connection, Request, "/again/", Yield);
+      exchange(*Connection, Request, "/again/", 0, Yield);
     } catch (const core::Error &) {
       // The gateway is down or starting.
     }
@@ -285,7 +378,8 @@
           m_Context, m_System.callerAddress(Gateway), ConnectTime, Yield);
       auto Status =
           exchange(*Connection, Request,
-                   "/probe-" + std::to_string(Probed.m_Number) + "/", Yield);
+                   "/probe-" + std::to_string(Probed.m_Number) + "/", 0, Yield)
+              .m_Status;
       if (Status && RestartCount == m_System.restartCount(Gateway))
         checkProbe(Gateway, RestartCount, Probed, Request.m_SentAt, *Status);
     } catch (const core::Error &) {
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -52,17 +52,32 @@
   /// Returns a random gateway that is not removed, or any if all are.
   std::size_t chooseGateway();
 
+  /// What a caller saw of one attempt.
+  struct Attempt {
+    std::optional<unsigned> m_Status; ///< Of a complete response.
+    bool m_LooksUnread = false;       ///< See InvariantChecker.
+    std::size_t m_Events = 0;         ///< Complete events of a stream.
+    std::chrono::milliseconds m_RetryAfter{};
+  };
   SentRequest makeSentRequest(std::size_t Gateway, RequestKind Kind,
                               bool IsLimited);
-  /// Sends a request and checks its response. \returns the status, or nothing
-  /// if the response is incomplete; the connection can't be reused then.
-  std::optional<unsigned> exchange(http::ClientConnection &Connection,
-                                   const SentRequest &Request,
-                                   const std::string &Path,
-                                   boost::asio::yield_context Yield);
-  std::string readBody(http::ClientConnection &Connection,
-                       const SentRequest &Request, bool IsStream,
-                       boost::asio::yield_context Yield);
+  /// Sends a request and checks its response. Without a status the response is
+  /// incomplete, and the connection can't be reused.
+  /// \param SkippedEvents events that the caller has from an earlier attempt.
+  Attempt exchange(http::ClientConnection &Connection,
+                   const SentRequest &Request, const std::string &Path,
+                   std::size_t SkippedEvents, boost::asio::yield_context Yield);
+  /// \param Received what was received, also if the response breaks.
+  void readBody(http::ClientConnection &Connection, const SentRequest &Request,
+                std::size_t SkippedEvents, std::string &Received,
+                boost::asio::yield_context Yield);
+  /// Sends the request again on new connections, as the platform's protocol
+  /// allows after what the caller saw of it; a resumable stream goes on after
+  /// its last event.
+  void repeat(const SentRequest &First, const std::string &Path, Attempt Seen,
+              boost::asio::yield_context Yield);
+  /// Draws after how many events a caller leaves a stream; none: it stays.
+  std::optional<std::size_t> drawLeaving(RequestKind Kind);
   /// Checks whether the gateway applies a configuration in time and never
   /// reverts to an older one.
   void checkProbe(std::size_t Gateway, std::size_t RestartCount,
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -160,6 +160,7 @@
   if (!Instance.m_Process.isRunning())
     return;
   Instance.m_IsExitExpected = true;
+  Instance.m_KilledAt = Clock::now();
   // Before the signal, since callers may notice the exit immediately.
   m_Checker.noteProcessDisturbance(Index, true);
   Instance.m_Process.kill();
@@ -178,6 +179,16 @@
   Instance.m_Process.signal(SIGTERM);
 }
 
+void Deployment::repeatStop(std::size_t Index) {
+  Gateway &Instance = m_Gateways[Index];
+  if (Instance.m_Process.isRunning() && Instance.m_StoppingSince != TimePoint())
+    Instance.m_Process.signal(SIGTERM);
+}
+
+bool Deployment::wasKilledSince(std::size_t Index, TimePoint Since) const {
+  return m_Gateways[Index].m_KilledAt >= Since;
+}
+
 void Deployment::replaceGateway(std::size_t Index) {
   m_Gateways[Index].m_IsReplaced = true;
   stopGateway(Index);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -63,6 +63,11 @@
   // Faults. They have no effect on a gateway that is down.
   void killGateway(std::size_t Gateway);
   void stopGateway(std::size_t Gateway);
+  /// Sends another SIGTERM to a gateway that stops.
+  void repeatStop(std::size_t Gateway);
+  /// Whether the gateway's process was killed since then, or is down: what its
+  /// connections show says nothing then.
+  bool wasKilledSince(std::size_t Gateway, TimePoint Since) const;
   /// Stops the gateway for good. Another one takes its place, at a new address.
   void replaceGateway(std::size_t Gateway);
   void signalGateway(std::size_t Gateway, int Signal);
@@ -111,6 +116,7 @@
     bool m_IsExitExpected = false;
     bool m_IsReplaced = false; ///< The next process has a new address.
     TimePoint m_StoppingSince;
+    TimePoint m_KilledAt;
     TimePoint m_StartsAt; ///< Restart time while it is down.
   };
 
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -17,6 +17,7 @@
 static constexpr std::uint64_t LengthSpreadMs = 3000;
 static constexpr double ResponseFaultShare = 0.4;
 static constexpr double HangShare = 0.1;
+static constexpr int RepeatedStops = 2;
 static constexpr milliseconds StoreDelay{400};
 static constexpr milliseconds IdleTime{100};
 static constexpr double BackoffShare = 0.5;
@@ -125,6 +126,14 @@
   void sleepForFault() {
     tests::sleepFor(m_Context, m_Fault.m_Length, m_Yield);
   }
+  /// Sends SIGTERM in series.
+  void stopGateway() {
+    m_System.stopGateway(m_GatewayIndex);
+    for (int I = 0; I < RepeatedStops; ++I) {
+      tests::sleepFor(m_Context, m_Fault.m_Length / RepeatedStops, m_Yield);
+      m_System.repeatStop(m_GatewayIndex);
+    }
+  }
   void freezeGateway() {
     m_Checker.noteProcessDisturbance(m_GatewayIndex, true);
     m_System.signalGateway(m_GatewayIndex, SIGSTOP);
@@ -218,7 +227,7 @@
       m_System.killGateway(I);
     return;
   case FaultKind::StopGateway:
-    return m_System.stopGateway(m_GatewayIndex);
+    return stopGateway();
   case FaultKind::FreezeGateway:
     return freezeGateway();
   case FaultKind::ReloadGateway:
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -59,7 +59,8 @@
 /// One scheduled fault.
 struct Fault {
   std::chrono::milliseconds m_At{}; ///< Time after the schedule's start.
-  /// Kills, stops, reloads, publications and TargetLeaves don't use it.
+  /// Kills, reloads, publications and TargetLeaves don't use it; a stop is
+  /// repeated within it.
   std::chrono::milliseconds m_Length{};
   FaultKind m_Kind = FaultKind::Publish;
   /// Selects the gateway or target: its index, modulo their number. Also the
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -68,6 +68,8 @@
   if (m_SkewedSince)
     Request.m_SkewAge = Request.m_SentAt - *m_SkewedSince;
   std::string Id = Request.m_Id;
+  if (Request.m_Identity.empty())
+    Request.m_Identity = Id;
   m_SentRequests.emplace(std::move(Id), std::move(Request));
 }
 
@@ -131,6 +133,12 @@
   m_ExecutedTokens[Request->m_Account].push_back({m_Now(), Request->m_Tokens});
   if (++Request->m_Executions > 1 && !Request->isRetryable())
     addViolation("once", Id + " was executed again, but is not idempotent");
+  else if (!Request->isRetryable() && ++m_Executions[Request->m_Identity] > 1)
+    addViolation("once", Id + " was executed, but also " + Request->m_Identity +
+                             " or a later attempt of the same request");
+  if (!Request->isRetryable() && Request->m_LooksUnread)
+    addViolation("once", Id + " was executed after its connection had ended as "
+                              "if it had not been read");
   if (Request->m_Status && isRefusal(*Request->m_Status) &&
       !Request->isRetryable())
     addViolation("refusal", Id + " was executed after it was refused");
@@ -218,8 +226,10 @@
 
 void InvariantChecker::responseLost(const std::string &Id,
                                     const std::string &Error) {
-  ++m_LostResponses;
   SentRequest &Request = m_SentRequests.at(Id);
+  if (Request.m_HasCallerLeft)
+    return;
+  ++m_LostResponses;
   const Gateway &Sender = m_Gateways[Request.m_Gateway];
   auto Elapsed = m_Now() - Request.m_SentAt;
   if (!Sender.m_Process.hasEndedBefore(Request.m_SentAt))
@@ -236,6 +246,64 @@
                  Id + " lost its response: " + Error);
 }
 
+void InvariantChecker::noteUnreadEnd(const std::string &Id, bool IsReset) {
+  ++(IsReset ? m_ResetEnds : m_EmptyEnds);
+  SentRequest &Request = m_SentRequests.at(Id);
+  Request.m_LooksUnread = true;
+  if (Request.m_Executions > 0 && !Request.isRetryable())
+    addViolation("once", Id +
+                             " was executed, but its connection ended as if it "
+                             "had not been read");
+}
+
+void InvariantChecker::callerLeft(const std::string &Id) {
+  m_SentRequests.at(Id).m_HasCallerLeft = true;
+}
+
+void InvariantChecker::excuseDisturbed(std::vector<StreamRun> &Runs) {
+  for (StreamRun &Each : Runs)
+    if (!Each.m_EndedAt &&
+        (!m_Gateways[Each.m_Gateway].m_Process.hasEndedBefore(m_Now()) ||
+         !m_TargetLinks[Each.m_Target].hasEndedBefore(m_Now())))
+      Each.m_IsExcused = true;
+}
+
+void InvariantChecker::streamBegan(const std::string &Id, const void *Target) {
+  const SentRequest *Request = findRequest(Id);
+  if (!Request)
+    return;
+  std::vector<StreamRun> &Runs = m_StreamRuns[Request->m_Identity];
+  excuseDisturbed(Runs);
+  m_ResumedStreams += Runs.empty() ? 0 : 1;
+  Runs.push_back(
+      {Id, Target, Request->m_Gateway, m_Now(), std::nullopt, false});
+}
+
+void InvariantChecker::streamEnded(const std::string &Id, const void *Target) {
+  const SentRequest *Request = findRequest(Id);
+  if (!Request)
+    return;
+  std::vector<StreamRun> &Runs = m_StreamRuns[Request->m_Identity];
+  excuseDisturbed(Runs);
+  for (StreamRun &Each : Runs)
+    if (Each.m_Id == Id && Each.m_Target == Target && !Each.m_EndedAt)
+      Each.m_EndedAt = m_Now();
+}
+
+void InvariantChecker::checkStreams() {
+  for (const auto &[Identity, Runs] : m_StreamRuns)
+    for (std::size_t I = 0; I + 1 < Runs.size(); ++I) {
+      const StreamRun &First = Runs[I];
+      const StreamRun &Next = Runs[I + 1];
+      TimePoint End = First.m_EndedAt.value_or(TimePoint::max());
+      if (First.m_IsExcused || First.m_Target == Next.m_Target ||
+          End <= Next.m_BeganAt + bounds::StreamEndTime)
+        continue;
+      addViolation("once", "stream " + Identity + " went on as " + Next.m_Id +
+                               " while a target still worked on " + First.m_Id);
+    }
+}
+
 void InvariantChecker::wrongResponse(const std::string &Id,
                                      const std::string &Problem) {
   addViolation("answer", Id + ": " + Problem);
@@ -300,7 +368,7 @@
   for (const auto &[Id, Request] : m_SentRequests) {
     bool IsLimited = m_Quotas.count(Request.m_Account) != 0;
     if (Request.m_SentAt < RecoveredAt + bounds::SettleTime || IsLimited ||
-        !Request.m_Content.empty())
+        !Request.m_Content.empty() || Request.m_HasCallerLeft)
       continue;
     ++Sent;
     Served += Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
@@ -333,7 +401,7 @@
   for (const auto &[Id, Request] : m_SentRequests) {
     if (!Request.m_IsGatewayUndisturbed || Request.m_IsTargetDisturbed ||
         Request.m_IsProbe || !Request.m_Content.empty() ||
-        m_Quotas.count(Request.m_Account) != 0)
+        Request.m_HasCallerLeft || m_Quotas.count(Request.m_Account) != 0)
       continue;
     // Neither counts while instances adapt.
     if (Request.m_SkewAge && *Request.m_SkewAge < bounds::SkewAdaptationTime)
@@ -373,6 +441,7 @@
 
 void InvariantChecker::finish(TimePoint RecoveredAt) {
   m_Backpressure.finish();
+  checkStreams();
   checkQuarantine();
   checkQuotas();
   checkRetries();
@@ -390,6 +459,8 @@
   std::ostringstream Out;
   Out << "requests=" << m_SentRequests.size() << " served=" << Served
       << " refused=" << Refused << " unanswered=" << m_LostResponses
+      << " reset_ends=" << m_ResetEnds << " empty_ends=" << m_EmptyEnds
+      << " resumed_streams=" << m_ResumedStreams
       << " repeats=" << m_Repeats.size()
       << " bad_contents=" << m_BadContents.size()
       << " limits=" << m_Backpressure.limits()
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -39,6 +39,9 @@
 /// Time beyond the route's time limit by which a caller has a response.
 inline constexpr std::chrono::milliseconds ResponseSlack{500};
 inline constexpr std::chrono::milliseconds RollbackSlack{250};
+/// Time within which a target stops to work on a stream that has gone on at
+/// another one.
+inline constexpr std::chrono::milliseconds StreamEndTime{400};
 /// An account executes at most (rate x QuotaWindow + burst) x
 /// (1 + QuotaOvershoot) + QuotaSlack tokens in a QuotaWindow.
 inline constexpr std::chrono::seconds QuotaWindow{8};
@@ -95,6 +98,8 @@
 /// A request that a caller sent to a gateway, with what became known of it.
 struct SentRequest {
   std::string m_Id;
+  /// Id of the caller's first attempt, which all its attempts share.
+  std::string m_Identity;
   RequestKind m_Kind = RequestKind::NonIdempotent;
   std::size_t m_Gateway = 0;
   std::string m_Account;
@@ -115,6 +120,10 @@
   /// disturbed.
   bool m_IsTargetDisturbed = false;
   std::optional<unsigned> m_Status; ///< Status of a complete response.
+  /// Whether its connection ended without a byte of a response, so that its
+  /// caller takes it for unread.
+  bool m_LooksUnread = false;
+  bool m_HasCallerLeft = false; ///< Before the response was complete.
 
   bool isRetryable() const {
     return m_Kind == RequestKind::Idempotent ||
@@ -170,6 +179,11 @@
   /// Records that the connection closed or the caller timed out before the
   /// response was complete. \param Error the error that the caller saw.
   void responseLost(const std::string &Id, const std::string &Error);
+  /// Records that the connection ended as if the request had not been read.
+  /// \param IsReset whether it was reset.
+  void noteUnreadEnd(const std::string &Id, bool IsReset);
+  /// Records that the caller closed the connection within a stream.
+  void callerLeft(const std::string &Id);
   /// Records a response that belongs to another request, or that is incomplete
   /// although it ended regularly.
   void wrongResponse(const std::string &Id, const std::string &Problem);
@@ -194,6 +208,9 @@
     m_Backpressure.rateLimitChanged(Incarnation, PerSecond, m_Now());
   }
   void requestExecuted(const std::string &Id);
+  /// Records that a target works on a stream, or (ended) no longer does.
+  void streamBegan(const std::string &Id, const void *Target);
+  void streamEnded(const std::string &Id, const void *Target);
   void noteTargetDisturbance(const std::string &Id);
   /// Records that gateways may not be able to connect to a target, or that they
   /// are again.
@@ -236,6 +253,7 @@
   std::map<const void *, Disturbance> m_TargetLinks;
   using TimeSeries = std::vector<DataPoint>;
 
+  void checkStreams();
   void checkQuotas();
   void checkRetries();
   void checkRecovery(TimePoint RecoveredAt);
@@ -265,6 +283,19 @@
     std::vector<TimePoint> m_Arrivals; ///< From undisturbed gateways.
   };
 
+  /// Work of a target on a stream.
+  struct StreamRun {
+    std::string m_Id;
+    const void *m_Target = nullptr;
+    std::size_t m_Gateway = 0;
+    TimePoint m_BeganAt;
+    std::optional<TimePoint> m_EndedAt;
+    /// Whether its gateway or the path to the target was disturbed when the
+    /// stream went on elsewhere, or 400 ms later.
+    bool m_IsExcused = false;
+  };
+  void excuseDisturbed(std::vector<StreamRun> &Runs);
+
   struct Gateway {
     Disturbance m_Process;
     Disturbance m_StorePath;
@@ -278,6 +309,12 @@
   std::map<std::string, SentRequest> m_SentRequests;
   std::map<std::string, AccountQuota> m_Quotas;
   std::map<std::string, TimeSeries> m_ExecutedTokens; ///< By account.
+  /// Executions by the identity of requests that aren't retryable.
+  std::map<std::string, std::size_t> m_Executions;
+  std::map<std::string, std::vector<StreamRun>> m_StreamRuns; ///< By identity.
+  std::size_t m_ResetEnds = 0;
+  std::size_t m_EmptyEnds = 0;
+  std::size_t m_ResumedStreams = 0;
   TimeSeries m_Requests;
   TimeSeries m_Repeats;
   std::vector<VersionArrival> m_VersionArrivals;
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -138,6 +138,13 @@
   return Value ? *Value : "";
 }
 
+/// Returns the identity that a caller's attempts share.
+static std::string identityOf(const http::RequestMessage &Request,
+                              const std::string &Id) {
+  std::size_t Query = Request.m_Target.find('?');
+  return Query == std::string::npos ? Id : Request.m_Target.substr(Query + 1);
+}
+
 static http::ResponseMessage refusal(unsigned Status, const std::string &Id) {
   http::ResponseMessage Out;
   Out.m_Head.m_Status = Status;
@@ -213,11 +220,16 @@
     return Call.sendResponse(std::move(Out), Yield);
   }
   std::string BadContent = badContentOf(Request);
-  if (Request.m_Body != requestBodyOf(BadContent.empty() ? Id : BadContent))
+  if (Request.m_Body !=
+      requestBodyOf(BadContent.empty() ? identityOf(Request, Id) : BadContent))
     m_Checker.addViolation("unasked", Id + " arrived with a wrong body");
   if (headerOf(Request, "Tenant").empty())
     m_Checker.addViolation("unasked", Id + " arrived without its account");
   auto RunningEntry = m_Running.insert(Id);
+  if (m_Pool == "engine") {
+    m_Checker.streamBegan(Id, this);
+    Call.setDisconnectCallback([this, Id] { m_Checker.streamEnded(Id, this); });
+  }
   try {
     if (!BadContent.empty())
       m_Checker.noteTargetDisturbance(Id);
@@ -226,6 +238,8 @@
     // The caller disconnected; the request counts as executed.
   }
   m_Running.erase(RunningEntry);
+  if (m_Pool == "engine")
+    m_Checker.streamEnded(Id, this);
 }
 
 void SoakTarget::serve(http::Exchange &Call, const std::string &Id,
@@ -250,11 +264,12 @@
   Out.m_Head.m_Status = MustFail ? 500 : 200;
   Out.m_Head.m_Headers = {{"Attempt-Id", Id}, {"Replica-Seal", "s-" + m_Name}};
   stateBackpressure(Out.m_Head, Id, std::nullopt);
-  Out.m_Body = responseBodyOf(Id);
+  std::string Identity = identityOf(Call.request(), Id);
+  Out.m_Body = responseBodyOf(Identity);
   if (MustFail)
     return Call.sendResponse(std::move(Out), Yield);
   if (m_Pool == "engine")
-    return stream(Call, Id, MustAbort, Yield);
+    return stream(Call, Id, Identity, MustAbort, Yield);
   if (!MustAbort)
     return Call.sendResponse(std::move(Out), Yield);
   Out.m_Head.m_ContentLength = Out.m_Body.size();
@@ -264,7 +279,8 @@
 }
 
 void SoakTarget::stream(http::Exchange &Call, const std::string &Id,
-                        bool MustAbort, asio::yield_context Yield) {
+                        const std::string &Identity, bool MustAbort,
+                        asio::yield_context Yield) {
   std::string After = headerOf(Call.request(), "Last-Event-Id");
   std::size_t Next = After.empty() ? 1 : std::stoul(After) + 1;
   http::ResponseHead Head;
@@ -274,8 +290,8 @@
                     {"Content-Type", "text/event-stream"}};
   stateBackpressure(Head, Id, std::nullopt);
   Call.startStream(Head, Yield);
-  for (; Next <= eventCountOf(Id); ++Next) {
-    std::string Event = eventOf(Id, Next);
+  for (; Next <= eventCountOf(Identity); ++Next) {
+    std::string Event = eventOf(Identity, Next);
     if (MustAbort && Next > 1) {
       // Covers an abort within an event.
       Call.sendBodyData(Event.substr(0, Event.size() / 2), Yield);
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -24,8 +24,8 @@
   double m_BackoffShare = 0; ///< Not executed; 503 with Retry-After.
 };
 
-// Bodies are functions of the request's id, so that callers and targets can
-// compare what they receive with what was sent.
+// Bodies are functions of the request's identity, so that callers and targets
+// can compare what they receive with what was sent.
 std::string responseBodyOf(const std::string &Id);
 std::size_t eventCountOf(const std::string &Id);
 std::string eventOf(const std::string &Id, std::size_t Number);
@@ -86,7 +86,8 @@
   void handle(http::Exchange &Call, boost::asio::yield_context Yield);
   void serve(http::Exchange &Call, const std::string &Id,
              boost::asio::yield_context Yield);
-  void stream(http::Exchange &Call, const std::string &Id, bool MustAbort,
+  void stream(http::Exchange &Call, const std::string &Id,
+              const std::string &Identity, bool MustAbort,
               boost::asio::yield_context Yield);
   /// Returns true with probability \p Share.
   bool isFaultDrawn(double Share);
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -37,6 +37,8 @@
               "number of callers whose requests make targets exit");
 DEFINE_bool(rollouts, true, "order roll-outs of new versions");
 DEFINE_bool(faults, true, "inject the scheduled faults");
+DEFINE_bool(stops, false,
+            "stop gateways in turn meanwhile, each with a series of SIGTERM");
 DEFINE_bool(replace, false,
             "replace all gateways one by one meanwhile, at new addresses");
 
@@ -58,6 +60,10 @@
 /// served again.
 constexpr std::chrono::seconds ReplacementTime{30};
 
+/// Time within which a stopping gateway gets further signals.
+constexpr std::chrono::milliseconds MaxSignalSeries{3000};
+constexpr std::chrono::milliseconds MinStopGap{500};
+
 class Soak {
 public:
   Soak()
@@ -106,6 +112,10 @@
           m_Context,
           [this](asio::yield_context Inner) { replaceGateways(Inner); },
           asio::detached);
+    if (FLAGS_stops)
+      asio::spawn(
+          m_Context, [this](asio::yield_context Inner) { stopGateways(Inner); },
+          asio::detached);
     if (!FLAGS_faults)
       yardrill::tests::sleepFor(m_Context, std::chrono::seconds(FLAGS_seconds),
                                 Yield);
@@ -144,6 +154,25 @@
     --m_ActiveFaults;
   }
 
+  /// Stops gateways in turn, some while others still stop.
+  void stopGateways(asio::yield_context Yield) {
+    std::mt19937_64 Random(FLAGS_seed);
+    TimePoint End = Clock::now() + std::chrono::seconds(FLAGS_seconds);
+    for (std::size_t I = 0; Clock::now() < End; ++I) {
+      Fault Stop;
+      Stop.m_Kind = FaultKind::StopGateway;
+      Stop.m_Selector = I % FLAGS_gateways;
+      Stop.m_Length =
+          std::chrono::milliseconds(Random() % MaxSignalSeries.count());
+      begin(Stop);
+      yardrill::tests::sleepFor(
+          m_Context,
+          MinStopGap +
+              std::chrono::milliseconds(Random() % MaxSignalSeries.count()),
+          Yield);
+    }
+  }
+
   static std::vector<Fault> plan() {
     if (!FLAGS_faults)
       return {};
