--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -16,6 +16,9 @@
   CPPUNIT_TEST_SUITE(InvariantCheckerTest);
   CPPUNIT_TEST(testUndisturbedRun);
   CPPUNIT_TEST(testRepeatedExecution);
+  CPPUNIT_TEST(testExecutionInTwoAttempts);
+  CPPUNIT_TEST(testExecutionThatLooksUnread);
+  CPPUNIT_TEST(testStreamAtTwoTargets);
   CPPUNIT_TEST(testExecutionAfterRefusal);
   CPPUNIT_TEST(testUnknownRequest);
   CPPUNIT_TEST(testDeniedRequest);
@@ -43,8 +46,10 @@
   int m_Next = 0;
 
   std::string send(RequestKind Kind = RequestKind::NonIdempotent,
-                   const std::string &Account = "open") {
+                   const std::string &Account = "open",
+                   const std::string &Identity = "") {
     SentRequest Request;
+    Request.m_Identity = Identity;
     Request.m_Id = "a" + std::to_string(++m_Next);
     Request.m_Kind = Kind;
     Request.m_Account = Account;
@@ -79,7 +84,49 @@
       m_Checker.responseReceived(send(), I < Served ? 200 : 503);
   }
 
+  /// Lets a stream go on at another target; the first one ends \p Later.
+  void resumeStream(milliseconds Later) {
+    int First = 0;
+    int Next = 0;
+    std::string Id = send(RequestKind::ResumableStream);
+    m_Checker.streamBegan(Id, &First);
+    m_Checker.callerLeft(Id);
+    std::string Resumed = send(RequestKind::ResumableStream, "open", Id);
+    m_Checker.streamBegan(Resumed, &Next);
+    m_Now += Later;
+    m_Checker.streamEnded(Id, &First);
+    m_Checker.streamEnded(Resumed, &Next);
+    m_Checker.finish(m_Now);
+  }
+
 public:
+  void testExecutionInTwoAttempts() {
+    std::string First = send();
+    arriveAndExecute(First);
+    arriveAndExecute(send(RequestKind::NonIdempotent, "open", First));
+    expectViolation("once");
+  }
+
+  void testExecutionThatLooksUnread() {
+    std::string Id = send();
+    m_Checker.noteUnreadEnd(Id, true);
+    expectNoViolation();
+    arriveAndExecute(Id);
+    expectViolation("once");
+  }
+
+  void testStreamAtTwoTargets() {
+    resumeStream(bounds::StreamEndTime);
+    expectNoViolation();
+    m_Checker.noteProcessDisturbance(0, true);
+    resumeStream(bounds::StreamEndTime + milliseconds(1));
+    m_Checker.noteProcessDisturbance(0, false);
+    expectNoViolation();
+    m_Now += bounds::SettleTime;
+    resumeStream(bounds::StreamEndTime + milliseconds(1));
+    expectViolation("once");
+  }
+
   void testSkewedConnections() {
     sendAndAnswer(100, 96);
     m_Checker.noteSkew(true);
