Tests/Soak: Let callers leave streams before their first event as well

A caller that left a stream before its first event, whose target then worked on, could not be seen: callers left after an event.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -34,6 +34,8 @@
 static constexpr std::chrono::milliseconds MinRepeatTime{100};
 /// Percentage of the resumable streams that their callers leave and resume.
 static constexpr std::uint64_t LeavingPercentage = 15;
+/// Bound of the wait of a caller that leaves before the head of its response.
+static constexpr std::uint64_t MaxHeadWaitMs = 40;
 
 Callers::Callers(asio::io_context &Context, InvariantChecker &Checker,
                  Deployment &System, std::mt19937_64 &Random)
@@ -130,14 +132,14 @@
   if (Kind != RequestKind::ResumableStream ||
       randomBelow(100) >= LeavingPercentage)
     return std::nullopt;
-  return 1 + randomBelow(3);
+  return randomBelow(4);
 }
 
 void Callers::readBody(http::ClientConnection &Connection,
                        const SentRequest &Request, std::size_t SkippedEvents,
+                       std::optional<std::size_t> LeaveAfter,
                        std::string &Received, asio::yield_context Yield) {
   std::string Expected = expectedBody(Request, SkippedEvents);
-  std::optional<std::size_t> LeaveAfter = drawLeaving(Request.m_Kind);
   while (true) {
     std::string Data = Connection.readBodyData(ClientTimeout, Yield);
     Received += Data;
@@ -167,10 +169,16 @@
   Attempt Out;
   bool HasHead = false;
   std::string Received;
+  std::optional<std::size_t> LeaveAfter = drawLeaving(Request.m_Kind);
+  bool LeavesBeforeHead = LeaveAfter == std::size_t(0);
+  auto HeadTimeout =
+      LeavesBeforeHead
+          ? std::chrono::milliseconds(1 + randomBelow(MaxHeadWaitMs))
+          : ClientTimeout;
   try {
     Connection.sendRequest(toMessage(Request, Path, SkippedEvents),
                            ClientTimeout, Yield);
-    http::ResponseHead Head = Connection.readHead(ClientTimeout, Yield);
+    http::ResponseHead Head = Connection.readHead(HeadTimeout, Yield);
     HasHead = true;
     bool IsSuccess = Head.m_Status == 200;
     const std::string *Id = Head.m_Headers.find("Attempt-Id");
@@ -182,7 +190,7 @@
       Out.m_RetryAfter =
           std::chrono::milliseconds(std::lround(std::stod(*Wait) * 1000));
     if (IsSuccess)
-      readBody(Connection, Request, SkippedEvents, Received, Yield);
+      readBody(Connection, Request, SkippedEvents, LeaveAfter, Received, Yield);
     else
       while (!Connection.readBodyData(ClientTimeout, Yield).empty()) {
         // The body of a failure is not checked.
@@ -195,6 +203,8 @@
       return Reason.find(Text) != std::string::npos;
     };
     bool IsReset = Has("reset by peer") || Has("Broken pipe");
+    if (LeavesBeforeHead && !HasHead && Has("timeout"))
+      m_Checker.callerLeft(Request.m_Id);
     m_Checker.responseLost(Request.m_Id, Reason);
     Out.m_LooksUnread =
         !HasHead && (IsReset || Has("end of stream")) &&
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -69,14 +69,16 @@
                    std::size_t SkippedEvents, boost::asio::yield_context Yield);
   /// \param Received what was received, also if the response breaks.
   void readBody(http::ClientConnection &Connection, const SentRequest &Request,
-                std::size_t SkippedEvents, std::string &Received,
+                std::size_t SkippedEvents,
+                std::optional<std::size_t> LeaveAfter, std::string &Received,
                 boost::asio::yield_context Yield);
   /// Sends the request again on new connections, as the platform's protocol
   /// allows after what the caller saw of it; a resumable stream goes on after
   /// its last event.
   void repeat(const SentRequest &First, const std::string &Path, Attempt Seen,
               boost::asio::yield_context Yield);
-  /// Draws after how many events a caller leaves a stream; none: it stays.
+  /// Draws after how many events a caller leaves a stream, 0: before its head;
+  /// none: it stays.
   std::optional<std::size_t> drawLeaving(RequestKind Kind);
   /// Checks whether the gateway applies a configuration in time and never
   /// reverts to an older one.
