Tests/Soak, LibHTTP: Keep a request's identity in one place; correct three comments

Found by rereading the diff. The identity of a request was derived in two places from an empty member; it is set with the id now. A caller's condition repeated what repeat() checks. Three comments said more or less than the code does.

--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -70,6 +70,7 @@
   /// Bound of bytes that are held because they are not part of a body: a head,
   /// a chunk's extensions, trailers.
   static constexpr std::size_t MaxUnparsedBytes = 131072;
+  /// Time from its head within which readResponse() completes a response.
   static constexpr std::chrono::seconds MaxBodyTime{8};
 
 private:
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -69,7 +69,7 @@
 SentRequest Callers::makeSentRequest(std::size_t Gateway, RequestKind Kind,
                                      bool IsLimited) {
   SentRequest Out;
-  Out.m_Id = "a" + std::to_string(m_NextId++);
+  Out.m_Id = Out.m_Identity = "a" + std::to_string(m_NextId++);
   Out.m_Kind = Kind;
   Out.m_Gateway = Gateway;
   Out.m_Account = IsLimited ? "limited" : m_Account;
@@ -82,8 +82,7 @@
 static http::RequestMessage toMessage(const SentRequest &Request,
                                       const std::string &Path,
                                       std::size_t SkippedEvents) {
-  std::string Identity =
-      Request.m_Identity.empty() ? Request.m_Id : Request.m_Identity;
+  const std::string &Identity = Request.m_Identity;
   http::RequestMessage Out;
   Out.m_Method = "POST";
   Out.m_Target =
@@ -110,8 +109,7 @@
 /// Returns the body that a target sends, without the first events of a stream.
 static std::string expectedBody(const SentRequest &Request,
                                 std::size_t SkippedEvents) {
-  const std::string &Identity =
-      Request.m_Identity.empty() ? Request.m_Id : Request.m_Identity;
+  const std::string &Identity = Request.m_Identity;
   if (!isStream(Request.m_Kind))
     return responseBodyOf(Identity);
   std::string Out;
@@ -231,7 +229,6 @@
                     Yield);
     SentRequest Next = First;
     Next.m_Id = "a" + std::to_string(m_NextId++);
-    Next.m_Identity = First.m_Id;
     Next.m_Gateway = chooseGateway();
     Next.m_SentAt = Clock::now();
     Next.m_TimeLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -271,8 +268,7 @@
     SentRequest Request =
         makeSentRequest(Gateway, Route.m_Kind, randomBelow(4) == 0);
     Attempt Seen = exchange(*Connection, Request, Route.m_Path, 0, Yield);
-    if (Seen.m_Status != 200U)
-      repeat(Request, Route.m_Path, Seen, Yield);
+    repeat(Request, Route.m_Path, Seen, Yield);
     if (!Seen.m_Status || !Connection->isReusable() || m_IsStopped)
       return;
     // Pauses vary, so that connections also idle between requests.
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -74,7 +74,7 @@
                 boost::asio::yield_context Yield);
   /// Sends the request again on new connections, as the platform's protocol
   /// allows after what the caller saw of it; a resumable stream goes on after
-  /// its last event.
+  /// its last event. Does nothing after a success.
   void repeat(const SentRequest &First, const std::string &Path, Attempt Seen,
               boost::asio::yield_context Yield);
   /// Draws after how many events a caller leaves a stream, 0: before its head;
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -65,8 +65,8 @@
   void stopGateway(std::size_t Gateway);
   /// Sends another SIGTERM to a gateway that stops.
   void repeatStop(std::size_t Gateway);
-  /// Whether the gateway's process was killed since then, or is down: what its
-  /// connections show says nothing then.
+  /// Whether the gateway's process was killed since then. How its connections
+  /// ended tells nothing in that case.
   bool wasKilledSince(std::size_t Gateway, TimePoint Since) const;
   /// Stops the gateway for good. Another one takes its place, at a new address.
   void replaceGateway(std::size_t Gateway);
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -290,8 +290,8 @@
     std::size_t m_Gateway = 0;
     TimePoint m_BeganAt;
     std::optional<TimePoint> m_EndedAt;
-    /// Whether its gateway or the path to the target was disturbed when the
-    /// stream went on elsewhere, or 400 ms later.
+    /// Whether its gateway or the path to the target was disturbed when another
+    /// run of the stream began or a run of it ended.
     bool m_IsExcused = false;
   };
   void excuseDisturbed(std::vector<StreamRun> &Runs);
