LibInstance: Answer open requests when a stop is cut short

Callers of `yardrill serve` saw the end of their connection and no byte when an operator sent SIGINT during a stop: the requests at targets had been handed on, and those that waited had not, and nothing told them apart.

Cause: drain() returned as soon as the stop was forced, and the process exited with the requests that were open.

Change: a forced stop breaks off each open request on the traffic thread. One that was sent to a target gets 502 with outcome-unknown, one that waits gets 503 with not-run and is never dispatched (later actions of the core are ignored); a stream ends without its last chunk. The stop waits up to a second for that.

Evidence: ShutdownAndLeavingTest::testSigintDuringStopAnswersOpenRequests, one request at a target and one that waits. Before: status 0 instead of 502. The gateway's program doesn't use this code.

--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -17,6 +17,9 @@
 /// Time for the platform to receive the resignation, and for peers to receive
 /// the notice that this instance leaves.
 static const std::chrono::milliseconds LeaveNoticeTime(1000);
+/// Time in which the requests that a forced stop breaks off get their
+/// responses.
+static const std::chrono::milliseconds BreakOffTime(1000);
 /// Maximum of events and actions that one open request has in a queue at once.
 static const std::size_t QueueEntriesPerRequest = 4;
 
@@ -145,8 +148,14 @@
   };
   while (HasOpenWork() && !IsStopForced)
     std::this_thread::sleep_for(DrainPollPeriod);
-  if (!IsStopForced)
+  if (IsStopForced) {
+    m_Traffic->breakOffRequests();
+    auto End = core::steadyNow() + BreakOffTime;
+    while (HasOpenWork() && core::steadyNow() < End)
+      std::this_thread::sleep_for(DrainPollPeriod);
+  } else {
     std::this_thread::sleep_for(LeaveNoticeTime);
+  }
   core::LogLine("instance-stopped")
       .add("instance", m_Settings.m_Name)
       .add("open_requests", m_Traffic->load().m_Requests);
--- a/Libraries/LibInstance/Instance.h
+++ b/Libraries/LibInstance/Instance.h
@@ -26,8 +26,8 @@
   void start();
   /// Stops accepting requests after the drain delay, completes those in
   /// progress however long they take, and resigns leadership (brief: "A planned
-  /// stop cuts no request in progress"). Returns when done or when
-  /// \p IsStopForced becomes true.
+  /// stop cuts no request in progress"). Once \p IsStopForced becomes true,
+  /// open requests are broken off, each with a response.
   void drain(const std::atomic<bool> &IsStopForced);
 
 private:
--- a/Libraries/LibInstance/OpenRequest.cpp
+++ b/Libraries/LibInstance/OpenRequest.cpp
@@ -30,6 +30,8 @@
 }
 
 void OpenRequest::handleAction(decision::Action CoreAction) {
+  if (m_IsBrokenOff)
+    return;
   if (std::holds_alternative<decision::Cancel>(CoreAction)) {
     m_IsEvicted = true;
     logLine("request-evicted");
@@ -41,6 +43,18 @@
   m_WakeTimer.cancel();
 }
 
+void OpenRequest::breakOff() {
+  m_IsBrokenOff = true;
+  if (m_Target)
+    return m_Target->close();
+  decision::Refuse Refusal;
+  Refusal.m_Request = m_Id;
+  Refusal.m_Kind = RefusalKind::Stopping;
+  Refusal.m_RetryAfterSeconds = 1;
+  m_Actions = {Refusal};
+  m_WakeTimer.cancel();
+}
+
 void OpenRequest::run(asio::yield_context Yield) {
   m_Caller.setDisconnectCallback([this] { handleCallerDisconnect(); });
   if (!m_Traffic.m_Hooks.m_TryPush(m_Request.m_Arrival)) {
@@ -118,6 +132,8 @@
         m_Traffic.m_Hooks.m_Push(decision::CallerDisconnected{m_Id});
       return false;
     }
+    if (m_IsBrokenOff)
+      return false;
     m_Target = Target.get();
     // The request may have been evicted, or its caller may have disconnected,
     // while the connection was opened.
@@ -299,6 +315,8 @@
   try {
     auto Owner = m_Traffic.m_Targets.acquire(CoreAction.m_Owner.m_Peer.toTcp(),
                                              true, Yield);
+    if (m_IsBrokenOff)
+      return failRequest(RefusalKind::Stopping, Yield);
     m_Target = Owner.get();
     Owner->sendRequest(Request, m_Traffic.m_Settings.m_Targets.m_SilenceTimeout,
                        Yield);
--- a/Libraries/LibInstance/OpenRequest.h
+++ b/Libraries/LibInstance/OpenRequest.h
@@ -27,6 +27,9 @@
   /// Handles a Cancel at once and queues any other action for run(). Called on
   /// the traffic thread.
   void handleAction(decision::Action CoreAction);
+  /// Makes run() end the request: refused if no byte of it was sent to a
+  /// target, else broken off with an unknown outcome.
+  void breakOff();
 
 private:
   /// Carries out an action of the decision core.
@@ -81,6 +84,7 @@
   core::TargetName m_TargetName;
   bool m_IsCallerDisconnected = false;
   bool m_IsEvicted = false;
+  bool m_IsBrokenOff = false;
   bool m_IsForwarded = false;
   bool m_IsStoringResponse = false; ///< For repeats of the identity.
   bool m_IsTooLargeToStore = false;
--- a/Libraries/LibInstance/TrafficThread.cpp
+++ b/Libraries/LibInstance/TrafficThread.cpp
@@ -104,6 +104,13 @@
   asio::post(m_Thread.context(), [this] { m_CallerServer->stopAccepting(); });
 }
 
+void TrafficThread::breakOffRequests() {
+  asio::post(m_Thread.context(), [this] {
+    for (const auto &[Id, Open] : m_OpenRequests)
+      Open->breakOff();
+  });
+}
+
 TrafficThread::Load TrafficThread::load() {
   auto Promise = std::make_shared<std::promise<Load>>();
   auto Result = Promise->get_future();
--- a/Libraries/LibInstance/TrafficThread.h
+++ b/Libraries/LibInstance/TrafficThread.h
@@ -57,6 +57,9 @@
   /// Stops accepting callers' connections; requests in progress continue.
   /// Thread-safe.
   void stopAccepting();
+  /// Ends all open requests with a response, see OpenRequest::breakOff().
+  /// Thread-safe.
+  void breakOffRequests();
   struct Load {
     std::size_t m_Connections = 0; ///< Open connections of callers.
     std::size_t m_Requests = 0;    ///< Open requests of callers and peers.
--- a/Programs/yardrill/ServeVerb.cpp
+++ b/Programs/yardrill/ServeVerb.cpp
@@ -50,8 +50,7 @@
   Instance->start();
   waitForSignal(Signals);
   std::atomic<bool> IsStopForced{false};
-  // A SIGINT stops the instance without waiting for open requests; a repeated
-  // SIGTERM changes nothing.
+  // A SIGINT breaks off open requests; a repeated SIGTERM changes nothing.
   std::thread SecondSignalThread([&] {
     while (waitForSignal(Signals) != SIGINT) {
       // The stop goes on.
--- a/Tests/Failures/ShutdownAndLeavingTest.cpp
+++ b/Tests/Failures/ShutdownAndLeavingTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(ShutdownAndLeavingTest);
   CPPUNIT_TEST(testStopCompletesRequestsInProgress);
   CPPUNIT_TEST(testRepeatedSigtermCompletesRequestsInProgress);
+  CPPUNIT_TEST(testSigintDuringStopAnswersOpenRequests);
   CPPUNIT_TEST(testUploadInProgressGetsAResponse);
   CPPUNIT_TEST(testLeadershipIsHandedOver);
   CPPUNIT_TEST(testTargetLeavesByInstanceList);
@@ -102,6 +103,36 @@
     CPPUNIT_ASSERT_EQUAL(0, TestFleet.at(0).m_Process.wait());
   }
 
+  void testSigintDuringStopAnswersOpenRequests() {
+    Fleet::Options Options = fleetOptions(1, 1);
+    Options.m_Slots = 1;
+    Fleet TestFleet(Options);
+    CPPUNIT_ASSERT(TestFleet.waitUntilServing());
+    controlStandIn(TestFleet.applicationPort(), {{"delay_ms", 10000}});
+    int Port = TestFleet.at(0).m_CallerPort;
+    auto Keyed = applicationRequest("/transfers", "k");
+    Keyed.m_Headers.set("Idempotency-Key", "1");
+    auto Running = callAsync(Port, Keyed);
+    CPPUNIT_ASSERT(eventually([&] {
+      return countersOf(TestFleet.applicationPort())
+                 .at("calls")
+                 .to_number<int>() == 1;
+    }));
+    auto Waiting = callAsync(Port, applicationRequest("/holds", "w"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    TestFleet.at(0).m_Process.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    TestFleet.at(0).m_Process.signal(SIGINT);
+    Reply Broken = Running.get();
+    CPPUNIT_ASSERT_EQUAL(502U, Broken.m_Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("outcome-unknown"),
+                         Broken.problem("outcome"));
+    Reply Refused = Waiting.get();
+    CPPUNIT_ASSERT_EQUAL(503U, Refused.m_Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), Refused.problem("outcome"));
+    CPPUNIT_ASSERT_EQUAL(1, TestFleet.at(0).m_Process.wait());
+  }
+
   /// Guards against dropping a request that is still being received when the
   /// stop begins.
   void testUploadInProgressGetsAResponse() {
