Tests/Soak: Compare skewed connections under the same shortage of targets

From 11 s to 14 s of the schedule targets i-0, i-1 and i-3 of the app pool state that they leave and i-2 states back-offs, so no target may get a request; all four gateways refuse all requests of that pool, not only the one that gets most connections (seconds 12 and 13: 0 of 6, 0 of 11 and 0 of 27 at the others and at it). From 7 s to 11 s two of four engine targets leave or are limited and one fails: 0.55 served at the skewed gateway, 0.67 at the others. The check compared this with seconds in which all targets were sound. Refusals that targets ask for are allowed, with a skew and without.

Since callers repeat refused requests, the check also counted each refusal up to three times; the platform's rule is about first attempts.

The check was wrong and is replaced by two that are as strict together: - by time, as before, for requests whose pool had three quarters of its targets sound, from SettleTime before them until their time limit; - by place, whatever the targets do: the gateway that gets most connections serves at least 0.75 of the share that the others serve in the same time. Both count first attempts. InvariantCheckerTest breaks each once.

--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -209,7 +209,21 @@
   Instance.m_StartsAt = Clock::now() + RestartDelay;
 }
 
+void Deployment::noteTargetShortages() {
+  std::map<std::string, std::size_t> Sound;
+  for (const auto &Each : m_Targets)
+    Sound[Each->pool()] += Each->isSound() ? 1 : 0;
+  for (const auto &[Pool, Count] : Sound) {
+    bool IsShort =
+        static_cast<double>(Count) <
+        bounds::MinSoundTargets * static_cast<double>(m_Shape.m_TargetsPerPool);
+    if (std::exchange(m_Shortages[Pool], IsShort) != IsShort)
+      m_Checker.noteTargetShortage(Pool, IsShort);
+  }
+}
+
 void Deployment::supervise() {
+  noteTargetShortages();
   for (std::size_t I = 0; I < m_Gateways.size(); ++I) {
     Gateway &Instance = m_Gateways[I];
     if (!Instance.m_Process.isRunning()) {
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -100,7 +100,8 @@
   void crashTarget(std::size_t Index, std::chrono::milliseconds DownFor,
                    boost::asio::yield_context Yield);
 
-  /// Restarts gateways that exited and kills those that exceed the stop grace.
+  /// Restarts gateways that exited, kills those that exceed the stop grace, and
+  /// notes which pools have too few sound targets.
   /// Must be called periodically.
   void supervise();
 
@@ -123,6 +124,7 @@
   void writeSettings(std::size_t Index, bool IsFirstStart) const;
   void startGateway(std::size_t Index, bool IsFirstStart);
   void handleGatewayExit(std::size_t Index, int ExitCode);
+  void noteTargetShortages();
   void put(const std::string &Key, const std::string &Value,
            boost::asio::yield_context Yield);
   void remove(const std::string &Key, boost::asio::yield_context Yield);
@@ -140,6 +142,7 @@
       m_CanaryTargets; ///< Of the running roll-out.
   /// Kept because faults in progress may still refer to them.
   std::vector<std::unique_ptr<SoakTarget>> m_Retired;
+  std::map<std::string, bool> m_Shortages; ///< By pool.
   std::mt19937_64 &m_Random;
   std::vector<AcceptedVersion> m_Versions;
   std::uint64_t m_NextVersion = 1;
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -191,11 +191,11 @@
   }
 
   void skewConnections() {
-    m_Checker.noteSkew(true);
+    m_Checker.noteSkew(m_GatewayIndex);
     m_Sources.setSkew(m_GatewayIndex);
     sleepForFault();
     m_Sources.setSkew(std::nullopt);
-    m_Checker.noteSkew(false);
+    m_Checker.noteSkew(std::nullopt);
   }
 
   void limitRate() {
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -65,8 +65,10 @@
   m_Requests.push_back({Request.m_SentAt});
   Request.m_IsGatewayUndisturbed =
       isUndisturbedSince(Request.m_Gateway, Request.m_SentAt);
-  if (m_SkewedSince)
+  if (m_SkewedSince) {
     Request.m_SkewAge = Request.m_SentAt - *m_SkewedSince;
+    Request.m_IsAtSkewedGateway = Request.m_Gateway == m_SkewedGateway;
+  }
   std::string Id = Request.m_Id;
   if (Request.m_Identity.empty())
     Request.m_Identity = Id;
@@ -382,42 +384,92 @@
   addViolation("recovery", Text.str());
 }
 
-void InvariantChecker::noteSkew(bool Begins) {
+void InvariantChecker::noteSkew(std::optional<std::size_t> Gateway) {
+  m_SkewedSince.reset();
+  if (!Gateway)
+    return;
+  m_SkewedSince = m_Now();
+  m_SkewedGateway = *Gateway;
+}
+
+void InvariantChecker::noteTargetShortage(const std::string &Pool,
+                                          bool Begins) {
   if (Begins)
-    m_SkewedSince = m_Now();
+    m_Shortages[Pool].push_back({m_Now()});
   else
-    m_SkewedSince.reset();
+    m_Shortages[Pool].back().m_EndedAt = m_Now();
+}
+
+bool InvariantChecker::hadEnoughTargets(const SentRequest &Request) const {
+  auto Found = m_Shortages.find(Request.pool());
+  if (Found == m_Shortages.end())
+    return true;
+  return std::none_of(
+      Found->second.begin(), Found->second.end(),
+      [&Request](const Period &Each) {
+        return Each.m_BeganAt < Request.m_SentAt + Request.m_TimeLimit &&
+               Each.m_EndedAt > Request.m_SentAt - bounds::SettleTime;
+      });
 }
 
-void InvariantChecker::checkSkews() {
-  struct {
-    std::size_t m_Sent = 0;
-    std::size_t m_Served = 0;
+namespace {
 
-    double share() const {
-      return static_cast<double>(m_Served) / static_cast<double>(m_Sent);
-    }
-  } Usual, Skewed;
+/// Share of requests that were served.
+class ServedShare {
+public:
+  void add(const SentRequest &Request) {
+    ++m_Sent;
+    m_Served += Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
+  }
+  std::size_t sent() const { return m_Sent; }
+  double share() const {
+    return static_cast<double>(m_Served) / static_cast<double>(m_Sent);
+  }
+  /// Returns whether both are shares of enough requests, and this one is too
+  /// small beside \p Other.
+  bool isTooSmallBeside(const ServedShare &Other) const {
+    return std::min(m_Sent, Other.m_Sent) >= bounds::MinRequestsForShare &&
+           share() < bounds::MinServedWhileSkewed * Other.share();
+  }
+
+private:
+  std::size_t m_Sent = 0;
+  std::size_t m_Served = 0;
+};
+
+} // namespace
+
+void InvariantChecker::checkSkews() {
+  ServedShare Usual;
+  ServedShare Skewed;
+  ServedShare AtOthers;
+  ServedShare AtSkewed;
   for (const auto &[Id, Request] : m_SentRequests) {
     if (!Request.m_IsGatewayUndisturbed || Request.m_IsTargetDisturbed ||
         Request.m_IsProbe || !Request.m_Content.empty() ||
-        Request.m_HasCallerLeft || m_Quotas.count(Request.m_Account) != 0)
+        Request.m_HasCallerLeft || Request.m_Identity != Id ||
+        m_Quotas.count(Request.m_Account) != 0)
       continue;
     // Neither counts while instances adapt.
     if (Request.m_SkewAge && *Request.m_SkewAge < bounds::SkewAdaptationTime)
       continue;
-    auto &Counted = Request.m_SkewAge ? Skewed : Usual;
-    ++Counted.m_Sent;
-    Counted.m_Served +=
-        Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
+    if (Request.m_SkewAge)
+      (Request.m_IsAtSkewedGateway ? AtSkewed : AtOthers).add(Request);
+    if (hadEnoughTargets(Request))
+      (Request.m_SkewAge ? Skewed : Usual).add(Request);
   }
-  if (std::min(Usual.m_Sent, Skewed.m_Sent) < bounds::MinRequestsForShare ||
-      Skewed.share() >= bounds::MinServedWhileSkewed * Usual.share())
-    return;
+  m_ComparedByTime = Skewed.sent();
+  m_ComparedByGateway = AtSkewed.sent();
   std::ostringstream Text;
-  Text << Skewed.share() << " of the requests served while connections were "
-       << "skewed, " << Usual.share() << " else";
-  addViolation("recovery", Text.str());
+  if (Skewed.isTooSmallBeside(Usual)) {
+    Text << Skewed.share() << " of the requests served while connections were "
+         << "skewed, " << Usual.share() << " else";
+    addViolation("recovery", Text.str());
+  } else if (AtSkewed.isTooSmallBeside(AtOthers)) {
+    Text << AtSkewed.share() << " of the requests served where most "
+         << "connections went, " << AtOthers.share() << " at other gateways";
+    addViolation("recovery", Text.str());
+  }
 }
 
 void InvariantChecker::checkQuarantine() {
@@ -463,6 +515,8 @@
       << " resumed_streams=" << m_ResumedStreams
       << " repeats=" << m_Repeats.size()
       << " bad_contents=" << m_BadContents.size()
+      << " skewed_by_time=" << m_ComparedByTime
+      << " skewed_by_gateway=" << m_ComparedByGateway
       << " limits=" << m_Backpressure.limits()
       << " rests=" << m_Backpressure.backoffs()
       << " violations=" << m_Violations.size();
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -83,6 +83,9 @@
 /// least share that is served from then on, relative to the time without one.
 inline constexpr std::chrono::milliseconds SkewAdaptationTime{4000};
 inline constexpr double MinServedWhileSkewed = 0.75;
+/// Time in which a pool has fewer sound targets than this share counts for no
+/// comparison with other times.
+inline constexpr double MinSoundTargets = 0.75;
 /// Number of requests below which shares say little.
 inline constexpr std::size_t MinRequestsForShare = 40;
 } // namespace bounds
@@ -115,6 +118,7 @@
   /// Time since which connections were skewed when it was sent; none: they were
   /// not.
   std::optional<Clock::duration> m_SkewAge;
+  bool m_IsAtSkewedGateway = false; ///< The one that gets most connections.
   bool m_IsProbe = false; ///< Probes a route that need not exist yet (404).
   /// Whether a target that received it refused, aborted, failed or was
   /// disturbed.
@@ -129,6 +133,13 @@
     return m_Kind == RequestKind::Idempotent ||
            m_Kind == RequestKind::ResumableStream;
   }
+  /// Returns the pool that its route leads to.
+  const char *pool() const {
+    return m_Kind == RequestKind::Idempotent ||
+                   m_Kind == RequestKind::NonIdempotent
+               ? "app"
+               : "engine";
+  }
 };
 
 /// A roll-out that the operator ordered.
@@ -164,8 +175,11 @@
   void noteStorePathDisturbance(std::size_t Gateway, bool Begins);
   void noteStoreDisturbance(bool Begins);
   /// Records that the balancer hands most new connections to one gateway, or
-  /// (false) no longer.
-  void noteSkew(bool Begins);
+  /// (none) no longer.
+  void noteSkew(std::optional<std::size_t> Gateway);
+  /// Records that a pool has too few sound targets, see
+  /// bounds::MinSoundTargets, or (false) no longer.
+  void noteTargetShortage(const std::string &Pool, bool Begins);
   /// Records that a planned stop began, or (false) that the process exited.
   void setStopping(std::size_t Gateway, bool IsStopping);
   /// Returns whether the gateway is not stopping and all disturbances of its
@@ -259,6 +273,9 @@
   void checkRecovery(TimePoint RecoveredAt);
   void checkQuarantine();
   void checkSkews();
+  /// Whether no target shortage of the request's pool ended less than
+  /// SettleTime before it was sent or began before its time limit.
+  bool hadEnoughTargets(const SentRequest &Request) const;
   SentRequest *findRequest(const std::string &Id);
   /// Whether another gateway than the one that got it may have sent a request
   /// to a target, since so many targets are or were out of reach.
@@ -306,6 +323,12 @@
   std::vector<Gateway> m_Gateways;
   Disturbance m_Store;
   std::optional<TimePoint> m_SkewedSince;
+  std::size_t m_SkewedGateway = 0;
+  struct Period {
+    TimePoint m_BeganAt;
+    TimePoint m_EndedAt = TimePoint::max();
+  };
+  std::map<std::string, std::vector<Period>> m_Shortages; ///< By pool.
   std::map<std::string, SentRequest> m_SentRequests;
   std::map<std::string, AccountQuota> m_Quotas;
   std::map<std::string, TimeSeries> m_ExecutedTokens; ///< By account.
@@ -315,6 +338,10 @@
   std::size_t m_ResetEnds = 0;
   std::size_t m_EmptyEnds = 0;
   std::size_t m_ResumedStreams = 0;
+  /// Requests that were compared with those of other times and of other
+  /// gateways, in the check of skews.
+  std::size_t m_ComparedByTime = 0;
+  std::size_t m_ComparedByGateway = 0;
   TimeSeries m_Requests;
   TimeSeries m_Repeats;
   std::vector<VersionArrival> m_VersionArrivals;
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(testBackoffStatedToAnotherGatewayIsNotAttributed);
   CPPUNIT_TEST(testLeavingInResponses);
   CPPUNIT_TEST(testSkewedConnections);
+  CPPUNIT_TEST(testSkewWhileTargetsAreShort);
+  CPPUNIT_TEST(testSkewedGatewayServesLessThanOthers);
   CPPUNIT_TEST_SUITE_END();
 
   TimePoint m_Now{std::chrono::hours(1)};
@@ -47,8 +49,9 @@
 
   std::string send(RequestKind Kind = RequestKind::NonIdempotent,
                    const std::string &Account = "open",
-                   const std::string &Identity = "") {
+                   const std::string &Identity = "", std::size_t Gateway = 0) {
     SentRequest Request;
+    Request.m_Gateway = Gateway;
     Request.m_Identity = Identity;
     Request.m_Id = "a" + std::to_string(++m_Next);
     Request.m_Kind = Kind;
@@ -79,9 +82,11 @@
     m_Checker.backpressureStated(send(), Incarnation, Backpressure, m_Now);
   }
 
-  void sendAndAnswer(int Count, int Served) {
+  void sendAndAnswer(int Count, int Served, std::size_t Gateway = 0) {
     for (int I = 0; I < Count; ++I)
-      m_Checker.responseReceived(send(), I < Served ? 200 : 503);
+      m_Checker.responseReceived(
+          send(RequestKind::NonIdempotent, "open", "", Gateway),
+          I < Served ? 200 : 503);
   }
 
   /// Lets a stream go on at another target; the first one ends \p Later.
@@ -129,23 +134,53 @@
 
   void testSkewedConnections() {
     sendAndAnswer(100, 96);
-    m_Checker.noteSkew(true);
+    m_Checker.noteSkew(0);
     m_Now += seconds(3);
     sendAndAnswer(100, 10);
     m_Now += seconds(1);
     sendAndAnswer(100, 80);
-    m_Checker.noteSkew(false);
+    m_Checker.noteSkew(std::nullopt);
     m_Now += seconds(30);
     sendAndAnswer(100, 100);
     m_Checker.finish(m_Now);
     expectNoViolation();
-    m_Checker.noteSkew(true);
+    m_Checker.noteSkew(0);
     m_Now += seconds(4);
     sendAndAnswer(100, 30);
     m_Checker.finish(m_Now);
     expectViolation("recovery");
   }
 
+  void testSkewWhileTargetsAreShort() {
+    sendAndAnswer(100, 100);
+    m_Checker.noteSkew(0);
+    m_Now += seconds(4);
+    m_Checker.noteTargetShortage("app", true);
+    sendAndAnswer(100, 10);
+    m_Checker.noteTargetShortage("app", false);
+    m_Now += bounds::SettleTime;
+    sendAndAnswer(100, 80);
+    m_Checker.finish(m_Now);
+    expectNoViolation();
+    m_Checker.noteTargetShortage("engine", true);
+    sendAndAnswer(100, 10);
+    m_Checker.finish(m_Now);
+    expectViolation("recovery");
+  }
+
+  void testSkewedGatewayServesLessThanOthers() {
+    m_Checker.noteTargetShortage("app", true);
+    m_Checker.noteSkew(0);
+    m_Now += seconds(4);
+    sendAndAnswer(100, 40);
+    sendAndAnswer(100, 50, 1);
+    m_Checker.finish(m_Now);
+    expectNoViolation();
+    sendAndAnswer(100, 20);
+    m_Checker.finish(m_Now);
+    expectViolation("recovery");
+  }
+
   void testRateLimit() {
     m_Checker.rateLimitChanged("r", 2);
     stateBackpressure("r", {2.0, std::nullopt, false});
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -95,6 +95,11 @@
     m_Checker.noteTargetDisturbance(Id);
 }
 
+bool SoakTarget::isSound() const {
+  return !m_IsDisturbed && !m_IsExiting && !m_IsLeavingInResponses &&
+         !m_LeavingSince && !m_Limit && m_ResponseFaults.isNone();
+}
+
 void SoakTarget::restart(std::string Name) {
   setLimit(std::nullopt);
   m_IsLeavingInResponses = false;
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -22,6 +22,12 @@
   double m_AbortShare = 0;   ///< Executed, response aborted halfway.
   double m_HangShare = 0;    ///< Executed, response after all timeouts.
   double m_BackoffShare = 0; ///< Not executed; 503 with Retry-After.
+
+  bool isNone() const {
+    return m_FailShare + m_RefuseShare + m_AbortShare + m_HangShare +
+               m_BackoffShare ==
+           0;
+  }
 };
 
 // Bodies are functions of the request's identity, so that callers and targets
@@ -63,6 +69,9 @@
   void setLeavingInStore() { m_LeavingSince = Clock::now(); }
   /// Starts a new incarnation at the same address under \p Name.
   void restart(std::string Name);
+  /// Returns whether gateways may send it requests as they like, and get what
+  /// they ask for.
+  bool isSound() const;
   const std::string &name() const { return m_Name; }
   const std::string &pool() const { return m_Pool; }
   /// Stops the target for good. Faults in progress on it must check
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -3,7 +3,7 @@
 // usage: soak --yardrill=PROGRAM --stand_in=PROGRAM --folder=DIRECTORY
 //             [--seed=N] [--seconds=N] [--gateways=N] [--targets=N]
 //             [--callers=N] [--bad_callers=N] [--norollouts] [--nofaults]
-//             [--replace]
+//             [--stops] [--skews] [--replace]
 //
 // Gateways and the store's stand-in run as processes; targets, callers and
 // proxies run in this one. A seed determines the schedule of faults and the
@@ -39,6 +39,8 @@
 DEFINE_bool(faults, true, "inject the scheduled faults");
 DEFINE_bool(stops, false,
             "stop gateways in turn meanwhile, each with a series of SIGTERM");
+DEFINE_bool(skews, false,
+            "skew connections, also without the other scheduled faults");
 DEFINE_bool(replace, false,
             "replace all gateways one by one meanwhile, at new addresses");
 
@@ -116,7 +118,7 @@
       asio::spawn(
           m_Context, [this](asio::yield_context Inner) { stopGateways(Inner); },
           asio::detached);
-    if (!FLAGS_faults)
+    if (!FLAGS_faults && !FLAGS_skews)
       yardrill::tests::sleepFor(m_Context, std::chrono::seconds(FLAGS_seconds),
                                 Yield);
     for (const Fault &Next : plan()) {
@@ -174,15 +176,17 @@
   }
 
   static std::vector<Fault> plan() {
-    if (!FLAGS_faults)
-      return {};
     std::chrono::seconds Length(FLAGS_seconds);
-    std::vector<Fault> Out = drawFaults(FLAGS_seed, Length);
-    std::vector<Fault> BackpressureFaults =
-        drawBackpressureFaults(FLAGS_seed, Length);
-    Out.insert(Out.end(), BackpressureFaults.begin(), BackpressureFaults.end());
-    std::vector<Fault> Skews = drawSkews(FLAGS_seed, Length);
-    Out.insert(Out.end(), Skews.begin(), Skews.end());
+    std::vector<Fault> Out;
+    auto Add = [&Out](const std::vector<Fault> &Drawn) {
+      Out.insert(Out.end(), Drawn.begin(), Drawn.end());
+    };
+    if (FLAGS_faults) {
+      Add(drawFaults(FLAGS_seed, Length));
+      Add(drawBackpressureFaults(FLAGS_seed, Length));
+    }
+    if (FLAGS_faults || FLAGS_skews)
+      Add(drawSkews(FLAGS_seed, Length));
     std::stable_sort(
         Out.begin(), Out.end(),
         [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
