Tests: Start processes without the sockets of the test

Each of these requests was sent on a proxied connection within 0.15 s after the proxy had reset it; no gateway ever got it, and its caller waited for its whole timeout of 3.5 s.

Ruled out: the gateway (it refused no connection, refusing_us=0, its loop was late by a millisecond at most, and other requests were served meanwhile); the load (all of them at one gateway, right after a reset of its link).

Cause: Process forks, and the child inherits every socket of the soak: those of callers, targets and proxies. A gateway that was restarted while a connection was open keeps it open after the soak closes it, so its other side sees neither end nor reset until that gateway exits. The same holds for callers that leave streams and targets that break off. It is a fault of the test, and hid what the checks of ends of connections are there to see.

Change: the child closes all descriptors but the standard ones.

Evidence: ProcessTest, red before (no end within 5 s), green after.

--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -28,6 +28,8 @@
   int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
+  // A connection that the test closes would stay open in the child.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(Arguments[0], Arguments.data());
   _exit(127);
 }
