Tests/Soak: Disturb the links between callers and gateways

A request whose link was silent or reset is excused from `lost` and `held` and tells nothing of being read; one that was sent later, or beside the link, is not (testLinkFailureExcusesOnlyRequestsOnIt). Delays excuse nothing: a reset that overtakes a response would show as a request that ran and looks unread.

Violations name the gateway and the path.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -62,6 +62,15 @@
     spawn([this](asio::yield_context Yield) { runCaller(Yield); });
 }
 
+Callers::ConnectionHandle Callers::connect(std::size_t Gateway, bool IsProxied,
+                                           asio::yield_context Yield) {
+  return http::ClientConnection::connect(m_Context,
+                                         IsProxied
+                                             ? m_System.proxiedAddress(Gateway)
+                                             : m_System.callerAddress(Gateway),
+                                         ConnectTime, Yield);
+}
+
 //===----------------------------------------------------------------------===//
 // Requests
 //===----------------------------------------------------------------------===//
@@ -206,6 +215,7 @@
     m_Checker.responseLost(Request.m_Id, Reason);
     Out.m_LooksUnread =
         !HasHead && (IsReset || Has("end of stream")) &&
+        !m_Checker.hasLinkFailed(Request) &&
         !m_System.wasKilledSince(Request.m_Gateway, Request.m_SentAt);
     if (Out.m_LooksUnread)
       m_Checker.noteUnreadEnd(Request.m_Id, IsReset);
@@ -230,15 +240,14 @@
     SentRequest Next = First;
     Next.m_Id = "a" + std::to_string(m_NextId++);
     Next.m_Gateway = chooseGateway();
+    Next.m_IsProxied = randomBelow(2) == 0;
     Next.m_SentAt = Clock::now();
     Next.m_TimeLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
         EndsAt - Next.m_SentAt);
     if (Next.m_TimeLimit < MinRepeatTime)
       return;
     try {
-      auto Connection = http::ClientConnection::connect(
-          m_Context, m_System.callerAddress(Next.m_Gateway), ConnectTime,
-          Yield);
+      auto Connection = connect(Next.m_Gateway, Next.m_IsProxied, Yield);
       Seen = exchange(*Connection, Next, Path, Seen.m_Events, Yield);
     } catch (const core::Error &) {
       // The gateway is down or starting; another one may be chosen next.
@@ -248,9 +257,9 @@
 
 void Callers::useConnection(std::size_t Gateway, asio::yield_context Yield) {
   ConnectionHandle Connection;
+  bool IsProxied = randomBelow(2) == 0;
   try {
-    Connection = http::ClientConnection::connect(
-        m_Context, m_System.callerAddress(Gateway), ConnectTime, Yield);
+    Connection = connect(Gateway, IsProxied, Yield);
   } catch (const core::Error &) {
     return tests::sleepFor(m_Context, std::chrono::milliseconds(50), Yield);
   }
@@ -267,6 +276,7 @@
     const auto &Route = Routes[randomBelow(std::size(Routes))];
     SentRequest Request =
         makeSentRequest(Gateway, Route.m_Kind, randomBelow(4) == 0);
+    Request.m_IsProxied = IsProxied;
     Attempt Seen = exchange(*Connection, Request, Route.m_Path, 0, Yield);
     repeat(Request, Route.m_Path, Seen, Yield);
     if (!Seen.m_Status || !Connection->isReusable() || m_IsStopped)
@@ -290,8 +300,7 @@
     auto Series = (Clock::now() - Start) / BadRequestRepeatTime;
     std::size_t Gateway = chooseGateway();
     try {
-      auto Connection = http::ClientConnection::connect(
-          m_Context, m_System.callerAddress(Gateway), ConnectTime, Yield);
+      auto Connection = connect(Gateway, false, Yield);
       SentRequest Request =
           makeSentRequest(Gateway, RequestKind::Idempotent, false);
       Request.m_Content = BadContentPrefix + std::to_string(Number) + "-" +
@@ -380,8 +389,7 @@
         makeSentRequest(Gateway, RequestKind::Idempotent, false);
     Request.m_IsProbe = true;
     try {
-      auto Connection = http::ClientConnection::connect(
-          m_Context, m_System.callerAddress(Gateway), ConnectTime, Yield);
+      auto Connection = connect(Gateway, false, Yield);
       auto Status =
           exchange(*Connection, Request,
                    "/probe-" + std::to_string(Probed.m_Number) + "/", 0, Yield)
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -38,6 +38,9 @@
   using ConnectionHandle = std::unique_ptr<http::ClientConnection>;
 
   template <class Body> void spawn(Body Function);
+  /// Connects by way of the link with faults, or around it.
+  ConnectionHandle connect(std::size_t Gateway, bool IsProxied,
+                           boost::asio::yield_context Yield);
   void runCaller(boost::asio::yield_context Yield);
   /// Sends up to MaxRequestsPerConnection requests over one connection.
   void useConnection(std::size_t Gateway, boost::asio::yield_context Yield);
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -58,6 +58,8 @@
     m_Gateways[I].m_Address = loopbackAddress(m_UsedAddresses++);
     m_Gateways[I].m_StoreProxy = std::make_unique<tests::LoopbackProxy>(
         Context, tests::freePort(), m_StorePort);
+    m_Gateways[I].m_CallerProxy = std::make_unique<tests::LoopbackProxy>(
+        Context, tests::freePort(), callerAddress(I));
   }
   for (const char *Pool : {"app", "engine"})
     for (std::size_t I = 0; I < Shape.m_TargetsPerPool; ++I)
@@ -93,6 +95,11 @@
   return toTcp(m_Gateways[Gateway].m_Address, CallerPort);
 }
 
+asio::ip::tcp::endpoint Deployment::proxiedAddress(std::size_t Gateway) const {
+  return toTcp("127.0.0.1", static_cast<std::uint16_t>(
+                                m_Gateways[Gateway].m_CallerProxy->port()));
+}
+
 asio::ip::tcp::endpoint
 Deployment::readinessAddress(std::size_t Gateway) const {
   return toTcp(m_Gateways[Gateway].m_Address, ReadinessPort);
@@ -230,8 +237,10 @@
       if (Instance.m_StartsAt > Clock::now())
         continue;
       ++Instance.m_Restarts;
-      if (std::exchange(Instance.m_IsReplaced, false))
+      if (std::exchange(Instance.m_IsReplaced, false)) {
         Instance.m_Address = loopbackAddress(m_UsedAddresses++);
+        Instance.m_CallerProxy->setDestination(callerAddress(I));
+      }
       m_Checker.gatewayRestarted(I);
       startGateway(I, false);
       m_Checker.noteProcessDisturbance(I, false);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -45,6 +45,8 @@
 
   std::size_t gateways() const { return m_Gateways.size(); }
   boost::asio::ip::tcp::endpoint callerAddress(std::size_t Gateway) const;
+  /// Returns the same by way of callerProxy().
+  boost::asio::ip::tcp::endpoint proxiedAddress(std::size_t Gateway) const;
   boost::asio::ip::tcp::endpoint readinessAddress(std::size_t Gateway) const;
   /// Number of processes of this gateway that preceded the current one.
   std::size_t restartCount(std::size_t Gateway) const {
@@ -55,6 +57,10 @@
   tests::LoopbackProxy &storeProxy(std::size_t Gateway) {
     return *m_Gateways[Gateway].m_StoreProxy;
   }
+  /// Proxy between some of the callers and a gateway.
+  tests::LoopbackProxy &callerProxy(std::size_t Gateway) {
+    return *m_Gateways[Gateway].m_CallerProxy;
+  }
   const std::vector<AcceptedVersion> &versions() const { return m_Versions; }
   /// Returns the newest version sent to the store, which gateways may apply
   /// before the store's response arrives here.
@@ -112,6 +118,7 @@
   struct Gateway {
     std::string m_Address;
     std::unique_ptr<tests::LoopbackProxy> m_StoreProxy;
+    std::unique_ptr<tests::LoopbackProxy> m_CallerProxy;
     tests::Process m_Process;
     std::size_t m_Restarts = 0;
     bool m_IsExitExpected = false;
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -28,6 +28,9 @@
 /// Makes the skews independent of the other faults of a seed.
 static constexpr std::uint64_t SkewSeed = 0x5ce3;
 static constexpr std::uint64_t SkewGapMs = 6000;
+/// The same for the faults of the callers' links.
+static constexpr std::uint64_t CallerLinkSeed = 0xca11;
+static constexpr std::uint64_t CallerLinkGapMs = 1200;
 /// Exceeds bounds::SkewAdaptationTime, after which requests are judged.
 static constexpr std::uint64_t MinSkewMs = 6000;
 static constexpr std::uint64_t SkewSpreadMs = 6000;
@@ -36,17 +39,18 @@
 
 const char *toString(FaultKind Kind) {
   static const char *Names[] = {
-      "kill-gateway",        "kill-all-gateways", "stop-gateway",
-      "freeze-gateway",      "reload-gateway",    "store-link-delayed",
-      "store-link-reset",    "store-link-silent", "store-link-one-way",
-      "store-frozen",        "store-down",        "store-slow",
-      "store-refuses",       "store-forgets",     "store-loses-answers",
-      "target-link-delayed", "target-link-reset", "target-link-silent",
-      "target-link-one-way", "target-idle-reset", "target-crashes",
-      "target-leaves",       "target-fails",      "target-refuses",
-      "target-breaks-off",   "target-is-mute",    "publish",
-      "target-limits",       "target-tires",      "target-says-it-leaves",
-      "connection-skew"};
+      "kill-gateway",        "kill-all-gateways",   "stop-gateway",
+      "freeze-gateway",      "reload-gateway",      "store-link-delayed",
+      "store-link-reset",    "store-link-silent",   "store-link-one-way",
+      "store-frozen",        "store-down",          "store-slow",
+      "store-refuses",       "store-forgets",       "store-loses-answers",
+      "target-link-delayed", "target-link-reset",   "target-link-silent",
+      "target-link-one-way", "target-idle-reset",   "target-crashes",
+      "target-leaves",       "target-fails",        "target-refuses",
+      "target-breaks-off",   "target-is-mute",      "publish",
+      "target-limits",       "target-tires",        "target-says-it-leaves",
+      "connection-skew",     "caller-link-delayed", "caller-link-reset",
+      "caller-link-silent"};
   static_assert(std::size(Names) == FaultKindCount);
   return Names[static_cast<int>(Kind)];
 }
@@ -107,6 +111,26 @@
   return Out;
 }
 
+std::vector<Fault> drawCallerLinkFaults(std::uint64_t Seed,
+                                        milliseconds Length) {
+  static constexpr FaultKind Kinds[] = {
+      FaultKind::CallerLinkDelayed, FaultKind::CallerLinkReset,
+      FaultKind::CallerLinkReset, FaultKind::CallerLinkSilent};
+  std::mt19937_64 Random(Seed ^ CallerLinkSeed);
+  std::vector<Fault> Out;
+  for (milliseconds At(Random() % CallerLinkGapMs); At < Length;
+       At += milliseconds(MinGapMs + Random() % CallerLinkGapMs)) {
+    Fault Next;
+    Next.m_At = At;
+    Next.m_Length = std::min(
+        milliseconds(MinLengthMs + Random() % LengthSpreadMs), Length - At);
+    Next.m_Kind = Kinds[Random() % std::size(Kinds)];
+    Next.m_Selector = Random();
+    Out.push_back(Next);
+  }
+  return Out;
+}
+
 namespace {
 
 /// Injects one fault.
@@ -198,6 +222,23 @@
     m_Checker.noteSkew(std::nullopt);
   }
 
+  void delayCallers() {
+    m_System.callerProxy(m_GatewayIndex).setMode(tests::ProxyMode::Delayed);
+    sleepForFault();
+    m_System.callerProxy(m_GatewayIndex).setMode(tests::ProxyMode::PassThrough);
+  }
+  void resetCallers() {
+    m_Checker.noteCallerLinkReset(m_GatewayIndex);
+    m_System.callerProxy(m_GatewayIndex).resetAll();
+  }
+  void silenceCallers() {
+    m_Checker.noteCallerLinkDisturbance(m_GatewayIndex, true);
+    m_System.callerProxy(m_GatewayIndex).setMode(tests::ProxyMode::CutBoth);
+    sleepForFault();
+    m_System.callerProxy(m_GatewayIndex).setMode(tests::ProxyMode::PassThrough);
+    m_Checker.noteCallerLinkDisturbance(m_GatewayIndex, false);
+  }
+
   void limitRate() {
     SoakTarget &Target = m_System.target(m_TargetIndex);
     Target.setLimit(static_cast<double>(m_Fault.m_Selector % MaxLimitTenths) /
@@ -286,6 +327,12 @@
     return m_System.crashTarget(m_TargetIndex, m_Fault.m_Length / 8, m_Yield);
   case FaultKind::ConnectionSkew:
     return skewConnections();
+  case FaultKind::CallerLinkDelayed:
+    return delayCallers();
+  case FaultKind::CallerLinkReset:
+    return resetCallers();
+  case FaultKind::CallerLinkSilent:
+    return silenceCallers();
   }
 }
 
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -45,6 +45,10 @@
   TargetSaysItLeaves,
   // See drawSkews().
   ConnectionSkew,
+  // Of the link between callers and a gateway, see drawCallerLinkFaults().
+  CallerLinkDelayed,
+  CallerLinkReset,
+  CallerLinkSilent,
 };
 /// Number of kinds that drawFaults() uses.
 inline constexpr std::uint64_t RandomFaultKindCount =
@@ -52,7 +56,7 @@
 inline constexpr std::uint64_t BackpressureKindsEnd =
     static_cast<std::uint64_t>(FaultKind::TargetSaysItLeaves) + 1;
 inline constexpr std::uint64_t FaultKindCount =
-    static_cast<std::uint64_t>(FaultKind::ConnectionSkew) + 1;
+    static_cast<std::uint64_t>(FaultKind::CallerLinkSilent) + 1;
 
 const char *toString(FaultKind Kind);
 
@@ -84,6 +88,11 @@
 std::vector<Fault> drawSkews(std::uint64_t Seed,
                              std::chrono::milliseconds Length);
 
+/// Returns the faults of the links between callers and gateways; drawn
+/// separately, for the same reason.
+std::vector<Fault> drawCallerLinkFaults(std::uint64_t Seed,
+                                        std::chrono::milliseconds Length);
+
 /// Injects a fault and removes it after its length, if it has one. Throws
 /// core::Error when the store can't be reached.
 void runFault(const Fault &Scheduled, Deployment &System, Callers &Sources,
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -35,6 +35,22 @@
   m_Store.change(Begins, m_Now());
 }
 
+void InvariantChecker::noteCallerLinkDisturbance(std::size_t Gateway,
+                                                 bool Begins) {
+  m_Gateways[Gateway].m_CallerLink.change(Begins, m_Now());
+}
+
+void InvariantChecker::noteCallerLinkReset(std::size_t Gateway) {
+  m_Gateways[Gateway].m_CallerLinkResetAt = m_Now();
+}
+
+bool InvariantChecker::hasLinkFailed(const SentRequest &Request) const {
+  const Gateway &At = m_Gateways[Request.m_Gateway];
+  return Request.m_IsProxied && (At.m_CallerLink.m_ActiveCount > 0 ||
+                                 At.m_CallerLink.m_EndedAt > Request.m_SentAt ||
+                                 At.m_CallerLinkResetAt > Request.m_SentAt);
+}
+
 void InvariantChecker::setStopping(std::size_t Gateway, bool IsStopping) {
   m_Gateways[Gateway].m_IsStopping = IsStopping;
 }
@@ -226,9 +242,16 @@
     addViolation("denied", Id + " got status " + std::to_string(Status));
 }
 
+static std::string describePath(const SentRequest &Request) {
+  return ", at gateway " + std::to_string(Request.m_Gateway) +
+         (Request.m_IsProxied ? " by way of the proxy" : "");
+}
+
 void InvariantChecker::responseLost(const std::string &Id,
                                     const std::string &Error) {
   SentRequest &Request = m_SentRequests.at(Id);
+  if (hasLinkFailed(Request))
+    Request.m_HasCallerLeft = true;
   if (Request.m_HasCallerLeft)
     return;
   ++m_LostResponses;
@@ -237,15 +260,15 @@
   if (!Sender.m_Process.hasEndedBefore(Request.m_SentAt))
     return;
   if (Elapsed > Request.m_TimeLimit + bounds::ResponseSlack)
-    return addViolation("held",
-                        Id + " had no response at its time limit: " + Error);
+    return addViolation("held", Id + " had no response at its time limit: " +
+                                    Error + describePath(Request));
   // A response that is incomplete at its time limit may be aborted.
   bool IsOver = Elapsed >= Request.m_TimeLimit;
   bool IsGatewayFault =
       !IsOver && (Request.m_Executions > 0 || Elapsed > bounds::EarlyLossSlack);
   if (IsGatewayFault && !Request.m_IsTargetDisturbed)
     addViolation(Sender.m_IsStopping ? "stop" : "lost",
-                 Id + " lost its response: " + Error);
+                 Id + " lost its response: " + Error + describePath(Request));
 }
 
 void InvariantChecker::noteUnreadEnd(const std::string &Id, bool IsReset) {
@@ -266,6 +289,7 @@
   for (StreamRun &Each : Runs)
     if (!Each.m_EndedAt &&
         (!m_Gateways[Each.m_Gateway].m_Process.hasEndedBefore(m_Now()) ||
+         !m_Gateways[Each.m_Gateway].m_CallerLink.hasEndedBefore(m_Now()) ||
          !m_TargetLinks[Each.m_Target].hasEndedBefore(m_Now())))
       Each.m_IsExcused = true;
 }
@@ -447,8 +471,8 @@
   for (const auto &[Id, Request] : m_SentRequests) {
     if (!Request.m_IsGatewayUndisturbed || Request.m_IsTargetDisturbed ||
         Request.m_IsProbe || !Request.m_Content.empty() ||
-        Request.m_HasCallerLeft || Request.m_Identity != Id ||
-        m_Quotas.count(Request.m_Account) != 0)
+        Request.m_HasCallerLeft || Request.m_LooksUnread ||
+        Request.m_Identity != Id || m_Quotas.count(Request.m_Account) != 0)
       continue;
     // Neither counts while instances adapt.
     if (Request.m_SkewAge && *Request.m_SkewAge < bounds::SkewAdaptationTime)
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -110,6 +110,7 @@
   /// empty for a request whose content is unique.
   std::string m_Content;
   double m_Tokens = 0;
+  bool m_IsProxied = false; ///< Whether it passes the link with faults.
   TimePoint m_SentAt;
   std::chrono::milliseconds m_TimeLimit{};
   std::size_t m_Arrivals = 0;          ///< At targets.
@@ -174,6 +175,14 @@
   void gatewayRestarted(std::size_t Gateway) { m_Backpressure.forget(Gateway); }
   void noteStorePathDisturbance(std::size_t Gateway, bool Begins);
   void noteStoreDisturbance(bool Begins);
+  /// Records that the link between callers and a gateway goes silent, or
+  /// (false) no longer.
+  void noteCallerLinkDisturbance(std::size_t Gateway, bool Begins);
+  /// Records that all connections on that link were reset.
+  void noteCallerLinkReset(std::size_t Gateway);
+  /// Whether the link between its caller and the gateway was silent or reset
+  /// since the request was sent, so that its end tells nothing of the gateway.
+  bool hasLinkFailed(const SentRequest &Request) const;
   /// Records that the balancer hands most new connections to one gateway, or
   /// (none) no longer.
   void noteSkew(std::optional<std::size_t> Gateway);
@@ -316,6 +325,8 @@
   struct Gateway {
     Disturbance m_Process;
     Disturbance m_StorePath;
+    Disturbance m_CallerLink;
+    TimePoint m_CallerLinkResetAt;
     bool m_IsStopping = false;
   };
 
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(testDeniedRequest);
   CPPUNIT_TEST(testLeavingTarget);
   CPPUNIT_TEST(testLostResponse);
+  CPPUNIT_TEST(testLinkFailureExcusesOnlyRequestsOnIt);
   CPPUNIT_TEST(testPlannedStop);
   CPPUNIT_TEST(testNoResponseAtTimeLimit);
   CPPUNIT_TEST(testAbortAtTimeLimit);
@@ -151,6 +152,28 @@
     expectViolation("recovery");
   }
 
+  void testLinkFailureExcusesOnlyRequestsOnIt() {
+    SentRequest OnLink;
+    OnLink.m_Id = "link-1";
+    OnLink.m_IsProxied = true;
+    OnLink.m_SentAt = m_Now;
+    OnLink.m_TimeLimit = seconds(2);
+    m_Checker.requestSent(OnLink);
+    std::string Beside = send();
+    m_Now += milliseconds(300);
+    m_Checker.noteCallerLinkReset(0);
+    m_Checker.responseLost(OnLink.m_Id, "reset");
+    expectNoViolation();
+    OnLink.m_Id = "link-2";
+    OnLink.m_SentAt = m_Now;
+    m_Checker.requestSent(OnLink);
+    m_Now += milliseconds(300);
+    m_Checker.responseLost(OnLink.m_Id, "reset");
+    expectViolation("lost");
+    m_Checker.responseLost(Beside, "reset");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_Checker.violations().size());
+  }
+
   void testSkewWhileTargetsAreShort() {
     sendAndAnswer(100, 100);
     m_Checker.noteSkew(0);
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -118,9 +118,6 @@
       asio::spawn(
           m_Context, [this](asio::yield_context Inner) { stopGateways(Inner); },
           asio::detached);
-    if (!FLAGS_faults && !FLAGS_skews)
-      yardrill::tests::sleepFor(m_Context, std::chrono::seconds(FLAGS_seconds),
-                                Yield);
     for (const Fault &Next : plan()) {
       yardrill::tests::sleepFor(
           m_Context,
@@ -129,6 +126,11 @@
           Yield);
       begin(Next);
     }
+    yardrill::tests::sleepFor(
+        m_Context,
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Start + std::chrono::seconds(FLAGS_seconds) - Clock::now()),
+        Yield);
     m_Callers.stopBadRequestCallers();
     m_Operator.stop();
     while (m_ActiveFaults > 0 || !m_Operator.isIdle())
@@ -185,6 +187,8 @@
       Add(drawFaults(FLAGS_seed, Length));
       Add(drawBackpressureFaults(FLAGS_seed, Length));
     }
+    if (FLAGS_faults || FLAGS_stops)
+      Add(drawCallerLinkFaults(FLAGS_seed, Length));
     if (FLAGS_faults || FLAGS_skews)
       Add(drawSkews(FLAGS_seed, Length));
     std::stable_sort(
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -28,11 +28,15 @@
           static_cast<std::uint16_t>(Port)};
 }
 
-LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, int ToPort)
-    : m_Context(Context), m_Port(Port), m_ToPort(ToPort), m_Acceptor(Context) {
+LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, Endpoint To)
+    : m_Context(Context), m_Port(Port), m_To(std::move(To)),
+      m_Acceptor(Context) {
   listen();
 }
 
+LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, int ToPort)
+    : LoopbackProxy(Context, Port, loopback(ToPort)) {}
+
 void LoopbackProxy::listen() {
   m_Acceptor = tcp::acceptor(m_Context, loopback(m_Port));
   // Otherwise programs that are started meanwhile inherit the socket and keep
@@ -126,7 +130,7 @@
     Connection->m_Upstream.set_option(
         asio::socket_base::receive_buffer_size(LimitedBufferBytes));
   }
-  Connection->m_Upstream.async_connect(loopback(m_ToPort), Yield[Failure]);
+  Connection->m_Upstream.async_connect(m_To, Yield[Failure]);
   if (Failure)
     return Connection->reset();
   error_code Ignored;
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -26,11 +26,17 @@
   Closed, ///< New connections are refused, as after a crash of the server.
 };
 
-/// Forwards connections on a loopback port to another one.
+/// Forwards connections on a loopback port to another loopback address.
 class LoopbackProxy {
 public:
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+
+  LoopbackProxy(boost::asio::io_context &Context, int Port, Endpoint To);
+  /// Forwards to a port of 127.0.0.1.
   LoopbackProxy(boost::asio::io_context &Context, int Port, int ToPort);
 
+  /// Forwards new connections to another address from now on.
+  void setDestination(const Endpoint &To) { m_To = To; }
   int port() const { return m_Port; }
   void setMode(ProxyMode Mode);
   /// Limits the rate of all responses together, as the link of a small machine
@@ -78,7 +84,7 @@
 
   boost::asio::io_context &m_Context;
   int m_Port;
-  int m_ToPort;
+  Endpoint m_To;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::list<std::weak_ptr<ProxiedConnection>> m_Connections;
   /// Connections that fill the queue while the mode is Silent.
