--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -71,6 +71,11 @@
                                          ConnectTime, Yield);
 }
 
+bool Callers::drawProxied(std::size_t Gateway) {
+  // The proxy would accept the connection and then reset it.
+  return randomBelow(2) == 0 && m_System.isRunning(Gateway);
+}
+
 //===----------------------------------------------------------------------===//
 // Requests
 //===----------------------------------------------------------------------===//
@@ -240,7 +245,7 @@
     SentRequest Next = First;
     Next.m_Id = "a" + std::to_string(m_NextId++);
     Next.m_Gateway = chooseGateway();
-    Next.m_IsProxied = randomBelow(2) == 0;
+    Next.m_IsProxied = drawProxied(Next.m_Gateway);
     Next.m_SentAt = Clock::now();
     Next.m_TimeLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
         EndsAt - Next.m_SentAt);
@@ -257,7 +262,7 @@
 
 void Callers::useConnection(std::size_t Gateway, asio::yield_context Yield) {
   ConnectionHandle Connection;
-  bool IsProxied = randomBelow(2) == 0;
+  bool IsProxied = drawProxied(Gateway);
   try {
     Connection = connect(Gateway, IsProxied, Yield);
   } catch (const core::Error &) {
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -41,6 +41,9 @@
   /// Connects by way of the link with faults, or around it.
   ConnectionHandle connect(std::size_t Gateway, bool IsProxied,
                            boost::asio::yield_context Yield);
+  /// Draws whether a connection to the gateway passes the link with faults;
+  /// false while its process is down.
+  bool drawProxied(std::size_t Gateway);
   void runCaller(boost::asio::yield_context Yield);
   /// Sends up to MaxRequestsPerConnection requests over one connection.
   void useConnection(std::size_t Gateway, boost::asio::yield_context Yield);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -52,6 +52,9 @@
   std::size_t restartCount(std::size_t Gateway) const {
     return m_Gateways[Gateway].m_Restarts;
   }
+  bool isRunning(std::size_t Gateway) const {
+    return m_Gateways[Gateway].m_Process.isRunning();
+  }
   std::size_t targets() const { return m_Targets.size(); }
   SoakTarget &target(std::size_t Index) { return *m_Targets[Index]; }
   tests::LoopbackProxy &storeProxy(std::size_t Gateway) {
