Tests: Share the accept loop of three scripted targets

EndlessTarget, ScriptedTarget and LargeResponseTarget each had the same loop; LoopbackListener has it now.

--- a/Tests/Support/EndlessTarget.h
+++ b/Tests/Support/EndlessTarget.h
@@ -19,14 +19,13 @@
   using Script = std::function<Bytes(const Request &)>;
 
   EndlessTarget(asio::io_context &Context, Script Respond)
-      : m_Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
-        m_Respond(std::move(Respond)) {
-    asio::spawn(
-        Context, [this](asio::yield_context Yield) { accept(Yield); },
-        asio::detached);
-  }
+      : m_Respond(std::move(Respond)),
+        m_Listener(Context,
+                   [this](tcp::socket &Connection, asio::yield_context Yield) {
+                     serve(Connection, Yield);
+                   }) {}
 
-  int port() const { return m_Acceptor.local_endpoint().port(); }
+  int port() const { return m_Listener.port(); }
   std::atomic<std::size_t> m_SentBytes{0};
   std::atomic<int> m_Requests{0};
   std::atomic<int> m_Closed{0}; ///< Requests whose connection has closed.
@@ -34,19 +33,6 @@
   std::atomic<int> m_PauseMs{1};
 
 private:
-  void accept(asio::yield_context Yield) {
-    while (true) {
-      auto Connection =
-          std::make_shared<tcp::socket>(m_Acceptor.get_executor());
-      m_Acceptor.async_accept(*Connection, Yield);
-      asio::spawn(
-          m_Acceptor.get_executor(),
-          [this, Connection](asio::yield_context Inner) {
-            serve(*Connection, Inner);
-          },
-          asio::detached);
-    }
-  }
   void serve(tcp::socket &Connection, asio::yield_context Yield) {
     beast::flat_buffer Buffer;
     boost::system::error_code Failure;
@@ -69,8 +55,8 @@
     ++m_Closed;
   }
 
-  tcp::acceptor m_Acceptor;
   Script m_Respond;
+  LoopbackListener m_Listener;
 };
 
 } // namespace yardrill::tests
--- a/Tests/Support/LargeResponseTarget.h
+++ b/Tests/Support/LargeResponseTarget.h
@@ -10,21 +10,21 @@
 
 /// Sends a large body, a stream of many events, or a body that a gateway
 /// buffers, if the request's path contains "large", "events" or "buffered", and
-/// otherwise a short response. Resets a
-/// connection of whose response nothing was read for a time.
+/// otherwise a short response. Resets a connection of whose response nothing
+/// was read for a time.
 class LargeResponseTarget {
 public:
   static constexpr std::size_t LargeBytes = 256UL * 1024 * 1024;
   static constexpr std::size_t BufferedBytes = 200000;
 
   explicit LargeResponseTarget(asio::io_context &Context)
-      : m_Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
-    asio::spawn(
-        Context, [this](asio::yield_context Yield) { accept(Yield); },
-        asio::detached);
-  }
+      : m_Listener(Context,
+                   [this](tcp::socket &Socket, asio::yield_context Yield) {
+                     Stream Connection(std::move(Socket));
+                     serve(Connection, Yield);
+                   }) {}
 
-  int port() const { return m_Acceptor.local_endpoint().port(); }
+  int port() const { return m_Listener.port(); }
   /// Time after which an unread response is cut off, in milliseconds.
   std::atomic<int> m_UnreadLimitMs{3600000};
   std::atomic<std::size_t> m_SentBytes{0}; ///< Of all large responses.
@@ -34,18 +34,6 @@
 private:
   using Stream = beast::basic_stream<tcp>;
 
-  void accept(asio::yield_context Yield) {
-    while (true) {
-      auto Connection = std::make_shared<Stream>(m_Acceptor.get_executor());
-      m_Acceptor.async_accept(Connection->socket(), Yield);
-      asio::spawn(
-          m_Acceptor.get_executor(),
-          [this, Connection](asio::yield_context Inner) {
-            serve(*Connection, Inner);
-          },
-          asio::detached);
-    }
-  }
   void serve(Stream &Connection, asio::yield_context Yield) {
     beast::flat_buffer Buffer;
     boost::system::error_code Failure;
@@ -102,7 +90,7 @@
     Connection.socket().close(Ignored);
   }
 
-  tcp::acceptor m_Acceptor;
+  LoopbackListener m_Listener;
 };
 
 } // namespace yardrill::tests
--- a/Tests/Support/ScriptedTarget.h
+++ b/Tests/Support/ScriptedTarget.h
@@ -2,13 +2,13 @@
 #ifndef YARDRILL_TESTS_SUPPORT_SCRIPTEDTARGET_H
 #define YARDRILL_TESTS_SUPPORT_SCRIPTEDTARGET_H
 
+#include "LoopbackListener.h"
+
 #include <atomic>
 #include <boost/asio.hpp>
-#include <boost/asio/spawn.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -29,14 +29,14 @@
   using Script = std::function<std::string(const Request &)>;
 
   ScriptedTarget(asio::io_context &Context, Script Respond)
-      : m_Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
-        m_Respond(std::move(Respond)) {
-    asio::spawn(
-        Context, [this](asio::yield_context Yield) { accept(Yield); },
-        asio::detached);
-  }
-
-  int port() const { return m_Acceptor.local_endpoint().port(); }
+      : m_Respond(std::move(Respond)),
+        m_Listener(Context,
+                   [this](tcp::socket &Socket, asio::yield_context Yield) {
+                     ++m_Accepted;
+                     serve(Socket, Yield);
+                   }) {}
+
+  int port() const { return m_Listener.port(); }
   std::vector<Request> requests() const {
     std::lock_guard<std::mutex> Lock(m_Mutex);
     return m_Requests;
@@ -47,20 +47,6 @@
   std::atomic<int> m_DelayMs{0};
 
 private:
-  void accept(asio::yield_context Yield) {
-    while (true) {
-      tcp::socket Socket(m_Acceptor.get_executor());
-      m_Acceptor.async_accept(Socket, Yield);
-      ++m_Accepted;
-      auto Connection = std::make_shared<tcp::socket>(std::move(Socket));
-      asio::spawn(
-          m_Acceptor.get_executor(),
-          [this, Connection](asio::yield_context Inner) {
-            serve(*Connection, Inner);
-          },
-          asio::detached);
-    }
-  }
   void serve(tcp::socket &Socket, asio::yield_context Yield) {
     beast::flat_buffer Buffer;
     boost::system::error_code Failure;
@@ -98,10 +84,10 @@
     }
   }
 
-  tcp::acceptor m_Acceptor;
   Script m_Respond;
   mutable std::mutex m_Mutex;
   std::vector<Request> m_Requests;
+  LoopbackListener m_Listener;
 };
 
 inline std::string attemptIdOf(const Request &Received) {
