--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -1,5 +1,7 @@
 #include "InvariantChecker.h"
 
+#include "ServedShare.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -10,8 +12,6 @@
   return Status == 429 || Status == 503 || Status == 408 || Status == 421;
 }
 
-static bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
-
 //===----------------------------------------------------------------------===//
 // Disturbances
 //===----------------------------------------------------------------------===//
@@ -397,7 +397,7 @@
         !Request.m_Content.empty() || Request.m_HasCallerLeft)
       continue;
     ++Sent;
-    Served += Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
+    Served += Request.isServed() ? 1 : 0;
   }
   if (static_cast<double>(Served) >=
       bounds::MinServedAfterRecovery * static_cast<double>(Sent))
@@ -436,33 +436,6 @@
       });
 }
 
-namespace {
-
-/// Share of requests that were served.
-class ServedShare {
-public:
-  void add(const SentRequest &Request) {
-    ++m_Sent;
-    m_Served += Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
-  }
-  std::size_t sent() const { return m_Sent; }
-  double share() const {
-    return static_cast<double>(m_Served) / static_cast<double>(m_Sent);
-  }
-  /// Returns whether both are shares of enough requests, and this one is too
-  /// small beside \p Other.
-  bool isTooSmallBeside(const ServedShare &Other) const {
-    return std::min(m_Sent, Other.m_Sent) >= bounds::MinRequestsForShare &&
-           share() < bounds::MinServedWhileSkewed * Other.share();
-  }
-
-private:
-  std::size_t m_Sent = 0;
-  std::size_t m_Served = 0;
-};
-
-} // namespace
-
 void InvariantChecker::checkSkews() {
   ServedShare Usual;
   ServedShare Skewed;
@@ -478,9 +451,10 @@
     if (Request.m_SkewAge && *Request.m_SkewAge < bounds::SkewAdaptationTime)
       continue;
     if (Request.m_SkewAge)
-      (Request.m_IsAtSkewedGateway ? AtSkewed : AtOthers).add(Request);
+      (Request.m_IsAtSkewedGateway ? AtSkewed : AtOthers)
+          .add(Request.isServed());
     if (hadEnoughTargets(Request))
-      (Request.m_SkewAge ? Skewed : Usual).add(Request);
+      (Request.m_SkewAge ? Skewed : Usual).add(Request.isServed());
   }
   m_ComparedByTime = Skewed.sent();
   m_ComparedByGateway = AtSkewed.sent();
@@ -529,7 +503,7 @@
   std::size_t Served = 0;
   std::size_t Refused = 0;
   for (const auto &[Id, Request] : m_SentRequests) {
-    Served += Request.m_Status && isSuccess(*Request.m_Status) ? 1 : 0;
+    Served += Request.isServed() ? 1 : 0;
     Refused += Request.m_Status && isRefusal(*Request.m_Status) ? 1 : 0;
   }
   std::ostringstream Out;
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -134,6 +134,9 @@
     return m_Kind == RequestKind::Idempotent ||
            m_Kind == RequestKind::ResumableStream;
   }
+  bool isServed() const {
+    return m_Status && *m_Status >= 200 && *m_Status < 300;
+  }
   /// Returns the pool that its route leads to.
   const char *pool() const {
     return m_Kind == RequestKind::Idempotent ||
