--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -86,6 +86,13 @@
     return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
   }
   void start(bool IsConfigured = true, bool MustBeReady = true) {
+    startStepped(IsConfigured);
+    m_Thread = std::thread([this] { m_Context.run(); });
+    if (IsConfigured && MustBeReady)
+      CPPUNIT_ASSERT(eventually([this] { return readiness() == 200; }));
+  }
+  /// Starts a gateway whose event loop the test runs.
+  void startStepped(bool IsConfigured = true) {
     if (IsConfigured)
       m_Store.m_Content.push_back(
           {"op/config", Configuration, platform::Revision(1)});
@@ -107,9 +114,6 @@
                     .store(m_Store)
                     .build(m_Context);
     m_Gateway->start();
-    m_Thread = std::thread([this] { m_Context.run(); });
-    if (IsConfigured && MustBeReady)
-      CPPUNIT_ASSERT(eventually([this] { return readiness() == 200; }));
   }
   unsigned readiness() const {
     http::RequestMessage Message;
