Tests/Soak: Compare skewed gateways with few requests of others too

The summary now counts the smaller group, and the comparison by place needs 20 requests: the share must be below 0.75 of the others' by more than two standard errors of theirs. testSkewedGatewayServesLessThanOthers is the same case with 20 others.

--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -456,14 +456,14 @@
     if (hadEnoughTargets(Request))
       (Request.m_SkewAge ? Skewed : Usual).add(Request.isServed());
   }
-  m_ComparedByTime = Skewed.sent();
-  m_ComparedByGateway = AtSkewed.sent();
+  m_ComparedByTime = std::min(Skewed.sent(), Usual.sent());
+  m_ComparedByGateway = std::min(AtSkewed.sent(), AtOthers.sent());
   std::ostringstream Text;
   if (Skewed.isTooSmallBeside(Usual)) {
     Text << Skewed.share() << " of the requests served while connections were "
          << "skewed, " << Usual.share() << " else";
     addViolation("recovery", Text.str());
-  } else if (AtSkewed.isTooSmallBeside(AtOthers)) {
+  } else if (AtSkewed.isClearlyTooSmallBeside(AtOthers)) {
     Text << AtSkewed.share() << " of the requests served where most "
          << "connections went, " << AtOthers.share() << " at other gateways";
     addViolation("recovery", Text.str());
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -88,6 +88,8 @@
 inline constexpr double MinSoundTargets = 0.75;
 /// Number of requests below which shares say little.
 inline constexpr std::size_t MinRequestsForShare = 40;
+/// The same where the difference must exceed what chance explains.
+inline constexpr std::size_t MinRequestsForClearShare = 20;
 } // namespace bounds
 
 enum class RequestKind { NonIdempotent, Idempotent, Stream, ResumableStream };
@@ -352,8 +354,8 @@
   std::size_t m_ResetEnds = 0;
   std::size_t m_EmptyEnds = 0;
   std::size_t m_ResumedStreams = 0;
-  /// Requests that were compared with those of other times and of other
-  /// gateways, in the check of skews.
+  /// Requests in the smaller group of the comparison by time and of that by
+  /// gateway, in the check of skews.
   std::size_t m_ComparedByTime = 0;
   std::size_t m_ComparedByGateway = 0;
   TimeSeries m_Requests;
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -195,11 +195,12 @@
     m_Checker.noteTargetShortage("app", true);
     m_Checker.noteSkew(0);
     m_Now += seconds(4);
-    sendAndAnswer(100, 40);
-    sendAndAnswer(100, 50, 1);
+    // Of the others, 0.8 and at least 0.62 but for chance: 0.75 of it is 0.47.
+    sendAndAnswer(20, 16, 1);
+    sendAndAnswer(100, 48);
     m_Checker.finish(m_Now);
     expectNoViolation();
-    sendAndAnswer(100, 20);
+    sendAndAnswer(20, 0);
     m_Checker.finish(m_Now);
     expectViolation("recovery");
   }
--- a/Tests/Soak/ServedShare.h
+++ b/Tests/Soak/ServedShare.h
@@ -5,6 +5,7 @@
 #include "InvariantChecker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yardrill::soak {
 
@@ -26,6 +27,16 @@
            share() < bounds::MinServedWhileSkewed * Other.share();
   }
 
+  /// The same for few requests, with twice the standard error of \p Other.
+  bool isClearlyTooSmallBeside(const ServedShare &Other) const {
+    if (std::min(m_Sent, Other.m_Sent) < bounds::MinRequestsForClearShare)
+      return false;
+    double Share = Other.share();
+    double Error =
+        std::sqrt(Share * (1 - Share) / static_cast<double>(Other.m_Sent));
+    return share() < bounds::MinServedWhileSkewed * (Share - 2 * Error);
+  }
+
 private:
   std::size_t m_Sent = 0;
   std::size_t m_Served = 0;
