--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -38,11 +38,11 @@
   using ConnectionHandle = std::unique_ptr<http::ClientConnection>;
 
   template <class Body> void spawn(Body Function);
-  /// Connects by way of the link with faults, or around it.
+  /// Connects through the proxy before the gateway, or directly.
   ConnectionHandle connect(std::size_t Gateway, bool IsProxied,
                            boost::asio::yield_context Yield);
-  /// Draws whether a connection to the gateway passes the link with faults;
-  /// false while its process is down.
+  /// Draws whether a connection passes the proxy before the gateway; false
+  /// while the gateway's process is down.
   bool drawProxied(std::size_t Gateway);
   void runCaller(boost::asio::yield_context Yield);
   /// Sends up to MaxRequestsPerConnection requests over one connection.
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -83,12 +83,12 @@
 /// least share that is served from then on, relative to the time without one.
 inline constexpr std::chrono::milliseconds SkewAdaptationTime{4000};
 inline constexpr double MinServedWhileSkewed = 0.75;
-/// Time in which a pool has fewer sound targets than this share counts for no
-/// comparison with other times.
+/// Share of sound targets below which a pool's requests are not compared with
+/// those of other times.
 inline constexpr double MinSoundTargets = 0.75;
 /// Number of requests below which shares say little.
 inline constexpr std::size_t MinRequestsForShare = 40;
-/// The same where the difference must exceed what chance explains.
+/// The same for a difference that must exceed two standard errors.
 inline constexpr std::size_t MinRequestsForClearShare = 20;
 } // namespace bounds
 
@@ -112,7 +112,7 @@
   /// empty for a request whose content is unique.
   std::string m_Content;
   double m_Tokens = 0;
-  bool m_IsProxied = false; ///< Whether it passes the link with faults.
+  bool m_IsProxied = false; ///< Whether it passes the proxy of its gateway.
   TimePoint m_SentAt;
   std::chrono::milliseconds m_TimeLimit{};
   std::size_t m_Arrivals = 0;          ///< At targets.
@@ -121,7 +121,7 @@
   /// Time since which connections were skewed when it was sent; none: they were
   /// not.
   std::optional<Clock::duration> m_SkewAge;
-  bool m_IsAtSkewedGateway = false; ///< The one that gets most connections.
+  bool m_IsAtSkewedGateway = false; ///< Whether it got most connections then.
   bool m_IsProbe = false; ///< Probes a route that need not exist yet (404).
   /// Whether a target that received it refused, aborted, failed or was
   /// disturbed.
