Tests/LibGateway: Announce targets of other kinds through the fixture

BrokenStreamTest and EndlessResponseTest wrote the fixture's announcement again, as SlowCallerFixture did; all call GatewayFixture::announce() now. The bytes are the same.

--- a/Tests/LibGateway/BrokenStreamTest.cpp
+++ b/Tests/LibGateway/BrokenStreamTest.cpp
@@ -75,13 +75,7 @@
 public:
   void testTargetIsReleasedBeforeItIsProbed() {
     BusyTarget Target;
-    m_Store.m_Content.push_back(
-        {keyOf(1),
-         R"({"service":"app","address":"127.0.0.1:)" +
-             std::to_string(Target.port()) +
-             R"(","zone":"hall","version":"v1","slots":4,"state":"ready",)"
-             R"("coldLeftMs":0,"seq":1,"born":1})",
-         platform::Revision(2)});
+    announce(1, Target.port());
     start();
     auto Stream = callAsync(m_CallerPort, request("/stream/x"));
     auto Elapsed = Target.breakStream(std::chrono::seconds(3));
--- a/Tests/LibGateway/EndlessResponseTest.cpp
+++ b/Tests/LibGateway/EndlessResponseTest.cpp
@@ -61,13 +61,7 @@
                       int PauseMs = 1, std::size_t MaxBytes = MaxUselessBytes) {
     m_Target = std::make_unique<EndlessTarget>(m_Context, std::move(Respond));
     m_Target->m_PauseMs = PauseMs;
-    m_Store.m_Content.push_back(
-        {keyOf(1),
-         R"({"service":"app","address":"127.0.0.1:)" +
-             std::to_string(m_Target->port()) +
-             R"(","zone":"hall","version":"v1","slots":4,"state":"ready",)"
-             R"("coldLeftMs":0,"seq":1,"born":1})",
-         platform::Revision(2)});
+    announce(1, m_Target->port());
     start();
     http::RequestMessage Message = request(Path);
     Message.m_Headers.set("Deadline-Ms", std::to_string(Deadline.count()));
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -68,18 +68,25 @@
   void addTarget(ScriptedTarget::Script Respond) {
     m_Targets.push_back(
         std::make_unique<ScriptedTarget>(m_Context, std::move(Respond)));
-    std::size_t Number = m_Targets.size();
+    announce(m_Targets.size(), m_Targets.back()->port());
+  }
+  /// Announces a target from the start on.
+  void announce(std::size_t Number, int Port, std::size_t Slots = 4) {
     m_Store.m_Content.push_back(
-        {keyOf(Number), announcement(Number, 1), platform::Revision(2)});
+        {keyOf(Number), announcementAt(Port, 1, Slots), platform::Revision(2)});
   }
   static std::string keyOf(std::size_t Number) {
     return "servers/i-" + std::to_string(Number);
   }
   std::string announcement(std::size_t Number, std::int64_t StartTime) const {
-    return R"({"service":"app","address":"127.0.0.1:)" +
-           std::to_string(m_Targets.at(Number - 1)->port()) +
-           R"(","zone":"hall","version":"v1","slots":4,"state":"ready",)"
-           R"("coldLeftMs":0,"seq":1,"born":)" +
+    return announcementAt(m_Targets.at(Number - 1)->port(), StartTime);
+  }
+  static std::string announcementAt(int Port, std::int64_t StartTime,
+                                    std::size_t Slots = 4) {
+    return R"({"service":"app","address":"127.0.0.1:)" + std::to_string(Port) +
+           R"(","zone":"hall","version":"v1","slots":)" +
+           std::to_string(Slots) +
+           R"(,"state":"ready","coldLeftMs":0,"seq":1,"born":)" +
            std::to_string(StartTime) + "}";
   }
   static config::Endpoint local(int Port) {
--- a/Tests/Support/SlowCallerFixture.h
+++ b/Tests/Support/SlowCallerFixture.h
@@ -29,14 +29,7 @@
 protected:
   void startGateway() {
     m_Target = std::make_unique<LargeResponseTarget>(m_Context);
-    m_Store.m_Content.push_back(
-        {keyOf(1),
-         R"({"service":"app","address":"127.0.0.1:)" +
-             std::to_string(m_Target->port()) +
-             R"(","zone":"hall","version":"v1","slots":)" +
-             std::to_string(Slots) +
-             R"(,"state":"ready","coldLeftMs":0,"seq":1,"born":1})",
-         platform::Revision(2)});
+    announce(1, m_Target->port(), Slots);
     start();
   }
   /// Sends a request that has to be served within the objective.
