Tests: Fill listen queues in one place

BusyTarget of BrokenStreamTest filled its listen queue with the loop that LoopbackProxy has for silent connections; FullListenQueue serves both.

--- a/Tests/LibGateway/BrokenStreamTest.cpp
+++ b/Tests/LibGateway/BrokenStreamTest.cpp
@@ -4,9 +4,9 @@
 // finds out whether the target has exited.
 //
 //===----------------------------------------------------------------------===//
+#include "FullListenQueue.h"
 #include "GatewayFixture.h"
 
-#include <list>
 #include <poll.h>
 
 using namespace yardrill;
@@ -21,7 +21,7 @@
   BusyTarget() {
     m_Acceptor.open(tcp::v4());
     m_Acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
-    m_Acceptor.listen(0);
+    m_Acceptor.listen(FullListenQueue::Length);
   }
 
   int port() const { return m_Acceptor.local_endpoint().port(); }
@@ -31,7 +31,7 @@
   std::chrono::milliseconds breakStream(std::chrono::milliseconds Limit) {
     tcp::socket Connection(m_Context);
     m_Acceptor.accept(Connection);
-    fillQueue();
+    m_Queue.fill(m_Acceptor.local_endpoint());
     beast::flat_buffer Buffer;
     Request Received;
     beast::http::read(Connection, Buffer, Received);
@@ -46,23 +46,9 @@
   }
 
 private:
-  void fillQueue() {
-    /// A queue of length 0 holds one connection; the others are in progress.
-    static constexpr int Connections = 3;
-    for (int I = 0; I < Connections; ++I) {
-      tcp::socket &Queued = m_Queued.emplace_back(m_Context);
-      Queued.open(tcp::v4());
-      Queued.native_non_blocking(true);
-      tcp::endpoint Address = m_Acceptor.local_endpoint();
-      [[maybe_unused]] int InProgress =
-          ::connect(Queued.native_handle(), Address.data(),
-                    static_cast<socklen_t>(Address.size()));
-    }
-  }
-
   asio::io_context m_Context;
   tcp::acceptor m_Acceptor{m_Context};
-  std::list<tcp::socket> m_Queued;
+  FullListenQueue m_Queue{m_Context};
 };
 
 } // namespace
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -30,7 +30,7 @@
 
 LoopbackProxy::LoopbackProxy(asio::io_context &Context, int Port, Endpoint To)
     : m_Context(Context), m_Port(Port), m_To(std::move(To)),
-      m_Acceptor(Context) {
+      m_Acceptor(Context), m_Queue(Context) {
   listen();
 }
 
@@ -48,25 +48,13 @@
 }
 
 void LoopbackProxy::listenSilently() {
-  static constexpr int QueueLength = 0;
-  /// A queue of that length holds one connection; the others are in progress.
-  static constexpr int Connections = 3;
   m_Acceptor = tcp::acceptor(m_Context);
   m_Acceptor.open(tcp::v4());
   m_Acceptor.set_option(tcp::acceptor::reuse_address(true));
   m_Acceptor.bind(loopback(m_Port));
-  m_Acceptor.listen(QueueLength);
+  m_Acceptor.listen(FullListenQueue::Length);
   fcntl(m_Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
-  for (int I = 0; I < Connections; ++I) {
-    tcp::socket &Queued = m_QueuedConnections.emplace_back(m_Context);
-    Queued.open(tcp::v4());
-    Queued.native_non_blocking(true);
-    // Asio's connect() would wait for the connection.
-    tcp::endpoint Address = loopback(m_Port);
-    [[maybe_unused]] int InProgress =
-        ::connect(Queued.native_handle(), Address.data(),
-                  static_cast<socklen_t>(Address.size()));
-  }
+  m_Queue.fill(loopback(m_Port));
 }
 
 void LoopbackProxy::setMode(ProxyMode Mode) {
@@ -75,7 +63,7 @@
   bool MustListen = Mode != ProxyMode::Closed && Mode != ProxyMode::Silent;
   if (WasListening && MustListen)
     return;
-  m_QueuedConnections.clear();
+  m_Queue.clear();
   m_Acceptor.close();
   if (MustListen)
     listen();
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -2,6 +2,8 @@
 #ifndef YARDRILL_TESTS_SUPPORT_LOOPBACKPROXY_H
 #define YARDRILL_TESTS_SUPPORT_LOOPBACKPROXY_H
 
+#include "FullListenQueue.h"
+
 #include <boost/asio.hpp>
 #include <boost/asio/spawn.hpp>
 #include <chrono>
@@ -87,8 +89,7 @@
   Endpoint m_To;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::list<std::weak_ptr<ProxiedConnection>> m_Connections;
-  /// Connections that fill the queue while the mode is Silent.
-  std::list<boost::asio::ip::tcp::socket> m_QueuedConnections;
+  FullListenQueue m_Queue; ///< Full while the mode is Silent.
   ProxyMode m_Mode = ProxyMode::PassThrough;
   double m_ResponseRate = 0;
   DeliveryHook m_DeliveryHook;
