Tests: Drop the descriptor flags that Process makes superfluous

LoopbackProxy marked its listening sockets, so that programs started meanwhile don't keep its ports open. Process closes all descriptors in the child; nothing else in the tests starts programs.

--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <fcntl.h>
 
 namespace yardrill::tests {
 
@@ -39,9 +38,6 @@
 
 void LoopbackProxy::listen() {
   m_Acceptor = tcp::acceptor(m_Context, loopback(m_Port));
-  // Otherwise programs that are started meanwhile inherit the socket and keep
-  // the port open.
-  fcntl(m_Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
   asio::spawn(
       m_Context, [this](asio::yield_context Yield) { accept(Yield); },
       asio::detached);
@@ -53,7 +49,6 @@
   m_Acceptor.set_option(tcp::acceptor::reuse_address(true));
   m_Acceptor.bind(loopback(m_Port));
   m_Acceptor.listen(FullListenQueue::Length);
-  fcntl(m_Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
   m_Queue.fill(loopback(m_Port));
 }
 
