Tests: Show requests that run although their callers had left

Cause (shown, not mended yet): the watch for a caller's end gets its first turn after the handler of its request has begun. With an idle connection to a target nothing yields between the read and the send, so the end that lay in the socket all along comes too late. The caller has seen no byte and may send the request again.

Callers in all disturbances leave so now. What the soak takes for unread is certain: the process has stood still from before the request was sent until its caller left. An arrival half a second after its caller left is a violation of its own.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -36,6 +36,11 @@
 static constexpr std::uint64_t LeavingPercentage = 15;
 /// Bound of the wait of a caller that leaves before the head of its response.
 static constexpr std::uint64_t MaxHeadWaitMs = 40;
+/// Percentage of the requests that run once whose callers wait less long than
+/// ClientTimeout, and the time for which these wait.
+static constexpr std::uint64_t ImpatientPercentage = 30;
+static constexpr std::uint64_t MinPatienceMs = 200;
+static constexpr std::uint64_t PatienceSpreadMs = 600;
 
 Callers::Callers(asio::io_context &Context, InvariantChecker &Checker,
                  Deployment &System, std::mt19937_64 &Random)
@@ -140,6 +145,15 @@
   return Out;
 }
 
+std::chrono::milliseconds Callers::drawHeadTimeout(RequestKind Kind) {
+  bool RunsOnce =
+      Kind == RequestKind::NonIdempotent || Kind == RequestKind::Stream;
+  if (!RunsOnce || randomBelow(100) >= ImpatientPercentage)
+    return ClientTimeout;
+  return std::chrono::milliseconds(MinPatienceMs +
+                                   randomBelow(PatienceSpreadMs));
+}
+
 std::optional<std::size_t> Callers::drawLeaving(RequestKind Kind) {
   if (Kind != RequestKind::ResumableStream ||
       randomBelow(100) >= LeavingPercentage)
@@ -186,7 +200,7 @@
   auto HeadTimeout =
       LeavesBeforeHead
           ? std::chrono::milliseconds(1 + randomBelow(MaxHeadWaitMs))
-          : ClientTimeout;
+          : drawHeadTimeout(Request.m_Kind);
   try {
     Connection.sendRequest(toMessage(Request, Path, SkippedEvents),
                            ClientTimeout, Yield);
@@ -215,8 +229,13 @@
       return Reason.find(Text) != std::string::npos;
     };
     bool IsReset = Has("reset by peer") || Has("Broken pipe");
-    if (LeavesBeforeHead && !HasHead && Has("timeout"))
+    if (HeadTimeout < ClientTimeout && !HasHead && Has("timeout"))
       m_Checker.callerLeft(Request.m_Id);
+    bool IsLeftUnread =
+        !HasHead && Has("timeout") && !Request.m_IsProxied &&
+        m_System.isFrozenSince(Request.m_Gateway, Request.m_SentAt);
+    if (IsLeftUnread)
+      m_Checker.noteLeftUnread(Request.m_Id);
     m_Checker.responseLost(Request.m_Id, Reason);
     Out.m_LooksUnread =
         !HasHead && (IsReset || Has("end of stream")) &&
@@ -224,6 +243,7 @@
         !m_System.wasKilledSince(Request.m_Gateway, Request.m_SentAt);
     if (Out.m_LooksUnread)
       m_Checker.noteUnreadEnd(Request.m_Id, IsReset);
+    Out.m_LooksUnread = Out.m_LooksUnread || IsLeftUnread;
   }
   Out.m_Events = SkippedEvents + completeEvents(Received);
   return Out;
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -83,6 +83,8 @@
   /// its last event. Does nothing after a success.
   void repeat(const SentRequest &First, const std::string &Path, Attempt Seen,
               boost::asio::yield_context Yield);
+  /// Draws how long a caller waits for the head of its response.
+  std::chrono::milliseconds drawHeadTimeout(RequestKind Kind);
   /// Draws after how many events a caller leaves a stream, 0: before its head;
   /// none: it stays.
   std::optional<std::size_t> drawLeaving(RequestKind Kind);
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -22,6 +22,8 @@
 static constexpr std::uint16_t PeerPort = 7600;
 static constexpr std::chrono::seconds StopGrace{8};
 static constexpr std::chrono::milliseconds RestartDelay{300};
+/// Time from a SIGSTOP until the process surely stands still.
+static constexpr std::chrono::milliseconds FreezeTime{50};
 /// Time after which a target that exited under a bad content restarts.
 static constexpr std::chrono::milliseconds ExitedTargetDownTime{800};
 /// Time for which a target serves after the store accepted that it leaves.
@@ -143,6 +145,7 @@
       Stem + ".log");
   Instance.m_IsExitExpected = false;
   Instance.m_StoppingSince = TimePoint();
+  Instance.m_FrozenSince.reset();
 }
 
 void Deployment::start(asio::yield_context Yield) {
@@ -201,8 +204,19 @@
   stopGateway(Index);
 }
 
+bool Deployment::isFrozenSince(std::size_t Index, TimePoint Since) const {
+  const Gateway &Instance = m_Gateways[Index];
+  return Instance.m_FrozenSince && Instance.m_Process.isRunning() &&
+         *Instance.m_FrozenSince + FreezeTime <= Since;
+}
+
 void Deployment::signalGateway(std::size_t Index, int Signal) {
-  m_Gateways[Index].m_Process.signal(Signal);
+  Gateway &Instance = m_Gateways[Index];
+  Instance.m_Process.signal(Signal);
+  if (Signal == SIGSTOP && !Instance.m_FrozenSince)
+    Instance.m_FrozenSince = Clock::now();
+  else if (Signal == SIGCONT)
+    Instance.m_FrozenSince.reset();
 }
 
 void Deployment::handleGatewayExit(std::size_t Index, int ExitCode) {
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -77,6 +77,9 @@
   /// Whether the gateway's process was killed since then. How its connections
   /// ended tells nothing in that case.
   bool wasKilledSince(std::size_t Gateway, TimePoint Since) const;
+  /// Whether the gateway's process has stood still since then, so that it has
+  /// read nothing that was sent later.
+  bool isFrozenSince(std::size_t Gateway, TimePoint Since) const;
   /// Stops the gateway for good. Another one takes its place, at a new address.
   void replaceGateway(std::size_t Gateway);
   void signalGateway(std::size_t Gateway, int Signal);
@@ -128,7 +131,8 @@
     bool m_IsReplaced = false; ///< The next process has a new address.
     TimePoint m_StoppingSince;
     TimePoint m_KilledAt;
-    TimePoint m_StartsAt; ///< Restart time while it is down.
+    std::optional<TimePoint> m_FrozenSince; ///< Of the current process.
+    TimePoint m_StartsAt;                   ///< Restart time while it is down.
   };
 
   void writeSettings(std::size_t Index, bool IsFirstStart) const;
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -31,6 +31,12 @@
 /// The same for the faults of the callers' links.
 static constexpr std::uint64_t CallerLinkSeed = 0xca11;
 static constexpr std::uint64_t CallerLinkGapMs = 1200;
+/// The same for stalls of gateways.
+static constexpr std::uint64_t StallSeed = 0x57a1;
+static constexpr std::uint64_t StallGapMs = 700;
+/// Alternating times of a starved process, as under a processor quota.
+static constexpr milliseconds StarvedTime{75};
+static constexpr milliseconds RunningTime{25};
 /// Exceeds bounds::SkewAdaptationTime, after which requests are judged.
 static constexpr std::uint64_t MinSkewMs = 6000;
 static constexpr std::uint64_t SkewSpreadMs = 6000;
@@ -50,7 +56,7 @@
       "target-breaks-off",   "target-is-mute",      "publish",
       "target-limits",       "target-tires",        "target-says-it-leaves",
       "connection-skew",     "caller-link-delayed", "caller-link-reset",
-      "caller-link-silent"};
+      "caller-link-silent",  "starve-gateway"};
   static_assert(std::size(Names) == FaultKindCount);
   return Names[static_cast<int>(Kind)];
 }
@@ -131,6 +137,23 @@
   return Out;
 }
 
+std::vector<Fault> drawStalls(std::uint64_t Seed, milliseconds Length) {
+  std::mt19937_64 Random(Seed ^ StallSeed);
+  std::vector<Fault> Out;
+  for (milliseconds At(Random() % StallGapMs); At < Length;
+       At += milliseconds(MinGapMs + Random() % StallGapMs)) {
+    Fault Next;
+    Next.m_At = At;
+    Next.m_Length = std::min(
+        milliseconds(MinLengthMs + Random() % LengthSpreadMs), Length - At);
+    Next.m_Kind =
+        Random() % 3 == 0 ? FaultKind::StarveGateway : FaultKind::FreezeGateway;
+    Next.m_Selector = Random();
+    Out.push_back(Next);
+  }
+  return Out;
+}
+
 namespace {
 
 /// Injects one fault.
@@ -165,6 +188,16 @@
     m_System.signalGateway(m_GatewayIndex, SIGCONT);
     m_Checker.noteProcessDisturbance(m_GatewayIndex, false);
   }
+  void starveGateway() {
+    m_Checker.noteProcessDisturbance(m_GatewayIndex, true);
+    for (auto End = Clock::now() + m_Fault.m_Length; Clock::now() < End;) {
+      m_System.signalGateway(m_GatewayIndex, SIGSTOP);
+      tests::sleepFor(m_Context, StarvedTime, m_Yield);
+      m_System.signalGateway(m_GatewayIndex, SIGCONT);
+      tests::sleepFor(m_Context, RunningTime, m_Yield);
+    }
+    m_Checker.noteProcessDisturbance(m_GatewayIndex, false);
+  }
   void disturbStoreLink(tests::ProxyMode Mode, bool MustReset) {
     m_Checker.noteStorePathDisturbance(m_GatewayIndex, true);
     tests::LoopbackProxy &Link = m_System.storeProxy(m_GatewayIndex);
@@ -333,6 +366,8 @@
     return resetCallers();
   case FaultKind::CallerLinkSilent:
     return silenceCallers();
+  case FaultKind::StarveGateway:
+    return starveGateway();
   }
 }
 
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -49,6 +49,8 @@
   CallerLinkDelayed,
   CallerLinkReset,
   CallerLinkSilent,
+  // See drawStalls().
+  StarveGateway,
 };
 /// Number of kinds that drawFaults() uses.
 inline constexpr std::uint64_t RandomFaultKindCount =
@@ -56,7 +58,7 @@
 inline constexpr std::uint64_t BackpressureKindsEnd =
     static_cast<std::uint64_t>(FaultKind::TargetSaysItLeaves) + 1;
 inline constexpr std::uint64_t FaultKindCount =
-    static_cast<std::uint64_t>(FaultKind::CallerLinkSilent) + 1;
+    static_cast<std::uint64_t>(FaultKind::StarveGateway) + 1;
 
 const char *toString(FaultKind Kind);
 
@@ -93,6 +95,11 @@
 std::vector<Fault> drawCallerLinkFaults(std::uint64_t Seed,
                                         std::chrono::milliseconds Length);
 
+/// Returns times in which gateways stand still, or run for a small part of the
+/// time only; drawn separately, for the same reason.
+std::vector<Fault> drawStalls(std::uint64_t Seed,
+                              std::chrono::milliseconds Length);
+
 /// Injects a fault and removes it after its length, if it has one. Throws
 /// core::Error when the store can't be reached.
 void runFault(const Fault &Scheduled, Deployment &System, Callers &Sources,
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -282,7 +282,26 @@
 }
 
 void InvariantChecker::callerLeft(const std::string &Id) {
-  m_SentRequests.at(Id).m_HasCallerLeft = true;
+  SentRequest &Request = m_SentRequests.at(Id);
+  Request.m_HasCallerLeft = true;
+  Request.m_LeftAt = m_Now();
+}
+
+void InvariantChecker::noteLeftUnread(const std::string &Id) {
+  ++m_LeftUnread;
+  m_SentRequests.at(Id).m_LooksUnread = true;
+}
+
+void InvariantChecker::arrivedOverLink(const std::string &Id,
+                                       const void *Target) {
+  const SentRequest *Request = findRequest(Id);
+  // A proxy may hold back the end of its caller's connection, and a link the
+  // request itself.
+  if (!Request || !Request->m_LeftAt || Request->m_IsProxied ||
+      m_Now() <= *Request->m_LeftAt + bounds::AbandonedSlack ||
+      !m_TargetLinks[Target].hasEndedBefore(m_Now()))
+    return;
+  addViolation("abandoned", Id + " arrived after its caller had left");
 }
 
 void InvariantChecker::excuseDisturbed(std::vector<StreamRun> &Runs) {
@@ -510,6 +529,7 @@
   Out << "requests=" << m_SentRequests.size() << " served=" << Served
       << " refused=" << Refused << " unanswered=" << m_LostResponses
       << " reset_ends=" << m_ResetEnds << " empty_ends=" << m_EmptyEnds
+      << " left_unread=" << m_LeftUnread
       << " resumed_streams=" << m_ResumedStreams
       << " repeats=" << m_Repeats.size()
       << " bad_contents=" << m_BadContents.size()
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -39,6 +39,9 @@
 /// Time beyond the route's time limit by which a caller has a response.
 inline constexpr std::chrono::milliseconds ResponseSlack{500};
 inline constexpr std::chrono::milliseconds RollbackSlack{250};
+/// Time after its caller has left within which a request may still arrive at a
+/// target.
+inline constexpr std::chrono::milliseconds AbandonedSlack{500};
 /// Time within which a target stops to work on a stream that has gone on at
 /// another one.
 inline constexpr std::chrono::milliseconds StreamEndTime{400};
@@ -130,7 +133,8 @@
   /// Whether its connection ended without a byte of a response, so that its
   /// caller takes it for unread.
   bool m_LooksUnread = false;
-  bool m_HasCallerLeft = false; ///< Before the response was complete.
+  bool m_HasCallerLeft = false;      ///< Before the response was complete.
+  std::optional<TimePoint> m_LeftAt; ///< When its caller closed the connection.
 
   bool isRetryable() const {
     return m_Kind == RequestKind::Idempotent ||
@@ -210,8 +214,11 @@
   /// Records that the connection ended as if the request had not been read.
   /// \param IsReset whether it was reset.
   void noteUnreadEnd(const std::string &Id, bool IsReset);
-  /// Records that the caller closed the connection within a stream.
+  /// Records that the caller closed the connection.
   void callerLeft(const std::string &Id);
+  /// Records that its gateway had read nothing of the request when the caller
+  /// closed the connection, so that the caller may send it again.
+  void noteLeftUnread(const std::string &Id);
   /// Records a response that belongs to another request, or that is incomplete
   /// although it ended regularly.
   void wrongResponse(const std::string &Id, const std::string &Problem);
@@ -223,6 +230,9 @@
                       std::optional<TimePoint> LeavingSince);
   void arrivedAtIncarnation(const std::string &Id,
                             const std::string &Incarnation);
+  /// Records that a request arrived over the link of \p Target, which
+  /// noteLinkDisturbance() names.
+  void arrivedOverLink(const std::string &Id, const void *Target);
   /// Records the backpressure that the response to request \p Id stated, once
   /// it was delivered.
   /// \param SentAt time before which the gateway cannot have read it.
@@ -353,6 +363,7 @@
   std::map<std::string, std::vector<StreamRun>> m_StreamRuns; ///< By identity.
   std::size_t m_ResetEnds = 0;
   std::size_t m_EmptyEnds = 0;
+  std::size_t m_LeftUnread = 0;
   std::size_t m_ResumedStreams = 0;
   /// Requests in the smaller group of the comparison by time and of that by
   /// gateway, in the check of skews.
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(testRepeatedExecution);
   CPPUNIT_TEST(testExecutionInTwoAttempts);
   CPPUNIT_TEST(testExecutionThatLooksUnread);
+  CPPUNIT_TEST(testExecutionThatWasLeftUnread);
+  CPPUNIT_TEST(testArrivalAfterItsCallerHasLeft);
   CPPUNIT_TEST(testStreamAtTwoTargets);
   CPPUNIT_TEST(testExecutionAfterRefusal);
   CPPUNIT_TEST(testUnknownRequest);
@@ -121,6 +123,32 @@
     expectViolation("once");
   }
 
+  void testExecutionThatWasLeftUnread() {
+    std::string Id = send();
+    m_Checker.callerLeft(Id);
+    m_Checker.noteLeftUnread(Id);
+    expectNoViolation();
+    arriveAndExecute(Id);
+    expectViolation("once");
+  }
+
+  void testArrivalAfterItsCallerHasLeft() {
+    int Target = 0;
+    m_Checker.arrivedOverLink(send(), &Target);
+    std::string Id = send();
+    m_Checker.callerLeft(Id);
+    m_Now += bounds::AbandonedSlack;
+    m_Checker.arrivedOverLink(Id, &Target);
+    m_Now += milliseconds(1);
+    m_Checker.noteLinkDisturbance(&Target, true);
+    m_Checker.arrivedOverLink(Id, &Target);
+    m_Checker.noteLinkDisturbance(&Target, false);
+    expectNoViolation();
+    m_Now += bounds::SettleTime;
+    m_Checker.arrivedOverLink(Id, &Target);
+    expectViolation("abandoned");
+  }
+
   void testStreamAtTwoTargets() {
     resumeStream(bounds::StreamEndTime);
     expectNoViolation();
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -204,6 +204,7 @@
   m_Checker.requestArrived(Id, m_Name, m_LeavingSince);
   m_Checker.arrivedAtVersion(Id, m_Pool, m_Version);
   m_Checker.arrivedAtIncarnation(Id, incarnation());
+  m_Checker.arrivedOverLink(Id, this);
   if (m_IsDisturbed)
     m_Checker.noteTargetDisturbance(Id);
   if (headerOf(Request, "Expect-Replica") != m_Name)
--- a/Tests/Support/GatewayFleet.cpp
+++ b/Tests/Support/GatewayFleet.cpp
@@ -104,6 +104,11 @@
     kill(I);
 }
 
+void GatewayFleet::stall(std::size_t Index, std::chrono::milliseconds Time) {
+  asio::post(*m_Instances[Index].m_Context,
+             [Time] { std::this_thread::sleep_for(Time); });
+}
+
 bool GatewayFleet::waitUntilReady() {
   http::RequestMessage Message;
   Message.m_Method = "GET";
--- a/Tests/Support/GatewayFleet.h
+++ b/Tests/Support/GatewayFleet.h
@@ -31,6 +31,8 @@
   /// Stops the gateway without a shutdown, as SIGKILL does.
   void kill(std::size_t Index);
   void killAll();
+  /// Blocks the event loop of the gateway, as an overloaded machine does.
+  void stall(std::size_t Index, std::chrono::milliseconds Time);
   /// Waits until each gateway is ready and knows all others and all targets.
   /// \returns false on a timeout.
   bool waitUntilReady();
