LibHTTP: Tell how long a request had waited unread

Cause: after a stall of the event loop or the process nothing in the logs told requests that had lain in their sockets from those that had just come, which the hypotheses of the incident differ in. Change: TCP_INFO of the connection when a request is complete; unread_us in request-sent, request-forwarded and the lines that end a request. One system call a request; no decision uses it.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -46,6 +46,7 @@
       m_Sending(Owner.m_CallerServer->intake().transfers()),
       m_WakeTimer(Owner.m_Context) {
   m_Table = Owner.m_Table;
+  m_UnreadTime = Caller.unreadTime();
   m_Description = Owner.m_Wire.describe(Caller.request());
   if (m_Ticket) {
     m_Timing = ResponseTiming(m_Timing.arrivedAt() -
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -60,7 +60,8 @@
       .add("pool", m_Pool)
       .add("peer", Peer.toString())
       .add("try", m_Timing.attempts())
-      .add("waited_us", core::steadyNow() - m_Timing.arrivedAt());
+      .add("waited_us", core::steadyNow() - m_Timing.arrivedAt())
+      .add("unread_us", m_UnreadTime);
   m_Owner.m_Metrics.count("yardrill_forwarded_requests_total");
   auto Address = Peer.toTcp();
   std::unique_ptr<http::ClientConnection> Connection;
--- a/Libraries/LibGateway/RequestInfo.cpp
+++ b/Libraries/LibGateway/RequestInfo.cpp
@@ -37,6 +37,7 @@
       .add("target_version", m_Target->m_Version)
       .add("try", m_Timing.attempts())
       .add("waited_us", core::steadyNow() - m_Timing.arrivedAt())
+      .add("unread_us", m_UnreadTime)
       .add("configuration", m_Table->version())
       .add("store_revision", StoreRevision);
   if (m_Description.m_ResumedAttempt)
@@ -83,7 +84,8 @@
       .add("status", m_Status != 0 ? m_Status : ResponseStatus)
       .add("reason", m_Reason)
       .add("tries", m_Timing.attempts())
-      .add("total_us", Now - m_Timing.arrivedAt());
+      .add("total_us", Now - m_Timing.arrivedAt())
+      .add("unread_us", m_UnreadTime);
   if (m_Route)
     Line.add("late", toString(m_Timing.lateness(m_Route->m_FirstByteObjective,
                                                 m_Route->m_MaxEventGap, Now)));
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -36,6 +36,7 @@
   /// Where the stream has begun; none before its first event.
   std::optional<StreamOrigin> m_StreamOrigin;
   ResponseTiming m_Timing{core::steadyNow()};
+  core::Duration m_UnreadTime{}; ///< See http::Exchange::unreadTime().
   /// Wait for a slot that was predicted when the request began to wait.
   std::optional<core::Duration> m_PredictedWait;
   std::optional<routing::Target> m_Target; ///< Target of the current attempt.
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -55,6 +55,9 @@
   virtual ~Exchange() = default;
 
   virtual RequestMessage &request() = 0;
+  /// Returns how long the last bytes of the request had waited in the kernel
+  /// when they were read, in milliseconds' resolution; zero if it is unknown.
+  virtual core::Duration unreadTime() const = 0;
   virtual void sendResponse(ResponseMessage Response,
                             boost::asio::yield_context Yield) = 0;
   /// Sends the head of a response whose body follows with sendBodyData().
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibHTTP/SilenceDetection.h"
+#include "LibHTTP/SocketState.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -186,6 +187,7 @@
     return 503;
   if (Failure)
     return m_HasTimedOut ? 408 : statusForReadError(Failure, IsHeaderRead);
+  m_UnreadTime = timeSinceLastBytes(m_Stream.socket());
   m_KeepAlive = Parser.get().keep_alive();
   m_Request.m_Method = std::string(Parser.get().method_string());
   m_Request.m_Target = std::string(Parser.get().target());
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -47,6 +47,7 @@
   void closeWhenIdle();
 
   RequestMessage &request() override { return m_Request; }
+  core::Duration unreadTime() const override { return m_UnreadTime; }
   void sendResponse(ResponseMessage Response,
                     boost::asio::yield_context Yield) override;
   void startStream(const ResponseHead &Head,
@@ -124,6 +125,7 @@
   std::function<bool()> m_ShouldEndKeepAlive;
   boost::beast::flat_buffer m_Buffer;
   RequestMessage m_Request;
+  core::Duration m_UnreadTime{}; ///< Of m_Request.
   bool m_KeepAlive = true; ///< Whether the caller may send another request.
   bool m_IsKept = true;    ///< Whether the current response says so.
   bool m_IsIdle = true;
