LibGateway, LibInstance: Send no request whose caller has left

What callers saw: a caller that got no byte left and sent its request again elsewhere, and both ran (rule TWICE). Cause: whether a caller is still there was known only from an event of its connection, which the loop delivers in a later turn than the request that lies in front of it in the same socket. After any stall longer than a caller's patience the request was sent on; an idle connection to a target leaves no turn in between. Class: a decision that cannot be undone, taken on a state that is learned by events. Change: Exchange::isCallerConnected() looks at the socket; the gateway asks before it admits a request and right before each send to a target or a peer, also in later attempts and at the instance that a peer forwarded to; serve likewise. A connection that was taken for such a request goes back to its pool. Failures.AbandonedRequestTest (serve) was green before: it guards the same place.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -98,6 +98,11 @@
   m_WakeTimer.cancel();
 }
 
+bool GatewayRequest::hasCallerLeft() {
+  m_IsCallerGone = m_IsCallerGone || !m_Caller.isCallerConnected();
+  return m_IsCallerGone;
+}
+
 void GatewayRequest::breakOff() {
   m_IsBrokenOff = true;
   if (m_Connection)
@@ -283,6 +288,8 @@
 
 void GatewayRequest::run(asio::yield_context Yield) {
   m_Caller.setDisconnectCallback([this] { handleCallerDisconnect(); });
+  if (hasCallerLeft())
+    return finishAbandoned();
   if (!m_Ticket)
     waitForConfiguration(Yield);
   else if (const char *Reason = reasonNotToTake())
@@ -299,10 +306,8 @@
   auto Outcome = runAttempts(Yield);
   if (!Outcome)
     return;
-  if (*Outcome == AttemptOutcome::CallerGone) {
-    m_Reason = "caller-gone";
-    return finish("request-finished");
-  }
+  if (*Outcome == AttemptOutcome::CallerGone)
+    return finishAbandoned();
   if (*Outcome == AttemptOutcome::Complete) {
     noteStreamComplete();
     if (!m_IsPeerRefusal)
@@ -461,6 +466,13 @@
   finish("request-refused");
 }
 
+void GatewayRequest::finishAbandoned() {
+  m_Reason = "caller-gone";
+  if (!m_IsHandedOn)
+    m_Owner.m_Metrics.count("yardrill_abandoned_requests_total");
+  finish("request-finished");
+}
+
 void GatewayRequest::noteIfUnanswered(const char *Reason) const {
   if (!m_IsHandedOn || m_Caller.hasSentBytes())
     return;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -181,6 +181,11 @@
   /// Whether the request is a stream that is to begin within an objective.
   bool hasObjective() const;
   void handleCallerDisconnect();
+  /// Whether the caller has left. To be asked right before the request is sent,
+  /// with nothing that waits in between.
+  bool hasCallerLeft();
+  /// Ends a request whose caller has left.
+  void finishAbandoned();
   /// Records the outcome of an attempt, and frees the target's slot unless
   /// releaseSlot() has done so.
   void noteAttempt(AttemptOutcome Outcome);
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -73,13 +73,12 @@
       noteRefusedConnection(Yield);
     return AttemptOutcome::NotSent;
   }
-  if (m_IsCallerGone)
-    return AttemptOutcome::CallerGone;
   // Other instances may have reported target exits while it connected.
-  if (isQuarantined()) {
+  bool IsWithheld = isQuarantined();
+  if (IsWithheld || hasCallerLeft()) {
     m_Owner.m_Connections.release(Address, std::move(Connection),
                                   UnusedConnectionIdleTime);
-    return AttemptOutcome::Withheld;
+    return IsWithheld ? AttemptOutcome::Withheld : AttemptOutcome::CallerGone;
   }
   m_Connection = Connection.get();
   AttemptOutcome Result = AttemptOutcome::Failed;
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -71,8 +71,11 @@
     logForwardFailure(Peer, Failure.what());
     return AttemptOutcome::NotSent;
   }
-  if (m_IsCallerGone)
+  if (hasCallerLeft()) {
+    m_Owner.m_PeerConnections.release(Address, std::move(Connection),
+                                      PeerConnectionIdleTime);
     return AttemptOutcome::CallerGone;
+  }
   m_Connection = Connection.get();
   AttemptOutcome Result = AttemptOutcome::Failed;
   try {
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -72,6 +72,11 @@
   /// Sets a function that is called once if the caller disconnects before the
   /// response is complete.
   virtual void setDisconnectCallback(std::function<void()> Callback) = 0;
+  /// Returns whether the caller is still connected, by a look at the connection
+  /// itself: the event loop may not have noticed its end yet. A request may be
+  /// sent on only right after that, since a caller that leaves an unread
+  /// request sends it again.
+  virtual bool isCallerConnected() = 0;
   virtual bool isStreamStarted() const = 0;
   /// Returns whether any byte of the response was handed to the kernel. A
   /// caller that saw none may take its request for unread, and send it again.
--- a/Libraries/LibHTTP/ServerConnection.cpp
+++ b/Libraries/LibHTTP/ServerConnection.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <poll.h>
 
 namespace yardrill::http {
 
@@ -271,6 +270,10 @@
     *m_DisconnectCallback = std::move(Callback);
 }
 
+bool ServerConnection::isCallerConnected() {
+  return isPeerConnected(m_Stream.socket());
+}
+
 void ServerConnection::watchForDisconnect() {
   m_DisconnectCallback = std::make_shared<std::function<void()>>();
   waitForDisconnect(m_DisconnectCallback);
@@ -307,8 +310,7 @@
     // Without a callback the response is complete; `this` may be deleted.
     if (!Callback || Failure)
       return;
-    pollfd State{m_Stream.socket().native_handle(), POLLRDHUP, 0};
-    if (::poll(&State, 1, 0) == 0)
+    if (isCallerConnected())
       return pollForDisconnect(Weak);
     if (*Callback)
       (*Callback)();
--- a/Libraries/LibHTTP/ServerConnection.h
+++ b/Libraries/LibHTTP/ServerConnection.h
@@ -57,6 +57,7 @@
   void finishStream(boost::asio::yield_context Yield) override;
   void abort() override;
   void setDisconnectCallback(std::function<void()> Callback) override;
+  bool isCallerConnected() override;
   bool isStreamStarted() const override { return m_IsStreamStarted; }
   bool hasSentBytes() const override { return m_HasSentBytes; }
 
--- a/Libraries/LibInstance/OpenRequest.cpp
+++ b/Libraries/LibInstance/OpenRequest.cpp
@@ -100,6 +100,12 @@
     m_Traffic.m_Hooks.m_Push(decision::CallerDisconnected{m_Id});
 }
 
+bool OpenRequest::maySend() {
+  m_IsCallerDisconnected =
+      m_IsCallerDisconnected || !m_Caller.isCallerConnected();
+  return !m_IsCallerDisconnected || m_IsStoringResponse;
+}
+
 //===----------------------------------------------------------------------===//
 // Dispatch to a target
 //===----------------------------------------------------------------------===//
@@ -116,7 +122,7 @@
     // Cancelled before a byte was sent. Like every eviction it is reported as
     // outcome unknown, which is never wrong.
     Outcome = ResponseOutcome::Evicted;
-  } else if (!m_IsCallerDisconnected || m_IsStoringResponse) {
+  } else if (maySend()) {
     std::unique_ptr<http::ClientConnection> Target;
     try {
       Target = m_Traffic.m_Targets.acquire(CoreAction.m_Address.toTcp(),
@@ -139,7 +145,7 @@
     // while the connection was opened.
     if (m_IsEvicted)
       Outcome = ResponseOutcome::Evicted;
-    else if (!m_IsCallerDisconnected || m_IsStoringResponse)
+    else if (maySend())
       Outcome = runAtTarget(*Target, Yield);
     m_Target = nullptr;
     if (Outcome == ResponseOutcome::Complete)
@@ -317,6 +323,8 @@
                                              true, Yield);
     if (m_IsBrokenOff)
       return failRequest(RefusalKind::Stopping, Yield);
+    if (!maySend())
+      return finish("caller-left");
     m_Target = Owner.get();
     Owner->sendRequest(Request, m_Traffic.m_Settings.m_Targets.m_SilenceTimeout,
                        Yield);
--- a/Libraries/LibInstance/OpenRequest.h
+++ b/Libraries/LibInstance/OpenRequest.h
@@ -60,6 +60,10 @@
   /// is being stored.
   void recordBodyData(const std::string &Data);
   void handleCallerDisconnect();
+  /// Whether the request may be sent: its caller is still there, or a repeat of
+  /// the request would get the stored response. To be asked right before it is
+  /// sent, with nothing that waits in between.
+  bool maySend();
   /// Resets the caller's connection if a response has begun, else sends a
   /// problem.
   void failRequest(decision::RefusalKind Kind,
