LibGateway: Relay no promise that a target has not made

What callers see: a target that answers 503, 429 or 408 without saying that it did not run the request had its status relayed; a caller takes that for a promise, and sends a request that runs once again. Change: on a route that runs once such an attempt has failed, and its caller gets 502. Routes that may run again are unchanged: there the promise costs nothing. GatewayTest::testRefusalThatMayHaveRunIsNoPromise: 503 relayed before, 502 after.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -54,6 +54,9 @@
   std::string m_Id;        ///< Id of the request that it belongs to.
   bool m_IsSigned = false; ///< Whether it has the target's signature.
   bool m_IsNotRun = false; ///< Whether the target did not run the request.
+  /// Whether callers take the status for a promise that the request did not
+  /// run, though the target has not said so.
+  bool m_IsUnprovenRefusal = false;
   /// Whether another target than the addressed one received the request.
   bool m_IsMisdirected = false;
   bool m_IsEncoded = false; ///< Whether the body is not as the target made it.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -238,6 +238,11 @@
     }
     // The refusal is not relayed to the caller, and holds whatever follows it.
     Connection.discardBody(MaxRefusalBodyTime, MaxSurplusBytes, Yield);
+  } else if (Info.m_IsUnprovenRefusal && !m_Route->isRetryable()) {
+    // The caller would send it again, though it may have run.
+    m_Reason = "unproven-refusal";
+    logTargetRefusal(Head.m_Status);
+    return AttemptOutcome::Failed;
   } else {
     stateStreamOrigin(Head);
     Result = relayResponse(Connection, Head, Info, true, Yield);
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testEarlyRequestWaitsForConfiguration);
   CPPUNIT_TEST(testRejectsInvalidRequests);
   CPPUNIT_TEST(testNonIdempotentRequestRunsOnce);
+  CPPUNIT_TEST(testRefusalThatMayHaveRunIsNoPromise);
   CPPUNIT_TEST(testRetriesAfterTargetRefusal);
   CPPUNIT_TEST(testReplacedTargetIsNotUsed);
   CPPUNIT_TEST(testRestartedTargetGetsNewConnections);
@@ -101,6 +102,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), requestCount());
   }
 
+  void testRefusalThatMayHaveRunIsNoPromise() {
+    static std::string Status;
+    addTarget([](const Request &Received) {
+      return completeResponse(Received, "", Status);
+    });
+    start();
+    for (const char *Each : {"503 Service Unavailable", "429 Too Many Requests",
+                             "408 Request Timeout"})
+      for (const char *Path : {"/once/x", "/fragile/x"}) {
+        Status = Each;
+        CPPUNIT_ASSERT_EQUAL(502U, send(request(Path)).m_Status);
+      }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), requestCount());
+  }
+
   void testRetriesAfterTargetRefusal() {
     // The first target that receives a request refuses it.
     std::set<std::string> Seen;
