LibGateway: Count the time that a request waits unread

What callers see: a request that had lain in its socket for longer than its Deadline-Ms was given that time anew once the event loop went on; it ran for a caller that no longer waited, and targets were told more time than remained. Cause: the deadline was reckoned from the moment of reading. Weighed: SO_TIMESTAMP (does not exist for streams), the time of accept (tells nothing of kept connections), the loop's own measured stall (an upper bound for all, so requests that have just come would lose time); TCP_INFO tells the time since the last bytes, which is at most the time for which the request has waited. AbandonedRequestTest::testRequestThatWasReadAfterItsDeadline: 200 before, 503 after.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -46,7 +46,9 @@
       m_Sending(Owner.m_CallerServer->intake().transfers()),
       m_WakeTimer(Owner.m_Context) {
   m_Table = Owner.m_Table;
+  // The caller's time runs while its request waits in the kernel.
   m_UnreadTime = Caller.unreadTime();
+  m_Timing = ResponseTiming(m_Timing.arrivedAt() - m_UnreadTime);
   m_Description = Owner.m_Wire.describe(Caller.request());
   if (m_Ticket) {
     m_Timing = ResponseTiming(m_Timing.arrivedAt() -
--- a/Tests/LibGateway/AbandonedRequestTest.cpp
+++ b/Tests/LibGateway/AbandonedRequestTest.cpp
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(testCallerThatLeavesBehindFurtherBytes);
   CPPUNIT_TEST(testCallerThatLeavesAPeerThatStandsStill);
   CPPUNIT_TEST(testCallerThatLeavesBeforeItsRequestIsForwarded);
+  CPPUNIT_TEST(testRequestThatWasReadAfterItsDeadline);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int Steps = 8;
@@ -171,6 +172,17 @@
   void testCallerThatLeavesBeforeItsRequestIsForwarded() {
     assertNoneRuns(0, 0);
   }
+
+  void testRequestThatWasReadAfterItsDeadline() {
+    GatewayFleet Fleet(1, Targets);
+    Fleet.startAll();
+    CPPUNIT_ASSERT(Fleet.waitUntilReady());
+    Fleet.stall(0, StallTime);
+    http::RequestMessage Late = GatewayFleet::request("/once/x", "late");
+    Late.m_Headers.set("Deadline-Ms", std::to_string(Patience.count()));
+    CPPUNIT_ASSERT_EQUAL(503U, call(Fleet.callerPort(0), Late).m_Status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.arrivalsOf("late"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AbandonedRequestTest);
