Tests/LibGateway: Cut responses after each byte

Report: a target that stops in the middle of its head, and callers that got a success with an empty or short body, framed as whole.

--- a/Tests/Support/ExitingTarget.h
+++ b/Tests/Support/ExitingTarget.h
@@ -168,6 +168,14 @@
   std::string versionedEvent(int Id) const {
     return chunk("id: " + std::to_string(Id) + "\ndata: " + m_Version + "\n\n");
   }
+  /// Sends the first \p Bytes of a response and closes the connection.
+  static void cutResponse(tcp::socket &Socket, const std::string &Response,
+                          const std::string &Bytes, asio::yield_context Yield) {
+    boost::system::error_code Ignored;
+    asio::async_write(Socket, asio::buffer(Response, std::stoul(Bytes)),
+                      Yield[Ignored]);
+    Socket.close(Ignored);
+  }
   void exitUnderRequest() {
     {
       std::lock_guard<std::mutex> Lock(m_ArrivalLog.m_Mutex);
@@ -222,6 +230,9 @@
         if (!Received["Last-Event-Id"].empty())
           Response = streamHead(Received) + Response;
       }
+      if (!Received["Test-Cut"].empty())
+        return cutResponse(*Socket, Response, std::string(Received["Test-Cut"]),
+                           Yield);
       if (!m_Backpressure.m_RefusesRequests)
         work(Work, Yield);
       if (!Socket->is_open())
