LibGateway: Keep origins of open streams in the store

Cause: where a stream began was known to instances only, and all lost power at once. StreamVersionTest::testStreamsKeepTheirVersionsWhenAllInstancesRestart (two losses within seconds): red without the write, green with it. Open: all instances lost while one version serves; the last half second of streams.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -117,7 +117,8 @@
                 m_Settings.m_DataHall, m_Metrics, lendingHooks()),
       m_Quarantine(Context, Store, quarantineHooks()),
       m_Freshness(Context, Store, m_Mirror),
-      m_StreamOrigins(Context, m_Timers, streamOriginHooks(),
+      m_StreamOrigins(Context, m_Timers, Store, m_Settings.m_PeerAddress,
+                      streamOriginHooks(),
                       [this](const config::Endpoint &Instance) {
                         return isKnownSilent(Instance);
                       }),
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -3,6 +3,7 @@
 
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
+#include "LibGateway/StreamOriginRecord.h"
 
 namespace yardrill::gateway {
 
@@ -76,6 +77,8 @@
     return;
   if (m_Quarantine.isRecordKey(Change.m_Key))
     return m_Quarantine.applyEntry(Change);
+  if (StreamOriginRecord::isRecordKey(Change.m_Key))
+    return m_StreamOrigins.applyEntry(Change);
   if (m_Rollouts.applyRecord(Change))
     return scheduleRolloutUpkeep();
   core::TimePoint Begin = core::steadyNow();
--- a/Libraries/LibGateway/StoreRecord.cpp
+++ b/Libraries/LibGateway/StoreRecord.cpp
@@ -33,10 +33,20 @@
       asio::detached);
 }
 
+std::optional<platform::LeaseId> StoreRecord::lease(asio::yield_context Yield) {
+  core::TimePoint Now = core::steadyNow();
+  if (!m_Lifetime || (m_Lease && Now - m_LeaseGrantedAt < *m_Lifetime / 2))
+    return m_Lease;
+  m_Lease =
+      m_Store.grantLease(*m_Lifetime, platform::CallClass::Control, Yield);
+  m_LeaseGrantedAt = Now;
+  return m_Lease;
+}
+
 void StoreRecord::writeNow(const std::string &Text, asio::yield_context Yield) {
   std::string Key = keyOf(m_Name);
-  platform::CompareAndSwap Swap{Key, m_Revision, {{Key, Text, std::nullopt}}};
   try {
+    platform::CompareAndSwap Swap{Key, m_Revision, {{Key, Text, lease(Yield)}}};
     bool IsWritten =
         m_Store.compareAndSwap(Swap, platform::CallClass::Control, Yield)
             .m_IsSwapped;
@@ -45,6 +55,8 @@
         .add("bytes", Text.size())
         .add("is_written", IsWritten);
   } catch (const core::Error &Failure) {
+    // The lease may have ended.
+    m_Lease.reset();
     core::LogLine("record-not-written", core::LogLevel::Warning)
         .add("record", m_Name)
         .add("reason", Failure.what());
--- a/Libraries/LibGateway/StoreRecord.h
+++ b/Libraries/LibGateway/StoreRecord.h
@@ -16,16 +16,20 @@
 
 namespace yardrill::gateway {
 
-/// Text under one key; used by MembershipRecord and QuarantineService.
+/// Text under one key; used by MembershipRecord, QuarantineService and
+/// StreamOriginService.
 class StoreRecord {
 public:
   /// \param Name of the record, also in the log events of its writes.
   /// \param WritePeriod minimum time between two attempts to write.
+  /// \param Lifetime time after its last write within which the store removes
+  /// the entry, at the earliest after half of it; none: it stays.
   StoreRecord(boost::asio::io_context &Context,
               platform::KeyValueService &Store, std::string Name,
-              core::Duration WritePeriod)
+              core::Duration WritePeriod,
+              std::optional<std::chrono::seconds> Lifetime = std::nullopt)
       : m_Context(Context), m_Store(Store), m_Name(std::move(Name)),
-        m_WritePeriod(WritePeriod) {}
+        m_WritePeriod(WritePeriod), m_Lifetime(Lifetime) {}
 
   /// Returns the key of the record called \p Name.
   static std::string keyOf(const std::string &Name) {
@@ -46,12 +50,17 @@
   void logUnreadable(const platform::Entry &Change) const;
 
 private:
+  /// Returns the lease of the next write, which a new one replaces in time.
+  std::optional<platform::LeaseId> lease(boost::asio::yield_context Yield);
   void writeNow(const std::string &Text, boost::asio::yield_context Yield);
 
   boost::asio::io_context &m_Context;
   platform::KeyValueService &m_Store;
   std::string m_Name;
   core::Duration m_WritePeriod;
+  std::optional<std::chrono::seconds> m_Lifetime;
+  std::optional<platform::LeaseId> m_Lease;
+  core::TimePoint m_LeaseGrantedAt{};
   platform::Revision m_Revision; ///< Of the entry; 0: absent
   std::string m_Text;
   core::TimePoint m_LastAttemptAt{};
--- a/Libraries/LibGateway/StreamOriginExchange.cpp
+++ b/Libraries/LibGateway/StreamOriginExchange.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/StreamOriginExchange.h"
 
 #include "LibCore/Log.h"
+#include "LibGateway/StreamOriginRecord.h"
 
 namespace yardrill::gateway {
 
@@ -56,6 +57,25 @@
   }
 }
 
+void StreamOriginExchange::takeOver(const std::string &RecordText,
+                                    core::TimePoint KeptUntil) {
+  for (auto &[Key, Origin] : StreamOriginRecord::parse(RecordText))
+    if (!m_Table.find(Key))
+      m_Table.put(Key, {std::move(Origin), KeptUntil, {}, true, true});
+}
+
+std::string StreamOriginExchange::recordText(core::TimePoint Now) const {
+  std::string Out;
+  std::size_t Count = 0;
+  for (const auto &[Key, Record] : m_Table.all())
+    if (Count < MaxRecordedStreams && Record.m_IsOwn &&
+        Record.m_KeptUntil > Now && mustReplicate(Record.m_Route)) {
+      StreamOriginRecord::append(Out, Key, Record.m_Origin);
+      ++Count;
+    }
+  return Out;
+}
+
 void StreamOriginExchange::handleUpdate(const peer::StreamOriginUpdate &Update,
                                         core::TimePoint Now) {
   for (const peer::StreamOriginEntry &Each : Update.m_Entries) {
@@ -74,6 +94,8 @@
                                   const StreamRoute &Route, OnFound Found) {
   if (const StreamRecord *Record = m_Table.find(Key))
     return Found(Record->m_Origin);
+  if (auto Recorded = m_Hooks.m_FindRecorded(Key))
+    return Found(std::move(Recorded));
   m_Hooks.m_ConfirmOnlyVersion(
       Route,
       [this, Key, Route, Found = std::move(Found)](
--- a/Libraries/LibGateway/StreamOriginExchange.h
+++ b/Libraries/LibGateway/StreamOriginExchange.h
@@ -5,7 +5,8 @@
 // version only, that is the version of all its streams. Otherwise the instance
 // that relays a stream's first event also tells it a few others, chosen by the
 // key of the stream, before its caller gets the event. An instance that doesn't
-// know where a stream began asks these.
+// know where a stream began looks into records in the store, which outlive all
+// instances but may lack the newest streams, and then asks these.
 //
 // Does no I/O and reads no clock, so that whole fleets can be simulated.
 //
@@ -47,6 +48,8 @@
       m_OnlyVersion;
   /// Whether this instance would know of a new version by now.
   std::function<bool()> m_IsUpToDate;
+  /// Returns what records in the store tell of a stream; none if nothing.
+  std::function<std::optional<StreamOrigin>(const StreamKey &)> m_FindRecorded;
   /// Calls back with the result of m_OnlyVersion once this instance knows all
   /// versions that were announced before the call; with none if it can't tell.
   std::function<void(const StreamRoute &, VersionCallback)>
@@ -81,6 +84,11 @@
   /// Repeats queries and ends lookups. To be called every QueryPeriod while
   /// hasLookups().
   void pollLookups(core::TimePoint Now);
+  /// Takes over what this instance had recorded before it restarted.
+  void takeOver(const std::string &RecordText, core::TimePoint KeptUntil);
+  /// Returns the text of a StreamOriginRecord of the open streams that this
+  /// instance relays and whose origins other instances need.
+  std::string recordText(core::TimePoint Now) const;
   /// Removes old records. To be called about once a second.
   void removeExpired(core::TimePoint Now) { m_Table.removeExpired(Now); }
   bool hasLookups() const { return !m_Lookups.empty(); }
@@ -90,6 +98,8 @@
   static constexpr std::chrono::milliseconds QueryPeriod{25};
   /// Time after which a stream whose origin nobody has told is unknown.
   static constexpr std::chrono::milliseconds LookupTimeout{150};
+  /// Bound of the streams in a record.
+  static constexpr std::size_t MaxRecordedStreams = 1024;
 
 private:
   struct Lookup {
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -1,6 +1,9 @@
 #include "LibGateway/StreamOriginService.h"
 
 #include "LibCore/Timer.h"
+#include "LibGateway/StreamOriginRecord.h"
+
+#include <algorithm>
 
 #include <memory>
 
@@ -10,10 +13,13 @@
 
 StreamOriginService::StreamOriginService(
     asio::io_context &Context, core::TimerService &Timers,
+    platform::KeyValueService &Store, const config::Endpoint &Self,
     StreamOriginHooks Hooks,
     std::function<bool(const config::Endpoint &)> IsSilent)
     : m_Context(Context), m_Timers(Timers), m_IsSilent(std::move(IsSilent)),
-      m_Exchange(withInstances(std::move(Hooks))) {}
+      m_Exchange(withInstances(std::move(Hooks))),
+      m_Record(Context, Store, StreamOriginRecord::nameOf(Self),
+               MinRecordPeriod / 2, RecordLifetime) {}
 
 StreamOriginHooks StreamOriginService::withInstances(StreamOriginHooks Hooks) {
   Hooks.m_ReplicaHolders = [this](const StreamKey &Key) {
@@ -33,9 +39,33 @@
   Hooks.m_Asked = [this](const StreamKey &Key) {
     return select(Key, MaxAsked);
   };
+  Hooks.m_FindRecorded = [this](const StreamKey &Key) {
+    return findRecorded(Key);
+  };
   return Hooks;
 }
 
+std::optional<StreamOrigin>
+StreamOriginService::findRecorded(const StreamKey &Key) const {
+  for (const auto &[RecordKey, Text] : m_RecordTexts)
+    if (auto Found = StreamOriginRecord::find(Text, Key))
+      return Found;
+  return std::nullopt;
+}
+
+void StreamOriginService::applyEntry(const platform::Entry &Change) {
+  if (m_Record.isRecordKey(Change.m_Key)) {
+    m_Record.read(Change);
+    // The first write after a restart replaces the record.
+    if (m_RecordedAt == core::TimePoint())
+      m_Exchange.takeOver(Change.m_Value, core::steadyNow() + RecordLifetime);
+  }
+  if (Change.m_IsDeleted)
+    m_RecordTexts.erase(Change.m_Key);
+  else
+    m_RecordTexts[Change.m_Key] = Change.m_Value;
+}
+
 std::vector<config::Endpoint>
 StreamOriginService::select(const StreamKey &Key, std::size_t Count) const {
   return m_Others.select(
@@ -99,6 +129,20 @@
 void StreamOriginService::upkeep(core::TimePoint Now) {
   m_Exchange.removeExpired(Now);
   m_Exchange.replicate(Now);
+  writeRecord(Now);
+}
+
+void StreamOriginService::writeRecord(core::TimePoint Now) {
+  core::Duration Period = std::max<core::Duration>(
+      MinRecordPeriod, core::fromSeconds(static_cast<double>(m_InstanceCount) /
+                                         RecordsPerSecond));
+  if (Now - m_RecordedAt < Period)
+    return;
+  std::string Text = m_Exchange.recordText(Now);
+  if (Text == m_Record.text())
+    return;
+  m_RecordedAt = Now;
+  m_Record.write(Text, Now);
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StreamOriginTable.h
+++ b/Libraries/LibGateway/StreamOriginTable.h
@@ -37,6 +37,7 @@
   /// Returns the record, or null if there is none.
   StreamRecord *find(const StreamKey &Key);
   Records &all() { return m_Records; }
+  const Records &all() const { return m_Records; }
   std::size_t size() const { return m_Records.size(); }
 
 private:
--- a/Tests/LibGateway/StreamVersionTest.cpp
+++ b/Tests/LibGateway/StreamVersionTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(StreamVersionTest);
   CPPUNIT_TEST(testStreamLeftByItsCallerKeepsItsVersion);
   CPPUNIT_TEST(testStreamOfAKilledInstanceKeepsItsVersion);
+  CPPUNIT_TEST(testStreamsKeepTheirVersionsWhenAllInstancesRestart);
   CPPUNIT_TEST(testStreamWhoseTargetExitsKeepsItsVersion);
   CPPUNIT_TEST(testStreamOfAnUnknownVersionDoesNotGoOn);
   CPPUNIT_TEST(testStreamGoesOnWhileOneVersionServes);
@@ -165,6 +166,25 @@
     assertEachKeepsItsVersion(All);
   }
 
+  void testStreamsKeepTheirVersionsWhenAllInstancesRestart() {
+    GatewayFleet Fleet(Gateways, Targets);
+    startMixed(Fleet);
+    std::vector<std::future<Stream>> Calls = beginAll(Fleet, Gateways);
+    std::this_thread::sleep_for(milliseconds(900));
+    std::vector<Stream> All;
+    // A second loss within seconds.
+    for (int I = 0; I < 2; ++I) {
+      Fleet.killAll();
+      Fleet.startAll();
+      CPPUNIT_ASSERT(Fleet.waitUntilReady());
+      std::this_thread::sleep_for(milliseconds(700));
+    }
+    for (auto &Each : Calls)
+      All.push_back(Each.get());
+    resumeElsewhere(Fleet, All);
+    assertEachKeepsItsVersion(All);
+  }
+
   void testStreamWhoseTargetExitsKeepsItsVersion() {
     GatewayFleet Fleet(Gateways, Targets);
     startMixed(Fleet);
--- a/Tests/Support/StreamOriginSimulation.cpp
+++ b/Tests/Support/StreamOriginSimulation.cpp
@@ -264,6 +264,10 @@
 
 gateway::StreamOriginHooks StreamOriginSimulation::hooks(std::size_t Index) {
   gateway::StreamOriginHooks Out;
+  // Without records in the store.
+  Out.m_FindRecorded = [](const gateway::StreamKey &) {
+    return std::optional<gateway::StreamOrigin>();
+  };
   Out.m_Send = [this, Index](const std::vector<config::Endpoint> &To,
                              const peer::PeerBody &Body) {
     send(Index, To, Body);
