Tests/Soak: Check the versions of streams that go on

ORDER by real processes was not checked: events of two versions look alike in the soak. A stream that is resumed behind its first event at a target of another version than before is a violation now, in all disturbances, kills of all gateways within roll-outs among them. InvariantCheckerTest covers the check.

--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -324,6 +324,20 @@
       {Id, Target, Request->m_Gateway, m_Now(), std::nullopt, false});
 }
 
+void InvariantChecker::streamAtVersion(const std::string &Id,
+                                       const std::string &Version,
+                                       bool IsResumed) {
+  const SentRequest *Request = findRequest(Id);
+  if (!Request)
+    return;
+  std::string &Known = m_StreamVersions[Request->m_Identity];
+  if (IsResumed && Known != Version)
+    addViolation("order", "stream " + Request->m_Identity + " of version " +
+                              Known + " went on as " + Id + " at version " +
+                              Version);
+  Known = Version;
+}
+
 void InvariantChecker::streamEnded(const std::string &Id, const void *Target) {
   const SentRequest *Request = findRequest(Id);
   if (!Request)
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -249,6 +249,10 @@
   /// Records that a target works on a stream, or (ended) no longer does.
   void streamBegan(const std::string &Id, const void *Target);
   void streamEnded(const std::string &Id, const void *Target);
+  /// Records the version of the target that works on a stream.
+  /// \param IsResumed whether its caller has events of it already.
+  void streamAtVersion(const std::string &Id, const std::string &Version,
+                       bool IsResumed);
   void noteTargetDisturbance(const std::string &Id);
   /// Records that gateways may not be able to connect to a target, or that they
   /// are again.
@@ -361,6 +365,7 @@
   /// Executions by the identity of requests that aren't retryable.
   std::map<std::string, std::size_t> m_Executions;
   std::map<std::string, std::vector<StreamRun>> m_StreamRuns; ///< By identity.
+  std::map<std::string, std::string> m_StreamVersions;        ///< By identity.
   std::size_t m_ResetEnds = 0;
   std::size_t m_EmptyEnds = 0;
   std::size_t m_LeftUnread = 0;
--- a/Tests/Soak/InvariantCheckerTest.cpp
+++ b/Tests/Soak/InvariantCheckerTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(testExecutionThatWasLeftUnread);
   CPPUNIT_TEST(testArrivalAfterItsCallerHasLeft);
   CPPUNIT_TEST(testStreamAtTwoTargets);
+  CPPUNIT_TEST(testStreamAtTwoVersions);
   CPPUNIT_TEST(testExecutionAfterRefusal);
   CPPUNIT_TEST(testUnknownRequest);
   CPPUNIT_TEST(testDeniedRequest);
@@ -161,6 +162,17 @@
     expectViolation("once");
   }
 
+  void testStreamAtTwoVersions() {
+    std::string First = send(RequestKind::ResumableStream);
+    m_Checker.streamAtVersion(First, "v1", false);
+    m_Checker.streamAtVersion(First, "v2", false);
+    std::string Next = send(RequestKind::ResumableStream, "open", First);
+    m_Checker.streamAtVersion(Next, "v2", true);
+    expectNoViolation();
+    m_Checker.streamAtVersion(Next, "v1", true);
+    expectViolation("order");
+  }
+
   void testSkewedConnections() {
     sendAndAnswer(100, 96);
     m_Checker.noteSkew(0);
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -234,6 +234,8 @@
   auto RunningEntry = m_Running.insert(Id);
   if (m_Pool == "engine") {
     m_Checker.streamBegan(Id, this);
+    m_Checker.streamAtVersion(Id, m_Version,
+                              !headerOf(Request, "Last-Event-Id").empty());
     Call.setDisconnectCallback([this, Id] { m_Checker.streamEnded(Id, this); });
   }
   try {
