--- a/Tests/LibGateway/AbandonedRequestTest.cpp
+++ b/Tests/LibGateway/AbandonedRequestTest.cpp
@@ -70,13 +70,6 @@
     m_Context.run_for(Time);
     m_Context.restart();
   }
-  template <class Condition> bool runUntil(Condition IsDone) {
-    auto End = std::chrono::steady_clock::now() + milliseconds(2000);
-    while (!IsDone() && std::chrono::steady_clock::now() < End)
-      m_Context.run_one_for(milliseconds(10));
-    m_Context.restart();
-    return IsDone();
-  }
 
 private:
   asio::io_context m_TargetContext;
--- a/Tests/LibGateway/SteppedStopTest.cpp
+++ b/Tests/LibGateway/SteppedStopTest.cpp
@@ -9,7 +9,6 @@
 using namespace yardrill;
 using namespace yardrill::tests;
 using boost::system::error_code;
-using std::chrono::milliseconds;
 
 class SteppedStopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SteppedStopTest);
@@ -23,7 +22,6 @@
   /// Number of handlers of the event loop within which a calm request is
   /// served.
   static constexpr int Steps = 40;
-  static constexpr milliseconds StopTime{2000};
 
   /// One gateway that is stopped while it handles a request.
   class Run : public GatewayFixture {
@@ -88,13 +86,6 @@
       m_Caller.non_blocking(true);
       asio::read(m_Caller, asio::dynamic_buffer(m_Received), Ignored);
     }
-    template <class Condition> bool runUntil(Condition IsDone) {
-      auto End = std::chrono::steady_clock::now() + StopTime;
-      while (!IsDone() && std::chrono::steady_clock::now() < End)
-        m_Context.run_one_for(milliseconds(10));
-      m_Context.restart();
-      return IsDone();
-    }
 
     asio::io_context m_CallerContext;
     tcp::socket m_Caller{m_CallerContext};
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -117,41 +117,39 @@
   return Out;
 }
 
-std::vector<Fault> drawCallerLinkFaults(std::uint64_t Seed,
-                                        milliseconds Length) {
-  static constexpr FaultKind Kinds[] = {
-      FaultKind::CallerLinkDelayed, FaultKind::CallerLinkReset,
-      FaultKind::CallerLinkReset, FaultKind::CallerLinkSilent};
-  std::mt19937_64 Random(Seed ^ CallerLinkSeed);
+/// Draws overlapping faults of \p Kinds with random gaps below \p GapMs.
+template <std::size_t Count>
+static std::vector<Fault> drawKinds(std::uint64_t Seed, milliseconds Length,
+                                    std::uint64_t GapMs,
+                                    const FaultKind (&Kinds)[Count]) {
+  std::mt19937_64 Random(Seed);
   std::vector<Fault> Out;
-  for (milliseconds At(Random() % CallerLinkGapMs); At < Length;
-       At += milliseconds(MinGapMs + Random() % CallerLinkGapMs)) {
+  for (milliseconds At(Random() % GapMs); At < Length;
+       At += milliseconds(MinGapMs + Random() % GapMs)) {
     Fault Next;
     Next.m_At = At;
     Next.m_Length = std::min(
         milliseconds(MinLengthMs + Random() % LengthSpreadMs), Length - At);
-    Next.m_Kind = Kinds[Random() % std::size(Kinds)];
+    Next.m_Kind = Kinds[Random() % Count];
     Next.m_Selector = Random();
     Out.push_back(Next);
   }
   return Out;
 }
 
+std::vector<Fault> drawCallerLinkFaults(std::uint64_t Seed,
+                                        milliseconds Length) {
+  static constexpr FaultKind Kinds[] = {
+      FaultKind::CallerLinkDelayed, FaultKind::CallerLinkReset,
+      FaultKind::CallerLinkReset, FaultKind::CallerLinkSilent};
+  return drawKinds(Seed ^ CallerLinkSeed, Length, CallerLinkGapMs, Kinds);
+}
+
 std::vector<Fault> drawStalls(std::uint64_t Seed, milliseconds Length) {
-  std::mt19937_64 Random(Seed ^ StallSeed);
-  std::vector<Fault> Out;
-  for (milliseconds At(Random() % StallGapMs); At < Length;
-       At += milliseconds(MinGapMs + Random() % StallGapMs)) {
-    Fault Next;
-    Next.m_At = At;
-    Next.m_Length = std::min(
-        milliseconds(MinLengthMs + Random() % LengthSpreadMs), Length - At);
-    Next.m_Kind =
-        Random() % 3 == 0 ? FaultKind::StarveGateway : FaultKind::FreezeGateway;
-    Next.m_Selector = Random();
-    Out.push_back(Next);
-  }
-  return Out;
+  static constexpr FaultKind Kinds[] = {FaultKind::StarveGateway,
+                                        FaultKind::FreezeGateway,
+                                        FaultKind::FreezeGateway};
+  return drawKinds(Seed ^ StallSeed, Length, StallGapMs, Kinds);
 }
 
 namespace {
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -122,6 +122,16 @@
                     .build(m_Context);
     m_Gateway->start();
   }
+  /// Runs the event loop of a stepped gateway until \p IsDone returns true.
+  /// \returns false after StepTimeout.
+  template <class Condition> bool runUntil(Condition IsDone) {
+    auto End = std::chrono::steady_clock::now() + StepTimeout;
+    while (!IsDone() && std::chrono::steady_clock::now() < End)
+      m_Context.run_one_for(std::chrono::milliseconds(10));
+    m_Context.restart();
+    return IsDone();
+  }
+  static constexpr std::chrono::seconds StepTimeout{2};
   unsigned readiness() const {
     http::RequestMessage Message;
     Message.m_Method = "GET";
