LibRollout: Complete no version that failed since the shift

Cause: once all traffic had moved, only evidence above the bound of a certain finding (11.5) stopped a version; what spoke against it below that, and evidence that had become too small because its coordinator was gone, counted for nothing. And a new coordinator that had not heard of any response of the old version found every version good. Change: the end needs what the shift needs (no suspicion, 20 responses), else the old version gets its traffic back and the order ends in a rollback; nothing shifts without a response of the old version while its targets serve. ParticipantTest: both new tests red before.

--- a/Libraries/LibRollout/Coordinator.cpp
+++ b/Libraries/LibRollout/Coordinator.cpp
@@ -109,6 +109,12 @@
                                       : decideShifting(Age, Now);
 }
 
+bool Coordinator::isUnsuspected() const {
+  return !m_Judgement.isSuspect() &&
+         m_Judgement.m_NewResponses >= MinResponses &&
+         m_Judgement.m_MinGoodScore > -MaxScoreAgainst;
+}
+
 bool Coordinator::hasEnoughCapacity(const PoolCapacity &Targets) const {
   return Targets.m_NewSlots > 0 &&
          static_cast<double>(Targets.m_NewSlots) >=
@@ -119,13 +125,13 @@
                                                     core::Duration Age) {
   double ElapsedPart =
       core::toSeconds(Age) / core::toSeconds(m_Order.m_BakeTime);
-  bool IsUnsuspected = !m_Judgement.isSuspect() &&
-                       m_Judgement.m_NewResponses >= MinResponses &&
-                       m_Judgement.m_MinGoodScore > -MaxScoreAgainst;
-  bool MayShift =
-      m_Judgement.isGood() || (ElapsedPart >= LateSamplePart && IsUnsuspected);
   // After a restart, the old targets may have been stopped already.
   bool HasNoOldSlots = Targets.m_OldSlots == 0 && Targets.m_NewSlots > 0;
+  // Nor may a new coordinator have heard of their responses yet.
+  bool HasBaseline = m_Judgement.m_OldResponses > 0 || HasNoOldSlots;
+  bool MayShift =
+      HasBaseline && (m_Judgement.isGood() ||
+                      (ElapsedPart >= LateSamplePart && isUnsuspected()));
   if (ElapsedPart >= SamplePart && MayShift &&
       (hasEnoughCapacity(Targets) || HasNoOldSlots)) {
     m_Traffic = Traffic::New;
@@ -137,9 +143,13 @@
     return end(State::RolledBack, "no-targets");
   if (MayShift)
     return end(State::RolledBack, "too-few-targets");
-  if (m_Judgement.isSuspect())
-    return end(State::RolledBack, m_Judgement.m_Worst.m_Kind);
-  return end(State::RolledBack, "too-little-evidence");
+  return endForDoubt();
+}
+
+std::optional<Decision> Coordinator::endForDoubt() {
+  return end(State::RolledBack, m_Judgement.isSuspect()
+                                    ? m_Judgement.m_Worst.m_Kind
+                                    : "too-little-evidence");
 }
 
 bool Coordinator::isDrained(core::TimePoint Now) const {
@@ -155,11 +165,16 @@
 
 std::optional<Decision> Coordinator::decideShifting(core::Duration Age,
                                                     core::TimePoint Now) {
+  bool MayComplete = m_Judgement.isGood() || isUnsuspected();
+  bool IsLast = Age >= m_Order.m_BakeTime - DeadlineMargin;
+  // What was seen since the shift may speak against the version.
+  if (!MayComplete)
+    return IsLast ? endForDoubt() : std::nullopt;
   if (isDrained(Now))
     return end(State::Completed, "good");
   // Requests that still run at old targets are interrupted: the deadline takes
   // precedence.
-  if (Age >= m_Order.m_BakeTime - DeadlineMargin)
+  if (IsLast)
     return end(State::Completed, "good-at-the-deadline");
   return std::nullopt;
 }
--- a/Libraries/LibRollout/Coordinator.h
+++ b/Libraries/LibRollout/Coordinator.h
@@ -71,10 +71,14 @@
   /// few requests.
   double share(core::Duration Age) const;
   ResponseCountsByKey sum() const;
+  /// Whether there is evidence enough, and hardly any against the new version.
+  bool isUnsuspected() const;
   bool hasEnoughCapacity(const PoolCapacity &Targets) const;
   /// Whether no request runs at old targets and none will be sent there.
   bool isDrained(core::TimePoint Now) const;
   std::optional<Decision> end(State Outcome, const char *Reason);
+  /// Ends the order with a rollback, since the evidence does not suffice.
+  std::optional<Decision> endForDoubt();
   std::optional<Decision> decideSampling(const PoolCapacity &Targets,
                                          core::Duration Age);
   std::optional<Decision> decideShifting(core::Duration Age,
--- a/Tests/LibRollout/ParticipantTest.cpp
+++ b/Tests/LibRollout/ParticipantTest.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(testRepeatedReportsCountOnce);
   CPPUNIT_TEST(testLostCountsAreReportedAgain);
   CPPUNIT_TEST(testCompletesOnlyWhenDrained);
+  CPPUNIT_TEST(testFailuresSinceTheShiftPreventCompletion);
+  CPPUNIT_TEST(testNothingShiftsWithoutResponsesOfTheOldVersion);
   CPPUNIT_TEST_SUITE_END();
 
   core::TimePoint m_Now{std::chrono::hours(1)};
@@ -45,6 +47,17 @@
     return Out;
   }
 
+  void recordSuccesses(Participant &At, Side KeySide, std::uint32_t Count) {
+    for (std::uint32_t I = 0; I < Count; ++I)
+      At.recordResponse(key(KeySide, I % 4), ResponseQuality::Succeeded,
+                        milliseconds(50), m_Now);
+  }
+  void exchange(Coordinator &With, Participant &From) {
+    From.applyPermit(
+        With.handleReport(core::IncarnationId(1), From.report(0, m_Now), m_Now),
+        m_Now);
+  }
+
 public:
   void testOldVersionWithoutPermit() {
     Participant Tested(order(), core::Duration::zero(), m_Now);
@@ -201,6 +214,40 @@
                                      Tested.report(0, m_Now), m_Now)
                        .m_Traffic == Traffic::New);
   }
+
+  void testFailuresSinceTheShiftPreventCompletion() {
+    Participant Tested(order(), core::Duration::zero(), m_Now);
+    Coordinator TestedCoordinator(order(), ExposureLimits(), m_Now);
+    recordSuccesses(Tested, Side::Old, 100);
+    recordSuccesses(Tested, Side::New, 40);
+    exchange(TestedCoordinator, Tested);
+    m_Now += seconds(8);
+    TestedCoordinator.decide({16, 16}, seconds(8), m_Now);
+    CPPUNIT_ASSERT(TestedCoordinator.traffic() == Traffic::New);
+    for (std::uint32_t I = 0; I < 8; ++I)
+      Tested.recordResponse(key(Side::New, I % 4), ResponseQuality::Failed,
+                            milliseconds(50), m_Now);
+    m_Now += milliseconds(300);
+    exchange(TestedCoordinator, Tested);
+    exchange(TestedCoordinator, Tested);
+    CPPUNIT_ASSERT(
+        !TestedCoordinator.decide({16, 16}, milliseconds(8300), m_Now));
+    auto End = TestedCoordinator.decide({16, 16}, milliseconds(9600), m_Now);
+    CPPUNIT_ASSERT(End && End->m_State == State::RolledBack);
+  }
+
+  void testNothingShiftsWithoutResponsesOfTheOldVersion() {
+    Participant Tested(order(), core::Duration::zero(), m_Now);
+    Coordinator TestedCoordinator(order(), ExposureLimits(), m_Now);
+    recordSuccesses(Tested, Side::New, 10);
+    exchange(TestedCoordinator, Tested);
+    m_Now += seconds(8);
+    TestedCoordinator.decide({16, 16}, seconds(8), m_Now);
+    CPPUNIT_ASSERT(TestedCoordinator.traffic() == Traffic::Sample);
+    // Without old targets, there is nothing to compare with.
+    TestedCoordinator.decide({16, 0}, seconds(8), m_Now);
+    CPPUNIT_ASSERT(TestedCoordinator.traffic() == Traffic::New);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ParticipantTest);
--- a/Tests/LibRollout/RolloutModelTest.cpp
+++ b/Tests/LibRollout/RolloutModelTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testMixedHardwareIsNotJudgedWorse);
   CPPUNIT_TEST(testUnderKillsAndCuts);
   CPPUNIT_TEST(testFewRequests);
+  CPPUNIT_TEST(testFewRequestsWhileCoordinatorsRestart);
   CPPUNIT_TEST(testFromSixToFourHundredInstances);
   CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +123,24 @@
     checkBad(simulateSeeds(Case, 25, "fails-few-requests"));
   }
 
+  void testFewRequestsWhileCoordinatorsRestart() {
+    RolloutScenario Case;
+    Case.m_Instances = 4;
+    Case.m_RequestsPerSecond = 40;
+    Case.m_Targets = 3;
+    Case.m_RouteShares = {0.7, 0.3};
+    Case.m_BaselineFailureRates = {0.004, 0.02};
+    for (int Seconds : {2, 3, 4, 5}) {
+      Case.m_CoordinatorRestartPeriod = std::chrono::seconds(Seconds);
+      std::string Name = "-coordinators-restart-" + std::to_string(Seconds);
+      Case.m_Behavior = VersionBehavior::Good;
+      Tally Good = simulateSeeds(Case, 40, ("good" + Name).c_str());
+      CPPUNIT_ASSERT(Good.m_Completed >= Good.m_Simulated - 2);
+      Case.m_Behavior = VersionBehavior::Fails;
+      checkBad(simulateSeeds(Case, 400, ("fails" + Name).c_str()));
+    }
+  }
+
   void testFromSixToFourHundredInstances() {
     for (std::size_t Size : {6, 89, 295, 440}) {
       RolloutScenario Case;
--- a/Tests/Support/RolloutSimulation.cpp
+++ b/Tests/Support/RolloutSimulation.cpp
@@ -13,6 +13,7 @@
 
 static constexpr milliseconds Step{10};
 static constexpr milliseconds LinkDelay{3};
+static constexpr milliseconds RestartTime{800};
 static constexpr double LossShare = 0.01;
 static constexpr std::size_t MaxBadResponses = 50;
 /// Median response time in milliseconds.
@@ -53,8 +54,7 @@
       start(I, core::Duration::zero());
     for (Instance &Each : m_Instances)
       Each.m_ReportsAt = m_Now + drawDuration(period());
-    m_Coordinator = std::make_unique<Coordinator>(
-        m_Order, ExposureLimits{Scenario.m_MaxShare, 50}, m_Now);
+    startCoordinator();
   }
 
   RolloutResult run() {
@@ -62,6 +62,7 @@
     while (m_Now - Begin < End) {
       m_Now += Step;
       injectFaults();
+      restartCoordinator();
       finishRequests();
       sendRequests();
       report();
@@ -92,11 +93,29 @@
     Each.m_RunningOld = 0;
   }
 
+  void startCoordinator() {
+    m_Coordinator = std::make_unique<Coordinator>(
+        m_Order, ExposureLimits{m_Scenario.m_MaxShare, 50}, m_Now);
+    m_CoordinatorSince = m_Now;
+  }
+
+  /// Restarts the coordinating instance, and lets the next one coordinate.
+  void restartCoordinator() {
+    core::Duration Period = m_Scenario.m_CoordinatorRestartPeriod;
+    if (Period == core::Duration::zero() || hasDecided() ||
+        m_Now - m_CoordinatorSince < Period)
+      return;
+    m_Instances[m_CoordinatorIndex].m_DownUntil = m_Now + RestartTime;
+    start(m_CoordinatorIndex, m_Now - Begin);
+    m_CoordinatorIndex = (m_CoordinatorIndex + 1) % m_Instances.size();
+    startCoordinator();
+  }
+
   void injectFaults() {
     double Chance = core::toSeconds(Step) / 2; // One per 2 s on average.
     std::size_t Index = m_Random() % m_Instances.size();
     if (m_Scenario.m_HasKills && draw() < Chance) {
-      m_Instances[Index].m_DownUntil = m_Now + milliseconds(800);
+      m_Instances[Index].m_DownUntil = m_Now + RestartTime;
       start(Index, core::Duration::zero());
     }
     if (m_Scenario.m_HasCuts && draw() < Chance)
@@ -270,6 +289,8 @@
   Order m_Order;
   std::vector<Instance> m_Instances;
   std::unique_ptr<Coordinator> m_Coordinator;
+  std::size_t m_CoordinatorIndex = 0;
+  core::TimePoint m_CoordinatorSince{};
   std::priority_queue<RunningRequest> m_Running;
   std::uint64_t m_Incarnations = 0;
   core::TimePoint m_EvaluatesAt{};
--- a/Tests/Support/RolloutSimulation.h
+++ b/Tests/Support/RolloutSimulation.h
@@ -44,6 +44,9 @@
   double m_MaxShare = 0.1; ///< Maximum share of requests to the new version.
   bool m_HasKills = false; ///< Whether instances are killed and restart.
   bool m_HasCuts = false;  ///< Whether instances are cut off for 4 s.
+  /// Time between two restarts of the coordinating instance, after each of
+  /// which another one coordinates; zero: none.
+  core::Duration m_CoordinatorRestartPeriod{};
   /// Whether a seventh of all targets fails more often for 4 s at a time.
   bool m_HasGrayFailures = false;
 };
