Tests/LibGateway: Close kept connections as the next request arrives

The test closes so after each response, 20 requests on each kind of route that runs once: those on a closed connection get 502, and no other target receives them. No fault: green without a change of the product.

--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testEarlyRequestWaitsForConfiguration);
   CPPUNIT_TEST(testRejectsInvalidRequests);
   CPPUNIT_TEST(testNonIdempotentRequestRunsOnce);
+  CPPUNIT_TEST(testRequestOnAConnectionThatItsTargetClosesIsNotSentAgain);
   CPPUNIT_TEST(testRefusalThatMayHaveRunIsNoPromise);
   CPPUNIT_TEST(testRetriesAfterTargetRefusal);
   CPPUNIT_TEST(testReplacedTargetIsNotUsed);
@@ -102,6 +103,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), requestCount());
   }
 
+  void testRequestOnAConnectionThatItsTargetClosesIsNotSentAgain() {
+    for (int I = 0; I < 2; ++I)
+      addTarget([](const Request &Received) {
+        return completeResponse(Received, "") + "~";
+      });
+    start();
+    for (const char *Path : {"/once/x", "/fragile/x"}) {
+      std::size_t Before = requestCount();
+      int Lost = 0;
+      for (int I = 0; I < 20; ++I)
+        Lost += send(request(Path)).m_Status == 502 ? 1 : 0;
+      CPPUNIT_ASSERT(Lost > 0);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(20 - Lost), requestCount() - Before);
+    }
+  }
+
   void testRefusalThatMayHaveRunIsNoPromise() {
     static std::string Status;
     addTarget([](const Request &Received) {
--- a/Tests/Support/ScriptedTarget.h
+++ b/Tests/Support/ScriptedTarget.h
@@ -23,7 +23,8 @@
 
 /// Responds to each request with the bytes that its script returns. An empty
 /// string resets the connection, "wait" sends nothing until the other side
-/// closes, and a trailing '!' is not sent but closes the connection.
+/// closes, and a trailing '!' is not sent but closes the connection; a trailing
+/// '~' closes it as the next request arrives, which stays unread.
 class ScriptedTarget {
 public:
   using Script = std::function<std::string(const Request &)>;
@@ -75,10 +76,13 @@
         ++m_ClosedWhileWaiting;
         return;
       }
-      bool MustClose = Bytes.back() == '!';
+      bool MustCloseLater = Bytes.back() == '~';
+      bool MustClose = MustCloseLater || Bytes.back() == '!';
       if (MustClose)
         Bytes.pop_back();
       asio::async_write(Socket, asio::buffer(Bytes), Yield[Failure]);
+      if (MustCloseLater)
+        Socket.async_wait(tcp::socket::wait_read, Yield[Failure]);
       if (MustClose)
         return;
     }
