--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -104,6 +104,12 @@
 }
 
 struct QuotaSimulation::Model {
+  /// Instances share lists and rings, which are large.
+  using SharedLists = std::shared_ptr<const InstanceLists>;
+  using SharedRings = std::shared_ptr<const routing::QuotaRings>;
+  inline static const SharedRings NoRings =
+      std::make_shared<routing::QuotaRings>(routing::ConsistentHashRing());
+
   struct ModelInstance {
     config::Endpoint m_Address;
     std::unique_ptr<DistributedQuota> m_Quota; ///< Null while down.
@@ -113,8 +119,8 @@
     core::TimePoint m_ReadsAt{}; ///< Next update of lists and accounts.
     core::TimePoint m_HeardAt{}; ///< Last time that the writer heard of it.
     bool m_WasStopping = false;  ///< As it said then.
-    InstanceLists m_Lists;       ///< As it knows them.
-    routing::QuotaRings m_Rings{routing::ConsistentHashRing()};
+    SharedLists m_Lists = std::make_shared<InstanceLists>(); ///< It knows.
+    SharedRings m_Rings = NoRings;
     /// Made when they are needed first, as that takes long.
     mutable std::optional<gateway::QuotaWitnesses> m_Witnesses;
     /// Its share of each account.
@@ -138,7 +144,8 @@
                          platform::Revision(1),
                          {},
                          platform::Revision(1)};
-  routing::QuotaRings m_MemberRings{routing::ConsistentHashRing()};
+  SharedLists m_Published = std::make_shared<InstanceLists>();
+  SharedRings m_MemberRings = NoRings;
   platform::Revision m_MemberRingsOf;    ///< Revision of the lists.
   std::size_t m_Writer = 0;              ///< Instance that writes the lists.
   gateway::QuotaOwnership m_Ownership;   ///< Of the writer.
@@ -182,7 +189,7 @@
   }
   const gateway::QuotaWitnesses &
   witnessesOf(const ModelInstance &Instance) const {
-    const InstanceLists &Lists = Instance.m_Lists;
+    const InstanceLists &Lists = *Instance.m_Lists;
     if (!Instance.m_Witnesses)
       Instance.m_Witnesses.emplace(Instance.m_Address, Lists.m_Owners,
                                    Lists.m_Members);
@@ -195,7 +202,7 @@
         [this, &Instance](const config::Endpoint &Each) {
           const ModelInstance &Witness = m_Instances[m_Indexes.at(Each)];
           return isRunning(Witness) && canReach(Instance, Witness) &&
-                 !(Instance.m_Lists.m_Revision < Witness.m_Lists.m_Revision);
+                 !(Instance.m_Lists->m_Revision < Witness.m_Lists->m_Revision);
         }));
   }
   /// See PeerExchange::hasQuotaLease().
@@ -265,33 +272,35 @@
 
   /// Applies the lists and, after a start, the accounts.
   void readStore(ModelInstance &Instance) {
-    readLists(Instance, m_Stored);
+    if (m_Published->m_Revision != m_Stored.m_Revision)
+      m_Published = std::make_shared<InstanceLists>(m_Stored);
+    readLists(Instance, m_Published);
     if (!Instance.m_HasRead)
       Instance.m_Quota->setAccounts(m_Settings.m_Accounts, m_Now);
     Instance.m_HasRead = true;
     Instance.m_ReadsAt = core::TimePoint::max();
   }
 
-  void readLists(ModelInstance &Instance, const InstanceLists &Lists) {
-    Instance.m_Lists = Lists;
-    Instance.m_IsMember = Lists.m_Members.count(Instance.m_Address) != 0;
+  void readLists(ModelInstance &Instance, SharedLists Lists) {
+    Instance.m_Lists = std::move(Lists);
+    const InstanceLists &Read = *Instance.m_Lists;
+    Instance.m_IsMember = Read.m_Members.count(Instance.m_Address) != 0;
     // All members derive the same rings.
-    if (Instance.m_IsMember && m_MemberRingsOf != Lists.m_Revision) {
-      m_MemberRings = ringsOf(Instance, Lists);
-      m_MemberRingsOf = Lists.m_Revision;
+    if (Instance.m_IsMember && m_MemberRingsOf != Read.m_Revision) {
+      m_MemberRings = ringsOf(Instance);
+      m_MemberRingsOf = Read.m_Revision;
     }
-    Instance.m_Rings =
-        Instance.m_IsMember ? m_MemberRings : ringsOf(Instance, Lists);
+    Instance.m_Rings = Instance.m_IsMember ? m_MemberRings : ringsOf(Instance);
     Instance.m_Witnesses.reset();
     updateShares(Instance);
-    Instance.m_Quota->setRing(Instance.m_Rings, m_Now);
+    Instance.m_Quota->setRing(*Instance.m_Rings, m_Now);
   }
 
-  static routing::QuotaRings ringsOf(const ModelInstance &Instance,
-                                     const InstanceLists &Lists) {
-    return gateway::ringsOf(Instance.m_Address,
-                            {Lists.m_Owners, Lists.m_Leaseholders},
-                            Lists.m_Members);
+  static SharedRings ringsOf(const ModelInstance &Instance) {
+    const InstanceLists &Lists = *Instance.m_Lists;
+    return std::make_shared<routing::QuotaRings>(gateway::ringsOf(
+        Instance.m_Address, {Lists.m_Owners, Lists.m_Leaseholders},
+        Lists.m_Members));
   }
 
   /// Lets the first instance that runs and reaches the store write the lists of
@@ -320,7 +329,7 @@
         Each.m_WasStopping = isStopping(Each);
       }
       if (m_Now - Each.m_HeardAt < PeerTimeout)
-        Live[Each.m_Address] = {Each.m_Lists.m_Revision, Each.m_WasStopping};
+        Live[Each.m_Address] = {Each.m_Lists->m_Revision, Each.m_WasStopping};
     }
     if (m_Settings.m_HasWriter)
       updateMembers(Live);
@@ -386,7 +395,7 @@
         continue;
       for (const ModelInstance &Peer : m_Instances)
         if (isRunning(Peer) && canReach(Each, Peer) &&
-            Each.m_Lists.m_Revision < Peer.m_Lists.m_Revision)
+            Each.m_Lists->m_Revision < Peer.m_Lists->m_Revision)
           readLists(Each, Peer.m_Lists);
     }
   }
@@ -448,7 +457,7 @@
     Out.m_IsIsolated = Granted.m_Source == routing::QuotaSource::Isolated;
     Out.m_Owner =
         Granted.m_Owner ? m_Indexes.at(*Granted.m_Owner) : Pending.m_Instance;
-    Out.m_ListSize = m_Instances[Out.m_Owner].m_Rings.m_Owners.size();
+    Out.m_ListSize = m_Instances[Out.m_Owner].m_Rings->m_Owners.size();
     Out.m_HolderCount = holderCount(Pending.m_Account);
     m_Grants[Pending.m_Account].push_back(Out);
   }
@@ -475,7 +484,7 @@
   void updateShares(ModelInstance &Instance) const {
     Instance.m_Shares.clear();
     for (const routing::Account &Each : m_Settings.m_Accounts)
-      Instance.m_Shares.push_back(Instance.m_Rings.shareOf(
+      Instance.m_Shares.push_back(Instance.m_Rings->shareOf(
           routing::hashOf(Each.m_Name), Instance.m_Address));
   }
 
