--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -55,7 +55,7 @@
   bool m_IsSigned = false; ///< Whether it has the target's signature.
   bool m_IsNotRun = false; ///< Whether the target did not run the request.
   /// Whether callers take the status for a promise that the request did not
-  /// run, though the target has not said so.
+  /// run, though the target has not stated it.
   bool m_IsUnprovenRefusal = false;
   /// Whether another target than the addressed one received the request.
   bool m_IsMisdirected = false;
--- a/Libraries/LibGateway/StoreRecord.h
+++ b/Libraries/LibGateway/StoreRecord.h
@@ -23,7 +23,7 @@
   /// \param Name of the record, also in the log events of its writes.
   /// \param WritePeriod minimum time between two attempts to write.
   /// \param Lifetime time after its last write within which the store removes
-  /// the entry, at the earliest after half of it; none: it stays.
+  /// the entry, no sooner than after half of it; none: it stays.
   StoreRecord(boost::asio::io_context &Context,
               platform::KeyValueService &Store, std::string Name,
               core::Duration WritePeriod,
--- a/Libraries/LibGateway/StreamOriginExchange.h
+++ b/Libraries/LibGateway/StreamOriginExchange.h
@@ -48,10 +48,10 @@
       m_OnlyVersion;
   /// Whether this instance would know of a new version by now.
   std::function<bool()> m_IsUpToDate;
-  /// Returns what records in the store tell of a stream; none if nothing.
+  /// Returns the origin of a stream by the records in the store, or none.
   std::function<std::optional<StreamOrigin>(const StreamKey &)> m_FindRecorded;
   /// Calls back with the result of m_OnlyVersion once this instance knows all
-  /// versions that were announced before the call; with none if it can't tell.
+  /// versions that were announced before the call; with none if it is unknown.
   std::function<void(const StreamRoute &, VersionCallback)>
       m_ConfirmOnlyVersion;
 };
@@ -96,7 +96,7 @@
 
   /// Period in which a query is repeated to those that have not answered.
   static constexpr std::chrono::milliseconds QueryPeriod{25};
-  /// Time after which a stream whose origin nobody has told is unknown.
+  /// Time after which a lookup without a response ends as unknown.
   static constexpr std::chrono::milliseconds LookupTimeout{150};
   /// Bound of the streams in a record.
   static constexpr std::size_t MaxRecordedStreams = 1024;
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -4,7 +4,6 @@
 #include "LibGateway/StreamOriginRecord.h"
 
 #include <algorithm>
-
 #include <memory>
 
 namespace yardrill::gateway {
--- a/Libraries/LibHTTP/SocketState.h
+++ b/Libraries/LibHTTP/SocketState.h
@@ -17,7 +17,7 @@
 bool isPeerConnected(boost::asio::ip::tcp::socket &Socket);
 
 /// Returns the time since bytes last arrived, in milliseconds' resolution; zero
-/// if the kernel does not tell. Source: TCP_INFO, tcp(7).
+/// if the kernel provides none. Source: TCP_INFO, tcp(7).
 core::Duration timeSinceLastBytes(boost::asio::ip::tcp::socket &Socket);
 
 } // namespace yardrill::http
--- a/Libraries/LibRollout/Coordinator.cpp
+++ b/Libraries/LibRollout/Coordinator.cpp
@@ -127,7 +127,7 @@
       core::toSeconds(Age) / core::toSeconds(m_Order.m_BakeTime);
   // After a restart, the old targets may have been stopped already.
   bool HasNoOldSlots = Targets.m_OldSlots == 0 && Targets.m_NewSlots > 0;
-  // Nor may a new coordinator have heard of their responses yet.
+  // A new coordinator may not have reports of their responses yet.
   bool HasBaseline = m_Judgement.m_OldResponses > 0 || HasNoOldSlots;
   bool MayShift =
       HasBaseline && (m_Judgement.isGood() ||
--- a/Tests/LibGateway/CutResponseTest.cpp
+++ b/Tests/LibGateway/CutResponseTest.cpp
@@ -1,7 +1,7 @@
 //===-- CutResponseTest.cpp - Targets that stop within their response -----===//
 //
 // Guards against a response that ends within its head, or whose body is cut,
-// and that its caller gets framed as whole.
+// and that its caller gets framed as complete.
 //
 //===----------------------------------------------------------------------===//
 #include "GatewayFixture.h"
--- a/Tests/Support/QuotaSimulation.cpp
+++ b/Tests/Support/QuotaSimulation.cpp
@@ -117,9 +117,9 @@
     core::TimePoint m_StopsAt = core::TimePoint::max(); ///< Exit of a stop.
     core::TimePoint m_DownAfterStopUntil{};
     core::TimePoint m_ReadsAt{}; ///< Next update of lists and accounts.
-    core::TimePoint m_HeardAt{}; ///< Last time that the writer heard of it.
-    bool m_WasStopping = false;  ///< As it said then.
-    SharedLists m_Lists = std::make_shared<InstanceLists>(); ///< It knows.
+    core::TimePoint m_HeardAt{}; ///< Last report that reached the writer.
+    bool m_WasStopping = false;  ///< By that report.
+    SharedLists m_Lists = std::make_shared<InstanceLists>(); ///< Read last.
     SharedRings m_Rings = NoRings;
     /// Made when they are needed first, as that takes long.
     mutable std::optional<gateway::QuotaWitnesses> m_Witnesses;
