--- a/Tests/LibRollout/RolloutModelTest.cpp
+++ b/Tests/LibRollout/RolloutModelTest.cpp
@@ -71,6 +71,19 @@
     CPPUNIT_ASSERT_EQUAL(Result.m_Simulated, Result.m_InTime);
   }
 
+  /// \param RareFailureRate share of the responses on the rarer of two routes
+  /// that fail with both versions.
+  static RolloutScenario fewRequests(std::size_t Instances,
+                                     double RareFailureRate) {
+    RolloutScenario Out;
+    Out.m_Instances = Instances;
+    Out.m_RequestsPerSecond = 40;
+    Out.m_Targets = 3;
+    Out.m_RouteShares = {0.7, 0.3};
+    Out.m_BaselineFailureRates = {0.004, RareFailureRate};
+    return Out;
+  }
+
 public:
   void testGoodVersionsAreCompletedInTime() {
     checkGood(simulateSeeds(RolloutScenario(), 60, "good"));
@@ -112,24 +125,14 @@
   }
 
   void testFewRequests() {
-    RolloutScenario Case;
-    Case.m_Instances = 6;
-    Case.m_RequestsPerSecond = 40;
-    Case.m_Targets = 3;
-    Case.m_RouteShares = {0.7, 0.3};
-    Case.m_BaselineFailureRates = {0.004, 0.14};
+    RolloutScenario Case = fewRequests(6, 0.14);
     checkGood(simulateSeeds(Case, 40, "good-few-requests"));
     Case.m_Behavior = VersionBehavior::Fails;
     checkBad(simulateSeeds(Case, 25, "fails-few-requests"));
   }
 
   void testFewRequestsWhileCoordinatorsRestart() {
-    RolloutScenario Case;
-    Case.m_Instances = 4;
-    Case.m_RequestsPerSecond = 40;
-    Case.m_Targets = 3;
-    Case.m_RouteShares = {0.7, 0.3};
-    Case.m_BaselineFailureRates = {0.004, 0.02};
+    RolloutScenario Case = fewRequests(4, 0.02);
     for (int Seconds : {2, 3, 4, 5}) {
       Case.m_CoordinatorRestartPeriod = std::chrono::seconds(Seconds);
       std::string Name = "-coordinators-restart-" + std::to_string(Seconds);
