LibGateway: Log which connection and sender a refusal is from

Cause: the lines target-replaced and target-refused could not tell a target's refusal from a second copy of an earlier one, and responses of peers had no line.

Change: refusals are logged with the sender that they state, the number of requests that their connection has carried and the time since the request was sent; surplus-answer names the request that it belongs to and is counted; forward-ended says what became of a request that was passed to a peer.

No decision changes.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -51,7 +51,9 @@
 
 /// Fields of a target's response that the gateway acts on.
 struct ResponseDescription {
-  std::string m_Id;        ///< Id of the request that it belongs to.
+  std::string m_Id; ///< Id of the request that it belongs to.
+  /// Target that the response states to be from; none if it doesn't.
+  std::optional<core::TargetName> m_Sender;
   bool m_IsSigned = false; ///< Whether it has the target's signature.
   bool m_IsNotRun = false; ///< Whether the target did not run the request.
   /// Whether callers take the status for a promise that the request did not
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -160,12 +160,16 @@
   for (int Surplus = 0; Surplus <= MaxSurplusResponses; ++Surplus) {
     http::ResponseHead Head =
         Connection.readHead(timeLeft() + ResponseGracePeriod, Yield);
-    if (m_Owner.m_Wire.describe(Head).m_Id == m_Description.m_Id)
+    ResponseDescription Info = m_Owner.m_Wire.describe(Head);
+    if (Info.m_Id == m_Description.m_Id)
       return Head;
     core::LogLine("surplus-answer", core::LogLevel::Warning)
         .add("request", m_Description.m_Id)
         .add("target", m_Target->m_Name)
-        .add("status", Head.m_Status);
+        .add("of_request", Info.m_Id)
+        .add("status", Head.m_Status)
+        .add("sent_on_connection", Connection.requestsSent());
+    m_Owner.m_Metrics.count("yardrill_surplus_responses_total");
     if (!Connection.discardBody(timeLeft() + ResponseGracePeriod,
                                 MaxSurplusBytes, Yield))
       throw Error(core::ErrorKind::OutcomeUnknown,
@@ -213,11 +217,12 @@
   Forward.m_LastEvent = lastEvent();
   m_Owner.m_Wire.prepare(m_Caller.request(), Forward);
   m_HasResponseStarted = false;
-  m_SilentSince = core::steadyNow();
-  m_Sending.begin(core::steadyNow());
+  core::TimePoint SentAt = core::steadyNow();
+  m_SilentSince = SentAt;
+  m_Sending.begin(SentAt);
   m_IsHandedOn = true;
   m_Owner.m_CallerServer->intake().link().recordRequestSent(
-      m_Caller.request().m_Body.size(), core::steadyNow());
+      m_Caller.request().m_Body.size(), SentAt);
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   m_Sending.complete(core::steadyNow());
   http::ResponseHead Head = readMatchingHead(Connection, Yield);
@@ -231,7 +236,8 @@
   AttemptOutcome Result = AttemptOutcome::NotRun;
   if (Info.m_IsNotRun) {
     m_Reason = Info.m_IsMisdirected ? "target-replaced" : "target-refused";
-    logTargetRefusal(Head.m_Status);
+    logTargetRefusal(Head.m_Status, Info, Connection.requestsSent(),
+                     core::steadyNow() - SentAt);
     if (Info.m_IsMisdirected) {
       m_Owner.m_Targets.recordReplacement(m_Target->incarnation());
       m_Owner.m_ExitDetector.noteTargetExit(m_Target->incarnation());
@@ -241,7 +247,8 @@
   } else if (Info.m_IsUnprovenRefusal && !m_Route->isRetryable()) {
     // The caller would send it again, though it may have run.
     m_Reason = "unproven-refusal";
-    logTargetRefusal(Head.m_Status);
+    logTargetRefusal(Head.m_Status, Info, Connection.requestsSent(),
+                     core::steadyNow() - SentAt);
     return AttemptOutcome::Failed;
   } else {
     stateStreamOrigin(Head);
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -85,6 +85,11 @@
     logForwardFailure(Peer, Failure.what());
   }
   m_Connection = nullptr;
+  core::LogLine("forward-ended")
+      .add("request", m_Description.m_Id)
+      .add("peer", Peer.toString())
+      .add("outcome", toString(Result))
+      .add("sent_on_connection", Connection->requestsSent());
   if (Connection->isResponseComplete())
     m_Owner.m_PeerConnections.release(Address, std::move(Connection),
                                       PeerConnectionIdleTime);
--- a/Libraries/LibGateway/RequestInfo.cpp
+++ b/Libraries/LibGateway/RequestInfo.cpp
@@ -65,12 +65,18 @@
   return Out;
 }
 
-void RequestInfo::logTargetRefusal(unsigned TargetStatus) const {
+void RequestInfo::logTargetRefusal(unsigned TargetStatus,
+                                   const ResponseDescription &Info,
+                                   std::size_t SentOnConnection,
+                                   core::Duration TimeToRefusal) const {
   core::LogLine(m_Reason, core::LogLevel::Warning)
       .add("request", m_Description.m_Id)
       .add("target", m_Target->m_Name)
       .add("status", TargetStatus)
-      .add("try", m_Timing.attempts());
+      .add("try", m_Timing.attempts())
+      .add("sender", Info.m_Sender.value_or(core::TargetName()))
+      .add("sent_on_connection", SentOnConnection)
+      .add("answered_us", TimeToRefusal);
 }
 
 void RequestInfo::logCompletion(const char *Event,
--- a/Libraries/LibGateway/RequestInfo.h
+++ b/Libraries/LibGateway/RequestInfo.h
@@ -63,8 +63,13 @@
                    const std::string &LastEvent) const;
   /// Returns the ids of the prompt's shared parts, separated by commas.
   std::string sharedParts() const;
-  /// Logs that the target did not run the request, under the event m_Reason.
-  void logTargetRefusal(unsigned TargetStatus) const;
+  /// Logs that the target refused the request, under the event m_Reason.
+  /// \param SentOnConnection number of the request among those sent on its
+  /// connection.
+  /// \param TimeToRefusal since the request was sent.
+  void logTargetRefusal(unsigned TargetStatus, const ResponseDescription &Info,
+                        std::size_t SentOnConnection,
+                        core::Duration TimeToRefusal) const;
   /// \param ResponseStatus status of a target's response that was relayed.
   void logCompletion(const char *Event, unsigned ResponseStatus) const;
   /// Records the request's duration and outcome in the metrics.
--- a/Libraries/LibGateway/ResponseRelay.cpp
+++ b/Libraries/LibGateway/ResponseRelay.cpp
@@ -10,6 +10,24 @@
 /// follows would exhaust the memory.
 static constexpr std::size_t MaxEventBytes = 262144;
 
+const char *toString(AttemptOutcome Outcome) {
+  switch (Outcome) {
+  case AttemptOutcome::Complete:
+    return "complete";
+  case AttemptOutcome::NotSent:
+    return "not-sent";
+  case AttemptOutcome::Withheld:
+    return "withheld";
+  case AttemptOutcome::NotRun:
+    return "not-run";
+  case AttemptOutcome::Failed:
+    return "failed";
+  case AttemptOutcome::CallerGone:
+    return "caller-gone";
+  }
+  return "?";
+}
+
 http::ResponseMessage
 ResponseRelay::readResponse(http::ClientConnection &From,
                             const http::ResponseHead &Head,
--- a/Libraries/LibGateway/ResponseRelay.h
+++ b/Libraries/LibGateway/ResponseRelay.h
@@ -23,6 +23,7 @@
   Failed,     ///< The request may have run; its response is missing or broken.
   CallerGone, ///< The caller disconnected or does not read.
 };
+const char *toString(AttemptOutcome Outcome);
 
 /// What ResponseRelay needs from GatewayRequest, and notifies it of.
 struct ResponseRelayHooks {
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -33,6 +33,7 @@
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer{MaxUnparsedBytes};
   std::optional<Parser> m_Parser;
+  std::size_t m_RequestsSent = 0;
   bool m_IsHeadRequest = false;
   bool m_IsResponseComplete = false;
   bool m_AllowsCloseDelimitedBody = false;
@@ -93,6 +94,7 @@
   if (!Request.m_Body.empty() || Request.m_Method == "POST" ||
       Request.m_Method == "PUT" || Request.m_Method == "PATCH")
     Out.content_length(Request.m_Body.size());
+  ++m_Impl->m_RequestsSent;
   m_Impl->m_IsHeadRequest = Request.m_Method == "HEAD";
   m_Impl->m_IsResponseComplete = false;
   error_code Failure;
@@ -201,6 +203,10 @@
   }
 }
 
+std::size_t ClientConnection::requestsSent() const {
+  return m_Impl->m_RequestsSent;
+}
+
 bool ClientConnection::isResponseComplete() const {
   return m_Impl->m_IsResponseComplete;
 }
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -59,6 +59,8 @@
   ResponseMessage readResponse(core::Duration Timeout, std::size_t MaxBytes,
                                boost::asio::yield_context Yield);
 
+  /// Returns the number of requests sent, a failed one included.
+  std::size_t requestsSent() const;
   /// Returns whether the last response was read completely.
   bool isResponseComplete() const;
   /// Returns true when the last response was read completely and the server
