Tests/LibGateway: Send responses twice while targets restart at their address

A second copy of a 421, which arrives in the place of the next response on its connection, counts as the response to the next attempt of the same request: all attempts of a request have one id.

--- a/Tests/Support/ScriptedTarget.h
+++ b/Tests/Support/ScriptedTarget.h
@@ -24,7 +24,8 @@
 /// Responds to each request with the bytes that its script returns. An empty
 /// string resets the connection, "wait" sends nothing until the other side
 /// closes, and a trailing '!' is not sent but closes the connection; a trailing
-/// '~' closes it as the next request arrives, which stays unread.
+/// '~' closes it as the next request arrives, which stays unread. May send each
+/// response a second time, in the place of the next one on its connection.
 class ScriptedTarget {
 public:
   using Script = std::function<std::string(const Request &)>;
@@ -46,11 +47,13 @@
   std::atomic<int> m_Accepted{0}; ///< Accepted connections.
   /// Time before each response, in milliseconds.
   std::atomic<int> m_DelayMs{0};
+  std::atomic<bool> m_SendsSecondCopies{false};
 
 private:
   void serve(tcp::socket &Socket, asio::yield_context Yield) {
     beast::flat_buffer Buffer;
     boost::system::error_code Failure;
+    std::string SecondCopy;
     while (!Failure) {
       Request Received;
       beast::http::async_read(Socket, Buffer, Received, Yield[Failure]);
@@ -60,6 +63,7 @@
         std::lock_guard<std::mutex> Lock(m_Mutex);
         m_Requests.push_back(Received);
       }
+      asio::async_write(Socket, asio::buffer(SecondCopy), Yield[Failure]);
       if (m_DelayMs != 0) {
         asio::steady_timer Delay(Socket.get_executor(),
                                  std::chrono::milliseconds(m_DelayMs));
@@ -81,6 +85,7 @@
       if (MustClose)
         Bytes.pop_back();
       asio::async_write(Socket, asio::buffer(Bytes), Yield[Failure]);
+      SecondCopy = m_SendsSecondCopies ? Bytes : "";
       if (MustCloseLater)
         Socket.async_wait(tcp::socket::wait_read, Yield[Failure]);
       if (MustClose)
