LibHTTP: Send no request twice on one connection

Callers saw: with one target, 503 for requests that had run; with two, requests that may run once ran twice; a target that had just started again was taken for replaced.

Cause: responses are matched to requests by the request's id, which all of its attempts share, and connections were kept by address. A 421 for a target's earlier name put its connection back; the next attempt, at the target's new name, went out on it, and a second copy of the 421 counted as its response.

Ruled out: a second choice of the same target (each is tried once), an answer of a peer, and a break of the hop (issue's log lines: see the postmortem).

Change: kept connections belong to a target's incarnation; one whose request was misdirected is not kept; and a connection carries no two requests with the same id, which ClientConnection asserts and ConnectionPool brings about. An id is remembered until its request's deadline. closeIdle() is superfluous.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -191,6 +191,8 @@
   /// pool.
   std::map<core::PoolName, SilentRequests>
   silentRequests(core::TimePoint Now) const;
+  /// Returns the target's process, to which connections are kept.
+  static http::ServerProcess serverOf(const routing::Target &Target);
   /// Opens a connection to find out whether a target still listens.
   ProbeResult probe(const routing::Target &Target,
                     boost::asio::yield_context Yield);
--- a/Libraries/LibGateway/GatewayPaths.cpp
+++ b/Libraries/LibGateway/GatewayPaths.cpp
@@ -95,11 +95,15 @@
   return Out;
 }
 
+http::ServerProcess Gateway::serverOf(const routing::Target &Target) {
+  return {Target.m_Address.toTcp(), Target.incarnation().text()};
+}
+
 ProbeResult Gateway::probe(const routing::Target &Target,
                            asio::yield_context Yield) {
-  auto Address = Target.m_Address.toTcp();
+  http::ServerProcess Server = serverOf(Target);
   try {
-    m_Connections.release(Address, m_Connections.acquire(Address, true, Yield),
+    m_Connections.release(Server, m_Connections.acquire(Server, true, Yield),
                           ProbedConnectionIdleTime);
   } catch (const Error &Failure) {
     return Failure.kind() == core::ErrorKind::Refused ? ProbeResult::Gone
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -150,6 +150,8 @@
                                const http::ResponseHead &Head,
                                const ResponseDescription &Info, bool MayRetry,
                                boost::asio::yield_context Yield);
+  /// Returns the key of responses to this request, in any attempt.
+  http::ResponseKey responseKey() const;
   /// Reads response heads until one has this request's id. A late response to
   /// an earlier request may come first; it is logged and discarded.
   http::ResponseHead readMatchingHead(http::ClientConnection &Connection,
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -1,6 +1,7 @@
 //===-- GatewayRequestAttempt.cpp - One attempt at one target -------------===//
 #include "LibGateway/GatewayRequest.h"
 
+#include "LibCore/Digest.h"
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 
@@ -45,8 +46,9 @@
     m_Reason = "time-over";
     return AttemptOutcome::NotSent;
   }
-  auto Address = m_Target->m_Address.toTcp();
-  bool IsNew = !m_Owner.m_Connections.hasIdle(Address);
+  http::ServerProcess Server = Gateway::serverOf(*m_Target);
+  http::ExpectedResponse Expected{responseKey(), m_EndsAt};
+  bool IsNew = !m_Owner.m_Connections.hasIdleFor(Server, Expected.m_Key);
   m_WasNotSent = IsNew;
   if (IsNew && shouldForward()) {
     m_Reason = "no-path";
@@ -56,7 +58,7 @@
   core::TimePoint BegunAt = core::steadyNow();
   bool IsRefused = false;
   try {
-    Connection = m_Owner.m_Connections.acquire(Address, false, Yield);
+    Connection = m_Owner.m_Connections.acquireFor(Server, Expected, Yield);
     if (IsNew)
       m_Owner.m_Paths.noteConnected(m_Pool, core::steadyNow());
   } catch (const Error &Failure) {
@@ -76,7 +78,7 @@
   // Other instances may have reported target exits while it connected.
   bool IsWithheld = isQuarantined();
   if (IsWithheld || hasCallerLeft()) {
-    m_Owner.m_Connections.release(Address, std::move(Connection),
+    m_Owner.m_Connections.release(Server, std::move(Connection),
                                   UnusedConnectionIdleTime);
     return IsWithheld ? AttemptOutcome::Withheld : AttemptOutcome::CallerGone;
   }
@@ -103,7 +105,7 @@
   m_SilentSince.reset();
   noteIfStreamLeft(*Connection, IsBroken);
   if (Result == AttemptOutcome::Complete || Result == AttemptOutcome::NotRun)
-    m_Owner.m_Connections.release(Address, std::move(Connection),
+    m_Owner.m_Connections.release(Server, std::move(Connection),
                                   m_KeepAliveTime);
   // The target stops working when its connection closes.
   Connection.reset();
@@ -154,6 +156,10 @@
     m_Owner.m_ExitDetector.noteTargetExit(Incarnation);
 }
 
+http::ResponseKey GatewayRequest::responseKey() const {
+  return http::ResponseKey(core::stableHash(m_Description.m_Id));
+}
+
 http::ResponseHead
 GatewayRequest::readMatchingHead(http::ClientConnection &Connection,
                                  asio::yield_context Yield) {
@@ -254,8 +260,11 @@
     stateStreamOrigin(Head);
     Result = relayResponse(Connection, Head, Info, true, Yield);
   }
+  // The connection leads to another target.
   m_KeepAliveTime =
-      Info.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
+      Info.m_IsMisdirected
+          ? core::Duration::zero()
+          : Info.m_KeepAlive.value_or(DefaultKeepAlive) - KeepAliveMargin;
   return Result;
 }
 
--- a/Libraries/LibGateway/GatewayStoreUpdates.cpp
+++ b/Libraries/LibGateway/GatewayStoreUpdates.cpp
@@ -168,8 +168,6 @@
       .add("address", Update.m_Address.toString())
       .add("is_leaving", Update.m_IsLeaving)
       .add("revision", ModRevision);
-  if (Effect == routing::AnnouncementEffect::NewIncarnation)
-    m_Connections.closeIdle(Update.m_Address.toTcp());
 }
 
 } // namespace yardrill::gateway
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -3,10 +3,13 @@
 #include "LibCore/Error.h"
 #include "LibHTTP/SilenceDetection.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cassert>
 #include <optional>
+#include <vector>
 
 namespace yardrill::http {
 
@@ -33,6 +36,7 @@
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer{MaxUnparsedBytes};
   std::optional<Parser> m_Parser;
+  std::vector<ExpectedResponse> m_Expected;
   std::size_t m_RequestsSent = 0;
   bool m_IsHeadRequest = false;
   bool m_IsResponseComplete = false;
@@ -80,6 +84,24 @@
       new ClientConnection(std::move(Impl)));
 }
 
+void ClientConnection::expect(const ExpectedResponse &Response) {
+  assert(!mayCarry(Response.m_Key));
+  core::TimePoint Now = core::steadyNow();
+  auto &Expected = m_Impl->m_Expected;
+  Expected.erase(std::remove_if(Expected.begin(), Expected.end(),
+                                [Now](const ExpectedResponse &Each) {
+                                  return Each.m_Until <= Now;
+                                }),
+                 Expected.end());
+  Expected.push_back(Response);
+}
+
+bool ClientConnection::mayCarry(ResponseKey Key) const {
+  return std::any_of(
+      m_Impl->m_Expected.begin(), m_Impl->m_Expected.end(),
+      [Key](const ExpectedResponse &Each) { return Each.m_Key == Key; });
+}
+
 void ClientConnection::sendRequest(const RequestMessage &Request,
                                    core::Duration Timeout,
                                    asio::yield_context Yield) {
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -3,6 +3,7 @@
 #define YARDRILL_LIBHTTP_CLIENTCONNECTION_H
 
 #include "LibCore/Time.h"
+#include "LibHTTP/ExpectedResponse.h"
 #include "LibHTTP/Message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,11 @@
   /// waits for a response, if the other side acknowledges nothing, not even
   /// probes.
   void setSilenceTimeout(core::Duration Timeout);
+  /// Records a request before it is sent.
+  /// \pre !mayCarry(Response.m_Key).
+  void expect(const ExpectedResponse &Response);
+  /// Returns whether a response with that key may arrive, be it a second one.
+  bool mayCarry(ResponseKey Key) const;
   /// \throws core::Error of kind OutcomeUnknown.
   void sendRequest(const RequestMessage &Request, core::Duration Timeout,
                    boost::asio::yield_context Yield);
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -4,49 +4,77 @@
 
 namespace yardrill::http {
 
-using boost::asio::ip::tcp;
-
 std::unique_ptr<ClientConnection>
-ConnectionPool::acquire(const tcp::endpoint &Address, bool MustBeNew,
-                        boost::asio::yield_context Yield) {
-  auto &IdleConnections = m_Idle[Address];
-  while (!MustBeNew && !IdleConnections.empty()) {
-    IdleConnection Newest = std::move(IdleConnections.back());
-    IdleConnections.pop_back();
+ConnectionPool::takeIdle(const ServerProcess &Server,
+                         std::optional<ResponseKey> Key) {
+  auto Found = m_Idle.find(Server);
+  if (Found == m_Idle.end())
+    return nullptr;
+  auto &IdleConnections = Found->second;
+  for (std::size_t I = IdleConnections.size(); I-- > 0;) {
+    if (Key && IdleConnections[I].m_Connection->mayCarry(*Key))
+      continue;
+    IdleConnection Newest = std::move(IdleConnections[I]);
+    IdleConnections.erase(IdleConnections.begin() +
+                          static_cast<std::ptrdiff_t>(I));
     if (core::steadyNow() < Newest.m_ExpiresAt &&
         Newest.m_Connection->isReusable())
       return std::move(Newest.m_Connection);
   }
+  return nullptr;
+}
+
+std::unique_ptr<ClientConnection>
+ConnectionPool::open(const ServerProcess &Server,
+                     boost::asio::yield_context Yield) {
   ++m_Opened;
-  auto Opened = ClientConnection::connect(m_Context, Address,
+  auto Opened = ClientConnection::connect(m_Context, Server.m_Address,
                                           m_Limits.m_ConnectTimeout, Yield);
   if (m_Limits.m_SilenceTimeout)
     Opened->setSilenceTimeout(*m_Limits.m_SilenceTimeout);
   return Opened;
 }
 
-void ConnectionPool::release(const tcp::endpoint &Address,
+std::unique_ptr<ClientConnection>
+ConnectionPool::acquire(const ServerProcess &Server, bool MustBeNew,
+                        boost::asio::yield_context Yield) {
+  auto Idle = MustBeNew ? nullptr : takeIdle(Server, std::nullopt);
+  return Idle ? std::move(Idle) : open(Server, Yield);
+}
+
+std::unique_ptr<ClientConnection>
+ConnectionPool::acquireFor(const ServerProcess &Server,
+                           const ExpectedResponse &Response,
+                           boost::asio::yield_context Yield) {
+  auto Out = takeIdle(Server, Response.m_Key);
+  if (!Out)
+    Out = open(Server, Yield);
+  Out->expect(Response);
+  return Out;
+}
+
+void ConnectionPool::release(const ServerProcess &Server,
                              std::unique_ptr<ClientConnection> Connection,
                              core::Duration MaxIdleTime) {
-  auto &IdleConnections = m_Idle[Address];
-  if (IdleConnections.size() < m_Limits.m_MaxIdlePerAddress &&
-      Connection->isReusable())
+  if (MaxIdleTime <= core::Duration::zero() || !Connection->isReusable())
+    return;
+  auto &IdleConnections = m_Idle[Server];
+  if (IdleConnections.size() < m_Limits.m_MaxIdlePerServer)
     IdleConnections.push_back(
         {std::move(Connection), core::steadyNow() + MaxIdleTime});
 }
 
-bool ConnectionPool::hasIdle(const tcp::endpoint &Address) const {
-  auto Found = m_Idle.find(Address);
+bool ConnectionPool::hasIdleFor(const ServerProcess &Server,
+                                ResponseKey Key) const {
+  auto Found = m_Idle.find(Server);
   if (Found == m_Idle.end())
     return false;
   core::TimePoint Now = core::steadyNow();
-  return std::any_of(
-      Found->second.begin(), Found->second.end(),
-      [Now](const IdleConnection &Each) { return Now < Each.m_ExpiresAt; });
-}
-
-void ConnectionPool::closeIdle(const tcp::endpoint &Address) {
-  m_Idle.erase(Address);
+  return std::any_of(Found->second.begin(), Found->second.end(),
+                     [Now, Key](const IdleConnection &Each) {
+                       return Now < Each.m_ExpiresAt &&
+                              !Each.m_Connection->mayCarry(Key);
+                     });
 }
 
 void ConnectionPool::closeExpired() {
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -4,9 +4,9 @@
 
 #include "LibCore/Time.h"
 #include "LibHTTP/ClientConnection.h"
+#include "LibHTTP/ServerProcess.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <cstdint>
 #include <map>
@@ -18,13 +18,13 @@
 
 struct ConnectionPoolLimits {
   core::Duration m_ConnectTimeout = std::chrono::seconds(1);
-  std::size_t m_MaxIdlePerAddress = 64; ///< Further ones are closed.
+  std::size_t m_MaxIdlePerServer = 64; ///< Further ones are closed.
   /// See ClientConnection::setSilenceTimeout(); none: about three seconds, if
   /// at all.
   std::optional<core::Duration> m_SilenceTimeout;
 };
 
-/// Opens client connections and keeps idle ones for reuse, by address. Not
+/// Opens client connections and keeps idle ones for reuse, by server. Not
 /// synchronized: used on the thread of its io_context.
 class ConnectionPool {
 public:
@@ -37,21 +37,24 @@
   /// idle connection while a request is sent on it; whether the request
   /// arrived is then unknown.
   /// \throws core::Error of kind Refused or Unavailable; no byte was sent.
+  std::unique_ptr<ClientConnection> acquire(const ServerProcess &Server,
+                                            bool MustBeNew,
+                                            boost::asio::yield_context Yield);
+  /// The same for a request whose response is matched by its key: no response
+  /// with that key can arrive on the connection but the response to the next
+  /// request.
   std::unique_ptr<ClientConnection>
-  acquire(const boost::asio::ip::tcp::endpoint &Address, bool MustBeNew,
-          boost::asio::yield_context Yield);
+  acquireFor(const ServerProcess &Server, const ExpectedResponse &Response,
+             boost::asio::yield_context Yield);
   /// Keeps a connection for reuse if its response was read completely.
   /// \param MaxIdleTime idle time after which it is not reused, as the server
   /// may be closing it.
-  void release(const boost::asio::ip::tcp::endpoint &Address,
+  void release(const ServerProcess &Server,
                std::unique_ptr<ClientConnection> Connection,
                core::Duration MaxIdleTime = std::chrono::hours(1));
-  /// Whether there is an idle connection to the address, which the server may
-  /// have closed in the meantime.
-  bool hasIdle(const boost::asio::ip::tcp::endpoint &Address) const;
-  /// Closes the idle connections to an address at which another server listens
-  /// now. Whether a request sent on one of them arrived would be unknown.
-  void closeIdle(const boost::asio::ip::tcp::endpoint &Address);
+  /// Whether acquireFor() has an idle connection, which the server may have
+  /// closed in the meantime.
+  bool hasIdleFor(const ServerProcess &Server, ResponseKey Key) const;
   /// Closes connections that were idle for longer than their MaxIdleTime.
   void closeExpired();
 
@@ -64,10 +67,17 @@
     core::TimePoint m_ExpiresAt;
   };
 
+  /// Takes the most recently used idle connection that may be used; null if
+  /// there is none.
+  std::unique_ptr<ClientConnection> takeIdle(const ServerProcess &Server,
+                                             std::optional<ResponseKey> Key);
+  std::unique_ptr<ClientConnection> open(const ServerProcess &Server,
+                                         boost::asio::yield_context Yield);
+
   boost::asio::io_context &m_Context;
   ConnectionPoolLimits m_Limits;
   std::uint64_t m_Opened = 0;
-  std::map<boost::asio::ip::tcp::endpoint, std::vector<IdleConnection>> m_Idle;
+  std::map<ServerProcess, std::vector<IdleConnection>> m_Idle;
 };
 
 } // namespace yardrill::http
--- a/Libraries/LibRouting/Target.cpp
+++ b/Libraries/LibRouting/Target.cpp
@@ -6,11 +6,15 @@
 
 namespace yardrill::routing {
 
-std::uint32_t TargetIncarnation::hash() const {
-  std::string Text = m_Name.value();
+std::string TargetIncarnation::text() const {
+  std::string Out = m_Name.value();
   if (m_StartTime != core::TargetStartTime())
-    Text += "@" + std::to_string(m_StartTime.value());
-  return static_cast<std::uint32_t>(core::stableHash(Text));
+    Out += "@" + std::to_string(m_StartTime.value());
+  return Out;
+}
+
+std::uint32_t TargetIncarnation::hash() const {
+  return static_cast<std::uint32_t>(core::stableHash(text()));
 }
 
 } // namespace yardrill::routing
--- a/Libraries/LibRouting/Target.h
+++ b/Libraries/LibRouting/Target.h
@@ -24,6 +24,8 @@
   TargetIncarnation(core::TargetName Name, core::TargetStartTime StartTime = {})
       : m_Name(std::move(Name)), m_StartTime(StartTime) {}
 
+  /// Returns a text that is unique to the incarnation.
+  std::string text() const;
   /// Returns the hash that identifies the incarnation in load reports.
   std::uint32_t hash() const;
 
