LibCore: Number questions to peers from a random id at each start

Callers would see: a stream resumed at an instance that has just restarted goes on at a target of another version.

Cause: lookups of stream origins, questions for slots and requests for quota were numbered from 1 at each start, and a response names the question by its number and the address it came from only. A late response to the process before answers another question of the new one (a peer that stood still, both behind one address). Leases of slots had a random first id already.

Ruled out: the check of replayed datagrams; it is about the sender's sequence, and the late response is the peer's newest.

Change: core::CorrelationIds, one type for all four, starts at a random id.

Wrong slots and tokens: by reading only.

--- a/Libraries/LibGateway/QuotaProtocol.cpp
+++ b/Libraries/LibGateway/QuotaProtocol.cpp
@@ -12,7 +12,7 @@
                                         routing::AccountHash Account,
                                         ResponseHandler OnResponse,
                                         core::TimePoint Now) {
-  std::uint64_t RequestId = m_NextRequestId++;
+  std::uint64_t RequestId = m_RequestIds.next();
   m_Pending[RequestId] = {Owner, Account, Now, std::move(OnResponse)};
   return RequestId;
 }
--- a/Libraries/LibGateway/QuotaProtocol.h
+++ b/Libraries/LibGateway/QuotaProtocol.h
@@ -2,6 +2,7 @@
 #ifndef YARDRILL_LIBGATEWAY_QUOTAPROTOCOL_H
 #define YARDRILL_LIBGATEWAY_QUOTAPROTOCOL_H
 
+#include "LibCore/CorrelationIds.h"
 #include "LibCore/Time.h"
 #include "LibMetrics/MetricsRegistry.h"
 #include "LibPeer/PeerMessage.h"
@@ -22,9 +23,12 @@
   /// Returns false if the response is no longer awaited.
   using ResponseHandler = std::function<bool(const routing::QuotaResponse &)>;
 
+  /// \param FirstRequest see core::CorrelationIds.
   QuotaProtocol(routing::DistributedQuota &Quota,
-                metrics::MetricsRegistry &Metrics, Sender Send)
-      : m_Quota(Quota), m_Metrics(Metrics), m_Send(std::move(Send)) {}
+                metrics::MetricsRegistry &Metrics, std::uint64_t FirstRequest,
+                Sender Send)
+      : m_Quota(Quota), m_Metrics(Metrics), m_Send(std::move(Send)),
+        m_RequestIds(FirstRequest) {}
 
   /// Sends a request to the next owner of \p Acquisition. If its response is no
   /// longer awaited, its tokens are cached for other requests.
@@ -61,7 +65,7 @@
   routing::DistributedQuota &m_Quota;
   metrics::MetricsRegistry &m_Metrics;
   Sender m_Send;
-  std::uint64_t m_NextRequestId = 1;
+  core::CorrelationIds m_RequestIds;
   std::unordered_map<std::uint64_t, Pending> m_Pending;
 };
 
--- a/Libraries/LibGateway/QuotaService.cpp
+++ b/Libraries/LibGateway/QuotaService.cpp
@@ -19,7 +19,7 @@
     : m_Context(Context),
       m_Quota(Settings.m_PeerAddress, Settings.m_QuotaTolerance,
               Settings.m_IsFirstStart, core::randomBits()),
-      m_Protocol(m_Quota, Metrics, std::move(Send)),
+      m_Protocol(m_Quota, Metrics, core::randomBits(), std::move(Send)),
       m_Self(Settings.m_PeerAddress) {}
 
 void QuotaService::setAccounts(const std::vector<routing::Account> &Accounts) {
--- a/Libraries/LibGateway/SlotLendingService.cpp
+++ b/Libraries/LibGateway/SlotLendingService.cpp
@@ -45,7 +45,7 @@
                                        SlotLendingServiceHooks Hooks)
     : m_Targets(Targets), m_Metrics(Metrics), m_Hooks(std::move(Hooks)),
       m_Random(core::randomBits()), m_Lending(Targets, Dispatcher, Leases),
-      m_Borrowing(Dispatcher, LocalDataHall,
+      m_Borrowing(Dispatcher, LocalDataHall, core::randomBits(),
                   borrowingHooks(Dispatcher, Targets)) {}
 
 routing::SlotBorrowingHooks
--- a/Libraries/LibGateway/StreamOriginExchange.cpp
+++ b/Libraries/LibGateway/StreamOriginExchange.cpp
@@ -111,7 +111,7 @@
   std::vector<config::Endpoint> Asked = m_Hooks.m_Asked(Key);
   if (Asked.empty())
     return Found(std::nullopt);
-  LookupId Id = m_NextLookup++;
+  LookupId Id = m_LookupIds.next();
   Lookup &Added = m_Lookups[Id];
   Added = {Key,
            Route,
--- a/Libraries/LibGateway/StreamOriginExchange.h
+++ b/Libraries/LibGateway/StreamOriginExchange.h
@@ -15,6 +15,7 @@
 #define YARDRILL_LIBGATEWAY_STREAMORIGINEXCHANGE_H
 
 #include "LibConfig/Endpoint.h"
+#include "LibCore/CorrelationIds.h"
 #include "LibGateway/StreamOriginTable.h"
 #include "LibPeer/PeerMessage.h"
 
@@ -63,8 +64,9 @@
   /// Receives the origin of a stream; none if it is unknown.
   using OnFound = std::function<void(std::optional<StreamOrigin>)>;
 
-  explicit StreamOriginExchange(StreamOriginHooks Hooks)
-      : m_Hooks(std::move(Hooks)) {}
+  /// \param FirstLookup see core::CorrelationIds.
+  StreamOriginExchange(LookupId FirstLookup, StreamOriginHooks Hooks)
+      : m_Hooks(std::move(Hooks)), m_LookupIds(FirstLookup) {}
 
   /// Records the origin of a stream that begins or goes on at this instance. To
   /// be called before its caller gets the first event.
@@ -130,7 +132,7 @@
   StreamOriginHooks m_Hooks;
   StreamOriginTable m_Table;
   std::map<LookupId, Lookup> m_Lookups;
-  LookupId m_NextLookup = 1;
+  core::CorrelationIds m_LookupIds;
 };
 
 } // namespace yardrill::gateway
--- a/Libraries/LibGateway/StreamOriginService.cpp
+++ b/Libraries/LibGateway/StreamOriginService.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/StreamOriginService.h"
 
+#include "LibCore/Digest.h"
 #include "LibCore/Timer.h"
 #include "LibGateway/StreamOriginRecord.h"
 
@@ -16,7 +17,7 @@
     StreamOriginHooks Hooks,
     std::function<bool(const config::Endpoint &)> IsSilent)
     : m_Context(Context), m_Timers(Timers), m_IsSilent(std::move(IsSilent)),
-      m_Exchange(withInstances(std::move(Hooks))),
+      m_Exchange(core::randomBits(), withInstances(std::move(Hooks))),
       m_Record(Context, Store, StreamOriginRecord::nameOf(Self),
                MinRecordPeriod / 2, RecordLifetime) {}
 
--- a/Libraries/LibRouting/SlotBorrowing.cpp
+++ b/Libraries/LibRouting/SlotBorrowing.cpp
@@ -59,7 +59,7 @@
   if (!m_Rates[Request.m_Pool].tryAsk(m_Hooks.m_Draw(), Now))
     return false;
   SlotQuestion Question;
-  Question.m_Id = m_NextQuestion++;
+  Question.m_Id = m_QuestionIds.next();
   Question.m_Pool = Request.m_Pool;
   Question.m_Priority = Request.m_Priority;
   Question.m_PromptTokens = Request.m_IsInference ? Request.m_PromptTokens : 0;
--- a/Libraries/LibRouting/SlotBorrowing.h
+++ b/Libraries/LibRouting/SlotBorrowing.h
@@ -8,6 +8,7 @@
 #ifndef YARDRILL_LIBROUTING_SLOTBORROWING_H
 #define YARDRILL_LIBROUTING_SLOTBORROWING_H
 
+#include "LibCore/CorrelationIds.h"
 #include "LibRouting/Dispatcher.h"
 #include "LibRouting/SlotLeases.h"
 #include "LibRouting/SlotQuestion.h"
@@ -54,10 +55,11 @@
   /// Time after which a question without an answer counts as not granted.
   static constexpr std::chrono::milliseconds AnswerTimeout{100};
 
+  /// \param FirstQuestion see core::CorrelationIds.
   SlotBorrowing(const Dispatcher &Requests, core::DataHallName LocalDataHall,
-                SlotBorrowingHooks Hooks)
+                std::uint64_t FirstQuestion, SlotBorrowingHooks Hooks)
       : m_Requests(Requests), m_LocalDataHall(std::move(LocalDataHall)),
-        m_Hooks(std::move(Hooks)) {}
+        m_Hooks(std::move(Hooks)), m_QuestionIds(FirstQuestion) {}
 
   /// Asks for slots for the waiting requests that may ask now, and gives up
   /// questions that were not answered in time. To be called when a request has
@@ -130,7 +132,7 @@
   std::unordered_map<core::RequestId, BorrowedSlot> m_Borrowed;
   std::map<core::PoolName, SlotQuestionRate> m_Rates;
   std::map<core::PoolName, LenderList> m_Lenders;
-  std::uint64_t m_NextQuestion = 1;
+  core::CorrelationIds m_QuestionIds;
   std::uint64_t m_QuestionCount = 0;
   std::uint64_t m_BorrowedCount = 0;
 };
--- a/Libraries/LibRouting/SlotLeases.cpp
+++ b/Libraries/LibRouting/SlotLeases.cpp
@@ -15,10 +15,8 @@
   m_Targets.reserveSlot(Target);
   if (Scope == LeaseScope::OtherGroup)
     ++Known->m_LentSlots;
-  if (m_NextId == 0)
-    ++m_NextId;
   SlotLease Granted;
-  Granted.m_Id = m_NextId++;
+  Granted.m_Id = m_Ids.next();
   Granted.m_Target = Target;
   Granted.m_Pool = Known->m_Target.m_Pool;
   Granted.m_Receiver = Receiver;
--- a/Libraries/LibRouting/SlotLeases.h
+++ b/Libraries/LibRouting/SlotLeases.h
@@ -3,6 +3,7 @@
 #define YARDRILL_LIBROUTING_SLOTLEASES_H
 
 #include "LibConfig/Endpoint.h"
+#include "LibCore/CorrelationIds.h"
 #include "LibCore/Time.h"
 #include "LibRouting/TargetDirectory.h"
 
@@ -41,10 +42,9 @@
 /// be lost, and the receiver may exit.
 class SlotLeases {
 public:
-  /// \param FirstId id of the first lease. Random, so that a late return of a
-  /// lease of an earlier process of this instance names none of this one.
+  /// \param FirstId see core::CorrelationIds.
   SlotLeases(TargetDirectory &Targets, SlotLeaseId FirstId)
-      : m_Targets(Targets), m_NextId(FirstId) {}
+      : m_Targets(Targets), m_Ids(FirstId) {}
   SlotLeases(const SlotLeases &) = delete;
   SlotLeases &operator=(const SlotLeases &) = delete;
 
@@ -73,7 +73,7 @@
   template <class Condition> std::vector<SlotLease> releaseIf(Condition IsOver);
 
   TargetDirectory &m_Targets;
-  SlotLeaseId m_NextId;
+  core::CorrelationIds m_Ids;
   std::unordered_map<SlotLeaseId, SlotLease> m_Leases;
 };
 
--- a/Tests/LibRouting/SlotLendingTest.cpp
+++ b/Tests/LibRouting/SlotLendingTest.cpp
@@ -66,6 +66,7 @@
   SlotBorrowing m_Borrower{
       m_Requests,
       m_Hall,
+      1,
       {[this](const core::PoolName &Pool) {
          return m_OwnTargets.instancesOutsideSubset(Pool);
        },
--- a/Tests/Support/DispatchFleet.cpp
+++ b/Tests/Support/DispatchFleet.cpp
@@ -138,7 +138,8 @@
   Own.m_Lending = std::make_unique<routing::SlotLending>(
       *Own.m_Targets, *Own.m_Dispatcher, Own.m_Slots->leases());
   Own.m_Borrowing = std::make_unique<routing::SlotBorrowing>(
-      *Own.m_Dispatcher, dataHallOf(Index), borrowingHooks(Index));
+      *Own.m_Dispatcher, dataHallOf(Index), m_SlotRandom(),
+      borrowingHooks(Index));
 }
 
 //===----------------------------------------------------------------------===//
--- a/Tests/Support/StreamOriginSimulation.cpp
+++ b/Tests/Support/StreamOriginSimulation.cpp
@@ -197,7 +197,8 @@
 void StreamOriginSimulation::start(std::size_t Index) {
   Instance &Started = m_Instances[Index];
   bool IsFirst = Started.m_Incarnation == 0;
-  Started.m_Exchange = std::make_unique<StreamOriginExchange>(hooks(Index));
+  Started.m_Exchange = std::make_unique<StreamOriginExchange>(
+      std::uniform_int_distribution<std::uint64_t>()(m_Random), hooks(Index));
   Started.m_Versions = std::make_unique<routing::VersionHistory>();
   Started.m_Targets.clear();
   Started.m_AppliedChanges = 0;
