LibGateway: Count the age of a store's response from when it was asked for

Callers would see: streams of a version that came and went while an instance stood still, and that are resumed there, go on at a target of another version (ORDER).

The time of that response was taken when it was read.

Change: the time counts from before the call that brought the response was sent.

--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -44,8 +44,8 @@
   Timer.async_wait(Yield[Ignored]);
 }
 
-void StoreFollower::noteConnected() {
-  m_HeardAt = core::steadyNow();
+void StoreFollower::noteConnected(core::TimePoint AskedAt) {
+  m_HeardAt = AskedAt;
   if (m_IsConnected)
     return;
   m_IsConnected = true;
@@ -84,20 +84,23 @@
 }
 
 void StoreFollower::readAndWatch(asio::yield_context Yield) {
+  core::TimePoint AskedAt = core::steadyNow();
   if (m_MustReadAll || m_Mirror.revision() == platform::Revision()) {
     auto Content =
         m_Store.readPrefix(EverythingPrefix, CallClass::Control, Yield);
     m_Mirror.replaceAll(m_Store.lastRevision(), Content);
     m_MustReadAll = false;
-    noteConnected();
+    noteConnected(AskedAt);
+    AskedAt = core::steadyNow();
   }
   // Starts before the oldest pending value: the store has it, even if the peers
   // that reported it are gone.
   m_Store.watch(
       EverythingPrefix, m_Mirror.completeRevision(),
-      [this](const std::vector<platform::Entry> &Changes) {
+      [this, AskedAt](const std::vector<platform::Entry> &Changes) mutable {
         m_Mirror.apply(m_Store.lastRevision(), Changes);
-        noteConnected();
+        noteConnected(AskedAt);
+        AskedAt = core::steadyNow();
         return m_IsEnabled;
       },
       Yield);
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -30,8 +30,8 @@
   /// watch in progress ends with the next change or failure.
   void setEnabled(bool IsEnabled) { m_IsEnabled = IsEnabled; }
   bool isConnected() const { return m_IsConnected; }
-  /// Returns the time of the last response of the store to this instance; none
-  /// before the first.
+  /// Returns a time at or after which the store made its last response to this
+  /// instance, which may have read it much later; none before the first.
   std::optional<core::TimePoint> heardAt() const { return m_HeardAt; }
 
 private:
@@ -41,7 +41,8 @@
   /// Reads the store if needed, and watches it until a call fails or the
   /// follower is disabled. \throws core::Error.
   void readAndWatch(boost::asio::yield_context Yield);
-  void noteConnected();
+  /// \param AskedAt time at which the call was sent, or earlier.
+  void noteConnected(core::TimePoint AskedAt);
   void noteLost(const std::exception &Failure);
 
   boost::asio::io_context &m_Context;
--- a/Tests/Support/ChangingStore.h
+++ b/Tests/Support/ChangingStore.h
@@ -45,6 +45,10 @@
       boost::system::error_code Ignored;
       Pause.async_wait(Yield[Ignored]);
       std::lock_guard<std::mutex> Lock(m_Mutex);
+      if (m_Changes.empty() && std::exchange(m_IsHistoryForgotten, false)) {
+        m_LastRevision = platform::Revision(m_NextRevision++);
+        throw core::Error(core::ErrorKind::Conflict, "history is forgotten");
+      }
       if (m_Changes.empty())
         continue;
       m_LastRevision = m_Changes.back().m_ModRevision;
@@ -82,6 +86,13 @@
     put({Key, "", platform::Revision(m_NextRevision++), true});
   }
 
+  /// Makes the watch fail after the changes made so far, so that all content is
+  /// read again, at a later revision. Thread-safe.
+  void forgetHistory() {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_IsHistoryForgotten = true;
+  }
+
 private:
   void put(platform::Entry Entry) {
     m_Revisions[Entry.m_Key] =
@@ -97,6 +108,7 @@
   std::int64_t m_NextRevision = 10;
   std::mutex m_Mutex;
   std::vector<platform::Entry> m_Changes;
+  bool m_IsHistoryForgotten = false;
 };
 
 } // namespace yardrill::tests
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -64,6 +64,7 @@
   int m_ReadinessPort = 0;
   /// Region of each data hall in the gateway's settings.
   std::map<core::DataHallName, core::RegionName> m_Regions;
+  bool m_IsFirstStart = false;
 
   void addTarget(ScriptedTarget::Script Respond) {
     m_Targets.push_back(
@@ -112,7 +113,7 @@
     Settings.m_CallerAddress = local(m_CallerPort);
     Settings.m_ReadinessAddress = local(m_ReadinessPort);
     Settings.m_PeerAddress = local(freePort());
-    Settings.m_IsFirstStart = false;
+    Settings.m_IsFirstStart = m_IsFirstStart;
     // Only the ratio applies: a restarted process has no allowance at first.
     Settings.m_Retries = {3, std::chrono::seconds(10), 20};
     m_Gateway = gateway::Gateway::Builder()
