LibGateway: Match a peer's response to the forwarded request by a number

Callers would see: the body of an earlier response, or 503 with the promise that a request has not run while a peer runs it.

Cause: a response on a kept connection to a peer was believed whatever request it belonged to, a not-taken at once.

Ruled out: responses of targets that are passed on; their ids are checked at the peer.

Change: each forwarded request has a number of its own, which the peer repeats in every response to it; other responses are logged and skipped, as those of targets are. A peer removes the header by which it marks responses of its own from those of targets. The peers' protocol has version 8: processes of older versions don't repeat the number, and are no peers.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -8,6 +8,8 @@
 #ifndef YARDRILL_LIBGATEWAY_GATEWAY_H
 #define YARDRILL_LIBGATEWAY_GATEWAY_H
 
+#include "LibCore/CorrelationIds.h"
+#include "LibCore/Digest.h"
 #include "LibCore/TimerService.h"
 #include "LibGateway/BackpressureService.h"
 #include "LibGateway/Dialect.h"
@@ -231,6 +233,7 @@
   routing::Dispatcher m_Dispatcher;
   http::ConnectionPool m_Connections;
   http::ConnectionPool m_PeerConnections; ///< For forwarded requests.
+  core::CorrelationIds m_ForwardIds{core::randomBits()};
   RetryBudgets m_Retries;
   PathMonitor m_Paths;
   TargetExitDetector m_ExitDetector;
--- a/Libraries/LibGateway/GatewayPaths.cpp
+++ b/Libraries/LibGateway/GatewayPaths.cpp
@@ -74,16 +74,22 @@
 }
 
 void Gateway::handleForwarded(http::Exchange &Call, asio::yield_context Yield) {
+  http::HeaderList &Headers = Call.request().m_Headers;
+  const std::string *Stated = Headers.find(peer::ForwardAttemptHeader);
+  std::string Attempt = Stated ? *Stated : "";
+  Headers.remove(peer::ForwardAttemptHeader);
   auto Ticket = m_Peers->readTicket(Call.request());
   if (!Ticket) {
     m_Metrics.count("yardrill_forwarded_requests_rejected_total");
     http::ResponseMessage Response = http::emptyResponse(403);
     Response.m_Head.m_Headers.set(peer::ForwardOutcomeHeader,
                                   peer::OutcomeNotTaken);
+    Response.m_Head.m_Headers.set(peer::ForwardAttemptHeader, Attempt);
     return Call.sendResponse(std::move(Response), Yield);
   }
-  Call.request().m_Headers.remove(peer::ForwardTicketHeader);
-  GatewayRequest Request(*this, Call, std::move(Ticket));
+  Headers.remove(peer::ForwardTicketHeader);
+  GatewayRequest Request(*this, Call,
+                         ForwardedRequest{std::move(*Ticket), Attempt});
   Request.run(Yield);
 }
 
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -36,12 +36,14 @@
 static constexpr unsigned MaxAttempts = 4;
 
 GatewayRequest::GatewayRequest(Gateway &Owner, http::Exchange &Caller,
-                               std::optional<peer::ForwardTicket> Ticket)
+                               std::optional<ForwardedRequest> Forwarded)
     : m_Owner(Owner), m_Caller(Caller),
       m_Relay(Caller, {[this] { return beginRead(); },
                        [this](std::size_t Count) { noteEvents(Count); },
                        [this] { releaseSlot(); }}),
-      m_Id(Owner.m_NextRequest++), m_Ticket(std::move(Ticket)),
+      m_Id(Owner.m_NextRequest++),
+      m_Ticket(Forwarded ? std::optional(Forwarded->m_Ticket) : std::nullopt),
+      m_ForwardAttempt(Forwarded ? Forwarded->m_Attempt : ""),
       m_ForwardedBody(Owner.m_CallerServer->bodyBudget()),
       m_Sending(Owner.m_CallerServer->intake().transfers()),
       m_WakeTimer(Owner.m_Context) {
@@ -452,8 +454,10 @@
   http::ResponseMessage Response;
   Response.m_Head.m_Status = Status;
   m_Owner.m_Wire.prepare(Response.m_Head, m_Description);
-  if (m_Ticket)
+  if (m_Ticket) {
     Response.m_Head.m_Headers.set(peer::ForwardOutcomeHeader, m_ForwardOutcome);
+    Response.m_Head.m_Headers.set(peer::ForwardAttemptHeader, m_ForwardAttempt);
+  }
   if (RetryAfter > core::Duration::zero()) {
     char Text[32];
     std::snprintf(Text, sizeof Text, "%.3f", core::toSeconds(RetryAfter));
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -17,15 +17,21 @@
 
 namespace yardrill::gateway {
 
+/// What a peer states of a request that it has forwarded.
+struct ForwardedRequest {
+  peer::ForwardTicket m_Ticket;
+  std::string m_Attempt; ///< To be repeated in the response.
+};
+
 /// Handles one request in its caller's coroutine: admission, attempts at
 /// targets and the response. No other process knows the request, so only this
 /// code can send it again: if no byte was sent, if the target reported that it
 /// did not run it, or if the route lets it run more than once.
 class GatewayRequest : private RequestInfo {
 public:
-  /// \param Ticket of a request that a peer has forwarded.
+  /// \param Forwarded none for a caller's own request.
   GatewayRequest(Gateway &Owner, http::Exchange &Caller,
-                 std::optional<peer::ForwardTicket> Ticket = std::nullopt);
+                 std::optional<ForwardedRequest> Forwarded = std::nullopt);
   ~GatewayRequest();
   GatewayRequest(const GatewayRequest &) = delete;
   GatewayRequest &operator=(const GatewayRequest &) = delete;
@@ -96,6 +102,9 @@
   bool isStreamVersionGone() const;
   /// Tells the peer that forwarded the request where its stream comes from.
   void stateStreamOrigin(http::ResponseHead &Head) const;
+  /// Adds what the peer that forwarded the request needs to know of a target's
+  /// response, if there is one.
+  void describeForPeer(http::ResponseHead &Head) const;
   /// Takes what the above states out of a peer's response. \returns false if
   /// the stream must not go on with it.
   bool readStreamOrigin(http::ResponseHead &Head);
@@ -152,10 +161,13 @@
                                boost::asio::yield_context Yield);
   /// Returns the key of responses to this request, in any attempt.
   http::ResponseKey responseKey() const;
-  /// Reads response heads until one has this request's id. A late response to
-  /// an earlier request may come first; it is logged and discarded.
-  http::ResponseHead readMatchingHead(http::ClientConnection &Connection,
-                                      boost::asio::yield_context Yield);
+  /// Reads response heads until one meets \p IsOwn. A late response to an
+  /// earlier request may come first; it is logged and discarded.
+  /// \throws core::Error of kind OutcomeUnknown.
+  http::ResponseHead
+  readMatchingHead(http::ClientConnection &Connection,
+                   const std::function<bool(const http::ResponseHead &)> &IsOwn,
+                   const std::string &Sender, boost::asio::yield_context Yield);
   /// Sends a buffered response, or holds a failure back if another target may
   /// succeed.
   AttemptOutcome relayBuffered(http::ResponseMessage Response,
@@ -225,6 +237,7 @@
   ResponseRelay m_Relay;
   core::RequestId m_Id;
   const std::optional<peer::ForwardTicket> m_Ticket;
+  const std::string m_ForwardAttempt; ///< Of the peer; empty without a ticket.
   /// Body of a forwarded request; callers' bodies are counted as they are read.
   http::ByteBudget::Reservation m_ForwardedBody;
   core::TimePoint m_EndsAt;                ///< Deadline of the response.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -160,19 +160,19 @@
   return http::ResponseKey(core::stableHash(m_Description.m_Id));
 }
 
-http::ResponseHead
-GatewayRequest::readMatchingHead(http::ClientConnection &Connection,
-                                 asio::yield_context Yield) {
+http::ResponseHead GatewayRequest::readMatchingHead(
+    http::ClientConnection &Connection,
+    const std::function<bool(const http::ResponseHead &)> &IsOwn,
+    const std::string &Sender, asio::yield_context Yield) {
   for (int Surplus = 0; Surplus <= MaxSurplusResponses; ++Surplus) {
     http::ResponseHead Head =
         Connection.readHead(timeLeft() + ResponseGracePeriod, Yield);
-    ResponseDescription Info = m_Owner.m_Wire.describe(Head);
-    if (Info.m_Id == m_Description.m_Id)
+    if (IsOwn(Head))
       return Head;
     core::LogLine("surplus-answer", core::LogLevel::Warning)
         .add("request", m_Description.m_Id)
-        .add("target", m_Target->m_Name)
-        .add("of_request", Info.m_Id)
+        .add("target", Sender)
+        .add("of_request", m_Owner.m_Wire.describe(Head).m_Id)
         .add("status", Head.m_Status)
         .add("sent_on_connection", Connection.requestsSent());
     m_Owner.m_Metrics.count("yardrill_surplus_responses_total");
@@ -231,7 +231,12 @@
       m_Caller.request().m_Body.size(), SentAt);
   Connection.sendRequest(m_Caller.request(), timeLeft(), Yield);
   m_Sending.complete(core::steadyNow());
-  http::ResponseHead Head = readMatchingHead(Connection, Yield);
+  http::ResponseHead Head = readMatchingHead(
+      Connection,
+      [this](const http::ResponseHead &Each) {
+        return m_Owner.m_Wire.describe(Each).m_Id == m_Description.m_Id;
+      },
+      m_Target->m_Name.value(), Yield);
   m_HasResponseStarted = true;
   m_IsEndKnown = Head.m_ContentLength.has_value() ||
                  Head.m_Headers.find("Transfer-Encoding") != nullptr;
@@ -257,7 +262,7 @@
                      core::steadyNow() - SentAt);
     return AttemptOutcome::Failed;
   } else {
-    stateStreamOrigin(Head);
+    describeForPeer(Head);
     Result = relayResponse(Connection, Head, Info, true, Yield);
   }
   // The connection leads to another target.
--- a/Libraries/LibGateway/GatewayRequestForward.cpp
+++ b/Libraries/LibGateway/GatewayRequestForward.cpp
@@ -133,11 +133,21 @@
   }
   Request.m_Headers.set(peer::ForwardTicketHeader,
                         m_Owner.m_Peers->signTicket(std::move(Ticket)));
+  std::string Attempt = std::to_string(m_Owner.m_ForwardIds.next());
+  Request.m_Headers.set(peer::ForwardAttemptHeader, Attempt);
   m_IsHandedOn = true;
   Connection.sendRequest(Request, timeLeft(), Yield);
   Request.m_Headers.remove(peer::ForwardTicketHeader);
-  http::ResponseHead Head =
-      Connection.readHead(timeLeft() + ResponseGracePeriod, Yield);
+  Request.m_Headers.remove(peer::ForwardAttemptHeader);
+  http::ResponseHead Head = readMatchingHead(
+      Connection,
+      [&Attempt](const http::ResponseHead &Each) {
+        const std::string *Stated =
+            Each.m_Headers.find(peer::ForwardAttemptHeader);
+        return Stated && *Stated == Attempt;
+      },
+      Peer.toString(), Yield);
+  Head.m_Headers.remove(peer::ForwardAttemptHeader);
   const std::string *OwnOutcome =
       Head.m_Headers.find(peer::ForwardOutcomeHeader);
   if (!OwnOutcome) {
@@ -188,6 +198,15 @@
   return nullptr;
 }
 
+void GatewayRequest::describeForPeer(http::ResponseHead &Head) const {
+  if (!m_Ticket)
+    return;
+  // Only this instance may say that the response is its own.
+  Head.m_Headers.remove(peer::ForwardOutcomeHeader);
+  Head.m_Headers.set(peer::ForwardAttemptHeader, m_ForwardAttempt);
+  stateStreamOrigin(Head);
+}
+
 void GatewayRequest::declineForwarded(const char *Reason,
                                       asio::yield_context Yield) {
   m_ForwardOutcome = peer::OutcomeNotTaken;
--- a/Libraries/LibGateway/GatewayRequestStream.cpp
+++ b/Libraries/LibGateway/GatewayRequestStream.cpp
@@ -84,7 +84,7 @@
 }
 
 void GatewayRequest::stateStreamOrigin(http::ResponseHead &Head) const {
-  if (!m_Ticket || !isResumable())
+  if (!isResumable())
     return;
   StreamOrigin Origin = m_StreamOrigin.value_or(
       StreamOrigin{routing::hashOf(m_Pool), m_Target->m_Version});
--- a/Libraries/LibPeer/ForwardTicket.h
+++ b/Libraries/LibPeer/ForwardTicket.h
@@ -20,6 +20,9 @@
 
 /// Header of a forwarded request that has the encoded ticket.
 inline constexpr char ForwardTicketHeader[] = "Yardrill-Forward-Ticket";
+/// Header of a forwarded request, and of the response to it: number that the
+/// sender has given this request only.
+inline constexpr char ForwardAttemptHeader[] = "Yardrill-Forward-Attempt";
 /// Header of a response that the peer itself made; absent from those of
 /// targets. Its value is one of those below.
 inline constexpr char ForwardOutcomeHeader[] = "Yardrill-Forward-Outcome";
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -20,7 +20,7 @@
 inline constexpr std::size_t MaxDatagramBytes = 1400;
 
 /// Version of all messages between peers; other versions are dropped.
-inline constexpr char ProtocolVersion = 7;
+inline constexpr char ProtocolVersion = 8;
 
 /// Reason for which a datagram is dropped; each has a metric of its own.
 enum class DropReason {
