LibGateway: Take no target's word that its own request was misdirected

Callers would see: 503, or a second run, for a request that a target answered with 421 although it is the one that was asked.

Cause: any 421 counted as a promise that the request has not run. Only another target than the addressed one gives it, and a 421 states its sender. A late copy of a refusal to an earlier attempt looks like that, too.

Change: a 421 whose sender is the addressed target, without the mark of requests that did not run, promises nothing (502 on routes that run once), and the target is not taken for replaced. One that names no sender counts as before.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -61,6 +61,8 @@
   bool m_IsUnprovenRefusal = false;
   /// Whether another target than the addressed one received the request.
   bool m_IsMisdirected = false;
+  /// Whether the response says in so many words that the request did not run.
+  bool m_HasNotRunMark = false;
   bool m_IsEncoded = false; ///< Whether the body is not as the target made it.
   /// Time after which the target closes an idle connection.
   std::optional<core::Duration> m_KeepAlive;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -161,6 +161,8 @@
                                boost::asio::yield_context Yield);
   /// Returns the key of responses to this request, in any attempt.
   http::ResponseKey responseKey() const;
+  /// Reads the head of a response of m_Target.
+  ResponseDescription describe(const http::ResponseHead &Head) const;
   /// Reads response heads until one meets \p IsOwn. A late response to an
   /// earlier request may come first; it is logged and discarded.
   /// \throws core::Error of kind OutcomeUnknown.
--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -160,6 +160,18 @@
   return http::ResponseKey(core::stableHash(m_Description.m_Id));
 }
 
+ResponseDescription
+GatewayRequest::describe(const http::ResponseHead &Head) const {
+  ResponseDescription Out = m_Owner.m_Wire.describe(Head);
+  // Only a target that was not asked may call the request misdirected.
+  if (Out.m_IsMisdirected && Out.m_Sender == m_Target->m_Name) {
+    Out.m_IsMisdirected = false;
+    Out.m_IsNotRun = Out.m_HasNotRunMark;
+    Out.m_IsUnprovenRefusal = !Out.m_HasNotRunMark;
+  }
+  return Out;
+}
+
 http::ResponseHead GatewayRequest::readMatchingHead(
     http::ClientConnection &Connection,
     const std::function<bool(const http::ResponseHead &)> &IsOwn,
@@ -241,7 +253,7 @@
   m_IsEndKnown = Head.m_ContentLength.has_value() ||
                  Head.m_Headers.find("Transfer-Encoding") != nullptr;
   beginRead();
-  ResponseDescription Info = m_Owner.m_Wire.describe(Head);
+  ResponseDescription Info = describe(Head);
   m_Owner.m_Backpressure.noteStated(*m_Target, Info.m_Backpressure,
                                     core::steadyNow());
   AttemptOutcome Result = AttemptOutcome::NotRun;
--- a/Tests/LibGateway/GatewayTest.cpp
+++ b/Tests/LibGateway/GatewayTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testNonIdempotentRequestRunsOnce);
   CPPUNIT_TEST(testRequestOnAConnectionThatItsTargetClosesIsNotSentAgain);
   CPPUNIT_TEST(testRefusalThatMayHaveRunIsNoPromise);
+  CPPUNIT_TEST(testMisdirectedResponseOfTheAddressedTargetIsNoPromise);
   CPPUNIT_TEST(testRetriesAfterTargetRefusal);
   CPPUNIT_TEST(testReplacedTargetIsNotUsed);
   CPPUNIT_TEST(testRestartedTargetGetsNewConnections);
@@ -134,6 +135,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(6), requestCount());
   }
 
+  void testMisdirectedResponseOfTheAddressedTargetIsNoPromise() {
+    auto Script = [](const Request &Received) {
+      return completeResponse(
+          Received, "", "421 Misdirected Request",
+          "Replica-Id: " + std::string(Received["Expect-Replica"]) + "\r\n");
+    };
+    addTarget(Script);
+    addTarget(Script);
+    start();
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT_EQUAL(502U, send(request("/once/x")).m_Status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), requestCount());
+  }
+
   void testRetriesAfterTargetRefusal() {
     // The first target that receives a request refuses it.
     std::set<std::string> Seen;
