--- a/Tests/Support/GatewayFleet.cpp
+++ b/Tests/Support/GatewayFleet.cpp
@@ -65,11 +65,14 @@
   const gateway::Dialect *Wire = &m_Dialect;
   if (Started.m_Links)
     Wire = Started.m_Links.get();
+  platform::KeyValueService *Store = &m_Store;
+  if (Started.m_Store)
+    Store = Started.m_Store;
   Started.m_Context = std::make_unique<asio::io_context>(1);
   Started.m_Gateway = gateway::Gateway::Builder()
                           .settings(Settings)
                           .dialect(*Wire)
-                          .store(m_Store)
+                          .store(*Store)
                           .build(*Started.m_Context);
   Started.m_Gateway->start();
   Started.m_Thread = std::thread([&Started] { Started.m_Context->run(); });
--- a/Tests/Support/GatewayFleet.h
+++ b/Tests/Support/GatewayFleet.h
@@ -25,6 +25,11 @@
                bool HasLinks = false);
   ~GatewayFleet();
 
+  /// Gives a gateway another store from its next start on. It must outlive the
+  /// fleet.
+  void setStore(std::size_t Index, platform::KeyValueService &Store) {
+    m_Instances[Index].m_Store = &Store;
+  }
   /// Starts the gateway at \p Index, which must not be running.
   void start(std::size_t Index);
   void startAll();
@@ -82,7 +87,8 @@
     int m_ReadinessPort = freePort();
     int m_PeerPort = freePort();
     int m_MetricsPort = freePort();
-    std::unique_ptr<TargetLinks> m_Links; ///< Null without links.
+    std::unique_ptr<TargetLinks> m_Links;         ///< Null without links.
+    platform::KeyValueService *m_Store = nullptr; ///< Null: the fleet's.
     std::unique_ptr<asio::io_context> m_Context;
     std::unique_ptr<gateway::Gateway> m_Gateway;
     std::thread m_Thread;
