Tests/Soak: Restart targets at their address and send responses twice

Targets came back at their address under another name, but their old entries went within milliseconds, and no target ever sent a second response.

--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -32,6 +32,9 @@
 /// Time after which the announcement of a target that stopped without leaving
 /// is removed.
 static constexpr std::chrono::milliseconds AnnouncementExpiryTime{1500};
+/// Bound of the time for which the entry of a target stays that has started
+/// again under another name.
+static constexpr std::chrono::milliseconds MaxOldAnnouncementTime{2000};
 static constexpr std::chrono::seconds OperatorTimeout{20};
 static constexpr std::chrono::milliseconds PublishPollInterval{20};
 
@@ -400,8 +403,13 @@
   Target.proxy().setMode(tests::ProxyMode::PassThrough);
   Target.setDisturbed(false);
   put(Target.key(), Target.announcement(), Yield);
-  if (!KeepsName)
-    remove(Old, Yield);
+  if (KeepsName)
+    return;
+  tests::sleepFor(
+      m_Context,
+      std::chrono::milliseconds(m_Random() % MaxOldAnnouncementTime.count()),
+      Yield);
+  remove(Old, Yield);
 }
 
 void Deployment::startVersion(const std::string &Pool,
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -34,6 +34,10 @@
 /// The same for stalls of gateways.
 static constexpr std::uint64_t StallSeed = 0x57a1;
 static constexpr std::uint64_t StallGapMs = 700;
+/// The same for restarts of targets.
+static constexpr std::uint64_t RestartSeed = 0x4e57;
+static constexpr std::uint64_t RestartGapMs = 500;
+static constexpr milliseconds MaxRestartTime{400};
 /// Alternating times of a starved process, as under a processor quota.
 static constexpr milliseconds StarvedTime{75};
 static constexpr milliseconds RunningTime{25};
@@ -152,6 +156,15 @@
   return drawKinds(Seed ^ StallSeed, Length, StallGapMs, Kinds);
 }
 
+std::vector<Fault> drawRestarts(std::uint64_t Seed, milliseconds Length) {
+  static constexpr FaultKind Kinds[] = {FaultKind::TargetCrashes};
+  std::vector<Fault> Out =
+      drawKinds(Seed ^ RestartSeed, Length, RestartGapMs, Kinds);
+  for (Fault &Each : Out)
+    Each.m_Length = std::min(Each.m_Length, MaxRestartTime);
+  return Out;
+}
+
 namespace {
 
 /// Injects one fault.
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -100,6 +100,11 @@
 std::vector<Fault> drawStalls(std::uint64_t Seed,
                               std::chrono::milliseconds Length);
 
+/// Returns times at which targets end, to start again at their addresses; drawn
+/// separately, for the same reason.
+std::vector<Fault> drawRestarts(std::uint64_t Seed,
+                                std::chrono::milliseconds Length);
+
 /// Injects a fault and removes it after its length, if it has one. Throws
 /// core::Error when the store can't be reached.
 void runFault(const Fault &Scheduled, Deployment &System, Callers &Sources,
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -22,8 +22,13 @@
 static constexpr std::chrono::milliseconds MinBackoffTime{300};
 static constexpr int BackoffSpreadMs = 3000;
 
+/// Share of the responses that are sent a second time, in the place of the next
+/// one.
+static constexpr double SecondCopyShare = 0.5;
 /// Start of the response header that repeats the request's id.
 static constexpr std::string_view IdHeader = "\r\nAttempt-Id: ";
+static constexpr std::string_view LengthHeader = "\r\nContent-Length: ";
+static constexpr std::string_view StatusLineStart = "HTTP/1.1 ";
 
 const char BadContentPrefix[] = "ends-its-target-";
 
@@ -71,6 +76,21 @@
   m_Proxy->setDeliveryHook([this](std::string_view Bytes, TimePoint SentAt) {
     recordDelivery(Bytes, SentAt);
   });
+  m_Proxy->setRepeatHook([this](std::string_view Bytes) {
+    return isCompleteResponse(Bytes) && isFaultDrawn(SecondCopyShare);
+  });
+}
+
+bool SoakTarget::isCompleteResponse(std::string_view Bytes) {
+  static constexpr std::string_view HeadEnd = "\r\n\r\n";
+  std::size_t End = Bytes.find(HeadEnd);
+  std::size_t Length = Bytes.find(LengthHeader);
+  return Bytes.compare(0, StatusLineStart.size(), StatusLineStart) == 0 &&
+         End != std::string_view::npos && Length < End &&
+         Bytes.size() ==
+             End + HeadEnd.size() +
+                 std::strtoul(Bytes.data() + Length + LengthHeader.size(),
+                              nullptr, 10);
 }
 
 std::string SoakTarget::announcement() const {
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -98,6 +98,8 @@
   void stream(http::Exchange &Call, const std::string &Id,
               const std::string &Identity, bool MustAbort,
               boost::asio::yield_context Yield);
+  /// Whether a piece of bytes is one response from its begin to its end.
+  static bool isCompleteResponse(std::string_view Bytes);
   /// Returns true with probability \p Share.
   bool isFaultDrawn(double Share);
   /// Returns the content under which the target must exit, or an empty string.
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -3,7 +3,7 @@
 // usage: soak --yardrill=PROGRAM --stand_in=PROGRAM --folder=DIRECTORY
 //             [--seed=N] [--seconds=N] [--gateways=N] [--targets=N]
 //             [--callers=N] [--bad_callers=N] [--norollouts] [--nofaults]
-//             [--stops] [--skews] [--stalls] [--replace]
+//             [--stops] [--skews] [--stalls] [--restarts] [--replace]
 //
 // Gateways and the store's stand-in run as processes; targets, callers and
 // proxies run in this one. A seed determines the schedule of faults and the
@@ -42,6 +42,8 @@
 DEFINE_bool(skews, false,
             "skew connections, also without the other scheduled faults");
 DEFINE_bool(stalls, false, "let gateways stand still or starve now and then");
+DEFINE_bool(restarts, false,
+            "let targets end and start again at their address");
 DEFINE_bool(replace, false,
             "replace all gateways one by one meanwhile, at new addresses");
 
@@ -194,6 +196,8 @@
       Add(drawSkews(FLAGS_seed, Length));
     if (FLAGS_stalls)
       Add(drawStalls(FLAGS_seed, Length));
+    if (FLAGS_restarts)
+      Add(drawRestarts(FLAGS_seed, Length));
     std::stable_sort(
         Out.begin(), Out.end(),
         [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -174,6 +174,13 @@
       return;
     }
     TimePoint SentAt = Clock::now();
+    if (!Failure && IsForward && !Connection->m_SecondCopy.empty()) {
+      std::string Copy = std::exchange(Connection->m_SecondCopy, "");
+      asio::async_write(From, asio::buffer(Copy), Yield[Failure]);
+    }
+    if (!Failure && !IsForward && m_RepeatHook &&
+        m_RepeatHook({Buffer.data(), Size}))
+      Connection->m_SecondCopy.assign(Buffer.data(), Size);
     if (!Failure)
       asio::async_write(To, asio::buffer(Buffer, Size), Yield[Failure]);
     if (Failure)
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -53,6 +53,11 @@
   /// \param Hook called with each piece of a response after it was sent to a
   ///   client whose connection is open. The client may have read it by then.
   void setDeliveryHook(DeliveryHook Hook) { m_DeliveryHook = std::move(Hook); }
+  /// \param Hook whether to send a piece of a response a second time, once the
+  ///   client has begun to send its next request on the connection.
+  void setRepeatHook(std::function<bool(std::string_view)> Hook) {
+    m_RepeatHook = std::move(Hook);
+  }
   /// Resets all open connections.
   void resetAll();
   /// Resets connections that have transferred nothing for \p Idle.
@@ -66,6 +71,7 @@
     boost::asio::ip::tcp::socket m_Upstream;
     TimePoint m_LastByte;
     bool m_IsClosedByClient = false;
+    std::string m_SecondCopy; ///< To be sent before the next response.
     void reset();
   };
   using ConnectionHandle = std::shared_ptr<ProxiedConnection>;
@@ -93,6 +99,7 @@
   ProxyMode m_Mode = ProxyMode::PassThrough;
   double m_ResponseRate = 0;
   DeliveryHook m_DeliveryHook;
+  std::function<bool(std::string_view)> m_RepeatHook;
   TimePoint m_LinkFreeAt;
 };
 
