--- a/Tests/LibGateway/LateResponseTest.cpp
+++ b/Tests/LibGateway/LateResponseTest.cpp
@@ -7,7 +7,10 @@
 #include "EmptyStore.h"
 #include "LibGateway/StreamOriginService.h"
 
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 using namespace yardrill;
 using namespace yardrill::gateway;
--- a/Tests/LibGateway/SurplusResponseTest.cpp
+++ b/Tests/LibGateway/SurplusResponseTest.cpp
@@ -49,7 +49,8 @@
       std::size_t Number = FirstNumber + static_cast<std::size_t>(I);
       asio::post(m_Context, [&] { m_CurrentName = nameOf(Number); });
       m_Store.change(keyOf(Number),
-                     announcementAt(m_Targets[0]->port(), Number));
+                     announcementAt(m_Targets[0]->port(),
+                                    static_cast<std::int64_t>(Number)));
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
       for (int J = 0; J < RequestsPerRestart; ++J) {
         CPPUNIT_ASSERT_EQUAL(200U, send(request("/once/x")).m_Status);
