--- a/Tests/LibGateway/SurplusResponseTest.cpp
+++ b/Tests/LibGateway/SurplusResponseTest.cpp
@@ -47,7 +47,7 @@
     int Sent = 0;
     for (int I = 0; I < Restarts; ++I) {
       std::size_t Number = FirstNumber + static_cast<std::size_t>(I);
-      asio::post(m_Context, [&] { m_CurrentName = nameOf(Number); });
+      asio::post(m_Context, [this, Number] { m_CurrentName = nameOf(Number); });
       m_Store.change(keyOf(Number),
                      announcementAt(m_Targets[0]->port(),
                                     static_cast<std::int64_t>(Number)));
