Tests/LibGateway: Leave odd entries under the membership record's own key

The test named yardrill/members, which nothing reads; the record of the instances is yardrill/instances.

Result with the right key: no fault.

--- a/Tests/LibGateway/OddEntryTest.cpp
+++ b/Tests/LibGateway/OddEntryTest.cpp
@@ -52,7 +52,7 @@
                              "op/rollout/app",
                              "status/rollout/app",
                              "yardrill/rollout/app",
-                             "yardrill/members",
+                             "yardrill/instances",
                              "yardrill/quota-owners",
                              "yardrill/quota-leaseholders",
                              "yardrill/departures",
