--- a/Libraries/LibGateway/GatewayRequestAttempt.cpp
+++ b/Libraries/LibGateway/GatewayRequestAttempt.cpp
@@ -277,7 +277,7 @@
     describeForPeer(Head);
     Result = relayResponse(Connection, Head, Info, true, Yield);
   }
-  // The connection leads to another target.
+  // The connection of a misdirected request leads to another target.
   m_KeepAliveTime =
       Info.m_IsMisdirected
           ? core::Duration::zero()
