LibHTTP: Treat a body that ends before the request was received as cut

Cause: the end of the connection ends a body without a length, whatever became of the request. sendRequest() has returned by then, since the kernel holds the upload, so the failure of the rest is never seen. Statuses were only checked against 100.

Change: a body that ends with its connection is cut if the server has not acknowledged all that was sent to it. A server that has read the request has acknowledged it, so its answers are passed on as before. Statuses above 599 fail the response (RFC 9110, section 15).

Ruled out: waiting for a reset after each end of a connection delays all answers without a length and needs a bound that nothing gives.

Not covered: an upload small enough for the server's kernel to hold unread.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
+#include <linux/sockios.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <vector>
 
 namespace yardrill::http {
@@ -24,6 +26,8 @@
 static const std::uint32_t MaxHeaderBytes = 65536;
 /// Interim responses before the final one.
 static const int MaxInterimResponses = 16;
+/// RFC 9110, section 15: other values are invalid.
+static const unsigned MaxStatus = 599;
 
 class ClientConnection::Implementation {
 public:
@@ -60,6 +64,12 @@
   http::setSilenceTimeout(m_Impl->m_Stream.socket(), Timeout);
 }
 
+/// Returns whether the other side has not received all that was sent to it.
+static bool hasUnacknowledgedData(tcp::socket &Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 ClientConnection::ClientConnection(std::unique_ptr<Implementation> Impl)
     : m_Impl(std::move(Impl)) {}
 
@@ -153,6 +163,10 @@
                       std::to_string(MaxInterimResponses) +
                       " interim responses");
   }
+  if (Parser->get().result_int() > MaxStatus)
+    throw Error(ErrorKind::OutcomeUnknown,
+                "read head: status " +
+                    std::to_string(Parser->get().result_int()) + " is none");
   if (!m_Impl->m_AllowsCloseDelimitedBody && !Parser->is_done() &&
       Parser->need_eof() && !Parser->chunked() && !Parser->content_length())
     throw Error(ErrorKind::OutcomeUnknown,
@@ -187,6 +201,13 @@
     throwIfFailed(Failure, ErrorKind::OutcomeUnknown, "read body");
     Data.resize(ReadBufferBytes - Body.size);
   }
+  // A server that ends its connection with a request half received resets it
+  // next, so the end of the connection is not the end of the body.
+  if (Parser.is_done() && Parser.need_eof() &&
+      hasUnacknowledgedData(m_Impl->m_Stream.socket()))
+    throw Error(ErrorKind::OutcomeUnknown,
+                "read body: the connection ended before the request was "
+                "received");
   m_Impl->m_IsResponseComplete = Parser.is_done();
   return Data;
 }
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -42,7 +42,8 @@
   /// Accepts responses with neither a length nor chunked coding, whose body
   /// ends when the server closes the connection (RFC 9112, section 6.3). By
   /// default they are an error, since a crash of the server looks like their
-  /// end.
+  /// end. A body is truncated if the server had not received the whole request
+  /// by then.
   void allowCloseDelimitedBody();
   /// Reads the status and headers of the next response, skipping a few interim
   /// (1xx) ones.
