LibRouting: Bound the debts of divided shares

Change: the rate of a part is 0.75 of the whole at the most. What remains is the debt that each group may have; a request that exceeds it waits until the level covers the rest. Requests above half of a part's burst need equal parts from a majority of the owners.

--- a/Libraries/LibRouting/DistributedQuota.cpp
+++ b/Libraries/LibRouting/DistributedQuota.cpp
@@ -71,13 +71,21 @@
     QuotaLimits AccountLimits{Each.m_TokensPerSecond, Each.m_Burst};
     QuotaLimits Limits = isolatedLimits(AccountLimits);
     double MaxUndivided = m_Tolerance.tokens(AccountLimits) * MaxUndividedShare;
+    double MaxUndividedOfPart =
+        m_Tolerance.dividedLimits(AccountLimits).m_Burst *
+        m_Rings.shareSize(ConsistentHashRing::MaxOwners) / 2;
     auto Known = m_AccountStates.find(hashOf(Each.m_Name));
     if (Known == m_AccountStates.end()) {
-      AccountState New{{}, MaxUndivided, TokenBucket(Limits, 0, Now), {}};
+      AccountState New{{},
+                       MaxUndivided,
+                       MaxUndividedOfPart,
+                       TokenBucket(Limits, 0, Now),
+                       {}};
       Next.emplace(hashOf(Each.m_Name), std::move(New));
       continue;
     }
     Known->second.m_MaxUndivided = MaxUndivided;
+    Known->second.m_MaxUndividedOfPart = MaxUndividedOfPart;
     Known->second.m_IsolatedBucket.setLimits(Limits, Now);
     Next.emplace(Known->first, std::move(Known->second));
   }
@@ -153,6 +161,8 @@
 
 bool DistributedQuota::isLarge(const QuotaAcquisition &Acquisition,
                                const AccountState &State) const {
+  if (mayBeDivided(Acquisition.m_Account))
+    return Acquisition.m_Tokens > State.m_MaxUndividedOfPart;
   // Zero if no tolerance is stated, and then there is none to keep to.
   return State.m_MaxUndivided > 0 &&
          Acquisition.m_Tokens > State.m_MaxUndivided;
@@ -224,8 +234,7 @@
                                             core::TimePoint Now) {
   Acquisition.m_Source = QuotaSource::Isolated;
   Acquisition.m_RetryAfter = DefaultRetryAfter;
-  if (isLarge(Acquisition, State) || !m_HasLease ||
-      m_Rings.isDivided(Acquisition.m_Account))
+  if (isLarge(Acquisition, State) || mayBeDivided(Acquisition.m_Account))
     return QuotaStep::Refused;
   // Admits as many tokens on average as the bucket holds, for any request size.
   double Level = State.m_IsolatedBucket.level(Now);
--- a/Libraries/LibRouting/DistributedQuota.h
+++ b/Libraries/LibRouting/DistributedQuota.h
@@ -149,6 +149,8 @@
   struct AccountState {
     std::vector<CachedGrant> m_CachedGrants;
     double m_MaxUndivided = 0; ///< Tokens; larger requests are divided.
+    /// The same while shares may be divided between lost owners and successors.
+    double m_MaxUndividedOfPart = 0;
     /// Share of the tolerance that is used while isolated.
     TokenBucket m_IsolatedBucket;
     /// Owners that refused, with the time until which they are not asked.
@@ -156,6 +158,10 @@
   };
 
   void configure(core::TimePoint Now);
+  /// Whether owners may hold only parts of their shares of the account.
+  bool mayBeDivided(AccountHash Account) const {
+    return !m_HasLease || m_Rings.isDivided(Account);
+  }
   /// Returns this instance's share of the tolerance for an account with the
   /// given limits. Instances that own no quotas have a share, too.
   QuotaLimits isolatedLimits(const QuotaLimits &Limits) const;
--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -24,10 +24,13 @@
 static constexpr double AdvanceOfOneRequest = 0.25;
 /// Share of the burst below which nothing is granted in advance.
 static constexpr double AdvanceThresholdShare = 0.5;
-/// Share of the tolerance that divided shares leave for debts.
-static constexpr double DebtShare = 0.0625;
+/// Share of the tolerance that divided shares leave for debts at least.
+static constexpr double MinDebtShare = 0.0625;
 /// Burst of a divided share, as a share of the whole one's.
 static constexpr double DividedBurstShare = 0.5;
+/// Largest rate of a divided share, as a share of the whole one's. What else
+/// the tolerance allows is left for the debts of large requests.
+static constexpr double MaxDividedRateShare = 0.75;
 
 AccountHash hashOf(const core::AccountName &Account) {
   return static_cast<AccountHash>(core::stableHash(Account.value()));
@@ -55,11 +58,20 @@
   double Window = core::toSeconds(m_Window);
   double Burst = Limits.m_Burst * DividedBurstShare;
   double Allowed = Limits.m_TokensPerSecond * Window + Limits.m_Burst +
-                   tokens(Limits) * (1 - DebtShare);
-  return {std::min(Limits.m_TokensPerSecond, (Allowed / 2 - Burst) / Window),
+                   tokens(Limits) * (1 - MinDebtShare);
+  return {std::min(Limits.m_TokensPerSecond * MaxDividedRateShare,
+                   (Allowed / 2 - Burst) / Window),
           Burst};
 }
 
+double QuotaTolerance::dividedDebt(const QuotaLimits &Limits) const {
+  double Window = core::toSeconds(m_Window);
+  QuotaLimits Divided = dividedLimits(Limits);
+  double Allowed =
+      Limits.m_TokensPerSecond * Window + Limits.m_Burst + tokens(Limits);
+  return Allowed / 2 - Divided.m_TokensPerSecond * Window - Divided.m_Burst;
+}
+
 double QuotaOwner::initialLevel(const QuotaLimits &Limits,
                                 const QuotaShare &Share) const {
   // The previous owner may have granted the whole share, and goes on until it
@@ -103,6 +115,7 @@
     Quota.m_Share = *Held;
     Quota.m_Whole = Limits;
     Quota.m_Divided = m_Tolerance.dividedLimits(AccountLimits).part(Share);
+    Quota.m_DividedDebt = m_Tolerance.dividedDebt(AccountLimits) * Share;
     applyLimits(Quota, Now);
   }
   m_Buckets = std::move(Next);
@@ -111,8 +124,8 @@
 }
 
 void QuotaOwner::applyLimits(Bucket &Quota, core::TimePoint Now) const {
-  bool IsDivided = Quota.m_Share.m_IsPartial || !m_HasLease;
-  const QuotaLimits &Limits = IsDivided ? Quota.m_Divided : Quota.m_Whole;
+  const QuotaLimits &Limits =
+      isDivided(Quota) ? Quota.m_Divided : Quota.m_Whole;
   Quota.m_Tokens.setLimits(Limits, Now);
   Quota.m_Advance.setLimits(advanceLimits(Limits), Now);
 }
@@ -133,6 +146,14 @@
           !Quota.m_Share.m_IsAtRisk);
 }
 
+bool QuotaOwner::tryTake(Bucket &Quota, std::uint32_t Tokens,
+                         core::TimePoint Now) const {
+  double Level = Quota.m_Tokens.level(Now);
+  if (isDivided(Quota) && Level > 0 && Tokens > Level + Quota.m_DividedDebt)
+    return false;
+  return Quota.m_Tokens.tryTake(Tokens, Now);
+}
+
 QuotaResponse QuotaOwner::handleRequest(const QuotaRequest &Request,
                                         core::TimePoint Now) {
   QuotaResponse Out;
@@ -144,7 +165,7 @@
   Out.m_Verdict = QuotaVerdict::Granted;
   if (Request.m_Tokens == 0)
     return Out;
-  if (!Tokens.tryTake(Request.m_Tokens, Now)) {
+  if (!tryTake(Found->second, Request.m_Tokens, Now)) {
     Out.m_Verdict = QuotaVerdict::Refused;
     Out.m_RetryAfter = Tokens.untilAvailable();
     return Out;
--- a/Libraries/LibRouting/QuotaOwner.h
+++ b/Libraries/LibRouting/QuotaOwner.h
@@ -50,8 +50,11 @@
   /// Returns the tolerance in tokens for an account with the given limits.
   double tokens(const QuotaLimits &Limits) const;
   /// Returns the limits of each of two groups of owners that don't know of each
-  /// other, such that both together grant what is tolerated in any window.
+  /// other. Both together grant what is tolerated in any window, if neither
+  /// owes more than dividedDebt().
   QuotaLimits dividedLimits(const QuotaLimits &Limits) const;
+  /// Returns the tokens that one of these groups may owe.
+  double dividedDebt(const QuotaLimits &Limits) const;
 };
 
 /// Request of an instance to an owner.
@@ -138,10 +141,18 @@
     TokenBucket m_Advance; ///< Tokens that may be granted in advance.
     std::vector<config::Endpoint> m_Others; ///< Other owners of the account.
     QuotaShare m_Share;
-    QuotaLimits m_Whole;   ///< Limits of the whole share.
-    QuotaLimits m_Divided; ///< Limits of a part of it.
+    QuotaLimits m_Whole;      ///< Limits of the whole share.
+    QuotaLimits m_Divided;    ///< Limits of a part of it.
+    double m_DividedDebt = 0; ///< Largest debt in tokens of a part of it.
   };
 
+  /// Whether only a part of the share is held.
+  bool isDivided(const Bucket &Quota) const {
+    return Quota.m_Share.m_IsPartial || !m_HasLease;
+  }
+  /// Takes tokens. \returns whether they were taken.
+  bool tryTake(Bucket &Quota, std::uint32_t Tokens, core::TimePoint Now) const;
+
   /// Applies the limits of the whole share, or of a part of it.
   void applyLimits(Bucket &Quota, core::TimePoint Now) const;
   /// Whether there is evidence that no other instance holds this share.
--- a/Tests/LibHTTP/EarlyResponseTest.cpp
+++ b/Tests/LibHTTP/EarlyResponseTest.cpp
@@ -91,10 +91,10 @@
 
   void testStatusesThatAreNone() {
     for (const char *Status : {"000", "099", "600", "999"})
-      CPPUNIT_ASSERT_MESSAGE(
-          Status, !exchange("HTTP/1.1 " + std::string(Status) +
-                                " Odd\r\nContent-Length: 1\r\n\r\nx",
-                            LargeBytes));
+      CPPUNIT_ASSERT_MESSAGE(Status,
+                             !exchange("HTTP/1.1 " + std::string(Status) +
+                                           " Odd\r\nContent-Length: 1\r\n\r\nx",
+                                       LargeBytes));
   }
 };
 
