LibPeer: Keep receiving after a message that can't be handled

What callers would see: an instance that hears of no peer any more, so that it counts as alone and its peers as lost, until it restarts.

Cause: an answer that exceeds a datagram (a target's version of 1,300 bytes, which any writer of the store may leave) makes encode() throw. The exception left PeerSocket::receive(), whose coroutine is detached, and ended it silently.

Change: an error concerns one datagram. PeerService logs a message that does not fit, which is as good as lost; PeerSocket logs a message whose handler failed.

--- a/Libraries/LibGateway/PeerService.cpp
+++ b/Libraries/LibGateway/PeerService.cpp
@@ -2,6 +2,8 @@
 #include "LibGateway/PeerService.h"
 
 #include "LibCore/Digest.h"
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
 
 namespace yardrill::gateway {
 
@@ -74,7 +76,15 @@
   Message.m_Sequence = ++m_Sequence;
   Message.m_WallSeconds = core::wallSeconds().count();
   Message.m_Body = Body;
-  std::string Datagram = m_Codec.encode(Message);
+  std::string Datagram;
+  try {
+    Datagram = m_Codec.encode(Message);
+  } catch (const core::Error &Failure) {
+    // As good as lost, which receivers have to tolerate anyway.
+    core::LogLine("peer-message-not-sent", core::LogLevel::Error)
+        .add("reason", Failure.what());
+    return;
+  }
   for (const config::Endpoint &Address : To)
     m_Socket.send(Datagram, Address);
 }
--- a/Libraries/LibPeer/PeerSocket.cpp
+++ b/Libraries/LibPeer/PeerSocket.cpp
@@ -2,6 +2,7 @@
 #include "LibPeer/PeerSocket.h"
 
 #include "LibCore/Error.h"
+#include "LibCore/Log.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/detached.hpp>
@@ -48,11 +49,21 @@
     // ICMP errors of datagrams sent earlier are reported here.
     if (Failure)
       continue;
-    auto Decoded = m_Codec.decode({Buffer.data(), Size});
-    if (const auto *Reason = std::get_if<DropReason>(&Decoded))
-      m_Hooks.m_Dropped(*Reason);
-    else
-      m_Hooks.m_Received(std::get<PeerMessage>(Decoded));
+    handle({Buffer.data(), Size});
+  }
+}
+
+void PeerSocket::handle(std::string_view Datagram) {
+  auto Decoded = m_Codec.decode(Datagram);
+  if (const auto *Reason = std::get_if<DropReason>(&Decoded))
+    return m_Hooks.m_Dropped(*Reason);
+  const auto &Message = std::get<PeerMessage>(Decoded);
+  try {
+    m_Hooks.m_Received(Message);
+  } catch (const core::Error &Failure) {
+    core::LogLine("peer-message-failed", core::LogLevel::Error)
+        .add("from", Message.m_From.m_Peer.toString())
+        .add("reason", Failure.what());
   }
 }
 
--- a/Libraries/LibPeer/PeerSocket.h
+++ b/Libraries/LibPeer/PeerSocket.h
@@ -26,7 +26,8 @@
   PeerSocket(boost::asio::io_context &Context, const config::Endpoint &Address,
              const PeerCodec &Codec);
 
-  /// Starts to receive; calls a hook for each datagram.
+  /// Starts to receive; calls a hook for each datagram. An error that the hook
+  /// throws is logged, and concerns that datagram only.
   void start(PeerSocketHooks Hooks);
   /// Sends \p Datagram. Failures are ignored: senders have to tolerate lost
   /// datagrams anyway.
@@ -34,6 +35,7 @@
 
 private:
   void receive(boost::asio::yield_context Yield);
+  void handle(std::string_view Datagram);
 
   boost::asio::io_context &m_Context;
   const PeerCodec &m_Codec;
