Tests/LibGateway: Destroy targets of a test before their event loop

Tear-downs of EndlessResponseTest, SlowCallerTest, SlowCallerSlotTest and UnreadResponseTest destroyed a target after the event loop that its sockets use (found by the review in reading: GatewayFixture::tearDown() ends the loop, and the classes destroyed their target after it). The fixture now lets a class destroy its own beforehand. No check is changed; a suspected cause of ByHand.LostPathHeap, which stays listed.

--- a/Tests/LibGateway/EndlessResponseTest.cpp
+++ b/Tests/LibGateway/EndlessResponseTest.cpp
@@ -84,8 +84,8 @@
   }
 
 public:
-  void tearDown() override {
-    GatewayFixture::tearDown();
+  void destroyTargets() override {
+    GatewayFixture::destroyTargets();
     m_Target.reset();
   }
 
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -47,11 +47,14 @@
     // Overwrites the freed memory, to expose uses after the destruction.
     std::vector<std::string> Overwritten(
         64, std::string(sizeof(gateway::Gateway) - 1, '\xff'));
-    m_Targets.clear();
+    destroyTargets();
     m_OwnContext.reset();
   }
 
 protected:
+  /// Destroys what uses the event loop, while it still exists.
+  virtual void destroyTargets() { m_Targets.clear(); }
+
   std::unique_ptr<asio::io_context> m_OwnContext =
       std::make_unique<asio::io_context>(1);
   asio::io_context &m_Context = *m_OwnContext;
--- a/Tests/Support/SlowCallerFixture.h
+++ b/Tests/Support/SlowCallerFixture.h
@@ -23,10 +23,13 @@
   void tearDown() override {
     m_SlowCallers.clear();
     GatewayFixture::tearDown();
-    m_Target.reset();
   }
 
 protected:
+  void destroyTargets() override {
+    GatewayFixture::destroyTargets();
+    m_Target.reset();
+  }
   void startGateway() {
     m_Target = std::make_unique<LargeResponseTarget>(m_Context);
     announce(1, m_Target->port(), Slots);
