LibHTTP: Wait for the reset that follows a cut answer to an upload

Cause: the replica's kernel had received the upload, so nothing was unacknowledged, though its process had read only a part of it. After the end of the stream the kernel reports no reset to a reader either.

Change: the end of such an answer to a request above 64 KiB is complete only if no reset follows within 150 ms (POLLERR). Other answers do not wait.

Ruled out: a wait for each answer that ends with its connection, which would delay answers to small requests, read before they are answered.

Evidence: EarlyResponseTest::testBodyThatEndsBeforeAReset fails before ("part" is taken) and passes after.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -10,6 +10,7 @@
 #include <cassert>
 #include <linux/sockios.h>
 #include <optional>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <vector>
 
@@ -28,6 +29,13 @@
 static const int MaxInterimResponses = 16;
 /// RFC 9110, section 15: other values are invalid.
 static const unsigned MaxStatus = 599;
+/// Time for which a server that has ended its sending may still reset the
+/// connection because it has not read the request, and how often that is
+/// checked.
+static const std::chrono::milliseconds ResetDelay{150};
+static const std::chrono::milliseconds ResetCheckPeriod{10};
+/// Requests up to this size are usually read before they are answered.
+static const std::size_t MaxSmallRequestBytes = 65536;
 
 class ClientConnection::Implementation {
 public:
@@ -42,9 +50,13 @@
   std::optional<Parser> m_Parser;
   std::vector<ExpectedResponse> m_Expected;
   std::size_t m_RequestsSent = 0;
+  std::size_t m_RequestBytes = 0; ///< Of the last request's body.
   bool m_IsHeadRequest = false;
   bool m_IsResponseComplete = false;
   bool m_AllowsCloseDelimitedBody = false;
+
+  /// Returns whether the end of the connection is a failure of the server.
+  bool isCut(asio::yield_context Yield);
 };
 
 static void throwIfFailed(error_code Failure, ErrorKind Kind,
@@ -70,6 +82,28 @@
   return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
 }
 
+static bool isReset(tcp::socket &Socket) {
+  pollfd Polled{Socket.native_handle(), 0, 0};
+  return ::poll(&Polled, 1, 0) > 0 && (Polled.revents & POLLERR) != 0;
+}
+
+bool ClientConnection::Implementation::isCut(asio::yield_context Yield) {
+  if (hasUnacknowledgedData(m_Stream.socket()))
+    return true;
+  if (m_RequestBytes <= MaxSmallRequestBytes)
+    return false;
+  asio::steady_timer Pause(m_Stream.get_executor());
+  core::TimePoint End = core::steadyNow() + ResetDelay;
+  while (!isReset(m_Stream.socket())) {
+    if (core::steadyNow() >= End)
+      return false;
+    Pause.expires_after(ResetCheckPeriod);
+    error_code Ignored;
+    Pause.async_wait(Yield[Ignored]);
+  }
+  return true;
+}
+
 ClientConnection::ClientConnection(std::unique_ptr<Implementation> Impl)
     : m_Impl(std::move(Impl)) {}
 
@@ -127,6 +161,7 @@
       Request.m_Method == "PUT" || Request.m_Method == "PATCH")
     Out.content_length(Request.m_Body.size());
   ++m_Impl->m_RequestsSent;
+  m_Impl->m_RequestBytes = Request.m_Body.size();
   m_Impl->m_IsHeadRequest = Request.m_Method == "HEAD";
   m_Impl->m_IsResponseComplete = false;
   error_code Failure;
@@ -201,13 +236,11 @@
     throwIfFailed(Failure, ErrorKind::OutcomeUnknown, "read body");
     Data.resize(ReadBufferBytes - Body.size);
   }
-  // A server that ends its connection with a request half received resets it
-  // next, so the end of the connection is not the end of the body.
-  if (Parser.is_done() && Parser.need_eof() &&
-      hasUnacknowledgedData(m_Impl->m_Stream.socket()))
+  // A server that ends its connection without having read the request resets
+  // it next, so the end of the connection is not the end of the body.
+  if (Parser.is_done() && Parser.need_eof() && m_Impl->isCut(Yield))
     throw Error(ErrorKind::OutcomeUnknown,
-                "read body: the connection ended before the request was "
-                "received");
+                "read body: the connection ended before the request was read");
   m_Impl->m_IsResponseComplete = Parser.is_done();
   return Data;
 }
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -43,7 +43,7 @@
   /// ends when the server closes the connection (RFC 9112, section 6.3). By
   /// default they are an error, since a crash of the server looks like their
   /// end. A body is truncated if the server had not received the whole request
-  /// by then.
+  /// by then, or resets the connection soon after a large one.
   void allowCloseDelimitedBody();
   /// Reads the status and headers of the next response, skipping a few interim
   /// (1xx) ones.
--- a/Tests/LibHTTP/EarlyResponseTest.cpp
+++ b/Tests/LibHTTP/EarlyResponseTest.cpp
@@ -23,6 +23,7 @@
 class EarlyResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EarlyResponseTest);
   CPPUNIT_TEST(testBodyThatEndsBeforeTheRequestIsReceived);
+  CPPUNIT_TEST(testBodyThatEndsBeforeAReset);
   CPPUNIT_TEST(testBodyThatEndsAfterTheRequest);
   CPPUNIT_TEST(testStatusesThatAreNone);
   CPPUNIT_TEST_SUITE_END();
@@ -30,16 +31,18 @@
   /// Larger than what a server with SmallReceiveBuffer takes unread.
   static constexpr std::size_t LargeBytes = 200000;
   static constexpr int SmallReceiveBuffer = 4096;
+  static constexpr int LargeReceiveBuffer = 1048576;
 
   /// Sends a request with a body of LargeBytes to a server that reads
-  /// \p ReadBytes of it, responds with \p Response and ends its sending.
-  /// \returns the received body; none if the response failed.
-  static std::optional<std::string> exchange(const std::string &Response,
-                                             std::size_t ReadBytes) {
+  /// \p ReadBytes of the body, responds with \p Response, ends its sending, and
+  /// closes the connection a little later. \returns the received body; none if
+  /// the response failed.
+  static std::optional<std::string>
+  exchange(const std::string &Response, std::size_t ReadBytes,
+           int ReceiveBuffer = SmallReceiveBuffer) {
     asio::io_context Context;
     tcp::acceptor Acceptor(Context, tcp::v4());
-    Acceptor.set_option(
-        asio::socket_base::receive_buffer_size(SmallReceiveBuffer));
+    Acceptor.set_option(asio::socket_base::receive_buffer_size(ReceiveBuffer));
     Acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
     Acceptor.listen();
     tcp::socket Server(Context);
@@ -48,10 +51,20 @@
         [&](asio::yield_context Yield) {
           error_code Failure;
           Acceptor.async_accept(Server, Yield);
-          std::string Received(ReadBytes, ' ');
-          asio::async_read(Server, asio::buffer(Received), Yield[Failure]);
+          std::string Received;
+          std::size_t Read =
+              ReadBytes + asio::async_read_until(Server,
+                                                 asio::dynamic_buffer(Received),
+                                                 "\r\n\r\n", Yield[Failure]);
+          if (Received.size() < Read)
+            asio::async_read(Server, asio::dynamic_buffer(Received),
+                             asio::transfer_exactly(Read - Received.size()),
+                             Yield[Failure]);
           asio::async_write(Server, asio::buffer(Response), Yield[Failure]);
           Server.shutdown(tcp::socket::shutdown_send, Failure);
+          asio::steady_timer Pause(Context, std::chrono::milliseconds(50));
+          Pause.async_wait(Yield[Failure]);
+          Server.close();
         },
         asio::detached);
     std::optional<std::string> Out;
@@ -83,6 +96,12 @@
     CPPUNIT_ASSERT(!exchange("HTTP/1.1 200 OK\r\n\r\npart", 1000));
   }
 
+  void testBodyThatEndsBeforeAReset() {
+    // The server's kernel has received the request.
+    CPPUNIT_ASSERT(
+        !exchange("HTTP/1.1 200 OK\r\n\r\npart", 1000, LargeReceiveBuffer));
+  }
+
   void testBodyThatEndsAfterTheRequest() {
     auto Body = exchange("HTTP/1.1 200 OK\r\n\r\nwhole", LargeBytes);
     CPPUNIT_ASSERT(Body);
