--- a/Tests/LibGateway/FleetMembershipTest.cpp
+++ b/Tests/LibGateway/FleetMembershipTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testNewInstanceIsAddedAtOnce);
   CPPUNIT_TEST(testShortSilenceChangesNothing);
   CPPUNIT_TEST(testLongSilenceRemovesInstance);
+  CPPUNIT_TEST(testSilenceCountsFromTheLastReport);
   CPPUNIT_TEST(testSilentMajorityIsRemoved);
   CPPUNIT_TEST(testAnnouncedStopOutlastsThoseThatHeardIt);
   CPPUNIT_TEST(testRestartRefutesAnnouncedStop);
@@ -85,6 +86,20 @@
                    FleetMembers({m_A, m_C}));
   }
 
+  void testSilenceCountsFromTheLastReport() {
+    constexpr seconds ReportLifetime{10};
+    FleetMembership Membership;
+    Membership.setRecorded({m_A, m_B, m_C});
+    // It has never heard of the third instance.
+    CPPUNIT_ASSERT(
+        !Membership.proposeUpdate({m_A, m_B}, m_Now, ReportLifetime));
+    m_Now += seconds(1);
+    CPPUNIT_ASSERT(!Membership.proposeUpdate({m_A}, m_Now, ReportLifetime));
+    CPPUNIT_ASSERT(
+        *Membership.proposeUpdate({m_A}, m_Now + seconds(3), ReportLifetime) ==
+        FleetMembers({m_A, m_C}));
+  }
+
   void testSilentMajorityIsRemoved() {
     // Owners of quotas outlast this; see QuotaOwnershipTest.
     FleetMembership Membership;
