LibGateway: Let a lone instance know whether it reaches the store

Cause, two: sendReport() ended before it noted its report where nobody was there to receive it, so a lone instance took the store for unreached for good, or for reached if it had been when the last peer went. And a part of a share refused a request that exceeded its burst and its debt however long the request waited, with no time to return, since the level was above zero.

Change: the report is noted, whoever receives it. A part grants any request once its bucket is full, and states the time until the level that it waits for.

Evidence: testLoneInstanceKnowsWhetherItReachesTheStore and testLargeRequestWaitsForAFullBucket; testRejectsInvalidRequests passes again, unchanged.

--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -400,8 +400,6 @@
 
 void PeerExchange::sendReport(const std::vector<config::Endpoint> &To,
                               bool IsFull) {
-  if (To.empty())
-    return;
   peer::LoadReport Report;
   Report.m_Name = m_Settings.m_Name;
   Report.m_DataHall = m_Settings.m_DataHall;
@@ -424,6 +422,8 @@
   if (!IsFull && !HasChanges)
     return;
   std::swap(m_LastReport, Report);
+  if (To.empty())
+    return;
   Report = IsFull ? m_LastReport : peer::shortened(m_LastReport);
   // A random sample, so that all peers become known within a few reports.
   if (IsFull)
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -181,7 +181,8 @@
   Rotation m_OtherGroupRotation;        ///< Index into m_OtherGroupAddresses
   std::size_t m_FullReports = 0;        ///< Counter for WriterRounds
   std::size_t m_UnreachableReports = 0; ///< Counter for WitnessRounds
-  peer::LoadReport m_LastReport;        ///< Last report sent, in full
+  /// Last report in full; sent if there was a receiver.
+  peer::LoadReport m_LastReport;
   core::TimePoint m_LastReportAt{};
   core::TimePoint m_FullReportAt{};
   bool m_IsStopping = false;
--- a/Libraries/LibRouting/QuotaOwner.cpp
+++ b/Libraries/LibRouting/QuotaOwner.cpp
@@ -146,12 +146,12 @@
           !Quota.m_Share.m_IsAtRisk);
 }
 
-bool QuotaOwner::tryTake(Bucket &Quota, std::uint32_t Tokens,
-                         core::TimePoint Now) const {
-  double Level = Quota.m_Tokens.level(Now);
-  if (isDivided(Quota) && Level > 0 && Tokens > Level + Quota.m_DividedDebt)
-    return false;
-  return Quota.m_Tokens.tryTake(Tokens, Now);
+double QuotaOwner::neededLevel(const Bucket &Quota,
+                               std::uint32_t Tokens) const {
+  if (!isDivided(Quota))
+    return 0;
+  return std::min(std::max(0.0, Tokens - Quota.m_DividedDebt),
+                  Quota.m_Divided.m_Burst);
 }
 
 QuotaResponse QuotaOwner::handleRequest(const QuotaRequest &Request,
@@ -165,9 +165,14 @@
   Out.m_Verdict = QuotaVerdict::Granted;
   if (Request.m_Tokens == 0)
     return Out;
-  if (!tryTake(Found->second, Request.m_Tokens, Now)) {
+  double Missing =
+      neededLevel(Found->second, Request.m_Tokens) - Tokens.level(Now);
+  if (Missing > 0 || !Tokens.tryTake(Request.m_Tokens, Now)) {
     Out.m_Verdict = QuotaVerdict::Refused;
-    Out.m_RetryAfter = Tokens.untilAvailable();
+    Out.m_RetryAfter =
+        std::max(Tokens.untilAvailable(),
+                 core::fromSeconds(std::max(0.0, Missing) /
+                                   Tokens.limits().m_TokensPerSecond));
     return Out;
   }
   shareDebt(Request.m_Account, Found->second, Now);
--- a/Libraries/LibRouting/QuotaOwner.h
+++ b/Libraries/LibRouting/QuotaOwner.h
@@ -150,8 +150,9 @@
   bool isDivided(const Bucket &Quota) const {
     return Quota.m_Share.m_IsPartial || !m_HasLease;
   }
-  /// Takes tokens. \returns whether they were taken.
-  bool tryTake(Bucket &Quota, std::uint32_t Tokens, core::TimePoint Now) const;
+  /// Returns the level in tokens at which a request for \p Tokens is granted: a
+  /// part of a share may owe little, but grants any request once it is full.
+  double neededLevel(const Bucket &Quota, std::uint32_t Tokens) const;
 
   /// Applies the limits of the whole share, or of a part of it.
   void applyLimits(Bucket &Quota, core::TimePoint Now) const;
--- a/Tests/LibGateway/OwnershipEvidenceTest.cpp
+++ b/Tests/LibGateway/OwnershipEvidenceTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(testOwnGroupIsNotEnough);
   CPPUNIT_TEST(testWitnessesOfOtherGroupsReportWithoutStore);
   CPPUNIT_TEST(testLeaseEndsWhateverWitnessesAgree);
+  CPPUNIT_TEST(testLoneInstanceKnowsWhetherItReachesTheStore);
   CPPUNIT_TEST(testRemovedMemberRenewsNoLease);
   CPPUNIT_TEST_SUITE_END();
 
@@ -215,6 +216,18 @@
     CPPUNIT_ASSERT(!m_Exchange->hasQuotaLease(m_Now));
   }
 
+  void testLoneInstanceKnowsWhetherItReachesTheStore() {
+    create(1, 1);
+    m_IsStoreConnected = true;
+    tick(seconds(1));
+    CPPUNIT_ASSERT(evidence() == OwnershipEvidence::Store);
+    CPPUNIT_ASSERT(m_Exchange->hasQuotaLease(m_Now));
+    m_IsStoreConnected = false;
+    tick(QuotaLeaseTime + seconds(1));
+    CPPUNIT_ASSERT(evidence() == OwnershipEvidence::Witnesses);
+    CPPUNIT_ASSERT(!m_Exchange->hasQuotaLease(m_Now));
+  }
+
   void testRemovedMemberRenewsNoLease() {
     create(6, 6);
     m_IsStoreConnected = true;
--- a/Tests/LibRouting/DividedQuotaTest.cpp
+++ b/Tests/LibRouting/DividedQuotaTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(testBothGroupsKeepToTheTolerance);
   CPPUNIT_TEST(testPartsWithoutTolerance);
   CPPUNIT_TEST(testLostSuccessorGrantsNothing);
+  CPPUNIT_TEST(testLargeRequestWaitsForAFullBucket);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +133,25 @@
     CPPUNIT_ASSERT(Owner.handleRequest({Hash, 1, 0}, Now).m_Verdict ==
                    QuotaVerdict::NotOwner);
   }
+
+  void testLargeRequestWaitsForAFullBucket() {
+    Account Added;
+    Added.m_Name = core::AccountName("account");
+    Added.m_TokensPerSecond = Added.m_Burst = 10;
+    QuotaOwner Owner(addresses(0, 1).front(), true);
+    core::TimePoint Now{std::chrono::hours(1)};
+    Owner.configure({Added}, ConsistentHashRing(addresses(0, 1)), Now);
+    Owner.setLease(false, Now);
+    AccountHash Hash = hashOf(Added.m_Name);
+    CPPUNIT_ASSERT(Owner.handleRequest({Hash, 1, 0}, Now).m_Verdict ==
+                   QuotaVerdict::Granted);
+    QuotaResponse Refusal = Owner.handleRequest({Hash, 50, 0}, Now);
+    CPPUNIT_ASSERT(Refusal.m_Verdict == QuotaVerdict::Refused);
+    CPPUNIT_ASSERT(Refusal.m_RetryAfter > core::Duration::zero());
+    Now += Refusal.m_RetryAfter + milliseconds(1);
+    CPPUNIT_ASSERT(Owner.handleRequest({Hash, 50, 0}, Now).m_Verdict ==
+                   QuotaVerdict::Granted);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DividedQuotaTest);
